--- /dev/null
+++ b/event/event.go
@@ -0,0 +1,55 @@
+// Package event writes numbered log events. Every event that a program can log
+// is declared in this package's catalogue, so that operators can look its number
+// up in docs/log-events.md.
+package event
+
+import (
+	"io"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+)
+
+// Severity says how urgent an event is.
+type Severity string
+
+// Severities, from least to most urgent.
+const (
+	Info  Severity = "info"
+	Warn  Severity = "warn"
+	Error Severity = "error"
+)
+
+// Definition declares one event.
+type Definition struct {
+	Number   int
+	Severity Severity
+	Text     string // fixed message; details are in the key-value pairs
+	Meaning  string // what it says to an operator, and what to do
+}
+
+// Logger writes events as logfmt lines. It is safe for concurrent use.
+type Logger struct {
+	base log.Logger
+}
+
+// NewLogger returns a logger that writes to w; pairs are added to each line.
+func NewLogger(w io.Writer, pairs ...any) *Logger {
+	base := log.NewLogfmtLogger(log.NewSyncWriter(w))
+	base = log.With(base, "ts", log.DefaultTimestampUTC)
+	return &Logger{base: log.With(base, pairs...)}
+}
+
+// Log writes one event with its key-value pairs.
+func (l *Logger) Log(d Definition, pairs ...any) {
+	leveled := level.Info(l.base)
+	switch d.Severity {
+	case Warn:
+		leveled = level.Warn(l.base)
+	case Error:
+		leveled = level.Error(l.base)
+	}
+	fields := append([]any{"event", d.Number, "msg", d.Text}, pairs...)
+	// A failed write to the log must not stop the data path.
+	_ = leveled.Log(fields...)
+}
--- /dev/null
+++ b/flow/view.go
@@ -0,0 +1,63 @@
+package flow
+
+import (
+	"net/netip"
+
+	"github.com/nutmegtrack/nutmegtrack/packet"
+)
+
+// State is the state of an upstream as its agent announces it.
+type State uint8
+
+const (
+	// Starting upstreams receive digests but no flows.
+	Starting State = iota
+	// Ready upstreams receive new flows.
+	Ready
+	// Draining upstreams keep their flows and receive no new ones.
+	Draining
+	// Leaving upstreams have ended their flows and are about to exit.
+	Leaving
+	// Failed upstreams were found dead by several observers.
+	Failed
+)
+
+var stateNames = [...]string{"starting", "ready", "draining", "leaving", "failed"}
+
+// String returns the state's lower-case name.
+func (s State) String() string {
+	if int(s) < len(stateNames) {
+		return stateNames[s]
+	}
+	return "unknown"
+}
+
+// Endpoint is one address of a service.
+type Endpoint struct {
+	Addr  netip.AddrPort
+	Proto uint8 // IP protocol number
+}
+
+// Upstream is one upstream VM of a service as a view shows it.
+type Upstream struct {
+	ID            packet.AgentID
+	Name          string
+	Incarnation   uint64
+	Addr          netip.AddrPort // agent's data address
+	State         State
+	FailureDomain string
+}
+
+// Service is one service with its addresses and upstreams.
+type Service struct {
+	ID        packet.ServiceID
+	Name      string
+	Endpoints []Endpoint
+	Upstreams []Upstream
+}
+
+// View is the fleet as one process knows it. A view is installed whole and is
+// never changed afterwards.
+type View struct {
+	Services []Service
+}
