Add the store client and the stand-in of the platform's store

Cause: nothing can yet read or write the platform's key-value store. Change: store/etcd speaks the published etcd v3 JSON-over-HTTP protocol with several endpoints and tells a write that did not happen (ErrUnavailable) from one that may have (ErrUnknown); store/mem is the engine that standin.StoreServer serves with leases, watches, compaction, faults and counts; `nutmegtrack standin store` runs it. Conclusion: a request counts as sent once it has a connection, so an outage that drops connections is reported as unknown and only a refused connection or an explicit refusal as unavailable.

--- /dev/null
+++ b/cmd/nutmegtrack/standin.go
@@ -0,0 +1,22 @@
+package main
+
+import (
+	"github.com/integrii/flaggy"
+)
+
+// standins lists the constructors of the stand-ins, in the order of the help text.
+var standins = []func() command{
+	newStandinStore,
+}
+
+// newStandin returns the parent of all stand-ins.
+func newStandin() command {
+	sub := flaggy.NewSubcommand("standin")
+	sub.Description = "runs a stand-in of the platform for tests and the demo"
+	list := make([]command, len(standins))
+	for i, newCommand := range standins {
+		list[i] = newCommand()
+		sub.AttachSubcommand(list[i].sub, 1)
+	}
+	return command{sub: sub, run: func() int { return runChild("standin", list) }}
+}
--- /dev/null
+++ b/standin/store.go
@@ -0,0 +1,116 @@
+package standin
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/store/etcd/wire"
+	"github.com/nutmegtrack/nutmegtrack/store/mem"
+)
+
+// StoreConfig sizes the stand-in of the platform's store. Zero fields get defaults.
+type StoreConfig struct {
+	History int // changes kept for watches; older ones are compacted
+}
+
+const (
+	defaultHistory = 10000
+
+	// maxRequest bounds a request's body in bytes: the published protocol's default
+	// limit is 1.5 MiB before base64, and so about 2 MiB.
+	maxRequest = 2 << 20
+)
+
+// StoreServer serves the etcd v3 JSON-over-HTTP protocol from memory. Leases end in
+// real time, watches start at any revision that is still kept, and PathStoreFaults
+// and PathStoreCounts control and observe it.
+type StoreServer struct {
+	mux    *http.ServeMux
+	counts counts
+	start  time.Time
+
+	mu      sync.Mutex
+	engine  *mem.Engine
+	faults  Faults
+	changed chan struct{} // closed and replaced whenever watches must look again
+	expiry  *time.Timer
+	closed  bool
+}
+
+var _ http.Handler = (*StoreServer)(nil)
+
+// NewStoreServer returns an empty store.
+func NewStoreServer(cfg StoreConfig) *StoreServer {
+	if cfg.History == 0 {
+		cfg.History = defaultHistory
+	}
+	s := &StoreServer{
+		mux:     http.NewServeMux(),
+		start:   time.Now(),
+		engine:  mem.New(cfg.History),
+		changed: make(chan struct{}),
+	}
+	s.counts.calls = map[string]int64{}
+	s.expiry = time.AfterFunc(time.Hour, s.expire)
+	s.routes()
+	return s
+}
+
+func (s *StoreServer) routes() {
+	s.mux.HandleFunc("POST "+wire.PathRange, handle(s, reads, s.rangeKeys))
+	s.mux.HandleFunc("POST "+wire.PathTxn, handle(s, writes, s.txn))
+	s.mux.HandleFunc("POST "+wire.PathPut, handle(s, writes, s.put))
+	s.mux.HandleFunc("POST "+wire.PathCompaction, handle(s, writes, s.compact))
+	s.mux.HandleFunc("POST "+wire.PathGrant, handle(s, writes, s.grant))
+	s.mux.HandleFunc("POST "+wire.PathKeepAlive, handle(s, writes, s.keepAlive))
+	s.mux.HandleFunc("POST "+wire.PathRevoke, handle(s, writes, s.revoke))
+	s.mux.HandleFunc("POST "+wire.PathWatch, s.watch)
+	s.mux.HandleFunc(PathStoreFaults, s.serveFaults)
+	s.mux.HandleFunc("GET "+PathStoreCounts, s.serveCounts)
+}
+
+// ServeHTTP implements http.Handler.
+func (s *StoreServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mux.ServeHTTP(w, r)
+}
+
+// Close stops the lease timer and ends all watches.
+func (s *StoreServer) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	s.expiry.Stop()
+	s.wake()
+}
+
+func (s *StoreServer) now() time.Duration { return time.Since(s.start) }
+
+// wake lets all watches look again; the caller holds the lock.
+func (s *StoreServer) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// settle ends lapsed leases and sets the timer for the next one; the caller holds
+// the lock. During an outage no lease ends.
+func (s *StoreServer) settle() {
+	if s.closed || s.faults.Outage != OutageNone {
+		s.expiry.Stop()
+		return
+	}
+	before := s.engine.Revision()
+	s.engine.Expire(s.now())
+	if s.engine.Revision() != before {
+		s.wake()
+	}
+	if next, ok := s.engine.NextExpiry(); ok {
+		s.expiry.Reset(next - s.now())
+	}
+}
+
+func (s *StoreServer) expire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.settle()
+}
--- /dev/null
+++ b/standin/store_calls.go
@@ -0,0 +1,220 @@
+package standin
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"path"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/nutmegtrack/nutmegtrack/store"
+	"github.com/nutmegtrack/nutmegtrack/store/etcd/wire"
+	"github.com/nutmegtrack/nutmegtrack/store/mem"
+)
+
+// kind says whether a call changes the store.
+type kind bool
+
+const (
+	reads  kind = false
+	writes kind = true
+)
+
+// callError is an error response.
+type callError struct {
+	status int
+	wire.Error
+}
+
+func rejected(message string) *callError {
+	return &callError{http.StatusBadRequest, wire.Error{Code: wire.CodeInvalidArgument, Message: message}}
+}
+
+// handle decodes the request, runs the call under the lock and answers, with the
+// faults that are switched on.
+func handle[Request, Response any](s *StoreServer, k kind, run func(Request) (Response, *callError)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.counts.call(path.Base(r.URL.Path))
+		var request Request
+		if !s.admit(w, r) || !s.decode(w, r, &request) {
+			return
+		}
+		response, failed, lose := runLocked(s, k, request, run)
+		if lose {
+			panic(http.ErrAbortHandler) // closes the connection without a response
+		}
+		if failed != nil {
+			s.respond(w, failed.status, failed.Error)
+			return
+		}
+		s.respond(w, http.StatusOK, response)
+	}
+}
+
+func runLocked[Request, Response any](s *StoreServer, k kind, request Request, run func(Request) (Response, *callError)) (Response, *callError, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.settle()
+	before := s.engine.Revision()
+	response, failed := run(request)
+	s.settle()
+	if s.engine.Revision() != before {
+		s.wake()
+	}
+	lose := k == writes && failed == nil && s.faults.LoseResponses > 0
+	if lose {
+		s.faults.LoseResponses--
+	}
+	return response, failed, lose
+}
+
+func (s *StoreServer) decode(w http.ResponseWriter, r *http.Request, request any) bool {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequest))
+	s.counts.bytesIn.Add(int64(len(body)))
+	if err == nil {
+		err = json.NewDecoder(bytes.NewReader(body)).Decode(request)
+	}
+	if err != nil {
+		failed := rejected("malformed request: " + err.Error())
+		s.respond(w, failed.status, failed.Error)
+	}
+	return err == nil
+}
+
+func (s *StoreServer) respond(w http.ResponseWriter, status int, response any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	s.send(w, response)
+}
+
+// send writes one JSON line; a client that has gone is noticed by its next call.
+func (s *StoreServer) send(w io.Writer, message any) {
+	line, _ := json.Marshal(message) // the messages contain nothing that fails
+	n, _ := w.Write(append(line, '\n'))
+	s.counts.bytesOut.Add(int64(n))
+}
+
+func (s *StoreServer) header() wire.Header {
+	return wire.Header{Revision: wire.Int64(s.engine.Revision())}
+}
+
+func (s *StoreServer) rangeKeys(r wire.RangeRequest) (wire.RangeResponse, *callError) {
+	if r.Revision != 0 {
+		return wire.RangeResponse{}, rejected("the stand-in reads only the current revision")
+	}
+	var kvs []wire.KeyValue
+	for _, kv := range s.engine.Range(string(r.Key), string(r.RangeEnd)) {
+		kvs = append(kvs, keyValue(kv))
+	}
+	return wire.RangeResponse{Header: s.header(), KVs: kvs, Count: wire.Int64(len(kvs))}, nil
+}
+
+func (s *StoreServer) put(r wire.PutRequest) (wire.PutResponse, *callError) {
+	_, err := s.engine.Txn(nil, []store.Op{putOp(r)})
+	return wire.PutResponse{Header: s.header()}, failedCall(err)
+}
+
+func (s *StoreServer) txn(r wire.TxnRequest) (wire.TxnResponse, *callError) {
+	conditions, failed := compares(r.Compare)
+	if failed != nil {
+		return wire.TxnResponse{}, failed
+	}
+	branch := r.Failure
+	holds := s.engine.Holds(conditions)
+	if holds {
+		branch = r.Success
+	}
+	_, err := s.engine.Txn(nil, ops(branch))
+	return wire.TxnResponse{Header: s.header(), Succeeded: holds}, failedCall(err)
+}
+
+func (s *StoreServer) compact(r wire.CompactionRequest) (wire.PutResponse, *callError) {
+	s.engine.Compact(int64(r.Revision))
+	return wire.PutResponse{Header: s.header()}, nil
+}
+
+func (s *StoreServer) grant(r wire.Lease) (wire.Lease, *callError) {
+	if r.TTL <= 0 {
+		return wire.Lease{}, rejected("the time to live of a lease must be positive")
+	}
+	id := s.engine.Grant(s.now(), time.Duration(r.TTL)*time.Second)
+	header := s.header()
+	return wire.Lease{Header: &header, ID: wire.Int64(id), TTL: r.TTL}, nil
+}
+
+func (s *StoreServer) keepAlive(r wire.Lease) (wire.Stream[wire.Lease], *callError) {
+	header := s.header()
+	result := &wire.Lease{Header: &header, ID: r.ID}
+	// A lease that has ended is reported by a response without time to live.
+	if ttl, err := s.engine.KeepAlive(s.now(), store.LeaseID(r.ID)); err == nil {
+		result.TTL = wire.Int64(ttl / time.Second)
+	}
+	return wire.Stream[wire.Lease]{Result: result}, nil
+}
+
+func (s *StoreServer) revoke(r wire.Lease) (wire.Lease, *callError) {
+	err := s.engine.Revoke(store.LeaseID(r.ID))
+	header := s.header()
+	return wire.Lease{Header: &header}, failedCall(err)
+}
+
+func failedCall(err error) *callError {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, store.ErrNotFound):
+		return &callError{http.StatusNotFound, wire.Error{Code: wire.CodeNotFound, Message: wire.MessageNoLease}}
+	case errors.Is(err, mem.ErrDuplicateKey):
+		return rejected(wire.MessageDuplicateKey)
+	}
+	return rejected(err.Error())
+}
+
+func keyValue(kv store.KV) wire.KeyValue {
+	return wire.KeyValue{
+		Key:            []byte(kv.Key),
+		Value:          kv.Value,
+		CreateRevision: wire.Int64(kv.CreateRevision),
+		ModRevision:    wire.Int64(kv.ModRevision),
+		Lease:          wire.Int64(kv.Lease),
+	}
+}
+
+func putOp(r wire.PutRequest) store.Op {
+	return store.Op{Key: string(r.Key), Value: r.Value, Lease: store.LeaseID(r.Lease)}
+}
+
+func ops(requests []wire.RequestOp) []store.Op {
+	var out []store.Op
+	for _, r := range requests {
+		switch {
+		case r.Put != nil:
+			out = append(out, putOp(*r.Put))
+		case r.Delete != nil:
+			out = append(out, store.Op{Key: string(r.Delete.Key), Delete: true})
+		}
+	}
+	return out
+}
+
+func compares(conditions []wire.Compare) ([]store.Compare, *callError) {
+	var out []store.Compare
+	for _, c := range conditions {
+		revision, target := c.ModRevision, store.CompareMod
+		if c.Target == wire.TargetCreate {
+			revision, target = c.CreateRevision, store.CompareCreate
+		}
+		known := c.Target == wire.TargetCreate || c.Target == wire.TargetMod
+		if !known || (c.Result != "" && c.Result != wire.ResultEqual) {
+			return nil, rejected("the stand-in compares only MOD and CREATE, for EQUAL")
+		}
+		if revision == nil {
+			revision = new(wire.Int64)
+		}
+		out = append(out, store.Compare{Key: string(c.Key), Target: target, Revision: int64(*revision)})
+	}
+	return out, nil
+}
--- /dev/null
+++ b/store/etcd/call.go
@@ -0,0 +1,120 @@
+package etcd
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+
+	"github.com/nutmegtrack/nutmegtrack/store"
+	"github.com/nutmegtrack/nutmegtrack/store/etcd/wire"
+)
+
+// effect says what a call may change, and so what is done after a failure.
+type effect uint8
+
+const (
+	read  effect = iota // tried at every endpoint
+	renew               // idempotent write: tried at every endpoint, unknown once sent
+	write               // never repeated once sent
+)
+
+// failure is why one attempt failed.
+type failure struct {
+	err   error
+	sent  bool // the store may have run the call
+	final bool // the store answered; another endpoint would answer the same
+}
+
+// call posts the request to one endpoint after the other, starting with the one
+// that answered last, and decodes the response.
+func (c *Client) call(ctx context.Context, kind effect, path string, request, response any) error {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return err
+	}
+	first := c.preferred.Load()
+	sent := false
+	var last error
+	for i := range c.cfg.Endpoints {
+		index := (int(first) + i) % len(c.cfg.Endpoints)
+		f := c.attempt(ctx, c.cfg.Endpoints[index]+path, body, response)
+		if f == nil {
+			c.preferred.Store(uint32(index))
+			return nil
+		}
+		if f.final {
+			return f.err
+		}
+		sent, last = sent || f.sent, f.err
+		if ctx.Err() != nil || (sent && kind == write) {
+			break
+		}
+	}
+	return outcome(kind, sent, path, last)
+}
+
+// outcome joins the store's error and its cause, so that errors.Is finds both.
+func outcome(kind effect, sent bool, path string, cause error) error {
+	if kind != read && sent {
+		return fmt.Errorf("%w: %s: %w", store.ErrUnknown, path, cause)
+	}
+	return fmt.Errorf("%w: %s: %w", store.ErrUnavailable, path, cause)
+}
+
+// attempt makes the call at one endpoint.
+func (c *Client) attempt(ctx context.Context, url string, body []byte, response any) *failure {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
+	defer cancel()
+	resp, sent, err := c.post(ctx, url, body)
+	if err != nil {
+		return &failure{err: err, sent: sent}
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxResponse))
+	if err != nil {
+		return &failure{err: err, sent: true}
+	}
+	if resp.StatusCode != http.StatusOK {
+		return refused(resp.StatusCode, answer)
+	}
+	if err := json.Unmarshal(answer, response); err != nil {
+		return &failure{err: fmt.Errorf("malformed response: %w", err), sent: true}
+	}
+	return nil
+}
+
+// post sends the request. It reports as sent every request that got a connection,
+// because from then on its bytes may have reached the store.
+func (c *Client) post(ctx context.Context, url string, body []byte) (*http.Response, bool, error) {
+	var sent atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, false, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.http.Do(req)
+	return resp, sent.Load(), err
+}
+
+// refused interprets an error response. The store runs no part of a call that it
+// rejects as invalid, as one too many, or because it has no leader; any other
+// server error may come after the write was proposed.
+func refused(status int, body []byte) *failure {
+	e := wire.DecodeError(body)
+	err := fmt.Errorf("status %d: %s", status, e.Message)
+	switch {
+	case e.Code == wire.CodeNotFound:
+		return &failure{err: fmt.Errorf("%w: %s", store.ErrNotFound, e.Message), final: true}
+	case status == http.StatusTooManyRequests, e.Message == wire.MessageNoLeader:
+		return &failure{err: err}
+	case status >= 400 && status < 500:
+		return &failure{err: fmt.Errorf("store: call rejected: %w", err), final: true}
+	}
+	return &failure{err: err, sent: true}
+}
--- /dev/null
+++ b/store/etcd/suite_test.go
@@ -0,0 +1,61 @@
+package etcd_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/nutmegtrack/nutmegtrack/standin"
+	"github.com/nutmegtrack/nutmegtrack/store"
+	"github.com/nutmegtrack/nutmegtrack/store/etcd"
+)
+
+func TestEtcd(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "store/etcd")
+}
+
+// serve starts a handler on a loopback port for the duration of the spec.
+func serve(handler http.Handler) string {
+	server := httptest.NewServer(handler)
+	DeferCleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return server.URL
+}
+
+func newStandin(cfg standin.StoreConfig) (*standin.StoreServer, string) {
+	s := standin.NewStoreServer(cfg)
+	url := serve(s)
+	DeferCleanup(s.Close)
+	return s, url
+}
+
+func newClient(cfg etcd.Config) *etcd.Client {
+	c, err := etcd.New(cfg)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(c.Close)
+	return c
+}
+
+func put(c store.Store, key, value string) (store.TxnResult, error) {
+	return c.Txn(context.Background(), nil, []store.Op{{Key: key, Value: []byte(value)}})
+}
+
+// golden compares with a file of testdata; UPDATE_GOLDEN=1 rewrites it.
+func golden(name, got string) {
+	GinkgoHelper()
+	path := "testdata/" + name
+	if os.Getenv("UPDATE_GOLDEN") != "" {
+		Expect(os.WriteFile(path, []byte(got), 0o644)).To(Succeed())
+	}
+	want, err := os.ReadFile(path)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(got).To(Equal(string(want)))
+}
--- /dev/null
+++ b/store/etcd/watch.go
@@ -0,0 +1,157 @@
+package etcd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/store"
+	"github.com/nutmegtrack/nutmegtrack/store/etcd/wire"
+)
+
+// Watch implements store.Store. It returns once the store has confirmed the watch,
+// or the error of the last endpoint.
+func (c *Client) Watch(ctx context.Context, prefix string, from int64) (<-chan store.WatchEvent, error) {
+	key, end := prefixRange(prefix)
+	create := &wire.WatchCreate{Key: key, RangeEnd: end, StartRevision: wire.Int64(from)}
+	body, err := json.Marshal(wire.WatchRequest{Create: create})
+	if err != nil {
+		return nil, err
+	}
+	first := c.preferred.Load()
+	var last error
+	for i := range c.cfg.Endpoints {
+		index := (int(first) + i) % len(c.cfg.Endpoints)
+		w, err := c.openWatch(ctx, c.cfg.Endpoints[index]+wire.PathWatch, body)
+		if err == nil {
+			c.preferred.Store(uint32(index))
+			events := make(chan store.WatchEvent)
+			go w.run(ctx, events)
+			return events, nil
+		}
+		last = err
+	}
+	return nil, outcome(read, false, wire.PathWatch, last)
+}
+
+// watch is one open stream.
+type watch struct {
+	body    io.ReadCloser
+	decoder *json.Decoder
+	cancel  context.CancelFunc
+}
+
+// openWatch opens the stream and waits for the confirmation, at most for the
+// client's timeout; afterwards the stream has no time limit.
+func (c *Client) openWatch(ctx context.Context, url string, body []byte) (*watch, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	timer := time.AfterFunc(c.cfg.Timeout, cancel)
+	w, err := c.startWatch(ctx, url, body)
+	if err == nil && !timer.Stop() {
+		w.body.Close()
+		err = context.DeadlineExceeded
+	}
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	w.cancel = cancel
+	return w, nil
+}
+
+func (c *Client) startWatch(ctx context.Context, url string, body []byte) (*watch, error) {
+	resp, _, err := c.post(ctx, url, body)
+	if err != nil {
+		return nil, err
+	}
+	w := &watch{body: resp.Body, decoder: json.NewDecoder(resp.Body)}
+	if err := w.confirm(resp); err != nil {
+		resp.Body.Close()
+		return nil, err
+	}
+	return w, nil
+}
+
+func (w *watch) confirm(resp *http.Response) error {
+	if resp.StatusCode != http.StatusOK {
+		body, _ := io.ReadAll(io.LimitReader(resp.Body, maxResponse))
+		return refused(resp.StatusCode, body).err
+	}
+	message, err := w.next()
+	if err != nil {
+		return err
+	}
+	if !message.Created {
+		return fmt.Errorf("malformed response: the first message of a watch does not confirm it")
+	}
+	return nil
+}
+
+func (w *watch) next() (*wire.WatchResponse, error) {
+	var message wire.Stream[wire.WatchResponse]
+	if err := w.decoder.Decode(&message); err != nil {
+		return nil, err
+	}
+	if message.Error != nil {
+		return nil, fmt.Errorf("watch ended: %s", message.Error.Message)
+	}
+	if message.Result == nil {
+		return nil, fmt.Errorf("malformed response: empty message")
+	}
+	return message.Result, nil
+}
+
+// run delivers the changes until the stream or the context ends.
+func (w *watch) run(ctx context.Context, events chan<- store.WatchEvent) {
+	defer close(events)
+	defer w.cancel()
+	defer w.body.Close()
+	for {
+		batch, err := w.read()
+		if err != nil {
+			batch = append(batch, store.WatchEvent{Err: err})
+		}
+		for _, event := range batch {
+			select {
+			case events <- event:
+			case <-ctx.Done():
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// read returns the changes of the next message, one event for each revision, since
+// the protocol may put several revisions into one message.
+func (w *watch) read() ([]store.WatchEvent, error) {
+	message, err := w.next()
+	if err != nil {
+		return nil, fmt.Errorf("%w: watch: %w", store.ErrUnavailable, err)
+	}
+	if message.CompactRevision > 0 {
+		return nil, fmt.Errorf("%w: up to %d", store.ErrCompacted, message.CompactRevision)
+	}
+	if message.Canceled {
+		return nil, fmt.Errorf("%w: watch cancelled: %s", store.ErrUnavailable, message.CancelReason)
+	}
+	return byRevision(message.Events), nil
+}
+
+func byRevision(events []wire.Event) []store.WatchEvent {
+	var out []store.WatchEvent
+	for _, event := range events {
+		revision := int64(event.KV.ModRevision)
+		if len(out) == 0 || out[len(out)-1].Revision != revision {
+			out = append(out, store.WatchEvent{Revision: revision})
+		}
+		last := &out[len(out)-1]
+		last.Events = append(last.Events, store.Event{KV: keyValue(event.KV), Deleted: event.Type == wire.EventDelete})
+	}
+	return out
+}
--- /dev/null
+++ b/store/mem/lease.go
@@ -0,0 +1,81 @@
+package mem
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/store"
+)
+
+// lease is one lease. It ends at the deadline.
+type lease struct {
+	ttl      time.Duration
+	deadline time.Duration
+}
+
+// Grant creates a lease.
+func (e *Engine) Grant(now, ttl time.Duration) store.LeaseID {
+	e.lastLease++
+	e.leases[e.lastLease] = &lease{ttl: ttl, deadline: now + ttl}
+	return e.lastLease
+}
+
+// KeepAlive renews a lease and returns its time to live, or store.ErrNotFound.
+func (e *Engine) KeepAlive(now time.Duration, id store.LeaseID) (time.Duration, error) {
+	l := e.leases[id]
+	if l == nil {
+		return 0, store.ErrNotFound
+	}
+	l.deadline = now + l.ttl
+	return l.ttl, nil
+}
+
+// Revoke ends a lease and deletes its keys in one revision.
+func (e *Engine) Revoke(id store.LeaseID) error {
+	if e.leases[id] == nil {
+		return store.ErrNotFound
+	}
+	delete(e.leases, id)
+	e.apply(e.deletes(id))
+	return nil
+}
+
+func (e *Engine) deletes(id store.LeaseID) []store.Op {
+	var writes []store.Op
+	for _, kv := range e.List("") {
+		if kv.Lease == id {
+			writes = append(writes, store.Op{Key: kv.Key, Delete: true})
+		}
+	}
+	return writes
+}
+
+// Expire ends the leases whose time to live has passed, in order of their IDs.
+func (e *Engine) Expire(now time.Duration) {
+	for _, id := range slices.Sorted(maps.Keys(e.leases)) {
+		if e.leases[id].deadline <= now {
+			_ = e.Revoke(id) // the lease exists
+		}
+	}
+}
+
+// NextExpiry returns when the next lease ends, and false when there is none.
+func (e *Engine) NextExpiry() (time.Duration, bool) {
+	var next time.Duration
+	found := false
+	for _, l := range e.leases {
+		if !found || l.deadline < next {
+			next, found = l.deadline, true
+		}
+	}
+	return next, found
+}
+
+// RestartLeases gives every lease its full time to live again, as a newly elected
+// leader of the platform's store does.
+func (e *Engine) RestartLeases(now time.Duration) {
+	for _, l := range e.leases {
+		l.deadline = now + l.ttl
+	}
+}
