--- /dev/null
+++ b/fake/store_test.go
@@ -0,0 +1,71 @@
+package fake_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/nutmegtrack/nutmegtrack/fake"
+	"github.com/nutmegtrack/nutmegtrack/store"
+)
+
+func TestFake(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "fake")
+}
+
+var _ = Describe("Store", func() {
+	ctx := context.Background()
+	var now time.Duration
+	var s *fake.Store
+	write := func(key string, lease store.LeaseID) (store.TxnResult, error) {
+		return s.Txn(ctx, nil, []store.Op{{Key: key, Lease: lease}})
+	}
+	BeforeEach(func() {
+		now = 0
+		s = fake.NewStore(func() time.Duration { return now })
+	})
+
+	// Guards against a fake whose leases never lapse: a test of a paused holder
+	// would pass without testing anything.
+	It("ends leases in virtual time, and tells the watches", func() {
+		lease, _ := s.Grant(ctx, 5*time.Second)
+		write("k", lease)
+		events, _ := s.Watch(ctx, "k", 0)
+		now = 4 * time.Second
+		Expect(s.KeepAlive(ctx, lease)).To(Equal(5 * time.Second))
+		now = 9 * time.Second
+		_, err := s.Get(ctx, "k")
+		Expect(err).To(MatchError(store.ErrNotFound))
+		Expect((<-events).Events[0].Deleted).To(BeTrue())
+		_, err = s.KeepAlive(ctx, lease)
+		Expect(err).To(MatchError(store.ErrNotFound))
+	})
+
+	// Guards against faults that do not happen in the order that tests rely on.
+	It("has the faults of the real store", func() {
+		s.LoseResponses = 1
+		_, err := write("lost", 0)
+		Expect(err).To(MatchError(store.ErrUnknown))
+		_, err = s.Get(ctx, "lost")
+		Expect(err).NotTo(HaveOccurred())
+		s.Outage = true
+		_, err = write("refused", 0)
+		Expect(err).To(MatchError(store.ErrUnavailable))
+		s.Outage = false
+		_, err = s.Get(ctx, "refused")
+		Expect(err).To(MatchError(store.ErrNotFound))
+	})
+
+	It("ends a watch whose start was compacted", func() {
+		result, _ := write("k", 0)
+		s.Compact(result.Revision)
+		events, err := s.Watch(ctx, "k", result.Revision)
+		Expect(err).NotTo(HaveOccurred())
+		Expect((<-events).Err).To(MatchError(store.ErrCompacted))
+		Expect(events).To(BeClosed())
+	})
+})
--- a/standin/store_calls.go
+++ b/standin/store_calls.go
@@ -122,12 +122,17 @@
 	if failed != nil {
 		return wire.TxnResponse{}, failed
 	}
-	branch := r.Failure
+	success, failure := ops(r.Success), ops(r.Failure)
+	// The protocol rejects a duplicate key in either branch, run or not.
+	if err := errors.Join(mem.CheckKeys(success), mem.CheckKeys(failure)); err != nil {
+		return wire.TxnResponse{}, rejected(wire.MessageDuplicateKey)
+	}
+	branch := failure
 	holds := s.engine.Holds(conditions)
 	if holds {
-		branch = r.Success
+		branch = success
 	}
-	_, err := s.engine.Txn(nil, ops(branch))
+	_, err := s.engine.Txn(nil, branch)
 	return wire.TxnResponse{Header: s.header(), Succeeded: holds}, failedCall(err)
 }
 
--- a/store/mem/engine.go
+++ b/store/mem/engine.go
@@ -94,27 +94,37 @@
 }
 
 // Txn applies all writes when all conditions hold, else none. It returns
-// store.ErrNotFound when a write names an unknown lease, ErrDuplicateKey when two
-// writes name the same key.
+// ErrDuplicateKey when two writes name the same key and store.ErrNotFound when a
+// write that would be applied names an unknown lease.
 func (e *Engine) Txn(conditions []store.Compare, writes []store.Op) (store.TxnResult, error) {
-	if err := e.check(writes); err != nil {
+	if err := CheckKeys(writes); err != nil {
 		return store.TxnResult{}, err
 	}
 	if !e.Holds(conditions) {
 		return store.TxnResult{Revision: e.revision}, nil
 	}
+	if err := e.checkLeases(writes); err != nil {
+		return store.TxnResult{}, err
+	}
 	e.apply(writes)
 	return store.TxnResult{Succeeded: true, Revision: e.revision}, nil
 }
 
-func (e *Engine) check(writes []store.Op) error {
+// CheckKeys returns ErrDuplicateKey when two writes name the same key.
+func CheckKeys(writes []store.Op) error {
 	seen := map[string]bool{}
 	for _, w := range writes {
 		if seen[w.Key] {
 			return errors.Wrapf(ErrDuplicateKey, "key %q", w.Key)
 		}
 		seen[w.Key] = true
-		if w.Lease != 0 && e.leases[w.Lease] == nil {
+	}
+	return nil
+}
+
+func (e *Engine) checkLeases(writes []store.Op) error {
+	for _, w := range writes {
+		if !w.Delete && w.Lease != 0 && e.leases[w.Lease] == nil {
 			return errors.Wrapf(store.ErrNotFound, "lease %d", w.Lease)
 		}
 	}
