Add the client and upstream stand-ins

Cause: the demo and the tests need flows whose fate is known from end to end. Change: Callers simulates many clients over TCP and UDP, IPv4 and IPv6, with numbered requests, retransmission and a reason for each broken flow; Responder answers from a state for each flow, resets unknown ones and records what it ran. Both are pure; Client and Upstream add sockets and an HTTP report. An upstream's initial sequence numbers carry a tag of its name, so that a flow which has only been opened can be attributed to an upstream that was killed on purpose. Deliberate faults of an upstream prove that each check can fail.

--- /dev/null
+++ b/standin/broken_test.go
@@ -0,0 +1,128 @@
+package standin_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/nutmegtrack/nutmegtrack/packet"
+	"github.com/nutmegtrack/nutmegtrack/standin"
+)
+
+// reasons counts the broken flows of a report by reason.
+func reasons(r standin.CallersReport) map[standin.Reason]int {
+	m := map[standin.Reason]int{}
+	for _, b := range r.Broken {
+		m[b.Reason]++
+	}
+	return m
+}
+
+// Each entry causes one failure that the load balancer could cause, and guards
+// against a demo whose checks overlook it.
+var _ = DescribeTable("a client reports",
+	func(fault standin.Fault, want standin.Reason) {
+		l := newLink(portalOnly(20), portalServer("u1", fault))
+		l.run(20 * time.Second)
+		r := l.callers.Report()
+		Expect(reasons(r)).To(HaveKey(want))
+		Expect(r.BrokenPlanned).NotTo(BeZero())
+		Expect(r.BrokenUnplanned).To(BeZero())
+	},
+	Entry("a reset", standin.FaultForget, standin.ReasonReset),
+	Entry("an answer from another state", standin.FaultAdopt, standin.ReasonOtherState),
+	Entry("the response to another request", standin.FaultCross, standin.ReasonMismatch),
+	Entry("a silent flow", standin.FaultSilent, standin.ReasonSilent),
+)
+
+var _ = Describe("packets that reach a second upstream", func() {
+	// Guards against per-packet placement that a client does not notice.
+	It("break TCP and UDP flows", func() {
+		l := newLink(portalOnly(20), portalServer("u1", standin.FaultNone), portalServer("u2", standin.FaultNone))
+		l.route = func(l *link, _ *packet.Info) int { return min(1, int(l.now/(3*time.Second))) }
+		l.run(8 * time.Second)
+		got := reasons(l.callers.Report())
+		Expect(got).To(HaveKey(standin.ReasonReset))
+		Expect(got).To(HaveKey(standin.ReasonOtherState))
+	})
+
+	// Guards against a SYN that opens the same flow in two places.
+	It("break a flow that two upstreams accept", func() {
+		l := newLink(portalOnly(1), portalServer("u1", standin.FaultNone), portalServer("u2", standin.FaultNone))
+		l.route = func(l *link, in *packet.Info) int {
+			if in.First && in.Key.Proto == packet.ProtoTCP {
+				raw := packet.AppendTCP(nil, &packet.TCPSegment{Key: in.Key, Seq: in.Seq, Flags: in.Flags})
+				defer func() { l.callers.Receive(l.now, l.servers[1].Receive(l.now, raw)) }()
+				l.callers.Receive(l.now, l.servers[0].Receive(l.now, raw))
+				return -1
+			}
+			return 0
+		}
+		l.run(10 * time.Second)
+		Expect(reasons(l.callers.Report())).To(HaveKey(standin.ReasonOtherState))
+	})
+})
+
+var _ = Describe("packets for another service", func() {
+	twoServices := func(fault standin.Fault) *link {
+		cfg := portalOnly(20)
+		cfg.Targets = append(cfg.Targets, standin.Target{Service: "intake", Addresses: intake})
+		l := newLink(cfg, portalServer("u1", fault)) // everything reaches the portal
+		l.run(10 * time.Second)
+		return l
+	}
+
+	// Guards against traffic of one service that reaches another unseen.
+	It("are counted by the upstream and not answered", func() {
+		l := twoServices(standin.FaultNone)
+		Expect(l.servers[0].Counts().WrongServicePackets).NotTo(BeZero())
+		Expect(reasons(l.callers.Report())).To(HaveKey(standin.ReasonSilentOpen))
+	})
+
+	It("are reported by the client when they are answered", func() {
+		l := twoServices(standin.FaultAnyAddress)
+		r := l.callers.Report()
+		Expect(r.WrongService).NotTo(BeZero())
+		Expect(reasons(r)).To(HaveKey(standin.ReasonService))
+	})
+})
+
+var _ = Describe("a request that runs twice", func() {
+	// Guards against a count of duplicates that stays zero.
+	It("is found in the record of one upstream", func() {
+		l := newLink(portalOnly(10), portalServer("u1", standin.FaultRunTwice))
+		l.run(20 * time.Second)
+		Expect(standin.Duplicates(l.records()...)).NotTo(BeEmpty())
+	})
+
+	It("is found in the records of two upstreams", func() {
+		r := standin.Run{Flow: 7, Number: 3}
+		Expect(standin.Duplicates([]standin.Run{r}, []standin.Run{r})).To(Equal([]standin.Run{r}))
+	})
+})
+
+var _ = Describe("an upstream killed on purpose", func() {
+	// Guards against broken flows that are blamed on a kill of another upstream.
+	It("excuses its own flows only", func() {
+		l := newLink(portalOnly(40), portalServer("u1", standin.FaultNone), portalServer("u2", standin.FaultNone))
+		dead := false
+		l.route = func(_ *link, in *packet.Info) int {
+			to := int(in.Key.Hash() % 2)
+			if dead {
+				return -1 // both are silent, only u2 was killed on purpose
+			}
+			return to
+		}
+		l.run(3 * time.Second)
+		dead = true
+		l.callers.MarkKilled("u2")
+		l.run(15 * time.Second)
+		r := l.callers.Report()
+		Expect(r.BrokenUnplanned).NotTo(BeZero())
+		Expect(r.BrokenPlanned).NotTo(BeZero())
+		for _, b := range r.Broken {
+			Expect(b.Planned).To(Equal(b.Upstream != "u2"), "%+v", b)
+		}
+	})
+})
--- /dev/null
+++ b/standin/caller_receive.go
@@ -0,0 +1,126 @@
+package standin
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/packet"
+)
+
+// Receive handles one IP packet from a service.
+func (c *Callers) Receive(now time.Duration, raw []byte) {
+	var in packet.Info
+	if err := packet.Parse(raw, &in); err != nil {
+		c.report.Stray++
+		return
+	}
+	f := c.byKey[in.Key.Reverse()]
+	if f == nil || in.ICMPError {
+		c.report.Stray++
+		return
+	}
+	if f.key.Proto == packet.ProtoUDP {
+		c.receiveResponse(now, f, in.Payload)
+		return
+	}
+	c.receiveTCP(now, f, &in)
+}
+
+func (c *Callers) receiveTCP(now time.Duration, f *callerFlow, in *packet.Info) {
+	switch {
+	case in.RST:
+		c.breakFlow(now, f, ReasonReset, "")
+	case in.Flags&packet.FlagSYN != 0:
+		c.receiveSYNACK(now, f, in)
+	case f.phase == phaseOpening:
+		c.breakFlow(now, f, ReasonOtherState, "segment before SYN-ACK")
+	case in.FIN:
+		c.receiveFIN(now, f, in)
+	case len(in.Payload) > 0:
+		c.receiveData(now, f, in)
+	}
+}
+
+// receiveSYNACK opens the flow. A second SYN-ACK must repeat the first one: another
+// sequence number comes from a second state of the same flow.
+func (c *Callers) receiveSYNACK(now time.Duration, f *callerFlow, in *packet.Info) {
+	if f.phase != phaseOpening {
+		if in.Seq != f.peerISN {
+			c.breakFlow(now, f, ReasonOtherState, "second SYN-ACK with another sequence number")
+		}
+		return
+	}
+	if in.Ack != f.isn+1 {
+		c.breakFlow(now, f, ReasonOutOfStream, "SYN-ACK acknowledges another SYN")
+		return
+	}
+	f.phase, f.waiting, f.next = phaseOpen, false, now
+	f.peerISN, f.peerNext = in.Seq, in.Seq+1
+	c.acknowledge(f)
+}
+
+// receiveData accepts the segment that continues the stream, ignores repeated ones
+// and reports all others.
+func (c *Callers) receiveData(now time.Duration, f *callerFlow, in *packet.Info) {
+	switch {
+	case in.Seq == f.peerNext && f.phase == phaseOpen:
+		if c.receiveResponse(now, f, in.Payload) {
+			f.peerNext += uint32(len(in.Payload))
+		}
+	case in.Seq-f.peerISN >= f.peerNext-f.peerISN:
+		detail := fmt.Sprintf("sequence number %d, expected %d", in.Seq, f.peerNext)
+		c.breakFlow(now, f, ReasonOutOfStream, detail)
+	default:
+		c.report.ResponsesLate++
+	}
+}
+
+// receiveResponse compares a response with the flow's request and reports whether
+// it is the expected one.
+func (c *Callers) receiveResponse(now time.Duration, f *callerFlow, payload []byte) bool {
+	r, err := decodeResponse(payload)
+	if err != nil {
+		c.report.Mismatched++
+		c.breakFlow(now, f, ReasonUnreadable, err.Error())
+		return false
+	}
+	v := f.id.check(r)
+	switch v {
+	case Expected:
+		c.accept(now, f, r)
+		return true
+	case Late:
+		c.report.ResponsesLate++
+		return false
+	case WrongService:
+		c.report.WrongService++
+	case WrongFlow, WrongNumber:
+		c.report.Mismatched++
+	}
+	c.breakFlow(now, f, verdictReasons[v], fmt.Sprintf("response %+v", r))
+	return false
+}
+
+// accept records the expected response. A repeated one, which only UDP delivers
+// here, changes nothing.
+func (c *Callers) accept(now time.Duration, f *callerFlow, r Response) {
+	if !f.waiting {
+		c.report.ResponsesLate++
+		return
+	}
+	c.report.ResponsesExpected++
+	f.id.upstream, f.id.state = r.Upstream, r.State
+	f.waiting = false
+	f.next = now + c.around(c.cfg.Pause)
+}
+
+func (c *Callers) receiveFIN(now time.Duration, f *callerFlow, in *packet.Info) {
+	if f.phase != phaseClosing || in.Ack != f.sendNext {
+		c.breakFlow(now, f, ReasonOutOfStream, "FIN that the client did not ask for")
+		return
+	}
+	f.peerNext = in.Seq + 1
+	c.acknowledge(f)
+	c.report.FlowsClosed++
+	c.end(f)
+}
--- /dev/null
+++ b/standin/caller_report.go
@@ -0,0 +1,42 @@
+package standin
+
+import "time"
+
+// BrokenFlow is one broken flow in a report.
+type BrokenFlow struct {
+	Flow     FlowID        `json:"flow"`
+	Service  string        `json:"service"`
+	Source   string        `json:"source"`
+	Dest     string        `json:"dest"`
+	Proto    uint8         `json:"proto"`
+	Reason   Reason        `json:"reason"`
+	Detail   string        `json:"detail,omitempty"`
+	Upstream string        `json:"upstream,omitempty"`
+	Planned  bool          `json:"planned"` // its upstream was not killed on purpose
+	Request  uint32        `json:"request"` // number of its latest request
+	Opened   time.Duration `json:"opened"`
+	Broken   time.Duration `json:"broken"`
+}
+
+// CallersReport is what all clients of one process observed.
+type CallersReport struct {
+	Started           time.Time      `json:"started"` // reference of all durations
+	FlowsOpened       uint64         `json:"flows_opened"`
+	FlowsClosed       uint64         `json:"flows_closed"`
+	FlowsOpen         int            `json:"flows_open"`
+	FlowsOpenMax      int            `json:"flows_open_max"`
+	FlowsOpenBy       map[string]int `json:"flows_open_by_service"`
+	BrokenPlanned     uint64         `json:"broken_planned"`
+	BrokenUnplanned   uint64         `json:"broken_unplanned"`
+	RequestsSent      uint64         `json:"requests_sent"`
+	ResponsesExpected uint64         `json:"responses_expected"`
+	ResponsesLate     uint64         `json:"responses_late"`
+	Mismatched        uint64         `json:"mismatched"`
+	WrongService      uint64         `json:"wrong_service"`
+	Retransmissions   uint64         `json:"retransmissions"`
+	Stray             uint64         `json:"stray"` // packets of no known flow
+	Broken            []BrokenFlow   `json:"broken"`
+}
+
+// brokenLogSize bounds the broken flows that a report describes; all are counted.
+const brokenLogSize = 200
--- /dev/null
+++ b/standin/client.go
@@ -0,0 +1,124 @@
+package standin
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// ClientConfig describes a client process.
+type ClientConfig struct {
+	CallersConfig
+	Listen  netip.AddrPort // receives replies
+	Fabric  netip.AddrPort // receives the clients' packets
+	Control string         // address of the HTTP endpoint
+	Seed    uint64
+}
+
+// stepEvery bounds how late a request or retransmission is sent.
+const stepEvery = 5 * time.Millisecond
+
+// Client connects Callers to a socket.
+type Client struct {
+	cfg     ClientConfig
+	started time.Time
+	mu      sync.Mutex
+	core    *Callers
+	conn    *net.UDPConn
+}
+
+// NewClient returns a client process that has opened no socket yet.
+func NewClient(cfg ClientConfig) *Client {
+	c := &Client{cfg: cfg}
+	rng := rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Run)))
+	c.core = NewCallers(cfg.CallersConfig, rng, c.send)
+	return c
+}
+
+func (c *Client) send(p []byte) {
+	// A lost packet is retransmitted.
+	_, _ = c.conn.WriteToUDPAddrPort(p, c.cfg.Fabric)
+}
+
+// Run generates load until ctx ends or a socket fails.
+func (c *Client) Run(ctx context.Context) error {
+	conn, err := listenPackets(c.cfg.Listen)
+	if err != nil {
+		return err
+	}
+	c.conn, c.started = conn, time.Now()
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return closeAfter(ctx, conn) })
+	group.Go(func() error { return readPackets(ctx, conn, c.handle) })
+	group.Go(func() error { return c.tick(ctx) })
+	group.Go(func() error { return serveHTTP(ctx, c.cfg.Control, c.Handler()) })
+	return group.Wait()
+}
+
+func (c *Client) handle(p []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.core.Receive(time.Since(c.started), p)
+}
+
+func (c *Client) tick(ctx context.Context) error {
+	ticker := time.NewTicker(stepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		c.mu.Lock()
+		c.core.Step(time.Since(c.started))
+		c.mu.Unlock()
+	}
+}
+
+// KilledNote names an upstream that was killed on purpose.
+type KilledNote struct {
+	Upstream string `json:"upstream"`
+}
+
+// Handler returns the control endpoint: GET /report, POST /close to end all flows,
+// and POST /killed with a KilledNote.
+func (c *Client) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /report", func(w http.ResponseWriter, _ *http.Request) {
+		answerJSON(w, c.report())
+	})
+	mux.HandleFunc("POST /close", func(w http.ResponseWriter, _ *http.Request) {
+		c.locked(c.core.Close)
+		answerJSON(w, struct{}{})
+	})
+	mux.HandleFunc("POST /killed", func(w http.ResponseWriter, r *http.Request) {
+		var note KilledNote
+		if !readJSON(w, r, &note) {
+			return
+		}
+		c.locked(func() { c.core.MarkKilled(note.Upstream) })
+		answerJSON(w, struct{}{})
+	})
+	return mux
+}
+
+func (c *Client) locked(f func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f()
+}
+
+func (c *Client) report() CallersReport {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.core.Report()
+	r.Started = c.started
+	return r
+}
--- /dev/null
+++ b/standin/load_test.go
@@ -0,0 +1,65 @@
+package standin_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/nutmegtrack/nutmegtrack/packet"
+	"github.com/nutmegtrack/nutmegtrack/standin"
+)
+
+var _ = Describe("clients and a correct upstream", func() {
+	// Guards against checks that report faults where there are none.
+	It("complete all flows over both IP versions and transports", func() {
+		l := newLink(portalOnly(100), portalServer("u1", standin.FaultNone))
+		l.run(20 * time.Second)
+		l.callers.Close()
+		l.run(5 * time.Second)
+
+		r := l.callers.Report()
+		Expect(r.Broken).To(BeEmpty())
+		Expect(r.FlowsOpened).To(BeNumerically(">", 100))
+		Expect(r.FlowsClosed).To(Equal(r.FlowsOpened))
+		Expect(r.FlowsOpen).To(BeZero())
+		Expect(r.ResponsesExpected).To(Equal(r.RequestsSent))
+		Expect(standin.Duplicates(l.records()...)).To(BeEmpty())
+		kinds := map[[2]bool]bool{}
+		for _, k := range l.seen {
+			kinds[[2]bool{k.Proto == packet.ProtoUDP, k.Source().Addr().Is4()}] = true
+		}
+		Expect(kinds).To(HaveLen(4))
+	})
+
+	// Guards against a retransmission that runs a request again or breaks its flow.
+	It("survive the loss of every third packet", func() {
+		l := newLink(portalOnly(20), portalServer("u1", standin.FaultNone))
+		l.route = func(l *link, _ *packet.Info) int { return min(0, len(l.seen)%3-1) }
+		l.run(20 * time.Second)
+		r := l.callers.Report()
+		Expect(r.Broken).To(BeEmpty())
+		Expect(r.Retransmissions).NotTo(BeZero())
+		Expect(standin.Duplicates(l.records()...)).To(BeEmpty())
+	})
+
+	// Guards against the demo's imbalance being computed from wrong counts.
+	It("agree on the number of open flows", func() {
+		l := newLink(portalOnly(30), portalServer("u1", standin.FaultNone))
+		l.run(10 * time.Second)
+		Expect(l.servers[0].Open(l.now)).To(Equal(l.callers.Report().FlowsOpen))
+	})
+})
+
+var _ = Describe("an upstream", func() {
+	// Guards against memory that grows with the length of a run.
+	It("keeps its ledger within the limit and counts the rest", func() {
+		cfg := portalServer("u1", standin.FaultNone)
+		cfg.LedgerLimit = 10
+		l := newLink(portalOnly(20), cfg)
+		l.run(5 * time.Second)
+		runs, dropped := l.servers[0].Runs()
+		Expect(runs).To(HaveLen(10))
+		Expect(dropped).To(Equal(l.servers[0].Counts().RequestsRun - 10))
+	})
+})
--- /dev/null
+++ b/standin/responder_flow.go
@@ -0,0 +1,181 @@
+package standin
+
+import (
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/packet"
+)
+
+// serverFlow is an upstream's state of one flow.
+type serverFlow struct {
+	state       uint64 // random; names this state in responses
+	isn         uint32
+	clientISN   uint32
+	sendNext    uint32 // sequence number of the next byte to the client
+	receiveNext uint32 // sequence number expected from the client
+	lastNumber  uint32
+	answer      []byte // latest response
+	answerSeq   uint32 // sequence number of its first byte
+	requests    int
+	closed      bool
+	lastSeen    time.Duration
+}
+
+func (f *serverFlow) isOpen(now time.Duration, proto uint8) bool {
+	if f.closed {
+		return false
+	}
+	return proto == packet.ProtoTCP || now-f.lastSeen <= udpActive
+}
+
+func (r *Responder) receiveTCP(now time.Duration, in *packet.Info) []byte {
+	if in.RST {
+		delete(r.flows, in.Key)
+		return nil
+	}
+	f := r.flows[in.Key]
+	if in.First {
+		return r.receiveSYN(now, in, f)
+	}
+	if f == nil {
+		f = r.adopt(now, in)
+	}
+	if f == nil {
+		r.counts.ResetsSent++
+		return reply(in, packet.FlagRST|packet.FlagACK, in.Ack, in.Seq+uint32(len(in.Payload)), nil)
+	}
+	f.lastSeen = now
+	if len(in.Payload) > 0 {
+		return r.receiveData(in, f)
+	}
+	if in.FIN {
+		return receiveFIN(in, f)
+	}
+	return nil
+}
+
+// receiveSYN opens a flow. A SYN with another sequence number is a new connection
+// on reused ports and replaces the old state.
+func (r *Responder) receiveSYN(now time.Duration, in *packet.Info, f *serverFlow) []byte {
+	if f == nil || f.closed || f.clientISN != in.Seq {
+		f = r.newFlow(now, in.Key)
+		if f == nil {
+			return nil
+		}
+		f.clientISN, f.receiveNext = in.Seq, in.Seq+1
+	}
+	return reply(in, packet.FlagSYN|packet.FlagACK, f.isn, in.Seq+1, nil)
+}
+
+// adopt returns a new state for a segment of an unknown flow, under FaultAdopt.
+func (r *Responder) adopt(now time.Duration, in *packet.Info) *serverFlow {
+	if r.cfg.Fault != FaultAdopt || len(in.Payload) == 0 {
+		return nil
+	}
+	f := r.newFlow(now, in.Key)
+	f.receiveNext = in.Seq
+	f.sendNext = in.Ack // the client accepts only the sequence number it expects
+	return f
+}
+
+// receiveData runs a request that continues the stream and answers a repeated one
+// with the stored response.
+func (r *Responder) receiveData(in *packet.Info, f *serverFlow) []byte {
+	if in.Seq == f.receiveNext {
+		answer := r.answer(in, f)
+		if answer == nil {
+			return nil
+		}
+		f.receiveNext += uint32(len(in.Payload))
+		f.answer, f.answerSeq = answer, f.sendNext
+		f.sendNext += uint32(len(answer))
+	}
+	if f.answer == nil {
+		return nil
+	}
+	return reply(in, packet.FlagACK|packet.FlagPSH, f.answerSeq, f.receiveNext, f.answer)
+}
+
+func receiveFIN(in *packet.Info, f *serverFlow) []byte {
+	if in.Seq != f.receiveNext {
+		return nil
+	}
+	f.closed = true
+	return reply(in, packet.FlagFIN|packet.FlagACK, f.sendNext, in.Seq+1, nil)
+}
+
+func (r *Responder) receiveUDP(now time.Duration, in *packet.Info) []byte {
+	f := r.flows[in.Key]
+	if f == nil {
+		f = r.newFlow(now, in.Key)
+	}
+	if f == nil {
+		return nil
+	}
+	f.lastSeen = now
+	req, err := decodeRequest(in.Payload)
+	if err != nil {
+		r.counts.Malformed++
+		return nil
+	}
+	if req.Number != f.lastNumber || f.answer == nil {
+		f.answer = r.answer(in, f)
+	}
+	if f.answer == nil {
+		return nil
+	}
+	back := in.Key.Reverse()
+	return packet.AppendUDP(nil, &back, f.answer)
+}
+
+// answer runs the request in the packet and returns the response, or nil when the
+// request is malformed.
+func (r *Responder) answer(in *packet.Info, f *serverFlow) []byte {
+	req, err := decodeRequest(in.Payload)
+	if err != nil {
+		r.counts.Malformed++
+		return nil
+	}
+	r.run(req)
+	f.lastNumber = req.Number
+	f.requests++
+	answer := encode(&Response{
+		Service:  r.service,
+		Flow:     req.Flow,
+		Number:   req.Number,
+		Upstream: r.cfg.Name,
+		State:    f.state,
+	})
+	return r.spoil(in, f, req, answer)
+}
+
+func (r *Responder) run(req Request) {
+	r.counts.RequestsRun++
+	r.ledger.Add(Run{Flow: req.Flow, Number: req.Number})
+}
+
+// spoil applies the configured fault to every faultInterval-th response.
+func (r *Responder) spoil(in *packet.Info, f *serverFlow, req Request, answer []byte) []byte {
+	previous := r.previous
+	r.previous = answer
+	if f.requests < faultInterval {
+		return answer
+	}
+	switch r.cfg.Fault {
+	case FaultForget, FaultAdopt:
+		delete(r.flows, in.Key)
+	case FaultRunTwice:
+		r.run(req)
+	case FaultCross:
+		return previous
+	case FaultSilent:
+		return nil
+	}
+	return answer
+}
+
+// reply builds a TCP segment in the opposite direction of in.
+func reply(in *packet.Info, flags uint8, seq, ack uint32, payload []byte) []byte {
+	s := packet.TCPSegment{Key: in.Key.Reverse(), Seq: seq, Ack: ack, Flags: flags, Payload: payload}
+	return packet.AppendTCP(nil, &s)
+}
--- /dev/null
+++ b/standin/upstream.go
@@ -0,0 +1,143 @@
+package standin
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+// UpstreamConfig describes an upstream process.
+type UpstreamConfig struct {
+	ResponderConfig
+	Listen  netip.AddrPort // receives IP packets from the agent
+	ReplyTo netip.AddrPort // the agent's address for replies
+	Control string         // address of the HTTP endpoint
+	Seed    uint64
+}
+
+// UpstreamReport is what an upstream observed.
+type UpstreamReport struct {
+	Name    string `json:"name"`
+	Service string `json:"service"`
+	Open    int    `json:"open"`
+	UpstreamCounts
+	Runs    []Run  `json:"runs,omitempty"`
+	Dropped uint64 `json:"dropped"` // requests not recorded for lack of space
+}
+
+const (
+	// maxPacket is the largest IP packet.
+	maxPacket = 65535
+	// socketBuffer absorbs bursts while the process waits for a core.
+	socketBuffer = 4 << 20
+)
+
+// Upstream connects a Responder to sockets.
+type Upstream struct {
+	cfg     UpstreamConfig
+	started time.Time
+	mu      sync.Mutex
+	core    *Responder
+}
+
+// NewUpstream returns an upstream that has opened no socket yet.
+func NewUpstream(cfg UpstreamConfig) *Upstream {
+	rng := rand.New(rand.NewPCG(cfg.Seed, uint64(UpstreamTag(cfg.Name))))
+	return &Upstream{cfg: cfg, started: time.Now(), core: NewResponder(cfg.ResponderConfig, rng)}
+}
+
+// Run serves until ctx ends or a socket fails.
+func (u *Upstream) Run(ctx context.Context) error {
+	conn, err := listenPackets(u.cfg.Listen)
+	if err != nil {
+		return err
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return closeAfter(ctx, conn) })
+	group.Go(func() error { return readPackets(ctx, conn, func(p []byte) { u.handle(conn, p) }) })
+	group.Go(func() error { return serveHTTP(ctx, u.cfg.Control, u.Handler()) })
+	return group.Wait()
+}
+
+func (u *Upstream) handle(conn *net.UDPConn, p []byte) {
+	u.mu.Lock()
+	answer := u.core.Receive(time.Since(u.started), p)
+	u.mu.Unlock()
+	if answer != nil {
+		// A lost reply is retransmitted like any lost packet.
+		_, _ = conn.WriteToUDPAddrPort(answer, u.cfg.ReplyTo)
+	}
+}
+
+// Handler returns the control endpoint: GET /report, and GET /ledger, which also
+// lists the requests run.
+func (u *Upstream) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /report", func(w http.ResponseWriter, _ *http.Request) {
+		answerJSON(w, u.report(false))
+	})
+	mux.HandleFunc("GET /ledger", func(w http.ResponseWriter, _ *http.Request) {
+		answerJSON(w, u.report(true))
+	})
+	return mux
+}
+
+func (u *Upstream) report(runs bool) UpstreamReport {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	r := UpstreamReport{
+		Name:           u.cfg.Name,
+		Service:        u.cfg.Service,
+		Open:           u.core.Open(time.Since(u.started)),
+		UpstreamCounts: u.core.Counts(),
+	}
+	r.LastOpen += time.Duration(u.started.UnixNano())
+	all, dropped := u.core.Runs()
+	r.Dropped = dropped
+	if runs {
+		r.Runs = append([]Run(nil), all...)
+	}
+	return r
+}
+
+func listenPackets(addr netip.AddrPort) (*net.UDPConn, error) {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, errors.Wrap(err, "packet socket")
+	}
+	// The kernel's limit may be lower; packets lost then are retransmitted.
+	_ = conn.SetReadBuffer(socketBuffer)
+	return conn, nil
+}
+
+// closeAfter closes the socket when ctx ends, so that its reader returns.
+func closeAfter(ctx context.Context, c interface{ Close() error }) error {
+	<-ctx.Done()
+	return c.Close()
+}
+
+// readPackets passes every datagram to handle, which must not keep it, until ctx
+// ends.
+func readPackets(ctx context.Context, conn *net.UDPConn, handle func([]byte)) error {
+	buffer := make([]byte, maxPacket)
+	for {
+		n, _, err := conn.ReadFromUDPAddrPort(buffer)
+		switch {
+		case ctx.Err() != nil:
+			return nil
+		case errors.Is(err, net.ErrClosed), errors.Is(err, os.ErrClosed):
+			return errors.Wrap(err, "packet socket")
+		case err != nil:
+			continue // an ICMP error of an earlier send
+		}
+		handle(buffer[:n])
+	}
+}
