Add the fabric, the control relay and the stand-ins' subcommands

Cause: packets must reach any healthy balancer, and control bytes must be counted outside the daemons. Change: Fabric polls the health endpoints every 200 ms and hands each packet to a random healthy balancer; Relay forwards control connections on one advertised port for each daemon, counts bytes each way and cuts daemons from each other. Callers are told apart by their source address. nutmegtrack standin fabric, client and upstream run them as processes.

--- a/cmd/nutmegtrack/standin.go
+++ b/cmd/nutmegtrack/standin.go
@@ -7,6 +7,9 @@
 // standins lists the constructors of the stand-ins, in the order of the help text.
 var standins = []func() command{
 	newStandinStore,
+	newStandinFabric,
+	newStandinClient,
+	newStandinUpstream,
 }
 
 // newStandin returns the parent of all stand-ins.
--- /dev/null
+++ b/standin/health.go
@@ -0,0 +1,58 @@
+package standin
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// pollEvery is the interval of health checks, and the limit for each of them.
+const pollEvery = 200 * time.Millisecond
+
+// poll checks the health of all balancers until ctx ends.
+func (f *Fabric) poll(ctx context.Context) error {
+	client := &http.Client{Timeout: pollEvery}
+	defer client.CloseIdleConnections()
+	ticker := time.NewTicker(pollEvery)
+	defer ticker.Stop()
+	for {
+		f.checkAll(ctx, client)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// checkAll checks all balancers at the same time, so that a dead one does not
+// delay the result of the others.
+func (f *Fabric) checkAll(ctx context.Context, client *http.Client) {
+	f.mu.RLock()
+	entries := f.entries
+	f.mu.RUnlock()
+	var checks sync.WaitGroup
+	for _, e := range entries {
+		checks.Go(func() {
+			healthy := isHealthy(ctx, client, e.Health)
+			f.mu.Lock()
+			e.healthy = healthy
+			f.mu.Unlock()
+		})
+	}
+	checks.Wait()
+}
+
+func isHealthy(ctx context.Context, client *http.Client, url string) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return false
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/standin/partition.go
@@ -0,0 +1,86 @@
+package standin
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+)
+
+// Partition cuts all daemons in A from all daemons in B, both ways. An empty A
+// stands for all callers, known or unknown.
+type Partition struct {
+	A []string `json:"a"`
+	B []string `json:"b"`
+}
+
+func (p Partition) cuts(caller, daemon string) bool {
+	if len(p.A) == 0 {
+		return slices.Contains(p.B, daemon) || slices.Contains(p.B, caller)
+	}
+	return slices.Contains(p.A, caller) && slices.Contains(p.B, daemon) ||
+		slices.Contains(p.B, caller) && slices.Contains(p.A, daemon)
+}
+
+func (r *Relay) isCut(caller, daemon string) bool {
+	return slices.ContainsFunc(r.cuts, func(p Partition) bool { return p.cuts(caller, daemon) })
+}
+
+// SetPartitions replaces the partitions in force. Connections that they cut are
+// closed, and new ones are refused.
+func (r *Relay) SetPartitions(cuts []Partition) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cuts = cuts
+	for c := range r.conns {
+		if r.isCut(c.caller, c.route.Name) {
+			c.route.counts.Cut++
+			c.close()
+		}
+	}
+}
+
+// Report returns the counts of all routes, by name.
+func (r *Relay) Report() []RouteReport {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := make([]RouteReport, 0, len(r.routes))
+	for _, entry := range r.routes {
+		list = append(list, entry.counts)
+	}
+	slices.SortFunc(list, func(a, b RouteReport) int { return strings.Compare(a.Name, b.Name) })
+	return list
+}
+
+// Handler returns the control endpoint: GET /report, POST /routes with a Route,
+// DELETE /routes/NAME, and PUT /partitions with a list of Partition.
+func (r *Relay) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /report", func(w http.ResponseWriter, _ *http.Request) {
+		answerJSON(w, r.Report())
+	})
+	mux.HandleFunc("POST /routes", r.serveAdd)
+	mux.HandleFunc("DELETE /routes/{name}", func(w http.ResponseWriter, q *http.Request) {
+		r.Remove(q.PathValue("name"))
+		answerJSON(w, struct{}{})
+	})
+	mux.HandleFunc("PUT /partitions", func(w http.ResponseWriter, q *http.Request) {
+		var cuts []Partition
+		if readJSON(w, q, &cuts) {
+			r.SetPartitions(cuts)
+			answerJSON(w, struct{}{})
+		}
+	})
+	return mux
+}
+
+func (r *Relay) serveAdd(w http.ResponseWriter, q *http.Request) {
+	var route Route
+	if !readJSON(w, q, &route) {
+		return
+	}
+	if err := r.Add(route); err != nil {
+		http.Error(w, err.Error(), http.StatusConflict)
+		return
+	}
+	answerJSON(w, struct{}{})
+}
--- /dev/null
+++ b/standin/relay.go
@@ -0,0 +1,211 @@
+package standin
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Route is one daemon behind the relay.
+type Route struct {
+	Name      string         `json:"name"`
+	Advertise netip.AddrPort `json:"advertise"` // the relay listens here
+	Target    netip.AddrPort `json:"target"`    // the daemon listens here
+	// Source is the address from which the daemon opens its own connections.
+	// Daemons that share one are not told apart as callers.
+	Source netip.Addr `json:"source"`
+}
+
+// RouteReport counts the bytes on the connections to one daemon.
+type RouteReport struct {
+	Name        string `json:"name"`
+	In          uint64 `json:"in"`  // to the daemon
+	Out         uint64 `json:"out"` // from the daemon
+	Connections uint64 `json:"connections"`
+	Refused     uint64 `json:"refused"`
+	Cut         uint64 `json:"cut"` // closed by Cut
+}
+
+// Relay forwards control connections to daemons, counts their bytes and can cut
+// daemons from each other.
+type Relay struct {
+	mu     sync.Mutex
+	routes map[string]*relayRoute
+	conns  map[*relayConn]struct{}
+	cuts   []Partition
+	wait   sync.WaitGroup
+}
+
+type relayRoute struct {
+	Route
+	listener net.Listener
+	counts   RouteReport
+}
+
+type relayConn struct {
+	caller string // name of the calling daemon, or "" when unknown
+	route  *relayRoute
+	client net.Conn
+	daemon net.Conn
+}
+
+// NewRelay returns a relay without routes.
+func NewRelay() *Relay {
+	return &Relay{routes: make(map[string]*relayRoute), conns: make(map[*relayConn]struct{})}
+}
+
+// Add opens the advertised port of a daemon.
+func (r *Relay) Add(route Route) error {
+	listener, err := net.Listen("tcp", route.Advertise.String())
+	if err != nil {
+		return errors.Wrapf(err, "relay for %s", route.Name)
+	}
+	entry := &relayRoute{Route: route, listener: listener}
+	entry.Advertise = listener.Addr().(*net.TCPAddr).AddrPort()
+	entry.counts.Name = route.Name
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.routes[route.Name] != nil {
+		_ = listener.Close()
+		return errors.Newf("relay: %s has a route already", route.Name)
+	}
+	r.routes[route.Name] = entry
+	r.wait.Go(func() { r.accept(entry) })
+	return nil
+}
+
+// Remove closes the port and the connections of a daemon. Its counts are kept.
+func (r *Relay) Remove(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if entry := r.routes[name]; entry != nil {
+		_ = entry.listener.Close()
+	}
+	for c := range r.conns {
+		if c.route.Name == name {
+			c.close()
+		}
+	}
+}
+
+// Close closes everything and waits until nothing is forwarded any more.
+func (r *Relay) Close() {
+	r.mu.Lock()
+	for _, entry := range r.routes {
+		_ = entry.listener.Close()
+	}
+	for c := range r.conns {
+		c.close()
+	}
+	r.mu.Unlock()
+	r.wait.Wait()
+}
+
+func (r *Relay) accept(entry *relayRoute) {
+	for {
+		client, err := entry.listener.Accept()
+		if err != nil {
+			return // the listener is closed
+		}
+		r.wait.Go(func() { r.serve(entry, client) })
+	}
+}
+
+// serve forwards one connection until either side closes it.
+func (r *Relay) serve(entry *relayRoute, client net.Conn) {
+	c := &relayConn{route: entry, client: client}
+	if !r.admit(c) {
+		_ = client.Close()
+		return
+	}
+	defer r.forget(c)
+	daemon, err := net.Dial("tcp", entry.Target.String())
+	if err != nil {
+		return
+	}
+	if !r.connect(c, daemon) {
+		_ = daemon.Close()
+		return
+	}
+	var both sync.WaitGroup
+	both.Go(func() { r.copy(c, daemon, client, &entry.counts.In) })
+	both.Go(func() { r.copy(c, client, daemon, &entry.counts.Out) })
+	both.Wait()
+}
+
+// admit registers a connection unless a partition forbids it.
+func (r *Relay) admit(c *relayConn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c.caller = r.callerOf(c.client)
+	if r.isCut(c.caller, c.route.Name) {
+		c.route.counts.Refused++
+		return false
+	}
+	c.route.counts.Connections++
+	r.conns[c] = struct{}{}
+	return true
+}
+
+// connect notes the daemon's side of a connection unless it was cut meanwhile.
+func (r *Relay) connect(c *relayConn, daemon net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.isCut(c.caller, c.route.Name) {
+		return false
+	}
+	c.daemon = daemon
+	return true
+}
+
+func (r *Relay) forget(c *relayConn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.conns, c)
+	c.close()
+}
+
+// callerOf returns the only daemon with the connection's source address, or "".
+func (r *Relay) callerOf(client net.Conn) string {
+	source := client.RemoteAddr().(*net.TCPAddr).AddrPort().Addr().Unmap()
+	name := ""
+	for _, entry := range r.routes {
+		if entry.Source != source {
+			continue
+		}
+		if name != "" {
+			return ""
+		}
+		name = entry.Name
+	}
+	return name
+}
+
+// copy forwards one direction. When it ends, both sides are closed.
+func (r *Relay) copy(c *relayConn, to, from net.Conn, bytes *uint64) {
+	defer c.close()
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 {
+			r.mu.Lock()
+			*bytes += uint64(n)
+			r.mu.Unlock()
+			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (c *relayConn) close() {
+	_ = c.client.Close()
+	if c.daemon != nil {
+		_ = c.daemon.Close()
+	}
+}
