Add commented settings and lists of two deployments

Cause: operators need files to adapt, and the demo templates to start from. Package examples embeds them. Measured: nothing yet; the demo reads them. Conclusion: none.

--- /dev/null
+++ b/examples/examples.go
@@ -0,0 +1,11 @@
+// Package examples holds the settings files and lists of two deployments. They are
+// templates for operators, and the demo starts its processes from them.
+package examples
+
+import "embed"
+
+// Files holds one directory for each deployment: balancer.json, one
+// agent-SERVICE.json for each service, customers.json and plans.json.
+//
+//go:embed kel-impact al-harthy
+var Files embed.FS
