Add the settings loader of both daemons

Cause: the daemons need settings whose mistakes are all reported at once. Change: package settings decodes JSON with comments by hujson into typed structs; unknown, duplicate and missing fields, wrong types and values out of range are findings with line, column and field. docs/operations/settings.md is compared with the structs by a test. Measured: go test ./settings passes; the file with three mistakes gives three findings (testdata/three-mistakes.golden).

--- /dev/null
+++ b/settings/agent.go
@@ -0,0 +1,105 @@
+package settings
+
+import (
+	"net/netip"
+
+	"github.com/nutmegtrack/nutmegtrack/finding"
+)
+
+// Agent holds the settings of an agent.
+type Agent struct {
+	// Name is the upstream VM's name, unique in the deployment.
+	Name string `json:"name" required:"true"`
+	// FailureDomain is the failure domain of the VM.
+	FailureDomain string `json:"failure_domain" required:"true"`
+	// DataAddress receives encapsulated packets from balancers and agents.
+	DataAddress netip.AddrPort `json:"data_address" required:"true"`
+	// ControlListen is the address that the control service listens on.
+	ControlListen netip.AddrPort `json:"control_listen" required:"true"`
+	// ControlAdvertise is the control address announced to other processes. When
+	// absent it is the address listened on.
+	ControlAdvertise netip.AddrPort `json:"control_advertise"`
+	// Seeds are control addresses of balancers to register with.
+	Seeds []netip.AddrPort `json:"seeds" required:"true"`
+	// Service is the service that the upstream runs.
+	Service Service `json:"service" required:"true"`
+	// PacketIO says how IP packets reach the upstream.
+	PacketIO PacketIO `json:"packet_io"`
+	// UpstreamSinkAddress receives the IP packets delivered to the upstream
+	// (packet_io.mode "udp").
+	UpstreamSinkAddress netip.AddrPort `json:"upstream_sink_address"`
+	// ReplyListen receives IP packets sent by the upstream (packet_io.mode "udp").
+	ReplyListen netip.AddrPort `json:"reply_listen"`
+	// ReplyAddress receives the replies on their way to clients (packet_io.mode
+	// "udp").
+	ReplyAddress netip.AddrPort `json:"reply_address"`
+	// Balance tunes the placement of new flows.
+	Balance Balance `json:"balance"`
+	// DrainLimitSeconds is the longest time for which a draining agent waits for
+	// open flows.
+	DrainLimitSeconds Seconds `json:"drain_limit_seconds" default:"3600" min:"0" max:"604800"`
+}
+
+// Service names the service that an upstream runs and the upstream's capacity.
+type Service struct {
+	// Name is the service's name.
+	Name string `json:"name" required:"true"`
+	// Endpoints are the service's addresses, the same on all its upstreams.
+	Endpoints []Endpoint `json:"endpoints" required:"true"`
+	// Slots is the number of requests that the upstream runs at once.
+	Slots int `json:"slots" default:"5" min:"1" max:"1000000"`
+	// Connections is the number of open flows that the upstream supports.
+	Connections int `json:"connections" default:"2000" min:"1" max:"10000000"`
+}
+
+// Endpoint is one address of a service.
+type Endpoint struct {
+	// Address is the IP address and port that clients send to.
+	Address netip.AddrPort `json:"address" required:"true"`
+	// Protocol is the transport protocol.
+	Protocol string `json:"protocol" default:"tcp" oneof:"tcp udp"`
+}
+
+// Balance tunes the placement of new flows.
+type Balance struct {
+	// Threshold is the difference in open flows, as a share of the mean, above
+	// which a new flow is handed to its next choice. Lower values trade detours
+	// for balance.
+	Threshold float64 `json:"threshold" default:"0.05" min:"0" max:"10"`
+}
+
+// LoadAgent reads the settings file of an agent. The error is a finding.List
+// when the file has findings.
+func LoadAgent(path string) (Agent, error) {
+	var a Agent
+	return a, load(path, &a)
+}
+
+// ParseAgent decodes the settings of an agent; file names the source in findings.
+func ParseAgent(file string, src []byte) (Agent, error) {
+	var a Agent
+	return a, parse(file, src, &a)
+}
+
+func (a *Agent) check(at positions, found *finding.List) {
+	a.PacketIO.check(at, found)
+	if a.DataAddress.IsValid() && a.DataAddress.Addr().IsUnspecified() {
+		at.add(found, "data_address", "is announced to balancers and cannot be the unspecified address")
+	}
+	checkAdvertise(at, found, a.ControlListen, a.ControlAdvertise)
+	if a.PacketIO.Mode != ModeUDP {
+		return
+	}
+	for _, need := range []struct {
+		field string
+		value netip.AddrPort
+	}{
+		{"upstream_sink_address", a.UpstreamSinkAddress},
+		{"reply_listen", a.ReplyListen},
+		{"reply_address", a.ReplyAddress},
+	} {
+		if !need.value.IsValid() && !at.known(need.field) {
+			at.add(found, need.field, `is required with packet_io.mode "udp"`)
+		}
+	}
+}
--- /dev/null
+++ b/settings/common.go
@@ -0,0 +1,57 @@
+package settings
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/finding"
+)
+
+// Seconds is a duration in seconds as settings files state it.
+type Seconds float64
+
+// Duration returns the value as a time.Duration.
+func (s Seconds) Duration() time.Duration {
+	return time.Duration(float64(s) * float64(time.Second))
+}
+
+// Values of PacketIO.Mode.
+const (
+	ModeUDP = "udp" // one raw IP packet in each UDP datagram
+	ModeTUN = "tun" // a TUN device of the VM
+)
+
+// PacketIO says how IP packets enter and leave the process.
+type PacketIO struct {
+	// Mode is "udp" or "tun".
+	Mode string `json:"mode" default:"udp" oneof:"udp tun"`
+	// Device is the name of the TUN device (mode "tun").
+	Device string `json:"device"`
+}
+
+func (p *PacketIO) check(at positions, found *finding.List) {
+	if p.Mode == ModeTUN && p.Device == "" {
+		at.add(found, "packet_io.device", `is required with packet_io.mode "tun"`)
+	}
+}
+
+// Store says where the platform's key-value store is.
+type Store struct {
+	// Endpoints are HTTP base URLs of the store. Without any, the process learns
+	// everything from its peers.
+	Endpoints []string `json:"endpoints"`
+	// TimeoutSeconds bounds one call to the store.
+	TimeoutSeconds Seconds `json:"timeout_seconds" default:"2" min:"0.01" max:"60"`
+}
+
+// checkAdvertise rejects settings that would announce an address on which no
+// other process can reach this one.
+func checkAdvertise(at positions, found *finding.List, listen, advertise netip.AddrPort) {
+	field, announced := "control_advertise", advertise
+	if !advertise.IsValid() {
+		field, announced = "control_listen", listen
+	}
+	if announced.IsValid() && announced.Addr().IsUnspecified() {
+		at.add(found, field, "is announced to other processes and cannot be the unspecified address")
+	}
+}
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,60 @@
+package settings_test
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/nutmegtrack/nutmegtrack/settings"
+)
+
+func TestSettings(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "settings")
+}
+
+const balancerFile = `{
+  "name": "b1", "failure_domain": "a",
+  "data_address": "127.0.0.1:1", "health_address": "127.0.0.1:2", "control_listen": "127.0.0.1:3",
+}`
+
+var _ = Describe("The loader", func() {
+	// Guards against a loader that stops at the first mistake, so that an operator
+	// needs one restart for each.
+	It("reports three mistakes together, with their lines", func() {
+		src, err := os.ReadFile("testdata/three-mistakes.json")
+		Expect(err).NotTo(HaveOccurred())
+		want, err := os.ReadFile("testdata/three-mistakes.golden")
+		Expect(err).NotTo(HaveOccurred())
+		_, err = settings.ParseAgent("three-mistakes.json", src)
+		Expect(err).To(HaveOccurred())
+		Expect(err.Error() + "\n").To(Equal(string(want)))
+	})
+
+	// Guards against defaults that are lost when an enclosing object is absent.
+	It("applies the defaults", func() {
+		b, err := settings.ParseBalancer("b.json", []byte(balancerFile))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(b.DrainSeconds.Duration()).To(Equal(3 * time.Second))
+		Expect(b.PacketIO.Mode).To(Equal(settings.ModeUDP))
+		Expect(b.Store.TimeoutSeconds.Duration()).To(Equal(2 * time.Second))
+	})
+
+	// Guards against settings that are accepted and do not do what they say.
+	DescribeTable("rejects", func(src, message string) {
+		_, err := settings.ParseBalancer("b.json", []byte(src))
+		Expect(err).To(MatchError(ContainSubstring(message)))
+	},
+		Entry("a syntax error", "{\n \"name\" 1}", "b.json:2:9: "),
+		Entry("an empty object", "{}", "b.json:1:1: health_address: is required"),
+		Entry("a duplicate field", `{"name": "a", "name": "b"}`, "name: duplicate field"),
+		Entry("a value out of range", `{"drain_seconds": -1}`, "want a number from 0 to 600, got -1"),
+		Entry("a fraction for an integer", `{"readers": 1.5}`, "want an integer, got 1.5"),
+		Entry("another case of a name", `{"Name": "a"}`, "Name: unknown field"),
+		Entry("a TUN device without a name", `{"packet_io": {"mode": "tun"}}`, "packet_io.device: is required"),
+		Entry("an unspecified address for hints", `{"data_address": "0.0.0.0:1"}`, "cannot be the unspecified address"),
+	)
+})
