Add batched packet input and output

Cause: balancer and agent need packet sources and sinks that move batches without allocating for each packet. ReadBatch allocates a sender address for each packet unless the connection looks like a TCP connection to it; the socket is wrapped accordingly, since no daemon needs the address. Conclusion: the count is taken only without the race detector, which makes sync.Pool drop items at random.

--- /dev/null
+++ b/packetio/alloc_test.go
@@ -0,0 +1,34 @@
+//go:build !race
+
+// The race detector makes sync.Pool, which golang.org/x/net uses for each batch,
+// drop items at random, so allocations can be counted only without it.
+
+package packetio_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/nutmegtrack/nutmegtrack/packetio"
+)
+
+var _ = Describe("The packet path of a UDP socket", func() {
+	// Guards against garbage collection on the packet path.
+	It("allocates nothing for a packet", func() {
+		a, b := listen(), listen()
+		in, out := packetio.NewInbox(8), packetio.NewOutbox(1)
+		to := b.LocalAddr()
+		payload := make([]byte, 100)
+		count := testing.AllocsPerRun(200, func() {
+			out.Reset()
+			out.Add(payload, to)
+			a.Send(out)
+			if b.Receive(in) != nil {
+				panic("receive failed")
+			}
+		})
+		Expect(count).To(BeZero())
+	})
+})
--- /dev/null
+++ b/packetio/packetio.go
@@ -0,0 +1,139 @@
+package packetio
+
+import (
+	"net"
+	"net/netip"
+
+	"golang.org/x/net/ipv4"
+)
+
+const (
+	// BatchSize is the number of packets that one system call moves at most.
+	BatchSize = 64
+	// MaxPacket is the size of the largest IP packet that is carried, in bytes.
+	// It covers an Ethernet frame's payload and the segments of loopback tests.
+	MaxPacket = 2048
+)
+
+// Source delivers packets.
+type Source interface {
+	// Receive waits for packets and fills the inbox. It returns net.ErrClosed
+	// after Close; after any other error it may be called again.
+	Receive(in *Inbox) error
+	// Close ends a waiting Receive.
+	Close() error
+}
+
+// Sink sends packets.
+type Sink interface {
+	// Send sends all packets of the outbox and returns how many the system refused.
+	Send(out *Outbox) (refused int)
+}
+
+// Conn is both ends of one socket or device.
+type Conn interface {
+	Source
+	Sink
+}
+
+// Inbox holds the packets of one Receive. It belongs to one goroutine.
+type Inbox struct {
+	room     int
+	count    int
+	buffers  [][]byte
+	messages []ipv4.Message
+}
+
+// NewInbox returns an inbox that leaves room bytes free in front of each packet
+// for a header.
+func NewInbox(room int) *Inbox {
+	in := &Inbox{
+		room:     room,
+		buffers:  make([][]byte, BatchSize),
+		messages: make([]ipv4.Message, BatchSize),
+	}
+	for i := range in.buffers {
+		in.buffers[i] = make([]byte, room+MaxPacket)
+		in.messages[i].Buffers = [][]byte{in.buffers[i][room:]}
+	}
+	return in
+}
+
+// Len returns the number of packets received.
+func (in *Inbox) Len() int { return in.count }
+
+// Packet returns packet i.
+func (in *Inbox) Packet(i int) []byte {
+	return in.buffers[i][in.room : in.room+in.messages[i].N]
+}
+
+// Framed returns packet i with the free bytes in front of it.
+func (in *Inbox) Framed(i int) []byte {
+	return in.buffers[i][:in.room+in.messages[i].N]
+}
+
+// Reset removes all packets.
+func (in *Inbox) Reset() { in.count = 0 }
+
+// Put appends a copy of b and reports whether there was space. Sources that do
+// not read in batches use it.
+func (in *Inbox) Put(b []byte) bool {
+	if in.count == len(in.buffers) || len(b) > MaxPacket {
+		return false
+	}
+	in.messages[in.count].N = copy(in.messages[in.count].Buffers[0], b)
+	in.count++
+	return true
+}
+
+// Outbox collects packets for one Send. It belongs to one goroutine. Packets are
+// not copied: their bytes must stay unchanged until Send returns.
+type Outbox struct {
+	count    int
+	messages []ipv4.Message
+	to       []netip.AddrPort
+	addrs    []net.UDPAddr
+	ips      [][16]byte
+}
+
+// NewOutbox returns an outbox for up to size packets.
+func NewOutbox(size int) *Outbox {
+	out := &Outbox{
+		messages: make([]ipv4.Message, size),
+		to:       make([]netip.AddrPort, size),
+		addrs:    make([]net.UDPAddr, size),
+		ips:      make([][16]byte, size),
+	}
+	for i := range out.messages {
+		out.messages[i].Buffers = make([][]byte, 1)
+		out.messages[i].Addr = &out.addrs[i]
+	}
+	return out
+}
+
+// Add appends a packet for the address; devices ignore the address. It reports
+// false when the outbox is full.
+func (out *Outbox) Add(b []byte, to netip.AddrPort) bool {
+	if out.count == len(out.messages) {
+		return false
+	}
+	i := out.count
+	out.count++
+	out.messages[i].Buffers[0] = b
+	out.to[i] = to
+	out.ips[i] = to.Addr().As16()
+	out.addrs[i].IP = out.ips[i][:]
+	out.addrs[i].Port = int(to.Port())
+	return true
+}
+
+// Len returns the number of packets.
+func (out *Outbox) Len() int { return out.count }
+
+// Packet returns packet i and its destination.
+func (out *Outbox) Packet(i int) ([]byte, netip.AddrPort) {
+	return out.messages[i].Buffers[0], out.to[i]
+}
+
+// Reset removes all packets.
+func (out *Outbox) Reset() { out.count = 0 }
--- /dev/null
+++ b/packetio/udp.go
@@ -0,0 +1,93 @@
+package packetio
+
+import (
+	"net"
+	"net/netip"
+	"os"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/net/ipv4"
+)
+
+// socketBuffer is the requested size of a socket's kernel buffers in bytes. The
+// system may grant less (net.core.rmem_max). A burst that arrives while the
+// process is not scheduled is lost beyond it.
+const socketBuffer = 4 << 20
+
+// UDP is a UDP socket. Its methods are safe for concurrent use.
+type UDP struct {
+	conn   *net.UDPConn
+	reader *ipv4.PacketConn
+	writer *ipv4.PacketConn
+}
+
+// ListenUDP opens a socket on the address. A socket reaches peers of its own
+// address family only, or of both when addr is the unspecified IPv6 address.
+func ListenUDP(addr netip.AddrPort) (*UDP, error) {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, errors.Wrapf(err, "packetio: listen on %s", addr)
+	}
+	// The default size is kept when the system refuses a larger one.
+	_ = conn.SetReadBuffer(socketBuffer)
+	_ = conn.SetWriteBuffer(socketBuffer)
+	return &UDP{
+		conn:   conn,
+		reader: ipv4.NewPacketConn(withoutSender{conn}),
+		writer: ipv4.NewPacketConn(conn),
+	}, nil
+}
+
+// withoutSender keeps ReadBatch from allocating a sender address for each packet,
+// which the daemons don't need: golang.org/x/net skips the address for
+// connections that have the method set of a TCP connection.
+type withoutSender struct {
+	*net.UDPConn
+}
+
+func (withoutSender) SetLinger(int) error { return errors.New("packetio: not a TCP connection") }
+
+// LocalAddr returns the address that the socket is bound to.
+func (u *UDP) LocalAddr() netip.AddrPort {
+	return u.conn.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+// Receive implements Source.
+func (u *UDP) Receive(in *Inbox) error {
+	in.Reset()
+	n, err := u.reader.ReadBatch(in.messages, 0)
+	if err != nil {
+		return err
+	}
+	in.count = n
+	return nil
+}
+
+// Send implements Sink. A packet that the system refuses is skipped, so that one
+// unreachable destination does not hold up the others.
+func (u *UDP) Send(out *Outbox) (refused int) {
+	for rest := out.messages[:out.count]; len(rest) > 0; {
+		n, err := u.writer.WriteBatch(rest, 0)
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return refused + len(rest)
+			}
+			if interrupted(err) {
+				continue
+			}
+			refused++
+			n = 1
+		}
+		rest = rest[n:]
+	}
+	return refused
+}
+
+func interrupted(err error) bool {
+	var call *os.SyscallError
+	return errors.As(err, &call) && call.Err == syscall.EINTR
+}
+
+// Close implements Source.
+func (u *UDP) Close() error { return u.conn.Close() }
