--- /dev/null
+++ b/process/process_test.go
@@ -0,0 +1,82 @@
+package process
+
+import (
+	"bytes"
+	"os"
+	"syscall"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/nutmegtrack/nutmegtrack/event"
+	"github.com/nutmegtrack/nutmegtrack/finding"
+)
+
+func TestProcess(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "process")
+}
+
+// daemon is a Daemon that stops on Shutdown unless it is stuck.
+type daemon struct {
+	startErr, err error
+	stuck         bool
+	done          chan struct{}
+}
+
+func (d *daemon) Start() error          { return d.startErr }
+func (d *daemon) Done() <-chan struct{} { return d.done }
+func (d *daemon) Err() error            { return d.err }
+func (d *daemon) Left() int             { return 3 }
+func (d *daemon) Shutdown() {
+	if !d.stuck {
+		close(d.done)
+	}
+}
+
+var _ = Describe("Run", func() {
+	var (
+		out     bytes.Buffer
+		log     *event.Logger
+		signals chan os.Signal
+	)
+	BeforeEach(func() {
+		out.Reset()
+		log = event.NewLogger(&out)
+		signals = make(chan os.Signal, 2)
+	})
+
+	// Guards against a graceful shutdown that looks like a crash to a supervisor.
+	It("exits with status 0 after SIGTERM", func() {
+		signals <- syscall.SIGTERM
+		Expect(run(&daemon{done: make(chan struct{})}, log, signals)).To(Equal(ExitOK))
+		Expect(out.String()).To(ContainSubstring("event=1002"))
+	})
+
+	// Guards against a drain that an operator cannot cut short.
+	It("exits with status 1 after a second SIGTERM and says so", func() {
+		signals <- syscall.SIGTERM
+		signals <- syscall.SIGTERM
+		Expect(run(&daemon{stuck: true}, log, signals)).To(Equal(ExitFailure))
+		Expect(out.String()).To(MatchRegexp(`event=1005 .*left=3`))
+	})
+
+	// Guards against a daemon without sockets that keeps running.
+	It("exits with status 1 when the daemon cannot start or fails", func() {
+		Expect(run(&daemon{startErr: errors.New("in use")}, log, signals)).To(Equal(ExitFailure))
+		done := make(chan struct{})
+		close(done)
+		Expect(run(&daemon{done: done, err: errors.New("lost")}, log, signals)).To(Equal(ExitFailure))
+		Expect(out.String()).To(ContainSubstring("event=1004"))
+	})
+
+	// Guards against findings that are reported one at a time.
+	It("reports every finding of the settings", func() {
+		err := finding.List{{File: "a.json", Line: 2, Field: "x", Message: "one"}, {File: "a.json", Line: 3, Message: "two"}}
+		Expect(ReportSettings(log, err)).To(Equal(ExitSettings))
+		Expect(bytes.Count(out.Bytes(), []byte("event=1003"))).To(Equal(2))
+		Expect(out.String()).To(ContainSubstring("file=a.json line=2 column=0 field=x finding=one"))
+	})
+})
