--- /dev/null
+++ b/flow/action.go
@@ -0,0 +1,35 @@
+package flow
+
+import (
+	"net/netip"
+
+	"github.com/nutmegtrack/nutmegtrack/packet"
+)
+
+// ActionKind is what an agent does with a packet.
+type ActionKind uint8
+
+const (
+	// Drop discards the packet for the reason given.
+	Drop ActionKind = iota
+	// Deliver hands the packet to the upstream.
+	Deliver
+	// Forward sends the packet to another agent under the updated header.
+	Forward
+)
+
+// Action is the decision of Table.Receive.
+type Action struct {
+	Kind   ActionKind
+	Reason Reason
+	To     packet.AgentID // receiver of a forwarded packet
+	Addr   netip.AddrPort // data address of To
+	Hint   bool           // send a hint with this agent as owner to the header's origin
+}
+
+// Observer is told of each change of a flow's owner. Tests and benchmarks use it
+// to assert that a flow has at most one owner.
+type Observer interface {
+	FlowTaken(agent packet.AgentID, k *packet.Key)
+	FlowEnded(agent packet.AgentID, k *packet.Key)
+}
--- /dev/null
+++ b/flow/config.go
@@ -0,0 +1,50 @@
+package flow
+
+import "time"
+
+// TableConfig configures a Table. A zero field takes its default.
+type TableConfig struct {
+	MaxFlows      int           // flows held; default 65536
+	MaxDigest     int           // fingerprints held from peers; default 262144
+	MaxHandoffs   int           // hand-offs remembered; default 65536
+	HandoffMemory time.Duration // default 5 s
+	Settling      time.Duration // time until all views agree, with a margin; default 15 s
+	Linger        time.Duration // flow end to removal; default 2 s
+	SlowStart     time.Duration // ramp of a newly ready upstream; default 30 s
+	IdleTCP       time.Duration // default 24 h
+	IdleUDP       time.Duration // default 3 min
+	Threshold     float64       // excess over the next choice that causes a hand-off, share of the mean; default 0.05
+	MinExcess     int           // least such excess in flows; default 8
+	LoadPeers     int           // peers that are sent the load each interval; default 8
+	LoadInterval  time.Duration // default 1 s
+	CheckInterval time.Duration // between digest checks; default 10 s
+	ResyncDelay   time.Duration // between requests to resend a digest; default 3 s
+	DigestRate    int           // digest bytes per second; default 3072
+	Observer      Observer      // may be nil
+}
+
+func orDefault[T int | float64 | time.Duration](v *T, d T) {
+	if *v == 0 {
+		*v = d
+	}
+}
+
+func (c TableConfig) withDefaults() TableConfig {
+	orDefault(&c.MaxFlows, 1<<16)
+	orDefault(&c.MaxDigest, 1<<18)
+	orDefault(&c.MaxHandoffs, 1<<16)
+	orDefault(&c.HandoffMemory, 5*time.Second)
+	orDefault(&c.Settling, 15*time.Second)
+	orDefault(&c.Linger, 2*time.Second)
+	orDefault(&c.SlowStart, 30*time.Second)
+	orDefault(&c.IdleTCP, 24*time.Hour)
+	orDefault(&c.IdleUDP, 3*time.Minute)
+	orDefault(&c.Threshold, 0.05)
+	orDefault(&c.MinExcess, 8)
+	orDefault(&c.LoadPeers, 8)
+	orDefault(&c.LoadInterval, time.Second)
+	orDefault(&c.CheckInterval, 10*time.Second)
+	orDefault(&c.ResyncDelay, 3*time.Second)
+	orDefault(&c.DigestRate, 3072)
+	return c
+}
--- /dev/null
+++ b/flow/digest.go
@@ -0,0 +1,132 @@
+package flow
+
+import (
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/packet"
+)
+
+// removal is a fingerprint to withdraw from a peer that is no longer the flow's
+// first choice.
+type removal struct {
+	at         time.Duration
+	peer       packet.AgentID
+	generation uint32
+	fp         uint32
+}
+
+// removalQueue holds removals in order of time; all wait equally long.
+type removalQueue struct {
+	list []removal
+	head int
+}
+
+func (q *removalQueue) push(r removal) { q.list = append(q.list, r) }
+
+// pop returns the next removal that is due.
+func (q *removalQueue) pop(now time.Duration) (removal, bool) {
+	if q.head == len(q.list) || q.list[q.head].at > now {
+		q.compact()
+		return removal{}, false
+	}
+	q.head++
+	return q.list[q.head-1], true
+}
+
+func (q *removalQueue) compact() {
+	if q.head > 0 {
+		q.list = append(q.list[:0], q.list[q.head:]...)
+		q.head = 0
+	}
+}
+
+// targets returns the upstreams that must know the flow's fingerprint: its first
+// choice now, and its first choice once the starting upstreams are ready. Zero
+// stands for this agent, or for no second target.
+func (t *Table) targets(hash uint64) (now, later packet.AgentID) {
+	now, top := t.targetAmong(hash, State.Accepts)
+	if top == 0 {
+		now, top = t.targetAmong(hash, func(s State) bool { return !s.Gone() })
+	}
+	later, laterTop := t.targetAmong(hash, func(s State) bool { return s.Accepts() || s == Starting })
+	if later == now || laterTop <= top {
+		later = 0
+	}
+	return now, later
+}
+
+// targetAmong returns the highest-ranked upstream for which include is true, and
+// its score; zero for none.
+func (t *Table) targetAmong(hash uint64, include func(State) bool) (packet.AgentID, uint64) {
+	var id packet.AgentID
+	p, top := t.peers.best(hash, func(p *peer) bool { return include(p.State) })
+	if p != nil {
+		id = p.ID
+	}
+	if own := score(hash, t.seed); include(t.self.State) && own > top {
+		return 0, own
+	}
+	return id, top
+}
+
+// retargetAll recomputes the targets of all flows after a change of the fleet.
+func (t *Table) retargetAll(now time.Duration) {
+	for i := range t.flows.entries {
+		t.retarget(now, &t.flows.entries[i])
+	}
+}
+
+// retarget sends the flow's fingerprint to its targets. Former targets keep it for
+// the settling time, because balancers may still send them the flow's packets.
+func (t *Table) retarget(now time.Duration, e *entry) {
+	target, future := t.targets(e.hash)
+	if target == e.target && future == e.future {
+		return
+	}
+	fp := fingerprint(e.hash)
+	for _, id := range [...]packet.AgentID{target, future} {
+		if p := t.peers.get(id); p != nil && id != e.target && id != e.future {
+			p.out.push(fp, false)
+		}
+	}
+	for _, id := range [...]packet.AgentID{e.target, e.future} {
+		if p := t.peers.get(id); p != nil && id != target && id != future {
+			t.removals.push(removal{at: now + t.cfg.Settling, peer: id, generation: p.out.generation, fp: fp})
+		}
+	}
+	e.target, e.future = target, future
+}
+
+// restartDigest sends a peer the whole digest again.
+func (t *Table) restartDigest(p *peer) {
+	p.out.restart()
+	for i := range t.flows.entries {
+		e := &t.flows.entries[i]
+		if e.target == p.ID || e.future == p.ID {
+			p.out.push(fingerprint(e.hash), false)
+		}
+	}
+}
+
+// withdraw queues the removals that are due. A removal from before a restart of
+// the digest is void: the restarted digest does not contain the fingerprint.
+func (t *Table) withdraw(now time.Duration) {
+	for {
+		r, due := t.removals.pop(now)
+		if !due {
+			return
+		}
+		if p := t.peers.get(r.peer); p != nil && p.out.generation == r.generation {
+			p.out.push(r.fp, true)
+		}
+	}
+}
+
+// digestRoom returns the number of fingerprints that may still be stored.
+func (t *Table) digestRoom() int {
+	room := t.cfg.MaxDigest
+	for _, b := range t.inboxes {
+		room -= int(b.count)
+	}
+	return room
+}
--- /dev/null
+++ b/flow/handoff.go
@@ -0,0 +1,72 @@
+package flow
+
+import (
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/packet"
+)
+
+// handoff records that this agent passed a flow's first packet on.
+type handoff struct {
+	to    packet.AgentID
+	until time.Duration
+}
+
+type handoffExpiry struct {
+	hash  uint64
+	until time.Duration
+}
+
+// handoffMemory remembers hand-offs for a fixed time. All records live equally
+// long, so a queue in order of insertion is also in order of expiry.
+type handoffMemory struct {
+	lifetime time.Duration
+	max      int
+	byHash   map[uint64]handoff
+	queue    []handoffExpiry
+	head     int
+}
+
+func newHandoffMemory(lifetime time.Duration, max int) handoffMemory {
+	return handoffMemory{lifetime: lifetime, max: max, byHash: make(map[uint64]handoff)}
+}
+
+func (m *handoffMemory) remember(now time.Duration, hash uint64, to packet.AgentID) {
+	m.expire(now)
+	if len(m.queue)-m.head >= m.max {
+		m.pop()
+	}
+	until := now + m.lifetime
+	m.byHash[hash] = handoff{to: to, until: until}
+	m.queue = append(m.queue, handoffExpiry{hash: hash, until: until})
+}
+
+// find returns the agent that the flow was handed to, or 0.
+func (m *handoffMemory) find(now time.Duration, hash uint64) packet.AgentID {
+	h, found := m.byHash[hash]
+	if !found || h.until <= now {
+		return 0
+	}
+	return h.to
+}
+
+func (m *handoffMemory) forget(hash uint64) { delete(m.byHash, hash) }
+
+func (m *handoffMemory) expire(now time.Duration) {
+	for m.head < len(m.queue) && m.queue[m.head].until <= now {
+		m.pop()
+	}
+	if m.head > 1024 && 2*m.head > len(m.queue) {
+		m.queue = append(m.queue[:0], m.queue[m.head:]...)
+		m.head = 0
+	}
+}
+
+// pop drops the oldest record unless the flow was handed off again since.
+func (m *handoffMemory) pop() {
+	e := m.queue[m.head]
+	m.head++
+	if h, found := m.byHash[e.hash]; found && h.until == e.until {
+		delete(m.byHash, e.hash)
+	}
+}
--- /dev/null
+++ b/flow/hints.go
@@ -0,0 +1,88 @@
+package flow
+
+import (
+	"math/bits"
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/packet"
+)
+
+// hintWays is the number of entries in one set of the hint table.
+const hintWays = 4
+
+// hint says which agent holds a flow. A zero owner marks an unused entry.
+type hint struct {
+	hash        uint64
+	owner       packet.AgentID
+	incarnation uint32 // low bits of the owner's incarnation
+	used        uint32 // seconds since process start
+	learned     bool   // sent by the owner, not assumed from a routing decision
+}
+
+// hintTable is a set-associative cache of fixed size.
+type hintTable struct {
+	entries []hint
+	mask    uint64 // selects a set
+}
+
+// newHintTable returns a table for at least capacity hints.
+func newHintTable(capacity int) hintTable {
+	if capacity <= 0 {
+		return hintTable{}
+	}
+	sets := (capacity + hintWays - 1) / hintWays
+	sets = 1 << bits.Len(uint(sets-1))
+	return hintTable{entries: make([]hint, sets*hintWays), mask: uint64(sets - 1)}
+}
+
+func (t *hintTable) set(hash uint64) []hint {
+	if t.entries == nil {
+		return nil
+	}
+	i := (hash & t.mask) * hintWays
+	return t.entries[i : i+hintWays]
+}
+
+// find returns the flow's hint, or nil.
+func (t *hintTable) find(hash uint64) *hint {
+	set := t.set(hash)
+	for i := range set {
+		if set[i].hash == hash && set[i].owner != 0 {
+			return &set[i]
+		}
+	}
+	return nil
+}
+
+// put stores a hint in place of the flow's former one, an unused entry, or the
+// least valuable entry of the set.
+func (t *hintTable) put(now time.Duration, h hint) {
+	set := t.set(h.hash)
+	if set == nil {
+		return
+	}
+	h.used = seconds(now)
+	victim := &set[0]
+	for i := range set {
+		e := &set[i]
+		if e.hash == h.hash || e.owner == 0 {
+			*e = h
+			return
+		}
+		if e.cheaperThan(victim) {
+			victim = e
+		}
+	}
+	*victim = h
+}
+
+// cheaperThan prefers to evict assumed hints, then the least recently used:
+// without an assumed hint the ranking usually gives the same upstream.
+func (h *hint) cheaperThan(other *hint) bool {
+	if h.learned != other.learned {
+		return !h.learned
+	}
+	return h.used < other.used
+}
+
+func seconds(d time.Duration) uint32 { return uint32(d / time.Second) }
--- /dev/null
+++ b/flow/inbox.go
@@ -0,0 +1,78 @@
+package flow
+
+import "time"
+
+// inbox is the digest that one peer has sent this agent: the fingerprints of the
+// flows that the peer holds and that rank this agent first. It is a multiset, so
+// that additions and removals commute and equal fingerprints of two flows are kept.
+type inbox struct {
+	incarnation uint64
+	seq         uint32
+	set         map[uint32]uint16
+	count       uint32
+	sum         uint64
+	truncated   bool          // the table's limit was reached; a repeat would not help
+	mismatch    bool          // the sender must send the whole digest again
+	asked       time.Duration // when it was last asked to
+	complete    bool          // a check has matched since the last reset
+}
+
+func (b *inbox) clear() {
+	*b = inbox{incarnation: b.incarnation, asked: b.asked}
+}
+
+func (b *inbox) add(fp uint32) {
+	if b.set == nil {
+		b.set = make(map[uint32]uint16)
+	}
+	b.set[fp]++
+	b.count++
+	b.sum += mix(uint64(fp))
+}
+
+func (b *inbox) remove(fp uint32) {
+	n := b.set[fp]
+	if n == 0 {
+		b.mismatch = true
+		return
+	}
+	if n == 1 {
+		delete(b.set, fp)
+	} else {
+		b.set[fp] = n - 1
+	}
+	b.count--
+	b.sum -= mix(uint64(fp))
+}
+
+// needsResync reports whether the sender must be asked for its whole digest.
+func (b *inbox) needsResync(now, delay time.Duration) bool {
+	return b.mismatch && !b.truncated && now-b.asked >= delay
+}
+
+// apply updates the digest from a message; room is the number of fingerprints
+// that may still be added.
+func (b *inbox) apply(m *Message, room int) {
+	if m.Reset || b.incarnation != m.Incarnation {
+		b.incarnation = m.Incarnation
+		b.clear()
+	}
+	b.mismatch = b.mismatch || (!m.Reset && m.Seq != b.seq+1)
+	b.seq = m.Seq
+	for _, fp := range m.Add {
+		if room <= 0 {
+			b.truncated = true
+			break
+		}
+		room--
+		b.add(fp)
+	}
+	for _, fp := range m.Remove {
+		b.remove(fp)
+	}
+	if m.Check {
+		equal := m.Count == b.count && m.Sum == b.sum
+		b.mismatch = !equal
+		b.complete = equal
+	}
+}
--- /dev/null
+++ b/flow/peer.go
@@ -0,0 +1,85 @@
+package flow
+
+import (
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/packet"
+)
+
+// peer is another upstream of the service as an agent knows it.
+type peer struct {
+	Upstream
+	seed          uint64
+	acceptedSince time.Duration // when it was first seen to accept; valid while it accepts
+	acceptedUntil time.Duration // when it was last seen to accept; never when it has not
+	load          load
+	out           outbox
+	in            *inbox
+	message       *Message // under construction in Step
+}
+
+// load is the last load report of a peer, advanced by the flows handed to it.
+type load struct {
+	known       bool
+	open, limit int
+}
+
+// never precedes all times by more than any configured period.
+const never = -1 << 62 * time.Nanosecond
+
+func newPeer(now time.Duration, u Upstream) *peer {
+	p := &peer{Upstream: u, seed: seedOf(u.ID), acceptedSince: now, acceptedUntil: never}
+	// A draining upstream may have taken flows until a moment ago.
+	if u.State.Accepts() || u.State == Draining {
+		p.acceptedUntil = now
+	}
+	p.out.restart()
+	return p
+}
+
+// update installs a newer record of the same incarnation.
+func (p *peer) update(now time.Duration, u Upstream) {
+	was := p.State.Accepts()
+	p.Upstream = u
+	if u.State.Accepts() && !was {
+		p.acceptedSince = now
+	}
+	if u.State.Accepts() || was {
+		p.acceptedUntil = now
+	}
+}
+
+// settled reports whether the peer has accepted flows long enough for all views
+// to show it.
+func (p *peer) settled(now, settling time.Duration) bool {
+	return p.State.Accepts() && now-p.acceptedSince >= settling
+}
+
+// recent reports whether some view may show a peer as accepting that does not
+// accept flows, or may miss one that does.
+func (p *peer) recent(now, settling time.Duration) bool {
+	return p.State.Accepts() || now-p.acceptedUntil < settling
+}
+
+// peerSet holds the peers in order of identifier, without this agent.
+type peerSet struct {
+	list []*peer
+	byID map[packet.AgentID]*peer
+}
+
+func (s *peerSet) get(id packet.AgentID) *peer { return s.byID[id] }
+
+// best returns the highest-ranked peer for which include is true, with its score.
+func (s *peerSet) best(hash uint64, include func(*peer) bool) (*peer, uint64) {
+	var found *peer
+	var top uint64
+	for _, p := range s.list {
+		if !include(p) {
+			continue
+		}
+		if v := score(hash, p.seed); found == nil || v > top {
+			found, top = p, v
+		}
+	}
+	return found, top
+}
--- /dev/null
+++ b/flow/reason.go
@@ -0,0 +1,33 @@
+package flow
+
+// Reason says why a packet was dropped.
+type Reason uint8
+
+const (
+	// ReasonNone is set on packets that are not dropped.
+	ReasonNone Reason = iota
+	// ReasonNoService: no service has the destination address.
+	ReasonNoService
+	// ReasonNoUpstream: no upstream of the service can take the packet.
+	ReasonNoUpstream
+	// ReasonWrongService: the packet was sent to an agent of another service.
+	ReasonWrongService
+	// ReasonNoOwner: no agent on the packet's path holds its flow.
+	ReasonNoOwner
+	// ReasonLoop: the header names this agent as visited, or has too many hops.
+	ReasonLoop
+
+	reasonCount
+)
+
+var reasonNames = [reasonCount]string{
+	"none", "no_service", "no_upstream", "wrong_service", "no_owner", "loop",
+}
+
+// String returns the reason's name as metrics use it.
+func (r Reason) String() string {
+	if r < reasonCount {
+		return reasonNames[r]
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/flow/receive.go
@@ -0,0 +1,210 @@
+package flow
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/packet"
+)
+
+// Receive decides what happens to a packet that arrived at this agent under the
+// header. For Forward it updates the header, which then goes to the next agent.
+func (t *Table) Receive(now time.Duration, h *packet.Header, in *packet.Info) Action {
+	if h.Service != t.service {
+		return t.drop(ReasonWrongService)
+	}
+	if h.HasVisited(t.self.ID) || h.Hops > packet.MaxHops {
+		return t.drop(ReasonLoop)
+	}
+	hash := in.Key.Hash()
+	if e := t.flows.find(hash, &in.Key); e != nil {
+		t.refresh(now, e, in)
+		return t.deliver(h)
+	}
+	if a, done := t.forwardToHolder(now, hash, h); done {
+		return a
+	}
+	if in.First {
+		return t.receiveFirst(now, hash, h, in)
+	}
+	return t.forwardAlongRanking(hash, h)
+}
+
+// forwardToHolder applies rule 3: the flow is known to be held by a peer.
+func (t *Table) forwardToHolder(now time.Duration, hash uint64, h *packet.Header) (Action, bool) {
+	if h.Hops >= packet.MaxHops {
+		return Action{}, false
+	}
+	p := t.holder(now, hash, h)
+	if p == nil {
+		return Action{}, false
+	}
+	h.Flags &^= packet.FlagReturnIfUnknown | packet.FlagReturned
+	return t.forward(h, p), true
+}
+
+// holder returns the unvisited peer that holds the flow by its digest or by this
+// agent's hand-off memory.
+func (t *Table) holder(now time.Duration, hash uint64, h *packet.Header) *peer {
+	fp := fingerprint(hash)
+	for _, p := range t.peers.list {
+		if p.in.set[fp] > 0 && p.State != Leaving && !h.HasVisited(p.ID) {
+			return p
+		}
+	}
+	id := t.handoffs.find(now, hash)
+	p := t.peers.get(id)
+	if id == 0 || p == nil || p.State == Leaving || h.HasVisited(id) {
+		return nil
+	}
+	t.handoffs.remember(now, hash, id)
+	return p
+}
+
+// receiveFirst applies rule 4: the packet may open a flow.
+func (t *Table) receiveFirst(now time.Duration, hash uint64, h *packet.Header, in *packet.Info) Action {
+	if p := t.asker(h); p != nil {
+		return t.giveBack(now, hash, h, p)
+	}
+	h.Flags &^= packet.FlagReturned | packet.FlagReturnIfUnknown
+	if p := t.previousOwner(now, hash, h); p != nil {
+		return t.offer(h, p)
+	}
+	next := t.nextChoice(hash, h)
+	if t.takes(now, next) {
+		t.take(now, hash, &in.Key)
+		return t.deliver(h)
+	}
+	if next == nil {
+		return t.drop(ReasonNoUpstream)
+	}
+	t.handoffs.remember(now, hash, next.ID)
+	next.load.open++
+	t.counters.HandedOff++
+	return t.forward(h, next)
+}
+
+// previousOwner returns a peer that may already hold the flow although this agent
+// does not know it: one that is, in some view of the settling time, the flow's
+// first choice.
+func (t *Table) previousOwner(now time.Duration, hash uint64, h *packet.Header) *peer {
+	// An offer takes two hops, there and back.
+	if now >= t.unsettled || !t.self.State.Accepts() || h.Hops+2 > packet.MaxHops {
+		return nil
+	}
+	_, floor := t.peers.best(hash, func(p *peer) bool { return p.settled(now, t.cfg.Settling) })
+	if t.selfSettled(now) {
+		floor = max(floor, score(hash, t.seed))
+	}
+	p, _ := t.peers.best(hash, func(p *peer) bool {
+		return p.recent(now, t.cfg.Settling) && !p.State.Gone() &&
+			score(hash, p.seed) >= floor && !h.HasVisited(p.ID)
+	})
+	return p
+}
+
+func (t *Table) selfSettled(now time.Duration) bool {
+	return t.self.State.Accepts() && (t.stateSince == never || now-t.stateSince >= t.cfg.Settling)
+}
+
+// offer sends a first packet to a possible previous owner.
+func (t *Table) offer(h *packet.Header, p *peer) Action {
+	h.Flags |= packet.FlagReturnIfUnknown
+	t.counters.Offered++
+	return t.forward(h, p)
+}
+
+// asker returns the peer that offered the packet to this agent, or nil when the
+// packet was not offered or cannot be returned. In that case this agent places the
+// flow itself, and the asker finds it here when it offers the next packet.
+func (t *Table) asker(h *packet.Header) *peer {
+	i := lastVisited(h)
+	if h.Flags&packet.FlagReturnIfUnknown == 0 || i < 0 || h.Hops >= packet.MaxHops {
+		return nil
+	}
+	return t.peers.get(h.Visited[i])
+}
+
+// giveBack returns an offered packet to the asker and takes that agent's entry out
+// of the visited list, so that it may decide about the packet. The asker will take
+// the flow or place it, so this agent sends later packets of the flow there.
+func (t *Table) giveBack(now time.Duration, hash uint64, h *packet.Header, asker *peer) Action {
+	h.Visited[lastVisited(h)] = 0
+	h.Flags = h.Flags&^packet.FlagReturnIfUnknown | packet.FlagReturned
+	t.handoffs.remember(now, hash, asker.ID)
+	return t.forward(h, asker)
+}
+
+func lastVisited(h *packet.Header) int {
+	for i := len(h.Visited) - 1; i >= 0; i-- {
+		if h.Visited[i] != 0 {
+			return i
+		}
+	}
+	return -1
+}
+
+// nextChoice returns the highest-ranked accepting peer that the packet has not
+// visited, or nil when there is none or the packet has no hop left.
+func (t *Table) nextChoice(hash uint64, h *packet.Header) *peer {
+	if h.Hops >= packet.MaxHops {
+		return nil
+	}
+	p, _ := t.peers.best(hash, func(p *peer) bool {
+		return p.State.Accepts() && !h.HasVisited(p.ID)
+	})
+	return p
+}
+
+// forwardAlongRanking applies rule 5: the packet belongs to a flow whose owner is
+// not known.
+func (t *Table) forwardAlongRanking(hash uint64, h *packet.Header) Action {
+	if h.Hops >= packet.MaxHops {
+		return t.drop(ReasonNoOwner)
+	}
+	p, _ := t.peers.best(hash, func(p *peer) bool {
+		return p.State != Starting && !p.State.Gone() && !h.HasVisited(p.ID)
+	})
+	if p == nil {
+		return t.drop(ReasonNoOwner)
+	}
+	return t.forward(h, p)
+}
+
+// forward adds this agent to the header's path. The checks hold by construction:
+// a failure is a fault of this package, not of the input.
+func (t *Table) forward(h *packet.Header, p *peer) Action {
+	if h.Hops >= packet.MaxHops {
+		panic(fmt.Sprintf("flow: agent %08x forwards a packet beyond %d hops", t.self.ID, packet.MaxHops))
+	}
+	if p.ID == t.self.ID || h.HasVisited(p.ID) {
+		panic(fmt.Sprintf("flow: agent %08x forwards a packet to agent %08x for the second time", t.self.ID, p.ID))
+	}
+	slot := lastVisited(h) + 1
+	if slot >= len(h.Visited) {
+		panic(fmt.Sprintf("flow: agent %08x finds no room in the visited list", t.self.ID))
+	}
+	h.Visited[slot] = t.self.ID
+	h.Hops++
+	t.counters.Forwarded++
+	return Action{Kind: Forward, To: p.ID, Addr: p.Addr}
+}
+
+// deliver hands the packet to the upstream and, when it was detoured, tells the
+// balancer where its flow is.
+func (t *Table) deliver(h *packet.Header) Action {
+	if h.Service != t.service {
+		panic(fmt.Sprintf("flow: agent %08x delivers a packet of service %016x to service %016x", t.self.ID, h.Service, t.service))
+	}
+	t.counters.Delivered++
+	hint := h.Hops > 0
+	if hint {
+		t.counters.Hints++
+	}
+	return Action{Kind: Deliver, Hint: hint}
+}
+
+func (t *Table) drop(r Reason) Action {
+	t.counters.Dropped[r]++
+	return Action{Kind: Drop, Reason: r}
+}
--- /dev/null
+++ b/flow/step.go
@@ -0,0 +1,132 @@
+package flow
+
+import (
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/packet"
+)
+
+// maxInboxes bounds the agents whose messages are kept before they are listed as
+// peers.
+const maxInboxes = 1024
+
+// Step advances timers and returns the messages to send. Call it about once a
+// second; more often shortens the delay of digests.
+func (t *Table) Step(now time.Duration) []Message {
+	t.sweep(now)
+	t.handoffs.expire(now)
+	t.updateMean(now)
+	t.withdraw(now)
+	t.earn(now)
+	t.addLoads(now)
+	t.addDigests(now)
+	t.addResyncs(now)
+	return t.collect()
+}
+
+// earn adds the digest bytes for the time since the last step, for at most one
+// second, so that a paused process does not burst.
+func (t *Table) earn(now time.Duration) {
+	elapsed := min(now-t.stepped, time.Second)
+	t.stepped = now
+	t.budget += int(elapsed * time.Duration(t.cfg.DigestRate) / time.Second)
+	t.budget = min(t.budget, t.cfg.DigestRate)
+}
+
+// messageTo returns the message under construction for a peer.
+func (t *Table) messageTo(p *peer) *Message {
+	if p.message == nil {
+		p.message = &Message{From: t.self.ID, To: p.ID, Incarnation: t.self.Incarnation}
+	}
+	return p.message
+}
+
+// addLoads sends this agent's load to a few random peers, or to all of a small
+// service.
+func (t *Table) addLoads(now time.Duration) {
+	if now-t.loadSent < t.cfg.LoadInterval {
+		return
+	}
+	t.loadSent = now
+	limit := 0
+	if t.self.State.Accepts() {
+		limit = t.limit(now)
+	}
+	live := make([]*peer, 0, len(t.peers.list))
+	for _, p := range t.peers.list {
+		if p.State.Accepts() {
+			live = append(live, p)
+		}
+	}
+	for i := range min(t.cfg.LoadPeers, len(live)) {
+		j := i + t.rng.IntN(len(live)-i)
+		live[i], live[j] = live[j], live[i]
+		m := t.messageTo(live[i])
+		m.HasLoad, m.Open, m.Limit = true, uint32(t.Open()), uint32(limit)
+	}
+}
+
+// addDigests sends pending digest changes and checks while the budget lasts.
+func (t *Table) addDigests(now time.Duration) {
+	n := len(t.peers.list)
+	for i := range n {
+		p := t.peers.list[(t.firstPeer+i)%n]
+		if p.State.Gone() || !p.out.due(now, t.cfg.CheckInterval) {
+			continue
+		}
+		if t.budget <= 0 {
+			t.firstPeer = (t.firstPeer + i) % n
+			return
+		}
+		m := t.messageTo(p)
+		t.budget -= messageWire + p.out.take(m, t.budget)
+		p.out.check(now, m)
+	}
+}
+
+// addResyncs asks peers whose digest is incomplete to send it again.
+func (t *Table) addResyncs(now time.Duration) {
+	for _, p := range t.peers.list {
+		if !p.State.Gone() && p.in.needsResync(now, t.cfg.ResyncDelay) {
+			p.in.asked = now
+			t.messageTo(p).Resync = true
+		}
+	}
+}
+
+// collect returns the messages under construction, in order of receiver.
+func (t *Table) collect() []Message {
+	var out []Message
+	for _, p := range t.peers.list {
+		if p.message != nil {
+			out = append(out, *p.message)
+			p.message = nil
+		}
+	}
+	return out
+}
+
+// Handle processes a message from another agent. Messages for another agent are
+// ignored.
+func (t *Table) Handle(now time.Duration, m Message) {
+	if m.To != t.self.ID || m.From == t.self.ID || m.From == 0 {
+		return
+	}
+	p := t.peers.get(m.From)
+	if p != nil && m.HasLoad {
+		p.load = load{known: true, open: int(m.Open), limit: int(m.Limit)}
+	}
+	if p != nil && m.Resync {
+		t.restartDigest(p)
+	}
+	if m.Seq != 0 {
+		t.receiveDigest(m.From, &m)
+	}
+}
+
+func (t *Table) receiveDigest(from packet.AgentID, m *Message) {
+	if t.inboxes[from] == nil && len(t.inboxes) >= maxInboxes+len(t.peers.list) {
+		return
+	}
+	t.inbox(from).apply(m, t.digestRoom())
+}
--- /dev/null
+++ b/flow/store.go
@@ -0,0 +1,113 @@
+package flow
+
+import (
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/packet"
+)
+
+// Bits of entry.flags.
+const (
+	flagClientFIN uint8 = 1 << iota
+	flagServerFIN
+	flagReplies // replies of the flow pass this agent
+	flagEnding  // removed at entry.end unless a packet reopens it
+)
+
+// entry is one flow held by the agent; 64 bytes.
+type entry struct {
+	key    packet.Key
+	flags  uint8
+	hash   uint64
+	seen   uint32         // last packet, seconds since process start
+	end    uint32         // removal of an ending flow, seconds
+	target packet.AgentID // first choice that holds the flow's fingerprint; 0 when it is this agent
+	future packet.AgentID // first choice once starting upstreams are ready; 0 as above or equal to target
+}
+
+// flowStore keeps entries densely in a slice and finds them through an
+// open-addressing index, which costs less memory than a map of keys.
+type flowStore struct {
+	entries []entry
+	index   []uint32 // position in entries plus 1; 0 is unused
+}
+
+const minIndex = 64
+
+func newFlowStore() flowStore {
+	return flowStore{index: make([]uint32, minIndex)}
+}
+
+func (s *flowStore) slot(hash uint64) uint32 {
+	return uint32(hash) & uint32(len(s.index)-1)
+}
+
+func (s *flowStore) next(slot uint32) uint32 {
+	return (slot + 1) & uint32(len(s.index)-1)
+}
+
+// find returns the flow's entry, or nil. The pointer is valid until the next
+// insert or remove.
+func (s *flowStore) find(hash uint64, k *packet.Key) *entry {
+	for i := s.slot(hash); s.index[i] != 0; i = s.next(i) {
+		e := &s.entries[s.index[i]-1]
+		if e.hash == hash && e.key == *k {
+			return e
+		}
+	}
+	return nil
+}
+
+// insert adds a flow that the store does not hold.
+func (s *flowStore) insert(now time.Duration, hash uint64, k *packet.Key) *entry {
+	if 2*(len(s.entries)+1) > len(s.index) {
+		s.grow()
+	}
+	s.entries = append(s.entries, entry{key: *k, hash: hash, seen: seconds(now)})
+	s.place(len(s.entries) - 1)
+	return &s.entries[len(s.entries)-1]
+}
+
+func (s *flowStore) place(position int) {
+	i := s.slot(s.entries[position].hash)
+	for s.index[i] != 0 {
+		i = s.next(i)
+	}
+	s.index[i] = uint32(position + 1)
+}
+
+func (s *flowStore) grow() {
+	s.index = make([]uint32, 2*len(s.index))
+	for i := range s.entries {
+		s.place(i)
+	}
+}
+
+// remove deletes the entry at a position and moves the last one there.
+func (s *flowStore) remove(position int) {
+	s.unplace(position)
+	last := len(s.entries) - 1
+	if position != last {
+		s.unplace(last)
+		s.entries[position] = s.entries[last]
+		s.place(position)
+	}
+	s.entries = s.entries[:last]
+}
+
+// unplace clears the index slot of an entry and closes the gap in its probe run.
+func (s *flowStore) unplace(position int) {
+	gap := s.slot(s.entries[position].hash)
+	for s.index[gap] != uint32(position+1) {
+		gap = s.next(gap)
+	}
+	mask := uint32(len(s.index) - 1)
+	for i := s.next(gap); s.index[i] != 0; i = s.next(i) {
+		home := s.slot(s.entries[s.index[i]-1].hash)
+		if (i-home)&mask >= (i-gap)&mask {
+			s.index[gap] = s.index[i]
+			gap = i
+		}
+	}
+	s.index[gap] = 0
+}
--- /dev/null
+++ b/flow/table.go
@@ -0,0 +1,166 @@
+package flow
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/packet"
+)
+
+// Table is the agent's side of placement: it holds the flows that its upstream
+// serves and decides what happens to each packet. It is not safe for concurrent
+// use.
+type Table struct {
+	cfg     TableConfig
+	self    Upstream
+	seed    uint64
+	service packet.ServiceID
+	rng     *rand.Rand
+
+	flows    flowStore
+	ending   int // flows that have ended and linger
+	handoffs handoffMemory
+	peers    peerSet
+	inboxes  map[packet.AgentID]*inbox
+	removals removalQueue
+
+	stateSince   time.Duration // when self.State was set
+	unsettled    time.Duration // until then, views may differ about who accepts
+	loadSent     time.Duration
+	stepped      time.Duration
+	budget       int // digest bytes that may be sent now
+	sweepFrom    int
+	firstPeer    int // where Step starts, so that pacing starves no peer
+	meanOpen     float64
+	slowStarting bool
+	counters     Counters
+}
+
+// Counters are totals since the table was made.
+type Counters struct {
+	Delivered, Forwarded, HandedOff, Offered, Hints uint64
+	Dropped                                         [reasonCount]uint64
+}
+
+// NewTable returns the table of the agent self, which serves one service.
+func NewTable(cfg TableConfig, self Upstream, service packet.ServiceID, rng *rand.Rand) *Table {
+	cfg = cfg.withDefaults()
+	return &Table{
+		cfg:        cfg,
+		self:       self,
+		seed:       seedOf(self.ID),
+		service:    service,
+		rng:        rng,
+		flows:      newFlowStore(),
+		handoffs:   newHandoffMemory(cfg.HandoffMemory, cfg.MaxHandoffs),
+		peers:      peerSet{byID: make(map[packet.AgentID]*peer)},
+		inboxes:    make(map[packet.AgentID]*inbox),
+		loadSent:   never,
+		stateSince: never,
+	}
+}
+
+// SetState sets the state of this agent's own upstream.
+func (t *Table) SetState(now time.Duration, s State) {
+	if s == t.self.State {
+		return
+	}
+	changed := s.Accepts() != t.self.State.Accepts()
+	t.self.State = s
+	t.stateSince = now
+	if changed {
+		t.unsettled = now + t.cfg.Settling
+	}
+	t.retargetAll(now)
+}
+
+// State returns the state set last.
+func (t *Table) State() State { return t.self.State }
+
+// SetPeers replaces the list of the service's upstreams. The entry for this agent
+// is ignored: SetState has its current state.
+func (t *Table) SetPeers(now time.Duration, upstreams []Upstream) {
+	next := peerSet{byID: make(map[packet.AgentID]*peer, len(upstreams))}
+	for _, u := range upstreams {
+		if u.ID != t.self.ID && next.byID[u.ID] == nil {
+			p := t.mergePeer(now, u)
+			next.byID[u.ID] = p
+			next.list = append(next.list, p)
+		}
+	}
+	slices.SortFunc(next.list, func(a, b *peer) int { return int(int64(a.ID) - int64(b.ID)) })
+	for id := range t.peers.byID {
+		if next.byID[id] == nil {
+			delete(t.inboxes, id)
+		}
+	}
+	t.peers = next
+	t.retargetAll(now)
+	t.resetNewPeers()
+}
+
+// mergePeer returns the record of an upstream, new or updated.
+func (t *Table) mergePeer(now time.Duration, u Upstream) *peer {
+	old := t.peers.get(u.ID)
+	if old == nil || old.Incarnation != u.Incarnation {
+		p := newPeer(now, u)
+		p.in = t.inbox(u.ID)
+		if p.recent(now, t.cfg.Settling) {
+			t.unsettled = now + t.cfg.Settling
+		}
+		return p
+	}
+	if old.State.Accepts() != u.State.Accepts() {
+		t.unsettled = now + t.cfg.Settling
+	}
+	old.update(now, u)
+	return old
+}
+
+// resetNewPeers sends peers that have just appeared the whole digest.
+func (t *Table) resetNewPeers() {
+	for _, p := range t.peers.list {
+		if p.out.seq == 0 && p.out.reset {
+			t.restartDigest(p)
+		}
+	}
+}
+
+// inbox returns the digest received from an agent. It exists before the agent is
+// listed as a peer, because the sender may have learned of this agent first.
+func (t *Table) inbox(from packet.AgentID) *inbox {
+	b := t.inboxes[from]
+	if b == nil {
+		b = &inbox{asked: never}
+		t.inboxes[from] = b
+	}
+	return b
+}
+
+// Open returns the number of open flows, without those that have ended and linger.
+func (t *Table) Open() int { return len(t.flows.entries) - t.ending }
+
+// Counters returns the totals since the table was made.
+func (t *Table) Counters() Counters { return t.counters }
+
+// Warm reports whether an agent in state Starting may become Ready: all peers that
+// may hold flows have sent their digest, or the settling time has passed. An
+// agent that becomes ready earlier may take a packet of a flow that a peer holds.
+func (t *Table) Warm(now time.Duration) bool {
+	if t.stateSince != never && now-t.stateSince >= t.cfg.Settling {
+		return true
+	}
+	for _, p := range t.peers.list {
+		if (p.State == Ready || p.State == Draining) && !p.in.complete {
+			return false
+		}
+	}
+	return true
+}
+
+// Drained reports whether a draining agent may leave: it holds no flow, and has
+// been draining so long that all views show it and its digests are not needed.
+func (t *Table) Drained(now time.Duration) bool {
+	return t.self.State == Draining && len(t.flows.entries) == 0 && now-t.stateSince >= t.cfg.Settling
+}
--- a/flow/view.go
+++ b/flow/view.go
@@ -32,6 +32,12 @@
 	return "unknown"
 }
 
+// Accepts reports whether an upstream in this state takes new flows.
+func (s State) Accepts() bool { return s == Ready }
+
+// Gone reports whether an upstream in this state is counted as absent.
+func (s State) Gone() bool { return s == Leaving || s == Failed }
+
 // Endpoint is one address of a service.
 type Endpoint struct {
 	Addr  netip.AddrPort
