Add a fake network in virtual time

Cause: decision packages exchange messages and need tests of delay, loss, duplication, reordering and partitions without sockets or sleeps. Change: package fake holds Network, seeded, with requests, datagrams, timers bound to a process and cuts between zones. Conclusion: other packages can use it; messages are of any type.

--- /dev/null
+++ b/fake/network.go
@@ -0,0 +1,193 @@
+package fake
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+)
+
+// Faults are the network's faults. The zero value delivers each message once and
+// without delay.
+type Faults struct {
+	MinDelay, MaxDelay time.Duration // one way; messages overtake each other when these differ
+	Loss, Duplication  float64       // probability for each message
+}
+
+// Handler takes a message that arrives at a process and returns the reply; the
+// reply to a message sent without Request is dropped.
+type Handler func(now time.Duration, from netip.AddrPort, message any) any
+
+// Network passes messages between processes in virtual time. Runs with the same
+// seed and the same calls are equal. It is not safe for concurrent use.
+type Network struct {
+	Faults  Faults
+	Timeout time.Duration // for each Request
+	// Observe, when set, sees each message as it is sent, lost ones included.
+	Observe func(from, to netip.AddrPort, message any)
+
+	rng     *rand.Rand
+	now     time.Duration
+	queue   queue
+	order   uint64
+	nodes   map[netip.AddrPort]node
+	severed map[[2]string]bool
+}
+
+type node struct {
+	zone   string
+	handle Handler
+	serial uint64 // distinguishes a restarted process from its predecessor
+}
+
+// NewNetwork returns an empty network whose requests time out after 1 s.
+func NewNetwork(seed uint64) *Network {
+	return &Network{
+		Timeout: time.Second,
+		rng:     rand.New(rand.NewPCG(seed, 0)),
+		nodes:   make(map[netip.AddrPort]node),
+		severed: make(map[[2]string]bool),
+	}
+}
+
+// Now returns the virtual time.
+func (n *Network) Now() time.Duration { return n.now }
+
+// Attach starts a process at an address. The zone is what Cut separates.
+func (n *Network) Attach(addr netip.AddrPort, zone string, handle Handler) {
+	n.order++
+	n.nodes[addr] = node{zone: zone, handle: handle, serial: n.order}
+}
+
+// Detach stops the process at an address: messages to it are lost, and its timers
+// and the outcomes of its requests are dropped.
+func (n *Network) Detach(addr netip.AddrPort) { delete(n.nodes, addr) }
+
+// Cut drops all messages between two zones until Heal.
+func (n *Network) Cut(a, b string) {
+	n.severed[[2]string{a, b}] = true
+	n.severed[[2]string{b, a}] = true
+}
+
+// CutOneWay drops the messages from one zone to another until Heal.
+func (n *Network) CutOneWay(from, to string) { n.severed[[2]string{from, to}] = true }
+
+// Heal ends all cuts.
+func (n *Network) Heal() { clear(n.severed) }
+
+// After calls f once, unless the process at owner has stopped by then. An invalid
+// owner never stops.
+func (n *Network) After(owner netip.AddrPort, delay time.Duration, f func()) {
+	serial := n.nodes[owner].serial
+	n.schedule(n.now+delay, func() {
+		if n.nodes[owner].serial == serial {
+			f()
+		}
+	})
+}
+
+// Every calls f in each period, the first time after a random part of one, until
+// the process at owner stops.
+func (n *Network) Every(owner netip.AddrPort, period time.Duration, f func()) {
+	var tick func()
+	tick = func() {
+		f()
+		n.After(owner, period, tick)
+	}
+	n.After(owner, time.Duration(n.rng.Int64N(int64(period))), tick)
+}
+
+// Send sends a message without waiting for a reply.
+func (n *Network) Send(from, to netip.AddrPort, message any) {
+	n.deliver(from, to, message, func(any) {})
+}
+
+// Request sends a message and calls done once with the reply, or with ok false
+// after Timeout. A request may take effect although its reply is lost.
+func (n *Network) Request(from, to netip.AddrPort, message any, done func(reply any, ok bool)) {
+	answered := false
+	finish := func(reply any, ok bool) {
+		if !answered {
+			answered = true
+			done(reply, ok)
+		}
+	}
+	n.After(from, n.Timeout, func() { finish(nil, false) })
+	serial := n.nodes[from].serial
+	n.deliver(from, to, message, func(reply any) {
+		n.transmit(to, from, reply, func(caller node) {
+			if caller.serial == serial {
+				finish(reply, true)
+			}
+		})
+	})
+}
+
+// Run advances virtual time by d.
+func (n *Network) Run(d time.Duration) {
+	end := n.now + d
+	for len(n.queue) > 0 && n.queue[0].at <= end {
+		e := heap.Pop(&n.queue).(event)
+		n.now = e.at
+		e.run()
+	}
+	n.now = end
+}
+
+func (n *Network) deliver(from, to netip.AddrPort, message any, answer func(any)) {
+	n.transmit(from, to, message, func(receiver node) {
+		answer(receiver.handle(n.now, from, message))
+	})
+}
+
+func (n *Network) transmit(from, to netip.AddrPort, message any, arrive func(node)) {
+	if n.Observe != nil {
+		n.Observe(from, to, message)
+	}
+	copies := 1
+	if n.rng.Float64() < n.Faults.Duplication {
+		copies = 2
+	}
+	zone := n.nodes[from].zone
+	for range copies {
+		lost := n.rng.Float64() < n.Faults.Loss
+		n.schedule(n.now+n.delay(), func() {
+			receiver, running := n.nodes[to]
+			if running && !lost && !n.severed[[2]string{zone, receiver.zone}] {
+				arrive(receiver)
+			}
+		})
+	}
+}
+
+func (n *Network) delay() time.Duration {
+	spread := int64(n.Faults.MaxDelay - n.Faults.MinDelay)
+	return n.Faults.MinDelay + time.Duration(n.rng.Int64N(max(spread, 0)+1))
+}
+
+func (n *Network) schedule(at time.Duration, run func()) {
+	n.order++
+	heap.Push(&n.queue, event{at: at, order: n.order, run: run})
+}
+
+type event struct {
+	at    time.Duration
+	order uint64
+	run   func()
+}
+
+// queue orders events by time, then by the order in which they were scheduled.
+type queue []event
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *queue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return e
+}
