Add the membership protocol

Cause: 53,000 processes must learn of each other without each watching the store. Change: package member with Table, Node (balancer) and Announcer (agent): heartbeats, pushes, anti-entropy over a tree of hashes, refutation, failure detection with confirmation, home balancers by rendezvous hashing, removal with tombstones, and the flow.View built from the table.

--- /dev/null
+++ b/member/announcer.go
@@ -0,0 +1,253 @@
+package member
+
+import (
+	"maps"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/flow"
+)
+
+const (
+	// peerAttempts bounds the pushes of one change to one peer; peers that miss
+	// all of them learn the change from their homes.
+	peerAttempts = 3
+	// avoidFor is the time for which a balancer that did not answer is not chosen
+	// as a home.
+	avoidFor = 5 * time.Second
+)
+
+// Announcer is the membership protocol of an agent. It is not safe for concurrent
+// use. The daemon calls Step about ten times a second.
+type Announcer struct {
+	cfg      Config
+	self     Record
+	sum      uint32
+	rng      *rand.Rand
+	table    *Table // members of the service
+	now      time.Duration
+	homes    []netip.AddrPort // best first, from a home balancer
+	avoid    map[netip.AddrPort]time.Duration
+	acked    map[netip.AddrPort]uint32 // sum of the record that a balancer has confirmed
+	next     map[netip.AddrPort]time.Duration
+	peers    map[string]*delivery
+	revision int64
+}
+
+// delivery is a push of the present record to one peer.
+type delivery struct {
+	left int
+	next time.Duration
+}
+
+// NewAnnouncer returns the protocol of the agent self. A zero incarnation is
+// replaced with a random one.
+func NewAnnouncer(cfg Config, self Record, rng *rand.Rand) *Announcer {
+	self.Role = RoleUpstream
+	if self.Incarnation == 0 {
+		self.Incarnation = rng.Uint64() | 1
+	}
+	a := &Announcer{
+		cfg:   cfg.withDefaults(),
+		rng:   rng,
+		table: NewTable(),
+		avoid: make(map[netip.AddrPort]time.Duration),
+		acked: make(map[netip.AddrPort]uint32),
+		next:  make(map[netip.AddrPort]time.Duration),
+		peers: make(map[string]*delivery),
+	}
+	a.announce(self)
+	return a
+}
+
+// announce installs a new version of the agent's own record and pushes it to all
+// peers. Homes receive it with the next heartbeat, which is due at once.
+func (a *Announcer) announce(self Record) {
+	a.self = self
+	a.sum = uint32(self.sum())
+	merged := a.table.Merge(self)
+	invariant(merged, "own record of %q is not newer than the known one", self.Name)
+	clear(a.next)
+	clear(a.peers)
+	for _, r := range a.table.ServiceMembers(self.Service) {
+		if r.Name != self.Name && !r.Gone() {
+			a.peers[r.Name] = &delivery{left: peerAttempts}
+		}
+	}
+}
+
+// Step advances the protocol to now and returns the calls to make.
+func (a *Announcer) Step(now time.Duration) []Call {
+	a.advance(now)
+	a.table.expire(now, a.cfg.RemoveAfter)
+	var out []Call
+	for _, home := range a.targets() {
+		if now >= a.next[home] {
+			out = append(out, a.heartbeat(home))
+		}
+	}
+	return append(out, a.pushes()...)
+}
+
+// targets returns the homes to send heartbeats to. Homes that did not answer are
+// replaced by the next best, or by seeds when no other is known.
+func (a *Announcer) targets() []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, h := range a.homes {
+		if a.now >= a.avoid[h] && len(out) < a.cfg.Homes {
+			out = append(out, h)
+		}
+	}
+	seeds := slices.Clone(a.cfg.Seeds)
+	a.rng.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
+	for _, s := range seeds {
+		if len(out) < a.cfg.Homes && a.now >= a.avoid[s] && !slices.Contains(out, s) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+func (a *Announcer) heartbeat(home netip.AddrPort) Call {
+	m := Message{
+		Kind: KindHeartbeat, ID: nameHash(a.self.Name), Sum: a.sum, Revision: a.revision,
+		Members: a.table.membersSum(a.self.Service), HomeSum: hashHomes(a.homes),
+	}
+	wait := a.cfg.Heartbeat
+	if a.acked[home] != a.sum {
+		m.Records = []Record{a.self}
+		wait = a.cfg.Retry
+	}
+	a.next[home] = a.now + wait
+	return Call{To: home, Request: m}
+}
+
+func (a *Announcer) pushes() []Call {
+	var out []Call
+	for _, name := range slices.Sorted(maps.Keys(a.peers)) {
+		d := a.peers[name]
+		r, known := a.table.Get(name)
+		if !known || d.left == 0 {
+			delete(a.peers, name)
+			continue
+		}
+		if a.now < d.next {
+			continue
+		}
+		d.left--
+		d.next = a.now + a.cfg.Retry
+		out = append(out, Call{To: r.Control, Request: Message{Kind: KindPush, Name: name, Records: []Record{a.self}}})
+	}
+	return out
+}
+
+// Handle serves a ping or a peer's push and returns the reply.
+func (a *Announcer) Handle(now time.Duration, m Message) Message {
+	a.advance(now)
+	if m.Kind == KindPush {
+		a.take(m.Records)
+	}
+	return Message{Revision: a.revision}
+}
+
+// Reply takes the answer to a call.
+func (a *Announcer) Reply(now time.Duration, c Call, m Message) {
+	a.advance(now)
+	a.revision = max(a.revision, m.Revision)
+	switch c.Request.Kind {
+	case KindPush:
+		if d := a.peers[c.Request.Name]; d != nil && c.Request.Records[0].Version == a.self.Version {
+			delete(a.peers, c.Request.Name)
+		}
+	case KindHeartbeat:
+		a.heartbeatAnswered(c, m)
+	}
+}
+
+func (a *Announcer) heartbeatAnswered(c Call, m Message) {
+	delete(a.avoid, c.To)
+	a.acked[c.To] = c.Request.Sum
+	if m.Resend {
+		delete(a.acked, c.To)
+		a.next[c.To] = min(a.next[c.To], a.now+a.cfg.Retry)
+	} else if c.Request.Sum == a.sum {
+		a.next[c.To] = a.now + a.cfg.Heartbeat
+	}
+	if len(m.Homes) > 0 {
+		a.homes = m.Homes
+		a.forgetOthers()
+	}
+	a.take(m.Records)
+}
+
+// forgetOthers drops the state of balancers that are no longer homes.
+func (a *Announcer) forgetOthers() {
+	unknown := func(p netip.AddrPort) bool {
+		return !slices.Contains(a.homes, p) && !slices.Contains(a.cfg.Seeds, p)
+	}
+	maps.DeleteFunc(a.acked, func(p netip.AddrPort, _ uint32) bool { return unknown(p) })
+	maps.DeleteFunc(a.next, func(p netip.AddrPort, _ time.Duration) bool { return unknown(p) })
+	maps.DeleteFunc(a.avoid, func(p netip.AddrPort, _ time.Duration) bool { return unknown(p) })
+}
+
+// Unreachable says that a call failed or timed out.
+func (a *Announcer) Unreachable(now time.Duration, c Call) {
+	a.advance(now)
+	if c.Request.Kind == KindHeartbeat {
+		a.avoid[c.To] = now + avoidFor
+		delete(a.next, c.To)
+	}
+}
+
+// take merges records of the service and refutes those of this agent's name that
+// it did not write.
+func (a *Announcer) take(records []Record) {
+	for i := range records {
+		r := &records[i]
+		if r.Name != a.self.Name {
+			if r.Service == a.self.Service && r.Role == RoleUpstream {
+				a.table.Merge(*r)
+			}
+			continue
+		}
+		if own, needed := refute(a.self, r); needed {
+			a.announce(own)
+		}
+	}
+}
+
+// SetState announces a new state of this agent.
+func (a *Announcer) SetState(now time.Duration, s flow.State) {
+	a.advance(now)
+	if s == a.self.State {
+		return
+	}
+	self := a.self
+	self.State = s
+	self.Version++
+	a.announce(self)
+}
+
+// Peers returns all upstreams of the service in order of name, self included.
+func (a *Announcer) Peers() []flow.Upstream {
+	for _, s := range a.table.View().Services {
+		return slices.Clone(s.Upstreams)
+	}
+	return nil
+}
+
+// Self returns this agent's record as announced.
+func (a *Announcer) Self() Record { return a.self }
+
+// Table returns the service's records. The caller must not change it.
+func (a *Announcer) Table() *Table { return a.table }
+
+// Revision returns the highest revision of the lists that this agent has heard of.
+func (a *Announcer) Revision() int64 { return a.revision }
+
+func (a *Announcer) advance(now time.Duration) {
+	invariant(now >= a.now, "time went from %v back to %v", a.now, now)
+	a.now, a.table.now = now, now
+}
--- /dev/null
+++ b/member/balancers.go
@@ -0,0 +1,53 @@
+package member
+
+import (
+	"slices"
+	"strings"
+)
+
+// balancerLists are the balancers in order of name. They are kept between
+// changes, because each heartbeat ranks the balancers of its failure domain.
+type balancerLists struct {
+	all     []Record
+	live    []Record
+	domains map[string][]Record // live balancers by failure domain
+}
+
+// Balancers returns the records of all balancers, ordered by name. The caller
+// must not change them.
+func (t *Table) Balancers() []Record { return t.balancerLists().all }
+
+// liveBalancers returns the balancers that have neither left nor failed. The
+// caller must not change them.
+func (t *Table) liveBalancers() []Record { return t.balancerLists().live }
+
+// domainBalancers returns the live balancers of a failure domain, or all live
+// ones when the domain has none.
+func (t *Table) domainBalancers(domain string) []Record {
+	lists := t.balancerLists()
+	if own := lists.domains[domain]; len(own) > 0 {
+		return own
+	}
+	return lists.live
+}
+
+func (t *Table) balancerLists() *balancerLists {
+	if t.balancers != nil {
+		return t.balancers
+	}
+	l := &balancerLists{domains: make(map[string][]Record)}
+	for _, e := range t.order {
+		if e.record.Role == RoleBalancer {
+			l.all = append(l.all, e.record)
+		}
+	}
+	slices.SortFunc(l.all, func(a, b Record) int { return strings.Compare(a.Name, b.Name) })
+	for _, b := range l.all {
+		if !b.Gone() {
+			l.live = append(l.live, b)
+			l.domains[b.FailureDomain] = append(l.domains[b.FailureDomain], b)
+		}
+	}
+	t.balancers = l
+	return l
+}
--- /dev/null
+++ b/member/heartbeat.go
@@ -0,0 +1,41 @@
+package member
+
+import "net/netip"
+
+// spareHomes is the number of balancers that an agent learns beyond its homes, so
+// that it has others to try at once when all homes are lost.
+const spareHomes = 2
+
+// serveHeartbeat notes that an agent is alive and returns what it lacks: its own
+// record when another one is known here, its homes and its service's members.
+func (n *Node) serveHeartbeat(m Message) Message {
+	for _, r := range m.Records {
+		n.merge(r)
+	}
+	e := n.table.byHash[m.ID]
+	if e == nil {
+		return Message{Resend: true}
+	}
+	n.heard(e.record.Name)
+	var reply Message
+	if uint32(e.sum) != m.Sum {
+		reply.Resend = true
+		reply.Records = append(reply.Records, e.record)
+	}
+	if n.table.membersSum(e.record.Service) != m.Members {
+		reply.Records = append(reply.Records, n.table.ServiceMembers(e.record.Service)...)
+	}
+	homes := controls(n.table.homes(e.record.Name, e.record.FailureDomain, n.cfg.Homes+spareHomes))
+	if hashHomes(homes) != m.HomeSum {
+		reply.Homes = homes
+	}
+	return reply
+}
+
+func controls(records []Record) []netip.AddrPort {
+	out := make([]netip.AddrPort, len(records))
+	for i := range records {
+		out[i] = records[i].Control
+	}
+	return out
+}
--- /dev/null
+++ b/member/remove.go
@@ -0,0 +1,50 @@
+package member
+
+import "time"
+
+// tombstone remembers a removed record, so that a peer which has not yet removed
+// it cannot bring it back.
+type tombstone struct {
+	record Record
+	until  time.Duration
+}
+
+// buried reports whether r is not newer than a record that was removed.
+func (t *Table) buried(r *Record) bool {
+	grave, found := t.removed[r.Name]
+	return found && Compare(r, &grave.record) <= 0
+}
+
+// expire removes records that have been failed or leaving for longer than after.
+// Their tombstones last twice as long: a process that learned the record just
+// before its removal elsewhere keeps and offers it for up to that time again.
+func (t *Table) expire(now, after time.Duration) {
+	t.now = now
+	for name, e := range t.byName {
+		if e.record.Gone() && now-e.since >= after {
+			t.remove(e)
+			t.removed[name] = tombstone{record: e.record, until: now + 2*after}
+		}
+	}
+	for name, grave := range t.removed {
+		if now >= grave.until {
+			delete(t.removed, name)
+		}
+	}
+}
+
+func (t *Table) remove(e *entry) {
+	t.ungroup(e)
+	delete(t.byName, e.record.Name)
+	delete(t.byHash, e.hash)
+	if e.record.Role == RoleBalancer {
+		t.balancers = nil
+	}
+	kept := t.order[:0]
+	for _, other := range t.order {
+		if other != e {
+			kept = append(kept, other)
+		}
+	}
+	t.order = kept
+}
--- /dev/null
+++ b/member/table.go
@@ -0,0 +1,124 @@
+package member
+
+import (
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/flow"
+)
+
+// Table holds the records that a process knows. It is not safe for concurrent
+// use.
+type Table struct {
+	now       time.Duration
+	byName    map[string]*entry
+	byHash    map[uint64]*entry
+	order     []*entry // by hash, then name, when sorted is set
+	sorted    bool
+	removed   map[string]tombstone
+	groups    map[string]*group // upstreams by service
+	services  []string          // keys of groups in order
+	balancers *balancerLists    // nil after a change
+	view      *flow.View
+}
+
+type entry struct {
+	record Record
+	hash   uint64
+	sum    uint64
+	since  time.Duration // when the present state was learned
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{
+		byName:  make(map[string]*entry),
+		byHash:  make(map[uint64]*entry),
+		removed: make(map[string]tombstone),
+		groups:  make(map[string]*group),
+	}
+}
+
+// Merge takes r when it is newer than what is known of its name. It returns true
+// when r replaced what was known; a malformed record is ignored.
+func (t *Table) Merge(r Record) bool {
+	if !r.valid() || t.buried(&r) {
+		return false
+	}
+	e := t.byName[r.Name]
+	if e == nil {
+		t.add(r)
+		return true
+	}
+	old := e.record
+	if Compare(&r, &old) <= 0 {
+		return false
+	}
+	invariant(r.Epoch > old.Epoch || r.Epoch == old.Epoch && r.Version >= old.Version,
+		"%q went from epoch %d version %d back to %d, %d", r.Name, old.Epoch, old.Version, r.Epoch, r.Version)
+	t.replace(e, r)
+	return true
+}
+
+func (t *Table) add(r Record) {
+	e := &entry{hash: nameHash(r.Name)}
+	t.byName[r.Name] = e
+	t.byHash[e.hash] = e
+	t.order = append(t.order, e)
+	t.sorted = false
+	delete(t.removed, r.Name)
+	t.set(e, r)
+}
+
+func (t *Table) replace(e *entry, r Record) {
+	if e.record.Service != r.Service || e.record.Role != r.Role {
+		t.ungroup(e)
+	}
+	t.set(e, r)
+}
+
+func (t *Table) set(e *entry, r Record) {
+	if e.record.State != r.State || e.record.Incarnation != r.Incarnation || e.since == 0 {
+		e.since = t.now
+	}
+	if r.Role == RoleBalancer || e.record.Role == RoleBalancer {
+		t.balancers = nil
+	}
+	r.Endpoints = slices.Clone(r.Endpoints)
+	e.record, e.sum = r, r.sum()
+	t.group(e)
+}
+
+func (t *Table) sortEntries() {
+	if t.sorted {
+		return
+	}
+	sort.Slice(t.order, func(i, j int) bool {
+		a, b := t.order[i], t.order[j]
+		if a.hash != b.hash {
+			return a.hash < b.hash
+		}
+		return a.record.Name < b.record.Name
+	})
+	t.sorted = true
+}
+
+// Get returns the record of the named process.
+func (t *Table) Get(name string) (Record, bool) {
+	if e := t.byName[name]; e != nil {
+		return e.record, true
+	}
+	return Record{}, false
+}
+
+// Len returns the number of records.
+func (t *Table) Len() int { return len(t.byName) }
+
+// Records returns all records, ordered by name.
+func (t *Table) Records() []Record {
+	out := appendRecords(make([]Record, 0, len(t.order)), t.order)
+	slices.SortFunc(out, func(a, b Record) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
--- /dev/null
+++ b/member/wire.go
@@ -0,0 +1,71 @@
+package member
+
+import (
+	"net/netip"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/nutmegtrack/nutmegtrack/flow"
+)
+
+// wireEndpoint and wireRecord are encoded as arrays without field names: names
+// would double the size of a record.
+type wireEndpoint struct {
+	_     struct{} `cbor:",toarray"`
+	Addr  netip.AddrPort
+	Proto uint8
+}
+
+type wireRecord struct {
+	_                            struct{} `cbor:",toarray"`
+	Name, Service, FailureDomain string
+	Role                         Role
+	Incarnation, Epoch, Version  uint64
+	State                        flow.State
+	Data, Control                netip.AddrPort
+	Endpoints                    []wireEndpoint
+	Slots, Connections           int
+}
+
+func toWire(r *Record) wireRecord {
+	w := wireRecord{
+		Name: r.Name, Service: r.Service, FailureDomain: r.FailureDomain, Role: r.Role,
+		Incarnation: r.Incarnation, Epoch: r.Epoch, Version: r.Version, State: r.State,
+		Data: r.Data, Control: r.Control, Slots: r.Slots, Connections: r.Connections,
+	}
+	for _, e := range r.Endpoints {
+		w.Endpoints = append(w.Endpoints, wireEndpoint{Addr: e.Addr, Proto: e.Proto})
+	}
+	return w
+}
+
+func (w *wireRecord) record() Record {
+	r := Record{
+		Name: w.Name, Service: w.Service, FailureDomain: w.FailureDomain, Role: w.Role,
+		Incarnation: w.Incarnation, Epoch: w.Epoch, Version: w.Version, State: w.State,
+		Data: w.Data, Control: w.Control, Slots: w.Slots, Connections: w.Connections,
+	}
+	for _, e := range w.Endpoints {
+		r.Endpoints = append(r.Endpoints, flow.Endpoint{Addr: e.Addr, Proto: e.Proto})
+	}
+	return r
+}
+
+// MarshalCBOR encodes the record as an array.
+func (r Record) MarshalCBOR() ([]byte, error) { return cbor.Marshal(toWire(&r)) }
+
+// UnmarshalCBOR decodes a record written by MarshalCBOR.
+func (r *Record) UnmarshalCBOR(b []byte) error {
+	var w wireRecord
+	if err := cbor.Unmarshal(b, &w); err != nil {
+		return err
+	}
+	*r = w.record()
+	return nil
+}
+
+func encodeRecord(r *Record) []byte {
+	b, err := r.MarshalCBOR()
+	invariant(err == nil, "record %q cannot be encoded: %v", r.Name, err)
+	return b
+}
