Add control calls between processes

Cause: daemons exchange membership, list and flow messages and must be bounded in time and connections.

--- /dev/null
+++ b/control/control_test.go
@@ -0,0 +1,147 @@
+package control_test
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/goleak"
+
+	"github.com/nutmegtrack/nutmegtrack/control"
+	"github.com/nutmegtrack/nutmegtrack/member"
+)
+
+func TestControl(t *testing.T) {
+	// Guards against connections and waits that outlive Close.
+	defer goleak.VerifyNone(t, goleak.IgnoreAnyFunction(
+		"github.com/onsi/ginkgo/v2/internal/interrupt_handler.(*InterruptHandler).registerForInterrupts.func2"))
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "control")
+}
+
+// serve starts a server with a Member service and returns its address.
+func serve(handle func(member.Message) member.Message, listen string) (*control.Server, netip.AddrPort) {
+	GinkgoHelper()
+	l, err := net.Listen("tcp", listen)
+	Expect(err).NotTo(HaveOccurred())
+	s := control.NewServer(control.NewCounts(nil))
+	Expect(s.Register(control.MemberService, control.NewMember(handle))).To(Succeed())
+	go func() { _ = s.Serve(l) }()
+	return s, netip.MustParseAddrPort(l.Addr().String())
+}
+
+func echo(m member.Message) member.Message { return m }
+
+func ping(c *control.Client, to netip.AddrPort) error {
+	var reply member.Message
+	return c.Call(context.Background(), to, control.MemberCall, &member.Message{Kind: member.KindPing}, &reply)
+}
+
+var _ = Describe("control", func() {
+	It("carries a whole message and counts its bytes close to the estimate", func() {
+		s, addr := serve(echo, "127.0.0.1:0")
+		counts := control.NewCounts(nil)
+		c := control.NewClient(control.ClientConfig{}, counts)
+		sent := member.Message{Kind: member.KindPush, Revision: 7, From: addr, Digests: []member.Digest{{Part: 3}},
+			Records: []member.Record{{Name: "u1", Service: "s", Data: addr, Control: addr, Incarnation: 1 << 60}}}
+		var got member.Message
+		Expect(c.Call(context.Background(), addr, control.MemberCall, &sent, &got)).To(Succeed())
+		Expect(got).To(Equal(sent))
+		first := counts.Sent.Count()
+		for range 10 {
+			Expect(c.Call(context.Background(), addr, control.MemberCall, &sent, &got)).To(Succeed())
+		}
+		mean := float64(counts.Sent.Count()-first) / 10
+		Expect(mean).To(BeNumerically("~", sent.Size(), 4))
+		c.Close()
+		Expect(s.Close(context.Background())).To(Succeed())
+	})
+
+	It("reconnects after the server was replaced", func() {
+		s, addr := serve(echo, "127.0.0.1:0")
+		c := control.NewClient(control.ClientConfig{}, control.NewCounts(nil))
+		Expect(ping(c, addr)).To(Succeed())
+		Expect(s.Close(context.Background())).To(Succeed())
+		Expect(ping(c, addr)).NotTo(Succeed())
+		s, _ = serve(echo, addr.String())
+		Expect(ping(c, addr)).To(Succeed())
+		c.Close()
+		Expect(s.Close(context.Background())).To(Succeed())
+	})
+
+	It("bounds a call to a server that never answers and cuts its connection on close", func() {
+		release := make(chan struct{})
+		s, addr := serve(func(m member.Message) member.Message { <-release; return m }, "127.0.0.1:0")
+		c := control.NewClient(control.ClientConfig{Timeout: 20 * time.Millisecond}, control.NewCounts(nil))
+		Expect(ping(c, addr)).To(MatchError(context.DeadlineExceeded))
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		Expect(s.Close(ctx)).To(MatchError(context.Canceled))
+		close(release)
+		c.Close()
+		Expect(s.Close(context.Background())).To(Succeed())
+	})
+
+	It("lets a call in progress finish when the server closes", func() {
+		started, release := make(chan struct{}), make(chan struct{})
+		s, addr := serve(func(m member.Message) member.Message { close(started); <-release; return m }, "127.0.0.1:0")
+		c := control.NewClient(control.ClientConfig{Timeout: time.Minute}, control.NewCounts(nil))
+		outcome := make(chan error, 1)
+		go func() { outcome <- ping(c, addr) }()
+		<-started
+		closed := make(chan error, 1)
+		go func() { closed <- s.Close(context.Background()) }()
+		// The listener is closed before the server waits for calls.
+		Eventually(func() error {
+			conn, err := net.Dial("tcp", addr.String())
+			if err == nil {
+				_ = conn.Close()
+			}
+			return err
+		}).Should(HaveOccurred())
+		Expect(closed).NotTo(Receive())
+		close(release)
+		Expect(<-outcome).To(Succeed())
+		Expect(<-closed).To(Succeed())
+		c.Close()
+	})
+
+	It("keeps the number of connections bounded", func() {
+		c := control.NewClient(control.ClientConfig{MaxConnections: 1}, control.NewCounts(nil))
+		a, first := serve(echo, "127.0.0.1:0")
+		b, second := serve(echo, "127.0.0.1:0")
+		for range 3 {
+			Expect(ping(c, first)).To(Succeed())
+			Expect(ping(c, second)).To(Succeed())
+		}
+		// Closing waits for open connections: a leaked one would block here.
+		Expect(a.Close(context.Background())).To(Succeed())
+		c.Close()
+		Expect(b.Close(context.Background())).To(Succeed())
+		Expect(ping(c, second)).To(MatchError(control.ErrClosed))
+	})
+
+	It("dumps the named sources and refuses unknown ones", func() {
+		d := control.NewDump()
+		r := metrics.NewRegistry()
+		control.NewCounts(r).Sent.Inc(5)
+		d.AddMetrics(r)
+		d.AddSource("fleet", func() any { return []string{"u1"} })
+		var reply control.DumpReply
+		Expect(d.State(&control.DumpArgs{}, &reply)).To(Succeed())
+		var state struct {
+			Fleet   []string
+			Metrics map[string]map[string]int
+		}
+		Expect(json.Unmarshal(reply.JSON, &state)).To(Succeed())
+		Expect(state.Fleet).To(Equal([]string{"u1"}))
+		Expect(state.Metrics["control.bytes_sent"]["count"]).To(Equal(5))
+		Expect(d.State(&control.DumpArgs{Sources: []string{"none"}}, &reply)).To(MatchError(ContainSubstring("none")))
+	})
+})
--- /dev/null
+++ b/control/count.go
@@ -0,0 +1,42 @@
+package control
+
+import (
+	"net"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// Counts are the bytes of control traffic of one process, in TCP payload.
+type Counts struct {
+	Sent     metrics.Counter
+	Received metrics.Counter
+}
+
+// NewCounts returns counters that are registered as control.bytes_sent and
+// control.bytes_received. A nil registry leaves them unregistered.
+func NewCounts(r metrics.Registry) *Counts {
+	c := &Counts{Sent: metrics.NewCounter(), Received: metrics.NewCounter()}
+	if r != nil {
+		_ = r.Register("control.bytes_sent", c.Sent)
+		_ = r.Register("control.bytes_received", c.Received)
+	}
+	return c
+}
+
+// countedConn adds the bytes of a connection to the counts.
+type countedConn struct {
+	net.Conn
+	counts *Counts
+}
+
+func (c countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.counts.Received.Inc(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.counts.Sent.Inc(int64(n))
+	return n, err
+}
