Add the demo and its subcommand

Cause: the guarantees must be checked on whole deployments of real processes. Change: package demo starts both deployments from the examples' settings, applies load and a seeded schedule of changes, reads the stand-ins' records and names each guarantee that they contradict. All processes are ended by their id, also after a signal or an error, which is reported with the last log lines of the process concerned. Conclusion: the demo is complete but for the edits of the lists.

--- a/cmd/nutmegtrack/main.go
+++ b/cmd/nutmegtrack/main.go
@@ -25,6 +25,7 @@
 // commands lists the constructors of all subcommands, in the order of the help text.
 var commands = []func() command{
 	newStandin,
+	newDemo,
 }
 
 func main() {
--- /dev/null
+++ b/demo/actions.go
@@ -0,0 +1,71 @@
+package demo
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"github.com/nutmegtrack/nutmegtrack/standin"
+)
+
+// action is one kind of change of the fleet.
+type action struct {
+	name string
+	run  func(context.Context, *fleet, *rand.Rand) error
+}
+
+// fleetActions are the changes that every round contains, in random order.
+var fleetActions = []action{
+	{"upstream added", addUpstream},
+	{"upstream drained and replaced", replaceUpstream},
+	{"upstream drained and replaced", replaceUpstream},
+	{"balancer stopped and replaced", replaceBalancer},
+	{"balancer killed and replaced", killBalancer},
+}
+
+func addUpstream(ctx context.Context, f *fleet, rng *rand.Rand) error {
+	u, err := f.startUpstream(ctx, drawService(f, rng), standin.FaultNone)
+	if err == nil {
+		f.say("%s added", u.name)
+	}
+	return err
+}
+
+// replaceUpstream drains an upstream while its replacement starts.
+func replaceUpstream(ctx context.Context, f *fleet, rng *rand.Rand) error {
+	s := drawService(f, rng)
+	serving := f.serving(s.name)
+	old := serving[rng.IntN(len(serving))]
+	if err := f.drainUpstream(old); err != nil {
+		return err
+	}
+	added, err := f.startUpstream(ctx, s, standin.FaultNone)
+	if err == nil {
+		f.say("%s drains, %s added", old.name, added.name)
+	}
+	return err
+}
+
+// replaceBalancer stops a balancer gracefully while its replacement starts.
+func replaceBalancer(ctx context.Context, f *fleet, rng *rand.Rand) error {
+	old := drawBalancer(f, rng)
+	f.stopBalancer(ctx, old)
+	f.say("%s stops, a replacement starts", old.name)
+	return f.startBalancers(ctx, 1)
+}
+
+// killBalancer kills a balancer and starts a replacement.
+func killBalancer(ctx context.Context, f *fleet, rng *rand.Rand) error {
+	old := drawBalancer(f, rng)
+	f.killBalancer(old)
+	f.say("%s killed, a replacement starts", old.name)
+	return f.startBalancers(ctx, 1)
+}
+
+func drawService(f *fleet, rng *rand.Rand) serviceSpec {
+	return f.spec.services[rng.IntN(len(f.spec.services))]
+}
+
+func drawBalancer(f *fleet, rng *rand.Rand) *balancerVM {
+	live := f.liveBalancers()
+	return live[rng.IntN(len(live))]
+}
--- /dev/null
+++ b/demo/balancer.go
@@ -0,0 +1,124 @@
+package demo
+
+import (
+	"context"
+	"net/netip"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// balancerVM is one balancer process.
+type balancerVM struct {
+	name, domain                     string
+	process                          *process
+	data, health, control, advertise netip.AddrPort
+	gone                             bool // asked to stop, or killed
+	left                             bool // has exited
+}
+
+// balancerStopLimit is the setting drain_seconds of the templates with a margin
+// for a busy machine.
+const balancerStopLimit = 10 * time.Second
+
+// newBalancer chooses the name and addresses of a balancer.
+func (f *fleet) newBalancer() (*balancerVM, error) {
+	addrs, err := f.ports.list(4)
+	if err != nil {
+		return nil, err
+	}
+	b := &balancerVM{data: addrs[0], health: addrs[1], control: addrs[2], advertise: addrs[3]}
+	b.name, b.domain = f.vmName("balancer")
+	return b, nil
+}
+
+// startBalancers starts balancers that have all known balancers as seeds.
+func (f *fleet) startBalancers(ctx context.Context, n int) error {
+	var added []*balancerVM
+	for range n {
+		b, err := f.newBalancer()
+		if err != nil {
+			return err
+		}
+		added = append(added, b)
+	}
+	f.mu.Lock()
+	f.balancers = append(f.balancers, added...)
+	f.mu.Unlock()
+	for _, b := range added {
+		if err := f.startBalancer(ctx, b); err != nil {
+			return err
+		}
+	}
+	return f.tellFabric(ctx)
+}
+
+func (f *fleet) startBalancer(ctx context.Context, b *balancerVM) error {
+	if err := f.addRoute(ctx, b.name, b.advertise, b.control); err != nil {
+		return err
+	}
+	path, err := writeSettings(f.dir, balancerFile(f.spec.name), b.name, map[string]any{
+		"/name":              b.name,
+		"/failure_domain":    b.domain,
+		"/data_address":      b.data,
+		"/health_address":    b.health,
+		"/control_listen":    b.control,
+		"/control_advertise": b.advertise,
+		"/seeds":             f.seeds(),
+		"/store/endpoints":   []string{"http://" + f.store.String()},
+	})
+	if err != nil {
+		return err
+	}
+	b.process, err = f.run(b.name, "balancer", "--settings", path)
+	return err
+}
+
+// seeds returns the advertised control addresses of the live balancers.
+func (f *fleet) seeds() []netip.AddrPort {
+	var list []netip.AddrPort
+	for _, b := range f.liveBalancers() {
+		list = append(list, b.advertise)
+	}
+	return list
+}
+
+// stopBalancer asks for a graceful shutdown and checks in the background that the
+// balancer exits with status 0.
+func (f *fleet) stopBalancer(ctx context.Context, b *balancerVM) {
+	f.mu.Lock()
+	b.gone = true
+	f.mu.Unlock()
+	b.process.signal(syscall.SIGTERM)
+	go f.checkStopped(ctx, b)
+}
+
+func (f *fleet) checkStopped(ctx context.Context, b *balancerVM) {
+	select {
+	case <-b.process.ended:
+	case <-time.After(balancerStopLimit):
+		f.violated("%s does not stop within %s", b.name, balancerStopLimit)
+		return
+	case <-ctx.Done():
+		return
+	}
+	if status := b.process.cmd.ProcessState; !status.Success() {
+		f.abort(b.process.failed("graceful shutdown failed"))
+		return
+	}
+	f.mu.Lock()
+	b.left = true
+	f.mu.Unlock()
+	if err := f.tellFabric(ctx); err != nil && ctx.Err() == nil {
+		f.abort(errors.Wrap(err, "fabric"))
+	}
+}
+
+// killBalancer ends a balancer without warning. The fabric finds out by itself.
+func (f *fleet) killBalancer(b *balancerVM) {
+	f.mu.Lock()
+	b.gone = true
+	f.mu.Unlock()
+	b.process.kill()
+}
--- /dev/null
+++ b/demo/command.go
@@ -0,0 +1,28 @@
+package demo
+
+import (
+	"bytes"
+	"context"
+	"os/exec"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// commandLimit bounds one run of an operator's command.
+const commandLimit = 15 * time.Second
+
+// command runs one of the operator's commands and returns its standard output.
+func (f *fleet) command(args ...string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), commandLimit)
+	defer cancel()
+	var out, problems bytes.Buffer
+	cmd := exec.CommandContext(ctx, f.cfg.Executable, args...)
+	cmd.Stdout, cmd.Stderr = &out, &problems
+	if err := cmd.Run(); err != nil {
+		text := strings.TrimSpace(problems.String())
+		return out.String(), errors.Wrapf(err, "nutmegtrack %s: %s", strings.Join(args, " "), text)
+	}
+	return out.String(), nil
+}
--- /dev/null
+++ b/demo/platform.go
@@ -0,0 +1,91 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/nutmegtrack/nutmegtrack/standin"
+)
+
+// startPlatform starts the stand-ins of the store and the fabric.
+func (f *fleet) startPlatform(ctx context.Context) error {
+	addrs, err := f.ports.list(5)
+	if err != nil {
+		return err
+	}
+	f.store = addrs[0]
+	f.fabric = fabricAddrs{packets: addrs[1], control: addrs[2]}
+	f.client, f.reply = addrs[3], addrs[4]
+	store, err := f.run("store", "standin", "store", "--listen", f.store.String())
+	if err != nil {
+		return err
+	}
+	fabric, err := f.run("fabric", "standin", "fabric",
+		"--listen", f.fabric.packets.String(),
+		"--control", f.fabric.control.String(),
+		"--seed", f.seed())
+	if err != nil {
+		return err
+	}
+	if err := f.untilServing(ctx, store, f.store, standin.PathStoreCounts); err != nil {
+		return err
+	}
+	return f.untilServing(ctx, fabric, f.fabric.control, "/report")
+}
+
+func (f *fleet) seed() string { return strconv.FormatUint(f.cfg.Seed, 10) }
+
+// startLoad starts the client process.
+func (f *fleet) startLoad(ctx context.Context) error {
+	load, err := json.Marshal(f.spec.load(f.cfg.Flows))
+	if err != nil {
+		return errors.Wrap(err, "load file")
+	}
+	path := filepath.Join(f.dir, "load.json")
+	if err := os.WriteFile(path, load, 0o600); err != nil {
+		return errors.Wrap(err, "load file")
+	}
+	p, err := f.run("client", "standin", "client",
+		"--listen", f.reply.String(),
+		"--fabric", f.fabric.packets.String(),
+		"--control", f.client.String(),
+		"--load", path,
+		"--seed", f.seed())
+	if err != nil {
+		return err
+	}
+	return f.untilServing(ctx, p, f.client, "/report")
+}
+
+// setStoreFaults replaces the faults of the store.
+func (f *fleet) setStoreFaults(ctx context.Context, faults standin.Faults) error {
+	return sendJSON(ctx, http.MethodPut, f.store, standin.PathStoreFaults, faults)
+}
+
+// tellFabric gives the fabric the list of balancers that have not left.
+func (f *fleet) tellFabric(ctx context.Context) error {
+	var list []standin.FabricBalancer
+	f.mu.Lock()
+	for _, b := range f.balancers {
+		if !b.left {
+			list = append(list, standin.FabricBalancer{
+				Name: b.name, Data: b.data, Health: "http://" + b.health.String() + "/",
+			})
+		}
+	}
+	f.mu.Unlock()
+	return sendJSON(ctx, http.MethodPut, f.fabric.control, "/balancers", list)
+}
+
+// addRoute opens the advertised control port of a daemon at the relay.
+func (f *fleet) addRoute(ctx context.Context, name string, advertise, target netip.AddrPort) error {
+	route := standin.Route{Name: name, Advertise: advertise, Target: target}
+	return sendJSON(ctx, http.MethodPost, f.fabric.control, "/relay/routes", route)
+}
--- /dev/null
+++ b/demo/ports.go
@@ -0,0 +1,71 @@
+package demo
+
+import (
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Ports are taken below the range from which Linux draws ports of outgoing
+// connections, so that none of those can take a port before its process starts.
+const (
+	portLow  = 15000
+	portHigh = 32000
+	attempts = 1000
+)
+
+var loopback = netip.MustParseAddr("127.0.0.1")
+
+// ports hands out addresses on 127.0.0.1 that are free for TCP and UDP.
+type ports struct {
+	mu    sync.Mutex
+	given map[uint16]bool
+}
+
+func newPorts() *ports { return &ports{given: make(map[uint16]bool)} }
+
+// next returns an address that was free a moment ago. The choice is not seeded:
+// demos that run at the same time must not try the same ports.
+func (p *ports) next() (netip.AddrPort, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for range attempts {
+		port := uint16(portLow + rand.IntN(portHigh-portLow))
+		addr := netip.AddrPortFrom(loopback, port)
+		if !p.given[port] && isFree(addr) {
+			p.given[port] = true
+			return addr, nil
+		}
+	}
+	return netip.AddrPort{}, errors.New("no free port on 127.0.0.1")
+}
+
+// list returns n free addresses.
+func (p *ports) list(n int) ([]netip.AddrPort, error) {
+	var all []netip.AddrPort
+	for range n {
+		a, err := p.next()
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, a)
+	}
+	return all, nil
+}
+
+func isFree(addr netip.AddrPort) bool {
+	stream, err := net.Listen("tcp", addr.String())
+	if err != nil {
+		return false
+	}
+	defer stream.Close()
+	packets, err := net.ListenPacket("udp", addr.String())
+	if err != nil {
+		return false
+	}
+	defer packets.Close()
+	return true
+}
--- /dev/null
+++ b/demo/result.go
@@ -0,0 +1,60 @@
+package demo
+
+// Result is the outcome of a demo over all its deployments. A field that nothing
+// measured is nil.
+type Result struct {
+	FlowsOpened          uint64   `json:"flows_opened"`
+	FlowsOpenMax         int      `json:"flows_open_max"`
+	FlowsBrokenPlanned   uint64   `json:"flows_broken_planned"`
+	FlowsBrokenTotal     uint64   `json:"flows_broken_total"`
+	WrongServicePackets  uint64   `json:"wrong_service_packets"`
+	RequestsSent         uint64   `json:"requests_sent"`
+	RequestsRunTwice     int      `json:"requests_run_twice"`
+	NotRunButRun         *int     `json:"not_run_but_run"`
+	OverPlan             *int     `json:"over_plan"`
+	RefusedUnderPlan     *int     `json:"refused_under_plan"`
+	ConfigInForceSeconds *float64 `json:"config_in_force_seconds_max"`
+	ImbalanceMaxOverMean *float64 `json:"imbalance_max_over_mean"`
+	ControlRate          *float64 `json:"control_bytes_per_second_per_daemon"`
+
+	violations  []string
+	deployments []*observed
+}
+
+// Violations returns the violations of the guarantees, one line for each.
+func (r *Result) Violations() []string { return r.violations }
+
+func newResult(all []*observed) *Result {
+	r := &Result{deployments: all}
+	for _, o := range all {
+		r.add(o)
+		r.violations = append(r.violations, o.violations()...)
+	}
+	return r
+}
+
+func (r *Result) add(o *observed) {
+	r.FlowsOpened += o.clients.FlowsOpened
+	r.FlowsOpenMax += o.clients.FlowsOpenMax
+	r.FlowsBrokenPlanned += o.clients.BrokenPlanned
+	r.FlowsBrokenTotal += o.clients.BrokenPlanned + o.clients.BrokenUnplanned
+	r.WrongServicePackets += o.wrongServicePackets()
+	r.RequestsSent += o.clients.RequestsSent
+	r.RequestsRunTwice += len(o.runTwice())
+	r.ControlRate = higher(r.ControlRate, o.control)
+	if o.lists.Worst != nil {
+		r.ConfigInForceSeconds = higher(r.ConfigInForceSeconds, *o.lists.Worst)
+	}
+	for _, b := range o.balance {
+		if b.Samples > 0 {
+			r.ImbalanceMaxOverMean = higher(r.ImbalanceMaxOverMean, b.Ratio)
+		}
+	}
+}
+
+func higher(old *float64, v float64) *float64 {
+	if old != nil && *old >= v {
+		return old
+	}
+	return &v
+}
--- /dev/null
+++ b/demo/run.go
@@ -0,0 +1,142 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// endGrace is the time that processes get to exit at the end; agents with
+	// flows that end only by idle timeout need longer and are killed.
+	endGrace = 2 * time.Second
+)
+
+// Run runs the demo until it is complete or ctx ends. It stops every process it
+// has started before it returns. The error names the process concerned.
+func Run(ctx context.Context, cfg Config) (*Result, error) {
+	if err := cfg.complete(); err != nil {
+		return nil, err
+	}
+	root, err := os.MkdirTemp("", "nutmegtrack-demo-")
+	if err != nil {
+		return nil, errors.Wrap(err, "temporary directory")
+	}
+	all, err := runAll(ctx, &cfg, root)
+	if err != nil || cfg.Keep {
+		fmt.Fprintln(cfg.Progress, "settings and logs are in", root)
+	} else {
+		_ = os.RemoveAll(root)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return newResult(all), nil
+}
+
+// runAll runs all deployments side by side.
+func runAll(ctx context.Context, cfg *Config, root string) ([]*observed, error) {
+	ports := newPorts()
+	all := make([]*observed, len(cfg.Deployments))
+	group, ctx := errgroup.WithContext(ctx)
+	for i, name := range cfg.Deployments {
+		group.Go(func() error {
+			o, err := runDeployment(ctx, cfg, i, name, root, ports)
+			all[i] = o
+			return errors.Wrap(err, name)
+		})
+	}
+	return all, group.Wait()
+}
+
+func runDeployment(ctx context.Context, cfg *Config, index int, name, root string, p *ports) (*observed, error) {
+	s, err := loadSpec(name)
+	if err != nil {
+		return nil, err
+	}
+	ctx, abort := context.WithCancelCause(ctx)
+	defer abort(nil)
+	f, err := newFleet(s, cfg, root, p, abort)
+	if err != nil {
+		return nil, err
+	}
+	defer f.end(endGrace)
+	o, err := f.deploy(ctx, index)
+	if cause := context.Cause(ctx); cause != nil {
+		return nil, cause
+	}
+	return o, err
+}
+
+// deploy starts the deployment, applies load and changes, and reads the records.
+func (f *fleet) deploy(ctx context.Context, index int) (*observed, error) {
+	if err := f.startAll(ctx); err != nil {
+		return nil, err
+	}
+	schedule := scheduleOf(fleetActions, f.cfg.length(), f.cfg.rng(index))
+	if err := f.startLoad(ctx); err != nil {
+		return nil, err
+	}
+	f.say("load started")
+	balance, rate, err := f.underLoad(ctx, schedule)
+	if err != nil {
+		return nil, err
+	}
+	if err := f.closeLoad(ctx); err != nil {
+		return nil, err
+	}
+	f.say("load ended")
+	o, err := f.observe(ctx)
+	if err != nil {
+		return nil, err
+	}
+	o.balance, o.control, o.daemons = balance, rate, f.daemonCount()
+	return o, nil
+}
+
+func (f *fleet) startAll(ctx context.Context) error {
+	f.say("starting")
+	if err := f.startPlatform(ctx); err != nil {
+		return err
+	}
+	if err := f.startBalancers(ctx, f.spec.balancers); err != nil {
+		return err
+	}
+	if err := f.startUpstreams(ctx); err != nil {
+		return err
+	}
+	return f.untilComplete(ctx)
+}
+
+// underLoad performs the schedule until the load has lasted its time. It returns
+// the balance and the control traffic per second and daemon.
+func (f *fleet) underLoad(ctx context.Context, schedule []planned) ([]imbalance, float64, error) {
+	start := time.Now()
+	before, err := f.controlBytes(ctx)
+	if err != nil {
+		return nil, 0, err
+	}
+	var balance []imbalance
+	group, changes := errgroup.WithContext(ctx)
+	loaded, stop := context.WithCancel(changes)
+	defer stop()
+	group.Go(func() error { return f.perform(changes, start, schedule) })
+	group.Go(func() error {
+		balance = f.watchBalance(loaded, start)
+		return nil
+	})
+	group.Go(func() error {
+		defer stop()
+		pause(changes, f.cfg.length())
+		return nil
+	})
+	if err := group.Wait(); err != nil {
+		return nil, 0, err
+	}
+	after, err := f.controlBytes(ctx)
+	return balance, controlRate(after-before, f.daemonCount(), time.Since(start)), err
+}
--- /dev/null
+++ b/demo/schedule.go
@@ -0,0 +1,57 @@
+package demo
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// rampUp is the time in which the clients open their first flows.
+	rampUp = time.Second
+	// roundLength is the time for one round of all actions in a long run.
+	roundLength = 30 * time.Second
+	// The first part of the load is quiet, so that the balance can be measured, and
+	// the last part lets the final change take effect.
+	quietShare = 0.2
+	endShare   = 0.9
+)
+
+// planned is one action at its time after the start of the load.
+type planned struct {
+	at time.Duration
+	action
+	rng *rand.Rand // for the action's own choices
+}
+
+// scheduleOf spreads rounds of the actions over the length of the load. The order
+// in a round and the times are drawn from rng.
+func scheduleOf(actions []action, length time.Duration, rng *rand.Rand) []planned {
+	rounds := max(1, int(length/roundLength))
+	var all []planned
+	for range rounds {
+		for _, i := range rng.Perm(len(actions)) {
+			all = append(all, planned{action: actions[i], rng: rand.New(rand.NewPCG(rng.Uint64(), 0))})
+		}
+	}
+	first := time.Duration(quietShare * float64(length))
+	slot := time.Duration((endShare-quietShare)*float64(length)) / time.Duration(len(all))
+	for i := range all {
+		all[i].at = first + time.Duration(i)*slot + time.Duration(rng.Float64()*float64(slot)/2)
+	}
+	return all
+}
+
+// perform runs the actions at their times. An action that takes longer than its
+// slot delays the following ones.
+func (f *fleet) perform(ctx context.Context, start time.Time, schedule []planned) error {
+	for _, p := range schedule {
+		if !pause(ctx, time.Until(start.Add(p.at))) {
+			return context.Cause(ctx)
+		}
+		if err := p.run(ctx, f, p.rng); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/demo/spec.go
@@ -0,0 +1,126 @@
+package demo
+
+import (
+	"encoding/json"
+	"net/netip"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tailscale/hujson"
+
+	"github.com/nutmegtrack/nutmegtrack/examples"
+	"github.com/nutmegtrack/nutmegtrack/settings"
+	"github.com/nutmegtrack/nutmegtrack/standin"
+)
+
+// spec describes one deployment.
+type spec struct {
+	name      string
+	domains   []string // failure domains
+	balancers int
+	services  []serviceSpec
+	sources   []netip.Prefix // of all customers
+}
+
+type serviceSpec struct {
+	name      string
+	upstreams int
+	addresses []netip.AddrPort
+}
+
+var specs = []spec{
+	{
+		name:      "kel-impact",
+		domains:   []string{"lk-west-1", "lk-west-2", "lk-west-3"},
+		balancers: 4,
+		services:  []serviceSpec{{name: "impact-portal", upstreams: 7}, {name: "evidence-intake", upstreams: 3}},
+	},
+	{
+		name:      "al-harthy",
+		domains:   []string{"muscat-1", "muscat-2", "muscat-3"},
+		balancers: 4,
+		services:  []serviceSpec{{name: "jobboard", upstreams: 7}, {name: "survey-intake", upstreams: 3}},
+	},
+}
+
+// Deployments returns the names of the deployments that the demo can run.
+func Deployments() []string {
+	var names []string
+	for _, s := range specs {
+		names = append(names, s.name)
+	}
+	return names
+}
+
+// loadSpec returns a deployment with the addresses in its settings templates and
+// the sources in its list of customers.
+func loadSpec(name string) (spec, error) {
+	i := slices.IndexFunc(specs, func(s spec) bool { return s.name == name })
+	if i < 0 {
+		return spec{}, errors.Newf("unknown deployment %q; known are %q", name, Deployments())
+	}
+	s := specs[i]
+	s.services = slices.Clone(s.services)
+	for i := range s.services {
+		if err := s.services[i].loadAddresses(s.name); err != nil {
+			return s, err
+		}
+	}
+	return s, s.loadSources()
+}
+
+func (s *serviceSpec) loadAddresses(deployment string) error {
+	file := agentFile(deployment, s.name)
+	src, err := examples.Files.ReadFile(file)
+	if err != nil {
+		return errors.Wrap(err, "settings template")
+	}
+	agent, err := settings.ParseAgent(file, src)
+	if err != nil {
+		return errors.Wrap(err, "settings template")
+	}
+	for _, e := range agent.Service.Endpoints {
+		if !slices.Contains(s.addresses, e.Address) {
+			s.addresses = append(s.addresses, e.Address)
+		}
+	}
+	return nil
+}
+
+// loadSources reads the source prefixes of all customers.
+func (s *spec) loadSources() error {
+	src, err := examples.Files.ReadFile(s.name + "/customers.json")
+	if err != nil {
+		return errors.Wrap(err, "list of customers")
+	}
+	plain, err := hujson.Standardize(src)
+	if err != nil {
+		return errors.Wrap(err, "list of customers")
+	}
+	var list struct {
+		Customers []struct{ Sources []netip.Prefix }
+	}
+	if err := json.Unmarshal(plain, &list); err != nil {
+		return errors.Wrap(err, "list of customers")
+	}
+	for _, c := range list.Customers {
+		s.sources = append(s.sources, c.Sources...)
+	}
+	return nil
+}
+
+// load describes what the clients of the deployment do.
+func (s *spec) load(flows int) standin.CallersConfig {
+	cfg := standin.CallersConfig{Sources: s.sources, Flows: flows, RampUp: rampUp}
+	for _, service := range s.services {
+		target := standin.Target{Service: service.name, Addresses: service.addresses}
+		cfg.Targets = append(cfg.Targets, target)
+	}
+	return cfg
+}
+
+func balancerFile(deployment string) string { return deployment + "/balancer.json" }
+
+func agentFile(deployment, service string) string {
+	return deployment + "/agent-" + service + ".json"
+}
--- /dev/null
+++ b/demo/summary.go
@@ -0,0 +1,65 @@
+package demo
+
+import (
+	"fmt"
+	"io"
+)
+
+// shownBroken bounds the broken flows that a summary describes.
+const shownBroken = 10
+
+// WriteSummary writes the outcome for people.
+func (r *Result) WriteSummary(w io.Writer) {
+	for _, o := range r.deployments {
+		o.writeSummary(w)
+	}
+	fmt.Fprintf(w, "all: %d flows opened, %d broken by planned changes, %d broken in all, %d wrong-service packets, %d requests run twice\n",
+		r.FlowsOpened, r.FlowsBrokenPlanned, r.FlowsBrokenTotal, r.WrongServicePackets, r.RequestsRunTwice)
+	for _, v := range r.violations {
+		fmt.Fprintln(w, "violated:", v)
+	}
+	if len(r.violations) == 0 {
+		fmt.Fprintln(w, "no guarantee was violated")
+	}
+}
+
+func (o *observed) writeSummary(w io.Writer) {
+	c := o.clients
+	fmt.Fprintf(w, "%s\n", o.deployment)
+	line := func(name, format string, args ...any) {
+		fmt.Fprintf(w, "  %-24s %s\n", name, fmt.Sprintf(format, args...))
+	}
+	line("flows", "%d opened, %d open at most, %d broken by planned changes, %d by others",
+		c.FlowsOpened, c.FlowsOpenMax, c.BrokenPlanned, c.BrokenUnplanned)
+	line("requests", "%d sent, %d answered, %d run twice, %d mismatched, %d retransmissions",
+		c.RequestsSent, c.ResponsesExpected, len(o.runTwice()), c.Mismatched, c.Retransmissions)
+	line("packets", "%d through the fabric, %d dropped there, %d to a wrong service",
+		o.fabric.Packets, o.fabric.Dropped, o.wrongServicePackets())
+	line("control traffic", "%.0f bytes per second and daemon, mean of %d daemons", o.control, o.daemons)
+	for _, b := range o.balance {
+		line("imbalance", "%s", b.String())
+	}
+	o.lists.write(line)
+	o.writeBroken(w)
+}
+
+// String describes the worst sample.
+func (b *imbalance) String() string {
+	if b.Samples == 0 {
+		return b.Service + ": not measured"
+	}
+	return fmt.Sprintf("%s: max/mean %.2f, worst of %d samples, open flows %v", b.Service, b.Ratio, b.Samples, b.Open)
+}
+
+func (o *observed) writeBroken(w io.Writer) {
+	for i, b := range o.clients.Broken {
+		if i == shownBroken {
+			fmt.Fprintf(w, "  and %d more broken flows\n", len(o.clients.Broken)-i)
+			return
+		}
+		fmt.Fprintf(w, "  broken: %s flow %d %s -> %s proto %d: %s at %s, request %d, upstream %q, opened %s %s\n",
+			b.Service, b.Flow, b.Source, b.Dest, b.Proto, b.Reason,
+			o.clients.Started.Add(b.Broken).Format("15:04:05.000"), b.Request, b.Upstream,
+			o.clients.Started.Add(b.Opened).Format("15:04:05.000"), b.Detail)
+	}
+}
--- /dev/null
+++ b/demo/template.go
@@ -0,0 +1,56 @@
+package demo
+
+import (
+	"encoding/json"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tailscale/hujson"
+
+	"github.com/nutmegtrack/nutmegtrack/examples"
+)
+
+// patchOp is one operation of a JSON patch (RFC 6902).
+type patchOp struct {
+	Op    string `json:"op"`
+	Path  string `json:"path"`
+	Value any    `json:"value"`
+}
+
+// fillTemplate replaces fields of a settings template, named by their JSON
+// pointers, and keeps its comments.
+func fillTemplate(src []byte, fields map[string]any) ([]byte, error) {
+	tree, err := hujson.Parse(src)
+	if err != nil {
+		return nil, errors.Wrap(err, "settings template")
+	}
+	var ops []patchOp
+	for _, path := range slices.Sorted(maps.Keys(fields)) {
+		ops = append(ops, patchOp{Op: "add", Path: path, Value: fields[path]})
+	}
+	patch, err := json.Marshal(ops)
+	if err != nil {
+		return nil, errors.Wrap(err, "settings fields")
+	}
+	if err := tree.Patch(patch); err != nil {
+		return nil, errors.Wrap(err, "settings template")
+	}
+	return tree.Pack(), nil
+}
+
+// writeSettings fills the template and writes it to dir. It returns the path.
+func writeSettings(dir, template, name string, fields map[string]any) (string, error) {
+	src, err := examples.Files.ReadFile(template)
+	if err != nil {
+		return "", errors.Wrap(err, "settings template")
+	}
+	filled, err := fillTemplate(src, fields)
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(dir, name+".json")
+	return path, errors.Wrap(os.WriteFile(path, filled, 0o600), "settings file")
+}
--- /dev/null
+++ b/demo/verdict.go
@@ -0,0 +1,75 @@
+package demo
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/standin"
+)
+
+// newWorkBound is guarantee 6: the time after which an upstream that is leaving
+// receives no new work.
+const newWorkBound = 3 * time.Second
+
+func (o *observed) wrongServicePackets() uint64 {
+	var n uint64
+	for _, u := range o.upstreams {
+		n += u.WrongServicePackets
+	}
+	return n
+}
+
+// runTwice returns the requests that ran more than once, on one upstream or on
+// several.
+func (o *observed) runTwice() []standin.Run {
+	var records [][]standin.Run
+	for _, u := range o.upstreams {
+		records = append(records, u.Runs)
+	}
+	return standin.Duplicates(records...)
+}
+
+// violations returns the guarantees of section 1.1 of the design that the records
+// contradict.
+func (o *observed) violations() []string {
+	list := append([]string(nil), o.notes...)
+	report := func(broken bool, format string, args ...any) {
+		if broken {
+			list = append(list, o.deployment+": "+fmt.Sprintf(format, args...))
+		}
+	}
+	c := o.clients
+	report(c.BrokenPlanned > 0, "%d flows broken by planned changes or by a balancer's death", c.BrokenPlanned)
+	report(o.wrongServicePackets() > 0, "%d packets reached another service", o.wrongServicePackets())
+	report(c.WrongService > 0, "%d responses came from another service", c.WrongService)
+	report(c.Mismatched > 0, "%d responses do not belong to their request", c.Mismatched)
+	twice := o.runTwice()
+	report(len(twice) > 0, "%d requests ran more than once", len(twice))
+	ran, complete := o.distinctRuns(len(twice))
+	report(complete && c.ResponsesExpected > ran, "%d responses, but only %d requests are recorded as run", c.ResponsesExpected, ran)
+	report(c.ResponsesExpected == 0, "no request was answered")
+	for _, u := range o.upstreams {
+		late := u.lateWork()
+		report(late > newWorkBound, "%s took a new flow %s after its drain began", u.Name, late.Round(time.Millisecond))
+	}
+	return list
+}
+
+// distinctRuns returns the number of requests that ran, and whether all of them
+// are recorded.
+func (o *observed) distinctRuns(repeated int) (uint64, bool) {
+	n, complete := uint64(0), true
+	for _, u := range o.upstreams {
+		n += uint64(len(u.Runs))
+		complete = complete && u.Dropped == 0
+	}
+	return n - uint64(repeated), complete
+}
+
+// lateWork returns the time from the drain's begin to the latest new flow, or zero.
+func (u *upstreamObserved) lateWork() time.Duration {
+	if u.drained.IsZero() || u.FlowsOpened == 0 {
+		return 0
+	}
+	return max(0, time.Unix(0, int64(u.LastOpen)).Sub(u.drained))
+}
--- /dev/null
+++ b/demo/verdict_test.go
@@ -0,0 +1,65 @@
+package demo
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/nutmegtrack/nutmegtrack/standin"
+)
+
+// faultless returns records without any violation.
+func faultless() *observed {
+	run := standin.Run{Flow: 1, Number: 1}
+	o := &observed{deployment: "d", upstreams: make([]upstreamObserved, 2)}
+	o.upstreams[0].Name, o.upstreams[0].Runs = "u1", []standin.Run{run}
+	o.upstreams[1].Name = "u2"
+	o.clients.RequestsSent, o.clients.ResponsesExpected = 1, 1
+	return o
+}
+
+var _ = Describe("the verdict", func() {
+	It("is clean for faultless records", func() {
+		Expect(newResult([]*observed{faultless()}).Violations()).To(BeEmpty())
+	})
+
+	// Each entry guards against a demo that passes although a guarantee is violated.
+	DescribeTable("names a violation",
+		func(spoil func(*observed), want string) {
+			o := faultless()
+			spoil(o)
+			Expect(newResult([]*observed{o}).Violations()).To(ContainElement(ContainSubstring(want)))
+		},
+		Entry("a broken flow", func(o *observed) { o.clients.BrokenPlanned = 1 }, "flows broken"),
+		Entry("a packet for another service", func(o *observed) { o.upstreams[1].WrongServicePackets = 1 }, "another service"),
+		Entry("a response of another service", func(o *observed) { o.clients.WrongService = 1 }, "another service"),
+		Entry("a response to another request", func(o *observed) { o.clients.Mismatched = 1 }, "do not belong"),
+		Entry("a request run by two upstreams", func(o *observed) { o.upstreams[1].Runs = o.upstreams[0].Runs }, "ran more than once"),
+		Entry("a response without a run", func(o *observed) { o.upstreams[0].Runs = nil }, "recorded as run"),
+		Entry("no load at all", func(o *observed) { o.clients.ResponsesExpected = 0 }, "no request was answered"),
+		Entry("new work after a drain", func(o *observed) {
+			u := &o.upstreams[1]
+			u.FlowsOpened, u.drained = 1, time.Unix(100, 0)
+			u.LastOpen = time.Duration(time.Unix(104, 0).UnixNano())
+		}, "after its drain"),
+		Entry("a fault noted during the run", func(o *observed) { o.notes = []string{"noted"} }, "noted"),
+	)
+
+	// Guards against unplanned losses that fail the run.
+	It("accepts flows lost with an upstream that was killed on purpose", func() {
+		o := faultless()
+		o.clients.BrokenUnplanned = 3
+		r := newResult([]*observed{o})
+		Expect(r.Violations()).To(BeEmpty())
+		Expect(r.FlowsBrokenTotal).To(BeEquivalentTo(3))
+	})
+})
+
+var _ = Describe("the measures", func() {
+	It("compute max/mean and the control rate", func() {
+		Expect(maxOverMean([]int{10, 20, 30})).To(Equal(1.5))
+		Expect(maxOverMean([]int{0, 0})).To(BeZero())
+		Expect(controlRate(1000, 4, 5*time.Second)).To(Equal(100.0))
+	})
+})
--- /dev/null
+++ b/demo/wait.go
@@ -0,0 +1,56 @@
+package demo
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	waitEvery  = 50 * time.Millisecond
+	startLimit = 15 * time.Second
+	// dumpTimeout bounds one dump of a daemon.
+	dumpTimeout = 3 * time.Second
+)
+
+// until calls check until it returns nil, at most for limit. It returns the last
+// error of check, or the cause of the context's end.
+func until(ctx context.Context, limit time.Duration, check func() error) error {
+	deadline := time.Now().Add(limit)
+	for {
+		err := check()
+		if err == nil {
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return errors.Wrapf(err, "not done after %s", limit)
+		}
+		if !pause(ctx, waitEvery) {
+			return context.Cause(ctx)
+		}
+	}
+}
+
+// pause reports whether d has passed before the end of ctx.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// untilServing waits until a stand-in answers at its HTTP endpoint.
+func (f *fleet) untilServing(ctx context.Context, p *process, addr netip.AddrPort, path string) error {
+	var ignored any
+	err := until(ctx, startLimit, func() error { return getJSON(ctx, addr, path, &ignored) })
+	if err != nil && ctx.Err() == nil {
+		return errors.WithSecondaryError(p.failed("does not serve: "+err.Error()), err)
+	}
+	return err
+}
