Add the balancer and agent daemons

Cause: the decision packages need sockets, timers and RPC around them. Change: package daemon drives membership over RPC and holds the control, drain and dump services; package balancer routes packets over sharded flow.Routers and serves the health endpoint; package agent delivers, forwards and hints by flow.Table and sends its messages in order to each peer. cmd/balancer, cmd/agent and the subcommands balancer, agent, dump and drain of nutmegtrack are thin. settings_seconds of agents becomes a setting, settling_seconds, since a draining agent stays at least that long. The path with traffic is not measured yet.

--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,209 @@
+package agent
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/nutmegtrack/nutmegtrack/control"
+	"github.com/nutmegtrack/nutmegtrack/daemon"
+	"github.com/nutmegtrack/nutmegtrack/event"
+	"github.com/nutmegtrack/nutmegtrack/flow"
+	"github.com/nutmegtrack/nutmegtrack/member"
+	"github.com/nutmegtrack/nutmegtrack/packet"
+	"github.com/nutmegtrack/nutmegtrack/settings"
+)
+
+const (
+	// tick is the interval of membership and flow table steps.
+	tick = 100 * time.Millisecond
+	// leaveRounds and leavePause repeat the leave record in case a call is lost.
+	leaveRounds = 2
+	leavePause  = 250 * time.Millisecond
+)
+
+// Agent is one agent process.
+type Agent struct {
+	cfg       settings.Agent
+	id        packet.AgentID
+	service   packet.ServiceID
+	endpoints map[endpoint]bool
+	log       *event.Logger
+	clock     daemon.Clock
+	rng       *rand.Rand
+	life      *daemon.Lifecycle
+	registry  metrics.Registry
+	counters  *counters
+
+	ports   ports
+	control *daemon.Control
+	members *daemon.Members[*member.Announcer]
+	flows   flows
+	peers   peers
+	sender  *sender
+	started time.Duration
+	state   sync.Mutex // serializes changes of state
+}
+
+// New returns an agent that has opened nothing yet.
+func New(cfg settings.Agent, log *event.Logger) *Agent {
+	registry := metrics.NewRegistry()
+	return &Agent{
+		cfg:       cfg,
+		id:        packet.AgentIDOf(cfg.Name),
+		service:   packet.ServiceIDOf(cfg.Service.Name),
+		endpoints: endpointSet(cfg.Service.Endpoints),
+		log:       log,
+		clock:     daemon.NewClock(),
+		rng:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		life:      daemon.NewLifecycle(),
+		registry:  registry,
+		counters:  newCounters(registry),
+	}
+}
+
+// Start opens the sockets and begins to serve.
+func (a *Agent) Start() error {
+	p, err := openPorts(&a.cfg)
+	if err != nil {
+		return err
+	}
+	a.assemble(p, nil, a.life.Spawn)
+	a.launch()
+	self := a.self()
+	a.log.Log(event.Started, "data", self.Data, "control", self.Control, "service", self.Service)
+	return nil
+}
+
+// assemble connects the parts. A nil transport stands for the control client;
+// spawn runs a call in the background.
+func (a *Agent) assemble(p ports, transport daemon.Transport, spawn func(func())) {
+	a.ports = p
+	a.started = a.clock()
+	a.control = daemon.NewControl(a.registry, a.log)
+	if transport == nil {
+		transport = a.control.Client
+	}
+	silent := daemon.NewQuiet(a.log, a.clock, event.PeerSilent)
+	// Each part has its own generator, because a generator is not safe for
+	// concurrent use.
+	announcerRand := rand.New(rand.NewPCG(a.rng.Uint64(), a.rng.Uint64()))
+	announcer := member.NewAnnouncer(member.Config{Seeds: a.cfg.Seeds}, a.record(), announcerRand)
+	a.members = daemon.NewMembers(announcer, daemon.MembersConfig{
+		Clock:     a.clock,
+		Transport: transport,
+		Spawn:     spawn,
+		Failed:    silent.Peer,
+		Answered:  a.callAnswered,
+	})
+	a.sender = newSender(transport, spawn, silent.Peer)
+	a.flows = flows{clock: a.clock, table: flow.NewTable(a.tableConfig(), a.upstream(), a.service, a.rng)}
+	a.control.Register(control.MemberService, control.NewMember(a.members.Handle))
+	a.control.Register(flowService, &flowRPC{handle: a.receiveMessage})
+	a.control.Register(daemon.AdminService, daemon.NewAdmin(a.drainRequested))
+	a.addDumpSources()
+}
+
+func (a *Agent) record() member.Record {
+	r := member.Record{
+		Name:          a.cfg.Name,
+		Service:       a.cfg.Service.Name,
+		FailureDomain: a.cfg.FailureDomain,
+		Role:          member.RoleUpstream,
+		State:         flow.Starting,
+		Data:          a.ports.dataAddr,
+		Control:       daemon.Advertised(a.cfg.ControlAdvertise, a.ports.control),
+		Slots:         a.cfg.Service.Slots,
+		Connections:   a.cfg.Service.Connections,
+	}
+	for _, e := range a.cfg.Service.Endpoints {
+		r.Endpoints = append(r.Endpoints, flow.Endpoint{Addr: e.Address, Proto: protocol(e.Protocol)})
+	}
+	return r
+}
+
+func (a *Agent) tableConfig() flow.TableConfig {
+	return flow.TableConfig{
+		MaxFlows:  a.cfg.Service.Connections,
+		Threshold: a.cfg.Balance.Threshold,
+		Settling:  a.cfg.SettlingSeconds.Duration(),
+	}
+}
+
+func (a *Agent) upstream() flow.Upstream {
+	self := a.self()
+	return flow.Upstream{
+		ID:            a.id,
+		Name:          self.Name,
+		Incarnation:   self.Incarnation,
+		Addr:          self.Data,
+		State:         self.State,
+		FailureDomain: self.FailureDomain,
+	}
+}
+
+// launch starts the goroutines.
+func (a *Agent) launch() {
+	a.life.Go(a.newReader().run)
+	if a.ports.replies != nil {
+		a.life.Go(a.newReplyReader().run)
+	}
+	a.control.Serve(a.ports.control)
+	a.life.Every(tick, a.step)
+	a.life.Supervise(a.drain, a.close)
+}
+
+// step advances membership and the flow table.
+func (a *Agent) step() {
+	answered := a.peers.answered.Load()
+	a.members.Step(a.life.Context())
+	a.refreshPeers()
+	a.stepFlows()
+	a.becomeReady(answered)
+}
+
+func (a *Agent) receiveMessage(m flow.Message) {
+	a.flows.do(func(now time.Duration, t *flow.Table) { t.Handle(now, m) })
+}
+
+func (a *Agent) self() (r member.Record) {
+	a.members.Do(func(_ time.Duration, n *member.Announcer) { r = n.Self() })
+	return r
+}
+
+// changeState announces a state if the present one is from.
+func (a *Agent) changeState(from, to flow.State) {
+	a.state.Lock()
+	defer a.state.Unlock()
+	if a.self().State == from {
+		a.announce(to)
+	}
+}
+
+// announce sets a state in the flow table first, so that the agent acts by it
+// before others know of it.
+func (a *Agent) announce(s flow.State) {
+	a.flows.setState(s)
+	a.members.Do(func(now time.Duration, n *member.Announcer) { n.SetState(now, s) })
+	a.log.Log(event.StateChanged, "upstream", a.cfg.Name, "service", a.cfg.Service.Name, "state", s)
+}
+
+// close ends all goroutines.
+func (a *Agent) close() {
+	a.ports.closePackets()
+	a.control.Close()
+}
+
+// Shutdown begins a graceful shutdown.
+func (a *Agent) Shutdown() { a.life.Shutdown() }
+
+// Done is closed when the agent has stopped.
+func (a *Agent) Done() <-chan struct{} { return a.life.Done() }
+
+// Err returns what stopped the agent, or nil.
+func (a *Agent) Err() error { return a.life.Err() }
+
+// Left returns the number of open flows.
+func (a *Agent) Left() int { return a.flows.open() }
--- /dev/null
+++ b/agent/drain.go
@@ -0,0 +1,48 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/event"
+	"github.com/nutmegtrack/nutmegtrack/flow"
+)
+
+func (a *Agent) drainRequested() int {
+	a.life.Shutdown()
+	return a.flows.open()
+}
+
+// drain takes no new flows, waits for the open ones, and leaves. It stays at least
+// for the settling time, because balancers with an older view still send here.
+func (a *Agent) drain() {
+	a.log.Log(event.Draining, "open", a.flows.open(), "limit_seconds", float64(a.cfg.DrainLimitSeconds))
+	a.state.Lock()
+	a.announce(flow.Draining)
+	a.state.Unlock()
+	end := a.clock() + a.cfg.DrainLimitSeconds.Duration()
+	for !a.drained() && a.clock() < end {
+		if !a.life.Sleep(tick) {
+			return
+		}
+	}
+	if left := a.flows.open(); left > 0 {
+		a.log.Log(event.DrainLimit, "left", left)
+	}
+	a.leave()
+}
+
+func (a *Agent) drained() (done bool) {
+	a.flows.do(func(now time.Duration, t *flow.Table) { done = t.Drained(now) })
+	return done
+}
+
+// leave announces that the agent is about to exit.
+func (a *Agent) leave() {
+	a.announce(flow.Leaving)
+	for range leaveRounds {
+		a.members.StepAndWait(a.life.Context())
+		if !a.life.Sleep(leavePause) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/agent/flows.go
@@ -0,0 +1,34 @@
+package agent
+
+import (
+	"sync"
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/daemon"
+	"github.com/nutmegtrack/nutmegtrack/flow"
+)
+
+// flows guards the flow table, which packets, replies, messages of other agents
+// and the timer use. One lock serves one upstream VM; readers take it once for a
+// batch.
+type flows struct {
+	clock daemon.Clock
+	mu    sync.Mutex
+	table *flow.Table
+}
+
+// do runs f with exclusive access to the table.
+func (f *flows) do(run func(now time.Duration, t *flow.Table)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	run(f.clock(), f.table)
+}
+
+func (f *flows) setState(s flow.State) {
+	f.do(func(now time.Duration, t *flow.Table) { t.SetState(now, s) })
+}
+
+func (f *flows) open() (n int) {
+	f.do(func(_ time.Duration, t *flow.Table) { n = t.Open() })
+	return n
+}
--- /dev/null
+++ b/agent/peers.go
@@ -0,0 +1,85 @@
+package agent
+
+import (
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/flow"
+	"github.com/nutmegtrack/nutmegtrack/member"
+	"github.com/nutmegtrack/nutmegtrack/packet"
+)
+
+// peers is what the flow table has been told of the service's upstreams. It is
+// used by the timer only, except for answered.
+type peers struct {
+	view     *flow.View
+	controls map[packet.AgentID]netip.AddrPort
+	answered atomic.Bool // a home balancer has answered a heartbeat
+}
+
+// callAnswered notes the first heartbeat that a balancer answered: from then on
+// the agent knows the upstreams that the balancer knows.
+func (a *Agent) callAnswered(c member.Call) {
+	if c.Request.Kind == member.KindHeartbeat {
+		a.peers.answered.Store(true)
+	}
+}
+
+// refreshPeers tells the flow table of a changed membership.
+func (a *Agent) refreshPeers() {
+	var (
+		changed   bool
+		upstreams []flow.Upstream
+		controls  map[packet.AgentID]netip.AddrPort
+	)
+	a.members.Do(func(_ time.Duration, n *member.Announcer) {
+		view := n.Table().View()
+		if changed = view != a.peers.view; !changed {
+			return
+		}
+		a.peers.view = view
+		upstreams = n.Peers()
+		controls = controlAddresses(n.Table().ServiceMembers(a.cfg.Service.Name))
+	})
+	if !changed {
+		return
+	}
+	a.peers.controls = controls
+	a.flows.do(func(now time.Duration, t *flow.Table) { t.SetPeers(now, upstreams) })
+}
+
+func controlAddresses(records []member.Record) map[packet.AgentID]netip.AddrPort {
+	out := make(map[packet.AgentID]netip.AddrPort, len(records))
+	for i := range records {
+		out[packet.AgentIDOf(records[i].Name)] = records[i].Control
+	}
+	return out
+}
+
+// stepFlows advances the flow table and sends its messages.
+func (a *Agent) stepFlows() {
+	var messages []flow.Message
+	a.flows.do(func(now time.Duration, t *flow.Table) { messages = t.Step(now) })
+	for _, m := range messages {
+		if to, known := a.peers.controls[m.To]; known {
+			a.sender.send(a.life.Context(), to, m)
+		}
+	}
+}
+
+// becomeReady ends the state Starting when the agent knows its peers and has their
+// digests. The settling time bounds the wait for a peer that does not send its.
+func (a *Agent) becomeReady(answered bool) {
+	if !answered {
+		return
+	}
+	ready := false
+	a.flows.do(func(now time.Duration, t *flow.Table) {
+		late := now-a.started >= a.cfg.SettlingSeconds.Duration()
+		ready = t.State() == flow.Starting && (late || t.Warm(now))
+	})
+	if ready {
+		a.changeState(flow.Starting, flow.Ready)
+	}
+}
--- /dev/null
+++ b/agent/ports.go
@@ -0,0 +1,81 @@
+package agent
+
+import (
+	"net"
+	"net/netip"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/nutmegtrack/nutmegtrack/packetio"
+	"github.com/nutmegtrack/nutmegtrack/settings"
+	"github.com/nutmegtrack/nutmegtrack/tun"
+)
+
+// ports are the open sockets of an agent.
+type ports struct {
+	data     packetio.Conn // from balancers and agents, and to them
+	dataAddr netip.AddrPort
+	upstream packetio.Sink   // IP packets to the upstream
+	replies  packetio.Conn   // IP packets from the upstream; nil with a TUN device
+	device   packetio.Source // TUN device; nil without one
+	control  net.Listener
+}
+
+// openPorts opens all sockets that the settings name, or none.
+func openPorts(cfg *settings.Agent) (p ports, err error) {
+	defer func() {
+		if err != nil {
+			p.close()
+			p = ports{}
+		}
+	}()
+	data, err := packetio.ListenUDP(cfg.DataAddress)
+	if err != nil {
+		return p, err
+	}
+	p.data, p.dataAddr = data, data.LocalAddr()
+	if err := p.openUpstream(cfg); err != nil {
+		return p, err
+	}
+	p.control, err = net.Listen("tcp", cfg.ControlListen.String())
+	return p, errors.Wrap(err, "agent: control_listen")
+}
+
+func (p *ports) openUpstream(cfg *settings.Agent) error {
+	if cfg.PacketIO.Mode == settings.ModeTUN {
+		device, err := tun.Open(cfg.PacketIO.Device)
+		if err != nil {
+			return err
+		}
+		// Replies leave by the VM's own route, so the device is not read.
+		d := packetio.NewDevice(device)
+		p.device, p.upstream = d, d
+		return nil
+	}
+	replies, err := packetio.ListenUDP(cfg.ReplyListen)
+	if err != nil {
+		return err
+	}
+	p.replies, p.upstream = replies, replies
+	return nil
+}
+
+// closePackets ends the readers.
+func (p *ports) closePackets() {
+	if p.data != nil {
+		_ = p.data.Close()
+	}
+	if p.replies != nil {
+		_ = p.replies.Close()
+	}
+	if p.device != nil {
+		_ = p.device.Close()
+	}
+}
+
+func (p *ports) close() {
+	p.closePackets()
+	if p.control != nil {
+		_ = p.control.Close()
+	}
+}
--- /dev/null
+++ b/agent/reader.go
@@ -0,0 +1,140 @@
+package agent
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/event"
+	"github.com/nutmegtrack/nutmegtrack/flow"
+	"github.com/nutmegtrack/nutmegtrack/packet"
+	"github.com/nutmegtrack/nutmegtrack/packetio"
+)
+
+// reader is the path of encapsulated packets.
+type reader struct {
+	agent    *Agent
+	data     packetio.Conn
+	upstream packetio.Sink
+
+	in       *packetio.Inbox
+	delivery *packetio.Outbox // to the upstream
+	outgoing *packetio.Outbox // to agents and, as hints, to balancers
+	hints    [packetio.BatchSize][packet.HintSize]byte
+	info     packet.Info
+	tally    tally
+}
+
+func (a *Agent) newReader() *reader {
+	return &reader{
+		agent:    a,
+		data:     a.ports.data,
+		upstream: a.ports.upstream,
+		in:       packetio.NewInbox(0),
+		delivery: packetio.NewOutbox(packetio.BatchSize),
+		outgoing: packetio.NewOutbox(packetio.BatchSize),
+	}
+}
+
+func (r *reader) run() error { return packetio.Receive(r.data, r.in, r.handle) }
+
+// handle processes the packets of the inbox.
+func (r *reader) handle() {
+	r.delivery.Reset()
+	r.outgoing.Reset()
+	r.agent.flows.do(r.packets)
+	r.tally.refused = r.upstream.Send(r.delivery) + r.data.Send(r.outgoing)
+	r.agent.counters.add(&r.tally)
+	r.tally = tally{}
+}
+
+func (r *reader) packets(now time.Duration, t *flow.Table) {
+	for i := range r.in.Len() {
+		r.packet(now, t, i)
+	}
+}
+
+func (r *reader) packet(now time.Duration, t *flow.Table, i int) {
+	r.tally.received++
+	b := r.in.Packet(i)
+	h, raw, err := packet.ReadHeader(b)
+	if err != nil || h.Kind != packet.KindData || packet.Parse(raw, &r.info) != nil {
+		r.tally.malformed++
+		return
+	}
+	// The header is a balancer's belief; the packet's own destination is checked
+	// too, so that a stale view never brings a packet to another service.
+	if !r.agent.owns(&r.info.Key) {
+		r.tally.wrongEndpoint++
+		return
+	}
+	switch action := t.Receive(now, &h, &r.info); action.Kind {
+	case flow.Deliver:
+		r.deliver(&h, raw, i, action.Hint)
+	case flow.Forward:
+		h.Put(b)
+		r.outgoing.Add(b, action.Addr)
+		r.tally.forwarded++
+	case flow.Drop:
+		r.tally.dropped[action.Reason]++
+	}
+}
+
+func (r *reader) deliver(h *packet.Header, raw []byte, i int, hint bool) {
+	if h.Service != r.agent.service {
+		r.agent.log.Log(event.WrongService, "service", h.Service, "source", r.info.Key.Source())
+		return
+	}
+	r.delivery.Add(raw, r.agent.cfg.UpstreamSinkAddress)
+	r.tally.delivered++
+	if hint && h.Origin.Port() != 0 {
+		b := r.hints[i][:]
+		packet.PutHint(b, h.Service, &r.info.Key, r.agent.id)
+		r.outgoing.Add(b, h.Origin)
+		r.tally.hints++
+	}
+}
+
+// replyReader is the path of the upstream's replies.
+type replyReader struct {
+	agent   *Agent
+	replies packetio.Conn
+	to      netip.AddrPort
+
+	in    *packetio.Inbox
+	out   *packetio.Outbox
+	info  packet.Info
+	tally tally
+}
+
+func (a *Agent) newReplyReader() *replyReader {
+	return &replyReader{
+		agent:   a,
+		replies: a.ports.replies,
+		to:      a.cfg.ReplyAddress,
+		in:      packetio.NewInbox(0),
+		out:     packetio.NewOutbox(packetio.BatchSize),
+	}
+}
+
+func (r *replyReader) run() error { return packetio.Receive(r.replies, r.in, r.handle) }
+
+func (r *replyReader) handle() {
+	r.out.Reset()
+	r.agent.flows.do(r.packets)
+	r.tally.refused = r.replies.Send(r.out)
+	r.agent.counters.add(&r.tally)
+	r.tally = tally{}
+}
+
+// packets notes the replies and sends them on. A packet that cannot be parsed,
+// such as a fragment, belongs to the client all the same.
+func (r *replyReader) packets(now time.Duration, t *flow.Table) {
+	for i := range r.in.Len() {
+		b := r.in.Packet(i)
+		if packet.Parse(b, &r.info) == nil {
+			t.Reply(now, &r.info)
+		}
+		r.out.Add(b, r.to)
+		r.tally.replies++
+	}
+}
--- /dev/null
+++ b/balancer/balancer.go
@@ -0,0 +1,187 @@
+package balancer
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/nutmegtrack/nutmegtrack/control"
+	"github.com/nutmegtrack/nutmegtrack/daemon"
+	"github.com/nutmegtrack/nutmegtrack/event"
+	"github.com/nutmegtrack/nutmegtrack/flow"
+	"github.com/nutmegtrack/nutmegtrack/member"
+	"github.com/nutmegtrack/nutmegtrack/settings"
+)
+
+const (
+	// tick is the interval of membership steps.
+	tick = 100 * time.Millisecond
+	// leaveRounds and leavePause repeat the leave record, which is pushed in rounds.
+	leaveRounds = 2
+	leavePause  = 250 * time.Millisecond
+)
+
+// Balancer is one balancer process.
+type Balancer struct {
+	cfg      settings.Balancer
+	log      *event.Logger
+	clock    daemon.Clock
+	rng      *rand.Rand
+	life     *daemon.Lifecycle
+	registry metrics.Registry
+	counters *counters
+	router   *router
+	health   *health
+
+	ports   ports
+	control *daemon.Control
+	members *daemon.Members[*member.Node]
+	fleet   fleet
+}
+
+// New returns a balancer that has opened nothing yet.
+func New(cfg settings.Balancer, log *event.Logger) *Balancer {
+	clock := daemon.NewClock()
+	registry := metrics.NewRegistry()
+	return &Balancer{
+		cfg:      cfg,
+		log:      log,
+		clock:    clock,
+		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		life:     daemon.NewLifecycle(),
+		registry: registry,
+		counters: newCounters(registry),
+		router:   newRouter(clock, cfg.Readers, cfg.HintEntries),
+		health:   newHealth(),
+	}
+}
+
+// Start opens the sockets and begins to serve.
+func (b *Balancer) Start() error {
+	p, err := openPorts(&b.cfg)
+	if err != nil {
+		return err
+	}
+	b.assemble(p, nil)
+	b.launch()
+	b.log.Log(event.Started, "data", p.dataAddr, "control", b.self().Control, "health", p.health.Addr())
+	return nil
+}
+
+// assemble connects the parts. A nil transport stands for the control client.
+func (b *Balancer) assemble(p ports, transport daemon.Transport) {
+	b.ports = p
+	b.control = daemon.NewControl(b.registry, b.log)
+	if transport == nil {
+		transport = b.control.Client
+	}
+	node := member.NewNode(member.Config{Seeds: b.cfg.Seeds}, b.record(), b.rng)
+	b.members = daemon.NewMembers(node, daemon.MembersConfig{
+		Clock:     b.clock,
+		Transport: transport,
+		Spawn:     b.life.Spawn,
+		Failed:    daemon.NewQuiet(b.log, b.clock, event.PeerSilent).Peer,
+	})
+	b.control.Register(control.MemberService, control.NewMember(b.members.Handle))
+	b.control.Register(daemon.AdminService, daemon.NewAdmin(b.drainRequested))
+	b.addDumpSources()
+}
+
+func (b *Balancer) record() member.Record {
+	return member.Record{
+		Name:          b.cfg.Name,
+		FailureDomain: b.cfg.FailureDomain,
+		Role:          member.RoleBalancer,
+		State:         flow.Ready,
+		Data:          b.ports.dataAddr,
+		Control:       daemon.Advertised(b.cfg.ControlAdvertise, b.ports.control),
+	}
+}
+
+// launch starts the goroutines.
+func (b *Balancer) launch() {
+	source := b.ports.device
+	if source == nil {
+		source = b.ports.data
+	} else {
+		b.life.Go(b.newReader(b.ports.data).run) // hints
+	}
+	for range b.readers() {
+		b.life.Go(b.newReader(source).run)
+	}
+	b.life.Spawn(func() { b.health.serve(b.ports.health) })
+	b.control.Serve(b.ports.control)
+	b.life.Every(tick, b.step)
+	b.life.Supervise(b.drain, b.close)
+}
+
+// readers returns the number of goroutines that read IP packets. A TUN device is
+// read by one, since packetio.Device allows no more.
+func (b *Balancer) readers() int {
+	if b.ports.device != nil {
+		return 1
+	}
+	return b.cfg.Readers
+}
+
+// step advances membership and installs the view when it has changed.
+func (b *Balancer) step() {
+	b.members.Step(b.life.Context())
+	b.refreshView()
+}
+
+func (b *Balancer) drainRequested() int {
+	b.life.Shutdown()
+	return 0
+}
+
+// drain keeps forwarding while the fabric and the agents learn that this balancer
+// is leaving.
+func (b *Balancer) drain() {
+	b.log.Log(event.Draining, "seconds", float64(b.cfg.DrainSeconds))
+	b.health.drain()
+	b.setState(flow.Draining)
+	if !b.life.Sleep(b.cfg.DrainSeconds.Duration()) {
+		return
+	}
+	b.setState(flow.Leaving)
+	for range leaveRounds {
+		b.members.StepAndWait(b.life.Context())
+		if !b.life.Sleep(leavePause) {
+			return
+		}
+	}
+}
+
+func (b *Balancer) setState(s flow.State) {
+	b.members.Do(func(now time.Duration, n *member.Node) { n.SetState(now, s) })
+}
+
+// close ends all goroutines.
+func (b *Balancer) close() {
+	b.ports.closePackets()
+	b.health.close()
+	b.control.Close()
+}
+
+func (b *Balancer) self() (r member.Record) {
+	b.members.Do(func(_ time.Duration, n *member.Node) { r = n.Self() })
+	return r
+}
+
+// customerOf returns the customer of a source address, or 0 while no lists are
+// active.
+func (b *Balancer) customerOf(*[16]byte) uint64 { return 0 }
+
+// Shutdown begins a graceful shutdown.
+func (b *Balancer) Shutdown() { b.life.Shutdown() }
+
+// Done is closed when the balancer has stopped.
+func (b *Balancer) Done() <-chan struct{} { return b.life.Done() }
+
+// Err returns what stopped the balancer, or nil.
+func (b *Balancer) Err() error { return b.life.Err() }
+
+// Left returns 0: a balancer owns no flows.
+func (b *Balancer) Left() int { return 0 }
--- /dev/null
+++ b/balancer/dump.go
@@ -0,0 +1,39 @@
+package balancer
+
+import (
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/daemon"
+	"github.com/nutmegtrack/nutmegtrack/flow"
+	"github.com/nutmegtrack/nutmegtrack/member"
+)
+
+func (b *Balancer) addDumpSources() {
+	b.control.Dump.AddSource(daemon.SourceProcess, func() any { return b.process() })
+	b.control.Dump.AddSource(daemon.SourceMembers, func() any { return b.records() })
+	b.control.Dump.AddSource("view", func() any { return b.view() })
+	b.control.Dump.AddSource("health", func() any { return b.health.get() })
+}
+
+func (b *Balancer) process() (p daemon.Process) {
+	b.members.Do(func(now time.Duration, n *member.Node) {
+		self := n.Self()
+		p = daemon.DumpProcess(&self, now)
+		p.KnownRevision, _ = n.Revision()
+	})
+	return p
+}
+
+func (b *Balancer) records() (out []daemon.Member) {
+	b.members.Do(func(_ time.Duration, n *member.Node) {
+		out = daemon.DumpMembers(n.Table().Records())
+	})
+	return out
+}
+
+// view returns the view that the router uses.
+func (b *Balancer) view() *flow.View {
+	b.fleet.mu.Lock()
+	defer b.fleet.mu.Unlock()
+	return b.fleet.view
+}
--- /dev/null
+++ b/balancer/ports.go
@@ -0,0 +1,69 @@
+package balancer
+
+import (
+	"net"
+	"net/netip"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/nutmegtrack/nutmegtrack/packetio"
+	"github.com/nutmegtrack/nutmegtrack/settings"
+	"github.com/nutmegtrack/nutmegtrack/tun"
+)
+
+// ports are the open sockets of a balancer.
+type ports struct {
+	data     packetio.Conn // to agents, and hints from them
+	dataAddr netip.AddrPort
+	device   packetio.Source // IP packets, when they don't come through data
+	control  net.Listener
+	health   net.Listener
+}
+
+// openPorts opens all sockets that the settings name, or none.
+func openPorts(cfg *settings.Balancer) (p ports, err error) {
+	defer func() {
+		if err != nil {
+			p.close()
+			p = ports{}
+		}
+	}()
+	data, err := packetio.ListenUDP(cfg.DataAddress)
+	if err != nil {
+		return p, err
+	}
+	p.data, p.dataAddr = data, data.LocalAddr()
+	if cfg.PacketIO.Mode == settings.ModeTUN {
+		device, err := tun.Open(cfg.PacketIO.Device)
+		if err != nil {
+			return p, err
+		}
+		p.device = packetio.NewDevice(device)
+	}
+	if p.control, err = net.Listen("tcp", cfg.ControlListen.String()); err != nil {
+		return p, errors.Wrap(err, "balancer: control_listen")
+	}
+	if p.health, err = net.Listen("tcp", cfg.HealthAddress.String()); err != nil {
+		return p, errors.Wrap(err, "balancer: health_address")
+	}
+	return p, nil
+}
+
+// closePackets ends the readers.
+func (p *ports) closePackets() {
+	if p.device != nil {
+		_ = p.device.Close()
+	}
+	if p.data != nil {
+		_ = p.data.Close()
+	}
+}
+
+func (p *ports) close() {
+	p.closePackets()
+	for _, l := range []net.Listener{p.control, p.health} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
--- a/cmd/nutmegtrack/main.go
+++ b/cmd/nutmegtrack/main.go
@@ -24,6 +24,10 @@
 
 // commands lists the constructors of all subcommands, in the order of the help text.
 var commands = []func() command{
+	newBalancer,
+	newAgent,
+	newDump,
+	newDrain,
 	newStandin,
 }
 
--- /dev/null
+++ b/daemon/lifecycle.go
@@ -0,0 +1,120 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Lifecycle runs the goroutines of a daemon, from Start to Done. Its methods are
+// safe for concurrent use.
+type Lifecycle struct {
+	ctx      context.Context
+	cancel   context.CancelFunc
+	stopping chan struct{} // closed by Shutdown
+	failing  chan struct{} // closed by Fail
+	done     chan struct{}
+	stop     sync.Once
+	fail     sync.Once
+	err      error // written before failing is closed
+	wait     sync.WaitGroup
+}
+
+// NewLifecycle returns a lifecycle without goroutines.
+func NewLifecycle() *Lifecycle {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Lifecycle{
+		ctx:      ctx,
+		cancel:   cancel,
+		stopping: make(chan struct{}),
+		failing:  make(chan struct{}),
+		done:     make(chan struct{}),
+	}
+}
+
+// Context is cancelled when the goroutines must end.
+func (l *Lifecycle) Context() context.Context { return l.ctx }
+
+// Shutdown begins a graceful shutdown.
+func (l *Lifecycle) Shutdown() { l.stop.Do(func() { close(l.stopping) }) }
+
+// Stopping is closed when a graceful shutdown has begun.
+func (l *Lifecycle) Stopping() <-chan struct{} { return l.stopping }
+
+// Fail ends the daemon without a graceful shutdown; the first error is kept.
+func (l *Lifecycle) Fail(err error) {
+	l.fail.Do(func() {
+		l.err = err
+		close(l.failing)
+	})
+}
+
+// Err returns the error of Fail. It may be called after Done.
+func (l *Lifecycle) Err() error {
+	select {
+	case <-l.failing:
+		return l.err
+	default:
+		return nil
+	}
+}
+
+// Done is closed when all goroutines have ended.
+func (l *Lifecycle) Done() <-chan struct{} { return l.done }
+
+// Go runs f in a goroutine that Finish waits for. An error of f is a Fail.
+func (l *Lifecycle) Go(f func() error) {
+	l.wait.Go(func() {
+		if err := f(); err != nil {
+			l.Fail(err)
+		}
+	})
+}
+
+// Spawn is Go for a function that cannot fail.
+func (l *Lifecycle) Spawn(f func()) { l.wait.Go(f) }
+
+// Every calls f at the interval until the context is cancelled.
+func (l *Lifecycle) Every(interval time.Duration, f func()) {
+	l.Go(func() error {
+		ticker := time.NewTicker(interval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+				f()
+			case <-l.ctx.Done():
+				return nil
+			}
+		}
+	})
+}
+
+// Sleep waits for d. It returns false when the daemon has failed meanwhile.
+func (l *Lifecycle) Sleep(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-l.failing:
+		return false
+	}
+}
+
+// Supervise waits for Shutdown or Fail in the background. After Shutdown it runs
+// drain; in both cases it then runs closeAll, which must make the goroutines end,
+// waits for them, and closes Done.
+func (l *Lifecycle) Supervise(drain, closeAll func()) {
+	go func() {
+		select {
+		case <-l.stopping:
+			drain()
+		case <-l.failing:
+		}
+		l.cancel()
+		closeAll()
+		l.wait.Wait()
+		close(l.done)
+	}()
+}
--- /dev/null
+++ b/daemon/members.go
@@ -0,0 +1,100 @@
+package daemon
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/control"
+	"github.com/nutmegtrack/nutmegtrack/member"
+)
+
+// Transport makes RPC calls; *control.Client implements it.
+type Transport interface {
+	Call(ctx context.Context, to netip.AddrPort, method string, args, reply any) error
+}
+
+// Protocol is the part that member.Node and member.Announcer have in common.
+type Protocol interface {
+	Step(now time.Duration) []member.Call
+	Handle(now time.Duration, m member.Message) member.Message
+	Reply(now time.Duration, c member.Call, m member.Message)
+	Unreachable(now time.Duration, c member.Call)
+}
+
+// MembersConfig says how a protocol is driven.
+type MembersConfig struct {
+	Clock     Clock
+	Transport Transport
+	// Spawn runs a call in the background. The number of calls in progress is
+	// bounded by the protocol's rate and the transport's timeout.
+	Spawn func(func())
+	// Failed is told of each call that was not answered.
+	Failed func(to netip.AddrPort, err error)
+	// Answered is told of each call that was answered; it may be nil.
+	Answered func(member.Call)
+}
+
+// Members drives a membership protocol: it serializes access, reads the clock
+// and makes the protocol's calls by RPC. It is safe for concurrent use.
+type Members[P Protocol] struct {
+	cfg      MembersConfig
+	mu       sync.Mutex
+	protocol P
+}
+
+// NewMembers returns the driver of a protocol.
+func NewMembers[P Protocol](p P, cfg MembersConfig) *Members[P] {
+	return &Members[P]{cfg: cfg, protocol: p}
+}
+
+// Do runs f with exclusive access to the protocol.
+func (m *Members[P]) Do(f func(now time.Duration, p P)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	// The clock is read under the lock, since the protocol's time must not go back.
+	f(m.cfg.Clock(), m.protocol)
+}
+
+// Step advances the protocol and makes its calls in the background.
+func (m *Members[P]) Step(ctx context.Context) {
+	for _, c := range m.due() {
+		m.cfg.Spawn(func() { m.call(ctx, c) })
+	}
+}
+
+// StepAndWait advances the protocol, makes its calls and returns when they have
+// ended.
+func (m *Members[P]) StepAndWait(ctx context.Context) {
+	var calls sync.WaitGroup
+	for _, c := range m.due() {
+		calls.Go(func() { m.call(ctx, c) })
+	}
+	calls.Wait()
+}
+
+func (m *Members[P]) due() (calls []member.Call) {
+	m.Do(func(now time.Duration, p P) { calls = p.Step(now) })
+	return calls
+}
+
+func (m *Members[P]) call(ctx context.Context, c member.Call) {
+	var reply member.Message
+	err := m.cfg.Transport.Call(ctx, c.To, control.MemberCall, &c.Request, &reply)
+	if err != nil {
+		m.cfg.Failed(c.To, err)
+		m.Do(func(now time.Duration, p P) { p.Unreachable(now, c) })
+		return
+	}
+	m.Do(func(now time.Duration, p P) { p.Reply(now, c, reply) })
+	if m.cfg.Answered != nil {
+		m.cfg.Answered(c)
+	}
+}
+
+// Handle serves a membership request.
+func (m *Members[P]) Handle(request member.Message) (reply member.Message) {
+	m.Do(func(now time.Duration, p P) { reply = p.Handle(now, request) })
+	return reply
+}
--- /dev/null
+++ b/daemon/state.go
@@ -0,0 +1,83 @@
+package daemon
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/flow"
+	"github.com/nutmegtrack/nutmegtrack/member"
+)
+
+// Names of the dump sources that the operator's tool reads.
+const (
+	SourceProcess = "process"
+	SourceMembers = "members"
+)
+
+// Process is the dump source SourceProcess.
+type Process struct {
+	Role          string  `json:"role"`
+	Name          string  `json:"name"`
+	Service       string  `json:"service,omitempty"`
+	FailureDomain string  `json:"failure_domain"`
+	State         string  `json:"state"`
+	Incarnation   uint64  `json:"incarnation"`
+	UptimeSeconds float64 `json:"uptime_seconds"`
+	Revision      int64   `json:"revision"`       // of the active lists
+	KnownRevision int64   `json:"known_revision"` // highest that this process has heard of
+	OpenFlows     int     `json:"open_flows"`
+}
+
+// Member is one record of the dump source SourceMembers.
+type Member struct {
+	Role          string          `json:"role"`
+	Name          string          `json:"name"`
+	Service       string          `json:"service,omitempty"`
+	FailureDomain string          `json:"failure_domain"`
+	State         string          `json:"state"`
+	Incarnation   uint64          `json:"incarnation"`
+	Epoch         uint64          `json:"epoch"`
+	Version       uint64          `json:"version"`
+	Data          netip.AddrPort  `json:"data"`
+	Control       netip.AddrPort  `json:"control"`
+	Endpoints     []flow.Endpoint `json:"endpoints,omitempty"`
+	Slots         int             `json:"slots,omitempty"`
+	Connections   int             `json:"connections,omitempty"`
+}
+
+// Roles as the dump names them.
+const (
+	RoleBalancer = "balancer"
+	RoleAgent    = "agent"
+)
+
+// DumpMembers converts membership records for a dump.
+func DumpMembers(records []member.Record) []Member {
+	out := make([]Member, len(records))
+	for i := range records {
+		out[i] = dumpMember(&records[i])
+	}
+	return out
+}
+
+// DumpProcess converts a process's own record for a dump.
+func DumpProcess(self *member.Record, uptime time.Duration) Process {
+	m := dumpMember(self)
+	return Process{
+		Role: m.Role, Name: m.Name, Service: m.Service, FailureDomain: m.FailureDomain,
+		State: m.State, Incarnation: m.Incarnation, UptimeSeconds: uptime.Seconds(),
+	}
+}
+
+func dumpMember(r *member.Record) Member {
+	role := RoleAgent
+	if r.Role == member.RoleBalancer {
+		role = RoleBalancer
+	}
+	return Member{
+		Role: role, Name: r.Name, Service: r.Service, FailureDomain: r.FailureDomain,
+		State: r.State.String(), Incarnation: r.Incarnation, Epoch: r.Epoch, Version: r.Version,
+		Data: r.Data, Control: r.Control, Endpoints: r.Endpoints,
+		Slots: r.Slots, Connections: r.Connections,
+	}
+}
--- a/packetio/udp.go
+++ b/packetio/udp.go
@@ -50,7 +50,8 @@
 
 // LocalAddr returns the address that the socket is bound to.
 func (u *UDP) LocalAddr() netip.AddrPort {
-	return u.conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	local := u.conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	return netip.AddrPortFrom(local.Addr().Unmap(), local.Port())
 }
 
 // Receive implements Source.
--- /dev/null
+++ b/process/main.go
@@ -0,0 +1,32 @@
+package process
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/integrii/flaggy"
+)
+
+// Main parses the arguments of a daemon's own program and runs the daemon.
+func Main(name, description string, run func(settingsFile string, w io.Writer) int) int {
+	parser := flaggy.NewParser(name)
+	parser.Description = description
+	parser.ShowVersionWithVersionFlag = false
+	var file string
+	parser.String(&file, "", "settings", "settings file (docs/operations/settings.md)")
+	if err := parser.Parse(); err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
+		return ExitSettings
+	}
+	return RunFile(name, file, run)
+}
+
+// RunFile runs a daemon with a settings file, which must be named.
+func RunFile(name, file string, run func(settingsFile string, w io.Writer) int) int {
+	if file == "" {
+		fmt.Fprintf(os.Stderr, "%s: --settings FILE is required\n", name)
+		return ExitSettings
+	}
+	return run(file, os.Stderr)
+}
--- a/settings/agent.go
+++ b/settings/agent.go
@@ -35,6 +35,9 @@
 	ReplyAddress netip.AddrPort `json:"reply_address"`
 	// Balance tunes the placement of new flows.
 	Balance Balance `json:"balance"`
+	// SettlingSeconds is the longest time for which the views of two processes are
+	// expected to differ. A draining agent stays at least this long.
+	SettlingSeconds Seconds `json:"settling_seconds" default:"15" min:"0.1" max:"600"`
 	// DrainLimitSeconds is the longest time for which a draining agent waits for
 	// open flows.
 	DrainLimitSeconds Seconds `json:"drain_limit_seconds" default:"3600" min:"0" max:"604800"`
