Wait for healthy balancers before the load, and add a store outage

Cause: balancers answer dumps a second before their health endpoint says ready, so the first packets of the load found no balancer. Change: the load starts when the fabric sends packets to every balancer. The store drops all connections in the last third of the load, while the fleet goes on changing.

--- a/demo/run.go
+++ b/demo/run.go
@@ -109,7 +109,10 @@
 	if err := f.startUpstreams(ctx); err != nil {
 		return err
 	}
-	return f.untilComplete(ctx)
+	if err := f.untilComplete(ctx); err != nil {
+		return err
+	}
+	return f.untilHealthy(ctx)
 }
 
 // underLoad performs the schedule until the load has lasted its time. It returns
@@ -125,6 +128,7 @@
 	loaded, stop := context.WithCancel(changes)
 	defer stop()
 	group.Go(func() error { return f.perform(changes, start, schedule) })
+	group.Go(func() error { return f.storeOutage(changes, start) })
 	group.Go(func() error {
 		balance = f.watchBalance(loaded, start)
 		return nil
--- a/demo/wait.go
+++ b/demo/wait.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/nutmegtrack/nutmegtrack/standin"
 )
 
 const (
@@ -45,6 +47,20 @@
 	}
 }
 
+// untilHealthy waits until the fabric sends packets to all live balancers.
+func (f *fleet) untilHealthy(ctx context.Context) error {
+	return until(ctx, startLimit, func() error {
+		var r standin.FabricReport
+		if err := getJSON(ctx, f.fabric.control, "/report", &r); err != nil {
+			return err
+		}
+		if want := len(f.liveBalancers()); len(r.Healthy) < want {
+			return errors.Newf("%d of %d balancers are healthy: %v", len(r.Healthy), want, r.Healthy)
+		}
+		return nil
+	})
+}
+
 // untilServing waits until a stand-in answers at its HTTP endpoint.
 func (f *fleet) untilServing(ctx context.Context, p *process, addr netip.AddrPort, path string) error {
 	var ignored any
