Add package plan: the two lists

Cause: operators control the system by two lists that nothing can read yet. Paths of fields are worked out only for findings and plain strings are read without encoding/json.

--- /dev/null
+++ b/plan/decode.go
@@ -0,0 +1,143 @@
+package plan
+
+import (
+	"math"
+	"net/netip"
+	"strconv"
+
+	"github.com/tailscale/hujson"
+)
+
+// node is a value of a document. Its path and position are worked out only for a
+// finding, because most documents have none.
+type node struct {
+	d     *document
+	value *hujson.Value
+}
+
+func (n node) report(format string, args ...any) {
+	n.d.report(n.value, n.d.path(n.value.StartOffset), format, args...)
+}
+
+// members visits the members of an object in order. Repeated members, and those that
+// visit does not know, are findings.
+func (n node) members(visit func(name string, member node) bool) {
+	object, ok := n.value.Value.(*hujson.Object)
+	if !ok {
+		n.report("must be an object")
+		return
+	}
+	for i := range object.Members {
+		m := &object.Members[i]
+		name := literalString(&m.Name)
+		key := node{n.d, &m.Name}
+		switch {
+		case repeated(object.Members[:i], name):
+			n.d.report(&m.Name, n.d.path(m.Name.StartOffset)+" (repeated)", "the field is given twice")
+		case !visit(name, node{n.d, &m.Value}):
+			key.report("unknown field")
+		}
+	}
+}
+
+func repeated(before []hujson.ObjectMember, name string) bool {
+	for i := range before {
+		if literalIs(&before[i].Name, name) {
+			return true
+		}
+	}
+	return false
+}
+
+func (n node) array(element func(e node)) {
+	array, ok := n.value.Value.(*hujson.Array)
+	if !ok {
+		n.report("must be an array")
+		return
+	}
+	for i := range array.Elements {
+		element(node{n.d, &array.Elements[i]})
+	}
+}
+
+func (n node) string() string {
+	literal, ok := n.value.Value.(hujson.Literal)
+	if !ok || literal.Kind() != '"' {
+		n.report("must be a string")
+		return ""
+	}
+	return literalString(n.value)
+}
+
+// count reads a whole number that is not negative and fits into 32 bits, so that
+// sums over all plans cannot overflow.
+func (n node) count() int {
+	literal, _ := n.value.Value.(hujson.Literal)
+	v, err := strconv.ParseUint(string(literal), 10, 31)
+	if err != nil {
+		n.report("must be a whole number from 0 to %d", math.MaxInt32)
+	}
+	return int(v)
+}
+
+func (n node) number() float64 {
+	literal, _ := n.value.Value.(hujson.Literal)
+	v, err := strconv.ParseFloat(string(literal), 64)
+	if err != nil || literal.Kind() != '0' {
+		n.report("must be a number")
+		return 0
+	}
+	return v
+}
+
+func (n node) prefix() netip.Prefix {
+	text := n.string()
+	p, err := netip.ParsePrefix(text)
+	switch {
+	case err != nil:
+		n.report("%q is not a prefix such as 10.0.0.0/16 or 2001:db8::/32", text)
+	case p.Addr().Is4In6():
+		n.report("%s is an IPv4-mapped prefix; write it as IPv4", text)
+	case p != p.Masked():
+		n.report("%s has bits set after the prefix; write %s", text, p.Masked())
+	default:
+		return p
+	}
+	return netip.Prefix{}
+}
+
+// require reports the members that are missing.
+func (n node) require(names ...string) {
+	for _, name := range names {
+		if member(n.value, name) == nil {
+			n.reportField(name, "the field is missing")
+		}
+	}
+}
+
+// reportField reports a finding of an object's field, at the object when the field
+// is missing.
+func (n node) reportField(name, format string, args ...any) {
+	at := n.value
+	if value := member(n.value, name); value != nil {
+		at = value
+	}
+	n.d.report(at, join(n.d.path(n.value.StartOffset), name), format, args...)
+}
+
+// child returns an object's field, or the object itself when the field is missing.
+func (n node) child(name string) node {
+	if value := member(n.value, name); value != nil {
+		return node{n.d, value}
+	}
+	return n
+}
+
+// elements returns the elements of an array.
+func (n node) elements() []hujson.Value {
+	array, ok := n.value.Value.(*hujson.Array)
+	if !ok {
+		return nil
+	}
+	return array.Elements
+}
--- /dev/null
+++ b/plan/document.go
@@ -0,0 +1,123 @@
+package plan
+
+import (
+	"bytes"
+	"fmt"
+	"regexp"
+	"sort"
+	"strconv"
+
+	"github.com/tailscale/hujson"
+
+	"github.com/nutmegtrack/nutmegtrack/finding"
+)
+
+// document is one parsed text with its findings. Only the first finding of a field
+// is kept, so that a value of the wrong type is not reported again as missing.
+type document struct {
+	file     string
+	text     []byte
+	root     hujson.Value
+	findings *finding.List
+	reported map[string]bool
+}
+
+// syntaxError matches the position in hujson's messages.
+var syntaxError = regexp.MustCompile(`^hujson: line (\d+), column (\d+): (.*)$`)
+
+// parseDocument returns false when the text is not JSON with comments; then no
+// other finding can be made in it.
+func parseDocument(file string, text []byte, findings *finding.List) (*document, bool) {
+	d := &document{file: file, text: text, findings: findings, reported: map[string]bool{}}
+	root, err := hujson.Parse(text)
+	if err != nil {
+		findings.Add(syntaxFinding(file, err))
+		return d, false
+	}
+	d.root = root
+	return d, true
+}
+
+func syntaxFinding(file string, err error) finding.Finding {
+	f := finding.Finding{File: file, Message: err.Error()}
+	if m := syntaxError.FindStringSubmatch(err.Error()); m != nil {
+		f.Line, _ = strconv.Atoi(m[1]) // digits by the pattern
+		f.Column, _ = strconv.Atoi(m[2])
+		f.Message = m[3]
+	}
+	return f
+}
+
+// report adds a finding at the value; field is its path.
+func (d *document) report(at *hujson.Value, field, format string, args ...any) {
+	if d.reported[field] {
+		return
+	}
+	d.reported[field] = true
+	line, column := position(d.text, at.StartOffset)
+	d.findings.Add(finding.Finding{
+		File: d.file, Line: line, Column: column, Field: field,
+		Message: fmt.Sprintf(format, args...),
+	})
+}
+
+// path returns the field path of the value at the offset, such as "plans[2].name".
+func (d *document) path(offset int) string {
+	path := ""
+	at := &d.root
+	for at != nil && at.StartOffset != offset {
+		switch v := at.Value.(type) {
+		case *hujson.Object:
+			path, at = memberAt(v, path, offset)
+		case *hujson.Array:
+			path, at = elementAt(v, path, offset)
+		default:
+			return path
+		}
+	}
+	return path
+}
+
+// memberAt returns the member whose name or value is at the offset; a name ends the
+// path.
+func memberAt(object *hujson.Object, path string, offset int) (string, *hujson.Value) {
+	i := sort.Search(len(object.Members), func(i int) bool { return object.Members[i].Value.EndOffset > offset })
+	if i == len(object.Members) {
+		return path, nil
+	}
+	m := &object.Members[i]
+	path = join(path, literalString(&m.Name))
+	if offset < m.Name.EndOffset {
+		return path, nil
+	}
+	return path, &m.Value
+}
+
+func elementAt(array *hujson.Array, path string, offset int) (string, *hujson.Value) {
+	i := sort.Search(len(array.Elements), func(i int) bool { return array.Elements[i].EndOffset > offset })
+	if i == len(array.Elements) {
+		return path, nil
+	}
+	return fmt.Sprintf("%s[%d]", path, i), &array.Elements[i]
+}
+
+func join(field, name string) string {
+	if field == "" {
+		return name
+	}
+	return field + "." + name
+}
+
+// position returns the line and column, both from 1, of a byte offset.
+func position(text []byte, offset int) (line, column int) {
+	before := text[:min(offset, len(text))]
+	line = 1 + bytes.Count(before, []byte{'\n'})
+	column = len(before) - bytes.LastIndexByte(before, '\n')
+	return line, column
+}
+
+// line returns the line of the value, for messages that name another place.
+func (n node) line() int {
+	line, _ := position(n.d.text, n.value.StartOffset)
+	return line
+}
--- /dev/null
+++ b/plan/validate.go
@@ -0,0 +1,205 @@
+package plan
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"strings"
+	"unicode"
+
+	"github.com/gaissmai/bart"
+
+	"github.com/nutmegtrack/nutmegtrack/finding"
+)
+
+// maxName bounds the names of customers, plans and services, in bytes.
+const maxName = 128
+
+// maxWeight bounds weights, so that shares by weight keep their precision.
+const maxWeight = 1_000_000
+
+// shareTolerance absorbs the rounding of sums of shares such as 0.1 + 0.2 + 0.7.
+const shareTolerance = 1e-9
+
+// Capacity is what all upstreams of a service can take together. A zero field is
+// not checked.
+type Capacity struct {
+	Connections int `json:"connections"`
+	Requests    int `json:"requests"`
+}
+
+// Capacities are the capacities of all services by name. Nil skips the checks
+// against them: a process that installs lists must not reject what was accepted
+// only because the fleet has become smaller since.
+type Capacities map[string]Capacity
+
+// Files names the documents in findings.
+type Files struct{ Customers, Plans string }
+
+// DefaultFiles are the names of lists that come from the store or a peer.
+var DefaultFiles = Files{Customers: CustomersList, Plans: PlansList}
+
+// Parse decodes and validates both lists. All findings are in one report, in order
+// of their positions; the lists are nil when there are any.
+func Parse(docs Documents, files Files, capacities Capacities) (*Lists, finding.List) {
+	var findings finding.List
+	customersText, okCustomers := parseDocument(files.Customers, docs.Customers, &findings)
+	plansText, okPlans := parseDocument(files.Plans, docs.Plans, &findings)
+	var v validator
+	if okCustomers {
+		v.customers = decodeCustomers(customersText)
+	}
+	if okPlans {
+		v.plans = decodePlans(plansText)
+	}
+	v.capacities = capacities
+	v.checkPlans()
+	v.checkCustomers(okPlans)
+	if len(findings) > 0 {
+		findings.Sort()
+		return nil, findings
+	}
+	return &Lists{Customers: v.customers.list, DefaultPlan: v.plans.defaultPlan, Plans: v.plans.list}, nil
+}
+
+// validator checks both lists together.
+type validator struct {
+	customers  decodedCustomers
+	plans      decodedPlans
+	capacities Capacities
+}
+
+func (v *validator) checkPlans() {
+	names := map[string]node{}
+	for i, p := range v.plans.list {
+		n := v.plans.nodes[i]
+		checkName(n, p.Name, names)
+		if !(p.Weight > 0 && p.Weight <= maxWeight) {
+			n.reportField("weight", "must be above 0 and at most %d", maxWeight)
+		}
+		for _, service := range slices.Sorted(maps.Keys(p.Services)) {
+			v.checkLimits(n.child("services").child(service), service, p.Services[service])
+		}
+	}
+	if _, exists := names[v.plans.defaultPlan]; v.plans.defaultPlan != "" && !exists {
+		v.plans.root.reportField("default_plan", "there is no plan %q", v.plans.defaultPlan)
+	}
+	v.checkShares()
+}
+
+// checkName checks a name's form and that no other entry has it.
+func checkName(n node, name string, seen map[string]node) {
+	if problem := nameProblem(name); problem != "" {
+		n.reportField("name", "%s", problem)
+		return
+	}
+	if first, ok := seen[name]; ok {
+		n.reportField("name", "%q is also the name of the entry in line %d", name, first.child("name").line())
+		return
+	}
+	seen[name] = n
+}
+
+func nameProblem(name string) string {
+	switch {
+	case name == "":
+		return "must not be empty"
+	case len(name) > maxName:
+		return "is longer than 128 bytes"
+	case strings.TrimSpace(name) != name:
+		return "must not start or end with a space"
+	case strings.ContainsFunc(name, func(r rune) bool { return !unicode.IsPrint(r) }):
+		return "contains a character that cannot be printed"
+	}
+	return ""
+}
+
+func (v *validator) checkLimits(n node, service string, l Limits) {
+	if problem := nameProblem(service); problem != "" {
+		n.report("the name of the service %s", problem)
+	}
+	if !(l.GuaranteedShare >= 0 && l.GuaranteedShare <= 1) {
+		n.reportField("guaranteed_share", "must be from 0 to 1")
+	}
+	if v.capacities == nil {
+		return
+	}
+	capacity, known := v.capacities[service]
+	if !known {
+		n.report("there is no service %q", service)
+		return
+	}
+	if capacity.Connections > 0 && l.Connections > capacity.Connections {
+		n.reportField("connections", "%d is above the service's capacity of %d", l.Connections, capacity.Connections)
+	}
+	if capacity.Requests > 0 && l.Requests > capacity.Requests {
+		n.reportField("requests", "%d is above the service's capacity of %d", l.Requests, capacity.Requests)
+	}
+}
+
+// checkShares reports the plan with which the guaranteed shares of a service pass 1.
+func (v *validator) checkShares() {
+	sums := map[string]float64{}
+	for i, p := range v.plans.list {
+		for service, l := range p.Services {
+			before := sums[service]
+			sums[service] += l.GuaranteedShare
+			if before <= 1+shareTolerance && sums[service] > 1+shareTolerance {
+				n := v.plans.nodes[i].child("services").child(service)
+				n.reportField("guaranteed_share", "the guaranteed shares of %q add up to more than 1", service)
+			}
+		}
+	}
+}
+
+func (v *validator) checkCustomers(plansKnown bool) {
+	plans := map[string]bool{}
+	for _, p := range v.plans.list {
+		plans[p.Name] = true
+	}
+	names := make(map[string]node, len(v.customers.list))
+	for i, c := range v.customers.list {
+		n := v.customers.nodes[i]
+		checkName(n, c.Name, names)
+		if plansKnown && !plans[c.Plan] {
+			n.reportField("plan", "there is no plan %q", c.Plan)
+		}
+		if len(c.Sources) == 0 {
+			n.reportField("sources", "must name at least one prefix")
+		}
+	}
+	v.checkOverlaps()
+}
+
+// checkOverlaps reports every source prefix that contains or equals another one, at
+// the place of the longer one, or of the later one when they are equal.
+func (v *validator) checkOverlaps() {
+	var table bart.Table[node]
+	v.eachSource(func(p netip.Prefix, at node) {
+		if first, ok := table.Get(p); ok {
+			at.report("%s is also in line %d", p, first.line())
+			return
+		}
+		table.Insert(p, at)
+	})
+	v.eachSource(func(p netip.Prefix, at node) {
+		for wider, first := range table.Supernets(p) {
+			if wider != p {
+				at.report("%s overlaps %s in line %d", p, wider, first.line())
+				return
+			}
+		}
+	})
+}
+
+// eachSource visits the source prefixes that were decoded.
+func (v *validator) eachSource(visit func(netip.Prefix, node)) {
+	for i, c := range v.customers.list {
+		elements := v.customers.nodes[i].child("sources").elements()
+		for j, p := range c.Sources {
+			if p.IsValid() {
+				visit(p, node{v.customers.nodes[i].d, &elements[j]})
+			}
+		}
+	}
+}
