Add the edit path of the lists

Cause: two operators may edit at once and a write may take effect although its response is lost; each operator must be told what became of the edit. Change: plan/edit writes new pages, then replaces the head by compare-and-swap together with a short head of the revision and the deletion of pages that no kept revision uses. A swap whose outcome is unknown is sent again, which is safe because it holds for one revision of the head only; after a failed comparison the history tells by the edit's ID whether an earlier attempt won. The ID contains the base revision, so edit-status tells refused from still possible. Conclusion: an outcome stays unknown only while the store gives no answer, or when the history of 100 edits does not reach back.

--- /dev/null
+++ b/plan/edit/faults_test.go
@@ -0,0 +1,213 @@
+package edit_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/nutmegtrack/nutmegtrack/fake"
+	"github.com/nutmegtrack/nutmegtrack/plan"
+	"github.com/nutmegtrack/nutmegtrack/plan/edit"
+	"github.com/nutmegtrack/nutmegtrack/store"
+)
+
+// heldStore delivers the head's write only when told, after its caller got ErrUnknown.
+type heldStore struct {
+	store.Store
+	hold bool
+	held func()
+}
+
+func (s *heldStore) Txn(ctx context.Context, conditions []store.Compare, writes []store.Op) (store.TxnResult, error) {
+	if s.hold && len(conditions) > 0 {
+		s.held = func() { s.Store.Txn(ctx, conditions, writes) }
+		return store.TxnResult{}, store.ErrUnknown
+	}
+	return s.Store.Txn(ctx, conditions, writes)
+}
+
+var _ = Describe("An edit during faults of the store", func() {
+	var s *fake.Store
+	var e *edit.Editor
+	BeforeEach(func() {
+		s = newStore()
+		e = newEditor(s, "amy")
+		mustAccept(e, setWeight("gold", 1))
+	})
+
+	// Guards against an accepted edit that its operator believes refused.
+	It("is accepted when only the responses to its writes are lost", func() {
+		s.LoseResponses = 3
+		outcome := mustAccept(e, setWeight("gold", 2))
+		Expect(outcome.Revision).To(Equal(int64(2)))
+		Expect(mustRead(e).Head.Revision).To(Equal(int64(2)), "the edit was made twice")
+	})
+
+	// Guards against a lost response that hides that another operator's edit came next.
+	It("is accepted when another edit follows before its outcome is read back", func() {
+		txns := 0
+		s.Before = func(call fake.Call) error {
+			if call != fake.CallTxn {
+				return nil
+			}
+			if txns++; txns == 3 {
+				s.Before = nil
+				mustAccept(newEditor(s, "ben"), setWeight("silver", 1))
+			}
+			if txns == 2 {
+				s.LoseResponses = 1
+			}
+			return nil
+		}
+		outcome := mustAccept(e, setWeight("gold", 2))
+		Expect(outcome.Revision).To(Equal(int64(2)))
+		Expect(mustRead(e).Head.Revision).To(Equal(int64(3)))
+	})
+
+	// Guards against a partial edit, and against an outcome that is reported without
+	// being known, whatever call the outage begins at.
+	It("is never half made by an outage", func() {
+		for begin := 1; begin <= 8; begin++ {
+			for _, lose := range []int{0, 1, 2} {
+				s.Before, s.Outage = nil, false
+				before := mustRead(e)
+				calls := 0
+				s.LoseResponses = lose
+				s.Before = func(fake.Call) error {
+					calls++
+					s.Outage = calls >= begin
+					return nil
+				}
+				outcome, err := do(e, setWeight("gold", 100*begin+lose+1))
+				s.Before, s.Outage, s.LoseResponses = nil, false, 0
+				after := mustRead(e)
+				changed := after.Head.Revision != before.Head.Revision
+				at := fmt.Sprintf("outage from call %d, %d responses lost: %v, %v", begin, lose, outcome, err)
+				if err != nil || outcome.Status == edit.Unchanged {
+					Expect(changed).To(BeFalse(), at)
+				} else if outcome.Status == edit.Accepted {
+					Expect(changed).To(BeTrue(), at)
+				} else {
+					Expect(outcome.Status).To(Equal(edit.Unknown), at)
+				}
+				if outcome.ID != "" && err == nil {
+					status, _ := e.Status(ctx, outcome.ID)
+					Expect(status.Status == edit.Accepted).To(Equal(changed), at)
+				}
+			}
+		}
+	})
+
+	// Guards against "refused" for a write that is still on its way, and against
+	// "may still be accepted" once another edit has excluded it.
+	It("stays unknown while its write may arrive, and edit-status decides afterwards", func() {
+		held := &heldStore{Store: s, hold: true}
+		late := newEditor(held, "lea")
+		outcome, err := do(late, setWeight("gold", 9))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(outcome.Status).To(Equal(edit.Unknown))
+		Expect(outcome.String()).To(ContainSubstring("nutmegtrack edit-status " + outcome.ID))
+		Expect(e.Status(ctx, outcome.ID)).To(HaveField("Status", edit.Unknown))
+
+		mustAccept(e, setWeight("gold", 3))
+		Expect(e.Status(ctx, outcome.ID)).To(HaveField("Status", edit.Stale))
+		held.held()
+		Expect(e.Status(ctx, outcome.ID)).To(HaveField("Status", edit.Stale))
+
+		outcome, _ = do(late, setWeight("gold", 10))
+		held.held()
+		Expect(e.Status(ctx, outcome.ID)).To(HaveField("Status", edit.Accepted))
+	})
+
+	It("says when the history does not reach back to an edit", func() {
+		held := &heldStore{Store: s, hold: true}
+		outcome, _ := do(newEditor(held, "lea"), setWeight("gold", 9))
+		for i := range 101 {
+			mustAccept(e, setWeight("gold", 10+i))
+		}
+		Expect(e.Status(ctx, outcome.ID)).To(HaveField("Status", edit.Unknown))
+		_, err := e.Status(ctx, "nonsense")
+		Expect(err).To(MatchError(edit.ErrBadID))
+	})
+
+	// Guards against invalid lists in the store.
+	It("refuses invalid lists with all findings and writes nothing", func() {
+		_, err := do(e, func(d plan.Documents) (plan.Documents, error) {
+			d.Customers = []byte(`{"customers": [{"name": "", "plan": "none", "sources": []}]}`)
+			return d, nil
+		})
+		Expect(err).To(MatchError(edit.ErrInvalid))
+		Expect(err.Error()).To(ContainSubstring("customers:1:56: customers[0].sources: must name at least one prefix"))
+		Expect(strings.Count(err.Error(), "customers[0]")).To(Equal(3))
+		Expect(mustRead(e).Head.Revision).To(Equal(int64(1)))
+	})
+
+	// Guards against lists above the store's limit of a value, and against old
+	// revisions that become unreadable while readers still fetch them, or never go.
+	It("keeps lists of many pages and the last twenty revisions", func() {
+		mustAccept(e, bigCustomers(12000))
+		big := mustRead(e)
+		Expect(len(big.Docs.Customers)).To(BeNumerically(">", 700_000))
+		mustAccept(e, bigCustomers(10))
+		for i := range 25 {
+			mustAccept(e, setWeight("gold", 2+i))
+		}
+		current := mustRead(e).Head.Revision
+		for revision := current - plan.KeptRevisions; revision <= current; revision++ {
+			_, err := e.ReadRevision(ctx, revision)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		_, err := e.ReadRevision(ctx, current-plan.KeptRevisions-1)
+		Expect(err).To(MatchError(edit.ErrRevisionGone))
+		kvs, _, _ := s.List(ctx, plan.PagePrefix)
+		used := len(mustRead(e).Head.Hashes()) + len(mustRead(e).Head.Retired)
+		Expect(len(kvs)).To(Equal(used))
+	})
+})
+
+var _ = Describe("Many operators", func() {
+	// Guards against edits that are lost, made twice, or reported wrongly, over random
+	// faults: the model is the list of accepted edits.
+	It("find every accepted edit in the history, once, and no other", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			s := newStore()
+			accepted := 0
+			for i := range rapid.IntRange(1, 12).Draw(t, "edits") {
+				s.LoseResponses = rapid.IntRange(0, 7).Draw(t, "lost")
+				outageAfter := rapid.IntRange(1, 40).Draw(t, "outage after")
+				calls := 0
+				s.Before = func(fake.Call) error {
+					calls++
+					s.Outage = calls > outageAfter
+					return nil
+				}
+				e := newEditor(s, fmt.Sprintf("op%d-", i))
+				outcome, err := do(e, setWeight("gold", i+1))
+				s.Before, s.Outage, s.LoseResponses = nil, false, 0
+				head := plan.Head{}
+				if base, readErr := e.Read(ctx); readErr != nil {
+					t.Fatalf("unreadable after edit %d: %v", i, readErr)
+				} else {
+					head = base.Head
+				}
+				_, found := head.Find(outcome.ID)
+				if err == nil && outcome.Status != edit.Unknown && (outcome.Status == edit.Accepted) != found {
+					t.Fatalf("%v, in the history: %t", outcome, found)
+				}
+				if err != nil && found {
+					t.Fatalf("reported as not made, but in the history: %v", err)
+				}
+				if found {
+					accepted++
+				}
+				if head.Revision != int64(accepted) {
+					t.Fatalf("revision %d after %d accepted edits", head.Revision, accepted)
+				}
+			}
+		})
+	})
+})
--- /dev/null
+++ b/plan/edit/interleave_test.go
@@ -0,0 +1,117 @@
+package edit_test
+
+import (
+	"context"
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/nutmegtrack/nutmegtrack/plan/edit"
+	"github.com/nutmegtrack/nutmegtrack/store"
+)
+
+// turnStore lets one operator's calls run only when the schedule says so.
+type turnStore struct {
+	store.Store
+	waiting chan struct{} // a call is about to run
+	proceed chan struct{}
+}
+
+func (s turnStore) turn() {
+	s.waiting <- struct{}{}
+	<-s.proceed
+}
+
+func (s turnStore) Get(ctx context.Context, key string) (store.KV, error) {
+	s.turn()
+	return s.Store.Get(ctx, key)
+}
+
+func (s turnStore) Txn(ctx context.Context, conditions []store.Compare, writes []store.Op) (store.TxnResult, error) {
+	s.turn()
+	return s.Store.Txn(ctx, conditions, writes)
+}
+
+// race runs two edits whose store calls alternate as the schedule says (false for
+// the first operator), then lets both finish. It returns the outcomes and, for each
+// turn taken, whether the other operator could have taken it.
+func race(s store.Store, schedule []bool) (outcomes [2]edit.Outcome, taken, choices []bool) {
+	var operators [2]turnStore
+	done := [2]chan edit.Outcome{}
+	for i := range operators {
+		operators[i] = turnStore{s, make(chan struct{}), make(chan struct{})}
+		done[i] = make(chan edit.Outcome, 1)
+		go func() {
+			defer GinkgoRecover()
+			outcome, err := do(newEditor(operators[i], fmt.Sprintf("op%d-", i)), setWeight("gold", 10+i))
+			Expect(err).NotTo(HaveOccurred())
+			done[i] <- outcome
+			close(operators[i].waiting)
+		}()
+	}
+	alive := [2]bool{}
+	for i := range operators {
+		_, alive[i] = <-operators[i].waiting
+	}
+	for step := 0; alive[0] || alive[1]; step++ {
+		second := step < len(schedule) && schedule[step]
+		choice := alive[0] && alive[1]
+		if !choice {
+			second = alive[1]
+		}
+		next := 0
+		if second {
+			next = 1
+		}
+		taken, choices = append(taken, second), append(choices, choice)
+		operators[next].proceed <- struct{}{}
+		_, alive[next] = <-operators[next].waiting
+	}
+	return [2]edit.Outcome{<-done[0], <-done[1]}, taken, choices
+}
+
+var _ = Describe("Two operators at once", func() {
+	// Guards against two operators who both believe that their edit won, in every
+	// order in which the store can see their calls.
+	It("have exactly one winner, and the other is told by whom", func() {
+		schedules, overlaps := 0, 0
+		var explore func(schedule []bool)
+		explore = func(schedule []bool) {
+			s := newStore()
+			mustAccept(newEditor(s, "setup"), setWeight("gold", 1))
+			outcomes, taken, choices := race(s, schedule)
+			schedules++
+			head := mustRead(newEditor(s, "check")).Head
+			won := 0
+			for i, outcome := range outcomes {
+				_, found := head.Find(outcome.ID)
+				Expect(found).To(Equal(outcome.Status == edit.Accepted), "%v: %v", taken, outcome)
+				if found {
+					won++
+					continue
+				}
+				overlaps++
+				Expect(outcome.Status).To(Equal(edit.Stale), "%v: %v", taken, outcome)
+				Expect(outcome.Others).To(HaveLen(1))
+				Expect(outcome.Others[0].Author).To(Equal(fmt.Sprintf("op%d-", 1-i)))
+				Expect(outcome.OtherChanges).To(HaveLen(1))
+				Expect(outcome.OtherChanges[0].Fields[0].New).To(Equal(fmt.Sprint(11 - i)))
+			}
+			// Two edits win only when one was finished before the other was read.
+			Expect(head.Revision).To(Equal(int64(1 + won)))
+			Expect(won).To(BeNumerically(">=", 1))
+			if won == 2 {
+				Expect(outcomes[0].Base).NotTo(Equal(outcomes[1].Base))
+			}
+			for i := len(schedule); i < len(taken); i++ {
+				if choices[i] {
+					explore(append(append([]bool(nil), taken[:i]...), !taken[i]))
+				}
+			}
+		}
+		explore(nil)
+		fmt.Fprintf(GinkgoWriter, "%d schedules, %d with a loser\n", schedules, overlaps)
+		Expect(overlaps).To(BeNumerically(">", 100))
+	})
+})
--- /dev/null
+++ b/plan/edit/read.go
@@ -0,0 +1,111 @@
+package edit
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/nutmegtrack/nutmegtrack/plan"
+	"github.com/nutmegtrack/nutmegtrack/store"
+)
+
+// Snapshot is one revision of both lists as read from the store.
+type Snapshot struct {
+	Head        plan.Head // Revision 0 before the first edit
+	Docs        plan.Documents
+	modRevision int64 // of the head's key; 0 when there is none
+}
+
+// Lists decodes the snapshot.
+func (s *Snapshot) Lists() (*plan.Lists, error) {
+	lists, findings := plan.Parse(s.Docs, plan.DefaultFiles, nil)
+	return lists, findings.Err()
+}
+
+// readAttempts bounds how often a reading starts again because an edit deleted a
+// page in the meantime; that takes 20 edits within one reading.
+const readAttempts = 3
+
+// Read returns the current revision.
+func (e *Editor) Read(ctx context.Context) (*Snapshot, error) {
+	var err error
+	for range readAttempts {
+		var s *Snapshot
+		if s, err = e.readOnce(ctx); !errors.Is(err, plan.ErrPageMissing) {
+			return s, err
+		}
+	}
+	return nil, err
+}
+
+func (e *Editor) readOnce(ctx context.Context) (*Snapshot, error) {
+	head, modRevision, err := e.readHead(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return e.readDocuments(ctx, &Snapshot{Head: head, modRevision: modRevision})
+}
+
+func (e *Editor) readDocuments(ctx context.Context, s *Snapshot) (*Snapshot, error) {
+	if s.Head.Revision == 0 {
+		s.Docs = plan.EmptyDocuments()
+		return s, nil
+	}
+	pages, err := e.readPages(ctx, s.Head.Hashes())
+	if err != nil {
+		return nil, err
+	}
+	s.Docs, err = s.Head.Join(pages)
+	return s, err
+}
+
+// ErrRevisionGone says that a revision does not exist or is no longer kept.
+var ErrRevisionGone = errors.New("the revision does not exist or is no longer kept")
+
+// ReadRevision returns one of the last plan.KeptRevisions revisions, for comparison;
+// an edit from it would be refused.
+func (e *Editor) ReadRevision(ctx context.Context, revision int64) (*Snapshot, error) {
+	if revision == 0 {
+		return e.readDocuments(ctx, &Snapshot{})
+	}
+	kv, err := e.cfg.Store.Get(ctx, plan.RevisionKey(revision))
+	if errors.Is(err, store.ErrNotFound) {
+		return nil, errors.Wrapf(ErrRevisionGone, "revision %d", revision)
+	}
+	if err != nil {
+		return nil, err
+	}
+	head, err := plan.DecodeHead(kv.Value)
+	if err != nil {
+		return nil, err
+	}
+	return e.readDocuments(ctx, &Snapshot{Head: head})
+}
+
+// readHead returns the zero head when the store has none.
+func (e *Editor) readHead(ctx context.Context) (plan.Head, int64, error) {
+	kv, err := e.cfg.Store.Get(ctx, plan.HeadKey)
+	if errors.Is(err, store.ErrNotFound) {
+		return plan.Head{}, 0, nil
+	}
+	if err != nil {
+		return plan.Head{}, 0, err
+	}
+	head, err := plan.DecodeHead(kv.Value)
+	return head, kv.ModRevision, err
+}
+
+func (e *Editor) readPages(ctx context.Context, hashes []plan.Hash) (plan.Pages, error) {
+	pages := plan.Pages{}
+	for _, hash := range hashes {
+		kv, err := e.cfg.Store.Get(ctx, plan.PageKey(hash))
+		if errors.Is(err, store.ErrNotFound) {
+			return nil, errors.Wrapf(plan.ErrPageMissing, "page %s", hash)
+		}
+		if err != nil {
+			return nil, err
+		}
+		pages[hash] = kv.Value
+	}
+	return pages, nil
+}
--- /dev/null
+++ b/plan/edit/status.go
@@ -0,0 +1,38 @@
+package edit
+
+import (
+	"context"
+
+	"github.com/nutmegtrack/nutmegtrack/plan"
+)
+
+// Status reads what became of an edit from the head and its history.
+func (e *Editor) Status(ctx context.Context, id string) (Outcome, error) {
+	base, err := BaseOf(id)
+	if err != nil {
+		return Outcome{}, err
+	}
+	head, _, err := e.readHead(ctx)
+	if err != nil {
+		return Outcome{}, err
+	}
+	return statusOf(head, base, id), nil
+}
+
+// statusOf tells an edit that was refused, because another one was made from the
+// same revision, from one whose write may still arrive because the base is current.
+func statusOf(head plan.Head, base int64, id string) Outcome {
+	outcome := Outcome{ID: id, Base: base, Revision: head.Revision, Status: Unknown}
+	if found, ok := head.Find(id); ok {
+		return accepted(outcome, found.Revision)
+	}
+	switch {
+	case head.Revision <= base:
+		outcome.Cause = errBaseCurrent
+	case head.Covers(base):
+		outcome.Status, outcome.Others = Stale, since(head, base)
+	default:
+		outcome.Cause = errForgotten
+	}
+	return outcome
+}
