Add the operators' commands for the lists

Cause: operators need to show, check and edit the lists and to learn what became of an edit. Change: nutmegtrack customers and plans with get, apply, set, remove, diff, history, validate and edit; nutmegtrack edit-status. "get" writes the revision into the first line and "apply" refuses a file made from an earlier one, showing what changed since. Exit status 1 for a refused edit or an unavailable store, 2 for bad usage or input, 3 for an unknown outcome.

--- /dev/null
+++ b/cmd/nutmegtrack/lists_apply.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/nutmegtrack/nutmegtrack/plan"
+	"github.com/nutmegtrack/nutmegtrack/plan/edit"
+)
+
+// newApply replaces a list by a file.
+func newApply(c *listCommand) command {
+	sub := flaggy.NewSubcommand("apply")
+	sub.Description = "replaces the list by a file"
+	c.editOptions(sub)
+	var file, base string
+	sub.AddPositionalValue(&file, "FILE", 1, true, "the new list, - for standard input")
+	sub.String(&base, "", "base", `revision that the file was made from, or "latest"; default: the file's first line as "get" prints it`)
+	return command{sub: sub, run: c.run(func(ctx context.Context) int {
+		return c.applyFile(ctx, file, base)
+	})}
+}
+
+func (c *listCommand) applyFile(ctx context.Context, file, base string) int {
+	text, err := readInput(file)
+	if err != nil {
+		return c.fail(err)
+	}
+	editor, now, err := c.read(ctx, c.files(file))
+	if err != nil {
+		return c.fail(err)
+	}
+	revision, err := baseRevision(text, base, now.Head.Revision)
+	if err != nil {
+		return c.fail(err)
+	}
+	if revision != now.Head.Revision {
+		return c.report(editor.Refuse(ctx, revision, now))
+	}
+	return c.apply(ctx, editor, now, func(d plan.Documents) (plan.Documents, error) {
+		return c.replace(d, text), nil
+	})
+}
+
+// baseRevision returns the revision that a file was made from. Without a marker the
+// operator must say so, because applying an old file would undo what others changed.
+func baseRevision(text []byte, option string, now int64) (int64, error) {
+	if option == "latest" {
+		return now, nil
+	}
+	if option != "" {
+		revision, err := strconv.ParseInt(option, 10, 64)
+		if err != nil || revision < 0 {
+			return 0, badInput("--base %q is neither a revision nor \"latest\"", option)
+		}
+		return revision, nil
+	}
+	if revision, ok := edit.Marker(text); ok {
+		return revision, nil
+	}
+	if now == 0 {
+		return 0, nil
+	}
+	return 0, badInput("the file does not say which revision it was made from; take it from \"get\", or give --base REVISION or --base latest")
+}
+
+// newValidate checks a file without changing anything.
+func newValidate(c *listCommand) command {
+	sub := flaggy.NewSubcommand("validate")
+	sub.Description = "checks a file together with the other list and changes nothing"
+	c.options(sub)
+	c.capacityOption(sub)
+	var file, other string
+	sub.AddPositionalValue(&file, "FILE", 1, true, "the list, - for standard input")
+	sub.String(&other, "", "other", "file with the other list; default: the store's")
+	return command{sub: sub, run: c.run(func(ctx context.Context) int {
+		return c.validate(ctx, file, other)
+	})}
+}
+
+func (c *listCommand) validate(ctx context.Context, file, other string) int {
+	text, err := readInput(file)
+	if err != nil {
+		return c.fail(err)
+	}
+	files := c.files(file)
+	docs, err := c.otherList(ctx, other, &files)
+	if err != nil {
+		return c.fail(err)
+	}
+	capacities, err := c.readCapacities()
+	if err != nil {
+		return c.fail(err)
+	}
+	_, findings := plan.Parse(c.replace(docs, text), files, capacities)
+	if c.asJSON {
+		c.printJSON(findings)
+	} else if len(findings) > 0 {
+		fmt.Fprintln(c.out, findings)
+	}
+	if len(findings) > 0 {
+		return exitUsage
+	}
+	return exitOK
+}
+
+// otherList returns documents that hold the other list, from a file or the store.
+func (c *listCommand) otherList(ctx context.Context, file string, files *plan.Files) (plan.Documents, error) {
+	if file == "" {
+		_, now, err := c.read(ctx, *files)
+		if err != nil {
+			return plan.Documents{}, err
+		}
+		return now.Docs, nil
+	}
+	text, err := readInput(file)
+	if c.list == plan.PlansList {
+		files.Customers = file
+	} else {
+		files.Plans = file
+	}
+	return plan.Documents{Customers: text, Plans: text}, err
+}
--- /dev/null
+++ b/cmd/nutmegtrack/lists_parent.go
@@ -0,0 +1,29 @@
+package main
+
+import (
+	"github.com/integrii/flaggy"
+
+	"github.com/nutmegtrack/nutmegtrack/plan"
+)
+
+func newCustomers() command {
+	return newList(plan.CustomersList, "shows and edits the list of customers", newCustomersSet, newRemove)
+}
+
+func newPlans() command {
+	return newList(plan.PlansList, "shows and edits the list of plans", newPlansSet, newPlansRemove)
+}
+
+// newList returns the parent of the subcommands of one list.
+func newList(list, description string, own ...func(*listCommand) command) command {
+	sub := flaggy.NewSubcommand(list)
+	sub.Description = description
+	shared := []func(*listCommand) command{newGet, newApply, newDiff, newHistory, newValidate, newEdit}
+	var children []command
+	for _, newCommand := range append(shared, own...) {
+		child := newCommand(standardOutput(list))
+		children = append(children, child)
+		sub.AttachSubcommand(child.sub, 1)
+	}
+	return command{sub: sub, run: func() int { return runChild(list, children) }}
+}
--- a/cmd/nutmegtrack/main.go
+++ b/cmd/nutmegtrack/main.go
@@ -24,7 +24,7 @@
 
 // commands lists the constructors of all subcommands, in the order of the help text.
 var commands = []func() command{
-	newStandin,
+	newStandin, newCustomers, newPlans, newEditStatus,
 }
 
 func main() {
