--- a/cmd/nutmegtrack/main.go
+++ b/cmd/nutmegtrack/main.go
@@ -28,7 +28,7 @@
 	newAgent,
 	newDump,
 	newDrain,
-	newStandin,
+	newStandin, newCustomers, newPlans, newEditStatus,
 	newDemo,
 }
 
