Add nutmegtrack status

Cause: operators ask which revision is active on every process and which lag. Change: daemon.TakeSurvey asks balancers for the processes they know and each of those for its own state; `status` prints them and exits with 1 when one lags or does not answer. It takes up to 16 addresses, since flaggy has no positional value that repeats.

--- a/cmd/nutmegtrack/main.go
+++ b/cmd/nutmegtrack/main.go
@@ -28,6 +28,7 @@
 	newAgent,
 	newDump,
 	newDrain,
+	newStatus,
 	newStandin,
 }
 
--- a/cmd/nutmegtrack/operate.go
+++ b/cmd/nutmegtrack/operate.go
@@ -52,7 +52,7 @@
 }
 
 func dump(client *control.Client, to netip.AddrPort) error {
-	state, err := fetchState(client, to)
+	state, err := daemon.FetchDump(context.Background(), client, to)
 	if err != nil {
 		return err
 	}
@@ -64,14 +64,6 @@
 	return nil
 }
 
-// fetchState returns the named dump sources of a process, or all.
-func fetchState(client *control.Client, to netip.AddrPort, sources ...string) ([]byte, error) {
-	var reply control.DumpReply
-	args := control.DumpArgs{Sources: sources}
-	err := client.Call(context.Background(), to, control.DumpService+".State", &args, &reply)
-	return reply.JSON, err
-}
-
 func drain(client *control.Client, to netip.AddrPort) error {
 	var reply daemon.DrainReply
 	if err := client.Call(context.Background(), to, daemon.AdminDrain, &daemon.DrainArgs{}, &reply); err != nil {
--- /dev/null
+++ b/cmd/nutmegtrack/status.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"os"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/nutmegtrack/nutmegtrack/daemon"
+)
+
+// maxAsked is the number of balancers that one status command can ask; flaggy has
+// no positional value that repeats.
+const maxAsked = 16
+
+// newStatus returns `status ADDRESS...`.
+func newStatus() command {
+	sub := flaggy.NewSubcommand("status")
+	sub.Description = "lists the processes that balancers know, their states and list revisions"
+	addresses := make([]string, maxAsked)
+	for i := range addresses {
+		name, required := "ADDRESS", i == 0
+		if !required {
+			name = fmt.Sprintf("ADDRESS%d", i+1)
+		}
+		sub.AddPositionalValue(&addresses[i], name, i+1, required, "control address of a balancer, IP:PORT")
+	}
+	return command{sub: sub, run: func() int { return status(addresses) }}
+}
+
+// status returns exitFailure when a process lags or does not answer.
+func status(addresses []string) int {
+	var balancers []netip.AddrPort
+	for _, text := range addresses {
+		if text == "" {
+			continue
+		}
+		address, err := netip.ParseAddrPort(text)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "nutmegtrack: status:", err)
+			return exitUsage
+		}
+		balancers = append(balancers, address)
+	}
+	client := newClient()
+	defer client.Close()
+	survey := daemon.TakeSurvey(context.Background(), client, balancers)
+	if err := survey.Write(os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "nutmegtrack: status:", err)
+		return exitFailure
+	}
+	if survey.Lagging() > 0 {
+		return exitFailure
+	}
+	return exitOK
+}
--- /dev/null
+++ b/daemon/status.go
@@ -0,0 +1,170 @@
+package daemon
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/netip"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/nutmegtrack/nutmegtrack/control"
+	"github.com/nutmegtrack/nutmegtrack/flow"
+)
+
+// statusCalls is the number of processes that a survey asks at the same time.
+const statusCalls = 16
+
+// FetchDump returns the dump sources of a process, or all without names.
+func FetchDump(ctx context.Context, t Transport, to netip.AddrPort, sources ...string) ([]byte, error) {
+	var reply control.DumpReply
+	args := control.DumpArgs{Sources: sources}
+	err := t.Call(ctx, to, control.DumpService+".State", &args, &reply)
+	return reply.JSON, err
+}
+
+// ProcessStatus is what a survey found about one process.
+type ProcessStatus struct {
+	Process
+	Control netip.AddrPort
+	Err     error // why the process was not read; State is then the announced one
+}
+
+// Survey is the state of a fleet.
+type Survey struct {
+	Revision  int64 // highest that any process knows
+	Processes []ProcessStatus
+}
+
+// TakeSurvey asks the given balancers for the processes that they know, and then
+// each of these for its state. Processes that have left or failed are not asked.
+func TakeSurvey(ctx context.Context, t Transport, balancers []netip.AddrPort) Survey {
+	var s Survey
+	known := make(map[string]Member)
+	for _, address := range balancers {
+		members, err := fetchMembers(ctx, t, address)
+		if err != nil {
+			s.Processes = append(s.Processes, ProcessStatus{Control: address, Err: err})
+		}
+		for _, m := range members {
+			if old, found := known[m.Name]; !found || m.newer(&old) {
+				known[m.Name] = m
+			}
+		}
+	}
+	s.Processes = append(s.Processes, askAll(ctx, t, known)...)
+	for _, p := range s.Processes {
+		s.Revision = max(s.Revision, p.Revision, p.KnownRevision)
+	}
+	slices.SortFunc(s.Processes, func(a, b ProcessStatus) int {
+		return cmp.Or(strings.Compare(a.Role, b.Role), strings.Compare(a.Name, b.Name))
+	})
+	return s
+}
+
+func (m *Member) newer(old *Member) bool {
+	return cmp.Or(cmp.Compare(m.Epoch, old.Epoch), cmp.Compare(m.Version, old.Version)) > 0
+}
+
+func (m *Member) gone() bool {
+	return m.State == flow.Leaving.String() || m.State == flow.Failed.String()
+}
+
+func fetchMembers(ctx context.Context, t Transport, to netip.AddrPort) ([]Member, error) {
+	b, err := FetchDump(ctx, t, to, SourceMembers)
+	if err != nil {
+		return nil, err
+	}
+	var dump struct {
+		Members []Member `json:"members"`
+	}
+	err = json.Unmarshal(b, &dump)
+	return dump.Members, errors.Wrap(err, "dump")
+}
+
+// askAll reads the state of all processes that are not gone.
+func askAll(ctx context.Context, t Transport, known map[string]Member) []ProcessStatus {
+	out := make([]ProcessStatus, 0, len(known))
+	for _, m := range known {
+		out = append(out, ProcessStatus{Control: m.Control, Process: Process{
+			Role: m.Role, Name: m.Name, Service: m.Service, FailureDomain: m.FailureDomain, State: m.State,
+		}})
+	}
+	var calls errgroup.Group
+	calls.SetLimit(statusCalls)
+	for i := range out {
+		m := known[out[i].Name]
+		if !m.gone() {
+			calls.Go(func() error {
+				out[i].ask(ctx, t)
+				return nil
+			})
+		}
+	}
+	_ = calls.Wait() // errors are kept with each process
+	return out
+}
+
+func (p *ProcessStatus) ask(ctx context.Context, t Transport) {
+	b, err := FetchDump(ctx, t, p.Control, SourceProcess)
+	if err != nil {
+		p.Err = err
+		return
+	}
+	var dump struct {
+		Process Process `json:"process"`
+	}
+	if p.Err = json.Unmarshal(b, &dump); p.Err == nil {
+		p.Process = dump.Process
+	}
+}
+
+// Lags reports whether a process is behind the revision, or could not be asked.
+func (p *ProcessStatus) Lags(revision int64) bool {
+	m := Member{State: p.State}
+	return p.Err != nil || (!m.gone() && p.Revision < revision)
+}
+
+// Lagging returns the number of processes that lag.
+func (s *Survey) Lagging() int {
+	n := 0
+	for i := range s.Processes {
+		if s.Processes[i].Lags(s.Revision) {
+			n++
+		}
+	}
+	return n
+}
+
+// Write prints the survey as a table.
+func (s *Survey) Write(w io.Writer) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "ROLE\tNAME\tSERVICE\tFAILURE DOMAIN\tSTATE\tOPEN FLOWS\tREVISION\tCONTROL\tNOTE")
+	for i := range s.Processes {
+		p := &s.Processes[i]
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%s\t%s\n",
+			p.Role, p.Name, p.Service, p.FailureDomain, p.State, p.OpenFlows, p.Revision, p.Control, p.note(s.Revision))
+	}
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(w, "revision %d; %d of %d processes lag or did not answer\n",
+		s.Revision, s.Lagging(), len(s.Processes))
+	return err
+}
+
+func (p *ProcessStatus) note(revision int64) string {
+	switch {
+	case p.Err != nil:
+		return "no answer: " + p.Err.Error()
+	case p.Lags(revision):
+		return "lags"
+	}
+	return ""
+}
