Add placement policies and the flow benchmark; keep young flows on their owner

A trace showed two causes: an agent whose settled view was older than the balancer's took a first packet of a flow that its first choice held, and packets of flows younger than one digest interval walked along agents that had been draining for minutes until no hop was left. Change: bench.RunFlows and 'nutmegtrack bench flows'; an agent that is not the first choice in its own view always asks its first choice; rule 5 tries agents that accepted flows recently before the others; agents that do not accept flows send no load; headers with a contradictory path are dropped as bad_path.

--- /dev/null
+++ b/bench/count.go
@@ -0,0 +1,119 @@
+package bench
+
+import (
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/flow"
+)
+
+// counts is what a run observes after the warm-up.
+type counts struct {
+	flows, packets, arrivals, detoured int
+	changes                            int
+	brokenPlanned, brokenBalancer      int
+	brokenTotal                        int
+	wrongService, twoOwners, refused   int
+
+	samples                 int
+	settledSum, settledPeak float64
+	readySum, readyPeak     float64
+	busiest                 float64 // control bytes per second of an agent that has left
+	controlPeak             int
+}
+
+func (c *counts) opened(w *world) {
+	if w.now >= warmUp {
+		c.flows++
+	}
+}
+
+func (c *counts) sent(w *world) {
+	if w.now >= warmUp {
+		c.packets++
+	}
+}
+
+func (c *counts) arrived(w *world, detoured bool) {
+	if w.now < warmUp {
+		return
+	}
+	c.arrivals++
+	if detoured {
+		c.detoured++
+	}
+}
+
+func (c *counts) broken(w *world) {
+	c.brokenTotal++
+	if w.lastPlanned {
+		c.brokenPlanned++
+	}
+	if w.lastBalancer {
+		c.brokenBalancer++
+	}
+}
+
+// sample records balance and control traffic of the second that has passed.
+func (c *counts) sample(w *world) {
+	for _, u := range w.upstreams {
+		if w.now >= warmUp {
+			u.controls += u.control
+			c.controlPeak = max(c.controlPeak, u.control)
+		}
+		u.control = 0
+	}
+	if w.now < warmUp {
+		return
+	}
+	c.samples++
+	ready := maxOverMean(w.upstreams, func(u *upstream) bool { return u.State == flow.Ready })
+	settled := maxOverMean(w.upstreams, func(u *upstream) bool {
+		return u.State == flow.Ready && w.now-u.since >= slowStart
+	})
+	c.readySum += ready
+	c.readyPeak = max(c.readyPeak, ready)
+	c.settledSum += settled
+	c.settledPeak = max(c.settledPeak, settled)
+}
+
+// maxOverMean returns the greater of both services' max/mean of open flows.
+func maxOverMean(list []*upstream, include func(*upstream) bool) float64 {
+	worst := 0.0
+	for service := range serviceNames {
+		most, sum, n := 0, 0, 0
+		for _, u := range list {
+			if u.service == service && include(u) {
+				most, sum, n = max(most, u.open), sum+u.open, n+1
+			}
+		}
+		if sum > 0 {
+			worst = max(worst, float64(most)*float64(n)/float64(sum))
+		}
+	}
+	return worst
+}
+
+// left accounts for an upstream that leaves the run.
+func (c *counts) left(now time.Duration, u *upstream) {
+	from := max(u.born, warmUp)
+	if now > from+slowStart {
+		c.busiest = max(c.busiest, float64(u.controls)/(now-from).Seconds())
+	}
+}
+
+func (c *counts) result(w *world) FlowsResult {
+	for _, u := range w.upstreams {
+		c.left(w.now, u)
+	}
+	n := float64(max(c.samples, 1))
+	return FlowsResult{
+		Policy: w.policy.Name, Upstreams: w.cfg.Upstreams, Balancers: w.cfg.Balancers, Seed: w.cfg.Seed,
+		Flows: c.flows, Packets: c.packets, Changes: c.changes,
+		BrokenPlanned: c.brokenPlanned, BrokenBalancerDeath: c.brokenBalancer, BrokenTotal: c.brokenTotal,
+		WrongService: c.wrongService, TwoOwners: c.twoOwners, Refused: c.refused,
+		MaxOverMean: c.settledSum / n, MaxOverMeanPeak: c.settledPeak,
+		MaxOverMeanReady: c.readySum / n, MaxOverMeanReadyPeak: c.readyPeak,
+		DetouredShare:         float64(c.detoured) / float64(max(c.arrivals, 1)),
+		ControlBytesPerSecond: c.busiest, ControlBytesPeak: float64(c.controlPeak),
+	}
+}
--- /dev/null
+++ b/bench/flows.go
@@ -0,0 +1,134 @@
+package bench
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/nutmegtrack/nutmegtrack/flow"
+)
+
+// FlowsConfig configures a run of the flow benchmark. A zero field takes its
+// default.
+type FlowsConfig struct {
+	Seed        uint64
+	Upstreams   int           // of the service whose fleet changes; default 7
+	Balancers   int           // default 4
+	Changes     int           // default 12
+	Interval    time.Duration // between changes; default 20 s
+	Lag         time.Duration // greatest delay until a process learns of a change; default 10 s
+	Threshold   float64       // flow.TableConfig.Threshold; default that of the package
+	MessageLoss float64       // share of agent messages and hints that are lost; default 0
+}
+
+const (
+	defaultUpstreams = 7
+	defaultBalancers = 4
+	defaultChanges   = 12
+	defaultInterval  = 20 * time.Second
+	// maxUpstreams keeps the clients within 24 bits of an IPv4 address.
+	maxUpstreams = 1000
+	defaultLag   = 10 * time.Second
+)
+
+func (c FlowsConfig) withDefaults() FlowsConfig {
+	if c.Upstreams == 0 {
+		c.Upstreams = defaultUpstreams
+	}
+	if c.Balancers == 0 {
+		c.Balancers = defaultBalancers
+	}
+	if c.Changes == 0 {
+		c.Changes = defaultChanges
+	}
+	if c.Interval == 0 {
+		c.Interval = defaultInterval
+	}
+	if c.Lag == 0 {
+		c.Lag = defaultLag
+	}
+	return c
+}
+
+// Validate reports the first field that a run cannot use. Zero fields are valid.
+func (c FlowsConfig) Validate() error {
+	switch {
+	case c.Upstreams < 0 || c.Upstreams > maxUpstreams:
+		return errors.Newf("upstreams: %d is not between 1 and %d", c.Upstreams, maxUpstreams)
+	case c.Balancers < 0:
+		return errors.Newf("balancers: %d is negative", c.Balancers)
+	case c.Changes < 0:
+		return errors.Newf("changes: %d is negative", c.Changes)
+	case c.Interval < 0 || c.Lag < 0:
+		return errors.Newf("interval %v and lag %v must not be negative", c.Interval, c.Lag)
+	case c.Threshold < 0:
+		return errors.Newf("threshold: %v is negative", c.Threshold)
+	case c.MessageLoss < 0 || c.MessageLoss >= 1:
+		return errors.Newf("message loss: %v is not in [0, 1)", c.MessageLoss)
+	}
+	return nil
+}
+
+// FlowsResult is what one policy did in one run.
+type FlowsResult struct {
+	Policy    string `json:"policy"`
+	Upstreams int    `json:"upstreams"`
+	Balancers int    `json:"balancers"`
+	Seed      uint64 `json:"seed"`
+
+	Flows   int `json:"flows"`   // opened
+	Packets int `json:"packets"` // sent
+	Changes int `json:"changes"` // a pair at the same instant counts as two
+
+	// A flow is broken when a packet of it is dropped, lost at an absent agent, or
+	// delivered to a second agent. It is attributed to the last change before, and
+	// to both kinds when two changes happened at that instant.
+	BrokenPlanned       int `json:"broken_planned"`
+	BrokenBalancerDeath int `json:"broken_balancer_death"`
+	BrokenTotal         int `json:"broken_total"`
+
+	WrongService int `json:"wrong_service"` // packets delivered to another service
+	TwoOwners    int `json:"two_owners"`    // flows that two agents held at the same time
+	Refused      int `json:"refused"`       // first packets that no upstream took
+
+	// MaxOverMean is the mean over all seconds of max/mean of the open flows of the
+	// upstreams that have been ready for the slow start time.
+	MaxOverMean float64 `json:"max_over_mean"`
+	// MaxOverMeanPeak is the greatest such value.
+	MaxOverMeanPeak float64 `json:"max_over_mean_peak"`
+	// MaxOverMeanReady is as MaxOverMean, but over all ready upstreams.
+	MaxOverMeanReady float64 `json:"max_over_mean_ready"`
+	// MaxOverMeanReadyPeak is the greatest such value.
+	MaxOverMeanReadyPeak float64 `json:"max_over_mean_ready_peak"`
+
+	DetouredShare float64 `json:"detoured_share"` // of the packets delivered
+
+	// ControlBytesPerSecond is the average over the run, sent and received, of the
+	// busiest agent; ControlBytesPeak is the most in one second of any agent.
+	ControlBytesPerSecond float64 `json:"control_bytes_per_second"`
+	ControlBytesPeak      float64 `json:"control_bytes_peak"`
+}
+
+// RunFlows runs every policy on the same traffic and the same changes.
+func RunFlows(cfg FlowsConfig) []FlowsResult {
+	cfg = cfg.withDefaults()
+	policies := flow.Policies()
+	results := make([]FlowsResult, len(policies))
+	var wg sync.WaitGroup
+	for i, p := range policies {
+		wg.Go(func() { results[i] = runPolicy(cfg, p) })
+	}
+	wg.Wait()
+	return results
+}
+
+// runPolicy steps one policy through the whole run.
+func runPolicy(cfg FlowsConfig, p flow.Policy) FlowsResult {
+	w := newWorld(cfg, p)
+	end := warmUp + time.Duration(cfg.Changes)*cfg.Interval + coolDown
+	for w.now = 0; w.now < end; w.now += tick {
+		w.step()
+	}
+	return w.count.result(w)
+}
--- /dev/null
+++ b/bench/traffic.go
@@ -0,0 +1,269 @@
+package bench
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/flow"
+	"github.com/nutmegtrack/nutmegtrack/packet"
+)
+
+const (
+	wheelSize   = 256 // ticks; longer than maxInterval
+	meanPause   = 4 * time.Second
+	maxInterval = 20 * time.Second // below idleUDP
+	rampUp      = 20 * time.Second // over which the first flows open
+
+	shareUDP      = 0.10
+	shareV6       = 0.30
+	shareRetry    = 0.05 // SYNs whose reply is lost: retransmitted after 1 s and 3 s
+	shareLong     = 0.20 // flows of 30 s to 150 s; the others last 30 s on average
+	shareWholeRun = 0.0005
+)
+
+// dueKind is what a client does at a time.
+type dueKind uint8
+
+const (
+	dueOpen dueKind = iota
+	dueRetry
+	dueData
+)
+
+// due is one pending action of one client's flow.
+type due struct {
+	slot       uint32
+	generation uint32
+	kind       dueKind
+}
+
+// client has one flow open at a time; generation numbers its flows.
+type client struct {
+	key        packet.Key
+	service    int
+	generation uint32
+	owner      packet.AgentID // agent that the flow's packets were delivered to
+	holders    int            // agents that hold the flow
+	end        time.Duration
+	v6, open   bool
+}
+
+// openClients starts as many clients as load the fleet to its share.
+func (w *world) openClients() {
+	sizes := [...]int{w.cfg.Upstreams, otherUpstreams}
+	for service, n := range sizes {
+		for range int(float64(n) * connections * load) {
+			w.clients = append(w.clients, client{service: service})
+			w.schedule(len(w.clients)-1, dueOpen, time.Duration(w.flowRand.Int64N(int64(rampUp))))
+		}
+	}
+}
+
+func (w *world) schedule(slot int, kind dueKind, after time.Duration) {
+	after = max(after, tick)
+	if after >= wheelSize*tick {
+		panic(fmt.Sprintf("bench: action due after %v does not fit into the wheel", after))
+	}
+	i := int((w.now+after)/tick) % wheelSize
+	w.wheel[i] = append(w.wheel[i], due{slot: uint32(slot), generation: w.clients[slot].generation, kind: kind})
+}
+
+// sendPackets runs the actions of this tick.
+func (w *world) sendPackets() {
+	i := int(w.now/tick) % wheelSize
+	list := w.wheel[i]
+	w.wheel[i] = nil
+	for _, d := range list {
+		c := &w.clients[d.slot]
+		if c.generation != d.generation {
+			continue
+		}
+		switch d.kind {
+		case dueOpen:
+			w.open(int(d.slot), c)
+		case dueRetry:
+			w.sendFirst(int(d.slot), c)
+		case dueData:
+			w.sendData(int(d.slot), c)
+		}
+	}
+	w.wheel[i] = append(list[:0], w.wheel[i]...)
+}
+
+// open starts a client's next flow.
+func (w *world) open(slot int, c *client) {
+	c.generation++
+	c.owner, c.holders, c.open = 0, 0, true
+	c.v6 = w.flowRand.Float64() < shareV6
+	proto := uint8(packet.ProtoTCP)
+	if w.flowRand.Float64() < shareUDP {
+		proto = packet.ProtoUDP
+	}
+	src := netip.AddrPortFrom(slotAddr(slot, c.v6), uint16(c.generation))
+	dst := netip.AddrPortFrom(serviceAddr(c.service, c.v6), 443)
+	c.key = packet.KeyOf(src, dst, proto)
+	c.end = w.now + w.lifetime()
+	w.count.opened(w)
+	w.sendFirst(slot, c)
+	if !c.open {
+		return
+	}
+	if proto == packet.ProtoTCP && w.flowRand.Float64() < shareRetry {
+		w.schedule(slot, dueRetry, time.Second)
+		w.schedule(slot, dueRetry, 3*time.Second)
+		w.schedule(slot, dueData, 3*time.Second+tick)
+		return
+	}
+	w.schedule(slot, dueData, tick)
+}
+
+func (w *world) lifetime() time.Duration {
+	r := w.flowRand.Float64()
+	switch {
+	case r < shareWholeRun:
+		return 24 * time.Hour
+	case r < shareWholeRun+shareLong:
+		return 30*time.Second + time.Duration(w.flowRand.Int64N(int64(120*time.Second)))
+	}
+	return time.Duration(w.flowRand.ExpFloat64() * float64(30*time.Second))
+}
+
+func (w *world) sendFirst(slot int, c *client) {
+	w.send(slot, c, &packet.Info{Key: c.key, V6: c.v6, First: true, Flags: packet.FlagSYN})
+}
+
+// sendData sends the flow's next packet, the last one with FIN.
+func (w *world) sendData(slot int, c *client) {
+	in := packet.Info{Key: c.key, V6: c.v6, Flags: packet.FlagACK}
+	last := w.now >= c.end
+	if c.key.Proto == packet.ProtoUDP {
+		in.First, in.Flags = true, 0
+	} else if last {
+		in.FIN, in.Flags = true, packet.FlagACK|packet.FlagFIN
+	}
+	generation := c.generation
+	w.send(slot, c, &in)
+	if c.generation != generation || !c.open {
+		return
+	}
+	if last {
+		w.close(slot, c)
+		return
+	}
+	pause := time.Duration(w.flowRand.ExpFloat64() * float64(meanPause))
+	w.schedule(slot, dueData, min(pause, maxInterval))
+}
+
+// close ends a client's flow and opens the next one within a second.
+func (w *world) close(slot int, c *client) {
+	if u := w.byID[c.owner]; u != nil {
+		u.open--
+	}
+	c.open = false
+	w.schedule(slot, dueOpen, time.Duration(w.flowRand.Int64N(int64(time.Second))))
+}
+
+// send passes one packet through a random balancer and along the agents.
+func (w *world) send(slot int, c *client, in *packet.Info) {
+	w.count.sent(w)
+	b := w.anyBalancer(w.flowRand)
+	d := b.router.Route(w.now, in)
+	if !d.OK {
+		w.fail(slot, c, d.Reason)
+		return
+	}
+	h := packet.Header{Kind: packet.KindData, Service: d.Service, Origin: b.addr}
+	id, visited := d.Agent, 0
+	for {
+		visited++
+		if visited > packet.MaxHops+1 {
+			panic(fmt.Sprintf("bench: packet of %v visits %d agents", c.key.Source(), visited))
+		}
+		u := w.byID[id]
+		if u == nil {
+			w.fail(slot, c, flow.ReasonNoUpstream)
+			return
+		}
+		a := u.agent.Receive(w.now, &h, in)
+		if a.Kind == flow.Forward {
+			id = a.To
+			continue
+		}
+		if a.Kind == flow.Drop {
+			w.fail(slot, c, a.Reason)
+			return
+		}
+		w.delivered(slot, c, u, visited > 1)
+		if a.Hint {
+			w.hint(b, u, c)
+		}
+		return
+	}
+}
+
+func (w *world) hint(b *balancer, u *upstream, c *client) {
+	u.addControl(hintWire)
+	if !w.lost() {
+		b.router.Learn(w.now, &c.key, u.ID)
+	}
+}
+
+func (w *world) delivered(slot int, c *client, u *upstream, detoured bool) {
+	w.count.arrived(w, detoured)
+	if u.service != c.service {
+		w.count.wrongService++
+	}
+	if c.owner == 0 {
+		c.owner = u.ID
+		u.open++
+		return
+	}
+	if c.owner != u.ID {
+		w.breakFlow(slot, c)
+	}
+}
+
+// fail handles a packet that no upstream received. Before the flow has an owner
+// the client has been refused, afterwards the flow is broken.
+func (w *world) fail(slot int, c *client, _ flow.Reason) {
+	if c.owner == 0 {
+		w.count.refused++
+		w.close(slot, c)
+		return
+	}
+	w.breakFlow(slot, c)
+}
+
+func (w *world) breakFlow(slot int, c *client) {
+	w.count.broken(w)
+	w.close(slot, c)
+}
+
+// FlowTaken checks that no second agent holds the flow.
+func (w *world) FlowTaken(_ packet.AgentID, k *packet.Key) {
+	c := w.clientOf(k)
+	if c == nil {
+		return
+	}
+	c.holders++
+	if c.holders > 1 {
+		w.count.twoOwners++
+	}
+}
+
+// FlowEnded notes that an agent has dropped a flow.
+func (w *world) FlowEnded(_ packet.AgentID, k *packet.Key) {
+	if c := w.clientOf(k); c != nil {
+		c.holders--
+	}
+}
+
+// clientOf returns the client whose present flow has the key, or nil.
+func (w *world) clientOf(k *packet.Key) *client {
+	slot := int(k.Src[13])<<16 | int(k.Src[14])<<8 | int(k.Src[15])
+	if slot >= len(w.clients) || w.clients[slot].key != *k {
+		return nil
+	}
+	return &w.clients[slot]
+}
--- a/cmd/nutmegtrack/main.go
+++ b/cmd/nutmegtrack/main.go
@@ -23,7 +23,9 @@
 }
 
 // commands lists the constructors of all subcommands, in the order of the help text.
-var commands = []func() command{}
+var commands = []func() command{
+	newBenchCommand,
+}
 
 func main() {
 	os.Exit(run(os.Args[1:]))
--- /dev/null
+++ b/flow/baseline.go
@@ -0,0 +1,84 @@
+package flow
+
+import (
+	"slices"
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/packet"
+)
+
+// baseline is an agent that takes every first packet and exchanges no messages.
+// With askPrevious it forwards packets of unknown flows once, to the upstream that
+// was the flow's first choice before the last change of the fleet. It uses a table
+// without peers for its flows.
+type baseline struct {
+	table       *Table
+	askPrevious bool
+	accepting   []Upstream
+	previous    []Upstream
+}
+
+func (b *baseline) SetPeers(_ time.Duration, peers []Upstream) {
+	var accepting []Upstream
+	for _, u := range peers {
+		if u.State.Accepts() {
+			accepting = append(accepting, u)
+		}
+	}
+	sameUpstream := func(x, y Upstream) bool { return x.ID == y.ID }
+	if !slices.EqualFunc(accepting, b.accepting, sameUpstream) {
+		b.previous, b.accepting = b.accepting, accepting
+	}
+}
+
+func (b *baseline) SetState(now time.Duration, s State) { b.table.SetState(now, s) }
+
+func (b *baseline) Receive(now time.Duration, h *packet.Header, in *packet.Info) Action {
+	t := b.table
+	if h.Service != t.service {
+		return t.drop(ReasonWrongService)
+	}
+	hash := in.Key.Hash()
+	if e := t.flows.find(hash, &in.Key); e != nil {
+		t.refresh(now, e, in)
+		return b.deliver(h)
+	}
+	syn := in.First && in.Key.Proto == packet.ProtoTCP
+	if b.askPrevious && !syn && h.Hops == 0 {
+		if u := b.previousOwner(hash); u != nil && u.ID != t.self.ID {
+			return t.forward(h, newPeer(now, *u))
+		}
+	}
+	if !in.First {
+		return t.drop(ReasonNoOwner)
+	}
+	t.take(now, hash, &in.Key)
+	return b.deliver(h)
+}
+
+// deliver sends no hint: the baselines' balancers learn nothing from agents.
+func (b *baseline) deliver(h *packet.Header) Action {
+	a := b.table.deliver(h)
+	a.Hint = false
+	return a
+}
+
+func (b *baseline) previousOwner(hash uint64) *Upstream {
+	var best uint64
+	var found *Upstream
+	for i := range b.previous {
+		if v := score(hash, seedOf(b.previous[i].ID)); found == nil || v > best {
+			best, found = v, &b.previous[i]
+		}
+	}
+	return found
+}
+
+func (b *baseline) Step(now time.Duration) []Message {
+	b.table.sweep(now)
+	return nil
+}
+
+func (b *baseline) Handle(time.Duration, Message) {}
+
+func (b *baseline) Open() int { return b.table.Open() }
--- a/flow/reason.go
+++ b/flow/reason.go
@@ -14,14 +14,15 @@
 	ReasonWrongService
 	// ReasonNoOwner: no agent on the packet's path holds its flow.
 	ReasonNoOwner
-	// ReasonLoop: the header names this agent as visited, or has too many hops.
-	ReasonLoop
+	// ReasonBadPath: the header names this agent as visited, or its list of
+	// visited agents and its hop count contradict each other.
+	ReasonBadPath
 
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
-	"none", "no_service", "no_upstream", "wrong_service", "no_owner", "loop",
+	"none", "no_service", "no_upstream", "wrong_service", "no_owner", "bad_path",
 }
 
 // String returns the reason's name as metrics use it.
--- a/flow/receive.go
+++ b/flow/receive.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/nutmegtrack/nutmegtrack/packet"
@@ -13,8 +14,8 @@
 	if h.Service != t.service {
 		return t.drop(ReasonWrongService)
 	}
-	if h.HasVisited(t.self.ID) || h.Hops > packet.MaxHops {
-		return t.drop(ReasonLoop)
+	if h.HasVisited(t.self.ID) || !validPath(h) {
+		return t.drop(ReasonBadPath)
 	}
 	hash := in.Key.Hash()
 	if e := t.flows.find(hash, &in.Key); e != nil {
@@ -27,7 +28,23 @@
 	if in.First {
 		return t.receiveFirst(now, hash, h, in)
 	}
-	return t.forwardAlongRanking(hash, h)
+	return t.forwardAlongRanking(now, hash, h)
+}
+
+// validPath reports whether the header's path can have been written by agents:
+// distinct entries without a gap, not more of them than hops, hops within the limit.
+// The header comes from the network, so a violation is input to drop, not a fault.
+func validPath(h *packet.Header) bool {
+	n := lastVisited(h) + 1
+	if h.Hops > packet.MaxHops || n > int(h.Hops) {
+		return false
+	}
+	for i, id := range h.Visited[:n] {
+		if id == 0 || slices.Contains(h.Visited[:i], id) {
+			return false
+		}
+	}
+	return true
 }
 
 // forwardToHolder applies rule 3: the flow is known to be held by a peer.
@@ -85,11 +102,13 @@
 }
 
 // previousOwner returns a peer that may already hold the flow although this agent
-// does not know it: one that is, in some view of the settling time, the flow's
-// first choice.
+// does not know it: one that is the flow's first choice in this agent's view or, in
+// the settling time after a change, in another. An agent whose own view is settled
+// and shows another first choice must ask too: the balancer may have learned of a
+// change before it.
 func (t *Table) previousOwner(now time.Duration, hash uint64, h *packet.Header) *peer {
 	// An offer takes two hops, there and back.
-	if now >= t.unsettled || !t.self.State.Accepts() || h.Hops+2 > packet.MaxHops {
+	if !t.self.State.Accepts() || h.Hops+2 > packet.MaxHops {
 		return nil
 	}
 	_, floor := t.peers.best(hash, func(p *peer) bool { return p.settled(now, t.cfg.Settling) })
@@ -157,14 +176,21 @@
 }
 
 // forwardAlongRanking applies rule 5: the packet belongs to a flow whose owner is
-// not known.
-func (t *Table) forwardAlongRanking(hash uint64, h *packet.Header) Action {
+// not known. A flow too young for its digest to have arrived is held by an agent
+// that accepted flows a moment ago, so these agents are tried first; agents that
+// have been draining for longer have sent their digests.
+func (t *Table) forwardAlongRanking(now time.Duration, hash uint64, h *packet.Header) Action {
 	if h.Hops >= packet.MaxHops {
 		return t.drop(ReasonNoOwner)
 	}
 	p, _ := t.peers.best(hash, func(p *peer) bool {
-		return p.State != Starting && !p.State.Gone() && !h.HasVisited(p.ID)
+		return p.recent(now, t.cfg.Settling) && !p.State.Gone() && !h.HasVisited(p.ID)
 	})
+	if p == nil {
+		p, _ = t.peers.best(hash, func(p *peer) bool {
+			return p.State != Starting && !p.State.Gone() && !h.HasVisited(p.ID)
+		})
+	}
 	if p == nil {
 		return t.drop(ReasonNoOwner)
 	}
--- a/flow/step.go
+++ b/flow/step.go
@@ -42,16 +42,14 @@
 }
 
 // addLoads sends this agent's load to a few random peers, or to all of a small
-// service.
+// service. Nobody hands flows to an agent that does not accept any, so such an
+// agent sends none.
 func (t *Table) addLoads(now time.Duration) {
-	if now-t.loadSent < t.cfg.LoadInterval {
+	if now-t.loadSent < t.cfg.LoadInterval || !t.self.State.Accepts() {
 		return
 	}
 	t.loadSent = now
-	limit := 0
-	if t.self.State.Accepts() {
-		limit = t.limit(now)
-	}
+	limit := t.limit(now)
 	live := make([]*peer, 0, len(t.peers.list))
 	for _, p := range t.peers.list {
 		if p.State.Accepts() {
--- a/flow/table.go
+++ b/flow/table.go
@@ -26,7 +26,6 @@
 	removals removalQueue
 
 	stateSince   time.Duration // when self.State was set
-	unsettled    time.Duration // until then, views may differ about who accepts
 	loadSent     time.Duration
 	stepped      time.Duration
 	budget       int // digest bytes that may be sent now
@@ -66,12 +65,8 @@
 	if s == t.self.State {
 		return
 	}
-	changed := s.Accepts() != t.self.State.Accepts()
 	t.self.State = s
 	t.stateSince = now
-	if changed {
-		t.unsettled = now + t.cfg.Settling
-	}
 	t.retargetAll(now)
 }
 
@@ -106,14 +101,8 @@
 	if old == nil || old.Incarnation != u.Incarnation {
 		p := newPeer(now, u)
 		p.in = t.inbox(u.ID)
-		if p.recent(now, t.cfg.Settling) {
-			t.unsettled = now + t.cfg.Settling
-		}
 		return p
 	}
-	if old.State.Accepts() != u.State.Accepts() {
-		t.unsettled = now + t.cfg.Settling
-	}
 	old.update(now, u)
 	return old
 }
