--- a/balancer/counters.go
+++ b/balancer/counters.go
@@ -6,7 +6,8 @@
 	"github.com/nutmegtrack/nutmegtrack/flow"
 )
 
-const reasons = int(flow.ReasonLoop) + 1
+// reasons is the number of drop reasons.
+const reasons = len(flow.Counters{}.Dropped)
 
 // tally counts the packets of one batch, so that readers touch the shared
 // counters once for each batch.
--- a/cmd/nutmegtrack/main.go
+++ b/cmd/nutmegtrack/main.go
@@ -30,6 +30,7 @@
 	newDrain,
 	newStatus,
 	newStandin,
+	newBenchCommand,
 }
 
 func main() {
