Read the lists from the store and from peers

Cause: an edit must become active on every process, while only a few balancers of a failure domain may watch the store. Change: daemon.Lists installs newer revisions through plan.Installer and reads only pages that it lacks. The first two live balancers of a failure domain by name watch lists/head; all other processes learn the revision by gossip or heartbeat and fetch head and pages from a peer by the RPC service Lists. The balancer puts the customer into the encapsulation header. Balancer tests with an in-memory socket cover packets, hints, views, health and shutdown.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -43,12 +43,18 @@
 	flows   flows
 	peers   peers
 	sender  *sender
+	lists   *daemon.Lists
+	fetcher *daemon.ListFetcher
 	started time.Duration
 	state   sync.Mutex // serializes changes of state
 }
 
 // New returns an agent that has opened nothing yet.
 func New(cfg settings.Agent, log *event.Logger) *Agent {
+	return newAgent(cfg, log, daemon.NewClock())
+}
+
+func newAgent(cfg settings.Agent, log *event.Logger, clock daemon.Clock) *Agent {
 	registry := metrics.NewRegistry()
 	return &Agent{
 		cfg:       cfg,
@@ -56,11 +62,12 @@
 		service:   packet.ServiceIDOf(cfg.Service.Name),
 		endpoints: endpointSet(cfg.Service.Endpoints),
 		log:       log,
-		clock:     daemon.NewClock(),
+		clock:     clock,
 		rng:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		life:      daemon.NewLifecycle(),
 		registry:  registry,
 		counters:  newCounters(registry),
+		lists:     daemon.NewLists(log, func(int64) {}),
 	}
 }
 
@@ -98,6 +105,7 @@
 		Failed:    silent.Peer,
 		Answered:  a.callAnswered,
 	})
+	a.fetcher = daemon.NewListFetcher(a.lists, transport, a.clock, spawn, silent.Peer)
 	a.sender = newSender(transport, spawn, silent.Peer)
 	a.flows = flows{clock: a.clock, table: flow.NewTable(a.tableConfig(), a.upstream(), a.service, a.rng)}
 	a.control.Register(control.MemberService, control.NewMember(a.members.Handle))
@@ -155,13 +163,14 @@
 	a.life.Supervise(a.drain, a.close)
 }
 
-// step advances membership and the flow table.
+// step advances membership, the flow table and the lists.
 func (a *Agent) step() {
-	answered := a.peers.answered.Load()
+	answered := a.peers.home.Load() != nil
 	a.members.Step(a.life.Context())
 	a.refreshPeers()
 	a.stepFlows()
 	a.becomeReady(answered)
+	a.stepLists()
 }
 
 func (a *Agent) receiveMessage(m flow.Message) {
--- a/agent/dump.go
+++ b/agent/dump.go
@@ -26,6 +26,7 @@
 		p = daemon.DumpProcess(&self, now)
 		p.KnownRevision = n.Revision()
 	})
+	p.Revision = a.lists.Revision()
 	p.OpenFlows = a.flows.open()
 	return p
 }
--- a/agent/peers.go
+++ b/agent/peers.go
@@ -11,21 +11,32 @@
 )
 
 // peers is what the flow table has been told of the service's upstreams. It is
-// used by the timer only, except for answered.
+// used by the timer only, except for home.
 type peers struct {
 	view     *flow.View
 	controls map[packet.AgentID]netip.AddrPort
-	answered atomic.Bool // a home balancer has answered a heartbeat
+	home     atomic.Pointer[netip.AddrPort] // balancer that answered a heartbeat last
 }
 
-// callAnswered notes the first heartbeat that a balancer answered: from then on
+// callAnswered notes the balancer that answered a heartbeat: from the first one on
 // the agent knows the upstreams that the balancer knows.
 func (a *Agent) callAnswered(c member.Call) {
 	if c.Request.Kind == member.KindHeartbeat {
-		a.peers.answered.Store(true)
+		a.peers.home.Store(&c.To)
 	}
 }
 
+// stepLists fetches newer lists from the balancer that answered last.
+func (a *Agent) stepLists() {
+	home := a.peers.home.Load()
+	if home == nil {
+		return
+	}
+	var known int64
+	a.members.Do(func(_ time.Duration, n *member.Announcer) { known = n.Revision() })
+	a.fetcher.Step(a.life.Context(), known, *home)
+}
+
 // refreshPeers tells the flow table of a changed membership.
 func (a *Agent) refreshPeers() {
 	var (
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -12,6 +12,7 @@
 	"github.com/nutmegtrack/nutmegtrack/flow"
 	"github.com/nutmegtrack/nutmegtrack/member"
 	"github.com/nutmegtrack/nutmegtrack/settings"
+	"github.com/nutmegtrack/nutmegtrack/store"
 )
 
 const (
@@ -38,13 +39,18 @@
 	control *daemon.Control
 	members *daemon.Members[*member.Node]
 	fleet   fleet
+	lists   *daemon.Lists
+	reader  listReader
 }
 
 // New returns a balancer that has opened nothing yet.
 func New(cfg settings.Balancer, log *event.Logger) *Balancer {
-	clock := daemon.NewClock()
+	return newBalancer(cfg, log, daemon.NewClock())
+}
+
+func newBalancer(cfg settings.Balancer, log *event.Logger, clock daemon.Clock) *Balancer {
 	registry := metrics.NewRegistry()
-	return &Balancer{
+	b := &Balancer{
 		cfg:      cfg,
 		log:      log,
 		clock:    clock,
@@ -55,34 +61,44 @@
 		router:   newRouter(clock, cfg.Readers, cfg.HintEntries),
 		health:   newHealth(),
 	}
+	b.lists = daemon.NewLists(log, b.listsActivated)
+	return b
 }
 
 // Start opens the sockets and begins to serve.
 func (b *Balancer) Start() error {
+	s, err := openStore(b.cfg.Store)
+	if err != nil {
+		return err
+	}
 	p, err := openPorts(&b.cfg)
 	if err != nil {
 		return err
 	}
-	b.assemble(p, nil)
+	b.assemble(p, s, nil, b.life.Spawn)
 	b.launch()
 	b.log.Log(event.Started, "data", p.dataAddr, "control", b.self().Control, "health", p.health.Addr())
 	return nil
 }
 
-// assemble connects the parts. A nil transport stands for the control client.
-func (b *Balancer) assemble(p ports, transport daemon.Transport) {
+// assemble connects the parts. A nil transport stands for the control client;
+// spawn runs a call in the background.
+func (b *Balancer) assemble(p ports, s store.Store, transport daemon.Transport, spawn func(func())) {
 	b.ports = p
 	b.control = daemon.NewControl(b.registry, b.log)
 	if transport == nil {
 		transport = b.control.Client
 	}
 	node := member.NewNode(member.Config{Seeds: b.cfg.Seeds}, b.record(), b.rng)
+	silent := daemon.NewQuiet(b.log, b.clock, event.PeerSilent)
 	b.members = daemon.NewMembers(node, daemon.MembersConfig{
 		Clock:     b.clock,
 		Transport: transport,
-		Spawn:     b.life.Spawn,
-		Failed:    daemon.NewQuiet(b.log, b.clock, event.PeerSilent).Peer,
+		Spawn:     spawn,
+		Failed:    silent.Peer,
 	})
+	b.reader = listReader{store: s, fetcher: daemon.NewListFetcher(b.lists, transport, b.clock, spawn, silent.Peer)}
+	b.control.Register(daemon.ListsService, daemon.NewListsRPC(b.lists))
 	b.control.Register(control.MemberService, control.NewMember(b.members.Handle))
 	b.control.Register(daemon.AdminService, daemon.NewAdmin(b.drainRequested))
 	b.addDumpSources()
@@ -125,10 +141,11 @@
 	return b.cfg.Readers
 }
 
-// step advances membership and installs the view when it has changed.
+// step advances membership and the lists, and installs the view when it has changed.
 func (b *Balancer) step() {
 	b.members.Step(b.life.Context())
 	b.refreshView()
+	b.stepLists()
 }
 
 func (b *Balancer) drainRequested() int {
@@ -170,10 +187,6 @@
 	return r
 }
 
-// customerOf returns the customer of a source address, or 0 while no lists are
-// active.
-func (b *Balancer) customerOf(*[16]byte) uint64 { return 0 }
-
 // Shutdown begins a graceful shutdown.
 func (b *Balancer) Shutdown() { b.life.Shutdown() }
 
--- /dev/null
+++ b/balancer/balancer_test.go
@@ -0,0 +1,197 @@
+package balancer
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"github.com/nutmegtrack/nutmegtrack/event"
+	"github.com/nutmegtrack/nutmegtrack/flow"
+	"github.com/nutmegtrack/nutmegtrack/member"
+	"github.com/nutmegtrack/nutmegtrack/packet"
+	"github.com/nutmegtrack/nutmegtrack/packetio"
+	"github.com/nutmegtrack/nutmegtrack/settings"
+)
+
+func TestBalancer(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "balancer")
+}
+
+var (
+	service  = netip.MustParseAddrPort("10.96.0.1:80")
+	client   = netip.MustParseAddrPort("10.0.0.7:40000")
+	dataAddr = netip.MustParseAddrPort("127.0.0.1:7000")
+)
+
+func upstreamRecord(name, data string) member.Record {
+	return member.Record{
+		Name: name, Service: "impact-portal", FailureDomain: "a", Incarnation: 1, State: flow.Ready,
+		Data:      netip.MustParseAddrPort(data),
+		Endpoints: []flow.Endpoint{{Addr: service, Proto: packet.ProtoTCP}},
+	}
+}
+
+// testBalancer is a balancer on an in-memory socket with a clock that the test sets.
+type testBalancer struct {
+	*Balancer
+	now    time.Duration
+	pipe   *packetio.Pipe
+	reader *reader
+}
+
+func newTestBalancer(records ...member.Record) *testBalancer {
+	t := &testBalancer{pipe: packetio.NewPipe(1)}
+	cfg := settings.Balancer{Name: "b1", FailureDomain: "a", Readers: 2, HintEntries: 4096}
+	t.Balancer = newBalancer(cfg, event.NewLogger(io.Discard), func() time.Duration { return t.now })
+	t.assemble(ports{data: t.pipe, dataAddr: dataAddr}, nil, nil, t.life.Spawn)
+	t.members.Do(func(now time.Duration, n *member.Node) { n.Load(now, records) })
+	t.refreshView()
+	t.reader = t.newReader(t.pipe)
+	return t
+}
+
+// handle passes datagrams through the packet path and returns what was sent.
+func (t *testBalancer) handle(datagrams ...[]byte) []packetio.Datagram {
+	t.reader.in.Reset()
+	for _, d := range datagrams {
+		Expect(t.reader.in.Put(d)).To(BeTrue())
+	}
+	t.reader.handle()
+	return t.pipe.Sent()
+}
+
+func syn(from netip.AddrPort) []byte {
+	key := packet.KeyOf(from, service, packet.ProtoTCP)
+	return packet.AppendTCP(nil, &packet.TCPSegment{Key: key, Flags: packet.FlagSYN})
+}
+
+var _ = Describe("The packet path", func() {
+	u1, u2 := upstreamRecord("u1", "127.0.0.1:7101"), upstreamRecord("u2", "127.0.0.1:7102")
+
+	// Guards against a packet that arrives changed, or under a header from which
+	// the agent cannot tell service and origin.
+	It("sends the packet unchanged under a header", func() {
+		sent := newTestBalancer(u1).handle(syn(client))
+		Expect(sent).To(HaveLen(1))
+		Expect(sent[0].To).To(Equal(u1.Data))
+		h, rest, err := packet.ReadHeader(sent[0].Data)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(rest).To(Equal(syn(client)))
+		Expect(h.Kind).To(Equal(packet.KindData))
+		Expect(h.Service).To(Equal(packet.ServiceIDOf("impact-portal")))
+		Expect(h.Origin).To(Equal(dataAddr))
+	})
+
+	// Guards against hints that end in another shard than the flow's packets.
+	It("follows the hints of agents", func() {
+		b := newTestBalancer(u1, u2)
+		for port := uint16(1); port <= 200; port++ {
+			from := netip.AddrPortFrom(client.Addr(), port)
+			other := u1
+			if b.handle(syn(from))[0].To == u1.Data {
+				other = u2
+			}
+			key := packet.KeyOf(from, service, packet.ProtoTCP)
+			hint := make([]byte, packet.HintSize)
+			packet.PutHint(hint, packet.ServiceIDOf("impact-portal"), &key, packet.AgentIDOf(other.Name))
+			Expect(b.handle(hint)).To(BeEmpty())
+			Expect(b.handle(syn(from))[0].To).To(Equal(other.Data))
+		}
+	})
+
+	// Guards against malformed or foreign packets that are sent on or stop the reader.
+	It("counts and drops what it cannot route", func() {
+		b := newTestBalancer(u1)
+		foreign := packet.KeyOf(client, netip.MustParseAddrPort("10.96.0.9:80"), packet.ProtoTCP)
+		sent := b.handle(nil, []byte{0x45}, []byte{1}, []byte{1, 2, 3},
+			packet.AppendTCP(nil, &packet.TCPSegment{Key: foreign, Flags: packet.FlagSYN}), syn(client))
+		Expect(sent).To(HaveLen(1))
+		Expect(b.counters.malformed.Count()).To(BeEquivalentTo(4))
+		Expect(b.counters.dropped[flow.ReasonNoService].Count()).To(BeEquivalentTo(1))
+	})
+
+	// Guards against a view that changes in the membership but not in the router.
+	It("sends to the present first choice", func() {
+		b := newTestBalancer(u1)
+		gone := u1
+		gone.State, gone.Version = flow.Leaving, 1
+		b.members.Do(func(now time.Duration, n *member.Node) { n.Load(now, []member.Record{gone, u2}) })
+		b.refreshView()
+		Expect(b.handle(syn(client))[0].To).To(Equal(u2.Data))
+	})
+})
+
+var _ = Describe("The health endpoint", func() {
+	status := func(b *testBalancer) int {
+		w := httptest.NewRecorder()
+		b.health.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/", nil))
+		return w.Code
+	}
+
+	// Guards against a balancer that receives packets before it knows the fleet,
+	// and against a deployment without upstreams whose balancers never start.
+	It("is ready once the view has settled or the start limit is over", func() {
+		b := newTestBalancer(upstreamRecord("u1", "127.0.0.1:7101"))
+		Expect(status(b)).To(Equal(http.StatusServiceUnavailable))
+		b.now = viewQuiet
+		b.refreshView()
+		Expect(status(b)).To(Equal(http.StatusOK))
+
+		empty := newTestBalancer()
+		empty.now = startLimit - 1
+		empty.refreshView()
+		Expect(status(empty)).To(Equal(http.StatusServiceUnavailable))
+		empty.now = startLimit
+		empty.refreshView()
+		Expect(status(empty)).To(Equal(http.StatusOK))
+	})
+
+	// Guards against a draining balancer that a late step makes ready again.
+	It("stays draining", func() {
+		b := newTestBalancer()
+		b.health.drain()
+		b.now = startLimit
+		b.refreshView()
+		Expect(status(b)).To(Equal(http.StatusServiceUnavailable))
+	})
+})
+
+var _ = Describe("A balancer process", func() {
+	loopback := netip.MustParseAddrPort("127.0.0.1:0")
+	cfg := settings.Balancer{
+		Name: "b1", FailureDomain: "a", Readers: 2, HintEntries: 1024,
+		DataAddress: loopback, ControlListen: loopback, HealthAddress: loopback,
+		PacketIO: settings.PacketIO{Mode: settings.ModeUDP},
+	}
+
+	// Guards against goroutines and sockets that outlive a graceful shutdown.
+	It("stops without leftovers", func() {
+		defer goleak.VerifyNone(GinkgoT(), goleak.IgnoreCurrent())
+		b := New(cfg, event.NewLogger(io.Discard))
+		Expect(b.Start()).To(Succeed())
+		b.Shutdown()
+		b.Shutdown()
+		<-b.Done()
+		Expect(b.Err()).NotTo(HaveOccurred())
+	})
+
+	// Guards against sockets that stay open when a later one cannot be opened.
+	It("opens nothing when one address is in use", func() {
+		defer goleak.VerifyNone(GinkgoT(), goleak.IgnoreCurrent())
+		first := New(cfg, event.NewLogger(io.Discard))
+		Expect(first.Start()).To(Succeed())
+		taken := cfg
+		taken.HealthAddress = netip.MustParseAddrPort(first.ports.health.Addr().String())
+		Expect(New(taken, event.NewLogger(io.Discard)).Start()).NotTo(Succeed())
+		first.Shutdown()
+		<-first.Done()
+	})
+})
--- a/balancer/dump.go
+++ b/balancer/dump.go
@@ -21,6 +21,7 @@
 		p = daemon.DumpProcess(&self, now)
 		p.KnownRevision, _ = n.Revision()
 	})
+	p.Revision = b.lists.Revision()
 	return p
 }
 
--- a/balancer/reader.go
+++ b/balancer/reader.go
@@ -26,7 +26,7 @@
 	return &reader{
 		router:   b.router,
 		origin:   b.ports.dataAddr,
-		customer: b.customerOf,
+		customer: b.lists.Customer,
 		source:   source,
 		sink:     b.ports.data,
 		counters: b.counters,
