--- a/cmd/nutmegtrack/main.go
+++ b/cmd/nutmegtrack/main.go
@@ -28,8 +28,13 @@
 	newAgent,
 	newDump,
 	newDrain,
-	newStandin, newCustomers, newPlans, newEditStatus,
+	newStatus,
+	newCustomers,
+	newPlans,
+	newEditStatus,
+	newStandin,
 	newDemo,
+	newBenchCommand,
 }
 
 func main() {
