Edit both lists during the demo, and let two operators edit at once

Change: the example lists are loaded before the load. During it, customers and plans are edited by the operator's commands, and two operators apply lists made from the same revision, of which exactly one may be accepted. The time from the start of the command until every balancer's dump shows the revision is measured, and a balancer that goes back to an earlier revision is a violation. The fault silent no longer runs the requests that it does not answer; foreign-address proves the check of wrong-service packets.

--- a/demo/lists.go
+++ b/demo/lists.go
@@ -1,8 +1,27 @@
 package demo
 
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/nutmegtrack/nutmegtrack/plan/edit"
+)
+
+const (
+	// activeLimit ends the wait for an edit to be active everywhere. It is the bound
+	// of section 1.6 of the design with the store down; beyond it guarantee 8 counts
+	// as violated.
+	activeLimit = 13 * time.Second
+	author      = "demo"
+)
+
 // listTimes is how long accepted edits took to be active on every balancer.
 type listTimes struct {
 	Worst *float64 // seconds; nil before the first edit
+	Edits int
+	Stale int // edits of two operators that were refused as stale
 }
 
 func (l *listTimes) write(line func(name, format string, args ...any)) {
@@ -10,5 +29,73 @@
 		line("lists", "no edit was measured")
 		return
 	}
-	line("lists", "an edit is active on every balancer after %.2f s at most", *l.Worst)
+	line("lists", "%d edits accepted, %d refused as stale, active on every balancer after %.2f s at most",
+		l.Edits, l.Stale, *l.Worst)
+}
+
+// listCommand runs a command of one list and returns its outcome. A refusal is an
+// outcome too; an error means that there is none.
+func (f *fleet) listCommand(args ...string) (edit.Outcome, error) {
+	args = append(args, "--author", author, "--json", "--store", "http://"+f.store.String())
+	out, err := f.command(args...)
+	return decodeOutcome(out, err)
+}
+
+// editList makes one edit that must be accepted, and waits until it is active.
+func (f *fleet) editList(ctx context.Context, args ...string) error {
+	began := time.Now()
+	o, err := f.listCommand(args...)
+	if err != nil {
+		return err
+	}
+	if o.Status != edit.Accepted {
+		return errors.Newf("edit %v: %s", args, o.String())
+	}
+	return f.untilActive(ctx, o, began)
+}
+
+// untilActive waits until the revision of an accepted edit is active on every
+// balancer that was live when it was accepted and has not been stopped since.
+func (f *fleet) untilActive(ctx context.Context, o edit.Outcome, began time.Time) error {
+	pending := f.liveBalancers()
+	err := until(ctx, activeLimit, func() error { return f.checkActive(ctx, &pending, o.Revision) })
+	if ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
+	took := time.Since(began)
+	if err != nil {
+		f.violated("revision %d is not active: %v", o.Revision, err)
+	}
+	f.say("revision %d active on every balancer after %.2f s", o.Revision, took.Seconds())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lists.Edits++
+	f.lists.Worst = higher(f.lists.Worst, took.Seconds())
+	return nil
+}
+
+// checkActive removes the balancers that have the revision from pending and
+// returns an error while others are left.
+func (f *fleet) checkActive(ctx context.Context, pending *[]*balancerVM, revision int64) error {
+	var left []*balancerVM
+	var last error
+	for _, b := range *pending {
+		if f.isGone(b) {
+			continue
+		}
+		state, err := f.dump(ctx, b.control)
+		if err == nil && state.Process.Revision >= revision {
+			continue
+		}
+		left = append(left, b)
+		last = errors.Newf("%s has revision %d (%v)", b.name, state.Process.Revision, err)
+	}
+	*pending = left
+	return last
+}
+
+func (f *fleet) isGone(b *balancerVM) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return b.gone
 }
--- /dev/null
+++ b/demo/lists_edits.go
@@ -0,0 +1,146 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/nutmegtrack/nutmegtrack/examples"
+	"github.com/nutmegtrack/nutmegtrack/plan/edit"
+)
+
+// The edits are made in this part of the load, before the store's outage.
+const (
+	editsFrom = quietShare
+	editsTo   = 0.6
+)
+
+// listActions are the edits of a run, in order.
+var listActions = []action{
+	{"customers edited", editCustomers},
+	{"plans edited", editPlans},
+	{"two operators edit", editTwice},
+}
+
+// editSchedule spreads the edits over their part of the load.
+func editSchedule(length time.Duration, rng *rand.Rand) []planned {
+	slot := time.Duration((editsTo - editsFrom) * float64(length) / float64(len(listActions)))
+	var all []planned
+	for i, a := range listActions {
+		at := time.Duration(editsFrom*float64(length)) + time.Duration(i)*slot
+		at += time.Duration(rng.Float64() * float64(slot) / 2)
+		all = append(all, planned{at: at, action: a, rng: rand.New(rand.NewPCG(rng.Uint64(), 0))})
+	}
+	return all
+}
+
+// loadLists writes the example lists to the store. Customers name plans, so the
+// plans come first.
+func (f *fleet) loadLists(ctx context.Context) error {
+	for _, list := range []string{"plans", "customers"} {
+		src, err := examples.Files.ReadFile(f.spec.name + "/" + list + ".json")
+		if err != nil {
+			return errors.Wrap(err, "list")
+		}
+		path, err := f.writeList(list, src)
+		if err != nil {
+			return err
+		}
+		if err := f.editList(ctx, list, "apply", path, "--base", "latest"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *fleet) writeList(name string, text []byte) (string, error) {
+	path := filepath.Join(f.dir, name+".json")
+	return path, errors.Wrap(os.WriteFile(path, text, 0o600), "list")
+}
+
+// editCustomers moves a customer to another plan.
+func editCustomers(ctx context.Context, f *fleet, rng *rand.Rand) error {
+	customer := f.spec.customers[rng.IntN(len(f.spec.customers))]
+	other := f.spec.customers[rng.IntN(len(f.spec.customers))]
+	for other.Plan == customer.Plan {
+		other = f.spec.customers[rng.IntN(len(f.spec.customers))]
+	}
+	return f.editList(ctx, "customers", "set", customer.Name, "--plan", other.Plan)
+}
+
+// editPlans changes the weight of a plan.
+func editPlans(ctx context.Context, f *fleet, rng *rand.Rand) error {
+	customer := f.spec.customers[rng.IntN(len(f.spec.customers))]
+	weight := strconv.Itoa(10 + rng.IntN(90)) // differs from all weights of the examples
+	return f.editList(ctx, "plans", "set", customer.Plan, "--weight", weight)
+}
+
+// editTwice lets two operators apply different lists made from the same revision.
+// Exactly one may be accepted, and the other must be told that its list is stale.
+func editTwice(ctx context.Context, f *fleet, rng *rand.Rand) error {
+	text, err := f.command("customers", "get", "--store", "http://"+f.store.String())
+	if err != nil {
+		return err
+	}
+	first := rng.IntN(len(f.spec.customers))
+	second := (first + 1) % len(f.spec.customers)
+	began := time.Now()
+	var outcomes [2]edit.Outcome
+	var failures [2]error
+	var both sync.WaitGroup
+	for i, customer := range []int{first, second} {
+		both.Go(func() { outcomes[i], failures[i] = f.applyRenamed(text, i, customer) })
+	}
+	both.Wait()
+	if err := errors.Join(failures[0], failures[1]); err != nil {
+		return err
+	}
+	return f.checkTwice(ctx, outcomes, began)
+}
+
+// applyRenamed applies the list with one customer renamed.
+func (f *fleet) applyRenamed(text string, operator, customer int) (edit.Outcome, error) {
+	name := f.spec.customers[customer].Name + "-renamed"
+	filled, err := fillTemplate([]byte(text), map[string]any{"/customers/" + strconv.Itoa(customer) + "/name": name})
+	if err != nil {
+		return edit.Outcome{}, err
+	}
+	path, err := f.writeList("customers-operator-"+strconv.Itoa(operator+1), filled)
+	if err != nil {
+		return edit.Outcome{}, err
+	}
+	return f.listCommand("customers", "apply", path)
+}
+
+func (f *fleet) checkTwice(ctx context.Context, outcomes [2]edit.Outcome, began time.Time) error {
+	winner, loser := outcomes[0], outcomes[1]
+	if winner.Status != edit.Accepted {
+		winner, loser = loser, winner
+	}
+	f.say("two operators edit: %s (revision %d), %s", winner.Status, winner.Revision, loser.Status)
+	if winner.Status != edit.Accepted || loser.Status != edit.Stale {
+		f.violated("two edits of the same revision were told %s and %s", winner.Status, loser.Status)
+		return nil
+	}
+	f.mu.Lock()
+	f.lists.Stale++
+	f.mu.Unlock()
+	return f.untilActive(ctx, winner, began)
+}
+
+// decodeOutcome reads the JSON that a list command prints. Commands exit with an
+// error status for each outcome other than accepted.
+func decodeOutcome(out string, failure error) (edit.Outcome, error) {
+	var o edit.Outcome
+	if err := json.Unmarshal([]byte(out), &o); err != nil || o.Status == "" {
+		return o, errors.CombineErrors(failure, errors.Wrap(err, "outcome of an edit"))
+	}
+	return o, nil
+}
--- a/demo/run.go
+++ b/demo/run.go
@@ -77,12 +77,14 @@
 	if err := f.startAll(ctx); err != nil {
 		return nil, err
 	}
-	schedule := scheduleOf(fleetActions, f.cfg.length(), f.cfg.rng(index))
+	rng := f.cfg.rng(index)
+	schedule := scheduleOf(fleetActions, f.cfg.length(), rng)
+	edits := editSchedule(f.cfg.length(), rng)
 	if err := f.startLoad(ctx); err != nil {
 		return nil, err
 	}
 	f.say("load started")
-	balance, rate, err := f.underLoad(ctx, schedule)
+	balance, rate, err := f.underLoad(ctx, schedule, edits)
 	if err != nil {
 		return nil, err
 	}
@@ -112,12 +114,15 @@
 	if err := f.untilComplete(ctx); err != nil {
 		return err
 	}
-	return f.untilHealthy(ctx)
+	if err := f.untilHealthy(ctx); err != nil {
+		return err
+	}
+	return f.loadLists(ctx)
 }
 
-// underLoad performs the schedule until the load has lasted its time. It returns
+// underLoad performs both schedules until the load has lasted its time. It returns
 // the balance and the control traffic per second and daemon.
-func (f *fleet) underLoad(ctx context.Context, schedule []planned) ([]imbalance, float64, error) {
+func (f *fleet) underLoad(ctx context.Context, schedule, edits []planned) ([]imbalance, float64, error) {
 	start := time.Now()
 	before, err := f.controlBytes(ctx)
 	if err != nil {
@@ -128,7 +133,12 @@
 	loaded, stop := context.WithCancel(changes)
 	defer stop()
 	group.Go(func() error { return f.perform(changes, start, schedule) })
+	group.Go(func() error { return f.perform(changes, start, edits) })
 	group.Go(func() error { return f.storeOutage(changes, start) })
+	group.Go(func() error {
+		f.watchRevisions(loaded)
+		return nil
+	})
 	group.Go(func() error {
 		balance = f.watchBalance(loaded, start)
 		return nil
--- a/demo/spec.go
+++ b/demo/spec.go
@@ -19,7 +19,14 @@
 	domains   []string // failure domains
 	balancers int
 	services  []serviceSpec
-	sources   []netip.Prefix // of all customers
+	customers []customer
+}
+
+// customer is one entry of the list of customers.
+type customer struct {
+	Name    string
+	Plan    string
+	Sources []netip.Prefix
 }
 
 type serviceSpec struct {
@@ -53,7 +60,7 @@
 }
 
 // loadSpec returns a deployment with the addresses in its settings templates and
-// the sources in its list of customers.
+// its list of customers.
 func loadSpec(name string) (spec, error) {
 	i := slices.IndexFunc(specs, func(s spec) bool { return s.name == name })
 	if i < 0 {
@@ -66,7 +73,7 @@
 			return s, err
 		}
 	}
-	return s, s.loadSources()
+	return s, s.loadCustomers()
 }
 
 func (s *serviceSpec) loadAddresses(deployment string) error {
@@ -87,8 +94,8 @@
 	return nil
 }
 
-// loadSources reads the source prefixes of all customers.
-func (s *spec) loadSources() error {
+// loadCustomers reads the list of customers.
+func (s *spec) loadCustomers() error {
 	src, err := examples.Files.ReadFile(s.name + "/customers.json")
 	if err != nil {
 		return errors.Wrap(err, "list of customers")
@@ -97,21 +104,20 @@
 	if err != nil {
 		return errors.Wrap(err, "list of customers")
 	}
-	var list struct {
-		Customers []struct{ Sources []netip.Prefix }
-	}
+	var list struct{ Customers []customer }
 	if err := json.Unmarshal(plain, &list); err != nil {
 		return errors.Wrap(err, "list of customers")
 	}
-	for _, c := range list.Customers {
-		s.sources = append(s.sources, c.Sources...)
-	}
+	s.customers = list.Customers
 	return nil
 }
 
 // load describes what the clients of the deployment do.
 func (s *spec) load(flows int) standin.CallersConfig {
-	cfg := standin.CallersConfig{Sources: s.sources, Flows: flows, RampUp: rampUp}
+	cfg := standin.CallersConfig{Flows: flows, RampUp: rampUp}
+	for _, c := range s.customers {
+		cfg.Sources = append(cfg.Sources, c.Sources...)
+	}
 	for _, service := range s.services {
 		target := standin.Target{Service: service.name, Addresses: service.addresses}
 		cfg.Targets = append(cfg.Targets, target)
--- a/standin/broken_test.go
+++ b/standin/broken_test.go
@@ -80,6 +80,11 @@
 		Expect(reasons(l.callers.Report())).To(HaveKey(standin.ReasonSilentOpen))
 	})
 
+	It("are counted under the fault that proves the demo's check", func() {
+		Expect(twoServices(standin.FaultForeign).servers[0].Counts().WrongServicePackets).
+			To(Equal(uint64(len(twoServices(standin.FaultForeign).seen))))
+	})
+
 	It("are reported by the client when they are answered", func() {
 		l := twoServices(standin.FaultAnyAddress)
 		r := l.callers.Report()
--- a/standin/fault.go
+++ b/standin/fault.go
@@ -20,15 +20,17 @@
 	FaultRunTwice Fault = "run-twice"
 	// FaultCross answers some requests with the response to another flow's request.
 	FaultCross Fault = "cross-responses"
-	// FaultSilent answers nothing after some requests of a flow.
+	// FaultSilent neither runs nor answers anything after some requests of a flow.
 	FaultSilent Fault = "silent"
+	// FaultForeign takes every packet for one of another service.
+	FaultForeign Fault = "foreign-address"
 )
 
 var faults = []Fault{
-	FaultNone, FaultForget, FaultAdopt, FaultAnyAddress, FaultRunTwice, FaultCross, FaultSilent,
+	FaultNone, FaultForget, FaultAdopt, FaultAnyAddress, FaultRunTwice, FaultCross, FaultSilent, FaultForeign,
 }
 
-// faultInterval is the number of requests of one flow between two faults.
+// faultInterval is the number of requests of a flow from which faults occur.
 const faultInterval = 5
 
 // ParseFault returns the fault of that name, or an error for an unknown one.
--- a/standin/responder.go
+++ b/standin/responder.go
@@ -101,7 +101,7 @@
 		r.counts.Malformed++
 		return nil
 	}
-	if !r.addresses[in.Key.Destination()] {
+	if !r.addresses[in.Key.Destination()] || r.cfg.Fault == FaultForeign {
 		r.countWrongService(&in)
 		if r.cfg.Fault != FaultAnyAddress {
 			return nil
--- a/standin/responder_flow.go
+++ b/standin/responder_flow.go
@@ -136,6 +136,9 @@
 		r.counts.Malformed++
 		return nil
 	}
+	if r.cfg.Fault == FaultSilent && f.requests >= faultInterval {
+		return nil
+	}
 	r.run(req)
 	f.lastNumber = req.Number
 	f.requests++
@@ -154,7 +157,7 @@
 	r.ledger.Add(Run{Flow: req.Flow, Number: req.Number})
 }
 
-// spoil applies the configured fault to every faultInterval-th response.
+// spoil applies the configured fault once a flow has had faultInterval requests.
 func (r *Responder) spoil(in *packet.Info, f *serverFlow, req Request, answer []byte) []byte {
 	previous := r.previous
 	r.previous = answer
@@ -168,8 +171,6 @@
 		r.run(req)
 	case FaultCross:
 		return previous
-	case FaultSilent:
-		return nil
 	}
 	return answer
 }
