Complete drains under load in long runs, and kill an upstream on demand

Cause: feeds outlast a short demo, so no agent left while others carried load, and a balancer stopped near the end of the load was not checked. Graceful shutdowns of balancers are awaited before the records are read.

--- a/cmd/nutmegtrack/demo.go
+++ b/cmd/nutmegtrack/demo.go
@@ -27,6 +27,7 @@
 	sub.String(&deployment, "", "deployment", "kel-impact or al-harthy; both when absent")
 	sub.Bool(&asJSON, "", "json", "print one JSON object as the last line")
 	sub.Bool(&cfg.Keep, "", "keep", "keep the directory with settings and logs")
+	sub.Bool(&cfg.KillUpstream, "", "kill-upstream", "also kill an upstream, whose flows are lost with it")
 	sub.String(&fault, "", "fault", "fault of one upstream of each service")
 	sub.Flags[len(sub.Flags)-1].Hidden = true // for tests of the demo itself
 	return command{sub: sub, run: func() int {
--- a/demo/actions.go
+++ b/demo/actions.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 
 	"github.com/nutmegtrack/nutmegtrack/standin"
 )
@@ -22,6 +23,17 @@
 	{"balancer killed and replaced", killBalancer},
 }
 
+// killedUpstream is an action only on demand: the flows of a killed upstream are
+// lost with it.
+var killedUpstream = action{"upstream killed and replaced", killAnUpstream}
+
+func (c *Config) actions() []action {
+	if c.KillUpstream {
+		return append(slices.Clone(fleetActions), killedUpstream)
+	}
+	return fleetActions
+}
+
 func addUpstream(ctx context.Context, f *fleet, rng *rand.Rand) error {
 	u, err := f.startUpstream(ctx, drawService(f, rng), standin.FaultNone)
 	if err == nil {
@@ -48,7 +60,7 @@
 // replaceBalancer stops a balancer gracefully while its replacement starts.
 func replaceBalancer(ctx context.Context, f *fleet, rng *rand.Rand) error {
 	old := drawBalancer(f, rng)
-	f.stopBalancer(ctx, old)
+	f.stopBalancer(old)
 	f.say("%s stops, a replacement starts", old.name)
 	return f.startBalancers(ctx, 1)
 }
@@ -61,6 +73,21 @@
 	return f.startBalancers(ctx, 1)
 }
 
+// killAnUpstream kills an upstream and starts a replacement.
+func killAnUpstream(ctx context.Context, f *fleet, rng *rand.Rand) error {
+	s := drawService(f, rng)
+	serving := f.serving(s.name)
+	old := serving[rng.IntN(len(serving))]
+	if err := f.killUpstream(ctx, old); err != nil {
+		return err
+	}
+	added, err := f.startUpstream(ctx, s, standin.FaultNone)
+	if err == nil {
+		f.say("%s killed, %s added", old.name, added.name)
+	}
+	return err
+}
+
 func drawService(f *fleet, rng *rand.Rand) serviceSpec {
 	return f.spec.services[rng.IntN(len(f.spec.services))]
 }
--- a/demo/balancer.go
+++ b/demo/balancer.go
@@ -86,12 +86,12 @@
 
 // stopBalancer asks for a graceful shutdown and checks in the background that the
 // balancer exits with status 0.
-func (f *fleet) stopBalancer(ctx context.Context, b *balancerVM) {
+func (f *fleet) stopBalancer(b *balancerVM) {
 	f.mu.Lock()
 	b.gone = true
 	f.mu.Unlock()
 	b.process.signal(syscall.SIGTERM)
-	go f.checkStopped(ctx, b)
+	f.stops.Go(func() { f.checkStopped(f.life, b) })
 }
 
 func (f *fleet) checkStopped(ctx context.Context, b *balancerVM) {
--- a/demo/config.go
+++ b/demo/config.go
@@ -19,6 +19,8 @@
 	Executable  string   // nutmegtrack itself, started again for each process
 	Progress    io.Writer
 	Keep        bool // keep the temporary directory with settings and logs
+	// KillUpstream adds the unplanned loss of an upstream to the changes.
+	KillUpstream bool
 	// Fault makes one upstream of each service misbehave, to prove that the
 	// checks fail when they should.
 	Fault standin.Fault
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -27,7 +27,9 @@
 	cfg   *Config
 	dir   string // settings files and logs
 	ports *ports
+	life  context.Context         // ends with the run
 	abort context.CancelCauseFunc // ends the run when a process fails
+	stops sync.WaitGroup          // graceful shutdowns of balancers in progress
 	calls *control.Client
 
 	store  netip.AddrPort
@@ -46,12 +48,13 @@
 
 type fabricAddrs struct{ packets, control netip.AddrPort }
 
-func newFleet(s spec, cfg *Config, root string, p *ports, abort context.CancelCauseFunc) (*fleet, error) {
+func newFleet(ctx context.Context, s spec, cfg *Config, root string, p *ports, abort context.CancelCauseFunc) (*fleet, error) {
 	f := &fleet{
 		spec:    s,
 		cfg:     cfg,
 		dir:     filepath.Join(root, s.name),
 		ports:   p,
+		life:    ctx,
 		abort:   abort,
 		calls:   newCalls(),
 		numbers: make(map[string]int),
--- a/demo/run.go
+++ b/demo/run.go
@@ -60,7 +60,7 @@
 	}
 	ctx, abort := context.WithCancelCause(ctx)
 	defer abort(nil)
-	f, err := newFleet(s, cfg, root, p, abort)
+	f, err := newFleet(ctx, s, cfg, root, p, abort)
 	if err != nil {
 		return nil, err
 	}
@@ -78,7 +78,7 @@
 		return nil, err
 	}
 	rng := f.cfg.rng(index)
-	schedule := scheduleOf(fleetActions, f.cfg.length(), rng)
+	schedule := scheduleOf(f.cfg.actions(), f.cfg.length(), rng)
 	edits := editSchedule(f.cfg.length(), rng)
 	if err := f.startLoad(ctx); err != nil {
 		return nil, err
@@ -92,6 +92,7 @@
 		return nil, err
 	}
 	f.say("load ended")
+	f.stops.Wait()
 	o, err := f.observe(ctx)
 	if err != nil {
 		return nil, err
--- a/demo/upstream.go
+++ b/demo/upstream.go
@@ -76,7 +76,7 @@
 }
 
 func (f *fleet) startAgent(u *upstreamVM, a upstreamAddrs) (*process, error) {
-	path, err := writeSettings(f.dir, agentFile(f.spec.name, u.service), u.name, map[string]any{
+	fields := map[string]any{
 		"/name":                  u.name,
 		"/failure_domain":        u.domain,
 		"/data_address":          a.data,
@@ -86,7 +86,11 @@
 		"/upstream_sink_address": a.sink,
 		"/reply_listen":          a.replies,
 		"/reply_address":         f.reply,
-	})
+	}
+	if f.cfg.isLong() {
+		fields["/drain_limit_seconds"] = longDrainLimit.Seconds()
+	}
+	path, err := writeSettings(f.dir, agentFile(f.spec.name, u.service), u.name, fields)
 	if err != nil {
 		return nil, err
 	}
@@ -108,14 +112,3 @@
 	}
 	return nil
 }
-
-// drainUpstream asks an agent to drain. The agent exits when its last flow has
-// ended; its upstream stays, so that its record can be read at the end.
-func (f *fleet) drainUpstream(u *upstreamVM) error {
-	f.mu.Lock()
-	u.drained = time.Now()
-	f.mu.Unlock()
-	u.agent.expected.Store(true)
-	_, err := f.command("drain", u.control.String())
-	return err
-}
--- a/standin/caller.go
+++ b/standin/caller.go
@@ -146,6 +146,22 @@
 // count as unplanned when they break from now on.
 func (c *Callers) MarkKilled(upstream string) { c.killed[UpstreamTag(upstream)] = true }
 
+// EndSessions closes all flows that the upstream has answered within the given
+// time, feeds included.
+func (c *Callers) EndSessions(now, within time.Duration, upstream string) {
+	for _, f := range c.flows {
+		if f.id.upstream != upstream {
+			continue
+		}
+		end := now + time.Duration(c.rng.Float64()*float64(within))
+		if f.until == 0 {
+			c.feeds[f.service]--
+			f.until = end
+		}
+		f.until = min(f.until, end)
+	}
+}
+
 // Report returns what was observed.
 func (c *Callers) Report() CallersReport {
 	r := c.report
--- a/standin/client.go
+++ b/standin/client.go
@@ -87,8 +87,14 @@
 	Upstream string `json:"upstream"`
 }
 
+// SessionsEnd asks the clients to end all flows on an upstream.
+type SessionsEnd struct {
+	Upstream string  `json:"upstream"`
+	Seconds  float64 `json:"seconds"` // the flows end spread over this time
+}
+
 // Handler returns the control endpoint: GET /report, POST /close to end all flows,
-// and POST /killed with a KilledNote.
+// POST /end with a SessionsEnd, and POST /killed with a KilledNote.
 func (c *Client) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /report", func(w http.ResponseWriter, _ *http.Request) {
@@ -106,6 +112,15 @@
 		c.locked(func() { c.core.MarkKilled(note.Upstream) })
 		answerJSON(w, struct{}{})
 	})
+	mux.HandleFunc("POST /end", func(w http.ResponseWriter, r *http.Request) {
+		var end SessionsEnd
+		if !readJSON(w, r, &end) {
+			return
+		}
+		within := time.Duration(end.Seconds * float64(time.Second))
+		c.locked(func() { c.core.EndSessions(time.Since(c.started), within, end.Upstream) })
+		answerJSON(w, struct{}{})
+	})
 	return mux
 }
 
--- a/standin/load_test.go
+++ b/standin/load_test.go
@@ -43,6 +43,30 @@
 		Expect(standin.Duplicates(l.records()...)).To(BeEmpty())
 	})
 
+	// Guards against a drain that the demo can never see complete.
+	It("end all sessions of one upstream when asked", func() {
+		l := newLink(portalOnly(40), portalServer("u1", standin.FaultNone), portalServer("u2", standin.FaultNone))
+		onlySecond := false
+		owner := map[packet.Key]int{}
+		l.route = func(_ *link, in *packet.Info) int {
+			if _, known := owner[in.Key]; !known {
+				owner[in.Key] = int(in.Key.Hash() % 2)
+				if onlySecond {
+					owner[in.Key] = 1
+				}
+			}
+			return owner[in.Key]
+		}
+		l.run(5 * time.Second)
+		onlySecond = true
+		l.callers.EndSessions(l.now, time.Second, "u1")
+		l.run(15 * time.Second) // UDP flows count as open for 10 s after their last request
+		Expect(l.servers[0].Open(l.now)).To(BeZero())
+		r := l.callers.Report()
+		Expect(r.Broken).To(BeEmpty())
+		Expect(r.FlowsOpen).To(Equal(40))
+	})
+
 	// Guards against the demo's imbalance being computed from wrong counts.
 	It("agree on the number of open flows", func() {
 		l := newLink(portalOnly(30), portalServer("u1", standin.FaultNone))
