--- /dev/null
+++ b/agent/agent_test.go
@@ -0,0 +1,245 @@
+package agent
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"github.com/nutmegtrack/nutmegtrack/event"
+	"github.com/nutmegtrack/nutmegtrack/flow"
+	"github.com/nutmegtrack/nutmegtrack/member"
+	"github.com/nutmegtrack/nutmegtrack/packet"
+	"github.com/nutmegtrack/nutmegtrack/packetio"
+	"github.com/nutmegtrack/nutmegtrack/settings"
+)
+
+func TestAgent(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "agent")
+}
+
+var (
+	serviceAddr = netip.MustParseAddrPort("10.96.0.1:80")
+	client      = netip.MustParseAddrPort("10.0.0.7:40000")
+	origin      = netip.MustParseAddrPort("127.0.0.1:7000")
+	seed        = netip.MustParseAddrPort("127.0.0.1:7900")
+	sinkAddr    = netip.MustParseAddrPort("127.0.0.1:7201")
+	replyAddr   = netip.MustParseAddrPort("127.0.0.1:7202")
+)
+
+// network carries RPC calls between test agents without sockets. A call to seed is
+// answered as by a balancer that knows all records.
+type network struct {
+	now    time.Duration
+	agents map[netip.AddrPort]*testAgent
+}
+
+func (n *network) Call(_ context.Context, to netip.AddrPort, method string, args, reply any) error {
+	if to == seed {
+		*reply.(*member.Message) = member.Message{Records: n.records()}
+		return nil
+	}
+	a := n.agents[to]
+	if a == nil {
+		return errors.New("unreachable")
+	}
+	switch m := args.(type) {
+	case *member.Message:
+		*reply.(*member.Message) = a.members.Handle(*m)
+	case *flow.Message:
+		a.receiveMessage(*m)
+	}
+	return nil
+}
+
+func (n *network) records() (out []member.Record) {
+	for _, a := range n.agents {
+		out = append(out, a.self())
+	}
+	return out
+}
+
+// run steps all agents once in each tick.
+func (n *network) run(d time.Duration) {
+	for end := n.now + d; n.now < end; n.now += tick {
+		for _, a := range n.agents {
+			a.step()
+		}
+	}
+}
+
+// testAgent is an agent on in-memory sockets.
+type testAgent struct {
+	*Agent
+	data, replies *packetio.Pipe
+	reader        *reader
+	replyReader   *replyReader
+}
+
+func (n *network) add(name string, control uint16) *testAgent {
+	address := netip.AddrPortFrom(origin.Addr(), control)
+	cfg := settings.Agent{
+		Name: name, FailureDomain: "a", ControlAdvertise: address, Seeds: []netip.AddrPort{seed},
+		Service: settings.Service{
+			Name: "impact-portal", Connections: 1000,
+			Endpoints: []settings.Endpoint{{Address: serviceAddr, Protocol: "tcp"}},
+		},
+		UpstreamSinkAddress: sinkAddr, ReplyAddress: replyAddr,
+		Balance:         settings.Balance{Threshold: 0.05},
+		SettlingSeconds: 15,
+	}
+	a := &testAgent{data: packetio.NewPipe(1), replies: packetio.NewPipe(1)}
+	a.Agent = newAgent(cfg, event.NewLogger(io.Discard), func() time.Duration { return n.now })
+	p := ports{data: a.data, dataAddr: netip.AddrPortFrom(origin.Addr(), control+1000), upstream: a.replies, replies: a.replies}
+	a.assemble(p, n, func(f func()) { f() })
+	a.reader, a.replyReader = a.newReader(), a.newReplyReader()
+	n.agents[address] = a
+	return a
+}
+
+// handle passes one encapsulated packet through the packet path.
+func (a *testAgent) handle(datagram []byte) {
+	a.reader.in.Reset()
+	Expect(a.reader.in.Put(datagram)).To(BeTrue())
+	a.reader.handle()
+}
+
+func segment(dst netip.AddrPort, flags uint8) []byte {
+	key := packet.KeyOf(client, dst, packet.ProtoTCP)
+	return packet.AppendTCP(nil, &packet.TCPSegment{Key: key, Flags: flags})
+}
+
+// encapsulated puts a packet under the header that a balancer sends.
+func encapsulated(service string, raw []byte) []byte {
+	b := make([]byte, packet.HeaderSize, packet.HeaderSize+len(raw))
+	h := packet.Header{Kind: packet.KindData, Service: packet.ServiceIDOf(service), Origin: origin}
+	h.Put(b)
+	return append(b, raw...)
+}
+
+var _ = Describe("An agent", func() {
+	var n *network
+	BeforeEach(func() { n = &network{agents: map[netip.AddrPort]*testAgent{}} })
+	syn := segment(serviceAddr, packet.FlagSYN)
+
+	// Guards against packets that reach the upstream changed, and against replies
+	// that do not reach the client's side.
+	It("delivers packets and passes replies on", func() {
+		a := n.add("u1", 8001)
+		n.run(time.Second)
+		Expect(a.self().State).To(Equal(flow.Ready))
+		a.handle(encapsulated("impact-portal", syn))
+		Expect(a.replies.Sent()).To(Equal([]packetio.Datagram{{Data: syn, To: sinkAddr}}))
+		Expect(a.Left()).To(Equal(1))
+
+		key := packet.KeyOf(serviceAddr, client, packet.ProtoTCP)
+		reply := packet.AppendTCP(nil, &packet.TCPSegment{Key: key, Flags: packet.FlagRST | packet.FlagACK})
+		a.replyReader.in.Put(reply)
+		a.replyReader.handle()
+		Expect(a.replies.Sent()).To(Equal([]packetio.Datagram{{Data: reply, To: replyAddr}}))
+		Expect(a.Left()).To(BeZero(), "the upstream's RST ends the flow")
+	})
+
+	// Guards against delivery to a wrong service when a balancer's view is stale.
+	It("delivers nothing that is meant for another service", func() {
+		a := n.add("u1", 8001)
+		n.run(time.Second)
+		a.handle(encapsulated("evidence-intake", syn))
+		a.handle(encapsulated("impact-portal", segment(netip.MustParseAddrPort("10.96.0.2:80"), packet.FlagSYN)))
+		a.handle([]byte{1, 2, 3})
+		Expect(a.replies.Sent()).To(BeEmpty())
+		Expect(a.Left()).To(BeZero())
+		Expect(a.counters.dropped[flow.ReasonWrongService].Count()).To(BeEquivalentTo(1))
+		Expect(a.counters.wrongEndpoint.Count()).To(BeEquivalentTo(1))
+		Expect(a.counters.malformed.Count()).To(BeEquivalentTo(1))
+	})
+
+	// Guards against a flow that breaks when its agent is no longer chosen: another
+	// agent must forward its packets, and the owner must tell the balancer.
+	It("forwards packets of a flow that another agent owns, which sends a hint", func() {
+		owner, other := n.add("u1", 8001), n.add("u2", 8002)
+		n.run(20 * time.Second)
+		owner.handle(encapsulated("impact-portal", syn))
+		if owner.Left() == 0 {
+			owner, other = other, owner
+			owner.handle(owner.forwardedFrom(other))
+		}
+		Expect(owner.Left()).To(Equal(1))
+		owner.replies.Sent()
+		ack := segment(serviceAddr, packet.FlagACK)
+		other.handle(encapsulated("impact-portal", ack))
+		owner.handle(owner.forwardedFrom(other))
+		Expect(owner.replies.Sent()).To(Equal([]packetio.Datagram{{Data: ack, To: sinkAddr}}))
+
+		hints := owner.data.Sent()
+		Expect(hints).To(HaveLen(1))
+		Expect(hints[0].To).To(Equal(origin))
+		h, rest, err := packet.ReadHeader(hints[0].Data)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(h.Kind).To(Equal(packet.KindHint))
+		_, id, err := packet.ReadHint(rest)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(id).To(Equal(owner.id))
+	})
+
+	// Guards against an agent that takes flows before it knows its peers.
+	It("stays starting until a balancer has answered", func() {
+		a := n.add("u1", 8001)
+		a.members.Do(func(now time.Duration, p *member.Announcer) { p.Step(now) })
+		a.refreshPeers()
+		a.becomeReady(false)
+		Expect(a.self().State).To(Equal(flow.Starting))
+	})
+
+	// Guards against a late step that makes a draining agent ready again.
+	It("does not return from draining", func() {
+		a := n.add("u1", 8001)
+		n.run(time.Second)
+		a.announce(flow.Draining)
+		n.run(time.Second)
+		Expect(a.self().State).To(Equal(flow.Draining))
+		a.handle(encapsulated("impact-portal", syn))
+		Expect(a.Left()).To(BeZero())
+		Expect(a.drained()).To(BeFalse(), "the settling time is not over")
+		n.run(15 * time.Second)
+		Expect(a.drained()).To(BeTrue())
+	})
+})
+
+// forwardedFrom returns the one packet that another agent forwarded to this one.
+func (a *testAgent) forwardedFrom(other *testAgent) []byte {
+	sent := other.data.Sent()
+	Expect(sent).To(HaveLen(1))
+	Expect(sent[0].To).To(Equal(a.ports.dataAddr))
+	return sent[0].Data
+}
+
+var _ = Describe("An agent process", func() {
+	// Guards against goroutines that outlive a graceful shutdown, and against a
+	// drain that waits for balancers which do not answer.
+	It("stops without leftovers", func() {
+		defer goleak.VerifyNone(GinkgoT(), goleak.IgnoreCurrent())
+		loopback := netip.MustParseAddrPort("127.0.0.1:0")
+		a := New(settings.Agent{
+			Name: "u1", FailureDomain: "a",
+			DataAddress: loopback, ControlListen: loopback, ReplyListen: loopback,
+			UpstreamSinkAddress: sinkAddr, ReplyAddress: replyAddr,
+			Seeds:           []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1")},
+			Service:         settings.Service{Name: "impact-portal", Connections: 10},
+			PacketIO:        settings.PacketIO{Mode: settings.ModeUDP},
+			SettlingSeconds: 0.1,
+		}, event.NewLogger(io.Discard))
+		Expect(a.Start()).To(Succeed())
+		a.Shutdown()
+		<-a.Done()
+		Expect(a.Err()).NotTo(HaveOccurred())
+		Expect(a.self().State).To(Equal(flow.Leaving))
+	})
+})
