--- a/cmd/nutmegtrack/main.go
+++ b/cmd/nutmegtrack/main.go
@@ -29,8 +29,9 @@
 	newDump,
 	newDrain,
 	newStatus,
-	newStandin,
+	newCustomers, newPlans, newEditStatus,
 	newBenchCommand,
+	newStandin,
 }
 
 func main() {
