--- a/daemon/lists.go
+++ b/daemon/lists.go
@@ -53,6 +53,29 @@
 	return 0
 }
 
+// ListsState is the dump source "lists".
+type ListsState struct {
+	Edit      *plan.Edit `json:"edit"` // that made the active revision; null without lists
+	Customers int        `json:"customers"`
+	Plans     int        `json:"plans"`
+	Pages     int        `json:"pages"`
+}
+
+// State describes the active lists for a dump.
+func (l *Lists) State() ListsState {
+	a := l.active.Load()
+	if a == nil {
+		return ListsState{}
+	}
+	edit := a.Head.Edit
+	return ListsState{
+		Edit:      &edit,
+		Customers: len(a.Lists.Customers),
+		Plans:     len(a.Lists.Plans),
+		Pages:     len(a.Head.Hashes()),
+	}
+}
+
 // Customer returns the identifier of the customer that a source address in
 // IPv4-mapped form belongs to, or 0 when there is none. It does not allocate.
 func (l *Lists) Customer(source *[16]byte) uint64 {
