Add plan.Reader

Cause: a few balancers of a failure domain read the store, all others and every process that starts during an outage must get the lists from a peer. Change: Reader steps the reading of the head (watch, poll with backoff while the store fails, a poll each minute while a watch is open) and of the missing pages, from the store or from a random peer with the highest revision heard, one source at a time; the daemon executes the fetches. Pages of the previous revision are kept for peers that still fetch it.

--- /dev/null
+++ b/plan/reader_test.go
@@ -0,0 +1,193 @@
+package plan_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/nutmegtrack/nutmegtrack/plan"
+	"github.com/nutmegtrack/nutmegtrack/store"
+)
+
+func listsOf(n int) plan.Documents {
+	return plan.Documents{Customers: customersText(n), Plans: []byte(plansText)}
+}
+
+func revisions(w *world) []int64 {
+	var out []int64
+	for _, p := range w.processes {
+		out = append(out, p.reader.Status().Revision)
+	}
+	return out
+}
+
+// all matches when every process has the revision.
+func all(w *world, revision int64) {
+	GinkgoHelper()
+	Expect(revisions(w)).To(HaveEach(revision))
+}
+
+var _ = Describe("Reader", func() {
+	// Guards against an edit that reaches only the processes that read the store, or
+	// that transfers the whole lists again.
+	It("brings an edit to all processes, by the pages that changed", func() {
+		w := newWorld(1, 2, 10)
+		Expect(w.edit(listsOf(3000))).To(Succeed())
+		w.run(3 * time.Second)
+		all(w, 1)
+		for _, p := range w.processes {
+			p.fetched = 0
+		}
+		docs := listsOf(3000)
+		docs.Customers = bytes.Replace(docs.Customers, []byte(`"office-01500", "plan": "gold"`), []byte(`"office-01500", "plan": "basic"`), 1)
+		Expect(w.edit(docs)).To(Succeed())
+		w.run(3 * time.Second)
+		all(w, 2)
+		for _, p := range w.processes {
+			Expect(p.fetched).To(BeNumerically("<", 64<<10))
+		}
+	})
+
+	// Guards against a balancer that starts during an outage and serves nobody.
+	It("gets the lists from a peer during an outage, and the store's edit afterwards", func() {
+		w := newWorld(2, 2, 3)
+		Expect(w.edit(listsOf(500))).To(Succeed())
+		w.run(3 * time.Second)
+		w.outage(true)
+		w.restart(0, true)
+		w.restart(4, false)
+		w.run(3 * time.Second)
+		all(w, 1)
+		w.outage(false)
+		Expect(w.edit(listsOf(501))).To(Succeed())
+		w.run(15 * time.Second) // the longest pause between readings of a failed store
+		all(w, 2)
+	})
+
+	// Guards against a watch that ends for good, or misses changes, when the history
+	// it resumes from is gone.
+	It("reads the head again when the watch was compacted", func() {
+		w := newWorld(3, 1, 0)
+		w.run(time.Second)
+		w.store.BreakWatches()
+		Expect(w.edit(listsOf(1))).To(Succeed())
+		Expect(w.edit(listsOf(2))).To(Succeed())
+		_, revision, _ := w.store.List(context.Background(), "")
+		w.store.Compact(revision)
+		w.run(2 * time.Second)
+		all(w, 2)
+		w.run(time.Second)
+		Expect(w.processes[0].reader.Status().Watching).To(BeTrue())
+
+		r := plan.NewReader(plan.ReaderConfig{}, w.rng)
+		r.SetReadsStore(true)
+		r.Done(0, r.Step(0)[0].ID, plan.Result{})
+		watch := r.Step(0)[0]
+		Expect(watch.Kind).To(Equal(plan.WatchHead))
+		r.Done(0, watch.ID, plan.Result{Err: fmt.Errorf("%w: up to 9", store.ErrCompacted)})
+		Expect(r.Step(0)).To(ConsistOf(HaveField("Kind", plan.FetchHead)))
+	})
+
+	// Guards against a partition after which processes keep different lists.
+	It("takes the highest revision after a partition", func() {
+		w := newWorld(4, 1, 5)
+		w.run(time.Second)
+		w.cut = true
+		Expect(w.edit(listsOf(1))).To(Succeed())
+		w.run(3 * time.Second)
+		Expect(revisions(w)).To(Equal([]int64{1, 0, 1, 0, 1, 0}))
+		w.cut = false
+		w.run(3 * time.Second)
+		all(w, 1)
+	})
+
+	// Guards against a reader that waits for ever for a source that does not answer.
+	It("asks another peer when one does not answer, or has lost the pages", func() {
+		w := newWorld(5, 0, 1)
+		r := w.processes[0].reader
+		head, pages := next(plan.Head{}, "0-a", listsOf(1))
+		r.Heard(0, address(1), 1)
+		first := r.Step(0)
+		Expect(first).To(HaveLen(1))
+		r.Heard(0, address(2), 1)
+		Expect(r.Step(time.Second)).To(BeEmpty())
+		second := r.Step(3 * time.Second)
+		Expect(second).To(HaveLen(1))
+		Expect(second[0].Peer).To(Equal(address(2)))
+		r.Done(3*time.Second, first[0].ID, plan.Result{Head: head.Encode()})
+		Expect(r.Step(3*time.Second)).To(BeEmpty(), "an answer after the timeout is ignored")
+		r.Done(3*time.Second, second[0].ID, plan.Result{Head: head.Encode()})
+		third := r.Step(3 * time.Second)
+		Expect(third[0].Hashes).To(ConsistOf(head.Hashes()))
+		r.Done(3*time.Second, third[0].ID, plan.Result{Pages: plan.Pages{}})
+		fourth := r.Step(5 * time.Second)
+		Expect(fourth).To(ConsistOf(HaveField("Kind", plan.FetchHead)))
+		r.Done(5*time.Second, fourth[0].ID, plan.Result{Head: head.Encode()})
+		r.Done(5*time.Second, r.Step(5 * time.Second)[0].ID, plan.Result{Pages: pages})
+		Expect(r.Status().Revision).To(Equal(int64(1)))
+	})
+
+	// Guards against lists that cannot be validated being fetched again and again.
+	It("remembers a revision that is not valid and takes the next one", func() {
+		w := newWorld(6, 0, 1)
+		r := w.processes[0].reader
+		offer := func(head plan.Head, pages plan.Pages) {
+			r.Heard(0, address(1), head.Revision)
+			for fetches := r.Step(0); len(fetches) > 0; fetches = r.Step(0) {
+				r.Done(0, fetches[0].ID, plan.Result{Head: head.Encode(), Pages: pages})
+			}
+		}
+		bad, badPages := next(plan.Head{}, "0-a", plan.Documents{Customers: []byte("{"), Plans: []byte(plansText)})
+		offer(bad, badPages)
+		Expect(r.Status().Rejected).To(Equal(int64(1)))
+		Expect(r.Active()).To(BeNil())
+		good, goodPages := next(bad, "1-b", listsOf(1))
+		offer(good, goodPages)
+		Expect(r.Status().Revision).To(Equal(int64(2)))
+		Expect(r.Status().Rejection).To(BeEmpty())
+	})
+
+	// Guards, over random faults, against a process that goes back, shows a partial
+	// edit (both checked each tick), or never gets the last edit.
+	It("converges after any faults", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			w := newWorld(rapid.Uint64().Draw(t, "seed"), 2, 4)
+			for i := range rapid.IntRange(1, 15).Draw(t, "steps") {
+				switch rapid.SampledFrom([]string{"edit", "outage", "cut", "restart", "lose", "takeover"}).Draw(t, "fault") {
+				case "edit":
+					_ = w.edit(listsOf(5*i + 1)) // fails during an outage
+				case "outage":
+					w.outage(!w.store.Outage)
+				case "cut":
+					w.cut = !w.cut
+				case "restart":
+					j := rapid.IntRange(0, 5).Draw(t, "process")
+					w.restart(j, j < 2)
+				case "lose":
+					w.store.BreakWatches()
+				case "takeover":
+					j := rapid.IntRange(2, 5).Draw(t, "process")
+					w.processes[j].reader.SetReadsStore(rapid.Bool().Draw(t, "reads"))
+				}
+				w.run(time.Duration(rapid.IntRange(0, 50).Draw(t, "ticks")) * tick)
+			}
+			w.outage(false)
+			w.cut = false
+			if err := w.edit(listsOf(300)); err != nil {
+				t.Fatal(err)
+			}
+			w.run(18 * time.Second) // the longest backoff of the store, and gossip
+			last := int64(len(w.texts))
+			for i, revision := range revisions(w) {
+				if revision != last {
+					t.Fatalf("process %d has revision %d of %d", i, revision, last)
+				}
+			}
+		})
+	})
+})
--- /dev/null
+++ b/plan/reader_transfer.go
@@ -0,0 +1,155 @@
+package plan
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// errTimeout says that a fetch had no answer in time.
+var errTimeout = errors.New("plan: fetch timed out")
+
+// transfer is the reading of one revision from one source.
+type transfer struct {
+	peer     netip.AddrPort // the zero value is the store
+	fetch    uint64
+	deadline time.Duration
+	head     *Head // nil while a peer is asked for it
+}
+
+// wanted is the revision above which lists are of interest.
+func (r *Reader) wanted() int64 { return max(r.installer.Revision(), r.rejected) }
+
+// stepTransfer starts the next transfer when there is none.
+func (r *Reader) stepTransfer(now time.Duration) {
+	if r.transfer != nil && now >= r.transfer.deadline {
+		r.transferFailed(now)
+	}
+	if r.transfer != nil {
+		return
+	}
+	if r.store.head.Revision > r.wanted() && now >= r.store.retry {
+		r.start(now, netip.AddrPort{}, r.store.head)
+		return
+	}
+	if peer, ok := r.peers.choose(now, r.wanted(), r.rng); ok {
+		id := r.emit(Fetch{Kind: FetchHead, Peer: peer})
+		r.transfer = &transfer{peer: peer, fetch: id, deadline: now + r.cfg.FetchTimeout}
+	}
+}
+
+// start fetches the pages of a head, as far as they are missing.
+func (r *Reader) start(now time.Duration, peer netip.AddrPort, head Head) {
+	r.transfer = &transfer{peer: peer, head: &head}
+	r.fetchMissing(now)
+}
+
+func (r *Reader) fetchMissing(now time.Duration) {
+	t := r.transfer
+	missing := r.missing(*t.head)
+	if len(missing) == 0 {
+		r.install(*t.head)
+		return
+	}
+	t.fetch = r.emit(Fetch{Kind: FetchPages, Peer: t.peer, Hashes: missing[:min(len(missing), r.cfg.BatchPages)]})
+	t.deadline = now + r.cfg.FetchTimeout
+}
+
+// missing returns the pages that are not here yet, each once.
+func (r *Reader) missing(head Head) []Hash {
+	var missing []Hash
+	seen := map[Hash]bool{}
+	for _, hash := range head.Hashes() {
+		if _, ok := r.cache[hash]; !ok && !seen[hash] {
+			seen[hash] = true
+			missing = append(missing, hash)
+		}
+	}
+	return missing
+}
+
+func (r *Reader) transferDone(now time.Duration, result Result) {
+	switch {
+	case result.Err != nil:
+		r.transferFailed(now)
+	case r.transfer.head == nil:
+		r.peerHead(now, result.Head)
+	default:
+		r.pages(now, result.Pages)
+	}
+}
+
+// peerHead takes a peer's head. A lower revision than it announced corrects what is
+// known of the peer.
+func (r *Reader) peerHead(now time.Duration, value []byte) {
+	peer := r.transfer.peer
+	head, err := DecodeHead(value)
+	if err != nil {
+		r.transferFailed(now)
+		return
+	}
+	r.peers.heard(peer, head.Revision)
+	if head.Revision <= r.wanted() {
+		r.transfer = nil
+		return
+	}
+	r.start(now, peer, head.Short())
+}
+
+// pages keeps the pages whose content matches their names. Without any the source
+// has failed: it has gone on to a later revision, or is faulty.
+func (r *Reader) pages(now time.Duration, pages Pages) {
+	progress := false
+	for _, hash := range r.missing(*r.transfer.head) {
+		if page, ok := pages[hash]; ok && HashOf(page) == hash {
+			r.cache[hash] = page
+			progress = true
+		}
+	}
+	if !progress {
+		r.transferFailed(now)
+		return
+	}
+	r.fetchMissing(now)
+}
+
+// transferFailed gives the source a pause; another one may be asked at once. Pages
+// that are here already are kept.
+func (r *Reader) transferFailed(now time.Duration) {
+	retry := now + r.jitter(r.cfg.PeerRetry)
+	if peer := r.transfer.peer; peer.IsValid() {
+		r.peers.failed(peer, retry)
+	} else {
+		r.store.retry = retry
+		r.store.next = min(r.store.next, retry) // the head may have changed
+	}
+	r.transfer = nil
+}
+
+// install makes a complete revision active. Lists that are not valid are remembered,
+// so that they are not fetched again.
+func (r *Reader) install(head Head) {
+	r.transfer = nil
+	before := r.Active()
+	if err := r.installer.Install(head, r.cache); err != nil {
+		r.rejected, r.rejection = head.Revision, err
+		r.cache = r.pagesOf(before)
+		return
+	}
+	r.rejection = nil
+	r.previous = r.pagesOf(before)
+	r.cache = r.pagesOf(r.Active())
+}
+
+// pagesOf returns the pages of an installed revision; all others are dropped.
+func (r *Reader) pagesOf(installed *Installed) Pages {
+	pages := Pages{}
+	if installed == nil {
+		return pages
+	}
+	for _, hash := range installed.Head.Hashes() {
+		pages[hash] = r.cache[hash]
+	}
+	return pages
+}
--- /dev/null
+++ b/plan/reader_world_test.go
@@ -0,0 +1,221 @@
+package plan_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/fake"
+	"github.com/nutmegtrack/nutmegtrack/plan"
+	"github.com/nutmegtrack/nutmegtrack/plan/edit"
+	"github.com/nutmegtrack/nutmegtrack/store"
+)
+
+const tick = 100 * time.Millisecond
+
+// world runs readers against one store and each other in virtual time. Every tick
+// each process hears the revision of one random other process.
+type world struct {
+	now       time.Duration
+	rng       *rand.Rand
+	store     *fake.Store
+	editor    *edit.Editor
+	processes []*process
+	cut       bool // processes hear and reach only those with the same parity
+	texts     map[int64]plan.Documents
+}
+
+// process is one balancer: a reader and what its daemon does for it.
+type process struct {
+	w       *world
+	index   int
+	reader  *plan.Reader
+	watch   <-chan store.WatchEvent
+	watchID uint64
+	cancel  context.CancelFunc
+	highest int64
+	fetched int // bytes of pages
+}
+
+func newWorld(seed uint64, readers, others int) *world {
+	w := &world{rng: rand.New(rand.NewPCG(seed, 0)), texts: map[int64]plan.Documents{}}
+	w.store = fake.NewStore(func() time.Duration { return w.now })
+	ids := 0
+	w.editor = edit.New(edit.Config{
+		Store: w.store, Author: "test", Wait: func(context.Context) {},
+		Now:   func() time.Time { return time.Unix(0, 0).Add(w.now) },
+		NewID: func() string { ids++; return fmt.Sprint(ids) },
+	})
+	for i := range readers + others {
+		w.processes = append(w.processes, &process{w: w, index: i})
+		w.restart(i, i < readers)
+	}
+	return w
+}
+
+func (w *world) restart(i int, readsStore bool) {
+	p := w.processes[i]
+	p.stopWatch()
+	*p = process{w: w, index: i, reader: plan.NewReader(plan.ReaderConfig{}, w.rng)}
+	p.reader.SetReadsStore(readsStore)
+}
+
+// edit applies new lists and remembers them by revision.
+func (w *world) edit(docs plan.Documents) error {
+	base, err := w.editor.Read(context.Background())
+	if err != nil {
+		return err
+	}
+	outcome, err := w.editor.Apply(context.Background(), base, func(plan.Documents) (plan.Documents, error) { return docs, nil })
+	if err == nil && outcome.Status == edit.Accepted {
+		w.texts[outcome.Revision] = docs
+	}
+	return err
+}
+
+func (w *world) outage(down bool) {
+	w.store.Outage = down
+	if down {
+		w.store.BreakWatches()
+	}
+}
+
+func (w *world) reachable(a, b *process) bool { return !w.cut || a.index%2 == b.index%2 }
+
+func address(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7000)
+}
+
+func (w *world) run(d time.Duration) {
+	for end := w.now + d; w.now < end; w.now += tick {
+		for _, p := range w.processes {
+			p.hear(w.processes[w.rng.IntN(len(w.processes))])
+			p.readWatch()
+			// A fetch takes no virtual time, so its outcome may ask for the next one.
+			for fetches := p.reader.Step(w.now); len(fetches) > 0; fetches = p.reader.Step(w.now) {
+				for _, f := range fetches {
+					p.do(f)
+				}
+			}
+			p.check()
+		}
+	}
+}
+
+func (p *process) hear(other *process) {
+	if other != p && p.w.reachable(p, other) {
+		p.reader.Heard(p.w.now, address(other.index), other.reader.Status().Revision)
+	}
+}
+
+// check panics when a process goes back, or has lists that nobody wrote.
+func (p *process) check() {
+	active := p.reader.Active()
+	if active == nil {
+		return
+	}
+	if active.Head.Revision < p.highest {
+		panic(fmt.Sprintf("process %d went from revision %d to %d", p.index, p.highest, active.Head.Revision))
+	}
+	p.highest = active.Head.Revision
+	want := p.w.texts[p.highest]
+	if string(active.Docs.Customers) != string(want.Customers) || string(active.Docs.Plans) != string(want.Plans) {
+		panic(fmt.Sprintf("process %d has other lists than revision %d", p.index, p.highest))
+	}
+}
+
+func (p *process) do(f plan.Fetch) {
+	switch {
+	case f.Kind == plan.StopWatch:
+		p.stopWatch()
+	case f.Kind == plan.WatchHead:
+		p.startWatch(f)
+	case f.Peer.IsValid():
+		p.reader.Done(p.w.now, f.ID, p.askPeer(f))
+	case f.Kind == plan.FetchHead:
+		p.reader.Done(p.w.now, f.ID, p.readHead())
+	default:
+		p.reader.Done(p.w.now, f.ID, p.readPages(f.Hashes))
+	}
+}
+
+func (p *process) askPeer(f plan.Fetch) plan.Result {
+	other := p.w.processes[f.Peer.Addr().As4()[3]-1]
+	if !p.w.reachable(p, other) {
+		return plan.Result{Err: store.ErrUnavailable}
+	}
+	if f.Kind == plan.FetchHead {
+		return plan.Result{Head: other.reader.Head()}
+	}
+	pages := other.reader.Pages(f.Hashes)
+	p.count(pages)
+	return plan.Result{Pages: pages}
+}
+
+func (p *process) count(pages plan.Pages) {
+	for _, page := range pages {
+		p.fetched += len(page)
+	}
+}
+
+func (p *process) readHead() plan.Result {
+	kvs, revision, err := p.w.store.List(context.Background(), plan.HeadKey)
+	result := plan.Result{StoreRevision: revision, Err: err}
+	if len(kvs) > 0 {
+		result.Head = kvs[0].Value
+	}
+	return result
+}
+
+func (p *process) readPages(hashes []plan.Hash) plan.Result {
+	pages := plan.Pages{}
+	for _, hash := range hashes {
+		kv, err := p.w.store.Get(context.Background(), plan.PageKey(hash))
+		if err != nil {
+			return plan.Result{Err: err}
+		}
+		pages[hash] = kv.Value
+	}
+	p.count(pages)
+	return plan.Result{Pages: pages}
+}
+
+func (p *process) startWatch(f plan.Fetch) {
+	ctx, cancel := context.WithCancel(context.Background())
+	events, err := p.w.store.Watch(ctx, plan.HeadKey, f.From)
+	if err != nil {
+		cancel()
+		p.reader.Done(p.w.now, f.ID, plan.Result{Err: err})
+		return
+	}
+	p.watch, p.watchID, p.cancel = events, f.ID, cancel
+}
+
+func (p *process) stopWatch() {
+	if p.cancel != nil {
+		p.cancel()
+	}
+	p.watch, p.cancel = nil, nil
+}
+
+func (p *process) readWatch() {
+	for {
+		select {
+		case event, open := <-p.watch:
+			if !open {
+				p.stopWatch()
+				return
+			}
+			if event.Err != nil {
+				p.reader.Done(p.w.now, p.watchID, plan.Result{Err: event.Err})
+			}
+			for _, e := range event.Events {
+				p.reader.WatchEvent(p.w.now, p.watchID, e.KV.Value)
+			}
+		default:
+			return
+		}
+	}
+}
