Drive plan.Reader for the lists

Change: daemon.Lists executes the reader's fetches, watches and polls, and serves head and pages to peers from it. Which balancers read the store and whom a process hears of newer revisions stays with the daemons.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -44,7 +44,6 @@
 	peers   peers
 	sender  *sender
 	lists   *daemon.Lists
-	fetcher *daemon.ListFetcher
 	started time.Duration
 	state   sync.Mutex // serializes changes of state
 }
@@ -67,7 +66,6 @@
 		life:      daemon.NewLifecycle(),
 		registry:  registry,
 		counters:  newCounters(registry),
-		lists:     daemon.NewLists(log, func(int64) {}),
 	}
 }
 
@@ -94,10 +92,7 @@
 		transport = a.control.Client
 	}
 	silent := daemon.NewQuiet(a.log, a.clock, event.PeerSilent)
-	// Each part has its own generator, because a generator is not safe for
-	// concurrent use.
-	announcerRand := rand.New(rand.NewPCG(a.rng.Uint64(), a.rng.Uint64()))
-	announcer := member.NewAnnouncer(member.Config{Seeds: a.cfg.Seeds}, a.record(), announcerRand)
+	announcer := member.NewAnnouncer(member.Config{Seeds: a.cfg.Seeds}, a.record(), daemon.NewRand(a.rng))
 	a.members = daemon.NewMembers(announcer, daemon.MembersConfig{
 		Clock:     a.clock,
 		Transport: transport,
@@ -105,10 +100,13 @@
 		Failed:    silent.Peer,
 		Answered:  a.callAnswered,
 	})
-	a.fetcher = daemon.NewListFetcher(a.lists, transport, a.clock, spawn, silent.Peer)
+	a.lists = daemon.NewLists(daemon.ListsConfig{
+		Log: a.log, Clock: a.clock, Rand: daemon.NewRand(a.rng), Transport: transport, Spawn: spawn,
+	})
 	a.sender = newSender(transport, spawn, silent.Peer)
-	a.flows = flows{clock: a.clock, table: flow.NewTable(a.tableConfig(), a.upstream(), a.service, a.rng)}
+	a.flows = flows{clock: a.clock, table: flow.NewTable(a.tableConfig(), a.upstream(), a.service, daemon.NewRand(a.rng))}
 	a.control.Register(control.MemberService, control.NewMember(a.members.Handle))
+	a.control.Register(daemon.ListsService, daemon.NewListsRPC(a.lists))
 	a.control.Register(flowService, &flowRPC{handle: a.receiveMessage})
 	a.control.Register(daemon.AdminService, daemon.NewAdmin(a.drainRequested))
 	a.addDumpSources()
--- a/agent/peers.go
+++ b/agent/peers.go
@@ -34,7 +34,7 @@
 	}
 	var known int64
 	a.members.Do(func(_ time.Duration, n *member.Announcer) { known = n.Revision() })
-	a.fetcher.Step(a.life.Context(), known, *home)
+	a.lists.Step(a.life.Context(), false, known, *home)
 }
 
 // refreshPeers tells the flow table of a changed membership.
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -40,7 +40,6 @@
 	members *daemon.Members[*member.Node]
 	fleet   fleet
 	lists   *daemon.Lists
-	reader  listReader
 }
 
 // New returns a balancer that has opened nothing yet.
@@ -50,7 +49,7 @@
 
 func newBalancer(cfg settings.Balancer, log *event.Logger, clock daemon.Clock) *Balancer {
 	registry := metrics.NewRegistry()
-	b := &Balancer{
+	return &Balancer{
 		cfg:      cfg,
 		log:      log,
 		clock:    clock,
@@ -61,8 +60,6 @@
 		router:   newRouter(clock, cfg.Readers, cfg.HintEntries),
 		health:   newHealth(),
 	}
-	b.lists = daemon.NewLists(log, b.listsActivated)
-	return b
 }
 
 // Start opens the sockets and begins to serve.
@@ -89,7 +86,7 @@
 	if transport == nil {
 		transport = b.control.Client
 	}
-	node := member.NewNode(member.Config{Seeds: b.cfg.Seeds}, b.record(), b.rng)
+	node := member.NewNode(member.Config{Seeds: b.cfg.Seeds}, b.record(), daemon.NewRand(b.rng))
 	silent := daemon.NewQuiet(b.log, b.clock, event.PeerSilent)
 	b.members = daemon.NewMembers(node, daemon.MembersConfig{
 		Clock:     b.clock,
@@ -97,7 +94,10 @@
 		Spawn:     spawn,
 		Failed:    silent.Peer,
 	})
-	b.reader = listReader{store: s, fetcher: daemon.NewListFetcher(b.lists, transport, b.clock, spawn, silent.Peer)}
+	b.lists = daemon.NewLists(daemon.ListsConfig{
+		Log: b.log, Clock: b.clock, Rand: daemon.NewRand(b.rng), Transport: transport, Store: s,
+		Spawn: spawn, Activated: b.listsActivated,
+	})
 	b.control.Register(daemon.ListsService, daemon.NewListsRPC(b.lists))
 	b.control.Register(control.MemberService, control.NewMember(b.members.Handle))
 	b.control.Register(daemon.AdminService, daemon.NewAdmin(b.drainRequested))
--- a/balancer/lists.go
+++ b/balancer/lists.go
@@ -1,13 +1,10 @@
 package balancer
 
 import (
-	"context"
 	"math/rand/v2"
 	"net/netip"
 	"time"
 
-	"github.com/nutmegtrack/nutmegtrack/daemon"
-	"github.com/nutmegtrack/nutmegtrack/event"
 	"github.com/nutmegtrack/nutmegtrack/member"
 	"github.com/nutmegtrack/nutmegtrack/settings"
 	"github.com/nutmegtrack/nutmegtrack/store"
@@ -19,14 +16,6 @@
 // domains then hold 28 watches.
 const storeReaders = 2
 
-// listReader keeps the balancer's lists up to date. Its fields are used by the
-// timer only.
-type listReader struct {
-	store   store.Store // nil without store endpoints
-	fetcher *daemon.ListFetcher
-	cancel  context.CancelFunc // ends the watch; nil when this balancer has none
-}
-
 // openStore returns the client of the store, or nil without endpoints.
 func openStore(cfg settings.Store) (store.Store, error) {
 	if len(cfg.Endpoints) == 0 {
@@ -35,41 +24,23 @@
 	return etcd.New(etcd.Config{Endpoints: cfg.Endpoints, Timeout: cfg.TimeoutSeconds.Duration()})
 }
 
-// stepLists watches the store when it is this balancer's turn, and fetches newer
-// lists from the peer that has announced them.
+// stepLists reads the store when it is this balancer's turn, and otherwise fetches
+// newer lists from the process that announced them or from another balancer, since
+// the first may itself wait for the lists or be gone.
 func (b *Balancer) stepLists() {
 	var (
-		known  int64
-		peer   netip.AddrPort
-		reader bool
+		known        int64
+		source, peer netip.AddrPort
+		reader       bool
 	)
 	b.members.Do(func(_ time.Duration, n *member.Node) {
-		known, peer = n.Revision()
+		known, source = n.Revision()
 		reader = isStoreReader(n)
-		if !peer.IsValid() || rand.IntN(2) == 0 {
-			// The announcing process may itself wait for the lists, or be gone.
+		if known > b.lists.Revision() {
 			peer = randomBalancer(n)
 		}
 	})
-	b.reader.fetcher.Step(b.life.Context(), known, peer)
-	b.watchStore(reader && b.reader.store != nil)
-}
-
-func (b *Balancer) watchStore(wanted bool) {
-	if wanted == (b.reader.cancel != nil) {
-		return
-	}
-	if !wanted {
-		b.reader.cancel()
-		b.reader.cancel = nil
-		return
-	}
-	ctx, cancel := context.WithCancel(b.life.Context())
-	b.reader.cancel = cancel
-	failed := daemon.NewQuiet(b.log, b.clock, event.StoreFailed)
-	b.life.Spawn(func() {
-		b.lists.WatchStore(ctx, b.reader.store, func(err error) { failed.Log("error", err) })
-	})
+	b.lists.Step(b.life.Context(), reader, known, source, peer)
 }
 
 // isStoreReader reports whether this balancer is among the first of its failure
--- a/daemon/listfetch.go
+++ b/daemon/listfetch.go
@@ -2,63 +2,115 @@
 
 import (
 	"context"
-	"net/netip"
-	"sync"
 	"time"
-)
 
-// fetchRetry is the pause after a fetch from a peer that brought nothing newer.
-const fetchRetry = 500 * time.Millisecond
+	"github.com/cockroachdb/errors"
 
-// ListFetcher fetches lists from a peer whenever a newer revision is known to exist.
-type ListFetcher struct {
-	lists     *Lists
-	transport Transport
-	clock     Clock
-	spawn     func(func())
-	failed    func(netip.AddrPort, error)
+	"github.com/nutmegtrack/nutmegtrack/plan"
+	"github.com/nutmegtrack/nutmegtrack/store"
+)
 
-	mu   sync.Mutex
-	busy bool
-	next time.Duration
+// execute runs one fetch of the reader in the background.
+func (l *Lists) execute(ctx context.Context, f plan.Fetch) {
+	switch f.Kind {
+	case plan.WatchHead:
+		l.startWatch(ctx, f)
+	case plan.StopWatch:
+		l.endWatch(f.ID)
+	default:
+		l.cfg.Spawn(func() {
+			result := l.fetch(ctx, f)
+			if result.Err != nil && !f.Peer.IsValid() && ctx.Err() == nil {
+				l.storeFailed.Log("error", result.Err)
+			}
+			l.input(ctx, func(now time.Duration, r *plan.Reader) { r.Done(now, f.ID, result) })
+		})
+	}
 }
 
-// NewListFetcher returns a fetcher; spawn runs a fetch in the background and
-// failed is told of each error.
-func NewListFetcher(l *Lists, t Transport, clock Clock, spawn func(func()), failed func(netip.AddrPort, error)) *ListFetcher {
-	return &ListFetcher{lists: l, transport: t, clock: clock, spawn: spawn, failed: failed}
+func (l *Lists) fetch(ctx context.Context, f plan.Fetch) plan.Result {
+	switch {
+	case f.Peer.IsValid() && f.Kind == plan.FetchHead:
+		var reply HeadReply
+		err := l.cfg.Transport.Call(ctx, f.Peer, listsHead, &HeadArgs{}, &reply)
+		return plan.Result{Head: reply.Head, Err: err}
+	case f.Peer.IsValid():
+		var reply PagesReply
+		err := l.cfg.Transport.Call(ctx, f.Peer, listsPages, &PagesArgs{Hashes: f.Hashes}, &reply)
+		return plan.Result{Pages: reply.Pages, Err: err}
+	case f.Kind == plan.FetchHead:
+		return l.storeHead(ctx)
+	}
+	return l.storePages(ctx, f.Hashes)
+}
+
+// storeHead reads by prefix, because only a list returns the store's revision when
+// the key does not exist.
+func (l *Lists) storeHead(ctx context.Context) plan.Result {
+	list, revision, err := l.cfg.Store.List(ctx, plan.HeadKey)
+	result := plan.Result{StoreRevision: revision, Err: err}
+	for _, kv := range list {
+		if kv.Key == plan.HeadKey {
+			result.Head = kv.Value
+		}
+	}
+	return result
 }
 
-// Step begins a fetch from the peer when the known revision is newer than the
-// active one, no fetch is in progress and the pause after the last one is over.
-func (f *ListFetcher) Step(ctx context.Context, known int64, peer netip.AddrPort) {
-	if known <= f.lists.Revision() || !peer.IsValid() || !f.begin() {
-		return
+// storePages leaves out pages that an edit has deleted meanwhile.
+func (l *Lists) storePages(ctx context.Context, hashes []plan.Hash) plan.Result {
+	pages := plan.Pages{}
+	for _, hash := range hashes {
+		kv, err := l.cfg.Store.Get(ctx, plan.PageKey(hash))
+		switch {
+		case err == nil:
+			pages[hash] = kv.Value
+		case !errors.Is(err, store.ErrNotFound):
+			return plan.Result{Err: err}
+		}
 	}
-	f.spawn(func() {
-		err := f.lists.Update(ctx, PeerLists{Transport: f.transport, Control: peer})
-		if err != nil {
-			f.failed(peer, err)
+	return plan.Result{Pages: pages}
+}
+
+// startWatch passes the head's changes to the reader until the watch ends.
+func (l *Lists) startWatch(ctx context.Context, f plan.Fetch) {
+	ctx, cancel := context.WithCancel(ctx)
+	l.mu.Lock()
+	l.watches[f.ID] = cancel
+	l.mu.Unlock()
+	l.cfg.Spawn(func() {
+		err := l.watch(ctx, f)
+		if ctx.Err() == nil {
+			l.storeFailed.Log("error", err)
 		}
-		f.end(f.lists.Revision() >= known)
+		l.endWatch(f.ID)
+		l.input(ctx, func(now time.Duration, r *plan.Reader) { r.Done(now, f.ID, plan.Result{Err: err}) })
 	})
 }
 
-func (f *ListFetcher) begin() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.busy || f.clock() < f.next {
-		return false
+func (l *Lists) watch(ctx context.Context, f plan.Fetch) error {
+	changes, err := l.cfg.Store.Watch(ctx, plan.HeadKey, f.From)
+	if err != nil {
+		return err
+	}
+	for change := range changes {
+		if change.Err != nil {
+			return change.Err
+		}
+		for _, e := range change.Events {
+			if e.KV.Key == plan.HeadKey && !e.Deleted {
+				l.input(ctx, func(now time.Duration, r *plan.Reader) { r.WatchEvent(now, f.ID, e.KV.Value) })
+			}
+		}
 	}
-	f.busy = true
-	return true
+	return errors.New("the watch has ended")
 }
 
-func (f *ListFetcher) end(done bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.busy = false
-	if !done {
-		f.next = f.clock() + fetchRetry
+func (l *Lists) endWatch(id uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if cancel := l.watches[id]; cancel != nil {
+		cancel()
+		delete(l.watches, id)
 	}
 }
--- a/daemon/lists.go
+++ b/daemon/lists.go
@@ -2,78 +2,127 @@
 
 import (
 	"context"
-	"maps"
+	"math/rand/v2"
 	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/cockroachdb/errors"
 
 	"github.com/nutmegtrack/nutmegtrack/event"
-	"github.com/nutmegtrack/nutmegtrack/finding"
 	"github.com/nutmegtrack/nutmegtrack/plan"
+	"github.com/nutmegtrack/nutmegtrack/store"
 )
 
-// ListSource is where lists are read from: the store or a peer.
-type ListSource interface {
-	// Head returns the newest head that the source has; its revision is 0 when the
-	// source has none.
-	Head(ctx context.Context) (plan.Head, error)
-	// Pages returns some of the pages, at least one.
-	Pages(ctx context.Context, hashes []plan.Hash) (plan.Pages, error)
+// heardInterval is the least time between two reports of peers' revisions to the
+// reader. A process that has announced a revision may not have it yet, and would
+// otherwise be asked again in every step.
+const heardInterval = 500 * time.Millisecond
+
+// ListsConfig says how the lists of one process are read.
+type ListsConfig struct {
+	Log       *event.Logger
+	Clock     Clock
+	Rand      *rand.Rand
+	Transport Transport
+	Store     store.Store  // nil in processes that never read the store
+	Spawn     func(func()) // runs a fetch or a watch in the background
+	Activated func(revision int64)
 }
 
-// Lists holds the active lists of one process and installs newer ones. Its methods
-// are safe for concurrent use.
+// Lists drives plan.Reader: it executes the reader's fetches and makes the active
+// lists available to the packet path and to peers. Its methods are safe for
+// concurrent use.
 type Lists struct {
-	log       *event.Logger
-	activated func(revision int64)
-	active    atomic.Pointer[plan.Installed]
-
-	mu        sync.Mutex // held during an update
-	installer plan.Installer
-	rejected  int64 // highest revision reported as rejected
+	cfg         ListsConfig
+	storeFailed *Quiet
+	active      atomic.Pointer[plan.Installed]
+
+	mu       sync.Mutex
+	reader   *plan.Reader
+	heard    time.Duration                 // time of the next report of peers' revisions
+	rejected int64                         // highest revision logged as rejected
+	watches  map[uint64]context.CancelFunc // open watches of the store
+}
 
-	cache sync.RWMutex
-	pages plan.Pages // of the active revision
+// NewLists returns a driver without lists.
+func NewLists(cfg ListsConfig) *Lists {
+	if cfg.Activated == nil {
+		cfg.Activated = func(int64) {}
+	}
+	return &Lists{
+		cfg:         cfg,
+		storeFailed: NewQuiet(cfg.Log, cfg.Clock, event.StoreFailed),
+		reader:      plan.NewReader(plan.ReaderConfig{}, cfg.Rand),
+		watches:     make(map[uint64]context.CancelFunc),
+	}
 }
 
-// NewLists returns a holder without lists. activated is told of each revision that
-// becomes active.
-func NewLists(log *event.Logger, activated func(revision int64)) *Lists {
-	return &Lists{log: log, activated: activated, pages: plan.Pages{}}
+// Step advances the reading. known is the highest revision that is known to exist;
+// peers are processes that may have it, in any order; invalid addresses are ignored.
+func (l *Lists) Step(ctx context.Context, readsStore bool, known int64, peers ...netip.AddrPort) {
+	l.input(ctx, func(now time.Duration, r *plan.Reader) {
+		r.SetReadsStore(readsStore && l.cfg.Store != nil)
+		if known <= r.Status().Revision || now < l.heard {
+			return
+		}
+		l.heard = now + heardInterval
+		for _, p := range peers {
+			if p.IsValid() {
+				r.Heard(now, p, known)
+			}
+		}
+	})
 }
 
-// Revision returns the active revision; 0 means none.
-func (l *Lists) Revision() int64 {
-	if a := l.active.Load(); a != nil {
-		return a.Head.Revision
+// input gives the reader an input and executes what it asks for.
+func (l *Lists) input(ctx context.Context, give func(now time.Duration, r *plan.Reader)) {
+	l.mu.Lock()
+	now := l.cfg.Clock()
+	give(now, l.reader)
+	fetches := l.reader.Step(now)
+	activated := l.publish()
+	l.logRejection()
+	l.mu.Unlock()
+	if activated != nil {
+		l.cfg.Log.Log(event.ListsActive, "revision", activated.Revision, "edit", activated.ID, "author", activated.Author)
+		l.cfg.Activated(activated.Revision)
+	}
+	for _, f := range fetches {
+		l.execute(ctx, f)
 	}
-	return 0
 }
 
-// ListsState is the dump source "lists".
-type ListsState struct {
-	Edit      *plan.Edit `json:"edit"` // that made the active revision; null without lists
-	Customers int        `json:"customers"`
-	Plans     int        `json:"plans"`
-	Pages     int        `json:"pages"`
+// publish makes newly installed lists available and returns their edit, or nil.
+func (l *Lists) publish() *plan.Edit {
+	a := l.reader.Active()
+	if a == l.active.Load() {
+		return nil
+	}
+	l.active.Store(a)
+	return &a.Head.Edit
 }
 
-// State describes the active lists for a dump.
-func (l *Lists) State() ListsState {
-	a := l.active.Load()
-	if a == nil {
-		return ListsState{}
+// logRejection logs the findings of a rejected revision, once for each revision.
+func (l *Lists) logRejection() {
+	s := l.reader.Status()
+	if s.Rejected <= l.rejected {
+		return
+	}
+	l.rejected = s.Rejected
+	for _, line := range strings.Split(s.Rejection, "\n") {
+		l.cfg.Log.Log(event.ListsRejected, "revision", s.Rejected, "finding", line)
 	}
-	edit := a.Head.Edit
-	return ListsState{
-		Edit:      &edit,
-		Customers: len(a.Lists.Customers),
-		Plans:     len(a.Lists.Plans),
-		Pages:     len(a.Head.Hashes()),
+}
+
+// Revision returns the active revision; 0 means none.
+func (l *Lists) Revision() int64 {
+	if a := l.active.Load(); a != nil {
+		return a.Head.Revision
 	}
+	return 0
 }
 
 // Customer returns the identifier of the customer that a source address in
@@ -90,90 +139,21 @@
 	return xxhash.Sum64String(m.Customer.Name)
 }
 
-// Update installs the source's lists when they are newer than the active ones.
-// Only pages that are not known yet are read. It returns at once when another
-// update is in progress.
-func (l *Lists) Update(ctx context.Context, from ListSource) error {
-	if !l.mu.TryLock() {
-		return nil
-	}
-	defer l.mu.Unlock()
-	head, err := from.Head(ctx)
-	if err != nil || head.Revision <= l.installer.Revision() {
-		return err
-	}
-	pages, err := l.collect(ctx, from, head)
-	if err != nil {
-		return err
-	}
-	if err := l.installer.Install(head, pages); err != nil {
-		l.reject(head.Revision, err)
-		return err
-	}
-	l.cache.Lock()
-	l.pages = pages
-	l.cache.Unlock()
-	l.active.Store(l.installer.Active())
-	l.log.Log(event.ListsActive, "revision", head.Revision, "edit", head.ID, "author", head.Author)
-	l.activated(head.Revision)
-	return nil
-}
-
-// collect returns all pages of the head.
-func (l *Lists) collect(ctx context.Context, from ListSource, head plan.Head) (plan.Pages, error) {
-	pages := plan.Pages{}
-	var missing []plan.Hash
-	for _, hash := range head.Hashes() {
-		if page, known := l.page(hash); known {
-			pages[hash] = page
-		} else {
-			missing = append(missing, hash)
-		}
-	}
-	for len(missing) > 0 {
-		got, err := from.Pages(ctx, missing)
-		if err != nil {
-			return nil, err
-		}
-		maps.Copy(pages, got)
-		rest := without(missing, got)
-		if len(rest) == len(missing) {
-			return nil, errors.Wrapf(plan.ErrPageMissing, "page %s", missing[0])
-		}
-		missing = rest
-	}
-	return pages, nil
-}
-
-func without(hashes []plan.Hash, got plan.Pages) []plan.Hash {
-	var rest []plan.Hash
-	for _, h := range hashes {
-		if _, found := got[h]; !found {
-			rest = append(rest, h)
-		}
-	}
-	return rest
-}
-
-func (l *Lists) page(hash plan.Hash) ([]byte, bool) {
-	l.cache.RLock()
-	defer l.cache.RUnlock()
-	page, known := l.pages[hash]
-	return page, known
+// ListsState is the dump source "lists".
+type ListsState struct {
+	plan.ReaderStatus
+	Customers int `json:"customers"`
+	Plans     int `json:"plans"`
+	Pages     int `json:"pages"`
 }
 
-// reject logs why a revision was not activated, once for each revision.
-func (l *Lists) reject(revision int64, err error) {
-	if revision <= l.rejected {
-		return
-	}
-	l.rejected = revision
-	var found finding.List
-	if !errors.As(err, &found) {
-		l.log.Log(event.ListsRejected, "revision", revision, "error", err)
-		return
-	}
-	for _, f := range found {
-		l.log.Log(event.ListsRejected, "revision", revision, "finding", f)
+// State describes the reading and the active lists for a dump.
+func (l *Lists) State() ListsState {
+	l.mu.Lock()
+	s := ListsState{ReaderStatus: l.reader.Status()}
+	l.mu.Unlock()
+	if a := l.active.Load(); a != nil {
+		s.Customers, s.Plans, s.Pages = len(a.Lists.Customers), len(a.Lists.Plans), len(a.Head.Hashes())
 	}
+	return s
 }
