Add plan/fetch, and test where the watch starts and old pages

Cause: each daemon would repeat how a reader's fetches go to the store; two changes to the reader (a watch from now on, dropping the previous revision's pages) passed the tests. Change: plan/fetch executes the fetches from the store; two specs cover the changes. Conclusion: daemons need only the peers' part.

--- a/plan/reader_test.go
+++ b/plan/reader_test.go
@@ -93,6 +93,28 @@
 		Expect(r.Step(0)).To(ConsistOf(HaveField("Kind", plan.FetchHead)))
 	})
 
+	// Guards against an edit that is missed because it comes between the reading of the
+	// head and the start of the watch.
+	It("watches from the revision that it has read", func() {
+		r := plan.NewReader(plan.ReaderConfig{}, newWorld(7, 0, 0).rng)
+		r.SetReadsStore(true)
+		r.Done(0, r.Step(0)[0].ID, plan.Result{StoreRevision: 41})
+		Expect(r.Step(0)).To(ConsistOf(And(HaveField("Kind", plan.WatchHead), HaveField("From", int64(42)))))
+	})
+
+	// Guards against a peer that cannot finish the revision it has begun to fetch.
+	It("still serves the pages of the revision before", func() {
+		w := newWorld(8, 1, 0)
+		r := w.processes[0].reader
+		Expect(w.edit(listsOf(1))).To(Succeed())
+		w.run(time.Second)
+		hashes := r.Active().Head.Hashes()
+		Expect(w.edit(listsOf(2))).To(Succeed())
+		w.run(time.Second)
+		all(w, 2)
+		Expect(r.Pages(hashes)).To(HaveLen(len(hashes)))
+	})
+
 	// Guards against a partition after which processes keep different lists.
 	It("takes the highest revision after a partition", func() {
 		w := newWorld(4, 1, 5)
--- a/plan/reader_world_test.go
+++ b/plan/reader_world_test.go
@@ -10,6 +10,7 @@
 	"github.com/nutmegtrack/nutmegtrack/fake"
 	"github.com/nutmegtrack/nutmegtrack/plan"
 	"github.com/nutmegtrack/nutmegtrack/plan/edit"
+	"github.com/nutmegtrack/nutmegtrack/plan/fetch"
 	"github.com/nutmegtrack/nutmegtrack/store"
 )
 
@@ -134,10 +135,10 @@
 		p.startWatch(f)
 	case f.Peer.IsValid():
 		p.reader.Done(p.w.now, f.ID, p.askPeer(f))
-	case f.Kind == plan.FetchHead:
-		p.reader.Done(p.w.now, f.ID, p.readHead())
 	default:
-		p.reader.Done(p.w.now, f.ID, p.readPages(f.Hashes))
+		result := fetch.FromStore(context.Background(), p.w.store, f)
+		p.count(result.Pages)
+		p.reader.Done(p.w.now, f.ID, result)
 	}
 }
 
@@ -160,28 +161,6 @@
 	}
 }
 
-func (p *process) readHead() plan.Result {
-	kvs, revision, err := p.w.store.List(context.Background(), plan.HeadKey)
-	result := plan.Result{StoreRevision: revision, Err: err}
-	if len(kvs) > 0 {
-		result.Head = kvs[0].Value
-	}
-	return result
-}
-
-func (p *process) readPages(hashes []plan.Hash) plan.Result {
-	pages := plan.Pages{}
-	for _, hash := range hashes {
-		kv, err := p.w.store.Get(context.Background(), plan.PageKey(hash))
-		if err != nil {
-			return plan.Result{Err: err}
-		}
-		pages[hash] = kv.Value
-	}
-	p.count(pages)
-	return plan.Result{Pages: pages}
-}
-
 func (p *process) startWatch(f plan.Fetch) {
 	ctx, cancel := context.WithCancel(context.Background())
 	events, err := p.w.store.Watch(ctx, plan.HeadKey, f.From)
