Share the set-up of the test suites

Cause: five suites repeated the fixed seeds and the comparison with golden files. Change: internal/spec does both.

--- a/cmd/nutmegtrack/lists_test.go
+++ b/cmd/nutmegtrack/lists_test.go
@@ -12,16 +12,12 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/nutmegtrack/nutmegtrack/internal/spec"
 	"github.com/nutmegtrack/nutmegtrack/plan"
 	"github.com/nutmegtrack/nutmegtrack/standin"
 )
 
-func TestLists(t *testing.T) {
-	RegisterFailHandler(Fail)
-	suite, reporter := GinkgoConfiguration()
-	suite.RandomSeed = 1
-	RunSpecs(t, "cmd/nutmegtrack", suite, reporter)
-}
+func TestLists(t *testing.T) { spec.Run(t, "cmd/nutmegtrack") }
 
 // invoke runs one subcommand of a list in this process.
 func invoke(list string, newCommand func(*listCommand) command, args ...string) (status int, out string) {
--- a/fake/store_test.go
+++ b/fake/store_test.go
@@ -9,13 +9,11 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/nutmegtrack/nutmegtrack/fake"
+	"github.com/nutmegtrack/nutmegtrack/internal/spec"
 	"github.com/nutmegtrack/nutmegtrack/store"
 )
 
-func TestFake(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "fake")
-}
+func TestFake(t *testing.T) { spec.Run(t, "fake") }
 
 var _ = Describe("Store", func() {
 	ctx := context.Background()
--- a/plan/edit/suite_test.go
+++ b/plan/edit/suite_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"strings"
 	"testing"
@@ -12,22 +11,13 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/nutmegtrack/nutmegtrack/fake"
+	"github.com/nutmegtrack/nutmegtrack/internal/spec"
 	"github.com/nutmegtrack/nutmegtrack/plan"
 	"github.com/nutmegtrack/nutmegtrack/plan/edit"
 	"github.com/nutmegtrack/nutmegtrack/store"
 )
 
-func TestEdit(t *testing.T) {
-	RegisterFailHandler(Fail)
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			t.Fatal(err)
-		}
-	}
-	suite, reporter := GinkgoConfiguration()
-	suite.RandomSeed = 1
-	RunSpecs(t, "plan/edit", suite, reporter)
-}
+func TestEdit(t *testing.T) { spec.Run(t, "plan/edit") }
 
 var ctx = context.Background()
 
--- a/plan/lists_test.go
+++ b/plan/lists_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/nutmegtrack/nutmegtrack/internal/spec"
 	"github.com/nutmegtrack/nutmegtrack/plan"
 )
 
@@ -22,7 +23,7 @@
 		capacities := plan.Capacities{"impact-portal": {Connections: 14000, Requests: 35}, "evidence-intake": {}}
 		lists, findings := plan.Parse(plan.Documents{Customers: customers, Plans: plans}, files, capacities)
 		Expect(lists).To(BeNil())
-		golden("bad_lists.golden", findings.Error()+"\n")
+		spec.Golden("bad_lists.golden", findings.Error()+"\n")
 	})
 
 	// Guards against a syntax error in one list that hides the findings of the other.
@@ -66,7 +67,7 @@
 		for _, c := range plan.Diff(before, after) {
 			lines = append(lines, c.String())
 		}
-		golden("diff.golden", strings.Join(lines, "\n")+"\n")
+		spec.Golden("diff.golden", strings.Join(lines, "\n")+"\n")
 		Expect(plan.Diff(after, after)).To(BeEmpty())
 	})
 })
--- a/plan/suite_test.go
+++ b/plan/suite_test.go
@@ -1,30 +1,19 @@
 package plan_test
 
 import (
-	"flag"
 	"fmt"
 	"net/netip"
-	"os"
 	"strings"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/nutmegtrack/nutmegtrack/internal/spec"
 	"github.com/nutmegtrack/nutmegtrack/plan"
 )
 
-func TestPlan(t *testing.T) {
-	RegisterFailHandler(Fail)
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			t.Fatal(err)
-		}
-	}
-	suite, reporter := GinkgoConfiguration()
-	suite.RandomSeed = 1
-	RunSpecs(t, "plan", suite, reporter)
-}
+func TestPlan(t *testing.T) { spec.Run(t, "plan") }
 
 const plansText = `{"plans": [
   {"name": "gold", "services": {"portal": {"connections": 100, "new_connections_per_second": 50, "requests": 10}}},
@@ -50,15 +39,3 @@
 }
 
 func addr(s string) netip.Addr { return netip.MustParseAddr(s) }
-
-// golden compares with a file of testdata; UPDATE_GOLDEN=1 rewrites it.
-func golden(name, got string) {
-	GinkgoHelper()
-	path := "testdata/" + name
-	if os.Getenv("UPDATE_GOLDEN") != "" {
-		Expect(os.WriteFile(path, []byte(got), 0o644)).To(Succeed())
-	}
-	want, err := os.ReadFile(path)
-	Expect(err).NotTo(HaveOccurred())
-	Expect(got).To(Equal(string(want)))
-}
--- a/plan/text_test.go
+++ b/plan/text_test.go
@@ -4,6 +4,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/nutmegtrack/nutmegtrack/internal/spec"
 	"github.com/nutmegtrack/nutmegtrack/plan"
 )
 
@@ -25,7 +26,7 @@
 		Expect(text.Set("c", []string{"10.2.0.0/16"}, "sources")).To(Succeed())
 		Expect(text.Remove("b")).To(Succeed())
 		Expect(text.Remove("b")).To(MatchError(plan.ErrNoEntry))
-		golden("text.golden", string(text.Bytes()))
+		spec.Golden("text.golden", string(text.Bytes()))
 		lists := parse(string(text.Bytes()), plansText)
 		Expect(lists.Customers).To(HaveLen(2))
 	})
--- a/store/etcd/protocol_test.go
+++ b/store/etcd/protocol_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/nutmegtrack/nutmegtrack/internal/spec"
 	"github.com/nutmegtrack/nutmegtrack/store"
 	"github.com/nutmegtrack/nutmegtrack/store/etcd"
 )
@@ -62,6 +63,6 @@
 		Expect(deletion.Revision).To(Equal(int64(6)))
 		Expect(deletion.Events).To(Equal([]store.Event{{KV: store.KV{Key: "foo", ModRevision: 6}, Deleted: true}}))
 		Expect((<-events).Err).To(MatchError(store.ErrUnavailable))
-		golden("requests.golden", sent.String())
+		spec.Golden("requests.golden", sent.String())
 	})
 })
