Do not follow redirects in the store client; let readers forget peers

Cause: a redirect would send a write a second time; a peer that has died with a revision that nobody else has would be asked once a second for ever. Conclusion: none.

--- a/fake/store.go
+++ b/fake/store.go
@@ -36,7 +36,8 @@
 	Outage bool
 	// LoseResponses is how many next writes take effect but return ErrUnknown.
 	LoseResponses int
-	// Before, when set, is called before each call runs; its error ends the call.
+	// Before, when set, is called before each call runs; its error ends the call. A
+	// slow store is a Before that moves the virtual time on.
 	Before func(Call) error
 
 	mu       sync.Mutex
--- a/plan/reader.go
+++ b/plan/reader.go
@@ -113,6 +113,9 @@
 	r.peers.heard(peer, revision)
 }
 
+// Forget drops a peer that has left or failed.
+func (r *Reader) Forget(peer netip.AddrPort) { delete(r.peers, peer) }
+
 // WatchEvent takes the head's value from the watch; it is empty after a deletion.
 func (r *Reader) WatchEvent(now time.Duration, id uint64, value []byte) {
 	if id == r.store.watch {
--- a/store/etcd/client.go
+++ b/store/etcd/client.go
@@ -57,9 +57,13 @@
 		DialContext:     dialer.DialContext,
 		IdleConnTimeout: idleTimeout,
 	}
-	return &Client{cfg: cfg, http: &http.Client{Transport: transport}, transport: transport}, nil
+	client := &http.Client{Transport: transport, CheckRedirect: noRedirect}
+	return &Client{cfg: cfg, http: client, transport: transport}, nil
 }
 
+// noRedirect keeps a write from being sent a second time to another place.
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // Close closes idle connections. Watches end with their contexts.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
--- a/store/etcd/faults_test.go
+++ b/store/etcd/faults_test.go
@@ -68,6 +68,17 @@
 		Expect((<-events).Events).To(HaveLen(1))
 	})
 
+	// Guards against calling a write failed that a slow store runs later.
+	It("reports a write to a slow store as unknown", func() {
+		s, url := newStandin(standin.StoreConfig{})
+		s.SetFaults(standin.Faults{DelayMS: 50})
+		_, err := put(newClient(etcd.Config{Endpoints: []string{url}, Timeout: 5 * time.Millisecond}), "k", "v")
+		Expect(err).To(MatchError(store.ErrUnknown))
+		patient := newClient(etcd.Config{Endpoints: []string{url}})
+		Eventually(func() error { _, err := patient.Get(ctx, "k"); return err }).Should(Succeed())
+		Expect(s.Counts().Calls).To(HaveKeyWithValue("txn", int64(1)))
+	})
+
 	// Guards against a call that waits for ever, and against calling such a write failed.
 	It("gives up on a store that does not answer", func() {
 		release := make(chan struct{})
@@ -94,6 +105,7 @@
 		Entry("leader changed", 503, `{"code":14,"message":"etcdserver: leader changed"}`, store.ErrUnknown),
 		Entry("timed out", 504, `{"code":14,"message":"etcdserver: request timed out"}`, store.ErrUnknown),
 		Entry("a proxy's page", 502, `<html>bad gateway</html>`, store.ErrUnknown),
+		Entry("a redirect", 307, "", store.ErrUnknown),
 		Entry("unknown lease", 404, `{"code":5,"message":"etcdserver: requested lease not found"}`, store.ErrNotFound),
 	)
 })
