Add package quota: conserved tokens, holders and grantor

Cause: limits of plans have no mechanism. Change: holders admit with tokens they hold and move them by transfers; the grantor issues, recalls and recounts. Measured: builds; not tested yet.

--- /dev/null
+++ b/quota/grantor.go
@@ -0,0 +1,296 @@
+package quota
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/packet"
+)
+
+// issueSpread is the number of holders among which new tokens of an account are
+// spread; from there they move on demand. Spreading over all holders would cost
+// one entry for each customer and holder at the first start.
+const issueSpread = 3
+
+// leaseMargin is added to a holder's lease before its VM counts as gone, for
+// clocks that differ in speed.
+const leaseMargin = 2 * time.Second
+
+// HolderInfo is one agent of the service as the membership shows it.
+type HolderInfo struct {
+	Party
+	// Accepting is set while the agent is ready to admit flows.
+	Accepting bool
+	// Gone is set when the VM is known to be lost, with all its connections.
+	Gone bool
+}
+
+// Grantor is the balancer's side for one service: it issues tokens up to the
+// limits, takes them back, and recounts them.
+type Grantor struct {
+	cfg     Config
+	self    Party
+	service packet.ServiceID
+	term    int64
+	rng     *rand.Rand
+
+	holders []*holderState // in order of arrival
+	index   map[Party]int
+	ledger  ledger
+	recount recount
+}
+
+// holderState is one row of the grantor's table of holders.
+type holderState struct {
+	HolderInfo
+	channel  *channel
+	leaseEnd time.Duration // the holder admits nothing new after this
+	// writtenOff is set once a recount may leave the holder out.
+	writtenOff bool
+	listed     time.Duration // when the membership last showed the holder
+	heard      bool          // the holder has sent a message in this term
+	hello      time.Duration // when the holder is told of this grantor again
+	recall     recallChannel
+}
+
+// NewGrantor returns the grantor of a service for one term: the revision of the
+// store write that made it the grantor. It issues nothing until it has counted
+// what earlier grantors have issued. now starts the time in which a holder may
+// still have a lease from an earlier grantor.
+func NewGrantor(now time.Duration, cfg Config, service packet.ServiceID, self Party, term int64, rng *rand.Rand) *Grantor {
+	g := &Grantor{
+		cfg:     cfg.withDefaults(),
+		self:    self,
+		service: service,
+		term:    term,
+		rng:     rng,
+		index:   map[Party]int{},
+		ledger:  newLedger(),
+	}
+	g.recount.requestAll(now)
+	return g
+}
+
+// SetLimits installs the limits of all customers at the service.
+func (g *Grantor) SetLimits(limits []Amount) { g.ledger.setLimits(limits) }
+
+// SetHolders installs the agents of the service. A holder that is missing from
+// the list keeps its tokens until it is reported as gone, or until the same VM
+// appears with another incarnation.
+func (g *Grantor) SetHolders(now time.Duration, list []HolderInfo) {
+	for _, info := range list {
+		g.supersede(info.Party)
+		h := g.holder(now, info.Party)
+		h.HolderInfo = info
+		h.listed = now
+	}
+}
+
+// supersede marks earlier process starts on the same VM as gone: their
+// connections ended with them.
+func (g *Grantor) supersede(current Party) {
+	for _, h := range g.holders {
+		if h.ID == current.ID && h.Incarnation != current.Incarnation {
+			h.Gone, h.Accepting = true, false
+		}
+	}
+}
+
+// holder returns the row of a party and adds it when it is new.
+func (g *Grantor) holder(now time.Duration, p Party) *holderState {
+	if i, ok := g.index[p]; ok {
+		return g.holders[i]
+	}
+	h := &holderState{
+		HolderInfo: HolderInfo{Party: p},
+		channel:    newChannel(p, &g.cfg),
+		leaseEnd:   now + g.cfg.Lease + leaseMargin,
+		listed:     now,
+		recall:     newRecallChannel(&g.cfg),
+	}
+	for _, e := range g.ledger.entries {
+		if e.recalled {
+			h.recall.set(e.id, true)
+		}
+	}
+	g.index[p] = len(g.holders)
+	g.holders = append(g.holders, h)
+	return h
+}
+
+// Step advances time and returns the messages to send.
+func (g *Grantor) Step(now time.Duration) []Message {
+	g.writeOff(now)
+	out := g.stepRecount(now)
+	g.applyChanges()
+	for _, h := range g.holders {
+		if h.writtenOff {
+			continue
+		}
+		out = g.stepHolder(now, h, out)
+	}
+	return out
+}
+
+// writeOff leaves holders out of the recounts once their VM is known to be gone
+// and their lease has ended, and counts again what the others hold.
+func (g *Grantor) writeOff(now time.Duration) {
+	for _, h := range g.holders {
+		if now >= h.listed+g.cfg.GoneAfter {
+			h.Gone, h.Accepting = true, false
+		}
+		if h.Gone && !h.writtenOff && now >= h.leaseEnd {
+			h.writtenOff = true
+			g.recount.requestAll(now)
+		}
+	}
+}
+
+// applyChanges issues or recalls tokens of accounts whose count is not the limit.
+func (g *Grantor) applyChanges() {
+	for _, e := range g.ledger.takeChanges(g.recount.running) {
+		g.setRecalled(e, e.issued > e.limit)
+		if missing := e.limit - e.issued; missing > 0 {
+			g.issue(e, missing)
+		}
+	}
+}
+
+func (g *Grantor) setRecalled(e *entry, recalled bool) {
+	if e.recalled == recalled {
+		return
+	}
+	e.recalled = recalled
+	for _, h := range g.holders {
+		h.recall.set(e.id, recalled)
+	}
+}
+
+// issue spreads new tokens over a few accepting holders. The ledger counts them
+// from now on, whether or not they arrive.
+func (g *Grantor) issue(e *entry, tokens int32) {
+	var targets []*holderState
+	for _, h := range g.holders {
+		if h.Accepting && !h.Gone {
+			targets = append(targets, h)
+		}
+	}
+	if len(targets) == 0 {
+		g.ledger.touch(e)
+		return
+	}
+	n := min(int32(issueSpread), int32(len(targets)), tokens)
+	first := int32(e.id.Customer % uint64(len(targets)))
+	for i := range n {
+		share := tokens / n
+		if i < tokens%n {
+			share++
+		}
+		target := targets[(first+i)%int32(len(targets))]
+		target.channel.queue(e.id, share)
+	}
+	e.issued += tokens
+}
+
+// stepHolder appends the messages due for one holder.
+func (g *Grantor) stepHolder(now time.Duration, h *holderState, out []Message) []Message {
+	if !h.heard && now >= h.hello {
+		h.hello = now + g.cfg.RetransmitMax
+		out = append(out, g.message(MessageRelease, h.Party))
+	}
+	c := h.channel
+	started := c.startBatch(g.cfg.BatchAmounts, func(a Account) bool { return g.recount.running(a.group()) })
+	if started || (len(c.outstanding) > 0 && now >= c.retransmit) {
+		c.retransmit = now + c.timer.next(g.rng)
+		m := g.message(MessageTransfer, h.Party)
+		m.Seq = c.seq
+		m.Amounts = c.outstanding
+		out = append(out, m)
+	}
+	for _, m := range h.recall.step(now, g.rng) {
+		m.Service, m.From, m.To, m.Term = g.service, g.self, h.Party, g.term
+		out = append(out, m)
+	}
+	return out
+}
+
+func (g *Grantor) message(kind MessageKind, to Party) Message {
+	return Message{Kind: kind, Service: g.service, From: g.self, To: to, Term: g.term}
+}
+
+// Handle processes a message from a holder and returns the answers.
+func (g *Grantor) Handle(now time.Duration, m Message) []Message {
+	if m.To != g.self || m.Service != g.service {
+		return nil
+	}
+	h := g.holder(now, m.From)
+	h.heard = true
+	switch m.Kind {
+	case MessageRenew:
+		return g.handleRenew(now, h, &m)
+	case MessageTransfer:
+		return g.handleReturn(h, &m)
+	case MessageTransferAck:
+		h.channel.acknowledge(m.Seq)
+	case MessageReport:
+		g.handleReport(now, &m)
+	case MessageRecallAck:
+		h.recall.acknowledge(m.Seq)
+	}
+	return nil
+}
+
+// handleRenew extends a holder's lease. A holder that was written off by mistake
+// is counted again first, because its tokens have been issued to others.
+func (g *Grantor) handleRenew(now time.Duration, h *holderState, m *Message) []Message {
+	if h.writtenOff {
+		h.writtenOff, h.Gone = false, false
+		h.listed = now
+		g.ledger.known = [groups]bool{}
+		g.recount.requestAll(now)
+	}
+	if g.recount.pending() && h.leaseEnd <= now {
+		return nil
+	}
+	h.leaseEnd = now + g.cfg.Lease + leaseMargin
+	answer := g.message(MessageRenewed, m.From)
+	answer.Seq = m.Seq
+	return []Message{answer}
+}
+
+// handleReturn books tokens that a holder gave back.
+func (g *Grantor) handleReturn(h *holderState, m *Message) []Message {
+	// The ledger does not contain a written-off holder's tokens.
+	if h.writtenOff {
+		return nil
+	}
+	for _, amount := range m.Amounts {
+		if g.recount.running(amount.Account.group()) {
+			return nil
+		}
+	}
+	if h.channel.acceptSeq(m.Seq) {
+		for _, amount := range m.Amounts {
+			g.ledger.returned(amount)
+		}
+	}
+	if m.Seq > h.channel.received {
+		return nil
+	}
+	ack := g.message(MessageTransferAck, m.From)
+	ack.Seq = m.Seq
+	return []Message{ack}
+}
+
+// Issued returns the tokens outstanding of one account, and whether the count is
+// exact.
+func (g *Grantor) Issued(id Account) (int32, bool) {
+	if !g.ledger.known[id.group()] {
+		return 0, false
+	}
+	i, ok := g.ledger.index[id]
+	if !ok {
+		return 0, true
+	}
+	return g.ledger.entries[i].issued, true
+}
--- /dev/null
+++ b/quota/lease.go
@@ -0,0 +1,51 @@
+package quota
+
+import (
+	"time"
+)
+
+// lease is the holder's right to admit new flows.
+type lease struct {
+	length time.Duration
+	end    time.Duration // no new flow from then on
+	renew  time.Duration // T1: when the next renewal starts
+
+	seq    uint64
+	sent   time.Duration // when the attempt seq was sent
+	next   time.Duration // when it is sent again
+	active bool          // a renewal is in progress
+	timer  backoff
+}
+
+func newLease(cfg *Config) lease {
+	return lease{
+		length: cfg.Lease,
+		timer:  backoff{initial: cfg.RetransmitInitial, max: cfg.RetransmitMax, fixed: cfg.FixedRetransmission},
+	}
+}
+
+func (l *lease) valid(now time.Duration) bool { return now < l.end }
+
+// due reports whether a renewal message has to be sent now.
+func (l *lease) due(now time.Duration) bool {
+	if !l.active {
+		if now < l.renew {
+			return false
+		}
+		l.active = true
+		l.timer.reset()
+		return true
+	}
+	return now >= l.next
+}
+
+// renewed extends the lease from the time at which the renewal was sent, which is
+// before the grantor granted it, so the holder's end is never the later one.
+func (l *lease) renewed(seq uint64) {
+	if !l.active || seq != l.seq {
+		return
+	}
+	l.active = false
+	l.end = l.sent + l.length
+	l.renew = l.sent + l.length/2
+}
--- /dev/null
+++ b/quota/ledger.go
@@ -0,0 +1,126 @@
+package quota
+
+import (
+	"sort"
+
+	"github.com/cockroachdb/errors"
+)
+
+// entry is one row of the grantor's ledger.
+type entry struct {
+	id       Account
+	limit    int32 // tokens the plan allows
+	issued   int32 // tokens held by holders or in transit
+	recalled bool  // holders return their free tokens
+	changed  bool  // listed in ledger.changes
+}
+
+// ledger says how many tokens of each account are outstanding.
+type ledger struct {
+	entries []*entry
+	index   map[Account]int
+	// known is set for groups whose issued counts are exact.
+	known [groups]bool
+	// changes lists the entries to compare with their limit.
+	changes []*entry
+}
+
+func newLedger() ledger { return ledger{index: map[Account]int{}} }
+
+func (l *ledger) entry(id Account) *entry {
+	if i, ok := l.index[id]; ok {
+		return l.entries[i]
+	}
+	e := &entry{id: id}
+	l.index[id] = len(l.entries)
+	l.entries = append(l.entries, e)
+	return e
+}
+
+func (l *ledger) touch(e *entry) {
+	if !e.changed {
+		e.changed = true
+		l.changes = append(l.changes, e)
+	}
+}
+
+// takeChanges returns the touched entries of known groups, in a fixed order, and
+// keeps the others for later.
+func (l *ledger) takeChanges(skip func(uint8) bool) []*entry {
+	var ready, rest []*entry
+	for _, e := range l.changes {
+		if g := e.id.group(); !l.known[g] || skip(g) {
+			rest = append(rest, e)
+			continue
+		}
+		e.changed = false
+		ready = append(ready, e)
+	}
+	l.changes = rest
+	sort.Slice(ready, func(i, j int) bool {
+		a, b := ready[i].id, ready[j].id
+		if a.Customer != b.Customer {
+			return a.Customer < b.Customer
+		}
+		return a.Kind < b.Kind
+	})
+	return ready
+}
+
+// setLimits replaces all limits; accounts that are not listed get the limit 0.
+func (l *ledger) setLimits(limits []Amount) {
+	wanted := make(map[Account]int32, len(limits))
+	for _, limit := range limits {
+		wanted[limit.Account] = limit.Tokens
+		l.entry(limit.Account)
+	}
+	for _, e := range l.entries {
+		if limit := wanted[e.id]; limit != e.limit {
+			e.limit = limit
+			l.touch(e)
+		}
+	}
+}
+
+// recounted replaces the issued counts of one group.
+func (l *ledger) recounted(group uint8, counts map[Account]int32) {
+	for id := range counts {
+		l.entry(id)
+	}
+	for _, e := range l.entries {
+		if e.id.group() == group {
+			e.issued = counts[e.id]
+			l.touch(e)
+		}
+	}
+	l.known[group] = true
+	sortEntries(l)
+}
+
+// sortEntries gives entries that were added from a map a fixed order.
+func sortEntries(l *ledger) {
+	sort.Slice(l.entries, func(i, j int) bool {
+		a, b := l.entries[i].id, l.entries[j].id
+		if a.Customer != b.Customer {
+			return a.Customer < b.Customer
+		}
+		return a.Kind < b.Kind
+	})
+	for i, e := range l.entries {
+		l.index[e.id] = i
+	}
+}
+
+// returned books tokens that a holder gave back.
+func (l *ledger) returned(a Amount) {
+	e := l.entry(a.Account)
+	if !l.known[a.Account.group()] {
+		return
+	}
+	e.issued -= a.Tokens
+	if e.issued < 0 {
+		panic(errors.AssertionFailedf("quota: more tokens of %x/%s returned than issued",
+			e.id.Customer, e.id.Kind))
+	}
+	l.touch(e)
+}
--- /dev/null
+++ b/quota/step.go
@@ -0,0 +1,180 @@
+package quota
+
+import (
+	"time"
+)
+
+// Step advances time and returns the messages to send.
+func (h *Holder) Step(now time.Duration) []Message {
+	h.freeze.expire(now)
+	h.releaseCooled(now)
+	var out []Message
+	if h.grantor != (Party{}) && h.lease.due(now) {
+		out = append(out, h.renewal(now))
+	}
+	if h.draining {
+		h.giveAll(now)
+	}
+	out = append(out, h.stepNeeds(now)...)
+	return append(out, h.stepChannels(now)...)
+}
+
+func (h *Holder) releaseCooled(now time.Duration) {
+	n := 0
+	for n < len(h.cooling) && h.cooling[n].at <= now {
+		h.release(now, h.account(Account{h.cooling[n].customer, Rate}))
+		n++
+	}
+	h.cooling = h.cooling[n:]
+}
+
+func (h *Holder) renewal(now time.Duration) Message {
+	h.lease.seq++
+	h.lease.sent = now
+	h.lease.next = now + h.lease.timer.next(h.rng)
+	m := h.message(MessageRenew, h.grantor)
+	m.Seq = h.lease.seq
+	m.Term = h.term
+	return m
+}
+
+// giveAll moves the free tokens of a draining holder to its peers in turn.
+func (h *Holder) giveAll(now time.Duration) {
+	accepting := h.acceptingPeers()
+	if len(accepting) == 0 {
+		return
+	}
+	for _, a := range h.accounts {
+		if a.free() == 0 {
+			continue
+		}
+		h.cursor++
+		h.give(a, accepting[h.cursor%len(accepting)], a.free())
+	}
+}
+
+// stepChannels starts and retransmits batches.
+func (h *Holder) stepChannels(now time.Duration) []Message {
+	var out []Message
+	for _, p := range h.parties {
+		c := h.channels[p]
+		started := c.startBatch(h.cfg.BatchAmounts, h.freeze.covers)
+		if !started && (len(c.outstanding) == 0 || now < c.retransmit) {
+			continue
+		}
+		c.retransmit = now + c.timer.next(h.rng)
+		m := h.message(MessageTransfer, p)
+		m.Seq = c.seq
+		m.Amounts = c.outstanding
+		out = append(out, m)
+	}
+	return out
+}
+
+func (h *Holder) message(kind MessageKind, to Party) Message {
+	return Message{Kind: kind, Service: h.service, From: h.self, To: to}
+}
+
+// Handle processes a message and returns the answers. A message for another
+// process start, or from a grantor with a lower term, is ignored.
+func (h *Holder) Handle(now time.Duration, m Message) []Message {
+	if m.To != h.self || m.Service != h.service {
+		return nil
+	}
+	if m.Term != 0 && !h.acceptTerm(now, &m) {
+		return nil
+	}
+	switch m.Kind {
+	case MessageTransfer:
+		return h.handleTransfer(now, &m)
+	case MessageTransferAck:
+		if c := h.channels[m.From]; c != nil {
+			c.acknowledge(m.Seq)
+		}
+	case MessageAsk:
+		h.handleAsk(now, &m)
+	case MessageRenewed:
+		h.lease.renewed(m.Seq)
+	case MessageFreeze:
+		return []Message{h.handleFreeze(now, &m)}
+	case MessageRelease:
+		h.freeze.release(m.Seq)
+	case MessageRecall, MessageRecallEnd:
+		return []Message{h.handleRecall(&m)}
+	}
+	return nil
+}
+
+// acceptTerm rejects lower terms and adopts a new grantor.
+func (h *Holder) acceptTerm(now time.Duration, m *Message) bool {
+	if m.Term < h.term {
+		return false
+	}
+	if m.Term > h.term {
+		h.SetGrantor(now, m.From, m.Term)
+	}
+	return true
+}
+
+// SetGrantor tells the holder which process issues tokens, and its term. A term
+// below one already seen is ignored. Recalls of the earlier grantor end, because
+// the new one does not know of them.
+func (h *Holder) SetGrantor(now time.Duration, grantor Party, term int64) {
+	if term <= h.term {
+		return
+	}
+	if old := h.channels[h.grantor]; old != nil && grantor != h.grantor {
+		h.takeBackQueued(old)
+	}
+	h.grantor, h.term = grantor, term
+	h.lease.active = false
+	h.lease.renew = min(h.lease.renew, now)
+	for _, a := range h.accounts {
+		a.recalled = false
+	}
+	h.freeze = freeze{}
+}
+
+func (h *Holder) handleTransfer(now time.Duration, m *Message) []Message {
+	for _, amount := range m.Amounts {
+		// Without an acknowledgement the sender repeats the batch after the recount.
+		if h.freeze.covers(amount.Account) {
+			return nil
+		}
+	}
+	c := h.channel(m.From)
+	if c.acceptSeq(m.Seq) {
+		h.add(now, m.Amounts)
+	}
+	if m.Seq > c.received {
+		return nil
+	}
+	ack := h.message(MessageTransferAck, m.From)
+	ack.Seq = m.Seq
+	return []Message{ack}
+}
+
+func (h *Holder) add(now time.Duration, amounts []Amount) {
+	for _, amount := range amounts {
+		a := h.account(amount.Account)
+		a.held += amount.Tokens
+		a.check()
+		if a.recalled {
+			h.returnFree(a)
+		}
+	}
+}
+
+func (h *Holder) handleRecall(m *Message) Message {
+	for _, amount := range m.Amounts {
+		a := h.account(amount.Account)
+		a.recalled = m.Kind == MessageRecall
+		if a.recalled {
+			h.returnFree(a)
+		}
+	}
+	ack := h.message(MessageRecallAck, m.From)
+	ack.Seq = m.Seq
+	ack.Term = m.Term
+	return ack
+}
--- /dev/null
+++ b/quota/types.go
@@ -0,0 +1,183 @@
+package quota
+
+import (
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/packet"
+)
+
+// Kind says what a token stands for.
+type Kind uint8
+
+const (
+	// Connections tokens are used while a connection is open.
+	Connections Kind = iota
+	// Rate tokens are used for one second by each new connection.
+	Rate
+	// Requests tokens are used while a request runs.
+	Requests
+	kinds
+)
+
+var kindNames = [kinds]string{"connections", "new_connections_per_second", "requests"}
+
+// String returns the name of the limit in the plan list.
+func (k Kind) String() string {
+	if k < kinds {
+		return kindNames[k]
+	}
+	return "unknown"
+}
+
+// Account is one limit of one customer at one service.
+type Account struct {
+	Customer uint64 // hash of the customer's name, as in packet.Header
+	Kind     Kind
+}
+
+// groups is the number of parts into which accounts are divided for a recount, so
+// that only a small part of the transfers stops at a time.
+const groups = 64
+
+func (a Account) group() uint8 { return uint8(a.Customer % groups) }
+
+// Party is one process that holds or issues tokens, for one process start.
+type Party struct {
+	ID          packet.AgentID
+	Incarnation uint64
+}
+
+// Amount is a number of tokens of one account.
+type Amount struct {
+	Account Account
+	Tokens  int32
+}
+
+// MessageKind says what a Message is.
+type MessageKind uint8
+
+const (
+	// MessageTransfer moves tokens; Seq counts the batches of one channel.
+	MessageTransfer MessageKind = 1 + iota
+	// MessageTransferAck acknowledges the batch Seq.
+	MessageTransferAck
+	// MessageAsk asks a peer for tokens; Amounts say how many are wanted.
+	MessageAsk
+	// MessageRenew asks the grantor to extend the sender's admission lease. Seq
+	// numbers the attempt.
+	MessageRenew
+	// MessageRenewed answers MessageRenew.
+	MessageRenewed
+	// MessageFreeze starts a recount of Group; Seq numbers the recount.
+	MessageFreeze
+	// MessageReport answers MessageFreeze with the holder's tokens of the group.
+	MessageReport
+	// MessageRelease ends the recount Seq. With Seq 0 it only tells a holder who
+	// the grantor is.
+	MessageRelease
+	// MessageRecall asks holders to return all free tokens of the accounts in
+	// Amounts and to admit nothing on them. Seq numbers the recall.
+	MessageRecall
+	// MessageRecallEnd ends the recall of the accounts in Amounts.
+	MessageRecallEnd
+	// MessageRecallAck acknowledges MessageRecall or MessageRecallEnd.
+	MessageRecallAck
+)
+
+// Message travels between holders, and between holders and the grantor. All
+// fields are gob-encodable.
+type Message struct {
+	Kind     MessageKind
+	Service  packet.ServiceID
+	From, To Party
+	// Term is the grantor's term; 0 between holders.
+	Term    int64
+	Seq     uint64
+	Group   uint8
+	Urgent  bool // MessageAsk: the sender has refused a flow for want of a token
+	Amounts []Amount
+	// Channels is set in MessageReport only.
+	Channels []ChannelReport
+}
+
+// Wire sizes in bytes, for the estimate of control traffic: an encoded Message
+// without lists, and the entries of its lists.
+const (
+	wireMessage = 48
+	wireAmount  = 11
+	wireChannel = 32
+)
+
+// WireSize estimates the encoded size of the message in bytes.
+func (m *Message) WireSize() int {
+	size := wireMessage + wireAmount*len(m.Amounts)
+	for i := range m.Channels {
+		size += wireChannel + wireAmount*len(m.Channels[i].Outstanding)
+	}
+	return size
+}
+
+// ChannelReport is what a holder knows of its channels with one peer: the batch
+// it has sent and not seen acknowledged, and the last batch it has received.
+type ChannelReport struct {
+	Peer           Party
+	OutstandingSeq uint64
+	Outstanding    []Amount
+	ReceivedSeq    uint64
+}
+
+// Config holds the times and sizes of the protocol. Zero fields take defaults.
+type Config struct {
+	// AskInterval is the initial time between two asks for the same account.
+	// Default 200 ms.
+	AskInterval time.Duration
+	// MaxAskInterval bounds the doubling of AskInterval. Default 1 s.
+	MaxAskInterval time.Duration
+	// AskPeers is the number of peers asked at a time. Default 8.
+	AskPeers int
+	// RetransmitInitial and RetransmitMax bound the retransmission time of
+	// transfers, renewals and recalls (IRT and MRT of RFC 8415, section 15).
+	// Defaults 300 ms and 2 s.
+	RetransmitInitial, RetransmitMax time.Duration
+	// FixedRetransmission disables doubling and spread; only for comparison.
+	FixedRetransmission bool
+	// Lease is how long a renewal lets a holder admit new flows. Default 60 s.
+	Lease time.Duration
+	// RecountTimeout ends a holder's freeze when no release comes. Default 3 s.
+	RecountTimeout time.Duration
+	// RecountInterval is the time between the recounts of two groups. Default 200 ms.
+	RecountInterval time.Duration
+	// BatchAmounts bounds the entries of one batch. Default 200.
+	BatchAmounts int
+	// GoneAfter is how long a holder may be missing from the membership before its
+	// VM counts as gone. Default 10 min.
+	GoneAfter time.Duration
+	// WaitingTime is how long a peer's ask is remembered, so that a token that
+	// becomes free is given at once. Default 3 s.
+	WaitingTime time.Duration
+}
+
+func (c Config) withDefaults() Config {
+	setDuration(&c.AskInterval, 200*time.Millisecond)
+	setDuration(&c.MaxAskInterval, time.Second)
+	setDuration(&c.RetransmitInitial, 300*time.Millisecond)
+	setDuration(&c.RetransmitMax, 2*time.Second)
+	setDuration(&c.Lease, time.Minute)
+	setDuration(&c.RecountTimeout, 3*time.Second)
+	setDuration(&c.RecountInterval, 200*time.Millisecond)
+	setDuration(&c.WaitingTime, 3*time.Second)
+	setDuration(&c.GoneAfter, 10*time.Minute)
+	if c.AskPeers == 0 {
+		c.AskPeers = 8
+	}
+	if c.BatchAmounts == 0 {
+		c.BatchAmounts = 200
+	}
+	return c
+}
+
+func setDuration(d *time.Duration, value time.Duration) {
+	if *d == 0 {
+		*d = value
+	}
+}
