--- /dev/null
+++ b/bench/limits_faults.go
@@ -0,0 +1,48 @@
+package bench
+
+import (
+	"net/netip"
+	"time"
+)
+
+// faultInterval is the mean time between faults; each lasts about half as long, so
+// that two often overlap.
+const faultInterval = 8 * time.Second
+
+// scheduleFaults injects one random fault after another.
+func (r *limitsRun) scheduleFaults() {
+	wait := faultInterval/2 + time.Duration(r.rng.Int64N(int64(faultInterval)))
+	r.net.After(netip.AddrPort{}, wait, func() {
+		r.injectFault()
+		r.scheduleFaults()
+	})
+}
+
+func (r *limitsRun) injectFault() {
+	agent := r.rng.IntN(r.o.Upstreams)
+	length := time.Duration(r.rng.Int64N(int64(faultInterval)))
+	switch r.rng.IntN(6) {
+	case 0: // an agent is paused
+		r.paused[agent] = r.net.Now() + length
+	case 1: // a VM is lost and a new one takes its place
+		r.lives[agent]++
+		r.paused[agent] = 0
+		r.observer.lost(agent)
+		r.policy.lost(agent)
+	case 2: // an agent is cut off from some peers and from the grantor
+		r.net.Cut(agentZone(agent), "grantor")
+		r.net.Cut(agentZone(agent), agentZone((agent+1)%r.o.Upstreams))
+		r.net.After(netip.AddrPort{}, length, r.net.Heal)
+	case 3: // a plan is lowered while its connections are open
+		customer := uint64(1 + r.rng.IntN(r.o.Customers))
+		r.setLimit(customer, max(1, r.limits[2*(customer-1)].Tokens/2))
+	case 4: // a plan is raised
+		customer := uint64(1 + r.rng.IntN(r.o.Customers))
+		r.setLimit(customer, r.limits[2*(customer-1)].Tokens+10)
+	case 5: // the grantor dies; a successor takes over later
+		if p, ok := r.policy.(*tokens); ok && p.grantor != nil {
+			p.stopGrantor()
+			r.net.After(netip.AddrPort{}, length, p.startGrantor)
+		}
+	}
+}
--- /dev/null
+++ b/bench/limits_observer.go
@@ -0,0 +1,168 @@
+package bench
+
+import (
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/quota"
+)
+
+// observer sees all connections at once, which no process of the system does.
+type observer struct {
+	run *limitsRun
+
+	openCount map[uint64]int32   // open connections by customer
+	byAgent   []map[uint64]int32 // the same by agent, to end them when a VM is lost
+	openings  map[uint64][]time.Duration
+	edits     []edit
+	waiting   []*attempt
+
+	attempts, refusedUnder int
+	overMax                int
+	refusalMax             time.Duration
+
+	victimAttempts, victimAdmitted int
+}
+
+// edit remembers the limits before an edit, which may be in use until it is in
+// force everywhere.
+type edit struct {
+	until    time.Duration
+	customer uint64
+	previous int32
+}
+
+func newObserver(r *limitsRun) observer {
+	ob := observer{run: r, openCount: map[uint64]int32{}, openings: map[uint64][]time.Duration{}}
+	ob.byAgent = make([]map[uint64]int32, r.o.Upstreams)
+	for i := range ob.byAgent {
+		ob.byAgent[i] = map[uint64]int32{}
+	}
+	return ob
+}
+
+// limit returns the highest limit that may be in force for the customer now.
+func (ob *observer) limit(customer uint64) int32 {
+	limit := ob.run.limits[2*(customer-1)].Tokens
+	for _, e := range ob.edits {
+		if e.customer == customer && ob.run.net.Now() < e.until {
+			limit = max(limit, e.previous)
+		}
+	}
+	return limit
+}
+
+// open books an admitted connection and compares the customer's count, and its
+// openings within the last second, with the plan.
+func (ob *observer) open(a *attempt) {
+	now := ob.run.net.Now()
+	ob.openCount[a.customer]++
+	ob.byAgent[a.agent][a.customer]++
+	limit := ob.limit(a.customer)
+	ob.over(ob.openCount[a.customer] - limit)
+	recent := append(ob.openings[a.customer], now)
+	for len(recent) > 0 && recent[0] <= now-time.Second {
+		recent = recent[1:]
+	}
+	ob.openings[a.customer] = recent
+	ob.over(int32(len(recent)) - limit)
+	ob.finish(a, true)
+}
+
+// sample looks at every waiting client once in each step.
+func (ob *observer) sample() {
+	free := map[uint64]bool{}
+	under := map[uint64]bool{}
+	kept := ob.waiting[:0]
+	for _, a := range ob.waiting {
+		if a.decided {
+			continue
+		}
+		if ob.run.net.Now() < ob.run.paused[a.agent] {
+			a.freeFor = 0
+		}
+		kept = append(kept, a)
+		if _, ok := free[a.customer]; !ok {
+			free[a.customer] = ob.run.policy.free(a.customer)
+			under[a.customer] = ob.underPlan(a.customer)
+		}
+		a.overPlan = a.overPlan || !under[a.customer]
+		if !free[a.customer] {
+			a.freeFor = 0
+			continue
+		}
+		a.freeFor += limitsStep
+		if a.first >= warmUp {
+			ob.refusalMax = max(ob.refusalMax, a.freeFor)
+		}
+	}
+	clear(ob.waiting[len(kept):])
+	ob.waiting = kept
+}
+
+func (ob *observer) over(n int32) { ob.overMax = max(ob.overMax, int(n)) }
+
+func (ob *observer) close(customer uint64, agent int) {
+	ob.openCount[customer]--
+	ob.byAgent[agent][customer]--
+}
+
+// giveUp books an attempt that was refused.
+func (ob *observer) giveUp(a *attempt) {
+	ob.finish(a, false)
+	if !a.overPlan && a.first >= warmUp {
+		ob.refusedUnder++
+	}
+}
+
+func (ob *observer) finish(a *attempt, admitted bool) {
+	a.decided = true
+	if a.first < warmUp {
+		return
+	}
+	ob.attempts++
+	if a.customer == 1 {
+		return
+	}
+	ob.victimAttempts++
+	if admitted {
+		ob.victimAdmitted++
+	}
+}
+
+func (ob *observer) underPlan(customer uint64) bool {
+	limit := ob.run.limits[2*(customer-1)].Tokens
+	now := ob.run.net.Now()
+	recent := int32(0)
+	for _, at := range ob.openings[customer] {
+		if at > now-time.Second {
+			recent++
+		}
+	}
+	return ob.openCount[customer] < limit && recent < limit
+}
+
+// lost ends the connections of an agent whose VM is gone.
+func (ob *observer) lost(agent int) {
+	for _, a := range ob.waiting {
+		a.decided = a.decided || a.agent == agent
+	}
+	for customer, n := range ob.byAgent[agent] {
+		ob.openCount[customer] -= n
+	}
+	ob.byAgent[agent] = map[uint64]int32{}
+}
+
+// changed remembers the limit before an edit.
+func (ob *observer) changed(customer uint64, previous int32) {
+	ob.edits = append(ob.edits, edit{ob.run.net.Now() + editSpread, customer, previous})
+}
+
+// setLimit edits one customer's limits.
+func (r *limitsRun) setLimit(customer uint64, tokens int32) {
+	r.observer.changed(customer, r.limits[2*(customer-1)].Tokens)
+	limits := append([]quota.Amount(nil), r.limits...)
+	limits[2*(customer-1)].Tokens = tokens
+	limits[2*(customer-1)+1].Tokens = tokens
+	r.limits = limits
+	r.policy.setLimits(limits)
+}
--- a/quota/account.go
+++ b/quota/account.go
@@ -20,6 +20,11 @@
 	demand, lastDemand int32
 	window             time.Duration // start of the current window
 
+	// flows is the number of flows or requests here that wait for a token.
+	flows int32
+	// flowsUntil is when a refused request no longer counts in flows.
+	flowsUntil time.Duration
+
 	need *need // set while tokens are wanted from peers
 	// waiting lists peers whose ask could not be met.
 	waiting []waiter
@@ -27,20 +32,26 @@
 
 // need is the state of asking peers for tokens of one account.
 type need struct {
-	urgent bool
-	next   time.Duration
-	timer  backoff
-	asked  int // peers asked since the need began
-	until  time.Duration
+	next  time.Duration
+	timer backoff
+	first int // peer asked first, as an index into the accepting peers
+	asked int // peers asked in this round
 }
 
 type waiter struct {
-	peer  Party
-	until time.Duration
+	peer   Party
+	wanted int32
+	until  time.Duration
 }
 
 func (a *account) free() int32 { return a.held - a.used }
 
+// spare returns the free tokens that no flow waits for.
+func (a *account) spare() int32 { return max(0, a.free()-a.flows) }
+
+// missing returns the number of tokens that waiting flows still need.
+func (a *account) missing() int32 { return max(0, a.flows-a.free()) }
+
 // count adds wanted tokens to the demand of the current window.
 func (a *account) count(now time.Duration, tokens int32) {
 	a.roll(now)
@@ -71,26 +82,37 @@
 	}
 }
 
-// addWaiter remembers a peer whose ask could not be met.
-func (a *account) addWaiter(peer Party, until time.Duration) {
+// addWaiter remembers a peer whose ask could not be met, in place of its earlier
+// ask.
+func (a *account) addWaiter(w waiter) {
+	a.dropWaiter(w.peer)
+	a.waiting = append(a.waiting, w)
+}
+
+// dropWaiter forgets a peer's ask.
+func (a *account) dropWaiter(peer Party) {
 	for i := range a.waiting {
 		if a.waiting[i].peer == peer {
-			a.waiting[i].until = until
+			a.waiting = append(a.waiting[:i], a.waiting[i+1:]...)
 			return
 		}
 	}
-	a.waiting = append(a.waiting, waiter{peer, until})
 }
 
-// nextWaiter removes and returns the peer that has waited longest.
-func (a *account) nextWaiter(now time.Duration) (Party, bool) {
+// takeWaiter returns the peer that has waited longest and counts one token as
+// given to it.
+func (a *account) takeWaiter(now time.Duration) (Party, bool) {
 	for len(a.waiting) > 0 {
 		w := a.waiting[0]
 		a.waiting = a.waiting[1:]
-		if now < w.until {
-			return w.peer, true
+		if now >= w.until {
+			continue
+		}
+		// A peer that wants more waits behind the others.
+		if w.wanted--; w.wanted > 0 {
+			a.waiting = append(a.waiting, w)
 		}
+		return w.peer, true
 	}
-	a.waiting = nil
 	return Party{}, false
 }
--- a/quota/ask.go
+++ b/quota/ask.go
@@ -4,30 +4,31 @@
 	"time"
 )
 
-// needTime is how long a need lasts after the last unmet demand.
-const needTime = 3 * time.Second
-
 // want notes that the account needs tokens from peers.
-func (h *Holder) want(now time.Duration, a *account, urgent bool) {
-	if a.need == nil {
-		timer := backoff{initial: h.cfg.AskInterval, max: h.cfg.MaxAskInterval, fixed: h.cfg.FixedRetransmission}
-		a.need = &need{next: now, timer: timer}
-		h.needs = append(h.needs, a)
-	}
-	if urgent && !a.need.urgent {
-		a.need.urgent = true
-		a.need.next = now
+func (h *Holder) want(now time.Duration, a *account) {
+	if a.need != nil || a.missing() == 0 {
+		return
 	}
-	a.need.until = now + needTime
+	timer := backoff{initial: h.cfg.AskInterval, max: h.cfg.MaxAskInterval, fixed: h.cfg.FixedRetransmission}
+	a.need = &need{next: now, timer: timer, first: h.cursor}
+	h.needs = append(h.needs, a)
 }
 
-// stepNeeds ends needs that were met or have expired and returns the asks that
-// are due, one message for each peer.
+// stepNeeds ends needs that were met and returns the asks that are due, one
+// message for each peer.
 func (h *Holder) stepNeeds(now time.Duration) []Message {
 	asks := askBatch{holder: h}
+	if now >= h.cursorUntil {
+		h.cursor = h.rng.IntN(max(1, len(h.peers)))
+		h.cursorUntil = now + h.cfg.AskInterval
+	}
 	kept := h.needs[:0]
 	for _, a := range h.needs {
-		if a.recalled || now >= a.need.until || a.free() > a.recent(now)/2 {
+		if a.id.Kind == Requests && now >= a.flowsUntil {
+			a.flows = 0
+			h.freed(now, a)
+		}
+		if a.recalled || a.missing() == 0 {
 			a.need = nil
 			continue
 		}
@@ -41,31 +42,38 @@
 	return asks.messages
 }
 
-// ask adds the account to the messages of the next peers. Each attempt asks twice
-// as many peers, so that 70 peers have been asked within 2 s.
+// firstAskShare is the part of all peers that a first ask reaches at least, so
+// that four attempts, within 2 s, reach all of them.
+const firstAskShare = 8
+
+// ask adds the account to the messages of the next peers. Each attempt asks as
+// many peers as all before it.
 func (h *Holder) ask(now time.Duration, a *account, asks *askBatch) {
 	accepting := h.acceptingPeers()
 	if len(accepting) == 0 {
 		a.need.next = now + h.cfg.MaxAskInterval
 		return
 	}
-	count := max(h.cfg.AskPeers, a.need.asked)
+	count := max(h.cfg.AskPeers, len(accepting)/firstAskShare, a.need.asked)
 	count = min(count, len(accepting)-a.need.asked)
-	wanted := max(1, a.recent(now))
-	for range count {
-		h.cursor++
-		asks.add(accepting[h.cursor%len(accepting)], a, wanted)
+	// Where more flows arrive than wait at the moment, the next ones need tokens
+	// soon.
+	wanted := a.missing() + min(a.recent(now), a.missing())
+	// Needs that begin at about the same time ask the same peers first, so that
+	// their asks share messages.
+	for i := range count {
+		asks.add(accepting[(a.need.first+a.need.asked+i)%len(accepting)], a, wanted)
 	}
 	a.need.asked += count
 	if a.need.asked < len(accepting) {
 		a.need.next = now + a.need.timer.next(h.rng)
 		return
 	}
-	// Every peer now remembers the ask for WaitingTime; it is repeated before that
-	// ends.
+	// Every peer now remembers the ask. It is repeated after a pause, because a peer
+	// that gave one token may have more by then.
 	a.need.asked = 0
 	a.need.timer.reset()
-	a.need.next = now + h.cfg.WaitingTime*3/4 + scale(h.cfg.WaitingTime/4, spread*h.rng.Float64())
+	a.need.next = now + h.cfg.MaxAskInterval + scale(h.cfg.MaxAskInterval, spread*h.rng.Float64())
 }
 
 func (h *Holder) acceptingPeers() []Party {
@@ -78,7 +86,7 @@
 	return list
 }
 
-// askBatch collects the asks of one step, one message for each peer and urgency.
+// askBatch collects the asks of one step, one message for each peer.
 type askBatch struct {
 	holder   *Holder
 	messages []Message
@@ -88,45 +96,39 @@
 	amount := Amount{a.id, wanted}
 	for i := range b.messages {
 		m := &b.messages[i]
-		if m.To == to && m.Urgent == a.need.urgent {
+		if m.To == to {
 			m.Amounts = append(m.Amounts, amount)
 			return
 		}
 	}
 	m := b.holder.message(MessageAsk, to)
-	m.Urgent = a.need.urgent
 	m.Amounts = []Amount{amount}
 	b.messages = append(b.messages, m)
 }
 
-// handleAsk gives tokens to a peer, or remembers it until one becomes free.
+// handleAsk gives tokens to a peer, and remembers it when it wants more than that.
 func (h *Holder) handleAsk(now time.Duration, m *Message) {
 	for _, wanted := range m.Amounts {
 		a := h.account(wanted.Account)
-		tokens := h.spare(now, a, wanted.Tokens, m.Urgent)
-		if tokens > 0 {
-			h.give(a, m.From, tokens)
-			continue
-		}
-		if m.Urgent {
-			a.addWaiter(m.From, now+h.cfg.WaitingTime)
+		a.dropWaiter(m.From)
+		tokens := h.offer(now, a, wanted.Tokens)
+		h.give(a, m.From, tokens)
+		if missing := wanted.Tokens - tokens; missing > 0 {
+			a.addWaiter(waiter{m.From, missing, now + h.cfg.WaitingTime})
 		}
 	}
 }
 
-// spare returns how many tokens may go to a peer: half of what this holder does
-// not expect to need itself, and for an urgent ask at least one free token.
-func (h *Holder) spare(now time.Duration, a *account, wanted int32, urgent bool) int32 {
-	if a.recalled || a.free() <= 0 {
+// offer returns how many tokens may go to a peer: half of what this holder does
+// not expect to need itself, but at least one spare token, because a flow waits
+// for it there.
+func (h *Holder) offer(now time.Duration, a *account, wanted int32) int32 {
+	if a.recalled {
 		return 0
 	}
-	above := a.free() - a.recent(now)
-	if h.draining {
-		above = a.free()
-	}
-	tokens := min(wanted, (above+1)/2)
-	if urgent {
-		tokens = max(tokens, 1)
+	above := a.spare()
+	if !h.draining {
+		above = (a.spare() - a.recent(now) + 1) / 2
 	}
-	return max(tokens, 0)
+	return min(wanted, max(above, 1), a.spare())
 }
--- a/quota/freeze.go
+++ b/quota/freeze.go
@@ -4,15 +4,15 @@
 	"time"
 )
 
-// freeze stops the transfers of one group of accounts during a recount.
+// freeze stops the transfers of some groups of accounts during a recount.
 type freeze struct {
 	active bool
-	group  uint8
+	groups uint64
 	seq    uint64
 	until  time.Duration
 }
 
-func (f *freeze) covers(a Account) bool { return f.active && a.group() == f.group }
+func (f *freeze) covers(a Account) bool { return f.active && a.group()&f.groups != 0 }
 
 func (f *freeze) expire(now time.Duration) {
 	if f.active && now >= f.until {
@@ -26,35 +26,35 @@
 	}
 }
 
-// handleFreeze stops the group's transfers and reports its tokens. A repeated
+// handleFreeze stops the groups' transfers and reports their tokens. A repeated
 // message of the same recount does not extend the freeze, because the grantor
 // counts its timeout from the first one it sent.
 func (h *Holder) handleFreeze(now time.Duration, m *Message) Message {
 	if m.Seq > h.freeze.seq {
-		h.freeze = freeze{active: true, group: m.Group, seq: m.Seq, until: now + h.cfg.RecountTimeout}
+		h.freeze = freeze{active: true, groups: m.Groups, seq: m.Seq, until: now + h.cfg.RecountTimeout}
 	}
 	report := h.message(MessageReport, m.From)
 	report.Seq = m.Seq
-	report.Group = m.Group
+	report.Groups = m.Groups
 	report.Term = m.Term
 	// Reports of a recount that is no longer running here are void.
 	if !h.freeze.active || h.freeze.seq != m.Seq {
 		report.Seq = 0
 		return report
 	}
-	report.Amounts = h.groupTokens(m.Group)
+	report.Amounts = h.groupTokens(m.Groups)
 	for _, p := range h.parties {
-		report.Channels = append(report.Channels, h.channels[p].report(m.Group))
+		report.Channels = append(report.Channels, h.channels[p].report(m.Groups))
 	}
 	return report
 }
 
-// groupTokens returns the tokens of a group that are here: held, or queued and
+// groupTokens returns the tokens of some groups that are here: held, or queued and
 // not yet sent.
-func (h *Holder) groupTokens(group uint8) []Amount {
+func (h *Holder) groupTokens(groups uint64) []Amount {
 	var list []Amount
 	for _, a := range h.accounts {
-		if a.id.group() != group {
+		if a.id.group()&groups == 0 {
 			continue
 		}
 		tokens := a.held
@@ -68,10 +68,10 @@
 	return list
 }
 
-func (c *channel) report(group uint8) ChannelReport {
+func (c *channel) report(groups uint64) ChannelReport {
 	r := ChannelReport{Peer: c.peer, ReceivedSeq: c.received}
 	for _, amount := range c.outstanding {
-		if amount.Account.group() == group {
+		if amount.Account.group()&groups != 0 {
 			r.OutstandingSeq = c.seq
 			r.Outstanding = append(r.Outstanding, amount)
 		}
--- a/quota/grantor.go
+++ b/quota/grantor.go
@@ -79,19 +79,20 @@
 // appears with another incarnation.
 func (g *Grantor) SetHolders(now time.Duration, list []HolderInfo) {
 	for _, info := range list {
-		g.supersede(info.Party)
+		g.supersede(now, info.Party)
 		h := g.holder(now, info.Party)
 		h.HolderInfo = info
 		h.listed = now
 	}
 }
 
-// supersede marks earlier process starts on the same VM as gone: their
-// connections ended with them.
-func (g *Grantor) supersede(current Party) {
+// supersede marks earlier process starts on the same VM as gone. They cannot
+// admit anything any more, so that their lease need not be waited for.
+func (g *Grantor) supersede(now time.Duration, current Party) {
 	for _, h := range g.holders {
-		if h.ID == current.ID && h.Incarnation != current.Incarnation {
+		if h.ID == current.ID && h.Incarnation != current.Incarnation && !h.writtenOff {
 			h.Gone, h.Accepting = true, false
+			h.leaseEnd = now
 		}
 	}
 }
@@ -246,7 +247,7 @@
 	if h.writtenOff {
 		h.writtenOff, h.Gone = false, false
 		h.listed = now
-		g.ledger.known = [groups]bool{}
+		g.ledger.known = 0
 		g.recount.requestAll(now)
 	}
 	if g.recount.pending() && h.leaseEnd <= now {
@@ -285,7 +286,7 @@
 // Issued returns the tokens outstanding of one account, and whether the count is
 // exact.
 func (g *Grantor) Issued(id Account) (int32, bool) {
-	if !g.ledger.known[id.group()] {
+	if g.ledger.known&id.group() == 0 {
 		return 0, false
 	}
 	i, ok := g.ledger.index[id]
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/nutmegtrack/nutmegtrack/packet"
@@ -19,8 +20,11 @@
 	Admitted Verdict = iota
 	// NoLease refuses because the admission lease has expired.
 	NoLease
-	// NoTokens refuses because a limit has no free token here.
+	// NoTokens refuses because no token became free within Config.MaxWait, or
+	// because too many flows of the customer wait already.
 	NoTokens
+	// Waiting flows are decided later; Decisions reports them.
+	Waiting
 )
 
 // Peer is another agent of the service.
@@ -42,10 +46,17 @@
 	index    map[Account]int
 	needs    []*account // accounts with a need, in order of first need
 
-	peers    []Peer
-	cursor   int // peer to ask next
-	channels map[Party]*channel
-	parties  []Party // keys of channels, in order of creation
+	customers map[uint64]*customer
+	queued    []*customer // customers with waiting flows, in order of the first one
+	decisions []Decision
+	// acks waits for the next step, so that acknowledgements share envelopes.
+	acks []Message
+
+	peers       []Peer
+	cursor      int           // peer that new needs ask first
+	cursorUntil time.Duration // when the cursor is drawn again
+	channels    map[Party]*channel
+	parties     []Party // keys of channels, in order of creation
 
 	cooling  []coolingToken
 	draining bool
@@ -66,13 +77,14 @@
 func NewHolder(cfg Config, service packet.ServiceID, self Party, rng *rand.Rand) *Holder {
 	cfg = cfg.withDefaults()
 	return &Holder{
-		cfg:      cfg,
-		self:     self,
-		service:  service,
-		rng:      rng,
-		index:    map[Account]int{},
-		channels: map[Party]*channel{},
-		lease:    newLease(&cfg),
+		cfg:       cfg,
+		self:      self,
+		service:   service,
+		rng:       rng,
+		index:     map[Account]int{},
+		channels:  map[Party]*channel{},
+		customers: map[uint64]*customer{},
+		lease:     newLease(&cfg),
 	}
 }
 
@@ -90,17 +102,23 @@
 	}
 }
 
+// dropChannel forgets the channel to a party that is gone for good.
+func (h *Holder) dropChannel(p Party) {
+	c := h.channels[p]
+	if c == nil {
+		return
+	}
+	h.takeBackQueued(c)
+	delete(h.channels, p)
+	h.parties = slices.DeleteFunc(h.parties, func(other Party) bool { return other == p })
+}
+
 func (h *Holder) dropRestarted(current Party) {
-	kept := h.parties[:0]
-	for _, p := range h.parties {
-		if p.ID != current.ID || p == current {
-			kept = append(kept, p)
-			continue
+	for _, p := range slices.Clone(h.parties) {
+		if p.ID == current.ID && p != current {
+			h.dropChannel(p)
 		}
-		h.takeBackQueued(h.channels[p])
-		delete(h.channels, p)
 	}
-	h.parties = kept
 }
 
 // takeBackQueued returns tokens that were queued but never sent.
@@ -114,43 +132,41 @@
 // SetDraining makes the holder admit nothing and give its free tokens to peers.
 func (h *Holder) SetDraining() { h.draining = true }
 
-// Admit admits one new connection of the customer, or says why not.
-func (h *Holder) Admit(now time.Duration, customer uint64) Verdict {
+// Admit admits one new connection of the customer, refuses it, or lets it wait for
+// a token. The flow's identity is returned by Decisions when it has waited.
+func (h *Holder) Admit(now time.Duration, customer, flow uint64) Verdict {
 	if !h.lease.valid(now) || h.draining {
 		return NoLease
 	}
-	connections := h.account(Account{customer, Connections})
-	rate := h.account(Account{customer, Rate})
-	connections.count(now, 1)
-	rate.count(now, 1)
-	short := h.short(now, connections)
-	short = h.short(now, rate) || short
-	if short {
+	c := h.customer(customer)
+	c.connections.count(now, 1)
+	c.rate.count(now, 1)
+	if len(c.waiting) == 0 && h.use(now, c) {
+		return Admitted
+	}
+	if len(c.waiting) >= h.cfg.MaxWaiting {
 		return NoTokens
 	}
-	connections.used++
-	rate.used++
-	h.cooling = append(h.cooling, coolingToken{now + rateTokenTime, customer})
-	connections.check()
-	rate.check()
-	h.refill(now, connections)
-	h.refill(now, rate)
-	return Admitted
+	h.enqueue(now, c, flow)
+	return Waiting
 }
 
-// AdmitRequest admits one request of the customer, or says why not.
+// AdmitRequest admits one request of the customer, or refuses it and asks peers
+// for a token.
 func (h *Holder) AdmitRequest(now time.Duration, customer uint64) Verdict {
 	if !h.lease.valid(now) || h.draining {
 		return NoLease
 	}
 	a := h.account(Account{customer, Requests})
 	a.count(now, 1)
-	if h.short(now, a) {
+	if a.recalled || a.free() == 0 {
+		a.flows, a.flowsUntil = 1, now+h.cfg.MaxWait
+		h.want(now, a)
 		return NoTokens
 	}
+	a.flows = 0
 	a.used++
 	a.check()
-	h.refill(now, a)
 	return Admitted
 }
 
@@ -164,25 +180,6 @@
 	h.release(now, h.account(Account{customer, Requests}))
 }
 
-// short reports that the account has no free token, and notes the need.
-func (h *Holder) short(now time.Duration, a *account) bool {
-	if a.recalled {
-		return true
-	}
-	if a.free() > 0 {
-		return false
-	}
-	h.want(now, a, true)
-	return true
-}
-
-// refill asks peers for tokens before the free ones are used up.
-func (h *Holder) refill(now time.Duration, a *account) {
-	if a.free() < a.recent(now)/2 {
-		h.want(now, a, false)
-	}
-}
-
 func (h *Holder) release(now time.Duration, a *account) {
 	a.used--
 	a.check()
@@ -190,11 +187,23 @@
 		h.returnFree(a)
 		return
 	}
-	// A token that this holder needs itself stays here.
-	if a.need != nil && a.need.urgent {
+	h.freed(now, a)
+}
+
+// freed uses tokens that became free for the flows that wait here, then for peers
+// that wait for them.
+func (h *Holder) freed(now time.Duration, a *account) {
+	if a.recalled {
 		return
 	}
-	if peer, ok := a.nextWaiter(now); ok {
+	if a.flows > 0 && a.id.Kind != Requests {
+		h.admitWaiting(now, h.customer(a.id.Customer))
+	}
+	for a.spare() > 0 {
+		peer, ok := a.takeWaiter(now)
+		if !ok {
+			return
+		}
 		h.give(a, peer, 1)
 	}
 }
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -19,8 +19,8 @@
 type ledger struct {
 	entries []*entry
 	index   map[Account]int
-	// known is set for groups whose issued counts are exact.
-	known [groups]bool
+	// known is set for groups whose issued counts are exact, one bit each.
+	known uint64
 	// changes lists the entries to compare with their limit.
 	changes []*entry
 }
@@ -46,10 +46,10 @@
 
 // takeChanges returns the touched entries of known groups, in a fixed order, and
 // keeps the others for later.
-func (l *ledger) takeChanges(skip func(uint8) bool) []*entry {
+func (l *ledger) takeChanges(skip func(uint64) bool) []*entry {
 	var ready, rest []*entry
 	for _, e := range l.changes {
-		if g := e.id.group(); !l.known[g] || skip(g) {
+		if g := e.id.group(); l.known&g == 0 || skip(g) {
 			rest = append(rest, e)
 			continue
 		}
@@ -82,18 +82,18 @@
 	}
 }
 
-// recounted replaces the issued counts of one group.
-func (l *ledger) recounted(group uint8, counts map[Account]int32) {
+// recounted replaces the issued counts of some groups.
+func (l *ledger) recounted(groups uint64, counts map[Account]int32) {
 	for id := range counts {
 		l.entry(id)
 	}
 	for _, e := range l.entries {
-		if e.id.group() == group {
+		if e.id.group()&groups != 0 {
 			e.issued = counts[e.id]
 			l.touch(e)
 		}
 	}
-	l.known[group] = true
+	l.known |= groups
 	sortEntries(l)
 }
 
@@ -114,7 +114,7 @@
 // returned books tokens that a holder gave back.
 func (l *ledger) returned(a Amount) {
 	e := l.entry(a.Account)
-	if !l.known[a.Account.group()] {
+	if l.known&a.Account.group() == 0 {
 		return
 	}
 	e.issued -= a.Tokens
--- a/quota/recount.go
+++ b/quota/recount.go
@@ -4,77 +4,83 @@
 	"time"
 )
 
-// recount counts the tokens of one group at a time while the group's transfers
+// recount counts the tokens of some groups at a time while the groups' transfers
 // are stopped at every holder.
 type recount struct {
-	wanted [groups]bool
-	active bool
-	group  uint8
+	wanted uint64 // groups to be counted
+	groups uint64 // groups being counted; 0 when none
 	seq    uint64
 	start  time.Duration // when the first freeze message was sent
 	resend time.Duration
 	next   time.Duration // earliest start of the next recount
-	cursor uint8
+	pause  time.Duration // before the next recount; grows while holders do not answer
+	cursor int           // group to start with
 	// reports holds the answers by holder.
 	reports map[Party]*Message
 }
 
 func (r *recount) requestAll(now time.Duration) {
-	for g := range r.wanted {
-		r.wanted[g] = true
-	}
+	r.wanted = ^uint64(0)
 	r.next = now
 }
 
 // running reports whether the group is being counted.
-func (r *recount) running(group uint8) bool { return r.active && r.group == group }
+func (r *recount) running(group uint64) bool { return r.groups&group != 0 }
 
 // pending reports whether a group is still to be counted.
-func (r *recount) pending() bool {
-	for _, wanted := range r.wanted {
-		if wanted {
-			return true
-		}
-	}
-	return false
-}
+func (r *recount) pending() bool { return r.wanted != 0 }
 
-// nextGroup returns the next wanted group after the last one counted.
-func (r *recount) nextGroup() (uint8, bool) {
-	for i := range uint8(groups) {
-		g := (r.cursor + i) % groups
-		if r.wanted[g] {
-			return g, true
+// nextGroups chooses wanted groups, after those counted last, with no more than
+// the given number of accounts; at least one group when any is wanted.
+func (g *Grantor) nextGroups() uint64 {
+	r := &g.recount
+	var sizes [groups]int
+	for _, e := range g.ledger.entries {
+		sizes[e.id.Customer%groups]++
+	}
+	chosen, total := uint64(0), 0
+	for range groups {
+		size := sizes[r.cursor]
+		if chosen != 0 && total+size > g.cfg.RecountAccounts {
+			break
+		}
+		if bit := uint64(1) << r.cursor; r.wanted&bit != 0 {
+			chosen |= bit
+			total += size
 		}
+		r.cursor = (r.cursor + 1) % groups
 	}
-	return 0, false
+	return chosen
 }
 
+const (
+	// resendParts divides RecountTimeout into the times at which a freeze message
+	// is repeated.
+	resendParts = 10
+	// maxPauseFactor bounds the pause between recounts, in RecountIntervals.
+	maxPauseFactor = 32
+)
+
 // stepRecount starts, repeats or gives up a recount.
 func (g *Grantor) stepRecount(now time.Duration) []Message {
 	r := &g.recount
-	if r.active && now >= r.start+g.cfg.RecountTimeout/2 {
+	if r.groups != 0 && now >= r.start+g.cfg.RecountTimeout/2 {
 		return g.endRecount(now)
 	}
-	if r.active {
+	if r.groups != 0 {
 		if now < r.resend {
 			return nil
 		}
-		r.resend = now + g.cfg.RetransmitInitial
+		r.resend = now + g.cfg.RecountTimeout/resendParts
 		return g.freezeMessages()
 	}
-	if now < r.next {
+	if now < r.next || !r.pending() {
 		return nil
 	}
-	group, ok := r.nextGroup()
-	if !ok {
-		return nil
-	}
-	r.active, r.group, r.start = true, group, now
+	r.groups, r.start = g.nextGroups(), now
 	r.seq++
-	r.cursor = (group + 1) % groups
 	r.reports = map[Party]*Message{}
-	r.resend = now + g.cfg.RetransmitInitial
+	r.resend = now + g.cfg.RecountTimeout/resendParts
 	return g.freezeMessages()
 }
 
@@ -87,7 +93,7 @@
 		}
 		m := g.message(MessageFreeze, h.Party)
 		m.Seq = g.recount.seq
-		m.Group = g.recount.group
+		m.Groups = g.recount.groups
 		out = append(out, m)
 	}
 	return out
@@ -95,8 +101,16 @@
 
 // endRecount lets the holders transfer again.
 func (g *Grantor) endRecount(now time.Duration) []Message {
-	g.recount.active = false
-	g.recount.next = now + g.cfg.RecountInterval
+	r := &g.recount
+	// Transfers of the groups stop during each recount, so recounts that cannot
+	// succeed have to be rare.
+	if r.wanted&r.groups != 0 {
+		r.pause = min(2*max(r.pause, g.cfg.RecountInterval), maxPauseFactor*g.cfg.RecountInterval)
+	} else {
+		r.pause = g.cfg.RecountInterval
+	}
+	r.groups = 0
+	r.next = now + r.pause
 	var out []Message
 	for _, h := range g.holders {
 		if h.writtenOff {
@@ -114,7 +128,7 @@
 // so reports that are complete within half of it describe one instant.
 func (g *Grantor) handleReport(now time.Duration, m *Message) {
 	r := &g.recount
-	if !r.active || m.Seq != r.seq || now >= r.start+g.cfg.RecountTimeout/2 {
+	if r.groups == 0 || m.Seq != r.seq || now >= r.start+g.cfg.RecountTimeout/2 {
 		return
 	}
 	r.reports[m.From] = m
@@ -129,8 +143,8 @@
 			return
 		}
 	}
-	r.wanted[r.group] = false
-	g.ledger.recounted(r.group, g.countTokens())
+	r.wanted &^= r.groups
+	g.ledger.recounted(r.groups, g.countTokens())
 	// The next step releases the holders.
 	r.start = now - g.cfg.RecountTimeout
 }
@@ -148,11 +162,12 @@
 	for _, other := range g.holders {
 		if other.ID == p.ID && other.Incarnation != p.Incarnation && !other.Gone {
 			h.Gone = true
+			h.leaseEnd = now
 		}
 	}
 }
 
-// countTokens adds up the tokens of the group that the reports show: held, or in
+// countTokens adds up the tokens of the groups that the reports show: held, or in
 // a batch that its receiver has not added yet. What is in transit to a holder
 // that was written off is lost with it.
 func (g *Grantor) countTokens() map[Account]int32 {
@@ -193,7 +208,7 @@
 		return
 	}
 	for _, id := range h.channel.order {
-		if id.group() == g.recount.group {
+		if g.recount.running(id.group()) {
 			counts[id] += h.channel.queued[id]
 		}
 	}
@@ -202,7 +217,7 @@
 		return
 	}
 	for _, amount := range h.channel.outstanding {
-		if amount.Account.group() == g.recount.group {
+		if g.recount.running(amount.Account.group()) {
 			counts[amount.Account] += amount.Tokens
 		}
 	}
--- a/quota/step.go
+++ b/quota/step.go
@@ -8,7 +8,9 @@
 func (h *Holder) Step(now time.Duration) []Message {
 	h.freeze.expire(now)
 	h.releaseCooled(now)
-	var out []Message
+	h.stepWaiting(now)
+	out := h.acks
+	h.acks = nil
 	if h.grantor != (Party{}) && h.lease.due(now) {
 		out = append(out, h.renewal(now))
 	}
@@ -45,11 +47,10 @@
 		return
 	}
 	for _, a := range h.accounts {
-		if a.free() == 0 {
-			continue
+		if a.spare() > 0 {
+			h.cursor++
+			h.give(a, accepting[h.cursor%len(accepting)], a.spare())
 		}
-		h.cursor++
-		h.give(a, accepting[h.cursor%len(accepting)], a.free())
 	}
 }
 
@@ -123,8 +124,9 @@
 	if term <= h.term {
 		return
 	}
-	if old := h.channels[h.grantor]; old != nil && grantor != h.grantor {
-		h.takeBackQueued(old)
+	// Tokens on their way back to the earlier grantor are not counted any more.
+	if grantor != h.grantor {
+		h.dropChannel(h.grantor)
 	}
 	h.grantor, h.term = grantor, term
 	h.lease.active = false
@@ -151,7 +153,8 @@
 	}
 	ack := h.message(MessageTransferAck, m.From)
 	ack.Seq = m.Seq
-	return []Message{ack}
+	h.acks = append(h.acks, ack)
+	return nil
 }
 
 func (h *Holder) add(now time.Duration, amounts []Amount) {
@@ -161,7 +164,9 @@
 		a.check()
 		if a.recalled {
 			h.returnFree(a)
+			continue
 		}
+		h.freed(now, a)
 	}
 }
 
--- a/quota/types.go
+++ b/quota/types.go
@@ -35,11 +35,12 @@
 	Kind     Kind
 }
 
-// groups is the number of parts into which accounts are divided for a recount, so
-// that only a small part of the transfers stops at a time.
+// groups is the number of parts into which accounts are divided, so that a
+// recount of many accounts stops only some of the transfers at a time. It is the
+// number of bits of Message.Groups.
 const groups = 64
 
-func (a Account) group() uint8 { return uint8(a.Customer % groups) }
+func (a Account) group() uint64 { return 1 << (a.Customer % groups) }
 
 // Party is one process that holds or issues tokens, for one process start.
 type Party struct {
@@ -68,9 +69,9 @@
 	MessageRenew
 	// MessageRenewed answers MessageRenew.
 	MessageRenewed
-	// MessageFreeze starts a recount of Group; Seq numbers the recount.
+	// MessageFreeze starts a recount of Groups; Seq numbers the recount.
 	MessageFreeze
-	// MessageReport answers MessageFreeze with the holder's tokens of the group.
+	// MessageReport answers MessageFreeze with the holder's tokens of the groups.
 	MessageReport
 	// MessageRelease ends the recount Seq. With Seq 0 it only tells a holder who
 	// the grantor is.
@@ -91,24 +92,29 @@
 	Service  packet.ServiceID
 	From, To Party
 	// Term is the grantor's term; 0 between holders.
-	Term    int64
-	Seq     uint64
-	Group   uint8
-	Urgent  bool // MessageAsk: the sender has refused a flow for want of a token
+	Term int64
+	Seq  uint64
+	// Groups has a bit for each group of accounts that is recounted.
+	Groups  uint64
 	Amounts []Amount
 	// Channels is set in MessageReport only.
 	Channels []ChannelReport
 }
 
+// EnvelopeSize is the estimated size in bytes of one call between two processes,
+// reply included, that carries all messages of one step.
+const EnvelopeSize = 64
+
 // Wire sizes in bytes, for the estimate of control traffic: an encoded Message
 // without lists, and the entries of its lists.
 const (
-	wireMessage = 48
+	wireMessage = 12
 	wireAmount  = 11
 	wireChannel = 32
 )
 
-// WireSize estimates the encoded size of the message in bytes.
+// WireSize estimates the encoded size of the message in bytes, within an envelope
+// that names the service and both parties.
 func (m *Message) WireSize() int {
 	size := wireMessage + wireAmount*len(m.Amounts)
 	for i := range m.Channels {
@@ -133,7 +139,8 @@
 	AskInterval time.Duration
 	// MaxAskInterval bounds the doubling of AskInterval. Default 1 s.
 	MaxAskInterval time.Duration
-	// AskPeers is the number of peers asked at a time. Default 8.
+	// AskPeers is the least number of peers asked at first; further attempts ask
+	// twice as many. Default 2.
 	AskPeers int
 	// RetransmitInitial and RetransmitMax bound the retransmission time of
 	// transfers, renewals and recalls (IRT and MRT of RFC 8415, section 15).
@@ -143,10 +150,19 @@
 	FixedRetransmission bool
 	// Lease is how long a renewal lets a holder admit new flows. Default 60 s.
 	Lease time.Duration
-	// RecountTimeout ends a holder's freeze when no release comes. Default 3 s.
+	// RecountTimeout ends a holder's freeze when no release comes. Default 1 s.
 	RecountTimeout time.Duration
-	// RecountInterval is the time between the recounts of two groups. Default 200 ms.
+	// RecountInterval is the time between two recounts. After a recount in which a
+	// holder did not answer it doubles up to 32 times. Default 200 ms.
 	RecountInterval time.Duration
+	// RecountAccounts bounds the accounts of one recount, and so the size of a
+	// report. Default 500.
+	RecountAccounts int
+	// MaxWait is how long a flow waits for a token before it is refused. Default
+	// 3 s; TCP clients repeat their first packet after 1 s and 3 s.
+	MaxWait time.Duration
+	// MaxWaiting bounds the flows of one customer that wait. Default 64.
+	MaxWaiting int
 	// BatchAmounts bounds the entries of one batch. Default 200.
 	BatchAmounts int
 	// GoneAfter is how long a holder may be missing from the membership before its
@@ -163,12 +179,19 @@
 	setDuration(&c.RetransmitInitial, 300*time.Millisecond)
 	setDuration(&c.RetransmitMax, 2*time.Second)
 	setDuration(&c.Lease, time.Minute)
-	setDuration(&c.RecountTimeout, 3*time.Second)
+	setDuration(&c.RecountTimeout, time.Second)
+	setDuration(&c.MaxWait, 3*time.Second)
 	setDuration(&c.RecountInterval, 200*time.Millisecond)
 	setDuration(&c.WaitingTime, 3*time.Second)
 	setDuration(&c.GoneAfter, 10*time.Minute)
 	if c.AskPeers == 0 {
-		c.AskPeers = 8
+		c.AskPeers = 2
+	}
+	if c.RecountAccounts == 0 {
+		c.RecountAccounts = 500
+	}
+	if c.MaxWaiting == 0 {
+		c.MaxWaiting = 64
 	}
 	if c.BatchAmounts == 0 {
 		c.BatchAmounts = 200
--- /dev/null
+++ b/quota/waiting.go
@@ -0,0 +1,109 @@
+package quota
+
+import (
+	"time"
+)
+
+// Decision is the late answer to an Admit that returned Waiting.
+type Decision struct {
+	Customer uint64
+	Flow     uint64
+	Verdict  Verdict // Admitted or NoTokens
+}
+
+// customer holds the flows of one customer that wait for tokens.
+type customer struct {
+	connections, rate *account
+	waiting           []waitingFlow
+	listed            bool // in Holder.queued
+}
+
+type waitingFlow struct {
+	flow  uint64
+	until time.Duration
+}
+
+func (h *Holder) customer(id uint64) *customer {
+	c := h.customers[id]
+	if c == nil {
+		c = &customer{
+			connections: h.account(Account{id, Connections}),
+			rate:        h.account(Account{id, Rate}),
+		}
+		h.customers[id] = c
+	}
+	return c
+}
+
+// use takes one token of each limit, if both are free.
+func (h *Holder) use(now time.Duration, c *customer) bool {
+	if c.connections.recalled || c.rate.recalled || c.connections.free() == 0 || c.rate.free() == 0 {
+		return false
+	}
+	c.connections.used++
+	c.rate.used++
+	h.cooling = append(h.cooling, coolingToken{now + rateTokenTime, c.rate.id.Customer})
+	c.connections.check()
+	c.rate.check()
+	return true
+}
+
+// enqueue lets a flow wait and asks peers for the tokens that it lacks.
+func (h *Holder) enqueue(now time.Duration, c *customer, flow uint64) {
+	c.waiting = append(c.waiting, waitingFlow{flow, now + h.cfg.MaxWait})
+	if !c.listed {
+		c.listed = true
+		h.queued = append(h.queued, c)
+	}
+	h.countWaiting(now, c)
+}
+
+// countWaiting updates what the accounts need for the waiting flows.
+func (h *Holder) countWaiting(now time.Duration, c *customer) {
+	n := int32(len(c.waiting))
+	c.connections.flows, c.rate.flows = n, n
+	h.want(now, c.connections)
+	h.want(now, c.rate)
+}
+
+// admitWaiting admits waiting flows while there are tokens, the longest wait first.
+func (h *Holder) admitWaiting(now time.Duration, c *customer) {
+	if !h.lease.valid(now) {
+		return
+	}
+	for len(c.waiting) > 0 && h.use(now, c) {
+		h.decide(c, Admitted)
+	}
+	h.countWaiting(now, c)
+}
+
+// decide takes the first waiting flow out of the queue.
+func (h *Holder) decide(c *customer, v Verdict) {
+	h.decisions = append(h.decisions, Decision{c.rate.id.Customer, c.waiting[0].flow, v})
+	c.waiting = c.waiting[1:]
+}
+
+// stepWaiting refuses flows that have waited for too long.
+func (h *Holder) stepWaiting(now time.Duration) {
+	kept := h.queued[:0]
+	for _, c := range h.queued {
+		for len(c.waiting) > 0 && now >= c.waiting[0].until {
+			h.decide(c, NoTokens)
+		}
+		h.countWaiting(now, c)
+		if len(c.waiting) == 0 {
+			c.listed = false
+			continue
+		}
+		kept = append(kept, c)
+	}
+	clear(h.queued[len(kept):])
+	h.queued = kept
+}
+
+// Decisions returns the decisions on flows that have waited, and forgets them.
+func (h *Holder) Decisions() []Decision {
+	d := h.decisions
+	h.decisions = nil
+	return d
+}
