--- /dev/null
+++ b/balancer/balancer.go
@@ -0,0 +1,200 @@
+package balancer
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/nutmegtrack/nutmegtrack/control"
+	"github.com/nutmegtrack/nutmegtrack/daemon"
+	"github.com/nutmegtrack/nutmegtrack/event"
+	"github.com/nutmegtrack/nutmegtrack/flow"
+	"github.com/nutmegtrack/nutmegtrack/member"
+	"github.com/nutmegtrack/nutmegtrack/settings"
+	"github.com/nutmegtrack/nutmegtrack/store"
+)
+
+const (
+	// tick is the interval of membership steps.
+	tick = 100 * time.Millisecond
+	// leaveRounds and leavePause repeat the leave record, which is pushed in rounds.
+	leaveRounds = 2
+	leavePause  = 250 * time.Millisecond
+)
+
+// Balancer is one balancer process.
+type Balancer struct {
+	cfg      settings.Balancer
+	log      *event.Logger
+	clock    daemon.Clock
+	rng      *rand.Rand
+	life     *daemon.Lifecycle
+	registry metrics.Registry
+	counters *counters
+	router   *router
+	health   *health
+
+	ports   ports
+	control *daemon.Control
+	members *daemon.Members[*member.Node]
+	fleet   fleet
+	lists   *daemon.Lists
+}
+
+// New returns a balancer that has opened nothing yet.
+func New(cfg settings.Balancer, log *event.Logger) *Balancer {
+	return newBalancer(cfg, log, daemon.NewClock())
+}
+
+func newBalancer(cfg settings.Balancer, log *event.Logger, clock daemon.Clock) *Balancer {
+	registry := metrics.NewRegistry()
+	return &Balancer{
+		cfg:      cfg,
+		log:      log,
+		clock:    clock,
+		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		life:     daemon.NewLifecycle(),
+		registry: registry,
+		counters: newCounters(registry),
+		router:   newRouter(clock, cfg.Readers, cfg.HintEntries),
+		health:   newHealth(),
+	}
+}
+
+// Start opens the sockets and begins to serve.
+func (b *Balancer) Start() error {
+	s, err := openStore(b.cfg.Store)
+	if err != nil {
+		return err
+	}
+	p, err := openPorts(&b.cfg)
+	if err != nil {
+		return err
+	}
+	b.assemble(p, s, nil, b.life.Spawn)
+	b.launch()
+	b.log.Log(event.Started, "data", p.dataAddr, "control", b.self().Control, "health", p.health.Addr())
+	return nil
+}
+
+// assemble connects the parts. A nil transport stands for the control client;
+// spawn runs a call in the background.
+func (b *Balancer) assemble(p ports, s store.Store, transport daemon.Transport, spawn func(func())) {
+	b.ports = p
+	b.control = daemon.NewControl(b.registry, b.log)
+	if transport == nil {
+		transport = b.control.Client
+	}
+	node := member.NewNode(member.Config{Seeds: b.cfg.Seeds}, b.record(), daemon.NewRand(b.rng))
+	silent := daemon.NewQuiet(b.log, b.clock, event.PeerSilent)
+	b.members = daemon.NewMembers(node, daemon.MembersConfig{
+		Clock:     b.clock,
+		Transport: transport,
+		Spawn:     spawn,
+		Failed:    silent.Peer,
+	})
+	b.lists = daemon.NewLists(daemon.ListsConfig{
+		Log: b.log, Clock: b.clock, Rand: daemon.NewRand(b.rng), Transport: transport, Store: s,
+		Spawn: spawn, Activated: b.listsActivated,
+	})
+	b.control.Register(daemon.ListsService, daemon.NewListsRPC(b.lists))
+	b.control.Register(control.MemberService, control.NewMember(b.members.Handle))
+	b.control.Register(daemon.AdminService, daemon.NewAdmin(b.drainRequested))
+	b.addDumpSources()
+}
+
+func (b *Balancer) record() member.Record {
+	return member.Record{
+		Name:          b.cfg.Name,
+		FailureDomain: b.cfg.FailureDomain,
+		Role:          member.RoleBalancer,
+		State:         flow.Ready,
+		Data:          b.ports.dataAddr,
+		Control:       daemon.Advertised(b.cfg.ControlAdvertise, b.ports.control),
+	}
+}
+
+// launch starts the goroutines.
+func (b *Balancer) launch() {
+	source := b.ports.device
+	if source == nil {
+		source = b.ports.data
+	} else {
+		b.life.Go(b.newReader(b.ports.data).run) // hints
+	}
+	for range b.readers() {
+		b.life.Go(b.newReader(source).run)
+	}
+	b.life.Spawn(func() { b.health.serve(b.ports.health) })
+	b.control.Serve(b.ports.control)
+	b.life.Every(tick, b.step)
+	b.life.Supervise(b.drain, b.close)
+}
+
+// readers returns the number of goroutines that read IP packets. A TUN device is
+// read by one, since packetio.Device allows no more.
+func (b *Balancer) readers() int {
+	if b.ports.device != nil {
+		return 1
+	}
+	return b.cfg.Readers
+}
+
+// step advances membership and the lists, and installs the view when it has changed.
+func (b *Balancer) step() {
+	b.members.Step(b.life.Context())
+	b.refreshView()
+	b.stepLists()
+}
+
+func (b *Balancer) drainRequested() int {
+	b.life.Shutdown()
+	return 0
+}
+
+// drain keeps forwarding while the fabric and the agents learn that this balancer
+// is leaving.
+func (b *Balancer) drain() {
+	b.log.Log(event.Draining, "seconds", float64(b.cfg.DrainSeconds))
+	b.health.drain()
+	b.setState(flow.Draining)
+	if !b.life.Sleep(b.cfg.DrainSeconds.Duration()) {
+		return
+	}
+	b.setState(flow.Leaving)
+	for range leaveRounds {
+		b.members.StepAndWait(b.life.Context())
+		if !b.life.Sleep(leavePause) {
+			return
+		}
+	}
+}
+
+func (b *Balancer) setState(s flow.State) {
+	b.members.Do(func(now time.Duration, n *member.Node) { n.SetState(now, s) })
+}
+
+// close ends all goroutines.
+func (b *Balancer) close() {
+	b.ports.closePackets()
+	b.health.close()
+	b.control.Close()
+}
+
+func (b *Balancer) self() (r member.Record) {
+	b.members.Do(func(_ time.Duration, n *member.Node) { r = n.Self() })
+	return r
+}
+
+// Shutdown begins a graceful shutdown.
+func (b *Balancer) Shutdown() { b.life.Shutdown() }
+
+// Done is closed when the balancer has stopped.
+func (b *Balancer) Done() <-chan struct{} { return b.life.Done() }
+
+// Err returns what stopped the balancer, or nil.
+func (b *Balancer) Err() error { return b.life.Err() }
+
+// Left returns 0: a balancer owns no flows.
+func (b *Balancer) Left() int { return 0 }
--- /dev/null
+++ b/balancer/lists.go
@@ -0,0 +1,75 @@
+package balancer
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/member"
+	"github.com/nutmegtrack/nutmegtrack/settings"
+	"github.com/nutmegtrack/nutmegtrack/store"
+	"github.com/nutmegtrack/nutmegtrack/store/etcd"
+)
+
+// storeReaders is the number of balancers of a failure domain that watch the
+// store; the others fetch the lists from peers. At the target scale, 14 failure
+// domains then hold 28 watches.
+const storeReaders = 2
+
+// openStore returns the client of the store, or nil without endpoints.
+func openStore(cfg settings.Store) (store.Store, error) {
+	if len(cfg.Endpoints) == 0 {
+		return nil, nil
+	}
+	return etcd.New(etcd.Config{Endpoints: cfg.Endpoints, Timeout: cfg.TimeoutSeconds.Duration()})
+}
+
+// stepLists reads the store when it is this balancer's turn, and otherwise fetches
+// newer lists from the process that announced them or from another balancer, since
+// the first may itself wait for the lists or be gone.
+func (b *Balancer) stepLists() {
+	var (
+		known        int64
+		source, peer netip.AddrPort
+		reader       bool
+	)
+	b.members.Do(func(_ time.Duration, n *member.Node) {
+		known, source = n.Revision()
+		reader = isStoreReader(n)
+		if known > b.lists.Revision() {
+			peer = randomBalancer(n)
+		}
+	})
+	b.lists.Step(b.life.Context(), reader, known, source, peer)
+}
+
+// isStoreReader reports whether this balancer is among the first of its failure
+// domain's live balancers by name.
+func isStoreReader(n *member.Node) bool {
+	before := 0
+	self := n.Self()
+	for _, r := range n.Table().Balancers() {
+		if r.FailureDomain == self.FailureDomain && !r.Gone() && r.Name < self.Name {
+			before++
+		}
+	}
+	return before < storeReaders
+}
+
+// randomBalancer returns the control address of another live balancer.
+func randomBalancer(n *member.Node) netip.AddrPort {
+	var live []netip.AddrPort
+	for _, r := range n.Table().Balancers() {
+		if !r.Gone() && r.Name != n.Self().Name {
+			live = append(live, r.Control)
+		}
+	}
+	if len(live) == 0 {
+		return netip.AddrPort{}
+	}
+	return live[rand.IntN(len(live))]
+}
+
+func (b *Balancer) listsActivated(revision int64) {
+	b.members.Do(func(_ time.Duration, n *member.Node) { n.SetRevision(revision) })
+}
--- a/cmd/nutmegtrack/main.go
+++ b/cmd/nutmegtrack/main.go
@@ -23,7 +23,19 @@
 }
 
 // commands lists the constructors of all subcommands, in the order of the help text.
-var commands = []func() command{}
+var commands = []func() command{
+	newBalancer,
+	newAgent,
+	newDump,
+	newDrain,
+	newStatus,
+	newCustomers,
+	newPlans,
+	newEditStatus,
+	newStandin,
+	newDemo,
+	newBenchCommand,
+}
 
 func main() {
 	os.Exit(run(os.Args[1:]))
--- /dev/null
+++ b/daemon/listfetch.go
@@ -0,0 +1,116 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/nutmegtrack/nutmegtrack/plan"
+	"github.com/nutmegtrack/nutmegtrack/store"
+)
+
+// execute runs one fetch of the reader in the background.
+func (l *Lists) execute(ctx context.Context, f plan.Fetch) {
+	switch f.Kind {
+	case plan.WatchHead:
+		l.startWatch(ctx, f)
+	case plan.StopWatch:
+		l.endWatch(f.ID)
+	default:
+		l.cfg.Spawn(func() {
+			result := l.fetch(ctx, f)
+			if result.Err != nil && !f.Peer.IsValid() && ctx.Err() == nil {
+				l.storeFailed.Log("error", result.Err)
+			}
+			l.input(ctx, func(now time.Duration, r *plan.Reader) { r.Done(now, f.ID, result) })
+		})
+	}
+}
+
+func (l *Lists) fetch(ctx context.Context, f plan.Fetch) plan.Result {
+	switch {
+	case f.Peer.IsValid() && f.Kind == plan.FetchHead:
+		var reply HeadReply
+		err := l.cfg.Transport.Call(ctx, f.Peer, listsHead, &HeadArgs{}, &reply)
+		return plan.Result{Head: reply.Head, Err: err}
+	case f.Peer.IsValid():
+		var reply PagesReply
+		err := l.cfg.Transport.Call(ctx, f.Peer, listsPages, &PagesArgs{Hashes: f.Hashes}, &reply)
+		return plan.Result{Pages: reply.Pages, Err: err}
+	case f.Kind == plan.FetchHead:
+		return l.storeHead(ctx)
+	}
+	return l.storePages(ctx, f.Hashes)
+}
+
+// storeHead reads by prefix, because only a list returns the store's revision when
+// the key does not exist.
+func (l *Lists) storeHead(ctx context.Context) plan.Result {
+	list, revision, err := l.cfg.Store.List(ctx, plan.HeadKey)
+	result := plan.Result{StoreRevision: revision, Err: err}
+	for _, kv := range list {
+		if kv.Key == plan.HeadKey {
+			result.Head = kv.Value
+		}
+	}
+	return result
+}
+
+// storePages leaves out pages that an edit has deleted meanwhile.
+func (l *Lists) storePages(ctx context.Context, hashes []plan.Hash) plan.Result {
+	pages := plan.Pages{}
+	for _, hash := range hashes {
+		kv, err := l.cfg.Store.Get(ctx, plan.PageKey(hash))
+		switch {
+		case err == nil:
+			pages[hash] = kv.Value
+		case !errors.Is(err, store.ErrNotFound):
+			return plan.Result{Err: err}
+		}
+	}
+	return plan.Result{Pages: pages}
+}
+
+// startWatch passes the head's changes to the reader until the watch ends.
+func (l *Lists) startWatch(ctx context.Context, f plan.Fetch) {
+	ctx, cancel := context.WithCancel(ctx)
+	l.mu.Lock()
+	l.watches[f.ID] = cancel
+	l.mu.Unlock()
+	l.cfg.Spawn(func() {
+		err := l.watch(ctx, f)
+		if ctx.Err() == nil {
+			l.storeFailed.Log("error", err)
+		}
+		l.endWatch(f.ID)
+		l.input(ctx, func(now time.Duration, r *plan.Reader) { r.Done(now, f.ID, plan.Result{Err: err}) })
+	})
+}
+
+func (l *Lists) watch(ctx context.Context, f plan.Fetch) error {
+	changes, err := l.cfg.Store.Watch(ctx, plan.HeadKey, f.From)
+	if err != nil {
+		return err
+	}
+	for change := range changes {
+		if change.Err != nil {
+			return change.Err
+		}
+		for _, e := range change.Events {
+			if e.KV.Key == plan.HeadKey && !e.Deleted {
+				l.input(ctx, func(now time.Duration, r *plan.Reader) { r.WatchEvent(now, f.ID, e.KV.Value) })
+			}
+		}
+	}
+	return errors.New("the watch has ended")
+}
+
+func (l *Lists) endWatch(id uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if cancel := l.watches[id]; cancel != nil {
+		cancel()
+		delete(l.watches, id)
+	}
+}
