--- a/bench/limits.go
+++ b/bench/limits.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/nutmegtrack/nutmegtrack/fake"
 	"github.com/nutmegtrack/nutmegtrack/quota"
 )
@@ -13,33 +15,31 @@
 // LimitsOptions describes a run of the limits benchmark.
 type LimitsOptions struct {
 	Seed      uint64
-	Upstreams int           // agents of the service; default 7
-	Customers int           // default 200
-	Duration  time.Duration // of virtual time; default 10 min
-	Load      float64       // mean use of each plan; default 0.8
-	// MeanOpen is the mean time for which a connection stays open. The default of
-	// 250 s is 65 million open flows divided by 260,000 new ones a second.
+	Upstreams int           // agents of the service
+	Customers int           // customers, each with its own limits
+	Duration  time.Duration // virtual time of a run
+	Load      float64       // mean use of each plan; 1 is all of it
+	// MeanOpen is the mean time for which a connection stays open. 65 million open
+	// flows with 260,000 new ones a second stay open for 250 s.
 	MeanOpen time.Duration
 	Faults   bool // loss, duplication, cuts, pauses, deaths, edits
 }
 
-func (o LimitsOptions) withDefaults() LimitsOptions {
-	if o.Upstreams == 0 {
-		o.Upstreams = 7
-	}
-	if o.Customers == 0 {
-		o.Customers = 200
-	}
-	if o.Duration == 0 {
-		o.Duration = 10 * time.Minute
-	}
-	if o.Load == 0 {
-		o.Load = 0.8
-	}
-	if o.MeanOpen == 0 {
-		o.MeanOpen = 250 * time.Second
+// Validate reports options outside their range.
+func (o LimitsOptions) Validate() error {
+	switch {
+	case o.Upstreams < 1 || o.Upstreams > 1000:
+		return errors.Newf("upstreams is %d; it must be from 1 to 1000", o.Upstreams)
+	case o.Customers < 1 || o.Customers > 100_000:
+		return errors.Newf("customers is %d; it must be from 1 to 100000", o.Customers)
+	case o.Duration <= limitsWarmUp:
+		return errors.Newf("duration is %v; it must be longer than the warm-up of %v", o.Duration, limitsWarmUp)
+	case o.MeanOpen <= 0:
+		return errors.Newf("mean-open is %v; it must be positive", o.MeanOpen)
+	case o.Load <= 0 || o.Load > 1:
+		return errors.Newf("load is %v; it must be above 0 and at most 1", o.Load)
 	}
-	return o
+	return nil
 }
 
 // LimitsResult is the outcome of one variant.
@@ -75,14 +75,13 @@
 	maxWait       = 3 * time.Second
 	// editSpread is the time in which an edit must be in force everywhere.
 	editSpread = 13 * time.Second
-	// warmUp is left out of the measured shares: no token has been issued at first.
-	warmUp = 30 * time.Second
+	// limitsWarmUp is left out of the measured shares: no token has been issued at first.
+	limitsWarmUp = 30 * time.Second
 )
 
 // RunLimits measures one variant. The victims' share is compared with a second run
 // in which no customer exceeds its plan.
 func RunLimits(o LimitsOptions, v LimitsVariant) LimitsResult {
-	o = o.withDefaults()
 	calm := newLimitsRun(o, v, 1).run()
 	flood := newLimitsRun(o, v, 10).run()
 	result := flood.result(v)
@@ -159,7 +158,7 @@
 func (r *limitsRun) fill(customer uint64) {
 	n := int(r.o.Load * float64(r.limits[2*(customer-1)].Tokens))
 	for range n {
-		r.net.After(netip.AddrPort{}, time.Second+time.Duration(r.rng.Int64N(int64(warmUp/2))), func() { r.arrive(customer) })
+		r.net.After(netip.AddrPort{}, time.Second+time.Duration(r.rng.Int64N(int64(limitsWarmUp/2))), func() { r.arrive(customer) })
 	}
 }
 
--- a/bench/limits_observer.go
+++ b/bench/limits_observer.go
@@ -91,7 +91,7 @@
 			continue
 		}
 		a.freeFor += limitsStep
-		if a.first >= warmUp {
+		if a.first >= limitsWarmUp {
 			ob.refusalMax = max(ob.refusalMax, a.freeFor)
 		}
 	}
@@ -109,14 +109,14 @@
 // giveUp books an attempt that was refused.
 func (ob *observer) giveUp(a *attempt) {
 	ob.finish(a, false)
-	if !a.overPlan && a.first >= warmUp {
+	if !a.overPlan && a.first >= limitsWarmUp {
 		ob.refusedUnder++
 	}
 }
 
 func (ob *observer) finish(a *attempt, admitted bool) {
 	a.decided = true
-	if a.first < warmUp {
+	if a.first < limitsWarmUp {
 		return
 	}
 	ob.attempts++
--- a/cmd/nutmegtrack/bench.go
+++ b/cmd/nutmegtrack/bench.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -11,17 +12,30 @@
 	"github.com/nutmegtrack/nutmegtrack/bench"
 )
 
+// benchmarks lists the constructors of the subcommands of "bench".
+var benchmarks = []func() command{
+	newBenchFlows,
+	newBenchLimits,
+}
+
 // newBenchCommand returns the subcommand "bench" with its own subcommands.
 func newBenchCommand() command {
 	sub := flaggy.NewSubcommand("bench")
 	sub.Description = "measure the decision packages in virtual time"
-	flows := newBenchFlows()
-	sub.AttachSubcommand(flows.sub, 1)
+	list := make([]command, len(benchmarks))
+	names := make([]string, len(benchmarks))
+	for i, newBenchmark := range benchmarks {
+		list[i] = newBenchmark()
+		names[i] = list[i].sub.Name
+		sub.AttachSubcommand(list[i].sub, 1)
+	}
 	return command{sub: sub, run: func() int {
-		if flows.sub.Used {
-			return flows.run()
+		for _, c := range list {
+			if c.sub.Used {
+				return c.run()
+			}
 		}
-		fmt.Fprintln(os.Stderr, "nutmegtrack: bench: name what to measure: flows")
+		fmt.Fprintln(os.Stderr, "nutmegtrack: bench: name what to measure:", strings.Join(names, ", "))
 		return exitUsage
 	}}
 }
