--- /dev/null
+++ b/quota/recount.go
@@ -0,0 +1,239 @@
+package quota
+
+import (
+	"time"
+)
+
+// recount counts the tokens of some groups at a time while the groups' transfers
+// are stopped at every holder.
+type recount struct {
+	wanted uint64 // groups to be counted
+	groups uint64 // groups being counted; 0 when none
+	seq    uint64
+	start  time.Duration // when the first freeze message was sent
+	resend time.Duration
+	next   time.Duration // earliest start of the next recount
+	pause  time.Duration // before the next recount; grows while holders do not answer
+	cursor int           // group to start with
+	// reports holds the answers by holder.
+	reports map[Party]*Message
+}
+
+func (r *recount) requestAll(now time.Duration) {
+	r.wanted = ^uint64(0)
+	r.next = now
+}
+
+// running reports whether the group is being counted.
+func (r *recount) running(group uint64) bool { return r.groups&group != 0 }
+
+// pending reports whether a group is still to be counted.
+func (r *recount) pending() bool { return r.wanted != 0 }
+
+// nextGroups chooses wanted groups, after those counted last, with no more than
+// the given number of accounts; at least one group when any is wanted.
+func (g *Grantor) nextGroups() uint64 {
+	r := &g.recount
+	var sizes [groups]int
+	for _, e := range g.ledger.entries {
+		sizes[e.id.Customer%groups]++
+	}
+	chosen, total := uint64(0), 0
+	for range groups {
+		size := sizes[r.cursor]
+		if chosen != 0 && total+size > g.cfg.RecountAccounts {
+			break
+		}
+		if bit := uint64(1) << r.cursor; r.wanted&bit != 0 {
+			chosen |= bit
+			total += size
+		}
+		r.cursor = (r.cursor + 1) % groups
+	}
+	return chosen
+}
+
+const (
+	// resendParts divides RecountTimeout into the times at which a freeze message
+	// is repeated.
+	resendParts = 10
+	// maxPauseFactor bounds the pause between recounts, in RecountIntervals.
+	maxPauseFactor = 32
+)
+
+// stepRecount starts, repeats or gives up a recount.
+func (g *Grantor) stepRecount(now time.Duration) []Message {
+	r := &g.recount
+	if r.groups != 0 && now >= r.start+g.cfg.RecountTimeout/2 {
+		return g.endRecount(now)
+	}
+	if r.groups != 0 {
+		if now < r.resend {
+			return nil
+		}
+		r.resend = now + g.cfg.RecountTimeout/resendParts
+		return g.freezeMessages()
+	}
+	if now < r.next || !r.pending() {
+		return nil
+	}
+	r.groups, r.start = g.nextGroups(), now
+	r.seq++
+	r.reports = map[Party]*Message{}
+	r.resend = now + g.cfg.RecountTimeout/resendParts
+	return g.freezeMessages()
+}
+
+// freezeMessages asks every holder that has not reported yet.
+func (g *Grantor) freezeMessages() []Message {
+	var out []Message
+	for _, h := range g.holders {
+		if h.writtenOff || g.recount.reports[h.Party] != nil {
+			continue
+		}
+		m := g.message(MessageFreeze, h.Party)
+		m.Seq = g.recount.seq
+		m.Groups = g.recount.groups
+		out = append(out, m)
+	}
+	return out
+}
+
+// endRecount lets the holders transfer again.
+func (g *Grantor) endRecount(now time.Duration) []Message {
+	r := &g.recount
+	// Transfers of the groups stop during each recount, so recounts that cannot
+	// succeed have to be rare.
+	if r.wanted&r.groups != 0 {
+		r.pause = min(2*max(r.pause, g.cfg.RecountInterval), maxPauseFactor*g.cfg.RecountInterval)
+	} else {
+		r.pause = g.cfg.RecountInterval
+	}
+	r.groups = 0
+	r.next = now + r.pause
+	var out []Message
+	for _, h := range g.holders {
+		if h.writtenOff {
+			continue
+		}
+		m := g.message(MessageRelease, h.Party)
+		m.Seq = g.recount.seq
+		out = append(out, m)
+	}
+	return out
+}
+
+// handleReport keeps a holder's report, and evaluates the recount once all have
+// reported. Holders stay frozen for RecountTimeout from a time not before start,
+// so reports that are complete within half of it describe one instant.
+func (g *Grantor) handleReport(now time.Duration, m *Message) {
+	r := &g.recount
+	if r.groups == 0 || m.Seq != r.seq || now >= r.start+g.cfg.RecountTimeout/2 {
+		return
+	}
+	r.reports[m.From] = m
+	for _, ch := range m.Channels {
+		g.noteParty(now, ch.Peer)
+	}
+	if len(g.holders) == 0 {
+		return
+	}
+	for _, h := range g.holders {
+		if !h.writtenOff && r.reports[h.Party] == nil {
+			return
+		}
+	}
+	r.wanted &^= r.groups
+	g.ledger.recounted(r.groups, g.countTokens())
+	// The next step releases the holders.
+	r.start = now - g.cfg.RecountTimeout
+}
+
+// noteParty adds a holder that only other holders know of, so that the recount
+// does not miss tokens that were transferred to it.
+func (g *Grantor) noteParty(now time.Duration, p Party) {
+	if p == g.self {
+		return
+	}
+	if _, ok := g.index[p]; ok {
+		return
+	}
+	h := g.holder(now, p)
+	for _, other := range g.holders {
+		if other.ID == p.ID && other.Incarnation != p.Incarnation && !other.Gone {
+			h.Gone = true
+			h.leaseEnd = now
+		}
+	}
+}
+
+// countTokens adds up the tokens of the groups that the reports show: held, or in
+// a batch that its receiver has not added yet. What is in transit to a holder
+// that was written off is lost with it.
+func (g *Grantor) countTokens() map[Account]int32 {
+	counts := map[Account]int32{}
+	for _, h := range g.holders {
+		if m := g.recount.reports[h.Party]; m != nil {
+			addAmounts(counts, m.Amounts)
+			g.addInTransit(counts, m)
+		}
+		g.addIssues(counts, h)
+	}
+	return counts
+}
+
+func (g *Grantor) addInTransit(counts map[Account]int32, m *Message) {
+	for _, ch := range m.Channels {
+		if len(ch.Outstanding) == 0 {
+			continue
+		}
+		if ch.Peer == g.self {
+			// Counted unless this grantor has booked the return already.
+			if g.holders[g.index[m.From]].channel.received < ch.OutstandingSeq {
+				addAmounts(counts, ch.Outstanding)
+			}
+			continue
+		}
+		receiver := g.recount.reports[ch.Peer]
+		if receiver != nil && receivedFrom(receiver, m.From) < ch.OutstandingSeq {
+			addAmounts(counts, ch.Outstanding)
+		}
+	}
+}
+
+// addIssues counts tokens that this grantor has queued or sent and that the
+// holder has not added yet.
+func (g *Grantor) addIssues(counts map[Account]int32, h *holderState) {
+	if h.writtenOff {
+		return
+	}
+	for _, id := range h.channel.order {
+		if g.recount.running(id.group()) {
+			counts[id] += h.channel.queued[id]
+		}
+	}
+	m := g.recount.reports[h.Party]
+	if m == nil || receivedFrom(m, g.self) >= h.channel.seq {
+		return
+	}
+	for _, amount := range h.channel.outstanding {
+		if g.recount.running(amount.Account.group()) {
+			counts[amount.Account] += amount.Tokens
+		}
+	}
+}
+
+func receivedFrom(m *Message, peer Party) uint64 {
+	for _, ch := range m.Channels {
+		if ch.Peer == peer {
+			return ch.ReceivedSeq
+		}
+	}
+	return 0
+}
+
+func addAmounts(counts map[Account]int32, amounts []Amount) {
+	for _, a := range amounts {
+		counts[a.Account] += a.Tokens
+	}
+}
