Reduce detours and control traffic of the forward policy

By a trace: each balancer had to detour once for each displaced flow; every digest change went out as a message of its own with a check; and agents near the mean handed flows to peers that were merely below it. Change: the first detoured packet of a displaced flow hints up to 8 recent balancers; digest additions wait 2 s to share a message, removals wait for the next one, checks are sent every 10 s; only an agent above the mean by the threshold hands off; no hint when the balancer chose the owner itself. A filter skips the digest lookup for most flows.

--- a/bench/wire.go
+++ b/bench/wire.go
@@ -12,8 +12,8 @@
 	// tcpIPHeaders is the size of the TCP and IPv4 headers of one request and
 	// one response packet, without options.
 	tcpIPHeaders = 2 * 40
-	// hintWire is the size of a hint with its IPv4 and UDP headers.
-	hintWire = packet.HintSize + 28
+	// udpIPHeaders is the size of the IPv4 and UDP headers of a hint.
+	udpIPHeaders = 28
 )
 
 // wireSize computes the size of a call of net/rpc by encoding it. Type
@@ -51,3 +51,9 @@
 	}
 	return s.n + tcpIPHeaders
 }
+
+// hintSize returns the bytes of a hint for a flow on the wire.
+func hintSize(k *packet.Key) int {
+	var b [packet.HintSize]byte
+	return packet.PutHint(b[:], 1, k, 1) + udpIPHeaders
+}
--- a/flow/accept.go
+++ b/flow/accept.go
@@ -20,8 +20,11 @@
 	if !next.load.known || next.load.open >= next.load.limit {
 		return true
 	}
-	excess := max(t.cfg.Threshold*t.meanOpen, float64(t.cfg.MinExcess))
-	return float64(t.Open()-next.load.open) <= excess
+	// An agent near the mean keeps its flows although a peer has fewer: a hand-off
+	// from it would cost a detour and not lower the greatest load.
+	excess := max(t.cfg.Threshold*t.meanReady, float64(t.cfg.MinExcess))
+	own := float64(t.Open())
+	return own-float64(next.load.open) <= excess || own-t.meanReady <= excess
 }
 
 // limit returns the number of flows up to which this agent takes new ones. During
@@ -29,40 +32,50 @@
 // is no such peer, the fleet itself is starting and nothing is limited.
 func (t *Table) limit(now time.Duration) int {
 	age := now - t.stateSince
-	if t.stateSince == never || age >= t.cfg.SlowStart || !t.slowStarting {
+	if t.stateSince == never || age >= t.cfg.SlowStart || !t.slowStart {
 		return t.cfg.MaxFlows
 	}
 	share := float64(age) / float64(t.cfg.SlowStart)
-	return min(t.cfg.MaxFlows, t.cfg.MinExcess+int(share*t.meanOpen))
+	return min(t.cfg.MaxFlows, t.cfg.MinExcess+int(share*t.meanSettled))
 }
 
-// updateMean recomputes the mean of open flows over the accepting upstreams that
-// are past slow start.
-func (t *Table) updateMean(now time.Duration) {
-	sum, n := 0, 0
+// updateMeans recomputes the means of open flows: over all accepting upstreams, and
+// over those that are past slow start.
+func (t *Table) updateMeans(now time.Duration) {
+	var ready, settled mean
 	for _, p := range t.peers.list {
-		if p.load.known && p.settled(now, t.cfg.SlowStart) {
-			sum += p.load.open
-			n++
+		if !p.load.known || !p.State.Accepts() {
+			continue
+		}
+		ready.add(p.load.open)
+		if p.settled(now, t.cfg.SlowStart) {
+			settled.add(p.load.open)
 		}
 	}
-	t.slowStarting = n > 0
-	if t.self.State.Accepts() && t.limit(now) == t.cfg.MaxFlows {
-		sum += t.Open()
-		n++
-	}
-	t.meanOpen = 0
-	if n > 0 {
-		t.meanOpen = float64(sum) / float64(n)
+	t.slowStart = settled.n > 0
+	if t.self.State.Accepts() {
+		ready.add(t.Open())
+		if t.limit(now) == t.cfg.MaxFlows {
+			settled.add(t.Open())
+		}
 	}
+	t.meanReady, t.meanSettled = ready.value(), settled.value()
 }
 
-// take makes this agent the owner of a flow.
-func (t *Table) take(now time.Duration, hash uint64, k *packet.Key) {
+// mean accumulates an average.
+type mean struct{ sum, n int }
+
+func (m *mean) add(v int) { m.sum, m.n = m.sum+v, m.n+1 }
+
+func (m *mean) value() float64 { return float64(m.sum) / float64(max(m.n, 1)) }
+
+// take makes this agent the owner of a flow and returns its entry.
+func (t *Table) take(now time.Duration, hash uint64, k *packet.Key) *entry {
 	e := t.flows.insert(now, hash, k)
 	t.handoffs.forget(hash)
 	t.retarget(now, e)
 	if t.cfg.Observer != nil {
 		t.cfg.Observer.FlowTaken(t.self.ID, k)
 	}
+	return e
 }
--- a/flow/action.go
+++ b/flow/action.go
@@ -25,6 +25,9 @@
 	To     packet.AgentID // receiver of a forwarded packet
 	Addr   netip.AddrPort // data address of To
 	Hint   bool           // send a hint with this agent as owner to the header's origin
+	// HintAlso lists further balancers to send the hint to. It is valid until the
+	// next call of Receive. A caller may ignore it at the cost of detours.
+	HintAlso []netip.AddrPort
 }
 
 // Observer is told of each change of a flow's owner. Tests and benchmarks use it
--- a/flow/baseline.go
+++ b/flow/baseline.go
@@ -41,7 +41,7 @@
 	hash := in.Key.Hash()
 	if e := t.flows.find(hash, &in.Key); e != nil {
 		t.refresh(now, e, in)
-		return b.deliver(h)
+		return b.deliver(now, h, e)
 	}
 	syn := in.First && in.Key.Proto == packet.ProtoTCP
 	if b.askPrevious && !syn && h.Hops == 0 {
@@ -52,14 +52,13 @@
 	if !in.First {
 		return t.drop(ReasonNoOwner)
 	}
-	t.take(now, hash, &in.Key)
-	return b.deliver(h)
+	return b.deliver(now, h, t.take(now, hash, &in.Key))
 }
 
 // deliver sends no hint: the baselines' balancers learn nothing from agents.
-func (b *baseline) deliver(h *packet.Header) Action {
-	a := b.table.deliver(h)
-	a.Hint = false
+func (b *baseline) deliver(now time.Duration, h *packet.Header, e *entry) Action {
+	a := b.table.deliver(now, h, e)
+	a.Hint, a.HintAlso = false, nil
 	return a
 }
 
--- a/flow/config.go
+++ b/flow/config.go
@@ -19,6 +19,8 @@
 	LoadInterval  time.Duration // default 1 s
 	CheckInterval time.Duration // between digest checks; default 10 s
 	ResyncDelay   time.Duration // between requests to resend a digest; default 3 s
+	DigestDelay   time.Duration // that additions to a digest wait to share a message; default 2 s
+	HintFanOut    int           // balancers that are told of a displaced flow at once; default 8, at most 8
 	DigestRate    int           // digest bytes per second; default 3072
 	Observer      Observer      // may be nil
 }
@@ -45,6 +47,9 @@
 	orDefault(&c.LoadInterval, time.Second)
 	orDefault(&c.CheckInterval, 10*time.Second)
 	orDefault(&c.ResyncDelay, 3*time.Second)
+	orDefault(&c.DigestDelay, 2*time.Second)
+	orDefault(&c.HintFanOut, maxOrigins)
+	c.HintFanOut = min(c.HintFanOut, maxOrigins)
 	orDefault(&c.DigestRate, 3072)
 	return c
 }
--- a/flow/digest.go
+++ b/flow/digest.go
@@ -48,8 +48,11 @@
 	if top == 0 {
 		now, top = t.targetAmong(hash, func(s State) bool { return !s.Gone() })
 	}
-	later, laterTop := t.targetAmong(hash, func(s State) bool { return s.Accepts() || s == Starting })
-	if later == now || laterTop <= top {
+	if !t.peers.starting {
+		return now, 0
+	}
+	later, laterTop := t.targetAmong(hash, func(s State) bool { return s == Starting })
+	if laterTop <= top {
 		later = 0
 	}
 	return now, later
@@ -86,7 +89,7 @@
 	fp := fingerprint(e.hash)
 	for _, id := range [...]packet.AgentID{target, future} {
 		if p := t.peers.get(id); p != nil && id != e.target && id != e.future {
-			p.out.push(fp, false)
+			p.out.push(now, fp, false)
 		}
 	}
 	for _, id := range [...]packet.AgentID{e.target, e.future} {
@@ -95,15 +98,16 @@
 		}
 	}
 	e.target, e.future = target, future
+	e.flags &^= flagHinted
 }
 
 // restartDigest sends a peer the whole digest again.
-func (t *Table) restartDigest(p *peer) {
+func (t *Table) restartDigest(now time.Duration, p *peer) {
 	p.out.restart()
 	for i := range t.flows.entries {
 		e := &t.flows.entries[i]
 		if e.target == p.ID || e.future == p.ID {
-			p.out.push(fingerprint(e.hash), false)
+			p.out.push(now, fingerprint(e.hash), false)
 		}
 	}
 }
@@ -117,7 +121,7 @@
 			return
 		}
 		if p := t.peers.get(r.peer); p != nil && p.out.generation == r.generation {
-			p.out.push(r.fp, true)
+			p.out.push(now, r.fp, true)
 		}
 	}
 }
--- a/flow/inbox.go
+++ b/flow/inbox.go
@@ -2,10 +2,18 @@
 
 import "time"
 
+// digestFilter counts the fingerprints of all inboxes by their low bits, so that
+// the search for a flow's holder skips the inboxes for most flows that no peer
+// holds.
+type digestFilter [1 << 14]uint32
+
+func (f *digestFilter) slot(fp uint32) *uint32 { return &f[fp&uint32(len(f)-1)] }
+
 // inbox is the digest that one peer has sent this agent: the fingerprints of the
 // flows that the peer holds and that rank this agent first. It is a multiset, so
 // that additions and removals commute and equal fingerprints of two flows are kept.
 type inbox struct {
+	filter      *digestFilter // shared by the table's inboxes
 	incarnation uint64
 	seq         uint32
 	set         map[uint32]uint16
@@ -18,7 +26,10 @@
 }
 
 func (b *inbox) clear() {
-	*b = inbox{incarnation: b.incarnation, asked: b.asked}
+	for fp, n := range b.set {
+		*b.filter.slot(fp) -= uint32(n)
+	}
+	*b = inbox{filter: b.filter, incarnation: b.incarnation, asked: b.asked}
 }
 
 func (b *inbox) add(fp uint32) {
@@ -26,6 +37,7 @@
 		b.set = make(map[uint32]uint16)
 	}
 	b.set[fp]++
+	*b.filter.slot(fp)++
 	b.count++
 	b.sum += mix(uint64(fp))
 }
@@ -41,6 +53,7 @@
 	} else {
 		b.set[fp] = n - 1
 	}
+	*b.filter.slot(fp)--
 	b.count--
 	b.sum -= mix(uint64(fp))
 }
--- a/flow/lifetime.go
+++ b/flow/lifetime.go
@@ -65,7 +65,7 @@
 	if e.flags&flagEnding != 0 {
 		t.ending--
 	}
-	e.flags = 0
+	e.flags &= flagHinted
 }
 
 // sweep removes expired flows from a part of the table, so that one call takes a
@@ -77,7 +77,7 @@
 			t.sweepFrom = 0
 		}
 		if t.expired(now, &t.flows.entries[t.sweepFrom]) {
-			t.end(t.sweepFrom)
+			t.end(now, t.sweepFrom)
 		} else {
 			t.sweepFrom++
 		}
@@ -96,14 +96,14 @@
 }
 
 // end removes the flow at a position of the store and withdraws its fingerprints.
-func (t *Table) end(position int) {
+func (t *Table) end(now time.Duration, position int) {
 	e := &t.flows.entries[position]
 	if e.flags&flagEnding != 0 {
 		t.ending--
 	}
 	for _, id := range [...]packet.AgentID{e.target, e.future} {
 		if p := t.peers.get(id); p != nil {
-			p.out.push(fingerprint(e.hash), true)
+			p.out.push(now, fingerprint(e.hash), true)
 		}
 	}
 	if t.cfg.Observer != nil {
--- a/flow/outbox.go
+++ b/flow/outbox.go
@@ -5,8 +5,9 @@
 const (
 	// fingerprintWire is the gob size of one fingerprint in bytes.
 	fingerprintWire = 5
-	// messageWire is about the gob size in bytes of a message without fingerprints.
-	messageWire = 48
+	// messageWire is about the size in bytes of a message without fingerprints,
+	// as an RPC call with its response and their TCP and IP headers.
+	messageWire = 150
 )
 
 // digestOp is one pending change of a digest.
@@ -22,18 +23,26 @@
 	reset      bool // the next message starts the digest anew
 	count      uint32
 	sum        uint64
+	addSince   time.Duration // when the oldest unsent addition was pushed
+	adds       int           // unsent additions
 	checked    time.Duration // when Count and Sum were last sent
-	checkDue   bool
-	generation uint32 // incremented by restart
+	checkDue   bool          // after a restart
+	generation uint32        // incremented by restart
 }
 
-func (o *outbox) push(fp uint32, remove bool) {
+func (o *outbox) push(now time.Duration, fp uint32, remove bool) {
+	if !remove {
+		if o.adds == 0 {
+			o.addSince = now
+		}
+		o.adds++
+	}
 	o.ops = append(o.ops, digestOp{fp: fp, remove: remove})
 }
 
 // restart forgets what was sent; the caller pushes the whole digest afterwards.
 func (o *outbox) restart() {
-	o.ops = o.ops[:0]
+	o.ops, o.adds = o.ops[:0], 0
 	o.reset, o.checkDue = true, true
 	o.count, o.sum = 0, 0
 	o.generation++
@@ -50,7 +59,6 @@
 	o.seq++
 	m.Seq, m.Reset = o.seq, o.reset
 	o.reset = false
-	o.checkDue = o.checkDue || n > 0
 	return n * fingerprintWire
 }
 
@@ -61,21 +69,30 @@
 		o.sum -= mix(uint64(op.fp))
 		return
 	}
+	o.adds--
 	m.Add = append(m.Add, op.fp)
 	o.count++
 	o.sum += mix(uint64(op.fp))
 }
 
-// check adds the digest's hash to a message when nothing is pending.
-func (o *outbox) check(now time.Duration, m *Message) {
-	if len(o.ops) > 0 {
+// check adds the digest's hash to a message when nothing is pending and a check is
+// due.
+func (o *outbox) check(now, interval time.Duration, m *Message) {
+	if len(o.ops) > 0 || !o.checkWanted(now, interval) {
 		return
 	}
 	m.Check, m.Count, m.Sum = true, o.count, o.sum
 	o.checked, o.checkDue = now, false
 }
 
-// due reports whether the peer must be sent a digest message.
-func (o *outbox) due(now, interval time.Duration) bool {
-	return len(o.ops) > 0 || o.reset || o.checkDue || (o.count > 0 && now-o.checked >= interval)
+func (o *outbox) checkWanted(now, interval time.Duration) bool {
+	return o.checkDue || ((o.count > 0 || len(o.ops) > 0) && now-o.checked >= interval)
+}
+
+// due reports whether the peer must be sent a digest message. Additions wait for
+// delay, so that several share a message; hand-off memory and rule 5 cover the
+// flow until then. Removals wait for the next message, since an outdated
+// fingerprint costs at most a detour.
+func (o *outbox) due(now, delay, interval time.Duration) bool {
+	return o.reset || o.checkWanted(now, interval) || (o.adds > 0 && now-o.addSince >= delay)
 }
--- a/flow/peer.go
+++ b/flow/peer.go
@@ -63,8 +63,9 @@
 
 // peerSet holds the peers in order of identifier, without this agent.
 type peerSet struct {
-	list []*peer
-	byID map[packet.AgentID]*peer
+	list     []*peer
+	byID     map[packet.AgentID]*peer
+	starting bool // some peer is starting
 }
 
 func (s *peerSet) get(id packet.AgentID) *peer { return s.byID[id] }
--- a/flow/receive.go
+++ b/flow/receive.go
@@ -20,7 +20,7 @@
 	hash := in.Key.Hash()
 	if e := t.flows.find(hash, &in.Key); e != nil {
 		t.refresh(now, e, in)
-		return t.deliver(h)
+		return t.deliver(now, h, e)
 	}
 	if a, done := t.forwardToHolder(now, hash, h); done {
 		return a
@@ -63,11 +63,8 @@
 // holder returns the unvisited peer that holds the flow by its digest or by this
 // agent's hand-off memory.
 func (t *Table) holder(now time.Duration, hash uint64, h *packet.Header) *peer {
-	fp := fingerprint(hash)
-	for _, p := range t.peers.list {
-		if p.in.set[fp] > 0 && p.State != Leaving && !h.HasVisited(p.ID) {
-			return p
-		}
+	if p := t.digestHolder(fingerprint(hash), h); p != nil {
+		return p
 	}
 	id := t.handoffs.find(now, hash)
 	p := t.peers.get(id)
@@ -78,25 +75,38 @@
 	return p
 }
 
+func (t *Table) digestHolder(fp uint32, h *packet.Header) *peer {
+	if *t.filter.slot(fp) == 0 {
+		return nil
+	}
+	for _, p := range t.peers.list {
+		if p.in.set[fp] > 0 && p.State != Leaving && !h.HasVisited(p.ID) {
+			return p
+		}
+	}
+	return nil
+}
+
 // receiveFirst applies rule 4: the packet may open a flow.
 func (t *Table) receiveFirst(now time.Duration, hash uint64, h *packet.Header, in *packet.Info) Action {
 	if p := t.asker(h); p != nil {
 		return t.giveBack(now, hash, h, p)
 	}
-	h.Flags &^= packet.FlagReturned | packet.FlagReturnIfUnknown
+	t.origins.note(now, h.Origin)
+	h.Flags &^= packet.FlagReturnIfUnknown
 	if p := t.previousOwner(now, hash, h); p != nil {
 		return t.offer(h, p)
 	}
 	next := t.nextChoice(hash, h)
 	if t.takes(now, next) {
-		t.take(now, hash, &in.Key)
-		return t.deliver(h)
+		return t.deliver(now, h, t.take(now, hash, &in.Key))
 	}
 	if next == nil {
 		return t.drop(ReasonNoUpstream)
 	}
 	t.handoffs.remember(now, hash, next.ID)
 	next.load.open++
+	h.Flags &^= packet.FlagReturned
 	t.counters.HandedOff++
 	return t.forward(h, next)
 }
@@ -112,8 +122,12 @@
 		return nil
 	}
 	_, floor := t.peers.best(hash, func(p *peer) bool { return p.settled(now, t.cfg.Settling) })
+	own := score(hash, t.seed)
 	if t.selfSettled(now) {
-		floor = max(floor, score(hash, t.seed))
+		floor = max(floor, own)
+	}
+	if now >= t.unsettled && floor == own {
+		return nil
 	}
 	p, _ := t.peers.best(hash, func(p *peer) bool {
 		return p.recent(now, t.cfg.Settling) && !p.State.Gone() &&
@@ -128,7 +142,7 @@
 
 // offer sends a first packet to a possible previous owner.
 func (t *Table) offer(h *packet.Header, p *peer) Action {
-	h.Flags |= packet.FlagReturnIfUnknown
+	h.Flags = h.Flags&^packet.FlagReturned | packet.FlagReturnIfUnknown
 	t.counters.Offered++
 	return t.forward(h, p)
 }
@@ -218,16 +232,39 @@
 
 // deliver hands the packet to the upstream and, when it was detoured, tells the
 // balancer where its flow is.
-func (t *Table) deliver(h *packet.Header) Action {
+func (t *Table) deliver(now time.Duration, h *packet.Header, e *entry) Action {
 	if h.Service != t.service {
 		panic(fmt.Sprintf("flow: agent %08x delivers a packet of service %016x to service %016x", t.self.ID, h.Service, t.service))
 	}
 	t.counters.Delivered++
-	hint := h.Hops > 0
-	if hint {
-		t.counters.Hints++
+	a := Action{Kind: Deliver}
+	if h.Hops > 0 && !onlyOffered(h) {
+		t.addHints(now, h, e, &a)
+	}
+	return a
+}
+
+// onlyOffered reports whether the balancer sent the packet to this agent itself and
+// all hops since were offers that came back: two hops for each agent visited. Such
+// a balancer needs no hint.
+func onlyOffered(h *packet.Header) bool {
+	return h.Flags&packet.FlagReturned != 0 && int(h.Hops) == 2*(lastVisited(h)+1)
+}
+
+// addHints sends a hint to the packet's balancer. The first detoured packet of a
+// flow that is away from its first choice tells the other recent balancers too.
+// Hints have no rate limit: in the flow benchmark a limit of 96 a second raised
+// both the detours and the control bytes, since each missing hint costs another
+// detour.
+func (t *Table) addHints(now time.Duration, h *packet.Header, e *entry, a *Action) {
+	a.Hint = true
+	t.counters.Hints++
+	if e.target == 0 || e.flags&flagHinted != 0 {
+		return
 	}
-	return Action{Kind: Deliver, Hint: hint}
+	e.flags |= flagHinted
+	a.HintAlso = t.origins.others(now, t.cfg.HintFanOut-1, h.Origin)
+	t.counters.Hints += uint64(len(a.HintAlso))
 }
 
 func (t *Table) drop(r Reason) Action {
--- a/flow/step.go
+++ b/flow/step.go
@@ -15,7 +15,7 @@
 func (t *Table) Step(now time.Duration) []Message {
 	t.sweep(now)
 	t.handoffs.expire(now)
-	t.updateMean(now)
+	t.updateMeans(now)
 	t.withdraw(now)
 	t.earn(now)
 	t.addLoads(now)
@@ -69,7 +69,7 @@
 	n := len(t.peers.list)
 	for i := range n {
 		p := t.peers.list[(t.firstPeer+i)%n]
-		if p.State.Gone() || !p.out.due(now, t.cfg.CheckInterval) {
+		if p.State.Gone() || !p.out.due(now, t.cfg.DigestDelay, t.cfg.CheckInterval) {
 			continue
 		}
 		if t.budget <= 0 {
@@ -78,7 +78,7 @@
 		}
 		m := t.messageTo(p)
 		t.budget -= messageWire + p.out.take(m, t.budget)
-		p.out.check(now, m)
+		p.out.check(now, t.cfg.CheckInterval, m)
 	}
 }
 
@@ -115,7 +115,7 @@
 		p.load = load{known: true, open: int(m.Open), limit: int(m.Limit)}
 	}
 	if p != nil && m.Resync {
-		t.restartDigest(p)
+		t.restartDigest(now, p)
 	}
 	if m.Seq != 0 {
 		t.receiveDigest(m.From, &m)
--- a/flow/store.go
+++ b/flow/store.go
@@ -12,6 +12,7 @@
 	flagServerFIN
 	flagReplies // replies of the flow pass this agent
 	flagEnding  // removed at entry.end unless a packet reopens it
+	flagHinted  // the recent balancers were told where the flow is
 )
 
 // entry is one flow held by the agent; 64 bytes.
--- a/flow/table.go
+++ b/flow/table.go
@@ -23,17 +23,21 @@
 	handoffs handoffMemory
 	peers    peerSet
 	inboxes  map[packet.AgentID]*inbox
+	filter   digestFilter
 	removals removalQueue
-
-	stateSince   time.Duration // when self.State was set
-	loadSent     time.Duration
-	stepped      time.Duration
-	budget       int // digest bytes that may be sent now
-	sweepFrom    int
-	firstPeer    int // where Step starts, so that pacing starves no peer
-	meanOpen     float64
-	slowStarting bool
-	counters     Counters
+	origins  origins
+
+	unsettled   time.Duration // until then, another view may show another first choice
+	stateSince  time.Duration // when self.State was set
+	loadSent    time.Duration
+	stepped     time.Duration
+	budget      int // digest bytes that may be sent now
+	sweepFrom   int
+	firstPeer   int     // where Step starts, so that pacing starves no peer
+	meanReady   float64 // open flows of the accepting upstreams
+	meanSettled float64 // open flows of those past slow start
+	slowStart   bool    // some peer is past slow start, so that the limit of slow start applies
+	counters    Counters
 }
 
 // Counters are totals since the table was made.
@@ -67,6 +71,7 @@
 	}
 	t.self.State = s
 	t.stateSince = now
+	t.unsettled = now + t.cfg.Settling
 	t.retargetAll(now)
 }
 
@@ -82,17 +87,19 @@
 			p := t.mergePeer(now, u)
 			next.byID[u.ID] = p
 			next.list = append(next.list, p)
+			next.starting = next.starting || p.State == Starting
 		}
 	}
 	slices.SortFunc(next.list, func(a, b *peer) int { return int(int64(a.ID) - int64(b.ID)) })
 	for id := range t.peers.byID {
 		if next.byID[id] == nil {
+			t.inbox(id).clear()
 			delete(t.inboxes, id)
 		}
 	}
 	t.peers = next
 	t.retargetAll(now)
-	t.resetNewPeers()
+	t.resetNewPeers(now)
 }
 
 // mergePeer returns the record of an upstream, new or updated.
@@ -101,17 +108,21 @@
 	if old == nil || old.Incarnation != u.Incarnation {
 		p := newPeer(now, u)
 		p.in = t.inbox(u.ID)
+		t.unsettled = now + t.cfg.Settling
 		return p
 	}
+	if old.State != u.State {
+		t.unsettled = now + t.cfg.Settling
+	}
 	old.update(now, u)
 	return old
 }
 
 // resetNewPeers sends peers that have just appeared the whole digest.
-func (t *Table) resetNewPeers() {
+func (t *Table) resetNewPeers(now time.Duration) {
 	for _, p := range t.peers.list {
 		if p.out.seq == 0 && p.out.reset {
-			t.restartDigest(p)
+			t.restartDigest(now, p)
 		}
 	}
 }
@@ -121,7 +132,7 @@
 func (t *Table) inbox(from packet.AgentID) *inbox {
 	b := t.inboxes[from]
 	if b == nil {
-		b = &inbox{asked: never}
+		b = &inbox{filter: &t.filter, asked: never}
 		t.inboxes[from] = b
 	}
 	return b
