Keep flows when messages between agents are lost

The hand-off memory of 5 s ended before a lost addition was found by the next check, and a repeated digest emptied the old one before it was complete. A digest that is sent again replaces the old one only when it is complete. Table.Undelivered repeats a digest at once when a call fails.

--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -23,6 +23,7 @@
 	startingTime = 15 * time.Second // from start to ready, as flow.TableConfig.Settling
 	drainingMin  = 15 * time.Second // least time from drain to leave, as above
 	slowStart    = 30 * time.Second
+	callTimeout  = time.Second      // until the sender of a lost message knows
 	idleUDP      = 30 * time.Second // short, so that ended UDP flows do not outnumber open ones
 )
 
--- a/flow/baseline.go
+++ b/flow/baseline.go
@@ -80,4 +80,6 @@
 
 func (b *baseline) Handle(time.Duration, Message) {}
 
+func (b *baseline) Undelivered(time.Duration, Message) {}
+
 func (b *baseline) Open() int { return b.table.Open() }
--- a/flow/config.go
+++ b/flow/config.go
@@ -35,7 +35,7 @@
 	orDefault(&c.MaxFlows, 1<<16)
 	orDefault(&c.MaxDigest, 1<<18)
 	orDefault(&c.MaxHandoffs, 1<<16)
-	orDefault(&c.HandoffMemory, 5*time.Second)
+	orDefault(&c.HandoffMemory, 20*time.Second)
 	orDefault(&c.Settling, 15*time.Second)
 	orDefault(&c.Linger, 2*time.Second)
 	orDefault(&c.SlowStart, 30*time.Second)
--- a/flow/digest.go
+++ b/flow/digest.go
@@ -130,7 +130,7 @@
 func (t *Table) digestRoom() int {
 	room := t.cfg.MaxDigest
 	for _, b := range t.inboxes {
-		room -= int(b.count)
+		room -= int(b.count) + len(b.old)
 	}
 	return room
 }
--- a/flow/inbox.go
+++ b/flow/inbox.go
@@ -17,6 +17,7 @@
 	incarnation uint64
 	seq         uint32
 	set         map[uint32]uint16
+	old         map[uint32]uint16 // digest before the last reset, kept until the new one is complete
 	count       uint32
 	sum         uint64
 	truncated   bool          // the table's limit was reached; a repeat would not help
@@ -25,13 +26,32 @@
 	complete    bool          // a check has matched since the last reset
 }
 
+// clear forgets everything.
 func (b *inbox) clear() {
-	for fp, n := range b.set {
+	b.forget(b.set)
+	b.forget(b.old)
+	*b = inbox{filter: b.filter, incarnation: b.incarnation, asked: b.asked}
+}
+
+// restart begins a new digest. Until it is complete, the old one still serves to
+// find holders: an outdated fingerprint costs a detour, a missing one a flow.
+func (b *inbox) restart() {
+	old := b.set
+	b.set = nil
+	b.clear()
+	b.old = old
+}
+
+// forget takes a set out of the filter.
+func (b *inbox) forget(set map[uint32]uint16) {
+	for fp, n := range set {
 		*b.filter.slot(fp) -= uint32(n)
 	}
-	*b = inbox{filter: b.filter, incarnation: b.incarnation, asked: b.asked}
 }
 
+// holds reports whether the sender may hold a flow with the fingerprint.
+func (b *inbox) holds(fp uint32) bool { return b.set[fp] > 0 || b.old[fp] > 0 }
+
 func (b *inbox) add(fp uint32) {
 	if b.set == nil {
 		b.set = make(map[uint32]uint16)
@@ -66,9 +86,11 @@
 // apply updates the digest from a message; room is the number of fingerprints
 // that may still be added.
 func (b *inbox) apply(m *Message, room int) {
-	if m.Reset || b.incarnation != m.Incarnation {
+	if b.incarnation != m.Incarnation {
 		b.incarnation = m.Incarnation
 		b.clear()
+	} else if m.Reset {
+		b.restart()
 	}
 	b.mismatch = b.mismatch || (!m.Reset && m.Seq != b.seq+1)
 	b.seq = m.Seq
@@ -88,4 +110,8 @@
 		b.mismatch = !equal
 		b.complete = equal
 	}
+	if b.complete && b.old != nil {
+		b.forget(b.old)
+		b.old = nil
+	}
 }
--- a/flow/receive.go
+++ b/flow/receive.go
@@ -80,7 +80,7 @@
 		return nil
 	}
 	for _, p := range t.peers.list {
-		if p.in.set[fp] > 0 && p.State != Leaving && !h.HasVisited(p.ID) {
+		if p.in.holds(fp) && p.State != Leaving && !h.HasVisited(p.ID) {
 			return p
 		}
 	}
--- a/flow/step.go
+++ b/flow/step.go
@@ -128,3 +128,12 @@
 	}
 	t.inbox(from).apply(m, t.digestRoom())
 }
+
+// Undelivered tells the table that a message may not have reached its receiver. It
+// sends the digest again at once; without this call the receiver finds the gap by
+// the next message or check.
+func (t *Table) Undelivered(now time.Duration, m Message) {
+	if p := t.peers.get(m.To); p != nil && m.Seq != 0 {
+		t.restartDigest(now, p)
+	}
+}
