Test package packet; reject mapped addresses in IPv6 packets

Cause: packet had no tests. Writing them showed that an IPv6 packet with an IPv4-mapped address had the key of an IPv4 flow that it is not part of.

--- a/packet/errors.go
+++ b/packet/errors.go
@@ -12,6 +12,7 @@
 	ErrFragment   = errors.New("packet: fragment without transport header")
 	ErrProtocol   = errors.New("packet: unsupported transport protocol")
 	ErrExtensions = errors.New("packet: too many IPv6 extension headers")
+	ErrAddress    = errors.New("packet: IPv4-mapped address in an IPv6 packet")
 	ErrICMPType   = errors.New("packet: ICMP message quotes no flow")
 	ErrVersion    = errors.New("packet: unknown encapsulation version")
 	ErrKind       = errors.New("packet: unknown encapsulation kind")
--- /dev/null
+++ b/packet/fuzz_test.go
@@ -0,0 +1,57 @@
+package packet_test
+
+import (
+	"testing"
+
+	"github.com/nutmegtrack/nutmegtrack/packet"
+)
+
+// FuzzParse guards against panics on hostile input and against a packet whose key
+// does not survive being built and parsed again.
+func FuzzParse(f *testing.F) {
+	f.Add(tcp(client4, service4, packet.FlagSYN, "hello"))
+	f.Add(tcp(client6, service6, packet.FlagACK, ""))
+	f.Add(icmpError(client4, service4, packet.ProtoICMP, 3, tcp(service4, client4, packet.FlagACK, "")))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var in, again packet.Info
+		if packet.Parse(b, &in) != nil {
+			return
+		}
+		if in.Key.Proto != packet.ProtoTCP && in.Key.Proto != packet.ProtoUDP {
+			t.Fatalf("flow of protocol %d", in.Key.Proto)
+		}
+		built := packet.AppendUDP(nil, &in.Key, nil)
+		if in.Key.Proto == packet.ProtoTCP {
+			built = packet.AppendTCP(nil, &packet.TCPSegment{Key: in.Key})
+		}
+		if err := packet.Parse(built, &again); err != nil || again.Key != in.Key {
+			t.Fatalf("key %+v became %+v, %v", in.Key, again.Key, err)
+		}
+	})
+}
+
+// FuzzReadHeader guards against panics on hostile datagrams and against a header
+// that changes when it is written and read again.
+func FuzzReadHeader(f *testing.F) {
+	var b [packet.HeaderSize]byte
+	(&packet.Header{Kind: packet.KindData, Hops: 1, Visited: [4]packet.AgentID{9}}).Put(b[:])
+	f.Add(b[:])
+	var hint [packet.HintSize]byte
+	k := packet.KeyOf(client4, service4, packet.ProtoTCP)
+	f.Add(hint[:packet.PutHint(hint[:], 3, &k, 4)])
+	f.Fuzz(func(t *testing.T, b []byte) {
+		h, rest, err := packet.ReadHeader(b)
+		if err != nil {
+			return
+		}
+		if h.Kind == packet.KindHint {
+			_, _, _ = packet.ReadHint(rest)
+			return
+		}
+		var out [packet.HeaderSize]byte
+		h.Put(out[:])
+		if again, _, err := packet.ReadHeader(out[:]); err != nil || again != h {
+			t.Fatalf("header %+v became %+v, %v", h, again, err)
+		}
+	})
+}
--- a/packet/parse.go
+++ b/packet/parse.go
@@ -110,6 +110,10 @@
 	in.V6 = true
 	copy(in.Key.Src[:], b[8:24])
 	copy(in.Key.Dst[:], b[24:40])
+	// Such a packet would have the key of an IPv4 flow, which it is not part of.
+	if isMapped(&in.Key.Src) || isMapped(&in.Key.Dst) {
+		return ErrAddress
+	}
 	proto, rest, err := skipExtensions(b[6], b[ipv6Header:ipv6Header+payload])
 	if err != nil {
 		return err
@@ -235,6 +239,9 @@
 		}
 		copy(k.Src[:], b[8:24])
 		copy(k.Dst[:], b[24:40])
+		if isMapped(&k.Src) || isMapped(&k.Dst) {
+			return k, ErrAddress
+		}
 		var err error
 		k.Proto, ports, err = skipExtensions(b[6], b[ipv6Header:])
 		if err != nil {
