--- a/cmd/nutmegtrack/bench.go
+++ b/cmd/nutmegtrack/bench.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"os"
 	"strings"
-	"time"
 
 	"github.com/integrii/flaggy"
 
@@ -41,7 +40,7 @@
 }
 
 func newBenchFlows() command {
-	cfg := bench.FlowsConfig{Seed: 1, Upstreams: 7, Balancers: 4, Changes: 12, Lag: 10 * time.Second, Interval: 20 * time.Second, Threshold: 0.05}
+	cfg := bench.FlowsConfig{Seed: 1}.WithDefaults()
 	asJSON := false
 	sub := flaggy.NewSubcommand("flows")
 	sub.Description = "compare the placement policies while the fleet changes"
--- a/flow/inbox.go
+++ b/flow/inbox.go
@@ -2,13 +2,22 @@
 
 import "time"
 
+// digestFilter counts the fingerprints of all inboxes by their low bits, so that
+// the search for a flow's holder skips the inboxes for most flows that no peer
+// holds.
+type digestFilter [1 << 14]uint32
+
+func (f *digestFilter) slot(fp uint32) *uint32 { return &f[fp&uint32(len(f)-1)] }
+
 // inbox is the digest that one peer has sent this agent: the fingerprints of the
 // flows that the peer holds and that rank this agent first. It is a multiset, so
 // that additions and removals commute and equal fingerprints of two flows are kept.
 type inbox struct {
+	filter      *digestFilter // shared by the table's inboxes
 	incarnation uint64
 	seq         uint32
 	set         map[uint32]uint16
+	old         map[uint32]uint16 // digest before the last reset, kept until the new one is complete
 	count       uint32
 	sum         uint64
 	truncated   bool          // the table's limit was reached; a repeat would not help
@@ -17,15 +26,38 @@
 	complete    bool          // a check has matched since the last reset
 }
 
+// clear forgets everything.
 func (b *inbox) clear() {
-	*b = inbox{incarnation: b.incarnation, asked: b.asked}
+	b.forget(b.set)
+	b.forget(b.old)
+	*b = inbox{filter: b.filter, incarnation: b.incarnation, asked: b.asked}
 }
 
+// restart begins a new digest. Until it is complete, the old one still serves to
+// find holders: an outdated fingerprint costs a detour, a missing one a flow.
+func (b *inbox) restart() {
+	old := b.set
+	b.set = nil
+	b.clear()
+	b.old = old
+}
+
+// forget takes a set out of the filter.
+func (b *inbox) forget(set map[uint32]uint16) {
+	for fp, n := range set {
+		*b.filter.slot(fp) -= uint32(n)
+	}
+}
+
+// holds reports whether the sender may hold a flow with the fingerprint.
+func (b *inbox) holds(fp uint32) bool { return b.set[fp] > 0 || b.old[fp] > 0 }
+
 func (b *inbox) add(fp uint32) {
 	if b.set == nil {
 		b.set = make(map[uint32]uint16)
 	}
 	b.set[fp]++
+	*b.filter.slot(fp)++
 	b.count++
 	b.sum += mix(uint64(fp))
 }
@@ -41,6 +73,7 @@
 	} else {
 		b.set[fp] = n - 1
 	}
+	*b.filter.slot(fp)--
 	b.count--
 	b.sum -= mix(uint64(fp))
 }
@@ -53,9 +86,11 @@
 // apply updates the digest from a message; room is the number of fingerprints
 // that may still be added.
 func (b *inbox) apply(m *Message, room int) {
-	if m.Reset || b.incarnation != m.Incarnation {
+	if b.incarnation != m.Incarnation {
 		b.incarnation = m.Incarnation
 		b.clear()
+	} else if m.Reset {
+		b.restart()
 	}
 	b.mismatch = b.mismatch || (!m.Reset && m.Seq != b.seq+1)
 	b.seq = m.Seq
@@ -75,4 +110,8 @@
 		b.mismatch = !equal
 		b.complete = equal
 	}
+	if b.complete && b.old != nil {
+		b.forget(b.old)
+		b.old = nil
+	}
 }
