Make failure detection and spread hold under two faults

Cause: under loss, a home left after one lost reply suspected its agent, a single lost ping counted as evidence, and an observer's verdict could arrive after the wait for it. Agents waited up to 1 s for the next heartbeat to learn of a peer's change. A VM that came back under a removed name was never accepted.

--- a/member/announcer.go
+++ b/member/announcer.go
@@ -17,6 +17,10 @@
 	// avoidFor is the time for which a balancer that did not answer is not chosen
 	// as a home.
 	avoidFor = 5 * time.Second
+	// homeMisses is the number of heartbeats in a row that must fail before a home
+	// is avoided. A home that is left after one lost reply would hear nothing more
+	// and suspect the agent.
+	homeMisses = 2
 )
 
 // Announcer is the membership protocol of an agent. It is not safe for concurrent
@@ -30,6 +34,7 @@
 	now      time.Duration
 	homes    []netip.AddrPort // best first, from a home balancer
 	avoid    map[netip.AddrPort]time.Duration
+	missed   map[netip.AddrPort]int    // heartbeats that failed in a row
 	acked    map[netip.AddrPort]uint32 // sum of the record that a balancer has confirmed
 	next     map[netip.AddrPort]time.Duration
 	peers    map[string]*delivery
@@ -50,13 +55,14 @@
 		self.Incarnation = rng.Uint64() | 1
 	}
 	a := &Announcer{
-		cfg:   cfg.withDefaults(),
-		rng:   rng,
-		table: NewTable(),
-		avoid: make(map[netip.AddrPort]time.Duration),
-		acked: make(map[netip.AddrPort]uint32),
-		next:  make(map[netip.AddrPort]time.Duration),
-		peers: make(map[string]*delivery),
+		cfg:    cfg.withDefaults(),
+		rng:    rng,
+		table:  NewTable(),
+		avoid:  make(map[netip.AddrPort]time.Duration),
+		missed: make(map[netip.AddrPort]int),
+		acked:  make(map[netip.AddrPort]uint32),
+		next:   make(map[netip.AddrPort]time.Duration),
+		peers:  make(map[string]*delivery),
 	}
 	a.announce(self)
 	return a
@@ -92,24 +98,40 @@
 }
 
 // targets returns the homes to send heartbeats to. Homes that did not answer are
-// replaced by the next best, or by seeds when no other is known.
+// replaced by the next best, or by seeds when no other is known. A change that no
+// balancer has confirmed goes to the spare homes too: when both homes are dead,
+// waiting for their timeouts would use up a third of the 3 s that a drain may take.
 func (a *Announcer) targets() []netip.AddrPort {
+	count := a.cfg.Homes
+	if !a.confirmed() {
+		count += spareHomes
+	}
 	var out []netip.AddrPort
 	for _, h := range a.homes {
-		if a.now >= a.avoid[h] && len(out) < a.cfg.Homes {
+		if a.now >= a.avoid[h] && len(out) < count {
 			out = append(out, h)
 		}
 	}
 	seeds := slices.Clone(a.cfg.Seeds)
 	a.rng.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
 	for _, s := range seeds {
-		if len(out) < a.cfg.Homes && a.now >= a.avoid[s] && !slices.Contains(out, s) {
+		if len(out) < count && a.now >= a.avoid[s] && !slices.Contains(out, s) {
 			out = append(out, s)
 		}
 	}
 	return out
 }
 
+// confirmed reports whether a balancer has the present record.
+func (a *Announcer) confirmed() bool {
+	for _, sum := range a.acked {
+		if sum == a.sum {
+			return true
+		}
+	}
+	return false
+}
+
 func (a *Announcer) heartbeat(home netip.AddrPort) Call {
 	m := Message{
 		Kind: KindHeartbeat, ID: nameHash(a.self.Name), Sum: a.sum, Revision: a.revision,
@@ -168,6 +190,7 @@
 
 func (a *Announcer) heartbeatAnswered(c Call, m Message) {
 	delete(a.avoid, c.To)
+	delete(a.missed, c.To)
 	a.acked[c.To] = c.Request.Sum
 	if m.Resend {
 		delete(a.acked, c.To)
@@ -189,15 +212,21 @@
 	}
 	maps.DeleteFunc(a.acked, func(p netip.AddrPort, _ uint32) bool { return unknown(p) })
 	maps.DeleteFunc(a.next, func(p netip.AddrPort, _ time.Duration) bool { return unknown(p) })
+	maps.DeleteFunc(a.missed, func(p netip.AddrPort, _ int) bool { return unknown(p) })
 	maps.DeleteFunc(a.avoid, func(p netip.AddrPort, _ time.Duration) bool { return unknown(p) })
 }
 
 // Unreachable says that a call failed or timed out.
 func (a *Announcer) Unreachable(now time.Duration, c Call) {
 	a.advance(now)
-	if c.Request.Kind == KindHeartbeat {
+	if c.Request.Kind != KindHeartbeat {
+		return
+	}
+	delete(a.next, c.To)
+	a.missed[c.To]++
+	if a.missed[c.To] >= homeMisses {
 		a.avoid[c.To] = now + avoidFor
-		delete(a.next, c.To)
+		delete(a.missed, c.To)
 	}
 }
 
--- a/member/balancers.go
+++ b/member/balancers.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"net/netip"
 	"slices"
 	"strings"
 )
@@ -31,6 +32,11 @@
 	return lists.live
 }
 
+// isBalancer reports whether a control address belongs to a balancer.
+func (n *Node) isBalancer(control netip.AddrPort) bool {
+	return slices.ContainsFunc(n.table.Balancers(), func(b Record) bool { return b.Control == control })
+}
+
 func (t *Table) balancerLists() *balancerLists {
 	if t.balancers != nil {
 		return t.balancers
--- a/member/gossip.go
+++ b/member/gossip.go
@@ -14,6 +14,10 @@
 // balancer that seems dead. They reunite the two sides of a healed partition.
 const oddPeers = 8
 
+// joinPhase is the time after the start of a process in which it exchanges more
+// often, so that a change made while it starts reaches it in time.
+const joinPhase = 5 * time.Second
+
 // rumour is news that is pushed to a few random peers in each of a few rounds.
 type rumour struct {
 	left int
@@ -45,9 +49,24 @@
 		return false
 	}
 	n.spread(r.Name)
+	n.relay(r)
 	return true
 }
 
+// relay pushes an upstream's new record to the agents of its service that send
+// heartbeats here, so that they need not wait for their next heartbeat.
+func (n *Node) relay(r Record) {
+	g := n.table.groups[r.Service]
+	if r.Role != RoleUpstream || g == nil {
+		return
+	}
+	for _, e := range g.entries {
+		if _, watched := n.watch.heard[e.record.Name]; watched && e.record.Name != r.Name {
+			n.send(e.record.Control, Message{Kind: KindPush, Records: []Record{r}})
+		}
+	}
+}
+
 func (n *Node) mergeAll(records []Record) {
 	for _, r := range records {
 		n.merge(r)
@@ -116,6 +135,9 @@
 
 // pushElsewhere sends a push that did not arrive to another peer.
 func (n *Node) pushElsewhere(c Call) {
+	if !n.isBalancer(c.To) {
+		return
+	}
 	for _, p := range n.randomPeers(1) {
 		if p != c.To {
 			n.send(p, c.Request)
@@ -171,6 +193,9 @@
 		return
 	}
 	n.exchange = n.now + n.cfg.Exchange
+	if n.now < joinPhase || n.behind {
+		n.exchange = n.now + n.cfg.Retry
+	}
 	peers := n.randomPeers(1)
 	if n.rng.IntN(oddPeers) == 0 {
 		peers = []netip.AddrPort{n.oddPeer()}
@@ -181,6 +206,7 @@
 }
 
 func (n *Node) continueExchange(c Call, m Message) {
+	n.behind = len(m.Records) >= maxRecords
 	next := n.reconcile(m)
 	if len(next.Records) > 0 || len(next.Digests) > 0 || len(next.Want) > 0 {
 		next.From = n.self.Control
@@ -194,14 +220,28 @@
 	out := Message{Kind: KindDigest}
 	n.answerWants(&out, m)
 	for _, r := range m.Records {
-		n.take(r)
+		if n.take(r) {
+			n.relay(r)
+		}
 	}
+	out.Records = append(out.Records, n.graves(m.Records)...)
 	for _, d := range m.Digests {
 		n.descend(&out, d)
 	}
 	return out
 }
 
+// graves returns the removed records that hide some of the given ones.
+func (n *Node) graves(records []Record) []Record {
+	var out []Record
+	for i := range records {
+		if r, hidden := n.table.grave(&records[i]); hidden {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 func (n *Node) answerWants(out *Message, m Message) {
 	theirs := make(map[string]*Record, len(m.Records))
 	for i := range m.Records {
--- a/member/harness_test.go
+++ b/member/harness_test.go
@@ -38,19 +38,75 @@
 	balancers map[string]*member.Node
 	agents    map[string]*member.Announcer
 	seeds     []netip.AddrPort
-	bytes     int // both directions of all messages
+	started   map[string]time.Duration
+	zones     map[string]string // network zones of processes that are not in their failure domain's
+	traffic   map[string]int    // bytes that balancers sent and received, by kind of message
+	since     time.Duration     // start of the count of traffic
 }
 
 func newFleet(seed uint64) *fleet {
 	f := &fleet{net: fake.NewNetwork(seed), seed: seed,
-		balancers: make(map[string]*member.Node), agents: make(map[string]*member.Announcer)}
+		balancers: make(map[string]*member.Node), agents: make(map[string]*member.Announcer), zones: make(map[string]string),
+		started: make(map[string]time.Duration)}
 	f.net.Faults = fake.Faults{MinDelay: time.Millisecond, MaxDelay: 3 * time.Millisecond}
-	f.net.Observe = func(_, _ netip.AddrPort, m any) {
-		if message, ok := m.(member.Message); ok {
-			f.bytes += message.Size()
+	return f
+}
+
+// resetTraffic starts a new count of the balancers' traffic.
+func (f *fleet) resetTraffic() {
+	f.traffic, f.since = make(map[string]int), f.net.Now()
+	kinds := map[member.Kind]string{member.KindNone: "answer", member.KindHeartbeat: "heartbeat",
+		member.KindPush: "push", member.KindDigest: "exchange"}
+	ends := make(map[netip.AddrPort]int)
+	for name := range f.balancers {
+		ends[control(name)] = 1
+	}
+	f.net.Observe = func(from, to netip.AddrPort, m any) {
+		message := m.(member.Message)
+		kind, known := kinds[message.Kind]
+		if !known {
+			kind = "other"
 		}
+		f.traffic[kind] += message.Size() * (ends[from] + ends[to])
+	}
+}
+
+// records returns the records of balancers and, after them, upstreams of services
+// with 11 upstreams each, in three failure domains.
+func (f *fleet) records(balancers, upstreams int) []member.Record {
+	var out []member.Record
+	for i := range balancers {
+		r := f.record(fmt.Sprintf("balancer-%05d", i), "", fmt.Sprintf("lk-west-%d", i%3))
+		r.Role, r.Incarnation, r.Endpoints = member.RoleBalancer, f.rng().Uint64(), nil
+		out = append(out, r)
+	}
+	for i := range upstreams {
+		r := f.record(upstreamName(i), fmt.Sprintf("impact-portal-%04d", i/11), fmt.Sprintf("lk-west-%d", i%3))
+		r.Incarnation = f.rng().Uint64()
+		out = append(out, r)
+	}
+	return out
+}
+
+func upstreamName(i int) string { return fmt.Sprintf("impact-portal-vm-%05d", i) }
+
+// load starts a fleet whose processes know each other from the beginning.
+func (f *fleet) load(balancers, upstreams int) {
+	records := f.records(balancers, upstreams)
+	for _, r := range records[:3] {
+		f.seeds = append(f.seeds, r.Control)
+	}
+	for _, r := range records {
+		if r.Role == member.RoleBalancer {
+			n := member.NewNode(member.Config{Seeds: f.seeds}, r, f.rng())
+			n.Load(0, records)
+			f.balancers[r.Name] = n
+			f.attach(n)
+			continue
+		}
+		f.agents[r.Name] = member.NewAnnouncer(member.Config{Seeds: f.seeds}, r, f.rng())
+		f.attach(f.agents[r.Name])
 	}
-	return f
 }
 
 // control derives a process's control address from its name, as a restarted VM
@@ -75,11 +131,15 @@
 }
 
 func (f *fleet) attach(p protocol) {
-	at, domain := p.Self().Control, p.Self().FailureDomain
+	at, zone := p.Self().Control, p.Self().FailureDomain
+	if z, moved := f.zones[p.Self().Name]; moved {
+		zone = z
+	}
 	// A protocol's time starts with its process.
 	start := f.net.Now()
+	f.started[p.Self().Name] = start
 	now := func() time.Duration { return f.net.Now() - start }
-	f.net.Attach(at, domain, func(_ time.Duration, _ netip.AddrPort, m any) any {
+	f.net.Attach(at, zone, func(_ time.Duration, _ netip.AddrPort, m any) any {
 		return p.Handle(now(), m.(member.Message))
 	})
 	f.net.Every(at, 100*time.Millisecond, func() {
@@ -177,3 +237,28 @@
 	}
 	return out
 }
+
+// failed counts the failed upstreams that a balancer sees.
+func (f *fleet) failed(n *member.Node) int {
+	count := 0
+	for _, u := range n.Table().ServiceMembers("portal") {
+		if u.State == flow.Failed {
+			count++
+		}
+	}
+	return count
+}
+
+// every runs a check after each 100 ms of the given time.
+func (f *fleet) every(check func(), total time.Duration) {
+	GinkgoHelper()
+	for end := f.net.Now() + total; f.net.Now() < end; {
+		f.net.Run(100 * time.Millisecond)
+		check()
+	}
+}
+
+// setState announces a new state of a process.
+func (f *fleet) setState(name string, s flow.State) {
+	f.all()[name].SetState(f.net.Now()-f.started[name], s)
+}
--- a/member/heartbeat.go
+++ b/member/heartbeat.go
@@ -9,12 +9,10 @@
 // serveHeartbeat notes that an agent is alive and returns what it lacks: its own
 // record when another one is known here, its homes and its service's members.
 func (n *Node) serveHeartbeat(m Message) Message {
-	for _, r := range m.Records {
-		n.merge(r)
-	}
+	n.mergeAll(m.Records)
 	e := n.table.byHash[m.ID]
 	if e == nil {
-		return Message{Resend: true}
+		return Message{Resend: true, Records: n.graves(m.Records)}
 	}
 	n.heard(e.record.Name)
 	var reply Message
--- a/member/node.go
+++ b/member/node.go
@@ -21,6 +21,7 @@
 	revision revision
 	watch    watch
 	exchange time.Duration // time of the next anti-entropy exchange
+	behind   bool          // the last exchange brought as many records as one may
 	expiry   time.Duration // time of the next look for records to remove
 }
 
--- a/member/record.go
+++ b/member/record.go
@@ -53,8 +53,12 @@
 	return r.State == flow.Leaving || r.State == flow.Failed
 }
 
+// maxCounter bounds epochs and versions, so that the next one does not overflow.
+const maxCounter = 1 << 62
+
 func (r *Record) valid() bool {
-	return r.Name != "" && r.State <= flow.Failed && r.Role <= RoleBalancer
+	return r.Name != "" && r.State <= flow.Failed && r.Role <= RoleBalancer &&
+		r.Epoch < maxCounter && r.Version < maxCounter
 }
 
 // sum is a hash of the whole record that is equal in all processes.
@@ -66,19 +70,18 @@
 // refute returns the version of self that replaces a record of the same name
 // which this process did not write, and whether one is needed.
 func refute(self Record, seen *Record) (Record, bool) {
-	if seen.Incarnation != self.Incarnation {
-		if seen.Epoch < self.Epoch {
-			return self, false
-		}
-		self.Epoch = seen.Epoch + 1
-		return self, true
-	}
-	if Compare(seen, &self) <= 0 {
+	next := self
+	switch {
+	case !seen.valid():
+		return self, false
+	case seen.Incarnation != self.Incarnation && seen.Epoch >= self.Epoch:
+		next.Epoch = seen.Epoch + 1
+	case seen.Incarnation == self.Incarnation && Compare(seen, &self) > 0:
+		next.Epoch, next.Version = seen.Epoch, seen.Version+1
+	default:
 		return self, false
 	}
-	self.Epoch = seen.Epoch
-	self.Version = seen.Version + 1
-	return self, true
+	return next, next.valid()
 }
 
 // invariant panics when a rule that the protocol guarantees is broken; going on
--- a/member/remove.go
+++ b/member/remove.go
@@ -15,6 +15,16 @@
 	return found && Compare(r, &grave.record) <= 0
 }
 
+// grave returns the removed record that hides r, when r claims that the process is
+// alive. Its owner then learns that it has to announce a higher epoch, as after a
+// restart under the same name.
+func (t *Table) grave(r *Record) (Record, bool) {
+	if r.Gone() || !t.buried(r) {
+		return Record{}, false
+	}
+	return t.removed[r.Name].record, true
+}
+
 // expire removes records that have been failed or leaving for longer than after.
 // Their tombstones last twice as long: a process that learned the record just
 // before its removal elsewhere keeps and offers it for up to that time again.
--- a/member/suspect.go
+++ b/member/suspect.go
@@ -13,12 +13,18 @@
 // process.
 const observers = 2
 
+// pingAttempts is the number of pings in a row that must fail before a process
+// counts as unreachable: with one, a loss of 10% of all messages made false claims
+// common.
+const pingAttempts = 2
+
 // watch is what a balancer knows about the life signs of the processes that it
 // watches, and the questions that are open.
 type watch struct {
 	heard    map[string]time.Duration // agents by time of the last sign of life
 	suspects map[string]*suspicion
 	probes   map[string][]netip.AddrPort // who asked for a ping of the named process
+	missed   map[string]int              // pings that failed in a row
 	cursor   int                         // position of the sweep for unwatched agents
 }
 
@@ -35,6 +41,7 @@
 		heard:    make(map[string]time.Duration),
 		suspects: make(map[string]*suspicion),
 		probes:   make(map[string][]netip.AddrPort),
+		missed:   make(map[string]int),
 	}
 }
 
@@ -100,7 +107,7 @@
 // suspect begins with a ping by this balancer itself: silence alone may mean that
 // the agent has chosen other homes.
 func (n *Node) suspect(r *Record) {
-	n.watch.suspects[r.Name] = &suspicion{deadline: n.now + n.cfg.ProbeWait}
+	n.watch.suspects[r.Name] = &suspicion{deadline: n.now + pingAttempts*n.cfg.ProbeWait}
 	n.ping(r.Name, r.Control)
 }
 
@@ -119,6 +126,14 @@
 // pinged takes the outcome of a ping.
 func (n *Node) pinged(c Call, alive bool) {
 	name := c.Request.Name
+	if !alive {
+		n.watch.missed[name]++
+		if n.watch.missed[name] < pingAttempts {
+			n.ping(name, c.To)
+			return
+		}
+	}
+	delete(n.watch.missed, name)
 	for _, asker := range n.watch.probes[name] {
 		n.send(asker, Message{Kind: KindVerdict, From: n.self.Control, Name: name, Alive: alive})
 	}
