--- /dev/null
+++ b/member/shard_test.go
@@ -0,0 +1,184 @@
+package member_test
+
+import (
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/nutmegtrack/nutmegtrack/member"
+	"github.com/nutmegtrack/nutmegtrack/store"
+)
+
+// revisions is a store of keys with their revisions.
+type revisions struct {
+	keys map[string]store.KV
+	last int64
+}
+
+func (r *revisions) txn(conditions []store.Compare, writes []store.Op) store.TxnResult {
+	for _, c := range conditions {
+		kv := r.keys[c.Key]
+		if c.Target == store.CompareCreate && kv.CreateRevision != c.Revision ||
+			c.Target == store.CompareMod && kv.ModRevision != c.Revision {
+			return store.TxnResult{Revision: r.last}
+		}
+	}
+	r.last++
+	for _, w := range writes {
+		kv := r.keys[w.Key]
+		if kv.CreateRevision == 0 {
+			kv = store.KV{Key: w.Key, CreateRevision: r.last}
+		}
+		kv.Value, kv.Lease, kv.ModRevision = w.Value, w.Lease, r.last
+		r.keys[w.Key] = kv
+	}
+	return store.TxnResult{Succeeded: true, Revision: r.last}
+}
+
+func (r *revisions) names() []string {
+	GinkgoHelper()
+	records, err := member.DecodeShard(r.keys[member.ShardKey("fd0")].Value)
+	Expect(err).NotTo(HaveOccurred())
+	var out []string
+	for _, rec := range records {
+		out = append(out, rec.Name)
+	}
+	return out
+}
+
+// collector is one balancer with its shard.
+type collector struct {
+	*member.Shard
+	node *member.Node
+	now  time.Duration
+}
+
+func newCollector(name string, known ...string) *collector {
+	f := newFleet(1)
+	c := &collector{member.NewShard("fd0", name), member.NewNode(member.Config{}, f.record(name, "", "fd0"), rand.New(rand.NewPCG(1, 1))), 0}
+	for _, k := range known {
+		c.node.Load(0, []member.Record{f.record(k, "portal", "fd0")})
+	}
+	return c
+}
+
+func (c *collector) elect(r *revisions, lease store.LeaseID) {
+	GinkgoHelper()
+	c.Campaigned(r.txn(c.Campaign(lease)), nil)
+	Expect(c.Term()).NotTo(BeZero())
+}
+
+func (c *collector) load(r *revisions) {
+	GinkgoHelper()
+	Expect(c.NeedsLoad()).To(BeTrue())
+	records, err := c.Load(r.keys[member.ShardKey("fd0")])
+	Expect(err).NotTo(HaveOccurred())
+	c.node.Load(c.now, records)
+}
+
+// write returns the transaction that is due after a minute.
+func (c *collector) write() ([]store.Compare, []store.Op, bool) {
+	GinkgoHelper()
+	c.now += time.Minute
+	conditions, writes, due, err := c.Write(c.now, c.node.Table())
+	Expect(err).NotTo(HaveOccurred())
+	return conditions, writes, due
+}
+
+func (c *collector) mustWrite(r *revisions) store.TxnResult {
+	GinkgoHelper()
+	conditions, writes, due := c.write()
+	Expect(due).To(BeTrue())
+	result := r.txn(conditions, writes)
+	c.Written(result, nil)
+	return result
+}
+
+var _ = Describe("a shard", func() {
+	var r *revisions
+	var first *collector
+
+	BeforeEach(func() {
+		r = &revisions{keys: make(map[string]store.KV)}
+		first = newCollector("b1", "u1", "u2")
+		first.elect(r, 11)
+		_, _, due := first.write()
+		Expect(due).To(BeFalse(), "writes before it has read the stored shard")
+		first.load(r)
+		first.mustWrite(r)
+		Expect(r.names()).To(Equal([]string{"b1", "u1", "u2"}))
+	})
+
+	// successor lets the first lease lapse and elects another balancer.
+	successor := func() *collector {
+		delete(r.keys, member.LeaseKey("fd0"))
+		second := newCollector("b2")
+		second.elect(r, 22)
+		return second
+	}
+
+	It("is written on change only", func() {
+		_, _, due := first.write()
+		Expect(due).To(BeFalse())
+	})
+
+	It("is not emptied by a successor that knows nothing", func() {
+		second := successor()
+		second.load(r)
+		second.mustWrite(r)
+		Expect(r.names()).To(Equal([]string{"b1", "b2", "u1", "u2"}))
+	})
+
+	It("cannot be overwritten by a holder that was paused past its lease", func() {
+		first.node.Load(first.now, []member.Record{newFleet(1).record("u3", "portal", "fd0")})
+		conditions, writes, due := first.write()
+		Expect(due).To(BeTrue())
+		second := successor()
+		result := r.txn(conditions, writes)
+		Expect(result.Succeeded).To(BeFalse(), "between two terms")
+		second.load(r)
+		second.mustWrite(r)
+		before := r.names()
+		first.Written(r.txn(conditions, writes), nil)
+		Expect(r.names()).To(Equal(before))
+		Expect(first.Term()).To(BeZero())
+		Expect(first.ReadLease(r.keys[member.LeaseKey("fd0")])).To(BeFalse())
+	})
+
+	It("is read again after a write whose outcome is unknown, which then cannot undo a later one", func() {
+		first.node.Load(first.now, []member.Record{newFleet(1).record("u3", "portal", "fd0")})
+		delayed, old, _ := first.write()
+		first.Written(store.TxnResult{}, store.ErrUnknown)
+		_, _, due := first.write()
+		Expect(due).To(BeFalse())
+		first.load(r)
+		first.mustWrite(r)
+		Expect(r.txn(delayed, old).Succeeded).To(BeFalse())
+	})
+
+	It("recognises its own election when the response was lost", func() {
+		delete(r.keys, member.LeaseKey("fd0"))
+		second := newCollector("b2")
+		r.txn(second.Campaign(22))
+		second.Campaigned(store.TxnResult{}, store.ErrUnknown)
+		Expect(second.Term()).To(BeZero())
+		Expect(second.ReadLease(r.keys[member.LeaseKey("fd0")])).To(BeTrue())
+		Expect(second.Term()).To(Equal(r.last))
+	})
+
+	It("has at most two candidates in a domain, none from others", func() {
+		f := newFleet(3)
+		f.start(9, 0)
+		writers := map[string]int{}
+		for name, n := range f.balancers {
+			for _, domain := range []string{"fd0", "fd1", "fd2"} {
+				if member.NewShard(domain, name).Candidate(n.Table()) {
+					writers[domain]++
+				}
+			}
+		}
+		Expect(writers).To(Equal(map[string]int{"fd0": 2, "fd1": 2, "fd2": 2}))
+	})
+})
