--- a/member/balancers.go
+++ b/member/balancers.go
@@ -10,8 +10,8 @@
 // changes, because each heartbeat ranks the balancers of its failure domain.
 type balancerLists struct {
 	all     []Record
-	live    []Record
-	domains map[string][]Record // live balancers by failure domain
+	live    ranking
+	domains map[string]*ranking // live balancers by failure domain
 }
 
 // Balancers returns the records of all balancers, ordered by name. The caller
@@ -20,16 +20,16 @@
 
 // liveBalancers returns the balancers that have neither left nor failed. The
 // caller must not change them.
-func (t *Table) liveBalancers() []Record { return t.balancerLists().live }
+func (t *Table) liveBalancers() []Record { return t.balancerLists().live.records }
 
 // domainBalancers returns the live balancers of a failure domain, or all live
 // ones when the domain has none.
-func (t *Table) domainBalancers(domain string) []Record {
+func (t *Table) domainBalancers(domain string) *ranking {
 	lists := t.balancerLists()
-	if own := lists.domains[domain]; len(own) > 0 {
+	if own := lists.domains[domain]; own != nil {
 		return own
 	}
-	return lists.live
+	return &lists.live
 }
 
 // isBalancer reports whether a control address belongs to a balancer.
@@ -41,7 +41,7 @@
 	if t.balancers != nil {
 		return t.balancers
 	}
-	l := &balancerLists{domains: make(map[string][]Record)}
+	l := &balancerLists{domains: make(map[string]*ranking)}
 	for _, e := range t.order {
 		if e.record.Role == RoleBalancer {
 			l.all = append(l.all, e.record)
@@ -50,10 +50,19 @@
 	slices.SortFunc(l.all, func(a, b Record) int { return strings.Compare(a.Name, b.Name) })
 	for _, b := range l.all {
 		if !b.Gone() {
-			l.live = append(l.live, b)
-			l.domains[b.FailureDomain] = append(l.domains[b.FailureDomain], b)
+			l.add(b)
 		}
 	}
 	t.balancers = l
 	return l
 }
+
+func (l *balancerLists) add(b Record) {
+	l.live.add(b)
+	own := l.domains[b.FailureDomain]
+	if own == nil {
+		own = &ranking{}
+		l.domains[b.FailureDomain] = own
+	}
+	own.add(b)
+}
--- a/member/digest.go
+++ b/member/digest.go
@@ -77,7 +77,7 @@
 }
 
 // Digest returns the digest of the whole table.
-func (t *Table) Digest() Digest { return t.digest(0) }
+func (t *Table) Digest() Digest { return t.root }
 
 // Delta returns the records in the parts that differ from d, ordered by the hash
 // of their names.
@@ -103,6 +103,9 @@
 }
 
 func (t *Table) digest(part uint32) Digest {
+	if part == 0 {
+		return t.root
+	}
 	d := Digest{Part: part}
 	shift := 64 - digestBits*(partDepth(part)+1)
 	for _, e := range t.part(part) {
--- a/member/node.go
+++ b/member/node.go
@@ -8,6 +8,9 @@
 	"github.com/nutmegtrack/nutmegtrack/flow"
 )
 
+// expiryPause is the time between two looks through the whole table.
+const expiryPause = 10 * time.Second
+
 // Node is the membership protocol of a balancer. It is not safe for concurrent
 // use. The daemon calls Step about ten times a second.
 type Node struct {
@@ -61,7 +64,7 @@
 	n.settleSuspicions()
 	if now >= n.expiry {
 		n.table.expire(now, n.cfg.RemoveAfter)
-		n.expiry = now + n.cfg.Exchange
+		n.expiry = now + expiryPause
 	}
 	out := n.out
 	n.out = nil
--- a/member/rank.go
+++ b/member/rank.go
@@ -1,33 +1,45 @@
 package member
 
 import (
-	"cmp"
 	"net/netip"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
 
-// rank orders balancers for a key by rendezvous hashing and returns the first n.
-func rank(key string, balancers []Record, n int) []Record {
-	type scored struct {
-		score uint64
-		index int
-	}
-	best := make([]scored, 0, n+1)
+// ranking is a list of balancers with the hashes of their names, which each
+// heartbeat needs.
+type ranking struct {
+	records []Record
+	hashes  []uint64
+}
+
+func (l *ranking) add(r Record) {
+	l.records = append(l.records, r)
+	l.hashes = append(l.hashes, nameHash(r.Name))
+}
+
+// rank returns the first n balancers for a key in the order of rendezvous hashing.
+func (l *ranking) rank(key string, n int) []Record {
+	best := make([]int, 0, n+1)
+	scores := make([]uint64, 0, n+1)
 	seed := nameHash(key)
-	for i := range balancers {
-		s := scored{mix(seed ^ nameHash(balancers[i].Name)), i}
-		at, _ := slices.BinarySearchFunc(best, s, func(a, b scored) int {
-			return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.index, b.index))
-		})
-		if at < n {
-			best = slices.Insert(best, at, s)[:min(len(best)+1, n)]
+	for i, h := range l.hashes {
+		score := mix(seed ^ h)
+		if len(best) == n && score <= scores[n-1] {
+			continue
+		}
+		at := 0
+		for at < len(scores) && scores[at] >= score {
+			at++
 		}
+		best = slices.Insert(best, at, i)
+		scores = slices.Insert(scores, at, score)
+		best, scores = best[:min(len(best), n)], scores[:min(len(scores), n)]
 	}
 	out := make([]Record, len(best))
-	for i, s := range best {
-		out[i] = balancers[s.index]
+	for i, b := range best {
+		out[i] = l.records[b]
 	}
 	return out
 }
@@ -44,7 +56,7 @@
 // homes returns the live balancers that an agent sends its heartbeats to: those
 // of its failure domain, or any when the domain has none.
 func (t *Table) homes(name, domain string, n int) []Record {
-	return rank(name, t.domainBalancers(domain), n)
+	return t.domainBalancers(domain).rank(name, n)
 }
 
 func hashHomes(homes []netip.AddrPort) uint32 {
--- a/member/remove.go
+++ b/member/remove.go
@@ -45,6 +45,7 @@
 
 func (t *Table) remove(e *entry) {
 	t.ungroup(e)
+	t.toggle(e)
 	delete(t.byName, e.record.Name)
 	delete(t.byHash, e.hash)
 	if e.record.Role == RoleBalancer {
--- a/member/shard.go
+++ b/member/shard.go
@@ -63,7 +63,7 @@
 // Candidate reports whether this balancer should campaign: it is among the first
 // two of its domain's live balancers, so that most balancers never call the store.
 func (s *Shard) Candidate(t *Table) bool {
-	for _, b := range rank("collector of "+s.domain, t.domainBalancers(s.domain), candidates) {
+	for _, b := range t.domainBalancers(s.domain).rank("collector of "+s.domain, candidates) {
 		if b.Name == s.self && b.FailureDomain == s.domain {
 			return true
 		}
--- a/member/suspect.go
+++ b/member/suspect.go
@@ -87,6 +87,9 @@
 }
 
 func (n *Node) isHome(r *Record) bool {
+	if r.FailureDomain != n.self.FailureDomain && n.table.balancerLists().domains[r.FailureDomain] != nil {
+		return false
+	}
 	for _, b := range n.table.homes(r.Name, r.FailureDomain, n.cfg.Homes) {
 		if b.Name == n.self.Name {
 			return true
@@ -237,15 +240,11 @@
 	if r.Role == RoleBalancer {
 		key = "arbiter of balancers"
 	}
-	var others []Record
-	for _, b := range n.table.liveBalancers() {
+	for _, b := range n.table.balancerLists().live.rank(key, 2) {
 		if b.Name != r.Name {
-			others = append(others, b)
+			return b.Control
 		}
 	}
-	for _, b := range rank(key, others, 1) {
-		return b.Control
-	}
 	return n.self.Control
 }
 
--- a/member/table.go
+++ b/member/table.go
@@ -17,6 +17,7 @@
 	byHash    map[uint64]*entry
 	order     []*entry // by hash, then name, when sorted is set
 	sorted    bool
+	root      Digest // of the whole table, kept up with each change
 	removed   map[string]tombstone
 	groups    map[string]*group // upstreams by service
 	services  []string          // keys of groups in order
@@ -87,10 +88,17 @@
 		t.balancers = nil
 	}
 	r.Endpoints = slices.Clone(r.Endpoints)
+	t.toggle(e)
 	e.record, e.sum = r, r.sum()
+	t.toggle(e)
 	t.group(e)
 }
 
+// toggle adds an entry to the digest of the whole table, or takes it out.
+func (t *Table) toggle(e *entry) {
+	t.root.Sums[e.hash>>(64-digestBits)] ^= uint32(e.sum)
+}
+
 func (t *Table) sortEntries() {
 	if t.sorted {
 		return
--- /dev/null
+++ b/member/traffic_test.go
@@ -0,0 +1,121 @@
+package member_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/flow"
+	"github.com/nutmegtrack/nutmegtrack/member"
+)
+
+// changesPerSecond is the target scale's 72,000 state changes a day.
+const changesPerSecond = 72000.0 / 86400
+
+// BenchmarkTraffic reports the control traffic of a balancer, sent and received,
+// in fleets with the target's 9 upstreams for each balancer and its rate of
+// changes, and the time until a change has reached every balancer.
+func BenchmarkTraffic(b *testing.B) {
+	for _, balancers := range []int{10, 50, 100, 200, 400} {
+		b.Run(fmt.Sprintf("balancers=%d", balancers), func(b *testing.B) {
+			for range b.N {
+				measureTraffic(b, balancers)
+			}
+		})
+	}
+}
+
+func measureTraffic(b *testing.B, balancers int) {
+	f := newFleet(uint64(balancers))
+	f.load(balancers, 9*balancers)
+	f.net.Run(10 * time.Second)
+	f.resetTraffic()
+	const window = 60 * time.Second
+	rng := rand.New(rand.NewPCG(1, 2))
+	var worst time.Duration
+	done := func(took time.Duration) { worst = max(worst, took) }
+	for at := 0.0; at < window.Seconds(); at += rng.ExpFloat64() / changesPerSecond {
+		name := upstreamName(rng.IntN(9 * balancers))
+		f.net.After(netip.AddrPort{}, time.Duration(at*float64(time.Second)), func() { f.flip(name, done) })
+	}
+	f.net.Run(window)
+	seconds := (f.net.Now() - f.since).Seconds()
+	total := 0
+	for kind, bytes := range f.traffic {
+		b.ReportMetric(float64(bytes)/seconds/float64(balancers), kind+"-B/s")
+		total += bytes
+	}
+	b.ReportMetric(float64(total)/seconds/float64(balancers), "all-B/s")
+	b.ReportMetric(worst.Seconds(), "worst-s")
+}
+
+// flip changes an upstream's state and passes the time until all balancers have
+// that version or a later one to done, or 10 s when some do not have it by then.
+func (f *fleet) flip(name string, done func(time.Duration)) {
+	state := flow.Draining
+	if f.agents[name].Self().State == flow.Draining {
+		state = flow.Ready
+	}
+	f.setState(name, state)
+	begin, version := f.net.Now(), f.agents[name].Self().Version
+	var check func()
+	check = func() {
+		took := f.net.Now() - begin
+		if took >= 10*time.Second || f.reached(name, version) {
+			done(took)
+			return
+		}
+		f.net.After(netip.AddrPort{}, 100*time.Millisecond, check)
+	}
+	check()
+}
+
+func (f *fleet) reached(name string, version uint64) bool {
+	for _, n := range f.balancers {
+		if r, _ := n.Table().Get(name); r.Version < version {
+			return false
+		}
+	}
+	return true
+}
+
+// BenchmarkExchange reports the bytes of one anti-entropy exchange between two
+// tables of the target scale that differ in some records.
+func BenchmarkExchange(b *testing.B) {
+	f := newFleet(1)
+	records := f.records(5300, 48000)
+	for _, differing := range []int{0, 1, 2, 4, 16, 256} {
+		b.Run(fmt.Sprintf("differing=%d", differing), func(b *testing.B) {
+			for range b.N {
+				b.ReportMetric(float64(exchangeBytes(f, records, differing)), "B/exchange")
+			}
+		})
+	}
+}
+
+func exchangeBytes(f *fleet, records []member.Record, differing int) int {
+	cfg := member.Config{Exchange: time.Hour, Retry: time.Hour}
+	one := member.NewNode(cfg, records[0], f.rng())
+	two := member.NewNode(cfg, records[1], f.rng())
+	one.Load(0, append(records[1:], two.Self()))
+	two.Load(0, append(records[2:], one.Self()))
+	for i := range differing {
+		r := records[len(records)-1-i]
+		r.Version++
+		two.Load(0, []member.Record{r})
+	}
+	bytes := 0
+	for step := range 10 {
+		for _, c := range one.Step(time.Duration(step)) {
+			if c.Request.Kind != member.KindDigest {
+				continue
+			}
+			reply := two.Handle(time.Duration(step), c.Request)
+			one.Reply(time.Duration(step), c, reply)
+			bytes += c.Request.Size() + reply.Size()
+		}
+	}
+	return bytes
+}
