Push a change of state as 20 bytes in place of the record

Cause: pushes were the largest part of a balancer's control traffic. Change: when only version and state differ, a push carries the name's hash, epoch, version, state and the hash of the resulting record; a receiver whose result has another hash ignores it and gets the record by anti-entropy.

--- a/member/gossip.go
+++ b/member/gossip.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/flow"
 )
 
 // maxPush bounds the records of one push; others wait for the next round.
@@ -20,8 +22,9 @@
 
 // rumour is news that is pushed to a few random peers in each of a few rounds.
 type rumour struct {
-	left int
-	next time.Duration
+	left  int
+	next  time.Duration
+	whole bool // the record itself is pushed, not a Change
 }
 
 // take merges a record and answers one that contradicts this balancer's own.
@@ -37,22 +40,37 @@
 
 // announce installs and spreads a new version of this balancer's own record.
 func (n *Node) announce(self Record) {
+	old := n.self
 	n.self = self
 	merged := n.table.Merge(self)
 	invariant(merged, "own record of %q is not newer than the known one", self.Name)
-	n.spread(self.Name)
+	n.spread(old, self)
 }
 
 // merge takes a record and spreads it when it is news.
 func (n *Node) merge(r Record) bool {
+	old, _ := n.table.Get(r.Name)
 	if !n.take(r) {
 		return false
 	}
-	n.spread(r.Name)
+	n.spread(old, r)
 	n.relay(r)
 	return true
 }
 
+// mergeChange applies a change to the record that is known here.
+func (n *Node) mergeChange(c Change) {
+	e := n.table.byHash[c.ID]
+	if e == nil {
+		return
+	}
+	r := e.record
+	r.Epoch, r.Version, r.State = c.Epoch, c.Version, flow.State(c.State)
+	if uint32(r.sum()) == c.Sum {
+		n.merge(r)
+	}
+}
+
 // relay pushes an upstream's new record to the agents of its service that send
 // heartbeats here, so that they need not wait for their next heartbeat.
 func (n *Node) relay(r Record) {
@@ -73,8 +91,12 @@
 	}
 }
 
-func (n *Node) spread(name string) {
-	n.rumours[name] = &rumour{left: n.cfg.Rounds}
+// spread begins to push a record. While an earlier one is being pushed, some peers
+// do not know it, and the whole record is pushed if that one was.
+func (n *Node) spread(old, r Record) {
+	before := n.rumours[r.Name]
+	whole := !isChange(old, r) || before != nil && before.whole
+	n.rumours[r.Name] = &rumour{left: n.cfg.Rounds, whole: whole}
 }
 
 func (n *Node) noteRevision(rev int64, source netip.AddrPort) {
@@ -86,7 +108,7 @@
 
 // pushRumours sends the records whose round is due to FanOut random peers.
 func (n *Node) pushRumours() {
-	due := n.dueRecords()
+	due := n.dueRumours()
 	r := &n.revision.rumour
 	announce := r.left > 0 && n.now >= r.next
 	if len(due) == 0 && !announce {
@@ -101,34 +123,47 @@
 		r.next = n.now + n.cfg.Push
 	}
 	for _, p := range peers {
-		n.send(p, Message{Kind: KindPush, From: n.self.Control, Records: due})
+		n.send(p, n.push(due))
 	}
 	n.finishRound(due)
 }
 
-func (n *Node) dueRecords() []Record {
-	var due []Record
+// push returns a push of the named records.
+func (n *Node) push(names []string) Message {
+	m := Message{Kind: KindPush, From: n.self.Control}
+	for _, name := range names {
+		e := n.table.byName[name]
+		if n.rumours[name].whole {
+			m.Records = append(m.Records, e.record)
+		} else {
+			m.Changes = append(m.Changes, changeOf(e))
+		}
+	}
+	return m
+}
+
+func (n *Node) dueRumours() []string {
+	var due []string
 	// In order of name, so that a run with a seed can be repeated.
 	for _, name := range slices.Sorted(maps.Keys(n.rumours)) {
-		r, known := n.table.Get(name)
-		if !known {
+		if n.table.byName[name] == nil {
 			delete(n.rumours, name)
 			continue
 		}
 		if n.now >= n.rumours[name].next && len(due) < maxPush {
-			due = append(due, r)
+			due = append(due, name)
 		}
 	}
 	return due
 }
 
-func (n *Node) finishRound(pushed []Record) {
-	for _, r := range pushed {
-		rumour := n.rumours[r.Name]
+func (n *Node) finishRound(pushed []string) {
+	for _, name := range pushed {
+		rumour := n.rumours[name]
 		rumour.left--
 		rumour.next = n.now + n.cfg.Push
 		if rumour.left <= 0 {
-			delete(n.rumours, r.Name)
+			delete(n.rumours, name)
 		}
 	}
 }
--- a/member/message.go
+++ b/member/message.go
@@ -35,6 +35,7 @@
 	From     netip.AddrPort `cbor:"2,keyasint,omitzero"`  // sender's control address, when an answer is sent as a call
 	Revision int64          `cbor:"3,keyasint,omitempty"` // highest revision of the active lists that the sender knows
 	Records  []Record       `cbor:"4,keyasint,omitempty"`
+	Changes  []Change       `cbor:"17,keyasint,omitempty"`
 
 	// Heartbeat and its reply.
 	ID      uint64           `cbor:"5,keyasint,omitempty"` // hash of the agent's name
--- a/member/node.go
+++ b/member/node.go
@@ -45,7 +45,6 @@
 	}
 	n := &Node{
 		cfg:     cfg.withDefaults(),
-		self:    self,
 		rng:     rng,
 		table:   NewTable(),
 		rumours: make(map[string]*rumour),
@@ -89,6 +88,9 @@
 		return n.serveHeartbeat(m)
 	case KindPush:
 		n.mergeAll(m.Records)
+		for _, c := range m.Changes {
+			n.mergeChange(c)
+		}
 	case KindDigest:
 		return n.reconcile(m)
 	case KindProbe:
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"testing"
 
+	"github.com/cespare/xxhash/v2"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
@@ -80,6 +81,7 @@
 		m.Want = rapid.SliceOfN(rapid.Uint32(), 0, 5).Draw(t, "want")
 		m.Digests = []member.Digest{{Part: rapid.Uint32Range(0, 6<<16).Draw(t, "part")}}
 		m.Records = rapid.SliceOfN(rapid.Custom(drawRecord), 0, 5).Draw(t, "records")
+		m.Changes = []member.Change{{ID: rapid.Uint64().Draw(t, "change"), State: 200}, {ID: xxhash.Sum64String("p1"), Version: 1 << 63}}
 		// The receivers' own names are the most delicate ones.
 		m.Records = append(m.Records, member.Record{Name: "p1", Epoch: 1}, member.Record{Name: "p2", Epoch: 1})
 		for i := range m.Records {
@@ -107,7 +109,8 @@
 			Records: rapid.SliceOfN(rapid.Custom(drawRecord), 1, 3).Draw(t, "records"),
 			ID:      rapid.Uint64().Draw(t, "id"), Sum: 1, Members: 2, HomeSum: 3, Resend: true,
 			Digests: []member.Digest{{Part: 1 << 16, Sums: [16]uint32{7, 15: 9}}}, Want: []uint32{4},
-			Name: "u1", Target: control("u1"), Alive: true, Observers: []string{"b1"},
+			Changes: []member.Change{{ID: 1, Epoch: 2, Version: 3, State: 4, Sum: 5}},
+			Name:    "u1", Target: control("u1"), Alive: true, Observers: []string{"b1"},
 		}
 		sent.Records[0].Endpoints = newFleet(1).record("x", "", "").Endpoints
 		b, err := sent.MarshalBinary()
