Say when a leaving process may exit, and measure detection and joins

Cause: a process that exits before its leave record has spread is suspected and probed for 7 s instead. Change: Confirmed on both protocols; benchmarks for the loss of a failure domain, for detection and for joining balancers.

--- a/member/announcer.go
+++ b/member/announcer.go
@@ -103,7 +103,7 @@
 // waiting for their timeouts would use up a third of the 3 s that a drain may take.
 func (a *Announcer) targets() []netip.AddrPort {
 	count := a.cfg.Homes
-	if !a.confirmed() {
+	if !a.Confirmed() {
 		count += spareHomes
 	}
 	var out []netip.AddrPort
@@ -122,8 +122,9 @@
 	return out
 }
 
-// confirmed reports whether a balancer has the present record.
-func (a *Announcer) confirmed() bool {
+// Confirmed reports whether a balancer has the present record. A leaving agent
+// exits after that.
+func (a *Announcer) Confirmed() bool {
 	for _, sum := range a.acked {
 		if sum == a.sum {
 			return true
--- a/member/fleet_test.go
+++ b/member/fleet_test.go
@@ -74,6 +74,23 @@
 		}
 	})
 
+	It("knows of a graceful leave within 3 s although the process exits at once", func() {
+		for seed := range uint64(5) {
+			f := newFleet(20 + seed)
+			f.start(9, 10)
+			f.setState("u0", flow.Leaving)
+			f.setState("b1", flow.Leaving)
+			for !f.agents["u0"].Confirmed() || !f.balancers["b1"].Confirmed() {
+				f.net.Run(10 * time.Millisecond)
+			}
+			f.kill("u0")
+			f.kill("b1")
+			f.net.Run(3 * time.Second)
+			Expect(f.states("u0")).To(HaveEach(flow.Leaving))
+			Expect(f.states("b1")).To(HaveEach(flow.Leaving))
+		}
+	})
+
 	It("removes records that are long gone, and no peer brings them back", func() {
 		f := newFleet(6)
 		f.start(4, 5)
--- a/member/gossip.go
+++ b/member/gossip.go
@@ -47,6 +47,13 @@
 	n.spread(old, self)
 }
 
+// Confirmed reports whether the present record has been pushed in all its rounds. A
+// leaving balancer exits after that.
+func (n *Node) Confirmed() bool {
+	_, pending := n.rumours[n.self.Name]
+	return !pending
+}
+
 // merge takes a record and spreads it when it is news.
 func (n *Node) merge(r Record) bool {
 	old, _ := n.table.Get(r.Name)
--- a/member/traffic_test.go
+++ b/member/traffic_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -119,3 +120,91 @@
 	}
 	return bytes
 }
+
+// BenchmarkDomainLoss reports what the loss of one of 14 failure domains, with its
+// balancers and upstreams, costs the others: the time until every process of it
+// is marked as failed everywhere, and the traffic of a balancer in that time.
+func BenchmarkDomainLoss(b *testing.B) {
+	for _, balancers := range []int{28, 56, 112} {
+		b.Run(fmt.Sprintf("balancers=%d", balancers), func(b *testing.B) {
+			for range b.N {
+				measureDomainLoss(b, balancers)
+			}
+		})
+	}
+}
+
+func measureDomainLoss(b *testing.B, balancers int) {
+	f := newFleet(uint64(balancers))
+	f.load(balancers, 9*balancers)
+	f.net.Run(10 * time.Second)
+	var lost []string
+	for name, p := range f.all() {
+		if p.Self().FailureDomain == "lk-west-0" {
+			lost = append(lost, name)
+		}
+	}
+	for _, name := range lost {
+		f.kill(name)
+	}
+	f.resetTraffic()
+	marked := func(name string) bool {
+		return !slices.ContainsFunc(f.states(name), func(s flow.State) bool { return s != flow.Failed })
+	}
+	for f.net.Now() < f.since+2*time.Minute && slices.ContainsFunc(lost, func(n string) bool { return !marked(n) }) {
+		f.net.Run(time.Second)
+	}
+	took := f.net.Now() - f.since
+	total := 0
+	for _, bytes := range f.traffic {
+		total += bytes
+	}
+	b.ReportMetric(took.Seconds(), "until-failed-s")
+	b.ReportMetric(float64(len(lost)), "lost")
+	b.ReportMetric(float64(total)/took.Seconds()/float64(len(f.balancers)), "all-B/s")
+}
+
+// BenchmarkDetection reports the time until a dead upstream is marked as failed on
+// every balancer, over 50 deaths.
+func BenchmarkDetection(b *testing.B) {
+	for range b.N {
+		var worst, sum time.Duration
+		for seed := range uint64(50) {
+			f := newFleet(seed)
+			f.load(28, 70)
+			f.net.Run(10*time.Second + time.Duration(seed)*20*time.Millisecond)
+			victim := upstreamName(int(seed))
+			f.kill(victim)
+			begin := f.net.Now()
+			for slices.ContainsFunc(f.states(victim), func(s flow.State) bool { return s != flow.Failed }) {
+				f.net.Run(100 * time.Millisecond)
+			}
+			sum += f.net.Now() - begin
+			worst = max(worst, f.net.Now()-begin)
+		}
+		b.ReportMetric(sum.Seconds()/50, "mean-s")
+		b.ReportMetric(worst.Seconds(), "worst-s")
+	}
+}
+
+// BenchmarkJoin reports the bytes and the time until a balancer that knows only
+// its seeds has the whole table.
+func BenchmarkJoin(b *testing.B) {
+	for _, balancers := range []int{10, 100} {
+		b.Run(fmt.Sprintf("balancers=%d", balancers), func(b *testing.B) {
+			for range b.N {
+				f := newFleet(1)
+				f.load(balancers, 9*balancers)
+				f.net.Run(10 * time.Second)
+				begin := f.net.Now()
+				n := f.balancer("joining", "lk-west-0")
+				f.resetTraffic()
+				for n.Table().Len() < 10*balancers+1 {
+					f.net.Run(100 * time.Millisecond)
+				}
+				b.ReportMetric((f.net.Now() - begin).Seconds(), "s")
+				b.ReportMetric(float64(f.traffic["exchange"])/2, "B")
+			}
+		})
+	}
+}
