Overlap the pings of observers and accuser

Cause: a dead upstream was marked after 7 s, of which 2 s were pings that waited for each other. Change: observers are asked after the first missed ping. A balancer without peers or seeds need not wait to leave. Conclusion: 3 s of the rest are the silence, 3 s pings that time out after 1 s; a VM that refuses connections is found sooner.

--- a/member/gossip.go
+++ b/member/gossip.go
@@ -51,7 +51,8 @@
 // leaving balancer exits after that.
 func (n *Node) Confirmed() bool {
 	_, pending := n.rumours[n.self.Name]
-	return !pending
+	alone := len(n.cfg.Seeds) == 0 && !slices.ContainsFunc(n.table.liveBalancers(), func(b Record) bool { return b.Name != n.self.Name })
+	return !pending || alone
 }
 
 // merge takes a record and spreads it when it is news.
--- a/member/suspect.go
+++ b/member/suspect.go
@@ -129,8 +129,13 @@
 // pinged takes the outcome of a ping.
 func (n *Node) pinged(c Call, alive bool) {
 	name := c.Request.Name
+	s := n.watch.suspects[name]
 	if !alive {
 		n.watch.missed[name]++
+		if s != nil && n.watch.missed[name] == 1 {
+			// The observers' pings and the second one of this balancer overlap.
+			n.askObservers(name, c.To)
+		}
 		if n.watch.missed[name] < pingAttempts {
 			n.ping(name, c.To)
 			return
@@ -141,14 +146,12 @@
 		n.send(asker, Message{Kind: KindVerdict, From: n.self.Control, Name: name, Alive: alive})
 	}
 	delete(n.watch.probes, name)
-	s := n.watch.suspects[name]
 	switch {
 	case alive:
 		n.heard(name)
 	case s != nil && !s.pinged:
 		s.pinged = true
 		s.deadline = n.now + n.cfg.ProbeWait
-		n.askObservers(name, c.To)
 	}
 }
 
@@ -192,11 +195,11 @@
 func (n *Node) settleSuspicions() {
 	for _, name := range slices.Sorted(maps.Keys(n.watch.suspects)) {
 		s := n.watch.suspects[name]
-		if n.now < s.deadline && len(s.dead) < observers {
+		if n.now < s.deadline && (!s.pinged || len(s.dead) < observers) {
 			continue
 		}
 		r, known := n.table.Get(name)
-		if !known || r.Gone() || s.claimed || len(s.dead) == 0 {
+		if !known || r.Gone() || s.claimed || !s.pinged || len(s.dead) == 0 {
 			n.dropSuspicion(name)
 			continue
 		}
