--- a/member/suspect.go
+++ b/member/suspect.go
@@ -13,12 +13,18 @@
 // process.
 const observers = 2
 
+// pingAttempts is the number of pings in a row that must fail before a process
+// counts as unreachable: with one, a loss of 10% of all messages made false claims
+// common.
+const pingAttempts = 2
+
 // watch is what a balancer knows about the life signs of the processes that it
 // watches, and the questions that are open.
 type watch struct {
 	heard    map[string]time.Duration // agents by time of the last sign of life
 	suspects map[string]*suspicion
 	probes   map[string][]netip.AddrPort // who asked for a ping of the named process
+	missed   map[string]int              // pings that failed in a row
 	cursor   int                         // position of the sweep for unwatched agents
 }
 
@@ -35,6 +41,7 @@
 		heard:    make(map[string]time.Duration),
 		suspects: make(map[string]*suspicion),
 		probes:   make(map[string][]netip.AddrPort),
+		missed:   make(map[string]int),
 	}
 }
 
@@ -80,6 +87,9 @@
 }
 
 func (n *Node) isHome(r *Record) bool {
+	if r.FailureDomain != n.self.FailureDomain && n.table.balancerLists().domains[r.FailureDomain] != nil {
+		return false
+	}
 	for _, b := range n.table.homes(r.Name, r.FailureDomain, n.cfg.Homes) {
 		if b.Name == n.self.Name {
 			return true
@@ -100,7 +110,7 @@
 // suspect begins with a ping by this balancer itself: silence alone may mean that
 // the agent has chosen other homes.
 func (n *Node) suspect(r *Record) {
-	n.watch.suspects[r.Name] = &suspicion{deadline: n.now + n.cfg.ProbeWait}
+	n.watch.suspects[r.Name] = &suspicion{deadline: n.now + pingAttempts*n.cfg.ProbeWait}
 	n.ping(r.Name, r.Control)
 }
 
@@ -119,18 +129,29 @@
 // pinged takes the outcome of a ping.
 func (n *Node) pinged(c Call, alive bool) {
 	name := c.Request.Name
+	s := n.watch.suspects[name]
+	if !alive {
+		n.watch.missed[name]++
+		if s != nil && n.watch.missed[name] == 1 {
+			// The observers' pings and the second one of this balancer overlap.
+			n.askObservers(name, c.To)
+		}
+		if n.watch.missed[name] < pingAttempts {
+			n.ping(name, c.To)
+			return
+		}
+	}
+	delete(n.watch.missed, name)
 	for _, asker := range n.watch.probes[name] {
 		n.send(asker, Message{Kind: KindVerdict, From: n.self.Control, Name: name, Alive: alive})
 	}
 	delete(n.watch.probes, name)
-	s := n.watch.suspects[name]
 	switch {
 	case alive:
 		n.heard(name)
 	case s != nil && !s.pinged:
 		s.pinged = true
 		s.deadline = n.now + n.cfg.ProbeWait
-		n.askObservers(name, c.To)
 	}
 }
 
@@ -174,11 +195,11 @@
 func (n *Node) settleSuspicions() {
 	for _, name := range slices.Sorted(maps.Keys(n.watch.suspects)) {
 		s := n.watch.suspects[name]
-		if n.now < s.deadline && len(s.dead) < observers {
+		if n.now < s.deadline && (!s.pinged || len(s.dead) < observers) {
 			continue
 		}
 		r, known := n.table.Get(name)
-		if !known || r.Gone() || s.claimed || len(s.dead) == 0 {
+		if !known || r.Gone() || s.claimed || !s.pinged || len(s.dead) == 0 {
 			n.dropSuspicion(name)
 			continue
 		}
@@ -222,15 +243,11 @@
 	if r.Role == RoleBalancer {
 		key = "arbiter of balancers"
 	}
-	var others []Record
-	for _, b := range n.table.liveBalancers() {
+	for _, b := range n.table.balancerLists().live.rank(key, 2) {
 		if b.Name != r.Name {
-			others = append(others, b)
+			return b.Control
 		}
 	}
-	for _, b := range rank(key, others, 1) {
-		return b.Control
-	}
 	return n.self.Control
 }
 
