--- a/daemon/listfetch.go
+++ b/daemon/listfetch.go
@@ -7,7 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/nutmegtrack/nutmegtrack/plan"
-	"github.com/nutmegtrack/nutmegtrack/store"
+	"github.com/nutmegtrack/nutmegtrack/plan/fetch"
 )
 
 // execute runs one fetch of the reader in the background.
@@ -19,7 +19,7 @@
 		l.endWatch(f.ID)
 	default:
 		l.cfg.Spawn(func() {
-			result := l.fetch(ctx, f)
+			result := l.read(ctx, f)
 			if result.Err != nil && !f.Peer.IsValid() && ctx.Err() == nil {
 				l.storeFailed.Log("error", result.Err)
 			}
@@ -28,7 +28,7 @@
 	}
 }
 
-func (l *Lists) fetch(ctx context.Context, f plan.Fetch) plan.Result {
+func (l *Lists) read(ctx context.Context, f plan.Fetch) plan.Result {
 	switch {
 	case f.Peer.IsValid() && f.Kind == plan.FetchHead:
 		var reply HeadReply
@@ -38,38 +38,8 @@
 		var reply PagesReply
 		err := l.cfg.Transport.Call(ctx, f.Peer, listsPages, &PagesArgs{Hashes: f.Hashes}, &reply)
 		return plan.Result{Pages: reply.Pages, Err: err}
-	case f.Kind == plan.FetchHead:
-		return l.storeHead(ctx)
 	}
-	return l.storePages(ctx, f.Hashes)
-}
-
-// storeHead reads by prefix, because only a list returns the store's revision when
-// the key does not exist.
-func (l *Lists) storeHead(ctx context.Context) plan.Result {
-	list, revision, err := l.cfg.Store.List(ctx, plan.HeadKey)
-	result := plan.Result{StoreRevision: revision, Err: err}
-	for _, kv := range list {
-		if kv.Key == plan.HeadKey {
-			result.Head = kv.Value
-		}
-	}
-	return result
-}
-
-// storePages leaves out pages that an edit has deleted meanwhile.
-func (l *Lists) storePages(ctx context.Context, hashes []plan.Hash) plan.Result {
-	pages := plan.Pages{}
-	for _, hash := range hashes {
-		kv, err := l.cfg.Store.Get(ctx, plan.PageKey(hash))
-		switch {
-		case err == nil:
-			pages[hash] = kv.Value
-		case !errors.Is(err, store.ErrNotFound):
-			return plan.Result{Err: err}
-		}
-	}
-	return plan.Result{Pages: pages}
+	return fetch.FromStore(ctx, l.cfg.Store, f)
 }
 
 // startWatch passes the head's changes to the reader until the watch ends.
