Take the router's lock once for a batch

The routers' mutexes were taken for each packet. Change: one flow.Router behind a mutex that a reader takes once for a batch; the log compares only services whose list was rebuilt.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -57,8 +57,9 @@
 		life:     daemon.NewLifecycle(),
 		registry: registry,
 		counters: newCounters(registry),
-		router:   newRouter(clock, cfg.Readers, cfg.HintEntries),
+		router:   newRouter(clock, cfg.HintEntries),
 		health:   newHealth(),
+		fleet:    fleet{view: &flow.View{}},
 	}
 }
 
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -1,10 +1,12 @@
 package balancer
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -43,6 +45,7 @@
 type testBalancer struct {
 	*Balancer
 	now    time.Duration
+	log    bytes.Buffer
 	pipe   *packetio.Pipe
 	reader *reader
 }
@@ -50,7 +53,7 @@
 func newTestBalancer(records ...member.Record) *testBalancer {
 	t := &testBalancer{pipe: packetio.NewPipe(1)}
 	cfg := settings.Balancer{Name: "b1", FailureDomain: "a", Readers: 2, HintEntries: 4096}
-	t.Balancer = newBalancer(cfg, event.NewLogger(io.Discard), func() time.Duration { return t.now })
+	t.Balancer = newBalancer(cfg, event.NewLogger(&t.log), func() time.Duration { return t.now })
 	t.assemble(ports{data: t.pipe, dataAddr: dataAddr}, nil, nil, t.life.Spawn)
 	t.members.Do(func(now time.Duration, n *member.Node) { n.Load(now, records) })
 	t.refreshView()
@@ -90,7 +93,7 @@
 		Expect(h.Origin).To(Equal(dataAddr))
 	})
 
-	// Guards against hints that end in another shard than the flow's packets.
+	// Guards against hints that are lost or recorded for another flow.
 	It("follows the hints of agents", func() {
 		b := newTestBalancer(u1, u2)
 		for port := uint16(1); port <= 200; port++ {
@@ -127,6 +130,26 @@
 		b.refreshView()
 		Expect(b.handle(syn(client))[0].To).To(Equal(u2.Data))
 	})
+
+	// Guards against changes of the fleet that an operator cannot find in the log,
+	// and against one change that logs all upstreams.
+	It("logs each change of an upstream once", func() {
+		other := upstreamRecord("x1", "127.0.0.1:7103")
+		other.Service = "evidence-intake"
+		b := newTestBalancer(u1, u2, other)
+		Expect(strings.Count(b.log.String(), "event=1200")).To(Equal(3))
+		b.log.Reset()
+		draining := u2
+		draining.State, draining.Version = flow.Draining, 1
+		b.members.Do(func(now time.Duration, n *member.Node) { n.Load(now, []member.Record{draining}) })
+		b.refreshView()
+		b.refreshView()
+		Expect(strings.Count(b.log.String(), "event=1200")).To(Equal(1))
+		Expect(b.log.String()).To(ContainSubstring("upstream=u2 service=impact-portal state=draining"))
+		b.log.Reset()
+		b.logChanges(b.view(), &flow.View{})
+		Expect(strings.Count(b.log.String(), "state=removed")).To(Equal(3))
+	})
 })
 
 var _ = Describe("The health endpoint", func() {
--- a/balancer/fleet.go
+++ b/balancer/fleet.go
@@ -21,9 +21,8 @@
 // fleet is the view as the router has it.
 type fleet struct {
 	mu      sync.Mutex
-	view    *flow.View
+	view    *flow.View // never nil
 	changed time.Duration
-	states  map[string]flow.State // by upstream name, to log changes
 }
 
 // refreshView installs the membership table's view when it has changed.
@@ -35,7 +34,7 @@
 	b.members.Do(func(t time.Duration, n *member.Node) { now, view = t, n.Table().View() })
 	if view != b.fleet.view {
 		b.router.setView(view)
-		b.logChanges(view)
+		b.logChanges(b.fleet.view, view)
 		b.fleet.view, b.fleet.changed = view, now
 	}
 	quiet := len(view.Services) > 0 && now-b.fleet.changed >= viewQuiet
@@ -44,23 +43,57 @@
 	}
 }
 
-// logChanges logs the upstreams whose state differs from the last view.
-func (b *Balancer) logChanges(view *flow.View) {
+// logChanges logs the upstreams whose state differs between two views. Services are
+// ordered by name in both.
+func (b *Balancer) logChanges(before, after *flow.View) {
+	old := before.Services
+	for i := range after.Services {
+		s := &after.Services[i]
+		for len(old) > 0 && old[0].Name < s.Name {
+			b.logService(&old[0], nil)
+			old = old[1:]
+		}
+		if len(old) > 0 && old[0].Name == s.Name {
+			b.logService(&old[0], s)
+			old = old[1:]
+		} else {
+			b.logService(nil, s)
+		}
+	}
+	for i := range old {
+		b.logService(&old[i], nil)
+	}
+}
+
+// logService logs the changes of one service; nil stands for a service that a view
+// does not have.
+func (b *Balancer) logService(before, after *flow.Service) {
+	if before != nil && after != nil && sameUpstreams(before.Upstreams, after.Upstreams) {
+		return
+	}
 	states := make(map[string]flow.State)
-	for i := range view.Services {
-		s := &view.Services[i]
-		for j := range s.Upstreams {
-			u := &s.Upstreams[j]
-			states[u.Name] = u.State
-			if old, known := b.fleet.states[u.Name]; !known || old != u.State {
-				b.log.Log(event.StateChanged, "upstream", u.Name, "service", s.Name, "state", u.State)
-			}
+	if before != nil {
+		for i := range before.Upstreams {
+			states[before.Upstreams[i].Name] = before.Upstreams[i].State
 		}
 	}
-	for name := range b.fleet.states {
-		if _, known := states[name]; !known {
-			b.log.Log(event.StateChanged, "upstream", name, "state", "removed")
+	if after != nil {
+		for i := range after.Upstreams {
+			u := &after.Upstreams[i]
+			if old, known := states[u.Name]; !known || old != u.State {
+				b.log.Log(event.StateChanged, "upstream", u.Name, "service", after.Name, "state", u.State)
+			}
+			delete(states, u.Name)
 		}
 	}
-	b.fleet.states = states
+	for name := range states {
+		b.log.Log(event.StateChanged, "upstream", name, "service", before.Name, "state", "removed")
+	}
+}
+
+// sameUpstreams reports whether two views share a service's list, which the
+// membership table builds anew only after a change. Without this, a change among
+// 48,000 upstreams would compare all of them.
+func sameUpstreams(a, b []flow.Upstream) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
