Send hints to the other balancers that a flow's packets come from

Cause: flow.Action now names further balancers to hint, and hints have become shorter than their buffer. Change: the agent sends the hint to all of them, at most 192 in a batch, with space for forwarded packets kept free, and sends only the bytes of the hint. Measured: go test -race ./agent passes.

--- a/agent/reader.go
+++ b/agent/reader.go
@@ -10,6 +10,10 @@
 	"github.com/nutmegtrack/nutmegtrack/packetio"
 )
 
+// maxHints bounds the hints of one batch. Space for as many forwarded packets as a
+// batch can have comes on top, so that hints never displace a packet.
+const maxHints = 3 * packetio.BatchSize
+
 // reader is the path of encapsulated packets.
 type reader struct {
 	agent    *Agent
@@ -31,7 +35,7 @@
 		upstream: a.ports.upstream,
 		in:       packetio.NewInbox(0),
 		delivery: packetio.NewOutbox(packetio.BatchSize),
-		outgoing: packetio.NewOutbox(packetio.BatchSize),
+		outgoing: packetio.NewOutbox(maxHints + packetio.BatchSize),
 	}
 }
 
@@ -69,7 +73,10 @@
 	}
 	switch action := t.Receive(now, &h, &r.info); action.Kind {
 	case flow.Deliver:
-		r.deliver(&h, raw, i, action.Hint)
+		r.deliver(&h, raw)
+		if action.Hint {
+			r.hint(&h, i, action.HintAlso)
+		}
 	case flow.Forward:
 		h.Put(b)
 		r.outgoing.Add(b, action.Addr)
@@ -79,17 +86,30 @@
 	}
 }
 
-func (r *reader) deliver(h *packet.Header, raw []byte, i int, hint bool) {
+func (r *reader) deliver(h *packet.Header, raw []byte) {
 	if h.Service != r.agent.service {
 		r.agent.log.Log(event.WrongService, "service", h.Service, "source", r.info.Key.Source())
 		return
 	}
 	r.delivery.Add(raw, r.agent.cfg.UpstreamSinkAddress)
 	r.tally.delivered++
-	if hint && h.Origin.Port() != 0 {
-		b := r.hints[i][:]
-		packet.PutHint(b, h.Service, &r.info.Key, r.agent.id)
-		r.outgoing.Add(b, h.Origin)
+}
+
+// hint tells the packet's origin and other balancers that this agent owns the flow.
+func (r *reader) hint(h *packet.Header, i int, also []netip.AddrPort) {
+	b := r.hints[i][:]
+	b = b[:packet.PutHint(b, h.Service, &r.info.Key, r.agent.id)]
+	r.sendHint(b, h.Origin)
+	for _, to := range also {
+		r.sendHint(b, to)
+	}
+}
+
+// sendHint leaves out a hint without a receiver or beyond the bound: a hint that is
+// lost costs one detour.
+func (r *reader) sendHint(b []byte, to netip.AddrPort) {
+	if to.Port() != 0 && r.tally.hints < maxHints {
+		r.outgoing.Add(b, to)
 		r.tally.hints++
 	}
 }
