Keep the membership shard of a failure domain in the store

Cause: a balancer that starts while no seed answers must learn the fleet from the store, which needs someone to write it there. Change: balancer.collector reads all shards at the start, and holds the lease of its failure domain and writes the shard through member.Shard; it returns the lease on a graceful shutdown. Measured: go test -race ./balancer passes, with takeover after a stop and after a pause, an outage and lost responses.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -40,6 +40,9 @@
 	members *daemon.Members[*member.Node]
 	fleet   fleet
 	lists   *daemon.Lists
+	collect *collector // nil without a store
+
+	closeStore func()
 }
 
 // New returns a balancer that has opened nothing yet.
@@ -65,7 +68,7 @@
 
 // Start opens the sockets and begins to serve.
 func (b *Balancer) Start() error {
-	s, err := openStore(b.cfg.Store)
+	s, closeStore, err := openStore(b.cfg.Store)
 	if err != nil {
 		return err
 	}
@@ -73,6 +76,7 @@
 	if err != nil {
 		return err
 	}
+	b.closeStore = closeStore
 	b.assemble(p, s, nil, b.life.Spawn)
 	b.launch()
 	b.log.Log(event.Started, "data", p.dataAddr, "control", b.self().Control, "health", p.health.Addr())
@@ -99,6 +103,9 @@
 		Log: b.log, Clock: b.clock, Rand: daemon.NewRand(b.rng), Transport: transport, Store: s,
 		Spawn: spawn, Activated: b.listsActivated,
 	})
+	if s != nil {
+		b.collect = newCollector(b, s)
+	}
 	b.control.Register(daemon.ListsService, daemon.NewListsRPC(b.lists))
 	b.control.Register(control.MemberService, control.NewMember(b.members.Handle))
 	b.control.Register(daemon.AdminService, daemon.NewAdmin(b.drainRequested))
@@ -130,6 +137,11 @@
 	b.life.Spawn(func() { b.health.serve(b.ports.health) })
 	b.control.Serve(b.ports.control)
 	b.life.Every(tick, b.step)
+	if b.collect != nil {
+		collect := func() { b.collect.step(b.life.Context()) }
+		b.life.Spawn(collect) // a starting balancer reads the shards at once
+		b.life.Every(collectInterval, collect)
+	}
 	b.life.Supervise(b.drain, b.close)
 }
 
@@ -164,6 +176,9 @@
 		return
 	}
 	b.setState(flow.Leaving)
+	if b.collect != nil {
+		b.collect.stop(b.life.Context())
+	}
 	for range leaveRounds {
 		b.members.StepAndWait(b.life.Context())
 		if !b.life.Sleep(leavePause) {
@@ -181,6 +196,7 @@
 	b.ports.closePackets()
 	b.health.close()
 	b.control.Close()
+	b.closeStore()
 }
 
 func (b *Balancer) self() (r member.Record) {
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -20,6 +20,7 @@
 	"github.com/nutmegtrack/nutmegtrack/packet"
 	"github.com/nutmegtrack/nutmegtrack/packetio"
 	"github.com/nutmegtrack/nutmegtrack/settings"
+	"github.com/nutmegtrack/nutmegtrack/store"
 )
 
 func TestBalancer(t *testing.T) {
@@ -51,10 +52,15 @@
 }
 
 func newTestBalancer(records ...member.Record) *testBalancer {
+	return newStoreBalancer("b1", nil, records...)
+}
+
+// newStoreBalancer returns a balancer that uses a store; nil stands for none.
+func newStoreBalancer(name string, s store.Store, records ...member.Record) *testBalancer {
 	t := &testBalancer{pipe: packetio.NewPipe(1)}
-	cfg := settings.Balancer{Name: "b1", FailureDomain: "a", Readers: 2, HintEntries: 4096}
+	cfg := settings.Balancer{Name: name, FailureDomain: "a", Readers: 2, HintEntries: 4096}
 	t.Balancer = newBalancer(cfg, event.NewLogger(&t.log), func() time.Duration { return t.now })
-	t.assemble(ports{data: t.pipe, dataAddr: dataAddr}, nil, nil, t.life.Spawn)
+	t.assemble(ports{data: t.pipe, dataAddr: dataAddr}, s, nil, t.life.Spawn)
 	t.members.Do(func(now time.Duration, n *member.Node) { n.Load(now, records) })
 	t.refreshView()
 	t.reader = t.newReader(t.pipe)
--- /dev/null
+++ b/balancer/collector_test.go
@@ -0,0 +1,111 @@
+package balancer
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/nutmegtrack/nutmegtrack/fake"
+	"github.com/nutmegtrack/nutmegtrack/flow"
+	"github.com/nutmegtrack/nutmegtrack/member"
+)
+
+var _ = Describe("The collector", func() {
+	var (
+		ctx = context.Background()
+		now time.Duration
+		s   *fake.Store
+		b1  *testBalancer
+		u1  = upstreamRecord("u1", "127.0.0.1:7101")
+	)
+	BeforeEach(func() {
+		now = 0
+		s = fake.NewStore(func() time.Duration { return now })
+		b1 = newStoreBalancer("b1", s, u1)
+	})
+
+	// steps runs the balancers' collectors once each second.
+	steps := func(seconds int, balancers ...*testBalancer) {
+		for range seconds {
+			for _, b := range balancers {
+				b.now = now
+				b.collect.step(ctx)
+			}
+			now += time.Second
+		}
+	}
+	stored := func() (names []string) {
+		kv, err := s.Get(ctx, member.ShardKey("a"))
+		Expect(err).NotTo(HaveOccurred())
+		records, err := member.DecodeShard(kv.Value)
+		Expect(err).NotTo(HaveOccurred())
+		for _, r := range records {
+			names = append(names, r.Name)
+		}
+		return names
+	}
+	load := func(b *testBalancer, records ...member.Record) {
+		b.members.Do(func(now time.Duration, n *member.Node) { n.Load(now, records) })
+	}
+
+	// Guards against a balancer that starts without a seed that answers and stays
+	// alone, although the store knows the fleet.
+	It("stores the fleet, and a starting balancer reads it", func() {
+		steps(5, b1)
+		Expect(stored()).To(Equal([]string{"b1", "u1"}))
+		b2 := newStoreBalancer("b2", s)
+		steps(1, b2)
+		b2.refreshView()
+		Expect(b2.view().Services).To(HaveLen(1))
+	})
+
+	// Guards against a shard that nobody writes any more after a planned stop or a
+	// death of the collector, and against a paused one that overwrites its successor.
+	DescribeTable("is replaced when it", func(end func(), wait int) {
+		steps(5, b1)
+		term := b1.collect.shard.Term()
+		Expect(term).NotTo(BeZero())
+		b2 := newStoreBalancer("b2", s)
+		steps(3, b2)
+		Expect(b2.collect.shard.Term()).To(BeZero(), "b1 holds the lease")
+		end()
+		steps(wait, b2)
+		Expect(b2.collect.shard.Term()).To(BeNumerically(">", term))
+		load(b2, upstreamRecord("u2", "127.0.0.1:7102"))
+		steps(10, b2)
+		Expect(stored()).To(ContainElements("u1", "u2"))
+
+		gone := u1
+		gone.State, gone.Version = flow.Leaving, 1
+		load(b1, gone)
+		steps(3, b1, b2)
+		Expect(b1.collect.shard.Term()).To(BeZero())
+		Expect(stored()).To(ContainElements("u1", "u2"))
+	},
+		Entry("stops", func() { b1.collect.stop(ctx) }, 1),
+		Entry("is paused past its lease", func() {}, 12),
+	)
+
+	// Guards against a collector that an outage stops for good.
+	It("goes on after an outage of the store", func() {
+		steps(5, b1)
+		s.Outage = true
+		load(b1, upstreamRecord("u2", "127.0.0.1:7102"))
+		steps(30, b1)
+		s.Outage = false
+		steps(15, b1)
+		Expect(stored()).To(ContainElement("u2"))
+	})
+
+	// Guards against a write that took effect although its response was lost.
+	It("goes on after lost responses", func() {
+		s.LoseResponses = 5
+		steps(30, b1)
+		load(b1, upstreamRecord("u2", "127.0.0.1:7102"))
+		s.LoseResponses = 1
+		steps(15, b1)
+		Expect(stored()).To(Equal([]string{"b1", "u1", "u2"}))
+	})
+})
--- a/balancer/lists.go
+++ b/balancer/lists.go
@@ -16,12 +16,17 @@
 // domains then hold 28 watches.
 const storeReaders = 2
 
-// openStore returns the client of the store, or nil without endpoints.
-func openStore(cfg settings.Store) (store.Store, error) {
+// openStore returns the client of the store and what closes it; the store is nil
+// without endpoints.
+func openStore(cfg settings.Store) (store.Store, func(), error) {
 	if len(cfg.Endpoints) == 0 {
-		return nil, nil
+		return nil, func() {}, nil
 	}
-	return etcd.New(etcd.Config{Endpoints: cfg.Endpoints, Timeout: cfg.TimeoutSeconds.Duration()})
+	c, err := etcd.New(etcd.Config{Endpoints: cfg.Endpoints, Timeout: cfg.TimeoutSeconds.Duration()})
+	if err != nil {
+		return nil, nil, err
+	}
+	return c, c.Close, nil
 }
 
 // stepLists reads the store when it is this balancer's turn, and otherwise fetches
