Carry packets up to the size of a jumbo frame

Cause: the agent's buffers were as long as the balancer's longest IP packet, so that an encapsulated packet of more than 1,992 bytes was cut and dropped. Change: an inbox states its datagram size; IP packets may have 9,216 bytes. Measured: go test -race ./agent passes, with a packet of the greatest size.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -147,6 +147,18 @@
 		Expect(a.Left()).To(BeZero(), "the upstream's RST ends the flow")
 	})
 
+	// Guards against buffers that cut the largest packet because of its header.
+	It("delivers a packet of the greatest size", func() {
+		a := n.add("u1", 8001)
+		n.run(time.Second)
+		key := packet.KeyOf(client, serviceAddr, packet.ProtoTCP)
+		payload := make([]byte, packetio.MaxPacket-len(syn))
+		raw := packet.AppendTCP(nil, &packet.TCPSegment{Key: key, Flags: packet.FlagSYN, Payload: payload})
+		Expect(raw).To(HaveLen(packetio.MaxPacket))
+		a.handle(encapsulated("impact-portal", raw))
+		Expect(a.replies.Sent()).To(Equal([]packetio.Datagram{{Data: raw, To: sinkAddr}}))
+	})
+
 	// Guards against delivery to a wrong service when a balancer's view is stale.
 	It("delivers nothing that is meant for another service", func() {
 		a := n.add("u1", 8001)
--- a/agent/reader.go
+++ b/agent/reader.go
@@ -33,7 +33,7 @@
 		agent:    a,
 		data:     a.ports.data,
 		upstream: a.ports.upstream,
-		in:       packetio.NewInbox(0),
+		in:       packetio.NewInbox(0, packet.HeaderSize+packetio.MaxPacket),
 		delivery: packetio.NewOutbox(packetio.BatchSize),
 		outgoing: packetio.NewOutbox(maxHints + packetio.BatchSize),
 	}
@@ -131,7 +131,7 @@
 		agent:   a,
 		replies: a.ports.replies,
 		to:      a.cfg.ReplyAddress,
-		in:      packetio.NewInbox(0),
+		in:      packetio.NewInbox(0, packetio.MaxPacket),
 		out:     packetio.NewOutbox(packetio.BatchSize),
 	}
 }
--- a/balancer/reader.go
+++ b/balancer/reader.go
@@ -41,7 +41,7 @@
 		source:   source,
 		sink:     b.ports.data,
 		counters: b.counters,
-		in:       packetio.NewInbox(packet.HeaderSize),
+		in:       packetio.NewInbox(packet.HeaderSize, packetio.MaxPacket),
 		out:      packetio.NewOutbox(packetio.BatchSize),
 		routed:   make([]int, 0, packetio.BatchSize),
 		hints:    make([]hint, 0, packetio.BatchSize),
--- a/packetio/alloc_test.go
+++ b/packetio/alloc_test.go
@@ -18,7 +18,7 @@
 	// Guards against garbage collection on the packet path.
 	It("allocates nothing for a packet", func() {
 		a, b := listen(), listen()
-		in, out := packetio.NewInbox(8), packetio.NewOutbox(1)
+		in, out := packetio.NewInbox(8, 100), packetio.NewOutbox(1)
 		to := b.LocalAddr()
 		payload := make([]byte, 100)
 		count := testing.AllocsPerRun(200, func() {
--- a/packetio/packetio.go
+++ b/packetio/packetio.go
@@ -10,9 +10,10 @@
 const (
 	// BatchSize is the number of packets that one system call moves at most.
 	BatchSize = 64
-	// MaxPacket is the size of the largest IP packet that is carried, in bytes.
-	// It covers an Ethernet frame's payload and the segments of loopback tests.
-	MaxPacket = 2048
+	// MaxPacket is the size of the largest IP packet that is carried, in bytes: the
+	// payload of a jumbo frame. A longer one is cut by the system and then dropped
+	// as malformed.
+	MaxPacket = 9216
 )
 
 // Source delivers packets.
@@ -44,16 +45,16 @@
 	messages []ipv4.Message
 }
 
-// NewInbox returns an inbox that leaves room bytes free in front of each packet
-// for a header.
-func NewInbox(room int) *Inbox {
+// NewInbox returns an inbox for datagrams of up to size bytes that leaves room bytes
+// free in front of each for a header.
+func NewInbox(room, size int) *Inbox {
 	in := &Inbox{
 		room:     room,
 		buffers:  make([][]byte, BatchSize),
 		messages: make([]ipv4.Message, BatchSize),
 	}
 	for i := range in.buffers {
-		in.buffers[i] = make([]byte, room+MaxPacket)
+		in.buffers[i] = make([]byte, room+size)
 		in.messages[i].Buffers = [][]byte{in.buffers[i][room:]}
 	}
 	return in
@@ -78,7 +79,7 @@
 // Put appends a copy of b and reports whether there was space. Sources that do
 // not read in batches use it.
 func (in *Inbox) Put(b []byte) bool {
-	if in.count == len(in.buffers) || len(b) > MaxPacket {
+	if in.count == len(in.buffers) || len(b) > len(in.messages[in.count].Buffers[0]) {
 		return false
 	}
 	in.messages[in.count].N = copy(in.messages[in.count].Buffers[0], b)
--- a/packetio/packetio_test.go
+++ b/packetio/packetio_test.go
@@ -36,7 +36,7 @@
 		}
 		Expect(out.Add(nil, b.LocalAddr())).To(BeFalse())
 		Expect(a.Send(out)).To(BeZero())
-		in := packetio.NewInbox(2)
+		in := packetio.NewInbox(2, 100)
 		var got []string
 		for len(got) < 3 {
 			Expect(b.Receive(in)).To(Succeed())
@@ -55,7 +55,7 @@
 		out.Add(make([]byte, 70000), b.LocalAddr())
 		out.Add([]byte("fits"), b.LocalAddr())
 		Expect(a.Send(out)).To(Equal(1))
-		in := packetio.NewInbox(0)
+		in := packetio.NewInbox(0, 100)
 		Expect(b.Receive(in)).To(Succeed())
 		Expect(string(in.Packet(0))).To(Equal("fits"))
 	})
@@ -64,6 +64,6 @@
 	It("ends Receive when it is closed", func() {
 		a := listen()
 		Expect(a.Close()).To(Succeed())
-		Expect(a.Receive(packetio.NewInbox(0))).To(MatchError(net.ErrClosed))
+		Expect(a.Receive(packetio.NewInbox(0, 100))).To(MatchError(net.ErrClosed))
 	})
 })
