Report lost messages between agents to the flow table

Cause: flow.Table.Undelivered repeats a digest when a call has failed. Change: the sender calls it, at most once a second for each receiver, and drops the messages that wait behind a failed one. Measured: go test -race ./agent passes; the new test fails when calls stay cut.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -103,7 +103,7 @@
 	a.lists = daemon.NewLists(daemon.ListsConfig{
 		Log: a.log, Clock: a.clock, Rand: daemon.NewRand(a.rng), Transport: transport, Spawn: spawn,
 	})
-	a.sender = newSender(transport, spawn, silent.Peer)
+	a.sender = a.newSender(transport, spawn, silent.Peer)
 	a.flows = flows{clock: a.clock, table: flow.NewTable(a.tableConfig(), a.upstream(), a.service, daemon.NewRand(a.rng))}
 	a.control.Register(control.MemberService, control.NewMember(a.members.Handle))
 	a.control.Register(daemon.ListsService, daemon.NewListsRPC(a.lists))
@@ -175,6 +175,10 @@
 	a.flows.do(func(now time.Duration, t *flow.Table) { t.Handle(now, m) })
 }
 
+func (a *Agent) messageLost(m flow.Message) {
+	a.flows.do(func(now time.Duration, t *flow.Table) { t.Undelivered(now, m) })
+}
+
 func (a *Agent) self() (r member.Record) {
 	a.members.Do(func(_ time.Duration, n *member.Announcer) { r = n.Self() })
 	return r
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -38,6 +38,8 @@
 // answered as by a balancer that knows all records.
 type network struct {
 	now    time.Duration
+	cut    bool // calls between agents fail
+	calls  int  // flow messages that were sent
 	agents map[netip.AddrPort]*testAgent
 }
 
@@ -47,7 +49,10 @@
 		return nil
 	}
 	a := n.agents[to]
-	if a == nil {
+	if _, message := args.(*flow.Message); message {
+		n.calls++
+	}
+	if a == nil || n.cut {
 		return errors.New("unreachable")
 	}
 	switch m := args.(type) {
@@ -201,6 +206,28 @@
 		Expect(id).To(Equal(owner.id))
 	})
 
+	// Guards against a digest that stays incomplete after failed calls, so that a
+	// retransmitted first packet opens the flow a second time, and against an
+	// unreachable agent that uses up the control budget.
+	It("repeats lost messages at a bounded rate until they arrive", func() {
+		owner, other := n.add("u1", 8001), n.add("u2", 8002)
+		n.run(20 * time.Second)
+		owner.handle(encapsulated("impact-portal", syn))
+		if owner.Left() == 0 {
+			owner, other = other, owner
+			owner.handle(owner.forwardedFrom(other))
+		}
+		n.cut, n.calls = true, 0
+		owner.announce(flow.Draining)
+		n.run(30 * time.Second)
+		Expect(n.calls).To(BeNumerically("<=", 2*30*2), "a load and a digest from two agents each second")
+		n.cut = false
+		n.run(15 * time.Second)
+		other.handle(encapsulated("impact-portal", syn))
+		Expect(other.Left()).To(BeZero())
+		owner.forwardedFrom(other)
+	})
+
 	// Guards against an agent that takes flows before it knows its peers.
 	It("stays starting until a balancer has answered", func() {
 		a := n.add("u1", 8001)
