--- a/demo/summary.go
+++ b/demo/summary.go
@@ -3,6 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"slices"
+
+	"github.com/nutmegtrack/nutmegtrack/standin"
 )
 
 // shownBroken bounds the broken flows that a summary describes.
@@ -52,14 +55,33 @@
 }
 
 func (o *observed) writeBroken(w io.Writer) {
-	for i, b := range o.clients.Broken {
+	broken := slices.Clone(o.clients.Broken)
+	// Flows that no kill excuses come first.
+	slices.SortStableFunc(broken, func(a, b standin.BrokenFlow) int {
+		return rank(a.Planned) - rank(b.Planned)
+	})
+	for i, b := range broken {
 		if i == shownBroken {
-			fmt.Fprintf(w, "  and %d more broken flows\n", len(o.clients.Broken)-i)
+			fmt.Fprintf(w, "  and %d more broken flows\n", len(broken)-i)
 			return
 		}
-		fmt.Fprintf(w, "  broken: %s flow %d %s -> %s proto %d: %s at %s, request %d, upstream %q, opened %s %s\n",
-			b.Service, b.Flow, b.Source, b.Dest, b.Proto, b.Reason,
+		fmt.Fprintf(w, "  broken (%s): %s flow %d %s -> %s proto %d: %s at %s, request %d, upstream %q, opened %s %s\n",
+			kindOf(b.Planned), b.Service, b.Flow, b.Source, b.Dest, b.Proto, b.Reason,
 			o.clients.Started.Add(b.Broken).Format("15:04:05.000"), b.Request, b.Upstream,
 			o.clients.Started.Add(b.Opened).Format("15:04:05.000"), b.Detail)
 	}
 }
+
+func rank(planned bool) int {
+	if planned {
+		return 0
+	}
+	return 1
+}
+
+func kindOf(planned bool) string {
+	if planned {
+		return "planned"
+	}
+	return "unplanned"
+}
