--- a/cmd/nutmegtrack/main.go
+++ b/cmd/nutmegtrack/main.go
@@ -29,12 +29,10 @@
 	newDump,
 	newDrain,
 	newStatus,
-	newCustomers,
-	newPlans,
-	newEditStatus,
+	newCustomers, newPlans, newEditStatus,
+	newBenchCommand,
 	newStandin,
 	newDemo,
-	newBenchCommand,
 }
 
 func main() {
--- /dev/null
+++ b/daemon/lists_test.go
@@ -0,0 +1,188 @@
+package daemon_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"github.com/nutmegtrack/nutmegtrack/control"
+	"github.com/nutmegtrack/nutmegtrack/daemon"
+	"github.com/nutmegtrack/nutmegtrack/event"
+	"github.com/nutmegtrack/nutmegtrack/fake"
+	"github.com/nutmegtrack/nutmegtrack/plan"
+	"github.com/nutmegtrack/nutmegtrack/plan/edit"
+	"github.com/nutmegtrack/nutmegtrack/store"
+)
+
+func TestDaemon(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "daemon")
+}
+
+var ctx = context.Background()
+
+// peers carries calls of the Lists and Dump services without sockets.
+type peers map[netip.AddrPort]*peer
+
+type peer struct {
+	lists *daemon.ListsRPC
+	dump  *control.Dump
+}
+
+func (p peers) Call(_ context.Context, to netip.AddrPort, _ string, args, reply any) error {
+	if p[to] == nil {
+		return errors.New("unreachable")
+	}
+	switch a := args.(type) {
+	case *daemon.HeadArgs:
+		return p[to].lists.Head(a, reply.(*daemon.HeadReply))
+	case *daemon.PagesArgs:
+		return p[to].lists.Pages(a, reply.(*daemon.PagesReply))
+	case *control.DumpArgs:
+		return p[to].dump.State(a, reply.(*control.DumpReply))
+	}
+	return errors.New("unknown method")
+}
+
+// documents returns lists with the given number of customers.
+func documents(customers int) plan.Documents {
+	var c bytes.Buffer
+	c.WriteString("{\"customers\": [\n")
+	for i := range customers {
+		fmt.Fprintf(&c, "{\"name\": \"office-%d\", \"plan\": \"basic\", \"sources\": [\"10.%d.%d.0/24\"]},\n", i, i/256, i%256)
+	}
+	c.WriteString("]}\n")
+	plans := `{"default_plan": "", "plans": [{"name": "basic", "weight": 1, "services": {"impact-portal": {"connections": 10, "new_connections_per_second": 5, "requests": 5}}}]}`
+	return plan.Documents{Customers: c.Bytes(), Plans: []byte(plans)}
+}
+
+func writeLists(s store.Store, docs plan.Documents) {
+	e := edit.New(edit.Config{Store: s, Author: "operator"})
+	base, err := e.Read(ctx)
+	Expect(err).NotTo(HaveOccurred())
+	outcome, err := e.Apply(ctx, base, func(plan.Documents) (plan.Documents, error) { return docs, nil })
+	Expect(err).NotTo(HaveOccurred())
+	Expect(outcome.Status).To(Equal(edit.Accepted))
+}
+
+func newStore() *fake.Store { return fake.NewStore(func() time.Duration { return 0 }) }
+
+// process is one process's lists with a clock that the test sets.
+type process struct {
+	*daemon.Lists
+	log       bytes.Buffer
+	activated chan int64
+}
+
+func newProcess(now *time.Duration, t daemon.Transport, s store.Store, spawn func(func())) *process {
+	p := &process{activated: make(chan int64, 8)}
+	p.Lists = daemon.NewLists(daemon.ListsConfig{
+		Log: event.NewLogger(&p.log), Clock: func() time.Duration { return *now },
+		Rand: rand.New(rand.NewPCG(1, 1)), Transport: t, Store: s, Spawn: spawn,
+		Activated: func(r int64) { p.activated <- r },
+	})
+	return p
+}
+
+func inline(f func()) { f() }
+
+var _ = Describe("Lists", func() {
+	var (
+		now     time.Duration
+		address = netip.MustParseAddrPort("127.0.0.1:1")
+	)
+	BeforeEach(func() { now = 0 })
+
+	// follow runs a process that watches the store until the spec ends.
+	follow := func(s store.Store, net peers) *process {
+		watch, cancel := context.WithCancel(ctx)
+		var running sync.WaitGroup
+		p := newProcess(&now, net, s, running.Go)
+		DeferCleanup(func() { cancel(); running.Wait() })
+		p.Step(watch, true, 0)
+		return p
+	}
+
+	// Guards against a process that never sees an edit, because the store is down
+	// for it or only others read the store.
+	It("pass from the store through a peer to another process", func() {
+		s := newStore()
+		writeLists(s, documents(10000))
+		first := follow(s, nil)
+		Expect(<-first.activated).To(BeEquivalentTo(1))
+		s.Outage = true
+		second := newProcess(&now, peers{address: {lists: daemon.NewListsRPC(first.Lists)}}, nil, inline)
+		second.Step(ctx, false, 1, netip.AddrPort{}, address)
+		Expect(second.Revision()).To(BeEquivalentTo(1))
+		source := netip.MustParseAddr("10.0.7.9").As16()
+		Expect(second.Customer(&source)).To(Equal(xxhash.Sum64String("office-7")))
+		unknown := netip.MustParseAddr("10.200.0.1").As16()
+		Expect(second.Customer(&unknown)).To(BeZero())
+		Expect(second.State().Customers).To(Equal(10000))
+	})
+
+	// Guards against an edit that waits for the next poll or restart, and against a
+	// watch that outlives its process.
+	It("follow the store's changes until the context ends", func() {
+		leaks := goleak.IgnoreCurrent()
+		DeferCleanup(func() { goleak.VerifyNone(GinkgoT(), leaks) })
+		s := newStore()
+		p := follow(s, nil)
+		writeLists(s, documents(1))
+		Expect(<-p.activated).To(BeEquivalentTo(1))
+		writeLists(s, documents(2))
+		Expect(<-p.activated).To(BeEquivalentTo(2))
+		Expect(p.State().Watching).To(BeTrue())
+	})
+
+	// Guards against lists that are put into force without being valid, and against
+	// a log without the findings or with the same ones for ever.
+	It("keep the active revision when the next one has findings", func() {
+		s := newStore()
+		writeLists(s, documents(1))
+		p := follow(s, nil)
+		Expect(<-p.activated).To(BeEquivalentTo(1))
+		bad := documents(2)
+		bad.Plans = []byte(`{"plans": []}`)
+		head, pages := plan.Head{Edit: plan.Edit{Revision: 1, ID: "a"}}.Next(plan.Edit{ID: "b", Author: "x"}, bad)
+		var writes []store.Op
+		for hash, page := range pages {
+			writes = append(writes, store.Op{Key: plan.PageKey(hash), Value: page})
+		}
+		writes = append(writes, store.Op{Key: plan.HeadKey, Value: head.Encode()})
+		_, err := s.Txn(ctx, nil, writes)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() int64 { return p.State().Rejected }).Should(BeEquivalentTo(2))
+		Expect(p.Revision()).To(BeEquivalentTo(1))
+		p.Step(ctx, true, 2)
+		Expect(strings.Count(p.log.String(), "event=1301")).To(Equal(2), "two findings, each logged once: %s", p.log.String())
+	})
+
+	// Guards against a process that asks a peer in every step while that peer has
+	// nothing newer.
+	It("pause between questions to a peer that has nothing newer", func() {
+		empty := newProcess(&now, nil, nil, inline)
+		calls := 0
+		count := func(f func()) { calls++; f() }
+		p := newProcess(&now, peers{address: {lists: daemon.NewListsRPC(empty.Lists)}}, nil, count)
+		p.Step(ctx, false, 0, address)
+		Expect(calls).To(BeZero(), "nothing newer is known")
+		for range 50 {
+			p.Step(ctx, false, 1, address)
+			now += 100 * time.Millisecond
+		}
+		Expect(calls).To(BeNumerically("~", 5, 5))
+	})
+})
--- a/member/node.go
+++ b/member/node.go
@@ -8,6 +8,9 @@
 	"github.com/nutmegtrack/nutmegtrack/flow"
 )
 
+// expiryPause is the time between two looks through the whole table.
+const expiryPause = 10 * time.Second
+
 // Node is the membership protocol of a balancer. It is not safe for concurrent
 // use. The daemon calls Step about ten times a second.
 type Node struct {
@@ -21,6 +24,7 @@
 	revision revision
 	watch    watch
 	exchange time.Duration // time of the next anti-entropy exchange
+	behind   bool          // the last exchange brought as many records as one may
 	expiry   time.Duration // time of the next look for records to remove
 }
 
@@ -41,7 +45,6 @@
 	}
 	n := &Node{
 		cfg:     cfg.withDefaults(),
-		self:    self,
 		rng:     rng,
 		table:   NewTable(),
 		rumours: make(map[string]*rumour),
@@ -60,7 +63,7 @@
 	n.settleSuspicions()
 	if now >= n.expiry {
 		n.table.expire(now, n.cfg.RemoveAfter)
-		n.expiry = now + n.cfg.Exchange
+		n.expiry = now + expiryPause
 	}
 	out := n.out
 	n.out = nil
@@ -85,6 +88,9 @@
 		return n.serveHeartbeat(m)
 	case KindPush:
 		n.mergeAll(m.Records)
+		for _, c := range m.Changes {
+			n.mergeChange(c)
+		}
 	case KindDigest:
 		return n.reconcile(m)
 	case KindProbe:
