--- a/flow/accept.go
+++ b/flow/accept.go
@@ -6,12 +6,15 @@
 	"github.com/nutmegtrack/nutmegtrack/packet"
 )
 
-// takes reports whether this agent takes a new flow whose next choice is given.
-func (t *Table) takes(now time.Duration, next *peer) bool {
+// takes reports whether this agent takes a new flow that has made a number of hops
+// and whose next choice is given.
+func (t *Table) takes(now time.Duration, hops uint8, next *peer) bool {
 	if !t.self.State.Accepts() || len(t.flows.entries) >= t.cfg.MaxFlows {
 		return false
 	}
-	if next == nil {
+	// The next choice may be draining unknown to this agent and needs a hop to pass
+	// the packet on.
+	if next == nil || hops+2 > packet.MaxHops {
 		return true
 	}
 	if t.Open() >= t.limit(now) {
--- a/flow/outbox.go
+++ b/flow/outbox.go
@@ -8,6 +8,8 @@
 	// messageWire is about the size in bytes of a message without fingerprints,
 	// as an RPC call with its response and their TCP and IP headers.
 	messageWire = 150
+	// emptyChecks is the number of checks of a digest that has become empty.
+	emptyChecks = 6
 )
 
 // digestOp is one pending change of a digest.
@@ -27,6 +29,7 @@
 	adds       int           // unsent additions
 	checked    time.Duration // when Count and Sum were last sent
 	checkDue   bool          // after a restart
+	changed    time.Duration // when an operation was last sent
 	generation uint32        // incremented by restart
 }
 
@@ -50,7 +53,10 @@
 
 // take moves pending changes into a message and returns the bytes they cost, at
 // most budget plus one operation.
-func (o *outbox) take(m *Message, budget int) int {
+func (o *outbox) take(now time.Duration, m *Message, budget int) int {
+	if len(o.ops) > 0 {
+		o.changed = now
+	}
 	n := min(len(o.ops), max(1, budget/fingerprintWire))
 	for _, op := range o.ops[:n] {
 		o.apply(op, m)
@@ -85,8 +91,11 @@
 	o.checked, o.checkDue = now, false
 }
 
+// checkWanted reports whether a check is due. An empty digest is checked a few more
+// times: the message that emptied it may have been lost.
 func (o *outbox) checkWanted(now, interval time.Duration) bool {
-	return o.checkDue || ((o.count > 0 || len(o.ops) > 0) && now-o.checked >= interval)
+	live := o.count > 0 || len(o.ops) > 0 || (o.seq > 1 && now-o.changed < emptyChecks*interval)
+	return o.checkDue || (live && now-o.checked >= interval)
 }
 
 // due reports whether the peer must be sent a digest message. Additions wait for
--- a/flow/receive.go
+++ b/flow/receive.go
@@ -98,7 +98,7 @@
 		return t.offer(h, p)
 	}
 	next := t.nextChoice(hash, h)
-	if t.takes(now, next) {
+	if t.takes(now, h.Hops, next) {
 		return t.deliver(now, h, t.take(now, hash, &in.Key))
 	}
 	if next == nil {
--- a/flow/step.go
+++ b/flow/step.go
@@ -77,7 +77,7 @@
 			return
 		}
 		m := t.messageTo(p)
-		t.budget -= messageWire + p.out.take(m, t.budget)
+		t.budget -= messageWire + p.out.take(now, m, t.budget)
 		p.out.check(now, t.cfg.CheckInterval, m)
 	}
 }
--- a/packet/packet_test.go
+++ b/packet/packet_test.go
@@ -1,6 +1,7 @@
 package packet_test
 
 import (
+	"flag"
 	"net/netip"
 	"testing"
 
@@ -13,6 +14,7 @@
 
 func TestPacket(t *testing.T) {
 	RegisterFailHandler(Fail)
+	Expect(flag.Set("rapid.seed", "1")).To(Succeed())
 	RunSpecs(t, "packet")
 }
 
