Test the operators' commands against a running balancer

Cause: exit statuses of dump, status, drain and of rejected settings had no test. A dump may take 15 s, since that of a balancer at the target scale is about 20 MB; a survey waits 2 s for each process. Conclusion: the size of the large dump is an estimate.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -14,16 +14,14 @@
 
 	"github.com/nutmegtrack/nutmegtrack/event"
 	"github.com/nutmegtrack/nutmegtrack/flow"
+	"github.com/nutmegtrack/nutmegtrack/internal/spec"
 	"github.com/nutmegtrack/nutmegtrack/member"
 	"github.com/nutmegtrack/nutmegtrack/packet"
 	"github.com/nutmegtrack/nutmegtrack/packetio"
 	"github.com/nutmegtrack/nutmegtrack/settings"
 )
 
-func TestAgent(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "agent")
-}
+func TestAgent(t *testing.T) { spec.Run(t, "agent") }
 
 var (
 	serviceAddr = netip.MustParseAddrPort("10.96.0.1:80")
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/netip"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -204,6 +205,10 @@
 	return r
 }
 
+// ControlAddress returns the control address that the balancer announces. It may be
+// called after Start.
+func (b *Balancer) ControlAddress() netip.AddrPort { return b.self().Control }
+
 // Shutdown begins a graceful shutdown.
 func (b *Balancer) Shutdown() { b.life.Shutdown() }
 
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/nutmegtrack/nutmegtrack/event"
 	"github.com/nutmegtrack/nutmegtrack/flow"
+	"github.com/nutmegtrack/nutmegtrack/internal/spec"
 	"github.com/nutmegtrack/nutmegtrack/member"
 	"github.com/nutmegtrack/nutmegtrack/packet"
 	"github.com/nutmegtrack/nutmegtrack/packetio"
@@ -23,10 +24,7 @@
 	"github.com/nutmegtrack/nutmegtrack/store"
 )
 
-func TestBalancer(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "balancer")
-}
+func TestBalancer(t *testing.T) { spec.Run(t, "balancer") }
 
 var (
 	service  = netip.MustParseAddrPort("10.96.0.1:80")
--- a/cmd/nutmegtrack/operate.go
+++ b/cmd/nutmegtrack/operate.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/integrii/flaggy"
@@ -37,7 +38,7 @@
 			fmt.Fprintf(os.Stderr, "nutmegtrack: %s: %v\n", name, err)
 			return exitUsage
 		}
-		client := newClient()
+		client := newClient(dumpTimeout)
 		defer client.Close()
 		if err := run(client, to); err != nil {
 			fmt.Fprintf(os.Stderr, "nutmegtrack: %s: %v\n", name, err)
@@ -47,8 +48,12 @@
 	}}
 }
 
-func newClient() *control.Client {
-	return control.NewClient(control.ClientConfig{}, control.NewCounts(nil))
+// dumpTimeout leaves time for the dump of a balancer at the target scale: 53,000
+// records are about 20 MB of JSON.
+const dumpTimeout = 15 * time.Second
+
+func newClient(timeout time.Duration) *control.Client {
+	return control.NewClient(control.ClientConfig{Timeout: timeout}, control.NewCounts(nil))
 }
 
 func dump(client *control.Client, to netip.AddrPort) error {
--- a/cmd/nutmegtrack/status.go
+++ b/cmd/nutmegtrack/status.go
@@ -44,7 +44,7 @@
 		}
 		balancers = append(balancers, address)
 	}
-	client := newClient()
+	client := newClient(dumpTimeout)
 	defer client.Close()
 	survey := daemon.TakeSurvey(context.Background(), client, balancers)
 	if err := survey.Write(os.Stdout); err != nil {
--- a/daemon/lists_test.go
+++ b/daemon/lists_test.go
@@ -21,15 +21,13 @@
 	"github.com/nutmegtrack/nutmegtrack/daemon"
 	"github.com/nutmegtrack/nutmegtrack/event"
 	"github.com/nutmegtrack/nutmegtrack/fake"
+	"github.com/nutmegtrack/nutmegtrack/internal/spec"
 	"github.com/nutmegtrack/nutmegtrack/plan"
 	"github.com/nutmegtrack/nutmegtrack/plan/edit"
 	"github.com/nutmegtrack/nutmegtrack/store"
 )
 
-func TestDaemon(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "daemon")
-}
+func TestDaemon(t *testing.T) { spec.Run(t, "daemon") }
 
 var ctx = context.Background()
 
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
@@ -21,6 +22,10 @@
 // statusCalls is the number of processes that a survey asks at the same time.
 const statusCalls = 16
 
+// askTimeout bounds the question to one process, so that dead ones do not hold up a
+// survey.
+const askTimeout = 2 * time.Second
+
 // FetchDump returns the dump sources of a process, or all without names.
 func FetchDump(ctx context.Context, t Transport, to netip.AddrPort, sources ...string) ([]byte, error) {
 	var reply control.DumpReply
@@ -112,6 +117,8 @@
 }
 
 func (p *ProcessStatus) ask(ctx context.Context, t Transport) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
 	b, err := FetchDump(ctx, t, p.Control, SourceProcess)
 	if err != nil {
 		p.Err = err
--- a/event/event_test.go
+++ b/event/event_test.go
@@ -12,19 +12,17 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/nutmegtrack/nutmegtrack/event"
+	"github.com/nutmegtrack/nutmegtrack/internal/spec"
 )
 
 const page = "../docs/log-events.md"
 
-func TestEvent(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "event")
-}
+func TestEvent(t *testing.T) { spec.Run(t, "event") }
 
 var _ = Describe("The catalogue", func() {
 	// Guards against operators looking up a number that the page does not explain.
 	It("equals docs/log-events.md", func() {
-		if os.Getenv("NUTMEGTRACK_UPDATE") != "" {
+		if os.Getenv("UPDATE_GOLDEN") != "" {
 			Expect(os.WriteFile(page, []byte(event.Page()), 0o644)).To(Succeed())
 		}
 		text, err := os.ReadFile(page)
--- a/event/page.go
+++ b/event/page.go
@@ -9,7 +9,7 @@
 
 Programs write one logfmt line for each event, with ` + "`ts`" + ` (UTC), ` + "`level`" + `,
 ` + "`event`" + ` (the number below), ` + "`msg`" + ` and further pairs. This page is generated from
-event/catalogue.go: ` + "`NUTMEGTRACK_UPDATE=1 go test ./event`" + ` rewrites it.
+event/catalogue.go: ` + "`UPDATE_GOLDEN=1 go test ./event`" + ` rewrites it.
 
 | event | level | msg | meaning |
 |---|---|---|---|
--- a/packetio/packetio_test.go
+++ b/packetio/packetio_test.go
@@ -8,13 +8,11 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/nutmegtrack/nutmegtrack/internal/spec"
 	"github.com/nutmegtrack/nutmegtrack/packetio"
 )
 
-func TestPacketIO(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "packetio")
-}
+func TestPacketIO(t *testing.T) { spec.Run(t, "packetio") }
 
 var loopback = netip.MustParseAddrPort("127.0.0.1:0")
 
--- a/process/process_test.go
+++ b/process/process_test.go
@@ -12,12 +12,10 @@
 
 	"github.com/nutmegtrack/nutmegtrack/event"
 	"github.com/nutmegtrack/nutmegtrack/finding"
+	"github.com/nutmegtrack/nutmegtrack/internal/spec"
 )
 
-func TestProcess(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "process")
-}
+func TestProcess(t *testing.T) { spec.Run(t, "process") }
 
 // daemon is a Daemon that stops on Shutdown unless it is stuck.
 type daemon struct {
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -8,13 +8,11 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/nutmegtrack/nutmegtrack/internal/spec"
 	"github.com/nutmegtrack/nutmegtrack/settings"
 )
 
-func TestSettings(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "settings")
-}
+func TestSettings(t *testing.T) { spec.Run(t, "settings") }
 
 const balancerFile = `{
   "name": "b1", "failure_domain": "a",
@@ -27,11 +25,9 @@
 	It("reports three mistakes together, with their lines", func() {
 		src, err := os.ReadFile("testdata/three-mistakes.json")
 		Expect(err).NotTo(HaveOccurred())
-		want, err := os.ReadFile("testdata/three-mistakes.golden")
-		Expect(err).NotTo(HaveOccurred())
 		_, err = settings.ParseAgent("three-mistakes.json", src)
 		Expect(err).To(HaveOccurred())
-		Expect(err.Error() + "\n").To(Equal(string(want)))
+		spec.Golden("three-mistakes.golden", err.Error()+"\n")
 	})
 
 	// Guards against defaults that are lost when an enclosing object is absent.
