Leave when the leave record is confirmed

Cause: the leave record was repeated twice whether or not it had arrived. Change: an agent repeats it until a balancer has confirmed it, at most for 2 s; a balancer until it has been pushed in all rounds, at most for 1 s. Measured: go test -race ./agent ./balancer ./cmd/... passes.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -19,9 +19,10 @@
 const (
 	// tick is the interval of membership and flow table steps.
 	tick = 100 * time.Millisecond
-	// leaveRounds and leavePause repeat the leave record in case a call is lost.
-	leaveRounds = 2
-	leavePause  = 250 * time.Millisecond
+	// leavePause is the interval at which the leave record is repeated until a
+	// balancer has confirmed it, and leaveLimit bounds that.
+	leavePause = 250 * time.Millisecond
+	leaveLimit = 2 * time.Second
 )
 
 // Agent is one agent process.
--- a/agent/drain.go
+++ b/agent/drain.go
@@ -5,6 +5,7 @@
 
 	"github.com/nutmegtrack/nutmegtrack/event"
 	"github.com/nutmegtrack/nutmegtrack/flow"
+	"github.com/nutmegtrack/nutmegtrack/member"
 )
 
 func (a *Agent) drainRequested() int {
@@ -36,13 +37,18 @@
 	return done
 }
 
-// leave announces that the agent is about to exit.
+// leave announces that the agent is about to exit, until a balancer has confirmed it.
 func (a *Agent) leave() {
 	a.announce(flow.Leaving)
-	for range leaveRounds {
+	for end := a.clock() + leaveLimit; ; {
 		a.members.StepAndWait(a.life.Context())
-		if !a.life.Sleep(leavePause) {
+		if a.confirmed() || a.clock() >= end || !a.life.Sleep(leavePause) {
 			return
 		}
 	}
 }
+
+func (a *Agent) confirmed() (done bool) {
+	a.members.Do(func(_ time.Duration, n *member.Announcer) { done = n.Confirmed() })
+	return done
+}
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -19,9 +19,10 @@
 const (
 	// tick is the interval of membership steps.
 	tick = 100 * time.Millisecond
-	// leaveRounds and leavePause repeat the leave record, which is pushed in rounds.
-	leaveRounds = 2
-	leavePause  = 250 * time.Millisecond
+	// leavePause is the interval of the rounds in which the leave record is pushed,
+	// and leaveLimit bounds them.
+	leavePause = 250 * time.Millisecond
+	leaveLimit = time.Second
 )
 
 // Balancer is one balancer process.
@@ -180,14 +181,19 @@
 	if b.collect != nil {
 		b.collect.stop(b.life.Context())
 	}
-	for range leaveRounds {
+	for end := b.clock() + leaveLimit; ; {
 		b.members.StepAndWait(b.life.Context())
-		if !b.life.Sleep(leavePause) {
+		if b.confirmed() || b.clock() >= end || !b.life.Sleep(leavePause) {
 			return
 		}
 	}
 }
 
+func (b *Balancer) confirmed() (done bool) {
+	b.members.Do(func(_ time.Duration, n *member.Node) { done = n.Confirmed() })
+	return done
+}
+
 func (b *Balancer) setState(s flow.State) {
 	b.members.Do(func(now time.Duration, n *member.Node) { n.SetState(now, s) })
 }
