Ask for what waiting flows need, and rest idle tokens at a home agent

Cause: with 70 agents and small plans each new flow asked up to 69 peers (22.7 KB/s a daemon in a trial), and peers that gave half of their spare tokens made 50 waiting flows at one agent wait for more than 5 s. Change: among more than 16 peers idle tokens return to the account's home by rendezvous hashing, which is asked first; a peer gives all that it does not expect to need; asks are repeated every 500 ms at most.

--- a/quota/account.go
+++ b/quota/account.go
@@ -34,8 +34,8 @@
 type need struct {
 	next  time.Duration
 	timer backoff
-	first int // peer asked first, as an index into the accepting peers
-	asked int // peers asked in this round
+	peers []Party // to be asked, the account's home first
+	asked int     // peers asked in this round
 }
 
 type waiter struct {
--- a/quota/ask.go
+++ b/quota/ask.go
@@ -10,7 +10,7 @@
 		return
 	}
 	timer := backoff{initial: h.cfg.AskInterval, max: h.cfg.MaxAskInterval, fixed: h.cfg.FixedRetransmission}
-	a.need = &need{next: now, timer: timer, first: h.cursor}
+	a.need = &need{next: now, timer: timer}
 	h.needs = append(h.needs, a)
 }
 
@@ -18,10 +18,6 @@
 // message for each peer.
 func (h *Holder) stepNeeds(now time.Duration) []Message {
 	asks := askBatch{holder: h}
-	if now >= h.cursorUntil {
-		h.cursor = h.rng.IntN(max(1, len(h.peers)))
-		h.cursorUntil = now + h.cfg.AskInterval
-	}
 	kept := h.needs[:0]
 	for _, a := range h.needs {
 		if a.id.Kind == Requests && now >= a.flowsUntil {
@@ -42,27 +38,31 @@
 	return asks.messages
 }
 
-// firstAskShare is the part of all peers that a first ask reaches at least, so
-// that four attempts, within 2 s, reach all of them.
-const firstAskShare = 8
+// askShare is the part of all peers that each ask after the first reaches at
+// least, so that four attempts, within 2 s, reach all of them.
+const askShare = 4
 
-// ask adds the account to the messages of the next peers. Each attempt asks as
-// many peers as all before it.
+// ask adds the account to the messages of the next peers: first the home, then
+// as many as all before.
 func (h *Holder) ask(now time.Duration, a *account, asks *askBatch) {
-	accepting := h.acceptingPeers()
+	if a.need.asked == 0 {
+		a.need.peers = h.askOrder(a.id)
+	}
+	accepting := a.need.peers
 	if len(accepting) == 0 {
 		a.need.next = now + h.cfg.MaxAskInterval
 		return
 	}
-	count := max(h.cfg.AskPeers, len(accepting)/firstAskShare, a.need.asked)
+	count := h.cfg.AskPeers
+	if a.need.asked > 0 {
+		count = max(a.need.asked, len(accepting)/askShare)
+	}
 	count = min(count, len(accepting)-a.need.asked)
 	// Where more flows arrive than wait at the moment, the next ones need tokens
 	// soon.
 	wanted := a.missing() + min(a.recent(now), a.missing())
-	// Needs that begin at about the same time ask the same peers first, so that
-	// their asks share messages.
 	for i := range count {
-		asks.add(accepting[(a.need.first+a.need.asked+i)%len(accepting)], a, wanted)
+		asks.add(accepting[a.need.asked+i], a, wanted)
 	}
 	a.need.asked += count
 	if a.need.asked < len(accepting) {
@@ -76,6 +76,18 @@
 	a.need.next = now + h.cfg.MaxAskInterval + scale(h.cfg.MaxAskInterval, spread*h.rng.Float64())
 }
 
+// askOrder returns the peers in the order in which they are asked.
+func (h *Holder) askOrder(a Account) []Party {
+	accepting := h.acceptingPeers()
+	if h.usesHomes(accepting) {
+		return rank(a, accepting)
+	}
+	h.rng.Shuffle(len(accepting), func(i, j int) {
+		accepting[i], accepting[j] = accepting[j], accepting[i]
+	})
+	return accepting
+}
+
 func (h *Holder) acceptingPeers() []Party {
 	var list []Party
 	for _, p := range h.peers {
@@ -119,16 +131,15 @@
 	}
 }
 
-// offer returns how many tokens may go to a peer: half of what this holder does
-// not expect to need itself, but at least one spare token, because a flow waits
-// for it there.
+// offer returns how many tokens may go to a peer: what this holder does not expect
+// to need itself, but at least one spare token, because a flow waits for it there.
 func (h *Holder) offer(now time.Duration, a *account, wanted int32) int32 {
 	if a.recalled {
 		return 0
 	}
 	above := a.spare()
 	if !h.draining {
-		above = (a.spare() - a.recent(now) + 1) / 2
+		above = a.spare() - a.recent(now)
 	}
 	return min(wanted, max(above, 1), a.spare())
 }
--- a/quota/grantor.go
+++ b/quota/grantor.go
@@ -1,7 +1,9 @@
 package quota
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/nutmegtrack/nutmegtrack/packet"
@@ -10,7 +12,7 @@
 // issueSpread is the number of holders among which new tokens of an account are
 // spread; from there they move on demand. Spreading over all holders would cost
 // one entry for each customer and holder at the first start.
-const issueSpread = 3
+const issueSpread = 2
 
 // leaseMargin is added to a holder's lease before its VM counts as gone, for
 // clocks that differ in speed.
@@ -167,7 +169,8 @@
 	}
 }
 
-// issue spreads new tokens over a few accepting holders. The ledger counts them
+// issue spreads new tokens over the accepting holders that rank first for the
+// account, where the others ask for them. The ledger counts them
 // from now on, whether or not they arrive.
 func (g *Grantor) issue(e *entry, tokens int32) {
 	var targets []*holderState
@@ -180,15 +183,16 @@
 		g.ledger.touch(e)
 		return
 	}
+	slices.SortFunc(targets, func(a, b *holderState) int {
+		return cmp.Compare(homeScore(e.id, b.ID), homeScore(e.id, a.ID))
+	})
 	n := min(int32(issueSpread), int32(len(targets)), tokens)
-	first := int32(e.id.Customer % uint64(len(targets)))
 	for i := range n {
 		share := tokens / n
 		if i < tokens%n {
 			share++
 		}
-		target := targets[(first+i)%int32(len(targets))]
-		target.channel.queue(e.id, share)
+		targets[i].channel.queue(e.id, share)
 	}
 	e.issued += tokens
 }
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -52,11 +52,11 @@
 	// acks waits for the next step, so that acknowledgements share envelopes.
 	acks []Message
 
-	peers       []Peer
-	cursor      int           // peer that new needs ask first
-	cursorUntil time.Duration // when the cursor is drawn again
-	channels    map[Party]*channel
-	parties     []Party // keys of channels, in order of creation
+	peers    []Peer
+	cursor   int           // peer that gets the next tokens of a draining holder
+	tidy     time.Duration // when idle tokens are next returned to their home
+	channels map[Party]*channel
+	parties  []Party // keys of channels, in order of creation
 
 	cooling  []coolingToken
 	draining bool
--- a/quota/step.go
+++ b/quota/step.go
@@ -16,6 +16,8 @@
 	}
 	if h.draining {
 		h.giveAll(now)
+	} else {
+		h.returnIdle(now)
 	}
 	out = append(out, h.stepNeeds(now)...)
 	return append(out, h.stepChannels(now)...)
@@ -40,6 +42,26 @@
 	return m
 }
 
+// returnIdle gives tokens for which there was no demand to the account's home.
+func (h *Holder) returnIdle(now time.Duration) {
+	if now < h.tidy {
+		return
+	}
+	h.tidy = now + h.cfg.IdleTime
+	accepting := h.acceptingPeers()
+	if !h.usesHomes(accepting) {
+		return
+	}
+	for _, a := range h.accounts {
+		if a.spare() == 0 || a.recalled || a.recent(now) > 0 {
+			continue
+		}
+		if home, ok := h.home(a.id, accepting); ok {
+			h.give(a, home, a.spare())
+		}
+	}
+}
+
 // giveAll moves the free tokens of a draining holder to its peers in turn.
 func (h *Holder) giveAll(now time.Duration) {
 	accepting := h.acceptingPeers()
--- a/quota/types.go
+++ b/quota/types.go
@@ -137,7 +137,7 @@
 	// AskInterval is the initial time between two asks for the same account.
 	// Default 200 ms.
 	AskInterval time.Duration
-	// MaxAskInterval bounds the doubling of AskInterval. Default 1 s.
+	// MaxAskInterval bounds the doubling of AskInterval. Default 500 ms.
 	MaxAskInterval time.Duration
 	// AskPeers is the least number of peers asked at first; further attempts ask
 	// twice as many. Default 2.
@@ -168,6 +168,9 @@
 	// GoneAfter is how long a holder may be missing from the membership before its
 	// VM counts as gone. Default 10 min.
 	GoneAfter time.Duration
+	// IdleTime is the time between two returns of tokens that are not in demand.
+	// Default 5 s.
+	IdleTime time.Duration
 	// WaitingTime is how long a peer's ask is remembered, so that a token that
 	// becomes free is given at once. Default 3 s.
 	WaitingTime time.Duration
@@ -175,7 +178,7 @@
 
 func (c Config) withDefaults() Config {
 	setDuration(&c.AskInterval, 200*time.Millisecond)
-	setDuration(&c.MaxAskInterval, time.Second)
+	setDuration(&c.MaxAskInterval, 500*time.Millisecond)
 	setDuration(&c.RetransmitInitial, 300*time.Millisecond)
 	setDuration(&c.RetransmitMax, 2*time.Second)
 	setDuration(&c.Lease, time.Minute)
@@ -183,6 +186,7 @@
 	setDuration(&c.MaxWait, 3*time.Second)
 	setDuration(&c.RecountInterval, 200*time.Millisecond)
 	setDuration(&c.WaitingTime, 3*time.Second)
+	setDuration(&c.IdleTime, 5*time.Second)
 	setDuration(&c.GoneAfter, 10*time.Minute)
 	if c.AskPeers == 0 {
 		c.AskPeers = 2
