flow: place SYNs anew that were handed off to a failed upstream

Cause: a first packet that an agent had handed off to an upstream which then died was sent there for as long as the client repeated it, since every repetition renewed the hand-off memory. Change: a SYN is placed anew when its holder is marked failed, and packets for a failed holder do not renew the memory. Other packets still go there, because the upstream may have been marked failed by mistake.

--- a/flow/receive.go
+++ b/flow/receive.go
@@ -22,7 +22,7 @@
 		t.refresh(now, e, in)
 		return t.deliver(now, h, e)
 	}
-	if a, done := t.forwardToHolder(now, hash, h); done {
+	if a, done := t.forwardToHolder(now, hash, h, in); done {
 		return a
 	}
 	if in.First {
@@ -48,18 +48,25 @@
 }
 
 // forwardToHolder applies rule 3: the flow is known to be held by a peer.
-func (t *Table) forwardToHolder(now time.Duration, hash uint64, h *packet.Header) (Action, bool) {
+func (t *Table) forwardToHolder(now time.Duration, hash uint64, h *packet.Header, in *packet.Info) (Action, bool) {
 	if h.Hops >= packet.MaxHops {
 		return Action{}, false
 	}
 	p := t.holder(now, hash, h)
-	if p == nil {
+	if p == nil || p.State == Failed && opensTCP(in) {
 		return Action{}, false
 	}
 	h.Flags &^= packet.FlagReturnIfUnknown | packet.FlagReturned
 	return t.forward(h, p), true
 }
 
+// opensTCP reports whether the packet is a SYN. Its client has no connection yet, so
+// a SYN for a failed upstream is placed anew, where other packets still go there in
+// case the upstream was marked failed by mistake.
+func opensTCP(in *packet.Info) bool {
+	return in.First && in.Key.Proto == packet.ProtoTCP
+}
+
 // holder returns the unvisited peer that holds the flow by its digest or by this
 // agent's hand-off memory.
 func (t *Table) holder(now time.Duration, hash uint64, h *packet.Header) *peer {
@@ -71,7 +78,9 @@
 	if id == 0 || p == nil || p.State == Leaving || h.HasVisited(id) {
 		return nil
 	}
-	t.handoffs.remember(now, hash, id)
+	if p.State != Failed {
+		t.handoffs.remember(now, hash, id)
+	}
 	return p
 }
 
