flow: forget a hand-off to a failed upstream when its SYN is placed anew

Cause: after such a SYN was offered to a new agent and taken there, later packets of the flow that reached the first agent still went to the dead one by its hand-off memory. Change: the record is forgotten together with the decision to place the SYN anew. Conclusion: one cause is removed, another is left: a flow opened 2 s after the kill was served by a live upstream and then became silent. Its cause is not known.

--- a/flow/receive.go
+++ b/flow/receive.go
@@ -53,7 +53,12 @@
 		return Action{}, false
 	}
 	p := t.holder(now, hash, h)
-	if p == nil || p.State == Failed && opensTCP(in) {
+	if p != nil && p.State == Failed && opensTCP(in) {
+		// The flow will be elsewhere, so its next packets must not go to p.
+		t.handoffs.forget(hash)
+		p = nil
+	}
+	if p == nil {
 		return Action{}, false
 	}
 	h.Flags &^= packet.FlagReturnIfUnknown | packet.FlagReturned
