Add nutmegtrack bench slopes

Cause: nothing showed what each role costs at the size of design section 1.5. Change: bench.RunSlopes steps the real tables and codecs of eight roles at growing numbers of upstreams, flows, customers, addresses, daemons and changes, and fits a line to processor time, memory, encoded bytes and store calls. Processor time and memory are the least of 5 repetitions, since other processes only add to them. Tests hold the fit and that every role has at least four points. Writes of a shard are bounded by its pace and are no line; their points are to be read, not their slope.

--- /dev/null
+++ b/bench/slopes_flow.go
@@ -0,0 +1,178 @@
+package bench
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/flow"
+	"github.com/nutmegtrack/nutmegtrack/packet"
+)
+
+const (
+	// routedPackets are routed for each measurement of a single decision.
+	routedPackets = 20000
+	// settled is a time at which no slow start or settling time is left.
+	settled = 10 * time.Minute
+	// loadSeconds is the virtual time over which load messages are counted.
+	loadSeconds = 60
+)
+
+func balancerGrowths() []growth {
+	return []growth{
+		{"route one packet without a hint", CPU, "upstream of the service", []int{10, 30, 100, 300, 1000}, routeUnhinted},
+		{"route one packet of each flow by its hint", CPU, "flow", []int{2000, 6000, 20000, 60000, 200000}, routeHinted},
+		{"hint table", Memory, "flow", []int{4096, 16384, 65536, 262144, 524288}, hintMemory},
+		{"view and its index", Memory, "upstream", []int{480, 1600, 4800, 16000, targetUpstreams}, viewMemory},
+		{"install a view", CPU, "upstream", []int{480, 1600, 4800, 16000, targetUpstreams}, viewCPU},
+	}
+}
+
+func routeUnhinted(m meter, n int) Point {
+	r := flow.NewRouter(flow.RouterConfig{Hints: -1})
+	r.SetView(0, slopeView(n, 1))
+	packets := firstPackets(routedPackets)
+	total := m.cpu(func() {}, func() { routeAll(r, packets) })
+	return Point{float64(n), total / routedPackets}
+}
+
+func routeHinted(m meter, n int) Point {
+	r := flow.NewRouter(flow.RouterConfig{Hints: 4 * n})
+	r.SetView(0, slopeView(11, 1))
+	packets := firstPackets(n)
+	routeAll(r, packets)
+	return Point{float64(n), m.cpu(func() {}, func() { routeAll(r, packets) })}
+}
+
+func routeAll(r *flow.Router, packets []packet.Info) {
+	for i := range packets {
+		if d := r.Route(settled, &packets[i]); !d.OK {
+			panic("bench: packet is not routed: " + d.Reason.String())
+		}
+	}
+}
+
+func hintMemory(m meter, n int) Point {
+	return Point{float64(n), m.heap(func() any { return flow.NewRouter(flow.RouterConfig{Hints: n}) })}
+}
+
+func viewMemory(m meter, n int) Point {
+	return Point{float64(n), m.heap(func() any {
+		r := flow.NewRouter(flow.RouterConfig{Hints: -1})
+		r.SetView(0, slopeView(n, servicesOf(n)))
+		return r
+	})}
+}
+
+func viewCPU(m meter, n int) Point {
+	v := slopeView(n, servicesOf(n))
+	r := flow.NewRouter(flow.RouterConfig{Hints: -1})
+	return Point{float64(n), m.cpu(func() {}, func() { r.SetView(0, v) })}
+}
+
+func servicesOf(upstreams int) int { return max(1, upstreams*targetServices/targetUpstreams) }
+
+func agentGrowths() []growth {
+	flows := []int{500, 1500, 5000, 15000, 50000}
+	return []growth{
+		{"open flows", Memory, "flow", flows, flowMemory},
+		{"take a flow", CPU, "flow", flows, flowTake},
+		{"deliver one packet of each flow", CPU, "flow", flows, flowDeliver},
+		{"one step with open flows", CPU, "flow", flows, flowStep},
+		{"digest of flows away from their first choice", Wire, "displaced flow", []int{250, 1000, 3000, 10000, 30000}, digestBytes},
+		{"load messages sent in one second", Wire, "upstream of the service", []int{2, 7, 20, 70, 200}, loadBytes},
+	}
+}
+
+// slopeTable returns the table of a settled agent without peers.
+func slopeTable(flows int) *flow.Table {
+	t := flow.NewTable(flow.TableConfig{MaxFlows: flows + 1}, slopeUpstream(0), packet.ServiceIDOf("service-0000"), slopeRand())
+	t.SetPeers(0, []flow.Upstream{slopeUpstream(0)})
+	t.SetState(0, flow.Ready)
+	t.Step(settled)
+	return t
+}
+
+// receiveAll passes packets to a table that has to deliver them.
+func receiveAll(t *flow.Table, packets []packet.Info) {
+	for i := range packets {
+		h := packet.Header{Kind: packet.KindData, Service: packet.ServiceIDOf("service-0000"), Origin: daemonAddr(1, 7000)}
+		if a := t.Receive(settled, &h, &packets[i]); a.Kind != flow.Deliver {
+			panic(fmt.Sprintf("bench: packet is not delivered: action %d, %v", a.Kind, a.Reason))
+		}
+	}
+}
+
+func flowMemory(m meter, n int) Point {
+	packets := firstPackets(n)
+	return Point{float64(n), m.heap(func() any {
+		t := slopeTable(n)
+		receiveAll(t, packets)
+		return t
+	})}
+}
+
+func flowTake(m meter, n int) Point {
+	packets := firstPackets(n)
+	var t *flow.Table
+	return Point{float64(n), m.cpu(func() { t = slopeTable(n) }, func() { receiveAll(t, packets) })}
+}
+
+func flowDeliver(m meter, n int) Point {
+	packets := firstPackets(n)
+	t := slopeTable(n)
+	receiveAll(t, packets)
+	for i := range packets {
+		packets[i].First = false
+	}
+	return Point{float64(n), m.cpu(func() {}, func() { receiveAll(t, packets) })}
+}
+
+func flowStep(m meter, n int) Point {
+	const steps = 10
+	t := slopeTable(n)
+	receiveAll(t, firstPackets(n))
+	now := settled
+	total := m.cpu(func() {}, func() {
+		for range steps {
+			now += time.Second
+			t.Step(now)
+		}
+	})
+	return Point{float64(n), total / steps}
+}
+
+// digestBytes counts the additions that an agent sends after a peer has become the
+// first choice of some of its n flows.
+func digestBytes(_ meter, n int) Point {
+	t := slopeTable(n)
+	receiveAll(t, firstPackets(n))
+	t.SetPeers(settled, []flow.Upstream{slopeUpstream(0), slopeUpstream(1)})
+	wire := newWireSize()
+	displaced, bytes := 0, 0
+	for second := range 60 + n/200 {
+		for _, m := range t.Step(settled + time.Duration(second)*time.Second) {
+			if len(m.Add) > 0 {
+				displaced += len(m.Add)
+				bytes += wire.message(&m)
+			}
+		}
+	}
+	return Point{float64(displaced), float64(bytes)}
+}
+
+func loadBytes(_ meter, n int) Point {
+	t := slopeTable(1)
+	peers := make([]flow.Upstream, n)
+	for i := range peers {
+		peers[i] = slopeUpstream(i)
+	}
+	t.SetPeers(settled, peers)
+	wire := newWireSize()
+	bytes := 0
+	for second := range loadSeconds {
+		for _, m := range t.Step(settled + time.Duration(second+1)*time.Second) {
+			bytes += wire.message(&m)
+		}
+	}
+	return Point{float64(n), float64(bytes) / loadSeconds}
+}
--- /dev/null
+++ b/bench/slopes_quota.go
@@ -0,0 +1,226 @@
+package bench
+
+import (
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/packet"
+	"github.com/nutmegtrack/nutmegtrack/quota"
+)
+
+const (
+	// quotaHolders is the number of agents of a service, as in the present
+	// deployments, where the number of customers grows.
+	quotaHolders = 7
+	// quotaCustomers is the number of customers where that of the agents grows.
+	quotaCustomers = 20
+	quotaTokens    = 70 // of each limit
+	quotaTick      = 100 * time.Millisecond
+)
+
+var (
+	customerSizes = []int{100, 300, 1000, 3000, 10000}
+	holderSizes   = []int{3, 10, 30, 100, 300}
+)
+
+func holderGrowths() []growth {
+	return []growth{
+		{"accounts with tokens", Memory, "customer", customerSizes, holderMemory},
+		{"admit and release a flow of each customer", CPU, "customer", customerSizes, holderAdmit},
+		{"one idle step", CPU, "customer", customerSizes, holderStep},
+		{"admit a flow of each customer where no token is held, calls of all holders", Wire, "customer", []int{10, 30, 100, 300, 1000, 3000}, needBytes},
+		{"idle calls of one second, all holders with the grantor", Wire, "holder", holderSizes, renewBytes},
+	}
+}
+
+func grantorGrowths() []growth {
+	return []growth{
+		{"ledger", Memory, "customer", customerSizes, grantorMemoryByCustomers},
+		{"table of holders", Memory, "holder", holderSizes, grantorMemoryByHolders},
+		{"one idle step", CPU, "customer", customerSizes, grantorStepByCustomers},
+		{"one idle step", CPU, "holder", holderSizes, grantorStepByHolders},
+		{"issue all tokens after the first recount", Wire, "customer", customerSizes, issueBytes},
+	}
+}
+
+// quotaWorld is the grantor and the holders of one service on a network without
+// delay or loss.
+type quotaWorld struct {
+	now     time.Duration
+	grantor *quota.Grantor
+	holders []*quota.Holder
+	parties []quota.Party
+	granted quota.Party // the grantor's
+	index   map[quota.Party]int
+	size    *callSize
+	bytes   int // of all calls
+	last    quota.Account
+}
+
+func newQuotaWorld(holders, customers int) *quotaWorld {
+	w := &quotaWorld{
+		index:   make(map[quota.Party]int, holders),
+		granted: quota.Party{ID: packet.AgentIDOf("grantor"), Incarnation: 1},
+		size:    newCallSize("Quota.Send", &[]quota.Message{}, &struct{ OK bool }{true}),
+	}
+	var peers []quota.Peer
+	var infos []quota.HolderInfo
+	for i := range holders {
+		p := quota.Party{ID: slopeUpstream(i).ID, Incarnation: 1}
+		w.index[p] = i
+		w.parties = append(w.parties, p)
+		w.holders = append(w.holders, quota.NewHolder(quota.Config{}, benchService, p, slopeRand()))
+		peers = append(peers, quota.Peer{Party: p, Accepting: true})
+		infos = append(infos, quota.HolderInfo{Party: p, Accepting: true})
+	}
+	for _, h := range w.holders {
+		h.SetPeers(peers)
+	}
+	w.grantor = quota.NewGrantor(0, quota.Config{}, benchService, w.granted, 1, slopeRand())
+	w.grantor.SetHolders(0, infos)
+	w.grantor.SetLimits(slopeLimits(customers))
+	w.last = quota.Account{Customer: uint64(customers), Kind: quota.Connections}
+	return w
+}
+
+func slopeLimits(customers int) []quota.Amount {
+	var out []quota.Amount
+	for c := range customers {
+		for _, k := range []quota.Kind{quota.Connections, quota.Rate} {
+			out = append(out, quota.Amount{Account: quota.Account{Customer: uint64(c + 1), Kind: k}, Tokens: quotaTokens})
+		}
+	}
+	return out
+}
+
+// run steps all processes for a time.
+func (w *quotaWorld) run(d time.Duration) {
+	for end := w.now + d; w.now < end; w.now += quotaTick {
+		w.deliver(w.grantor.Step(w.now))
+		for _, h := range w.holders {
+			w.deliver(h.Step(w.now))
+		}
+	}
+}
+
+// deliver passes messages on until none is left. Messages of one step to the same
+// process share a call.
+func (w *quotaWorld) deliver(messages []quota.Message) {
+	for len(messages) > 0 {
+		var answers []quota.Message
+		calls := map[quota.Party][]quota.Message{}
+		for _, m := range messages {
+			calls[m.To] = append(calls[m.To], m)
+			answers = append(answers, w.handle(m)...)
+		}
+		for _, call := range calls {
+			w.bytes += w.size.bytes(&call, &struct{ OK bool }{true})
+		}
+		messages = answers
+	}
+}
+
+func (w *quotaWorld) handle(m quota.Message) []quota.Message {
+	if m.To == w.granted {
+		return w.grantor.Handle(w.now, m)
+	}
+	return w.holders[w.index[m.To]].Handle(w.now, m)
+}
+
+// issued returns a world in which all tokens have been issued and have arrived: a
+// batch of 200 amounts may leave in each step.
+func issued(holders, customers int) *quotaWorld {
+	w := newQuotaWorld(holders, customers)
+	for n, known := int32(0), false; !known || n != quotaTokens; n, known = w.grantor.Issued(w.last) {
+		w.run(time.Second)
+		if w.now > time.Hour {
+			panic("bench: the grantor does not issue its tokens")
+		}
+	}
+	w.run(10*time.Second + time.Duration(customers)*quotaTick/50)
+	return w
+}
+
+func holderMemory(m meter, n int) Point {
+	total := m.heap(func() any { return issued(quotaHolders, n).holders })
+	return Point{float64(n), total / quotaHolders}
+}
+
+func holderAdmit(m meter, n int) Point {
+	w := issued(1, n)
+	h := w.holders[0]
+	// A token of the limit of new connections is free again after about 1 s.
+	return Point{float64(n), m.cpu(func() { w.run(2 * time.Second) }, func() {
+		for c := range n {
+			if v := h.Admit(w.now, uint64(c+1), uint64(c)); v != quota.Admitted {
+				panic("bench: a holder with all tokens does not admit a flow")
+			}
+			h.Release(w.now, uint64(c+1))
+		}
+	})}
+}
+
+func holderStep(m meter, n int) Point {
+	const steps = 10000
+	w := issued(quotaHolders, n)
+	total := m.cpu(func() { w.run(time.Second) }, func() {
+		for range steps {
+			w.holders[0].Step(w.now)
+		}
+	})
+	return Point{float64(n), total / steps}
+}
+
+// needBytes counts the calls by which the last of 7 holders, three of which hold
+// each customer's tokens, gets those that it lacks.
+func needBytes(_ meter, n int) Point {
+	w := issued(quotaHolders, n)
+	h := w.holders[quotaHolders-1]
+	w.bytes = 0
+	asked := 0
+	for c := range n {
+		if held, _ := h.Held(quota.Account{Customer: uint64(c + 1), Kind: quota.Connections}); held == 0 {
+			asked++
+			h.Admit(w.now, uint64(c+1), uint64(c))
+		}
+	}
+	w.run(5 * time.Second)
+	for _, d := range h.Decisions() {
+		if d.Verdict != quota.Admitted {
+			panic("bench: a flow below its plan was refused")
+		}
+	}
+	return Point{float64(asked), float64(w.bytes)}
+}
+
+func renewBytes(_ meter, n int) Point {
+	const seconds = 120
+	w := issued(n, quotaCustomers)
+	w.bytes = 0
+	w.run(seconds * time.Second)
+	return Point{float64(n), float64(w.bytes) / seconds}
+}
+
+func grantorMemoryByCustomers(m meter, n int) Point { return grantorMemory(m, quotaHolders, n, n) }
+func grantorMemoryByHolders(m meter, n int) Point   { return grantorMemory(m, n, quotaCustomers, n) }
+
+func grantorMemory(m meter, holders, customers, units int) Point {
+	return Point{float64(units), m.heap(func() any { return issued(holders, customers).grantor })}
+}
+
+func grantorStepByCustomers(m meter, n int) Point { return grantorStep(m, quotaHolders, n, n) }
+func grantorStepByHolders(m meter, n int) Point   { return grantorStep(m, n, quotaCustomers, n) }
+
+func grantorStep(m meter, holders, customers, units int) Point {
+	const steps = 1000
+	w := issued(holders, customers)
+	total := m.cpu(func() {}, func() {
+		for range steps {
+			w.grantor.Step(w.now)
+		}
+	})
+	return Point{float64(units), total / steps}
+}
+
+func issueBytes(_ meter, n int) Point {
+	return Point{float64(n), float64(issued(quotaHolders, n).bytes)}
+}
--- /dev/null
+++ b/bench/slopes_reader.go
@@ -0,0 +1,255 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/daemon"
+	"github.com/nutmegtrack/nutmegtrack/fake"
+	"github.com/nutmegtrack/nutmegtrack/plan"
+	planedit "github.com/nutmegtrack/nutmegtrack/plan/edit"
+	"github.com/nutmegtrack/nutmegtrack/plan/fetch"
+	"github.com/nutmegtrack/nutmegtrack/store"
+)
+
+// slopePlans are the plans of the customers in slopeDocuments.
+const slopePlans = `{"plans": [
+  {"name": "gold", "services": {"impact-portal": {"connections": 100, "new_connections_per_second": 50, "requests": 10}}},
+  {"name": "basic", "services": {"impact-portal": {"connections": 10, "new_connections_per_second": 5, "requests": 1}}}
+]}
+`
+
+func readerGrowths() []growth {
+	customers := []int{100, 300, 1000, 3000, 10000}
+	changes := []int{1, 3, 10, 30, 100}
+	return []growth{
+		{"lists in force and their pages", Memory, "customer", customers, listsMemory},
+		{"validate and install a revision", CPU, "customer", customers, listsInstall},
+		{"fetch both lists from a peer", Wire, "customer", customers, listsBytes},
+		{"fetch an edit of one customer from a peer", Wire, "customer", customers, editBytes},
+		{"reader that follows edits by its watch, 100 customers", StoreCalls, "change", changes, readerCalls},
+		{"editor, 100 customers", StoreCalls, "change", changes, editorCalls},
+	}
+}
+
+// slopeDocuments returns lists with n customers, one a line. Customer i is on the
+// plan basic when i is below the given number.
+func slopeDocuments(n, basic int) plan.Documents {
+	var b bytes.Buffer
+	b.WriteString("{\"customers\": [\n")
+	for i := range n {
+		name := "gold"
+		if i < basic {
+			name = "basic"
+		}
+		fmt.Fprintf(&b, "  {\"name\": \"office-%05d\", \"plan\": %q, \"sources\": [\"10.%d.%d.0/24\", \"2001:db8:%x::/48\"]},\n",
+			i, name, i>>8, i&255, i)
+	}
+	b.WriteString("]}\n")
+	return plan.Documents{Customers: b.Bytes(), Plans: []byte(slopePlans)}
+}
+
+// revision returns the next head and the pages of lists with n customers.
+func revision(before plan.Head, n, basic int) (plan.Head, plan.Pages) {
+	id := fmt.Sprintf("%d-0123456789abcdef", before.Revision)
+	return before.Next(plan.Edit{ID: id, Author: "operator", Time: time.Unix(0, 0)}, slopeDocuments(n, basic))
+}
+
+func listsMemory(m meter, n int) Point {
+	return Point{float64(n), m.heap(func() any {
+		head, pages := revision(plan.Head{}, n, 0)
+		r := plan.NewReader(plan.ReaderConfig{}, slopeRand())
+		r.SetReadsStore(true)
+		offer(r, settled, head, pages)
+		return r
+	})}
+}
+
+func listsInstall(m meter, n int) Point {
+	head, pages := revision(plan.Head{}, n, 0)
+	return Point{float64(n), m.cpu(func() {}, func() {
+		var i plan.Installer
+		if err := i.Install(head, pages); err != nil {
+			panic(fmt.Sprintf("bench: lists are not valid: %v", err))
+		}
+	})}
+}
+
+// offer answers a reader's fetches from the store until the revision is active.
+func offer(r *plan.Reader, now time.Duration, head plan.Head, pages plan.Pages) {
+	for range 10 * (1 + len(pages)) {
+		for _, f := range r.Step(now) {
+			switch f.Kind {
+			case plan.FetchHead:
+				r.Done(now, f.ID, plan.Result{Head: head.Encode(), StoreRevision: head.Revision})
+			case plan.FetchPages:
+				r.Done(now, f.ID, plan.Result{Pages: pages})
+			}
+		}
+		if r.Status().Revision == head.Revision {
+			return
+		}
+		now += time.Second
+	}
+	panic("bench: a reader does not install the lists")
+}
+
+// follow lets a reader fetch the revision that a peer has, and returns the bytes.
+func follow(r, peer *plan.Reader, now time.Duration) int {
+	from := netip.MustParseAddrPort("10.0.0.1:7001")
+	heads := newCallSize("Lists.Head", &daemon.HeadArgs{}, &daemon.HeadReply{})
+	pages := newCallSize("Lists.Pages", &daemon.PagesArgs{}, &daemon.PagesReply{})
+	wanted, total := peer.Status().Revision, 0
+	r.Heard(now, from, wanted)
+	for range 10000 {
+		for _, f := range r.Step(now) {
+			if f.Kind == plan.FetchHead {
+				reply := daemon.HeadReply{Head: peer.Head()}
+				total += heads.bytes(&daemon.HeadArgs{}, &reply)
+				r.Done(now, f.ID, plan.Result{Head: reply.Head})
+				continue
+			}
+			reply := daemon.PagesReply{Pages: peer.Pages(f.Hashes)}
+			total += pages.bytes(&daemon.PagesArgs{Hashes: f.Hashes}, &reply)
+			r.Done(now, f.ID, plan.Result{Pages: reply.Pages})
+		}
+		if r.Status().Revision == wanted {
+			return total
+		}
+	}
+	panic("bench: a reader does not get the lists from a peer")
+}
+
+// slopePeers returns a reader that has lists with n customers, and one that has
+// none.
+func slopePeers(n int) (source, other *plan.Reader, head plan.Head) {
+	source = plan.NewReader(plan.ReaderConfig{}, slopeRand())
+	source.SetReadsStore(true)
+	head, pages := revision(plan.Head{}, n, 0)
+	offer(source, 0, head, pages)
+	return source, plan.NewReader(plan.ReaderConfig{}, slopeRand()), head
+}
+
+func listsBytes(_ meter, n int) Point {
+	source, other, _ := slopePeers(n)
+	return Point{float64(n), float64(follow(other, source, settled))}
+}
+
+func editBytes(_ meter, n int) Point {
+	source, other, head := slopePeers(n)
+	follow(other, source, settled)
+	next, pages := revision(head, n, 1)
+	offer(source, 2*settled, next, pages)
+	return Point{float64(n), float64(follow(other, source, 3*settled))}
+}
+
+// storeWorld is a store with an editor and one reader.
+type storeWorld struct {
+	now     time.Duration
+	store   *fake.Store
+	calls   int
+	reader  *plan.Reader
+	watch   <-chan store.WatchEvent
+	watchID uint64
+	cancel  context.CancelFunc
+	edited  int // calls of the editor
+	edits   int
+}
+
+func newStoreWorld() *storeWorld {
+	w := &storeWorld{cancel: func() {}, reader: plan.NewReader(plan.ReaderConfig{}, slopeRand())}
+	w.store = fake.NewStore(func() time.Duration { return w.now })
+	w.store.Before = func(fake.Call) error { w.calls++; return nil }
+	w.reader.SetReadsStore(true)
+	w.edit()
+	w.read(time.Second)
+	w.calls, w.edited = 0, 0
+	return w
+}
+
+// edit puts one more customer on another plan.
+func (w *storeWorld) edit() {
+	before := w.calls
+	editor := planedit.New(planedit.Config{
+		Store: w.store, Author: "operator", Wait: func(context.Context) {},
+		Now:   func() time.Time { return time.Unix(0, 0) },
+		NewID: func() string { return fmt.Sprint(w.edits) },
+	})
+	base, err := editor.Read(context.Background())
+	if err == nil {
+		_, err = editor.Apply(context.Background(), base, func(plan.Documents) (plan.Documents, error) {
+			return slopeDocuments(100, w.edits), nil
+		})
+	}
+	if err != nil {
+		panic(fmt.Sprintf("bench: edit failed: %v", err))
+	}
+	w.edits++
+	w.edited += w.calls - before
+}
+
+// read steps the reader for a time.
+func (w *storeWorld) read(d time.Duration) {
+	for end := w.now + d; w.now < end; w.now += memberTick {
+		w.takeEvents()
+		for fetches := w.reader.Step(w.now); len(fetches) > 0; fetches = w.reader.Step(w.now) {
+			for _, f := range fetches {
+				w.do(f)
+			}
+		}
+	}
+}
+
+func (w *storeWorld) do(f plan.Fetch) {
+	switch f.Kind {
+	case plan.StopWatch:
+		w.cancel()
+		w.watch = nil
+	case plan.WatchHead:
+		ctx, cancel := context.WithCancel(context.Background())
+		events, err := w.store.Watch(ctx, plan.HeadKey, f.From)
+		if err != nil {
+			panic(fmt.Sprintf("bench: watch failed: %v", err))
+		}
+		w.watch, w.watchID, w.cancel = events, f.ID, cancel
+	default:
+		w.reader.Done(w.now, f.ID, fetch.FromStore(context.Background(), w.store, f))
+	}
+}
+
+func (w *storeWorld) takeEvents() {
+	for {
+		select {
+		case event := <-w.watch:
+			for _, e := range event.Events {
+				w.reader.WatchEvent(w.now, w.watchID, e.KV.Value)
+			}
+		default:
+			return
+		}
+	}
+}
+
+// editAndRead makes edits, which the reader follows, 1 s apart.
+func editAndRead(n int) *storeWorld {
+	w := newStoreWorld()
+	defer w.cancel()
+	for range n {
+		w.edit()
+		w.read(time.Second)
+	}
+	if got := w.reader.Status().Revision; got != int64(w.edits) {
+		panic(fmt.Sprintf("bench: the reader has revision %d of %d", got, w.edits))
+	}
+	return w
+}
+
+func readerCalls(_ meter, n int) Point {
+	w := editAndRead(n)
+	return Point{float64(n), float64(w.calls - w.edited)}
+}
+
+func editorCalls(_ meter, n int) Point { return Point{float64(n), float64(editAndRead(n).edited)} }
--- /dev/null
+++ b/bench/slopes_test.go
@@ -0,0 +1,91 @@
+package bench
+
+import (
+	"math/rand/v2"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// pointsOn returns points on a line, each value changed by up to the given share.
+func pointsOn(slope, intercept, noise float64) []Point {
+	rng := rand.New(rand.NewPCG(7, 7))
+	var out []Point
+	for units := 1.0; units <= 1000; units *= 2 {
+		value := (slope*units + intercept) * (1 + noise*(2*rng.Float64()-1))
+		out = append(out, Point{Units: units, Value: value})
+	}
+	return out
+}
+
+var _ = Describe("FitLine", func() {
+	// Guards against a fit that mixes up slope and intercept, or weighs points twice.
+	It("finds a known line", func() {
+		l := FitLine(pointsOn(3, 40, 0))
+		Expect(l.Slope).To(BeNumerically("~", 3, 1e-9))
+		Expect(l.Intercept).To(BeNumerically("~", 40, 1e-9))
+		Expect(l.FitError).To(BeNumerically("~", 0, 1e-9))
+	})
+
+	// Guards against a measurement that looks exact although its points scatter.
+	It("reports noise as error", func() {
+		small, large := FitLine(pointsOn(3, 40, 0.05)), FitLine(pointsOn(3, 40, 0.5))
+		Expect(small.FitError).To(BeNumerically(">", 0.001))
+		Expect(small.FitError).To(BeNumerically("<", 0.1))
+		Expect(large.FitError).To(BeNumerically(">", 5*small.FitError))
+	})
+
+	// Guards against a cost that does not grow linearly being reported as a line.
+	It("reports a curve as error", func() {
+		var points []Point
+		for units := 1.0; units <= 1000; units *= 10 {
+			points = append(points, Point{Units: units, Value: units * units})
+		}
+		Expect(FitLine(points).FitError).To(BeNumerically(">", 0.05))
+	})
+
+	// Guards against a division by zero where nothing is sent.
+	It("has no error for a cost that is always zero", func() {
+		Expect(FitLine([]Point{{1, 0}, {10, 0}, {100, 0}, {1000, 0}})).To(Equal(Line{}))
+	})
+})
+
+var _ = Describe("RunSlopes", Ordered, func() {
+	slopes := map[string][]Slope{}
+	BeforeAll(func() {
+		RunSlopes(1, func(s Slope) { slopes[s.Role] = append(slopes[s.Role], s) })
+	})
+
+	// Guards against a role whose cost at the target's size is not measured.
+	It("covers every role", func() {
+		Expect(SlopeRoles).To(HaveLen(8))
+		for _, role := range SlopeRoles {
+			seen := map[Quantity]bool{}
+			for _, s := range slopes[role] {
+				seen[s.Quantity] = true
+			}
+			Expect(seen).To(HaveKey(CPU), role)
+			Expect(seen).To(HaveKey(Memory), role)
+		}
+		Expect(slopes).To(HaveLen(len(SlopeRoles)))
+	})
+
+	// Guards against a line through points too few or too close to show a curve.
+	It("takes at least four points over two orders of magnitude", func() {
+		for _, list := range slopes {
+			for _, s := range list {
+				Expect(len(s.Points)).To(BeNumerically(">=", 4), s.Operation)
+				first, last := s.Points[0].Units, s.Points[len(s.Points)-1].Units
+				Expect(last/first).To(BeNumerically(">=", 100), s.Operation)
+			}
+		}
+	})
+
+	// Guards against bytes that are counted from estimates or in map order.
+	It("counts the same bytes and calls in every run", func() {
+		for _, g := range []growth{memberGrowths()[6], announcerGrowths()[2], collectorGrowths()[0], readerGrowths()[4]} {
+			Expect(g.quantity).To(Or(Equal(Wire), Equal(StoreCalls)), g.operation)
+			Expect(g.at(meter{}, g.sizes[1])).To(Equal(g.at(meter{}, g.sizes[1])), g.operation)
+		}
+	})
+})
--- a/cmd/nutmegtrack/bench.go
+++ b/cmd/nutmegtrack/bench.go
@@ -15,6 +15,7 @@
 var benchmarks = []func() command{
 	newBenchFlows,
 	newBenchLimits,
+	newBenchSlopes,
 }
 
 // newBenchCommand returns the subcommand "bench" with its own subcommands.
