Add package request: slots, permits at two registrars, outcomes

Change: Gate, Registrar, Claims, Attempts and Node, pure and stepped. A claim names the pair of registrars in the claimer's view, and a registrar whose pair has changed grants only after every running agent has adopted the same view and sent its records. An attempt that gives claims back goes on under a new round, so that a late release never takes away a later claim.

--- /dev/null
+++ b/request/attempts_test.go
@@ -0,0 +1,47 @@
+package request
+
+import (
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = ginkgo.Describe("Attempts", func() {
+	id := AttemptID{Number: 1, Agent: 1, Incarnation: 1}
+	key, other := KeyOf("s", "c", "k"), KeyOf("s", "ck", "")
+	find := func(t *Attempts) Message {
+		return t.Find(Message{Key: key, Other: id}, process(0))
+	}
+
+	ginkgo.It("drops and counts late and crossed answers", func() {
+		// Guards against a caller that receives the answer of another request.
+		t := NewAttempts(AttemptsConfig{})
+		t.Open(id, key)
+		Expect(t.End(0, id, other, Done, ReasonNone, &Answer{})).To(BeFalse())
+		Expect(t.End(0, id, key, Done, ReasonNone, &Answer{Status: 200})).To(BeTrue())
+		Expect(t.End(0, id, key, Done, ReasonNone, &Answer{Status: 500})).To(BeFalse())
+		Expect([]uint64{t.Crossed, t.Late}).To(Equal([]uint64{1, 1}))
+		Expect(find(t).Answer.Status).To(Equal(200))
+		Expect(t.Find(Message{Key: other, Other: id}, process(0)).Outcome).To(Equal(Unknown))
+	})
+
+	ginkgo.It("keeps small answers for the retention time and large ones without body", func() {
+		// Guards against memory that grows with the size of the answers.
+		t := NewAttempts(AttemptsConfig{MaxBodyBytes: 2, Retention: time.Minute})
+		t.Open(id, key)
+		Expect(find(t).Verdict).To(Equal(Pending))
+		t.End(0, id, key, Done, ReasonNone, &Answer{Body: []byte("abc")})
+		Expect(find(t).Answer).To(Equal(&Answer{TooLong: true}))
+		t.Step(time.Minute)
+		Expect(find(t).Outcome).To(Equal(Unknown))
+	})
+
+	ginkgo.It("stops when a request is told not run after a byte reached the upstream", func() {
+		// Guards against a wrong "not run", after which a caller would run it again.
+		t := NewAttempts(AttemptsConfig{})
+		t.Open(id, key)
+		t.Sent(id)
+		Expect(func() { t.End(0, id, key, NotRun, ReasonCanceled, nil) }).To(PanicWith(ContainSubstring("not run after a byte")))
+	})
+})
--- /dev/null
+++ b/request/claims.go
@@ -0,0 +1,373 @@
+package request
+
+import (
+	"slices"
+	"time"
+)
+
+// ClaimsConfig holds the parameters of Claims. Zero fields take the default.
+type ClaimsConfig struct {
+	// Resend is the time after which a claim without both grants is sent again; it
+	// doubles with each try up to MaxResend. Default 25 ms.
+	Resend time.Duration
+	// MaxResend defaults to 400 ms.
+	MaxResend time.Duration
+	// GrantLife is how long after a claim was sent its grant allows the start. It
+	// must be well below the registrars' retention time; default 5 min.
+	GrantLife time.Duration
+	// Refresh is the interval at which the claims of running attempts are renewed;
+	// default 5 min.
+	Refresh time.Duration
+	// FindInterval is the time between two questions to the agent of another attempt
+	// that holds the key; default 200 ms.
+	FindInterval time.Duration
+	// Single, when set, is asked for all keys in place of two registrars. It is the
+	// baseline of a permit kept in one place.
+	Single Process
+}
+
+func (c ClaimsConfig) withDefaults() ClaimsConfig {
+	if c.Resend == 0 {
+		c.Resend = 25 * time.Millisecond
+	}
+	if c.MaxResend == 0 {
+		c.MaxResend = 400 * time.Millisecond
+	}
+	if c.GrantLife == 0 {
+		c.GrantLife = 5 * time.Minute
+	}
+	if c.Refresh == 0 {
+		c.Refresh = 5 * time.Minute
+	}
+	if c.FindInterval == 0 {
+		c.FindInterval = 200 * time.Millisecond
+	}
+	return c
+}
+
+// stalledTries is the number of intervals without an answer after which a request
+// leaves the queue until it has both grants.
+const stalledTries = 2
+
+// Claims asks for the permits of this agent's attempts.
+type Claims struct {
+	cfg   ClaimsConfig
+	self  Process
+	view  *view
+	table map[AttemptID]*claim // by the name without its round
+	order []AttemptID          // of table, so that steps do not depend on map order
+	out   []Message
+	found []Found
+
+	// Late counts replies for claims that have ended.
+	Late uint64
+}
+
+// Found says that another attempt holds the key and how it ended.
+type Found struct {
+	Attempt AttemptID // of this agent
+	Outcome Outcome
+	Reason  Reason
+	Answer  *Answer
+}
+
+type claim struct {
+	key     Key
+	pair    Pair
+	round   uint32
+	granted [2]bool
+	lost    [2]bool       // held at the registrar by an attempt whose agent is gone
+	lostTo  AttemptID     // that attempt
+	first   time.Duration // when the oldest message of the present grants was sent
+	sent    time.Duration
+	tries   int
+	refused bool      // by a registrar that cannot decide at present
+	holder  AttemptID // another attempt that holds the key; zero when none is known
+	yielded bool      // waits for the holder and claims nothing
+	running bool
+}
+
+// NewClaims returns an empty table.
+func NewClaims(cfg ClaimsConfig, self Process) *Claims {
+	return &Claims{cfg: cfg.withDefaults(), self: self, view: newView(nil), table: make(map[AttemptID]*claim)}
+}
+
+// SetMembers adopts a membership. Grants of another pair are worth nothing, so
+// attempts that do not run yet claim again.
+func (c *Claims) SetMembers(now time.Duration, members []Member) {
+	v := newView(members)
+	if v.hash == c.view.hash {
+		return
+	}
+	c.view = v
+	for _, id := range c.order {
+		a := c.table[id]
+		if p := c.pair(a.key); p != a.pair && !a.running {
+			if !a.yielded {
+				c.release(id, a)
+			}
+			c.restart(now, id, a)
+		}
+	}
+}
+
+// Start claims the key for an attempt.
+func (c *Claims) Start(now time.Duration, id AttemptID, k Key) {
+	a := &claim{key: k}
+	c.table[id] = a
+	c.order = append(c.order, id)
+	c.restart(now, id, a)
+}
+
+func (c *Claims) pair(k Key) Pair {
+	if c.cfg.Single != (Process{}) {
+		return Pair{c.cfg.Single, c.cfg.Single}
+	}
+	return c.view.pair(k)
+}
+
+func (c *Claims) restart(now time.Duration, id AttemptID, a *claim) {
+	a.pair, a.first, a.tries, a.lost = c.pair(a.key), now, 0, [2]bool{}
+	if !a.yielded {
+		c.ask(now, id, a)
+	}
+}
+
+// ask sends the claim to the registrars that have not granted it.
+func (c *Claims) ask(now time.Duration, id AttemptID, a *claim) {
+	a.sent = now
+	a.tries++
+	for i, to := range a.pair {
+		if a.granted[i] || to == (Process{}) || i == 1 && a.pair[0] == to {
+			continue
+		}
+		c.out = append(c.out, Message{Kind: KindClaim, From: c.self, To: to, Key: a.key, Attempt: a.name(id), Pair: a.pair, Holding: a.running})
+	}
+}
+
+func (a *claim) name(id AttemptID) AttemptID {
+	id.Round = a.round
+	return id
+}
+
+// Ready reports whether an attempt holds both grants and may start.
+func (c *Claims) Ready(now time.Duration, id AttemptID) bool {
+	a := c.table[id]
+	return a != nil && a.holds() && now-a.first < c.cfg.GrantLife
+}
+
+// Contested reports whether another attempt holds the key.
+func (c *Claims) Contested(id AttemptID) bool {
+	a := c.table[id]
+	return a != nil && a.holder != (AttemptID{})
+}
+
+// Stalled reports whether an attempt does not hold both grants because a registrar
+// cannot decide or does not answer.
+func (c *Claims) Stalled(now time.Duration, id AttemptID) bool {
+	a := c.table[id]
+	return a != nil && !a.holds() && (a.refused || now-a.first > stalledTries*c.cfg.Resend)
+}
+
+func (a *claim) holds() bool { return a.granted[0] && a.granted[1] }
+
+// Run notes that an attempt starts.
+func (c *Claims) Run(now time.Duration, id AttemptID) {
+	check(c.Ready(now, id), "attempt %v starts without both grants", id)
+	a := c.table[id]
+	a.running, a.sent = true, now
+}
+
+// End forgets an attempt. One that did not run gives its claims back.
+func (c *Claims) End(id AttemptID) {
+	a := c.table[id]
+	if a == nil {
+		return
+	}
+	if !a.running && !a.yielded {
+		c.release(id, a)
+	}
+	delete(c.table, id)
+	c.order = slices.DeleteFunc(c.order, func(x AttemptID) bool { return x == id })
+}
+
+// release gives the claims of a round back, also those whose grant may still be on
+// its way. The attempt never runs by that round.
+func (c *Claims) release(id AttemptID, a *claim) {
+	check(!a.running, "attempt %v is released while it runs", id)
+	c.sendRelease(a.name(id), a)
+	a.round++
+	a.granted = [2]bool{}
+}
+
+func (c *Claims) sendRelease(name AttemptID, a *claim) {
+	for i, to := range a.pair {
+		if to != (Process{}) && (i == 0 || to != a.pair[0]) {
+			c.out = append(c.out, Message{Kind: KindRelease, From: c.self, To: to, Key: a.key, Attempt: name})
+		}
+	}
+}
+
+// Reply takes a registrar's answer.
+func (c *Claims) Reply(now time.Duration, m Message) {
+	id := m.Attempt.first()
+	a := c.table[id]
+	if a == nil || a.key != m.Key || m.Pair != a.pair || m.Attempt.Round != a.round || a.yielded {
+		c.Late++
+		return
+	}
+	if a.running {
+		return // a renewed claim
+	}
+	switch m.Verdict {
+	case Granted:
+		for i, p := range a.pair {
+			a.granted[i] = a.granted[i] || p == m.From
+		}
+		a.refused = a.refused && !a.holds()
+		c.dropLost(now, id, a)
+	case Refused:
+		a.refused = true
+	case Held:
+		c.held(now, id, a, m.From, m.Other)
+	}
+}
+
+// held resolves a conflict: the attempt with the lower number keeps its claims, the
+// other gives them back and waits for the outcome of the first.
+func (c *Claims) held(now time.Duration, id AttemptID, a *claim, from Process, holder AttemptID) {
+	if holder.first() == id {
+		// An earlier round whose release was lost.
+		c.sendRelease(holder, a)
+		return
+	}
+	if c.gone(holder) {
+		for i, p := range a.pair {
+			a.lost[i] = a.lost[i] || p == from
+		}
+		a.lostTo = holder
+		c.dropLost(now, id, a)
+		return
+	}
+	a.holder = holder
+	if holder.Compare(id) < 0 {
+		a.yielded = true
+		c.release(id, a)
+	}
+	c.find(now, id, a)
+}
+
+// gone reports whether the agent of an attempt no longer runs.
+func (c *Claims) gone(x AttemptID) bool {
+	p := Process{x.Agent, x.Incarnation}
+	return p != c.self && !c.view.holds(p.ID, p.Incarnation)
+}
+
+// dropLost decides on an attempt whose agent is gone. When it holds the key at one
+// registrar and this attempt at the other, it never had both grants and never will,
+// so its claim is released. When it holds the key at both, it may have run.
+func (c *Claims) dropLost(now time.Duration, id AttemptID, a *claim) {
+	if a.lost[0] && a.lost[1] {
+		c.found = append(c.found, Found{Attempt: id, Outcome: Unknown, Reason: ReasonAttemptLost})
+		return
+	}
+	if !a.lost[0] && !a.lost[1] || !a.granted[0] && !a.granted[1] {
+		return
+	}
+	a.lost = [2]bool{}
+	c.sendRelease(a.lostTo, a)
+	c.ask(now, id, a)
+}
+
+// find asks the holder's agent what became of it.
+func (c *Claims) find(now time.Duration, id AttemptID, a *claim) {
+	a.sent = now
+	if c.gone(a.holder) {
+		// The registrars tell whether it may have run.
+		a.holder, a.yielded = AttemptID{}, false
+		c.restart(now, id, a)
+		return
+	}
+	to := Process{a.holder.Agent, a.holder.Incarnation}
+	c.out = append(c.out, Message{Kind: KindFind, From: c.self, To: to, Key: a.key, Attempt: a.name(id), Other: a.holder,
+		Holding: !a.yielded && (a.granted[0] || a.granted[1])})
+}
+
+// Yields reports whether an attempt must give up for the one that asks for it: it
+// has not both grants, and the other holds one and has the lower number.
+func (c *Claims) Yields(m Message) bool {
+	a := c.table[m.Other.first()]
+	return a != nil && !a.running && !a.holds() && !a.yielded && m.Holding && m.Attempt.Compare(m.Other) < 0
+}
+
+// Past reports whether the name is of an earlier round of an attempt that goes on:
+// that round never runs.
+func (c *Claims) Past(name AttemptID) bool {
+	a := c.table[name.first()]
+	return a != nil && name.Round < a.round
+}
+
+// Yield gives the claims of an attempt back in favour of another one.
+func (c *Claims) Yield(now time.Duration, id, winner AttemptID) {
+	if a := c.table[id.first()]; a != nil {
+		c.held(now, id.first(), a, c.self, winner)
+	}
+}
+
+// FindReply takes the answer of the holder's agent.
+func (c *Claims) FindReply(now time.Duration, m Message) {
+	id := m.Attempt.first()
+	a := c.table[id]
+	if a == nil || a.key != m.Key || a.holder != m.Other || a.running {
+		c.Late++
+		return
+	}
+	if m.Verdict != Ended {
+		return
+	}
+	if m.Outcome != NotRun {
+		c.found = append(c.found, Found{Attempt: id, Outcome: m.Outcome, Reason: m.Reason, Answer: m.Answer})
+		return
+	}
+	// The holder never ran and never will: release it everywhere and claim again.
+	c.sendRelease(a.holder, a)
+	a.holder, a.yielded = AttemptID{}, false
+	c.restart(now, id, a)
+}
+
+// Step sends again what was not answered.
+func (c *Claims) Step(now time.Duration) {
+	for _, id := range c.order {
+		a := c.table[id]
+		switch {
+		case a.running:
+			if now-a.sent >= c.cfg.Refresh {
+				a.pair, a.granted = c.pair(a.key), [2]bool{}
+				c.ask(now, id, a)
+			}
+		case now-a.sent < c.wait(a):
+		case a.holder != (AttemptID{}):
+			if now-a.sent >= c.cfg.FindInterval {
+				c.find(now, id, a)
+			}
+		case a.holds() && now-a.first < c.cfg.GrantLife:
+		default:
+			if now-a.first >= c.cfg.GrantLife {
+				a.granted, a.first = [2]bool{}, now
+			}
+			c.ask(now, id, a)
+		}
+	}
+}
+
+// wait is the time until a claim is sent again.
+func (c *Claims) wait(a *claim) time.Duration {
+	return min(c.cfg.Resend<<min(max(a.tries-1, 0), 10), c.cfg.MaxResend)
+}
+
+// Take returns the messages and findings since the last call.
+func (c *Claims) Take() ([]Message, []Found) {
+	out, found := c.out, c.found
+	c.out, c.found = nil, nil
+	return out, found
+}
--- /dev/null
+++ b/request/gate.go
@@ -0,0 +1,248 @@
+package request
+
+import (
+	"slices"
+	"time"
+)
+
+// Ticket names a request within one agent.
+type Ticket uint64
+
+// Share is what a plan may use of the slots.
+type Share struct {
+	Minimum int     // slots that other plans leave free for it
+	Weight  float64 // share of the other slots; default 1
+}
+
+// GateConfig holds the parameters of a gate. Zero fields take the default.
+type GateConfig struct {
+	Slots int // requests that the upstream runs at once; default 5
+	Queue int // requests that wait; default 16
+	// Reserve is the number of places in the queue for retries of callers that do not
+	// know whether an earlier attempt ran; default 8. Without it an overload turns each
+	// answer that was lost into an unknown outcome.
+	Reserve int
+	// MaxWait is the longest time in the queue; default 1 s. A caller then learns that
+	// its request was not run before it takes the agent for dead.
+	MaxWait time.Duration
+	Shares  map[string]Share // by plan; a plan that is absent has no minimum
+}
+
+func (c GateConfig) withDefaults() GateConfig {
+	if c.Slots == 0 {
+		c.Slots = 5
+	}
+	if c.Queue == 0 {
+		c.Queue = 16
+	}
+	if c.Reserve == 0 {
+		c.Reserve = 8
+	}
+	if c.MaxWait == 0 {
+		c.MaxWait = time.Second
+	}
+	return c
+}
+
+// Gate starts requests in free slots.
+type Gate struct {
+	cfg     GateConfig
+	queue   []queued // by deadline, then by arrival
+	running map[Ticket]running
+	used    map[string]int // slots by plan
+	plans   []string       // of cfg.Shares, ordered
+	times   serviceTimes
+}
+
+type queued struct {
+	ticket   Ticket
+	plan     string
+	deadline time.Duration
+	since    time.Duration
+}
+
+type running struct {
+	plan  string
+	since time.Duration
+}
+
+// NewGate returns a gate with all slots free.
+func NewGate(cfg GateConfig) *Gate {
+	g := &Gate{cfg: cfg.withDefaults(), running: make(map[Ticket]running), used: make(map[string]int)}
+	for plan := range g.cfg.Shares {
+		g.plans = append(g.plans, plan)
+	}
+	slices.Sort(g.plans)
+	return g
+}
+
+// Offer queues a request, or returns why it is refused.
+func (g *Gate) Offer(now time.Duration, t Ticket, r Request) Reason {
+	plan, deadline, places := r.Plan, r.Deadline, g.cfg.Queue
+	if r.Retry {
+		places += g.cfg.Reserve
+	}
+	ahead := g.position(deadline)
+	switch {
+	case deadline <= now:
+		return ReasonDeadline
+	case len(g.queue) >= places:
+		return ReasonQueueFull
+	case deadline < g.expectedStart(now, ahead)+g.median():
+		return ReasonTooLate
+	}
+	g.queue = slices.Insert(g.queue, ahead, queued{ticket: t, plan: plan, deadline: deadline, since: now})
+	return ReasonNone
+}
+
+func (g *Gate) position(deadline time.Duration) int {
+	for i, q := range g.queue {
+		if q.deadline > deadline {
+			return i
+		}
+	}
+	return len(g.queue)
+}
+
+func (g *Gate) expectedStart(now time.Duration, ahead int) time.Duration {
+	waves := ahead + len(g.running) - g.cfg.Slots + 1
+	if waves <= 0 {
+		return now
+	}
+	return now + time.Duration(waves)*g.median()/time.Duration(g.cfg.Slots)
+}
+
+// median is the median service time, or zero while nothing runs: without a request
+// that runs, no sample would ever correct an estimate that refuses all.
+func (g *Gate) median() time.Duration {
+	if len(g.running) == 0 {
+		return 0
+	}
+	return g.times.median()
+}
+
+// Restore queues a request that was removed, also when the queue is full.
+func (g *Gate) Restore(now time.Duration, t Ticket, plan string, deadline time.Duration) {
+	g.queue = slices.Insert(g.queue, g.position(deadline), queued{ticket: t, plan: plan, deadline: deadline, since: now})
+}
+
+// Late reports whether a request that started now would probably be cut at its
+// deadline. It uses the longest of the last service times: with the median, half of
+// the requests that start at the limit would be cut and their outcome be unknown.
+func (g *Gate) Late(now, deadline time.Duration) bool {
+	if len(g.running) == 0 {
+		return deadline <= now
+	}
+	return deadline <= now+g.times.longest()
+}
+
+// Expired removes the queued requests that can no longer finish in time.
+func (g *Gate) Expired(now time.Duration) (out []Ticket) {
+	g.queue = slices.DeleteFunc(g.queue, func(q queued) bool {
+		late := g.Late(now, q.deadline) || now-q.since >= g.cfg.MaxWait
+		if late {
+			out = append(out, q.ticket)
+		}
+		return late
+	})
+	return out
+}
+
+// Each calls f for the queued requests in their order until it returns false.
+func (g *Gate) Each(f func(Ticket) bool) {
+	for _, q := range g.queue {
+		if !f(q.ticket) {
+			return
+		}
+	}
+}
+
+// Next starts the queued request whose turn it is among those that are ready.
+func (g *Gate) Next(now time.Duration, ready func(Ticket) bool) (Ticket, bool) {
+	if len(g.running) >= g.cfg.Slots {
+		return 0, false
+	}
+	best := -1
+	for i, q := range g.queue {
+		if g.mayUse(q.plan) && (best < 0 || g.before(q.plan, g.queue[best].plan)) && ready(q.ticket) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return 0, false
+	}
+	q := g.queue[best]
+	g.queue = slices.Delete(g.queue, best, best+1)
+	g.start(now, q)
+	return q.ticket, true
+}
+
+func (g *Gate) start(now time.Duration, q queued) {
+	g.running[q.ticket] = running{plan: q.plan, since: now}
+	g.used[q.plan]++
+	check(len(g.running) <= g.cfg.Slots, "%d requests in %d slots", len(g.running), g.cfg.Slots)
+}
+
+// mayUse reports whether the plan may take a slot: above its own minimum it leaves
+// the unused minimum of the others free.
+func (g *Gate) mayUse(plan string) bool {
+	if g.used[plan] < g.cfg.Shares[plan].Minimum {
+		return true
+	}
+	free := g.cfg.Slots - len(g.running)
+	for _, other := range g.plans {
+		if other != plan {
+			free -= max(0, g.cfg.Shares[other].Minimum-g.used[other])
+		}
+	}
+	return free > 0
+}
+
+// before reports whether plan a is served before plan b: plans below their minimum
+// first, then the one that uses least for its weight.
+func (g *Gate) before(a, b string) bool {
+	lowA, lowB := g.used[a] < g.cfg.Shares[a].Minimum, g.used[b] < g.cfg.Shares[b].Minimum
+	if lowA != lowB {
+		return lowA
+	}
+	return float64(g.used[a])/g.weight(a) < float64(g.used[b])/g.weight(b)
+}
+
+func (g *Gate) weight(plan string) float64 {
+	if w := g.cfg.Shares[plan].Weight; w > 0 {
+		return w
+	}
+	return 1
+}
+
+// Remove takes a request out of the queue.
+func (g *Gate) Remove(t Ticket) bool {
+	i := slices.IndexFunc(g.queue, func(q queued) bool { return q.ticket == t })
+	if i < 0 {
+		return false
+	}
+	g.queue = slices.Delete(g.queue, i, i+1)
+	return true
+}
+
+// Free frees the slot of a request that the upstream has let go of.
+func (g *Gate) Free(now time.Duration, t Ticket) {
+	r, found := g.running[t]
+	if !found {
+		return
+	}
+	delete(g.running, t)
+	g.used[r.plan]--
+	g.times.add(now - r.since)
+}
+
+// Running returns the number of slots in use.
+func (g *Gate) Running() int { return len(g.running) }
+
+// Queued returns the number of requests that wait.
+func (g *Gate) Queued() int { return len(g.queue) }
+
+// Delay is the time after which a refused caller may try again.
+func (g *Gate) Delay() time.Duration {
+	return time.Duration(len(g.queue)+1) * g.times.median() / time.Duration(g.cfg.Slots)
+}
--- /dev/null
+++ b/request/members.go
@@ -0,0 +1,125 @@
+package request
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/nutmegtrack/nutmegtrack/packet"
+)
+
+// Member is one running agent of the service.
+type Member struct {
+	ID            packet.AgentID
+	Incarnation   uint64
+	FailureDomain string
+	// Registrar members are ranked for keys. Starting and draining agents are not,
+	// but are asked for their records.
+	Registrar bool
+}
+
+// view is one membership. It is never changed after it is made.
+type view struct {
+	Members []Member // ordered by ID
+	hash    uint64
+}
+
+func newView(members []Member) *view {
+	v := &view{Members: slices.Clone(members)}
+	slices.SortFunc(v.Members, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	for _, m := range v.Members {
+		state := uint64(0)
+		if m.Registrar {
+			state = 1
+		}
+		v.hash = mix(v.hash ^ mix(uint64(m.ID)<<1|state))
+		v.hash = mix(v.hash ^ m.Incarnation)
+	}
+	return v
+}
+
+// holds reports whether the very process is in the view.
+func (v *view) holds(id packet.AgentID, incarnation uint64) bool {
+	m, found := v.find(id)
+	return found && m.Incarnation == incarnation
+}
+
+func (v *view) find(id packet.AgentID) (Member, bool) {
+	i, found := slices.BinarySearchFunc(v.Members, id, func(m Member, id packet.AgentID) int { return cmp.Compare(m.ID, id) })
+	if !found {
+		return Member{}, false
+	}
+	return v.Members[i], true
+}
+
+// Process is one run of an agent.
+type Process struct {
+	ID          packet.AgentID
+	Incarnation uint64
+}
+
+// Pair holds the registrars of a key: the first-ranked agent and the highest-ranked
+// one of another failure domain. Both are equal when the service has one agent; the
+// zero value means that there are none.
+type Pair [2]Process
+
+// Has reports whether a process is one of the pair.
+func (p Pair) Has(x Process) bool { return p[0] == x || p[1] == x }
+
+// pair ranks the members for a key. Without an agent in a second failure domain the
+// second registrar is the next one in the same domain.
+func (v *view) pair(k Key) Pair {
+	var first, other, same ranked
+	h := k.hash()
+	for i := range v.Members {
+		if m := &v.Members[i]; m.Registrar {
+			first = first.max(ranked{member: m, score: mix(h ^ mix(uint64(m.ID)*0x9e3779b97f4a7c15))})
+		}
+	}
+	if first.member == nil {
+		return Pair{}
+	}
+	for i := range v.Members {
+		m := &v.Members[i]
+		if !m.Registrar || m == first.member {
+			continue
+		}
+		r := ranked{member: m, score: mix(h ^ mix(uint64(m.ID)*0x9e3779b97f4a7c15))}
+		same = same.max(r)
+		if m.FailureDomain != first.member.FailureDomain {
+			other = other.max(r)
+		}
+	}
+	second := first
+	if other.member != nil {
+		second = other
+	} else if same.member != nil {
+		second = same
+	}
+	return Pair{first.process(), second.process()}
+}
+
+type ranked struct {
+	member *Member
+	score  uint64
+}
+
+func (r ranked) max(o ranked) ranked {
+	if r.member == nil || o.score > r.score {
+		return o
+	}
+	return r
+}
+
+func (r ranked) process() Process {
+	return Process{ID: r.member.ID, Incarnation: r.member.Incarnation}
+}
+
+// mix is a bijective 64-bit finalizer that spreads every input bit.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	x ^= x >> 33
+	return x
+}
--- /dev/null
+++ b/request/node_test.go
@@ -0,0 +1,268 @@
+package request
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+// cluster is a set of nodes whose messages are lost, doubled and reordered as rapid
+// draws it.
+type cluster struct {
+	t     *rapid.T
+	now   time.Duration
+	nodes map[int]*Node
+	wire  []Message
+	runs  map[Key]int
+	told  map[attemptKey]Outcome
+	sent  map[attemptKey]bool
+	keys  map[attemptKey]Key
+}
+
+type attemptKey struct {
+	node   *Node
+	ticket Ticket
+}
+
+func newCluster(t *rapid.T) *cluster {
+	c := &cluster{t: t, nodes: make(map[int]*Node), runs: make(map[Key]int), told: make(map[attemptKey]Outcome),
+		sent: make(map[attemptKey]bool), keys: make(map[attemptKey]Key)}
+	for i := range 5 {
+		c.nodes[i] = newTestNode(i, NodeConfig{Registrar: RegistrarConfig{Fresh: true}}, 0, 1, 2, 3, 4)
+	}
+	return c
+}
+
+// flush collects messages and acts on events: a request that starts runs at once.
+func (c *cluster) flush() {
+	for i := range 5 {
+		n := c.nodes[i]
+		if n == nil {
+			continue
+		}
+		messages, events := n.Take(c.now)
+		c.wire = append(c.wire, messages...)
+		for _, e := range events {
+			at := attemptKey{n, e.Ticket}
+			if !e.Start {
+				c.told[at] = e.Outcome
+				continue
+			}
+			n.Sent(e.Ticket)
+			c.sent[at] = true
+			c.runs[c.keys[at]]++
+		}
+	}
+}
+
+func (c *cluster) advance(d time.Duration) {
+	c.now += d
+	for i := range 5 {
+		if n := c.nodes[i]; n != nil {
+			n.Step(c.now)
+		}
+	}
+	c.flush()
+}
+
+// deliver passes a random message on, sometimes keeping a copy or dropping it.
+func (c *cluster) deliver() {
+	if len(c.wire) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(c.wire)-1).Draw(c.t, "message")
+	m := c.wire[i]
+	fate := rapid.IntRange(0, 39).Draw(c.t, "fate")
+	if fate != 0 {
+		c.wire = append(c.wire[:i:i], c.wire[i+1:]...)
+	}
+	if n := c.nodes[int(m.To.ID)-1]; n != nil && fate != 1 {
+		n.Handle(c.now, m)
+		c.flush()
+	}
+}
+
+func (c *cluster) submit() {
+	i := rapid.IntRange(0, 4).Draw(c.t, "agent")
+	n := c.nodes[i]
+	if n == nil {
+		return
+	}
+	key := KeyOf("s", "c", string(rune('a'+rapid.IntRange(0, 2).Draw(c.t, "key"))))
+	t := n.Submit(c.now, Request{Deadline: c.now + 10*time.Second, Key: key, Keyed: true})
+	c.keys[attemptKey{n, t}] = key
+	c.flush()
+}
+
+// finish ends a request that runs.
+func (c *cluster) finish() {
+	for at := range c.sent {
+		if _, over := c.told[at]; !over && c.nodes[int(at.node.self.ID)-1] == at.node {
+			at.node.Finish(c.now, at.ticket, Done, ReasonNone, &Answer{Status: 200})
+			at.node.Free(c.now, at.ticket)
+		}
+	}
+	c.flush()
+}
+
+// change kills an agent, or tells one agent of those that are left.
+func (c *cluster) change() {
+	i := rapid.IntRange(0, 4).Draw(c.t, "changed")
+	if rapid.IntRange(0, 7).Draw(c.t, "kill") == 0 && len(c.nodes) > 3 {
+		delete(c.nodes, i)
+		return
+	}
+	if n := c.nodes[i]; n != nil {
+		var list []Member
+		for j := range 5 {
+			if c.nodes[j] != nil {
+				list = append(list, member(j))
+			}
+		}
+		n.SetMembers(c.now, list)
+		c.flush()
+	}
+}
+
+// Guards against a key that runs twice, and against "not run" for a request that
+// ran, with any order of messages, losses, copies, deaths and views.
+func TestAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCluster(t)
+		c.advance(ms)
+		for range rapid.IntRange(20, 300).Draw(t, "steps") {
+			switch rapid.IntRange(0, 14).Draw(t, "action") {
+			case 0:
+				c.submit()
+			case 1:
+				c.change()
+			case 2:
+				c.finish()
+			case 3, 4:
+				c.advance(time.Duration(rapid.IntRange(1, 300).Draw(t, "ms")) * ms)
+			default:
+				for range rapid.IntRange(1, 12).Draw(t, "messages") {
+					c.deliver()
+				}
+			}
+		}
+		for key, n := range c.runs {
+			if n > 1 {
+				t.Fatalf("key %x ran %d times", key, n)
+			}
+		}
+		for at, outcome := range c.told {
+			if outcome == NotRun && c.sent[at] {
+				t.Fatalf("ticket %d was told not run and ran", at.ticket)
+			}
+		}
+	})
+}
+
+// deliverAll passes all messages on until none is left.
+func (c *cluster) deliverAll() {
+	for len(c.wire) > 0 {
+		m := c.wire[0]
+		c.wire = c.wire[1:]
+		if n := c.nodes[int(m.To.ID)-1]; n != nil {
+			n.Handle(c.now, m)
+			c.flush()
+		}
+	}
+}
+
+// settle lets time pass without faults.
+func (c *cluster) settle(d time.Duration) {
+	for end := c.now + d; c.now < end; {
+		c.advance(10 * ms)
+		c.deliverAll()
+	}
+}
+
+func (c *cluster) keyed(i int, name string) attemptKey {
+	n, key := c.nodes[i], KeyOf("s", "c", name)
+	t := n.Submit(c.now, Request{Deadline: c.now + 10*time.Second, Key: key, Keyed: true})
+	at := attemptKey{n, t}
+	c.keys[at] = key
+	c.flush()
+	return at
+}
+
+// Guards against a retry through another agent that runs again, or waits for ever.
+func TestRetryReceivesFirstAnswer(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster(nil)
+	c.settle(time.Second)
+	first := c.keyed(0, "k")
+	c.settle(100 * ms)
+	retry := c.keyed(1, "k")
+	c.settle(100 * ms)
+	g.Expect(c.sent).To(HaveLen(1))
+	c.finish()
+	c.settle(time.Second)
+	g.Expect(c.told[first]).To(Equal(Done))
+	g.Expect(c.told[retry]).To(Equal(Done))
+	g.Expect(c.runs[KeyOf("s", "c", "k")]).To(Equal(1))
+}
+
+// Guards against a retry that is told anything but unknown when the agent that may
+// have run the request is gone.
+func TestRetryAfterDeathIsUnknown(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster(nil)
+	c.settle(time.Second)
+	c.keyed(0, "k")
+	c.settle(100 * ms)
+	delete(c.nodes, 0)
+	for i := 1; i < 5; i++ {
+		c.nodes[i].SetMembers(c.now, members(1, 2, 3, 4))
+	}
+	c.settle(time.Second)
+	retry := c.keyed(1, "k")
+	c.settle(time.Second)
+	g.Expect(c.told).To(HaveKeyWithValue(retry, Unknown))
+}
+
+// Guards against two attempts that hold one registrar each and wait for each other.
+func TestSplitClaimsAreResolved(t *testing.T) {
+	g := NewWithT(t)
+	for seed := range 20 {
+		c := newCluster(nil)
+		c.settle(time.Second)
+		name := string(rune('a' + seed))
+		c.keyed(0, name)
+		c.keyed(1, name)
+		p := c.nodes[0].registrar.current.pair(KeyOf("s", "c", name))
+		// The first claim reaches one registrar, the second one the other.
+		c.wire = []Message{}
+		for _, n := range []*Node{c.nodes[0], c.nodes[1]} {
+			for id, a := range n.claims.table {
+				a.granted = [2]bool{}
+				m := Message{Kind: KindClaim, From: n.self, Key: a.key, Attempt: a.name(id), Pair: a.pair}
+				m.To = p[int(n.self.ID)-1]
+				c.wire = append(c.wire, m)
+			}
+		}
+		c.settle(2 * time.Second)
+		g.Expect(c.runs[KeyOf("s", "c", name)]).To(Equal(1), "key %s", name)
+	}
+}
+
+// Guards against queued requests that start after the agent has been told to stop.
+func TestDrainRefusesWhatHasNotStarted(t *testing.T) {
+	g := NewWithT(t)
+	n := newTestNode(0, NodeConfig{Gate: GateConfig{Slots: 1}}, 0)
+	running := n.Submit(0, Request{Deadline: time.Minute})
+	queued := n.Submit(0, Request{Deadline: time.Minute})
+	n.Drain(ms)
+	late := n.Submit(ms, Request{Deadline: time.Minute})
+	_, events := n.Take(ms)
+	g.Expect(events).To(Equal([]Event{{Ticket: running, Start: true},
+		{Ticket: queued, Outcome: NotRun, Reason: ReasonDraining}, {Ticket: late, Outcome: NotRun, Reason: ReasonDraining}}))
+	g.Expect(n.Finish(2*ms, running, Done, ReasonNone, nil)).To(BeTrue())
+	g.Expect(n.Finish(2*ms, running, Done, ReasonNone, nil)).To(BeFalse())
+	n.Free(2*ms, running)
+	g.Expect(n.Idle()).To(BeTrue())
+}
--- /dev/null
+++ b/request/registrar.go
@@ -0,0 +1,190 @@
+package request
+
+import (
+	"slices"
+	"time"
+)
+
+// RegistrarConfig holds the parameters of a registrar. Zero fields take the default.
+type RegistrarConfig struct {
+	// Retention is how long a claim is remembered; default 15 min.
+	Retention time.Duration
+	// PullInterval is the time between two requests for records; default 200 ms.
+	PullInterval time.Duration
+	// Fresh says that no request of the service has run before, so that nothing
+	// needs to be waited for when no earlier agent is found.
+	Fresh bool
+}
+
+func (c RegistrarConfig) withDefaults() RegistrarConfig {
+	if c.Retention == 0 {
+		c.Retention = 15 * time.Minute
+	}
+	if c.PullInterval == 0 {
+		c.PullInterval = 200 * time.Millisecond
+	}
+	return c
+}
+
+// Registrar remembers which attempt has claimed a key.
+//
+// A grant names the pair of registrars under which it was given, and both must see
+// the same pair. An agent whose pair for a key has changed grants it only after
+// every running agent has adopted the same membership and has sent its records.
+// From then on no agent grants the key under the earlier pair.
+type Registrar struct {
+	cfg     RegistrarConfig
+	self    Process
+	records map[Key]record
+	expiry  []expiring
+
+	current  *view
+	complete *view   // last view in which all records were received; nil before
+	since    []*view // adopted since complete
+	recent   []*view // adopted last, the present one at the end
+	adopted  int     // number of views adopted
+	history  []pastView
+	losses   []loss
+	pull     pull
+
+	Counts RegistrarCounts
+}
+
+// RegistrarCounts are totals since the start.
+type RegistrarCounts struct {
+	Granted, Held, Refused, HandedOver, Completed uint64
+}
+
+// record holds the attempts that have claimed a key: one, or several after a
+// hand-over from registrars that had granted it to different attempts.
+type record struct {
+	attempts []AttemptID
+	expires  time.Duration
+	// primary, when set, is the other registrar of the first grant: an attempt that
+	// ran has a record there too, which is handed over in place of this one.
+	primary Process
+	// received is the number of views adopted when the record was handed over to this
+	// registrar; zero for one that it granted.
+	received int
+}
+
+// other returns a holder that is not the attempt, or nil.
+func (r record) other(than AttemptID) *AttemptID {
+	for i := range r.attempts {
+		if r.attempts[i] != than {
+			return &r.attempts[i]
+		}
+	}
+	return nil
+}
+
+type expiring struct {
+	key Key
+	at  time.Duration
+}
+
+// NewRegistrar returns a registrar that grants nothing before SetMembers.
+func NewRegistrar(cfg RegistrarConfig, self Process) *Registrar {
+	return &Registrar{cfg: cfg.withDefaults(), self: self, records: make(map[Key]record), current: newView(nil)}
+}
+
+// Claim decides a claim.
+func (r *Registrar) Claim(now time.Duration, m Message) Message {
+	reply := Message{Kind: KindClaimReply, From: r.self, To: m.From, Key: m.Key, Attempt: m.Attempt, Pair: m.Pair}
+	held, found := r.records[m.Key]
+	switch {
+	case found && held.expires > now && held.other(m.Attempt) != nil:
+		// A record is valid in every view: it only ever prevents a run.
+		reply.Verdict, reply.Other = Held, *held.other(m.Attempt)
+		r.Counts.Held++
+	case m.Pair != r.current.pair(m.Key) || !m.Pair.Has(r.self) || !r.settled(m.Key, m.Pair) || r.mayBeLost(now, m.Key):
+		reply.Verdict = Refused
+		r.Counts.Refused++
+	default:
+		r.grant(now, m)
+		reply.Verdict = Granted
+		r.Counts.Granted++
+	}
+	return reply
+}
+
+func (r *Registrar) grant(now time.Duration, m Message) {
+	k, a := m.Key, m.Attempt
+	held, found := r.records[k]
+	check(!found || held.expires <= now || held.other(a) == nil, "key %x is granted to two attempts", k)
+	granted := record{attempts: []AttemptID{a}, expires: now + r.cfg.Retention}
+	switch {
+	case found && held.expires > now:
+		granted.primary = held.primary
+	case m.Pair[1] == r.self && !m.Holding:
+		granted.primary = m.Pair[0]
+	}
+	r.remember(k, granted)
+}
+
+func (r *Registrar) remember(k Key, rec record) {
+	r.records[k] = rec
+	r.expiry = append(r.expiry, expiring{key: k, at: rec.expires})
+}
+
+// merge adds a record of another registrar. Attempts that held one registrar each
+// are all kept until they are released: any of them may be the one that ran.
+func (r *Registrar) merge(now time.Duration, k Key, a AttemptID, expires time.Duration) {
+	held, found := r.records[k]
+	if !found || held.expires <= now {
+		r.remember(k, record{attempts: []AttemptID{a}, expires: expires, received: r.adopted})
+		return
+	}
+	if !slices.Contains(held.attempts, a) {
+		held.attempts = append(slices.Clone(held.attempts), a)
+	}
+	held.expires = max(held.expires, expires)
+	held.primary, held.received = Process{}, r.adopted
+	r.remember(k, held)
+}
+
+// Release forgets the claim of an attempt that ended without running.
+func (r *Registrar) Release(k Key, a AttemptID) {
+	held := r.records[k]
+	if !slices.Contains(held.attempts, a) {
+		return
+	}
+	held.attempts = slices.DeleteFunc(slices.Clone(held.attempts), func(b AttemptID) bool { return b == a })
+	if len(held.attempts) == 0 {
+		delete(r.records, k)
+		return
+	}
+	r.records[k] = held
+}
+
+// settled reports whether the pair has been the same since the registrar was last
+// complete.
+func (r *Registrar) settled(k Key, p Pair) bool {
+	if r.complete == nil {
+		return false
+	}
+	for _, v := range r.since {
+		if v.pair(k) != p {
+			return false
+		}
+	}
+	return r.complete == r.current || r.complete.pair(k) == p
+}
+
+// expire forgets records after the retention time.
+func (r *Registrar) expire(now time.Duration) {
+	i := 0
+	// Records that were handed over are not in order of time; they are forgotten at
+	// the latest with the records granted before them.
+	for ; i < len(r.expiry) && r.expiry[i].at <= now; i++ {
+		if held, found := r.records[r.expiry[i].key]; found && held.expires <= now {
+			delete(r.records, r.expiry[i].key)
+		}
+	}
+	r.expiry = r.expiry[i:]
+	r.history = slices.DeleteFunc(r.history, func(h pastView) bool { return h.expires <= now })
+	r.losses = slices.DeleteFunc(r.losses, func(l loss) bool { return l.expires <= now })
+}
+
+// Len returns the number of records.
+func (r *Registrar) Len() int { return len(r.records) }
--- /dev/null
+++ b/request/registrar_test.go
@@ -0,0 +1,143 @@
+package request
+
+import (
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// exchange lets registrars step and pull until they are complete.
+func exchange(now time.Duration, list ...*Registrar) {
+	byProcess := map[Process]*Registrar{}
+	for _, r := range list {
+		byProcess[r.self] = r
+	}
+	for range 3 {
+		for _, r := range list {
+			for _, m := range r.Step(now) {
+				if peer := byProcess[m.To]; peer != nil {
+					if reply, ok := peer.Pull(now, m); ok {
+						r.Pulled(now, reply)
+					}
+				}
+			}
+		}
+		now += r200
+	}
+}
+
+const r200 = 200 * ms
+
+var _ = ginkgo.Describe("Registrar", func() {
+	var (
+		all []*Registrar
+		key Key
+		p   Pair
+	)
+	claim := func(now time.Duration, r *Registrar, number uint64) Verdict {
+		a := AttemptID{Number: number, Agent: 9, Incarnation: 1}
+		return r.Claim(now, Message{Key: key, Attempt: a, Pair: r.current.pair(key)}).Verdict
+	}
+	find := func(p Process) *Registrar { return all[p.ID-1] }
+	remove := func(now time.Duration, gone ...Process) (left []*Registrar) {
+		var list []Member
+		for _, r := range all {
+			if !(Pair{gone[0], gone[len(gone)-1]}).Has(r.self) {
+				left = append(left, r)
+				list = append(list, member(int(r.self.ID)-1))
+			}
+		}
+		for _, r := range left {
+			r.SetMembers(now, list)
+		}
+		return left
+	}
+	ginkgo.BeforeEach(func() {
+		all = nil
+		key = KeyOf("s", "c", "k")
+		for i := range 4 {
+			r := NewRegistrar(RegistrarConfig{Fresh: true}, process(i))
+			r.SetMembers(0, members(0, 1, 2, 3))
+			all = append(all, r)
+		}
+		exchange(0, all...)
+		p = all[0].current.pair(key)
+	})
+
+	ginkgo.It("ranks two registrars of different failure domains", func() {
+		// Guards against losing both records with one failure domain.
+		for n := byte(0); n < 100; n++ {
+			p := all[0].current.pair(Key{n, 1, n})
+			Expect(member(int(p[0].ID) - 1).FailureDomain).NotTo(Equal(member(int(p[1].ID) - 1).FailureDomain))
+		}
+	})
+
+	ginkgo.It("grants a key to one attempt until it is released", func() {
+		// Guards against a second run by a retry.
+		r := find(p[0])
+		Expect(claim(0, r, 1)).To(Equal(Granted))
+		Expect(claim(0, r, 1)).To(Equal(Granted))
+		Expect(claim(0, r, 2)).To(Equal(Held))
+		r.Release(key, AttemptID{Number: 2, Agent: 9, Incarnation: 1})
+		Expect(claim(0, r, 2)).To(Equal(Held))
+		r.Release(key, AttemptID{Number: 1, Agent: 9, Incarnation: 1})
+		Expect(claim(0, r, 2)).To(Equal(Granted))
+	})
+
+	ginkgo.It("refuses as a new registrar until it has the records", func() {
+		// Guards against a run at a registrar that has not heard of the first attempt.
+		claim(0, find(p[0]), 1)
+		claim(0, find(p[1]), 1)
+		left := remove(time.Second, p[1])
+		next := left[0].current.pair(key)
+		joined := next[0]
+		if joined == p[0] {
+			joined = next[1]
+		}
+		Expect(claim(time.Second, find(joined), 2)).To(Equal(Refused))
+		exchange(time.Second, left...)
+		Expect(claim(2*time.Second, find(joined), 2)).To(Equal(Held))
+	})
+
+	ginkgo.It("does not hand over while its own view is older", func() {
+		// Guards against a grant under the old pair after the records were copied.
+		left := remove(time.Second, p[1])
+		find(p[0]).SetMembers(time.Second, members(0, 1, 2, 3))
+		exchange(time.Second, left...)
+		for _, r := range left {
+			Expect(r.self == p[0] || r.complete != r.current).To(BeTrue())
+		}
+	})
+
+	ginkgo.It("refuses for the retention time after both registrars were lost at once", func() {
+		// Guards against a second run after the only two records were lost.
+		claim(0, find(p[0]), 1)
+		claim(0, find(p[1]), 1)
+		left := remove(time.Second, p[0], p[1])
+		exchange(time.Second, left...)
+		now := 15*time.Minute - time.Second
+		Expect(claim(now, left[0], 2)).To(Equal(Refused))
+		Expect(claim(now+3*time.Second, left[0], 2)).To(Equal(Granted))
+	})
+
+	ginkgo.It("refuses after the loss of one registrar and then of the other only without a hand-over between", func() {
+		// Guards against counting losses that a completed hand-over has covered.
+		claim(0, find(p[0]), 1)
+		claim(0, find(p[1]), 1)
+		all = remove(time.Second, p[1])
+		exchange(time.Second, all...)
+		left := remove(time.Minute, p[0])
+		exchange(time.Minute, left...)
+		Expect(claim(2*time.Minute, left[0], 2)).To(Equal(Held))
+	})
+
+	ginkgo.It("refuses as the first agent of a service that is not known to be new", func() {
+		// Guards against second runs after all agents were replaced at once.
+		r := NewRegistrar(RegistrarConfig{}, process(0))
+		r.SetMembers(0, members(0))
+		exchange(0, r)
+		Expect(claim(time.Second, r, 1)).To(Equal(Refused))
+		Expect(claim(15*time.Minute+time.Second, r, 1)).To(Equal(Granted))
+	})
+})
