Add nutmegtrack bench requests

Change: virtual time over fake.Network with 10 agents, callers that retry, faults and one death a minute; the ledgers of upstreams and callers are compared. Variants without-keys, store-permits and registrars.

--- /dev/null
+++ b/bench/requests_agent.go
@@ -0,0 +1,225 @@
+package bench
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/packet"
+	"github.com/nutmegtrack/nutmegtrack/request"
+)
+
+// callRequest is a caller's request on its way to an agent.
+type callRequest struct {
+	id         int // of the request
+	attempt    int // unique in the run
+	idempotent bool
+	plan       string
+	left       time.Duration // to the deadline
+	key        string
+	retry      bool // an earlier attempt may have run
+}
+
+// callCancel says that the caller of an attempt has gone away.
+type callCancel struct{ attempt int }
+
+// callAnswer is the answer to one attempt.
+type callAnswer struct {
+	id, attempt int
+	outcome     request.Outcome
+	reason      request.Reason
+	answer      *request.Answer
+}
+
+// requestAgent is an agent with its upstream.
+type requestAgent struct {
+	w      *requestWorld
+	self   request.Process
+	addr   netip.AddrPort
+	domain string
+	node   *request.Node
+	up     *requestUpstream
+	ready  bool
+	dead   bool
+	paused bool
+	held   []func() // what arrived during a pause
+	known  int      // version of the membership
+	calls  map[request.Ticket]*agentCall
+	waits  map[request.Ticket]queueWait
+	seen   map[int]request.Ticket // attempts, so that a doubled message is dropped as TCP does
+}
+
+type agentCall struct {
+	callRequest
+	from     netip.AddrPort
+	deadline time.Duration
+	over     bool // the caller was answered
+}
+
+type queueWait struct{ since, left time.Duration }
+
+func newRequestAgent(w *requestWorld, n int, first bool) *requestAgent {
+	a := &requestAgent{
+		w: w, addr: requestAddr(n), domain: requestDomain(n), ready: first,
+		self:  request.Process{ID: packet.AgentIDOf(fmt.Sprintf("agent-%d", n)), Incarnation: w.rng.Uint64()},
+		calls: make(map[request.Ticket]*agentCall),
+		waits: make(map[request.Ticket]queueWait),
+		seen:  make(map[int]request.Ticket),
+	}
+	cfg := request.NodeConfig{
+		Gate: request.GateConfig{Slots: requestSlots, Shares: map[string]request.Share{
+			"gold": {Minimum: 1, Weight: 2}, "silver": {Minimum: 1, Weight: 1},
+		}},
+		Registrar: request.RegistrarConfig{Fresh: first},
+	}
+	if w.store != nil {
+		cfg.Claims.Single = w.store.self
+	}
+	a.node = request.NewNode(cfg, a.self, rand.New(rand.NewPCG(w.cfg.Seed, uint64(100+n))))
+	a.up = newRequestUpstream(a, first)
+	return a
+}
+
+// hear adopts a membership unless a newer one is known or the agent is paused.
+func (a *requestAgent) hear(version int, members []request.Member) {
+	if a.paused {
+		a.held = append(a.held, func() { a.hear(version, members) })
+		return
+	}
+	if version <= a.known {
+		return
+	}
+	a.known = version
+	a.learn(members)
+}
+
+// learn adopts a membership; an agent that was found failed still counts itself.
+func (a *requestAgent) learn(members []request.Member) {
+	own := request.Member{ID: a.self.ID, Incarnation: a.self.Incarnation, FailureDomain: a.domain, Registrar: a.ready}
+	list := []request.Member{own}
+	for _, m := range members {
+		if m.ID != a.self.ID {
+			list = append(list, m)
+		}
+	}
+	a.node.SetMembers(a.w.net.Now(), list)
+	a.flush()
+}
+
+// receive takes a message from the network.
+func (a *requestAgent) receive(now time.Duration, from netip.AddrPort, m any) any {
+	if a.paused {
+		a.held = append(a.held, func() { a.receive(a.w.net.Now(), from, m) })
+		return nil
+	}
+	switch m := m.(type) {
+	case request.Message:
+		a.node.Handle(now, m)
+	case callRequest:
+		a.submit(now, from, m)
+	case callCancel:
+		a.cancel(now, m)
+	}
+	a.flush()
+	return nil
+}
+
+func (a *requestAgent) submit(now time.Duration, from netip.AddrPort, c callRequest) {
+	if _, doubled := a.seen[c.attempt]; doubled {
+		return
+	}
+	r := request.Request{Plan: c.plan, Deadline: now + c.left, Retry: c.retry}
+	if !c.idempotent && a.w.permits != withoutKeys {
+		r.Keyed, r.Key = true, request.KeyOf("service", c.plan, c.key)
+	}
+	t := a.node.Submit(now, r)
+	a.seen[c.attempt] = t
+	a.calls[t] = &agentCall{callRequest: c, from: from, deadline: r.Deadline}
+	a.waits[t] = queueWait{since: now, left: c.left}
+}
+
+// cancel ends an attempt. One that arrives after its cancellation is not run.
+func (a *requestAgent) cancel(now time.Duration, c callCancel) {
+	t, known := a.seen[c.attempt]
+	if !known {
+		a.seen[c.attempt] = 0
+		return
+	}
+	a.node.Cancel(now, t)
+	a.up.cancel(t)
+}
+
+// resume handles in order what arrived during a pause.
+func (a *requestAgent) resume() {
+	a.paused = false
+	held := a.held
+	a.held = nil
+	for _, f := range held {
+		f()
+	}
+}
+
+// step advances the node; a new agent becomes ready once it has its peers' records.
+func (a *requestAgent) step() {
+	if a.paused {
+		return
+	}
+	now := a.w.net.Now()
+	a.node.Step(now)
+	a.flush()
+	if !a.ready && a.node.State().Complete {
+		a.ready = true
+		a.w.change(a.self.ID, func(m *request.Member) bool { m.Registrar = true; return true })
+	}
+	a.up.step(now)
+}
+
+// flush sends the node's messages and acts on its events.
+func (a *requestAgent) flush() {
+	for {
+		messages, events := a.node.Take(a.w.net.Now())
+		for _, m := range messages {
+			a.sendMessage(m)
+		}
+		for _, e := range events {
+			a.event(e)
+		}
+		if len(events) == 0 {
+			return
+		}
+	}
+}
+
+func (a *requestAgent) sendMessage(m request.Message) {
+	a.w.ledger.controlBytes += uint64(m.Size())
+	a.w.ledger.bytesByKind[m.Kind] += uint64(m.Size())
+	if s := a.w.store; s != nil && m.To == s.self {
+		a.w.send(a.addr, s.addr, m)
+		return
+	}
+	if to, known := a.w.byAddr[m.To.ID]; known {
+		a.w.send(a.addr, to, m)
+	}
+}
+
+func (a *requestAgent) event(e request.Event) {
+	c := a.calls[e.Ticket]
+	if wait, queued := a.waits[e.Ticket]; queued {
+		delete(a.waits, e.Ticket)
+		a.w.ledger.queueTime(a.w.net.Now()-wait.since, wait.left, e)
+	}
+	if e.Start {
+		a.up.run(e.Ticket, c)
+		return
+	}
+	if !c.over {
+		c.over = true
+		a.w.stream(a.addr, c.from, callAnswer{c.id, c.attempt, e.Outcome, e.Reason, e.Answer})
+	}
+	if !a.up.has(e.Ticket) {
+		delete(a.calls, e.Ticket)
+	}
+}
+
+func (a *requestAgent) lateAnswers() uint64 { return a.node.State().Late }
--- /dev/null
+++ b/bench/requests_caller.go
@@ -0,0 +1,200 @@
+package bench
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/request"
+)
+
+const (
+	idempotentShare = 0.5
+	minDeadline     = 10 * time.Second
+	maxDeadline     = 20 * time.Second
+	attemptTimeout  = 3 * time.Second
+	connectTimeout  = 500 * time.Millisecond
+	minBackoff      = 50 * time.Millisecond
+	maxBackoff      = time.Second
+
+	// The load alternates between a share of the capacity with room and one with a
+	// backlog.
+	lowLoad, highLoad = 0.6, 1.2
+	loadPeriod        = time.Minute
+	highTime          = 20 * time.Second
+)
+
+var requestPlans = [...]string{"gold", "silver", "bronze"}
+
+// requestCallers are all callers, behind one address.
+type requestCallers struct {
+	w       *requestWorld
+	rng     *rand.Rand
+	addr    netip.AddrPort
+	started int
+	tries   int
+	open    map[int]*call
+}
+
+// call is one request of a caller.
+type call struct {
+	callRequest
+	deadline time.Duration
+	attempts int
+	doubt    bool // an attempt may have run
+	reason   request.Reason
+	log      []string // of a traced run
+}
+
+func newRequestCallers(w *requestWorld) *requestCallers {
+	c := &requestCallers{w: w, rng: rand.New(rand.NewPCG(w.cfg.Seed, 12)), addr: requestAddr(60000), open: make(map[int]*call)}
+	w.net.Attach(c.addr, "callers", c.receive)
+	c.arrive()
+	return c
+}
+
+func (c *requestCallers) finished() bool {
+	return c.started >= c.w.cfg.Requests && len(c.open) == 0
+}
+
+// arrive starts a request and schedules the next one.
+func (c *requestCallers) arrive() {
+	if c.started >= c.w.cfg.Requests {
+		return
+	}
+	c.start()
+	load := lowLoad
+	if c.w.net.Now()%loadPeriod < highTime {
+		load = highLoad
+	}
+	mean := float64(minService+maxService) / 2 / (requestAgents * requestSlots) / load
+	c.w.net.After(c.addr, time.Duration(c.rng.ExpFloat64()*mean), c.arrive)
+}
+
+func (c *requestCallers) start() {
+	c.started++
+	r := &call{deadline: c.w.net.Now() + minDeadline + time.Duration(c.rng.Int64N(int64(maxDeadline-minDeadline)))}
+	r.id = c.started
+	r.idempotent = c.rng.Float64() < idempotentShare
+	r.plan = requestPlans[c.rng.IntN(len(requestPlans))]
+	r.key = fmt.Sprintf("key-%d", r.id)
+	c.open[r.id] = r
+	c.try(r)
+}
+
+// try sends an attempt to any agent.
+func (c *requestCallers) try(r *call) {
+	left := r.deadline - c.w.net.Now()
+	if left <= minService {
+		c.giveUp(r)
+		return
+	}
+	c.tries++
+	r.attempts++
+	r.attempt = c.tries
+	r.left, r.retry = left, r.doubt
+	to := c.w.agents[c.rng.IntN(len(c.w.agents))]
+	attempt := r.attempt
+	c.note(r, "%v attempt %d to %v", c.w.net.Now(), attempt, to.addr)
+	if to.paused || to.dead {
+		// The VM answers no new connection, so nothing was sent.
+		c.w.net.After(c.addr, connectTimeout, func() { c.retryLater(r) })
+		return
+	}
+	c.w.stream(c.addr, to.addr, r.callRequest)
+	c.w.net.After(c.addr, min(left, attemptTimeout), func() {
+		if c.open[r.id] == r && r.attempt == attempt {
+			r.doubt, r.reason = true, request.ReasonDeadline
+			c.abandon(r, to.addr)
+			c.try(r)
+		}
+	})
+}
+
+// abandon cancels an attempt that was not answered. That of a keyed request goes on:
+// the next attempt receives its answer.
+func (c *requestCallers) abandon(r *call, to netip.AddrPort) {
+	if r.idempotent || c.w.permits == withoutKeys {
+		c.w.stream(c.addr, to, callCancel{r.attempt})
+	}
+}
+
+func (c *requestCallers) receive(_ time.Duration, _ netip.AddrPort, m any) any {
+	answer, ok := m.(callAnswer)
+	if !ok {
+		return nil
+	}
+	c.w.ledger.told(answer)
+	r := c.open[answer.id]
+	c.note(r, "%v %v %v of attempt %d", c.w.net.Now(), answer.outcome, answer.reason, answer.attempt)
+	if r == nil || r.attempt != answer.attempt && (r.idempotent || answer.outcome != request.Done) {
+		return nil // late or doubled
+	}
+	switch answer.outcome {
+	case request.Done:
+		c.check(answer)
+		c.end(r, request.Done)
+	case request.NotRun:
+		c.retryLater(r)
+	default:
+		c.unknown(r, answer.reason)
+	}
+	return nil
+}
+
+// check compares an answer with its request.
+func (c *requestCallers) check(a callAnswer) {
+	if a.answer == nil || len(a.answer.Body) != 8 || binary.BigEndian.Uint64(a.answer.Body) != uint64(a.id) {
+		c.w.ledger.crossed++
+	}
+}
+
+// unknown retries an idempotent request. For a keyed one the outcome of its first
+// attempt is final; without keys callers retry as many clients do.
+func (c *requestCallers) unknown(r *call, reason request.Reason) {
+	r.doubt, r.reason = true, reason
+	final := reason == request.ReasonAttemptLost || reason == request.ReasonBroken
+	if final && !r.idempotent && c.w.permits != withoutKeys {
+		c.end(r, request.Unknown)
+		return
+	}
+	c.retryLater(r)
+}
+
+func (c *requestCallers) retryLater(r *call) {
+	r.attempt = 0
+	attempts := r.attempts
+	limit := min(minBackoff<<min(r.attempts, 5), maxBackoff)
+	c.w.net.After(c.addr, time.Duration(c.rng.Int64N(int64(limit))), func() {
+		if c.open[r.id] == r && r.attempts == attempts {
+			c.try(r)
+		}
+	})
+}
+
+// giveUp ends a request at its deadline: it was not run only when all attempts were.
+func (c *requestCallers) giveUp(r *call) {
+	if r.doubt {
+		c.end(r, request.Unknown)
+		return
+	}
+	c.end(r, request.NotRun)
+}
+
+// note adds a line to the history of a request in a traced run.
+func (c *requestCallers) note(r *call, format string, args ...any) {
+	if r != nil && c.w.cfg.Trace != nil {
+		r.log = append(r.log, fmt.Sprintf(format, args...))
+	}
+}
+
+func (c *requestCallers) end(r *call, o request.Outcome) {
+	delete(c.open, r.id)
+	c.w.ledger.ended(r, o)
+	if o == request.Unknown {
+		c.w.trace("request %d (idempotent %v) ended as unknown: %s", r.id, r.idempotent, strings.Join(r.log, "; "))
+	}
+}
--- /dev/null
+++ b/bench/requests_ledger.go
@@ -0,0 +1,145 @@
+package bench
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/request"
+)
+
+// requestLedger holds what upstreams ran and what callers were told.
+type requestLedger struct {
+	versions     int
+	runs         map[int]int  // by request
+	attemptRuns  map[int]int  // by attempt
+	notRun       map[int]bool // attempts told not run
+	final        map[int]request.Outcome
+	idempotent   map[int]bool
+	unknown      map[request.Reason]int
+	crossed      int
+	ratios       []float64
+	busy, slots  uint64
+	busyAll      uint64
+	slotsAll     uint64
+	controlBytes uint64
+	bytesByKind  [16]uint64
+}
+
+func newRequestLedger() requestLedger {
+	return requestLedger{
+		runs: make(map[int]int), attemptRuns: make(map[int]int), notRun: make(map[int]bool),
+		final: make(map[int]request.Outcome), idempotent: make(map[int]bool), unknown: make(map[request.Reason]int),
+	}
+}
+
+func (l *requestLedger) ran(c *agentCall) {
+	l.runs[c.id]++
+	l.attemptRuns[c.attempt]++
+}
+
+func (l *requestLedger) told(a callAnswer) {
+	if a.outcome == request.NotRun {
+		l.notRun[a.attempt] = true
+	}
+}
+
+func (l *requestLedger) ended(r *call, o request.Outcome) {
+	l.final[r.id] = o
+	l.idempotent[r.id] = r.idempotent
+	if o == request.Unknown {
+		l.unknown[r.reason]++
+	}
+}
+
+// queueTime notes the time from arrival to start or refusal. Requests that were
+// refused on arrival were not queued.
+func (l *requestLedger) queueTime(waited, left time.Duration, e request.Event) {
+	if !e.Start && waited == 0 {
+		return
+	}
+	l.ratios = append(l.ratios, float64(waited)/float64(left))
+}
+
+func (l *requestLedger) sample(a *requestAgent) {
+	s := a.node.State()
+	if a.dead || s.Queued+s.Parked == 0 {
+		return
+	}
+	l.busyAll += uint64(s.Running)
+	l.slotsAll += requestSlots
+	if s.Queued > 0 {
+		l.busy += uint64(s.Running)
+		l.slots += requestSlots
+	}
+}
+
+// result compares the ledgers.
+func (w *requestWorld) result() RequestsResult {
+	l := &w.ledger
+	seconds := w.net.Now().Seconds()
+	r := RequestsResult{
+		Variant: string(w.permits), Seed: w.cfg.Seed, Requests: w.callers.started,
+		Crossed: l.crossed, VirtualSeconds: seconds, Deaths: w.deaths,
+		UnknownLost: l.unknown[request.ReasonAttemptLost], UnknownDeadline: l.unknown[request.ReasonDeadline],
+		ControlBytesByKind:    l.bytesByKind,
+		UnknownBroken:         l.unknown[request.ReasonBroken],
+		ControlBytesPerSecond: float64(l.controlBytes) / seconds / requestAgents,
+	}
+	if l.slots > 0 {
+		r.SlotUse = float64(l.busy) / float64(l.slots)
+	}
+	if l.slotsAll > 0 {
+		r.SlotUseAll = float64(l.busyAll) / float64(l.slotsAll)
+	}
+	if w.store != nil {
+		r.StoreWritesPerSecond = float64(w.store.writes) / seconds
+	}
+	w.compare(&r)
+	slices.Sort(l.ratios)
+	if n := len(l.ratios); n > 0 {
+		r.QueueP99OverDeadline = l.ratios[n*99/100]
+	}
+	r.LateAnswers = w.late
+	for _, a := range w.agents {
+		r.LateAnswers += a.lateAnswers()
+	}
+	return r
+}
+
+func (w *requestWorld) compare(r *RequestsResult) {
+	l := &w.ledger
+	unknown, refused := 0, 0
+	for id := 1; id <= w.callers.started; id++ {
+		runs, outcome := l.runs[id], l.final[id]
+		r.UpstreamRuns += runs
+		if runs > 1 && !l.idempotent[id] {
+			r.RunTwice++
+			w.trace("request %d ran %d times", id, runs)
+		}
+		switch outcome {
+		case request.Unknown:
+			unknown++
+		case request.NotRun:
+			refused++
+			if runs > 0 {
+				r.NotRunButRun++
+				w.trace("request %d ended as not run and ran %d times", id, runs)
+			}
+		}
+	}
+	for attempt := range l.notRun {
+		if l.attemptRuns[attempt] > 0 {
+			r.NotRunButRun++
+			w.trace("attempt %d was told not run and ran", attempt)
+		}
+	}
+	r.UnknownShare = float64(unknown) / float64(r.Requests)
+	r.RefusedShare = float64(refused) / float64(r.Requests)
+}
+
+func (w *requestWorld) trace(format string, args ...any) {
+	if w.cfg.Trace != nil {
+		w.cfg.Trace(string(w.permits) + ": " + fmt.Sprintf(format, args...))
+	}
+}
--- /dev/null
+++ b/bench/requests_upstream.go
@@ -0,0 +1,157 @@
+package bench
+
+import (
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/request"
+)
+
+const (
+	minService  = 100 * time.Millisecond
+	maxService  = 400 * time.Millisecond
+	coldTime    = 10 * time.Second
+	coldFactor  = 3
+	slowFactor  = 4
+	slowTime    = 20 * time.Second
+	slowChance  = 0.002 // each second, of an upstream that is not slow
+	shedShare   = 0.2   // of the requests of a shedding upstream
+	breakShare  = 0.0001
+	letGoDelay  = 100 * time.Millisecond // greatest, after a cancellation
+	statusOK    = 200
+	statusShed  = 503
+	secondSteps = int(time.Second / requestStep)
+)
+
+// requestUpstream is an upstream whose ledger survives it.
+type requestUpstream struct {
+	a         *requestAgent
+	coldUntil time.Duration
+	slowUntil time.Duration
+	shedUntil time.Duration
+	running   map[request.Ticket]*upstreamRun
+	steps     int
+}
+
+type upstreamRun struct {
+	call     *agentCall
+	canceled bool
+}
+
+func newRequestUpstream(a *requestAgent, warm bool) *requestUpstream {
+	u := &requestUpstream{a: a, running: make(map[request.Ticket]*upstreamRun)}
+	if !warm {
+		u.coldUntil = a.w.net.Now() + coldTime
+	}
+	return u
+}
+
+func (u *requestUpstream) has(t request.Ticket) bool { return u.running[t] != nil }
+
+// step lets the upstream become slow or shed now and then, and cancels requests
+// whose deadline has passed.
+func (u *requestUpstream) step(now time.Duration) {
+	u.steps++
+	if u.steps%secondSteps == 0 {
+		if u.a.w.rng.Float64() < slowChance {
+			u.slowUntil = now + slowTime
+		}
+		if u.a.w.rng.Float64() < slowChance {
+			u.shedUntil = now + slowTime
+		}
+	}
+	for _, t := range u.tickets() {
+		if r := u.running[t]; !r.canceled && now >= r.call.deadline {
+			u.a.node.Finish(now, t, request.Unknown, request.ReasonDeadline, nil)
+			u.cancel(t)
+			u.a.flush()
+		}
+	}
+}
+
+func (u *requestUpstream) tickets() []request.Ticket {
+	out := make([]request.Ticket, 0, requestSlots)
+	for t := range u.running {
+		out = append(out, t)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// run starts a request. From here on it counts as run, unless the upstream sheds it.
+func (u *requestUpstream) run(t request.Ticket, c *agentCall) {
+	now, rng := u.a.w.net.Now(), u.a.w.rng
+	u.a.node.Sent(t)
+	u.running[t] = &upstreamRun{call: c}
+	if now < u.shedUntil && rng.Float64() < shedShare {
+		u.after(time.Millisecond, func() { u.finish(t, &request.Answer{Status: statusShed, Body: answerBody(c.id)}) })
+		return
+	}
+	u.a.w.ledger.ran(c)
+	service := minService + time.Duration(rng.Int64N(int64(maxService-minService)))
+	if now < u.coldUntil {
+		service *= coldFactor
+	}
+	if now < u.slowUntil {
+		service *= slowFactor
+	}
+	if rng.Float64() < breakShare {
+		u.after(service, func() { u.breakOff(t) })
+		return
+	}
+	u.after(service, func() { u.finish(t, &request.Answer{Status: statusOK, Body: answerBody(c.id)}) })
+}
+
+// after runs f unless the VM has died; the agent learns of it after a pause.
+func (u *requestUpstream) after(d time.Duration, f func()) {
+	u.a.w.net.After(u.a.addr, d, func() {
+		if u.a.paused {
+			u.a.held = append(u.a.held, f)
+			return
+		}
+		f()
+	})
+}
+
+func (u *requestUpstream) finish(t request.Ticket, answer *request.Answer) {
+	r := u.running[t]
+	if r == nil {
+		return
+	}
+	now := u.a.w.net.Now()
+	u.a.node.Finish(now, t, request.Done, request.ReasonNone, answer)
+	u.release(t)
+}
+
+func (u *requestUpstream) breakOff(t request.Ticket) {
+	if u.running[t] == nil {
+		return
+	}
+	u.a.node.Finish(u.a.w.net.Now(), t, request.Unknown, request.ReasonBroken, nil)
+	u.release(t)
+}
+
+// cancel cancels a request, which the upstream ends some time later.
+func (u *requestUpstream) cancel(t request.Ticket) {
+	r := u.running[t]
+	if r == nil || r.canceled {
+		return
+	}
+	r.canceled = true
+	u.after(time.Duration(u.a.w.rng.Int64N(int64(letGoDelay))), func() {
+		if u.running[t] != nil {
+			u.release(t)
+		}
+	})
+}
+
+func (u *requestUpstream) release(t request.Ticket) {
+	delete(u.running, t)
+	u.a.flush()
+	u.a.node.Free(u.a.w.net.Now(), t)
+	delete(u.a.calls, t)
+	u.a.flush()
+}
+
+func answerBody(id int) []byte { return binary.BigEndian.AppendUint64(nil, uint64(id)) }
--- /dev/null
+++ b/bench/requests_world.go
@@ -0,0 +1,208 @@
+package bench
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/fake"
+	"github.com/nutmegtrack/nutmegtrack/packet"
+	"github.com/nutmegtrack/nutmegtrack/request"
+)
+
+const (
+	requestAgents  = 10
+	requestDomains = 3
+	requestSlots   = 5
+	requestStep    = 10 * time.Millisecond
+
+	deathInterval  = time.Minute
+	pauseInterval  = time.Minute
+	replaceDelay   = 5 * time.Second
+	detectionDelay = 4 * time.Second // from silence to the state failed
+	newsDelay      = 3 * time.Second // greatest, from a change of state to each agent
+	maxPause       = 8 * time.Second
+
+	strayShare = 0.002 // messages that are held up on their way
+	strayDelay = 2 * time.Second
+
+	brokenShare     = 0.0005 // of the messages between caller and agent
+	retransmitDelay = 250 * time.Millisecond
+)
+
+// requestWorld is one run of one variant.
+type requestWorld struct {
+	cfg     RequestsConfig
+	permits permits
+	net     *fake.Network
+	rng     *rand.Rand
+	agents  []*requestAgent // that callers are sent to
+	byAddr  map[packet.AgentID]netip.AddrPort
+	truth   []request.Member
+	names   int
+	callers *requestCallers
+	ledger  requestLedger
+	store   *requestStore
+	deaths  int
+	late    uint64
+}
+
+func newRequestWorld(cfg RequestsConfig, v permits) *requestWorld {
+	w := &requestWorld{
+		cfg: cfg, permits: v,
+		net:    fake.NewNetwork(cfg.Seed),
+		rng:    rand.New(rand.NewPCG(cfg.Seed, 11)),
+		byAddr: make(map[packet.AgentID]netip.AddrPort),
+		ledger: newRequestLedger(),
+	}
+	w.net.Faults = fake.Faults{MinDelay: 500 * time.Microsecond, MaxDelay: 4 * time.Millisecond, Loss: 0.005, Duplication: 0.005}
+	if v == storePermits {
+		w.store = newRequestStore(w)
+	}
+	for range requestAgents {
+		w.addAgent(true)
+	}
+	w.callers = newRequestCallers(w)
+	w.net.Every(netip.AddrPort{}, deathInterval, w.killOne)
+	w.net.Every(netip.AddrPort{}, pauseInterval, w.pauseOne)
+	w.net.Every(netip.AddrPort{}, requestStep, w.sample)
+	return w
+}
+
+// send passes a message, some of them after a long delay.
+func (w *requestWorld) send(from, to netip.AddrPort, m any) {
+	if w.rng.Float64() < strayShare {
+		late := time.Duration(w.rng.Int64N(int64(strayDelay)))
+		w.net.After(netip.AddrPort{}, late, func() { w.net.Send(from, to, m) })
+		return
+	}
+	w.net.Send(from, to, m)
+}
+
+// stream passes a message between a caller and an agent over TCP: a loss delays it,
+// copies are dropped by the receiver, and sometimes the connection breaks unnoticed.
+func (w *requestWorld) stream(from, to netip.AddrPort, m any) {
+	faults := w.net.Faults
+	w.net.Faults.Loss = brokenShare
+	defer func() { w.net.Faults = faults }()
+	if w.rng.Float64() < faults.Loss {
+		w.net.After(netip.AddrPort{}, retransmitDelay, func() { w.net.Send(from, to, m) })
+		return
+	}
+	w.net.Send(from, to, m)
+}
+
+// addAgent starts an agent; those of the beginning are ready and know each other.
+func (w *requestWorld) addAgent(first bool) *requestAgent {
+	w.names++
+	a := newRequestAgent(w, w.names, first)
+	w.byAddr[a.self.ID] = a.addr
+	w.net.Attach(a.addr, a.domain, a.receive)
+	w.agents = append(w.agents, a)
+	w.truth = append(w.truth, request.Member{ID: a.self.ID, Incarnation: a.self.Incarnation, FailureDomain: a.domain, Registrar: first})
+	if first {
+		for _, other := range w.agents {
+			other.learn(w.truth)
+		}
+	} else {
+		w.publish()
+		a.learn(w.truth)
+	}
+	w.net.Every(a.addr, requestStep, a.step)
+	return a
+}
+
+// publish tells every agent of the membership, each after a delay of its own.
+func (w *requestWorld) publish() {
+	members := append([]request.Member(nil), w.truth...)
+	version := w.nextVersion()
+	for _, a := range w.agents {
+		w.net.After(a.addr, time.Duration(w.rng.Int64N(int64(newsDelay))), func() { a.hear(version, members) })
+	}
+}
+
+func (w *requestWorld) nextVersion() int {
+	w.ledger.versions++
+	return w.ledger.versions
+}
+
+// change edits the member's record, or removes it when edit returns false.
+func (w *requestWorld) change(id packet.AgentID, edit func(*request.Member) bool) {
+	for i := range w.truth {
+		if w.truth[i].ID != id {
+			continue
+		}
+		if !edit(&w.truth[i]) {
+			w.truth = append(w.truth[:i:i], w.truth[i+1:]...)
+		}
+		w.publish()
+		return
+	}
+}
+
+// killOne ends an agent and its upstream; another VM replaces it.
+func (w *requestWorld) killOne() {
+	if w.callers.finished() {
+		return
+	}
+	a := w.agents[w.rng.IntN(len(w.agents))]
+	w.deaths++
+	w.net.Detach(a.addr)
+	a.dead = true
+	w.late += a.lateAnswers()
+	w.net.After(netip.AddrPort{}, time.Second, func() { w.forget(a) }) // the fabric polls health
+	w.net.After(netip.AddrPort{}, detectionDelay, func() {
+		w.change(a.self.ID, func(*request.Member) bool { return false })
+	})
+	w.net.After(netip.AddrPort{}, replaceDelay, func() { w.addAgent(false) })
+}
+
+// forget stops sending callers to an agent.
+func (w *requestWorld) forget(a *requestAgent) {
+	for i, other := range w.agents {
+		if other == a {
+			w.agents = append(w.agents[:i:i], w.agents[i+1:]...)
+			return
+		}
+	}
+}
+
+// pauseOne pauses an agent, some for so long that the others find it failed.
+func (w *requestWorld) pauseOne() {
+	a := w.agents[w.rng.IntN(len(w.agents))]
+	if a.dead || a.paused || !a.ready {
+		return
+	}
+	a.paused = true
+	length := time.Duration(w.rng.Int64N(int64(maxPause)))
+	if length > detectionDelay {
+		w.net.After(a.addr, detectionDelay, func() {
+			w.change(a.self.ID, func(*request.Member) bool { return false })
+		})
+	}
+	w.net.After(a.addr, length, func() {
+		a.resume()
+		if length > detectionDelay {
+			w.net.After(a.addr, time.Second, func() { w.refute(a) })
+		}
+	})
+}
+
+// refute announces an agent that was found failed and runs.
+func (w *requestWorld) refute(a *requestAgent) {
+	w.truth = append(w.truth, request.Member{ID: a.self.ID, Incarnation: a.self.Incarnation, FailureDomain: a.domain, Registrar: true})
+	w.publish()
+}
+
+func (w *requestWorld) sample() {
+	for _, a := range w.agents {
+		w.ledger.sample(a)
+	}
+}
+
+func requestAddr(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(n >> 8), byte(n)}), 7000)
+}
+
+func requestDomain(n int) string { return fmt.Sprintf("domain-%d", n%requestDomains) }
--- a/cmd/nutmegtrack/bench.go
+++ b/cmd/nutmegtrack/bench.go
@@ -17,11 +17,16 @@
 	sub.Description = "measure the decision packages in virtual time"
 	flows := newBenchFlows()
 	sub.AttachSubcommand(flows.sub, 1)
+	requests := newBenchRequests()
+	sub.AttachSubcommand(requests.sub, 1)
 	return command{sub: sub, run: func() int {
 		if flows.sub.Used {
 			return flows.run()
 		}
-		fmt.Fprintln(os.Stderr, "nutmegtrack: bench: name what to measure: flows")
+		if requests.sub.Used {
+			return requests.run()
+		}
+		fmt.Fprintln(os.Stderr, "nutmegtrack: bench: name what to measure: flows, requests")
 		return exitUsage
 	}}
 }
