Add the HTTP front of the agent

Change: package httpfront on net/http on both sides, wired by the agent with http_listen, http_upstream, http_queue and http_retention_seconds; messages between agents go by the control RPC Request.Message. Requests to the upstream use a connection each, because net/http repeats a request with an Idempotency-Key when a reused connection breaks. A cancelled request keeps its slot until the upstream has closed its side of the connection. Measured: go test -race ./httpfront passes. Conclusion: the front is complete but for trailers and interim responses.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -37,15 +37,16 @@
 	registry  metrics.Registry
 	counters  *counters
 
-	ports   ports
-	control *daemon.Control
-	members *daemon.Members[*member.Announcer]
-	flows   flows
-	peers   peers
-	sender  *sender
-	lists   *daemon.Lists
-	started time.Duration
-	state   sync.Mutex // serializes changes of state
+	ports    ports
+	control  *daemon.Control
+	members  *daemon.Members[*member.Announcer]
+	flows    flows
+	peers    peers
+	sender   *sender
+	lists    *daemon.Lists
+	requests requests
+	started  time.Duration
+	state    sync.Mutex // serializes changes of state
 }
 
 // New returns an agent that has opened nothing yet.
@@ -109,6 +110,7 @@
 	a.control.Register(daemon.ListsService, daemon.NewListsRPC(a.lists))
 	a.control.Register(flowService, &flowRPC{handle: a.receiveMessage})
 	a.control.Register(daemon.AdminService, daemon.NewAdmin(a.drainRequested))
+	a.assembleRequests(transport, spawn)
 	a.addDumpSources()
 }
 
@@ -157,6 +159,7 @@
 		a.life.Go(a.newReplyReader().run)
 	}
 	a.control.Serve(a.ports.control)
+	a.launchRequests()
 	a.life.Every(tick, a.step)
 	a.life.Supervise(a.drain, a.close)
 }
@@ -200,6 +203,7 @@
 // close ends all goroutines.
 func (a *Agent) close() {
 	a.ports.closePackets()
+	a.closeRequests()
 	a.control.Close()
 }
 
--- a/agent/drain.go
+++ b/agent/drain.go
@@ -19,8 +19,9 @@
 	a.state.Lock()
 	a.announce(flow.Draining)
 	a.state.Unlock()
+	a.drainRequests()
 	end := a.clock() + a.cfg.DrainLimitSeconds.Duration()
-	for !a.drained() && a.clock() < end {
+	for !(a.drained() && a.requestsIdle()) && a.clock() < end {
 		if !a.life.Sleep(tick) {
 			return
 		}
--- a/agent/ports.go
+++ b/agent/ports.go
@@ -19,6 +19,7 @@
 	replies  packetio.Conn   // IP packets from the upstream; nil with a TUN device
 	device   packetio.Source // TUN device; nil without one
 	control  net.Listener
+	http     net.Listener // from callers; nil without http_listen
 }
 
 // openPorts opens all sockets that the settings name, or none.
@@ -37,6 +38,11 @@
 	if err := p.openUpstream(cfg); err != nil {
 		return p, err
 	}
+	if cfg.HTTPListen.IsValid() {
+		if p.http, err = net.Listen("tcp", cfg.HTTPListen.String()); err != nil {
+			return p, errors.Wrap(err, "agent: http_listen")
+		}
+	}
 	p.control, err = net.Listen("tcp", cfg.ControlListen.String())
 	return p, errors.Wrap(err, "agent: control_listen")
 }
@@ -78,4 +84,7 @@
 	if p.control != nil {
 		_ = p.control.Close()
 	}
+	if p.http != nil {
+		_ = p.http.Close()
+	}
 }
--- /dev/null
+++ b/agent/requests.go
@@ -0,0 +1,144 @@
+package agent
+
+import (
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/daemon"
+	"github.com/nutmegtrack/nutmegtrack/event"
+	"github.com/nutmegtrack/nutmegtrack/flow"
+	"github.com/nutmegtrack/nutmegtrack/httpfront"
+	"github.com/nutmegtrack/nutmegtrack/member"
+	"github.com/nutmegtrack/nutmegtrack/packet"
+	"github.com/nutmegtrack/nutmegtrack/request"
+)
+
+const (
+	requestService = "Request"
+	requestMethod  = requestService + ".Message"
+
+	// requestTick is the interval of the request tables; claims are sent again after
+	// a few of them.
+	requestTick = 10 * time.Millisecond
+
+	// maxRequestCalls bounds the messages on their way. A lost one is sent again.
+	maxRequestCalls = 256
+)
+
+// requestRPC serves messages of other agents' request tables.
+type requestRPC struct {
+	handle func(request.Message)
+}
+
+// Message serves the RPC.
+func (r *requestRPC) Message(m *request.Message, _ *NoReply) error {
+	r.handle(*m)
+	return nil
+}
+
+// requests connects the HTTP front with the agent. The front is nil without
+// http_listen.
+type requests struct {
+	front    *httpfront.Front
+	controls atomic.Pointer[map[packet.AgentID]netip.AddrPort]
+	calls    atomic.Int64
+}
+
+// assembleRequests creates the HTTP front.
+func (a *Agent) assembleRequests(transport daemon.Transport, spawn func(func())) {
+	if a.ports.http == nil {
+		return
+	}
+	retention := a.cfg.HTTPRetentionSeconds.Duration()
+	life := retention / grantParts
+	a.requests.front = httpfront.New(httpfront.Config{
+		Service:  a.cfg.Service.Name,
+		Upstream: a.cfg.HTTPUpstream,
+		Clock:    a.clock,
+		Rand:     daemon.NewRand(a.rng),
+		Self:     request.Process{ID: a.id, Incarnation: a.self().Incarnation},
+		Send:     func(m request.Message) { a.sendRequestMessage(transport, spawn, m) },
+		Node: request.NodeConfig{
+			Gate:      request.GateConfig{Slots: a.cfg.Service.Slots, Queue: a.cfg.HTTPQueue},
+			Registrar: request.RegistrarConfig{Retention: retention},
+			Attempts:  request.AttemptsConfig{Retention: retention},
+			Claims:    request.ClaimsConfig{GrantLife: life, Refresh: life},
+		},
+	})
+	a.control.Register(requestService, &requestRPC{handle: a.requests.front.Handle})
+	a.control.Dump.AddSource("requests", func() any { return a.requests.front.State() })
+}
+
+// grantParts is the share of the retention time after which a claim is renewed.
+const grantParts = 3
+
+// sendRequestMessage sends a message in the background.
+func (a *Agent) sendRequestMessage(transport daemon.Transport, spawn func(func()), m request.Message) {
+	controls := a.requests.controls.Load()
+	if controls == nil {
+		return
+	}
+	to, known := (*controls)[m.To.ID]
+	if !known || a.requests.calls.Add(1) > maxRequestCalls {
+		if known {
+			a.requests.calls.Add(-1)
+		}
+		return
+	}
+	spawn(func() {
+		defer a.requests.calls.Add(-1)
+		if err := transport.Call(a.life.Context(), to, requestMethod, &m, &NoReply{}); err != nil {
+			a.sender.failed(to, err)
+		}
+	})
+}
+
+// refreshRequests tells the HTTP front of a changed membership. Before a balancer has
+// answered, the agent knows only itself, and would take the service for a new one.
+func (a *Agent) refreshRequests(records []member.Record, controls map[packet.AgentID]netip.AddrPort) {
+	if a.requests.front == nil || a.peers.home.Load() == nil {
+		return
+	}
+	a.requests.controls.Store(&controls)
+	a.requests.front.SetMembers(requestMembers(records))
+}
+
+// requestMembers returns the running agents; those that are ready keep keys.
+func requestMembers(records []member.Record) (out []request.Member) {
+	for i := range records {
+		r := &records[i]
+		if !r.State.Gone() {
+			out = append(out, request.Member{ID: packet.AgentIDOf(r.Name), Incarnation: r.Incarnation,
+				FailureDomain: r.FailureDomain, Registrar: r.State == flow.Ready})
+		}
+	}
+	return out
+}
+
+// launchRequests starts to accept callers.
+func (a *Agent) launchRequests() {
+	if f := a.requests.front; f != nil {
+		a.life.Go(func() error { return f.Serve(a.ports.http) })
+		a.life.Every(requestTick, f.Step)
+		a.log.Log(event.HTTPListening, "listen", a.ports.http.Addr(), "upstream", a.cfg.HTTPUpstream)
+	}
+}
+
+// drainRequests refuses requests that have not started.
+func (a *Agent) drainRequests() {
+	if a.requests.front != nil {
+		a.requests.front.Drain()
+	}
+}
+
+// requestsIdle reports whether all requests have ended.
+func (a *Agent) requestsIdle() bool {
+	return a.requests.front == nil || a.requests.front.Idle()
+}
+
+func (a *Agent) closeRequests() {
+	if a.requests.front != nil {
+		a.requests.front.Close()
+	}
+}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -1,7 +1,8 @@
 package event
 
 // Events by number: 1000 processes and settings, 1100 packet path, 1200
-// membership, 1300 store and lists, 1400 control calls.
+// membership, 1300 store and lists, 1400 control calls,
+// 1500 requests.
 var (
 	Started      = Definition{1000, Info, "started", "The process has opened its sockets."}
 	Draining     = Definition{1001, Info, "draining", "A graceful shutdown or drain has begun."}
@@ -22,6 +23,8 @@
 	StoreFailed   = Definition{1302, Warn, "store call failed", "The store did not answer; the process goes on with what it has and tries again. At most one event is logged each minute."}
 
 	ControlFailed = Definition{1400, Warn, "control service failed", "The control listener reported an error; other processes may be unable to reach this one."}
+
+	HTTPListening = Definition{1500, Info, "HTTP front listening", "The agent accepts HTTP connections of callers for its upstream."}
 )
 
 // Catalogue lists every event that the programs log, in order of number.
@@ -31,4 +34,5 @@
 	StateChanged, PeerSilent,
 	ListsActive, ListsRejected, StoreFailed,
 	ControlFailed,
+	HTTPListening,
 }
--- /dev/null
+++ b/httpfront/front.go
@@ -0,0 +1,185 @@
+package httpfront
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/nutmegtrack/nutmegtrack/request"
+)
+
+// Config holds the parameters of a front.
+type Config struct {
+	Service  string
+	Upstream netip.AddrPort
+	Node     request.NodeConfig
+	Self     request.Process
+	Rand     *rand.Rand
+	Clock    func() time.Duration  // monotonic
+	Send     func(request.Message) // to another agent; must not block
+}
+
+// Front serves callers. It is safe for concurrent use.
+type Front struct {
+	cfg       Config
+	transport *http.Transport
+	server    *http.Server
+	keepBytes int
+
+	mu    sync.Mutex
+	node  *request.Node
+	waits map[request.Ticket]chan request.Event
+	conns map[*upstreamConn]bool
+}
+
+// waitEvents is the number of events of one request: its start and its end.
+const waitEvents = 2
+
+// New returns a front that does not listen yet.
+func New(cfg Config) *Front {
+	f := &Front{
+		cfg:       cfg,
+		node:      request.NewNode(cfg.Node, cfg.Self, cfg.Rand),
+		keepBytes: cfg.Node.Attempts.MaxBodyBytes,
+		waits:     make(map[request.Ticket]chan request.Event),
+		conns:     make(map[*upstreamConn]bool),
+	}
+	if f.keepBytes == 0 {
+		f.keepBytes = request.MaxBodyBytes
+	}
+	// A request never reuses a connection: net/http would repeat a request with an
+	// Idempotency-Key by itself when a reused connection breaks, and the upstream
+	// might have run it.
+	f.transport = &http.Transport{DialContext: f.dial, DisableKeepAlives: true, DisableCompression: true}
+	f.server = &http.Server{Handler: f, ReadHeaderTimeout: headerTimeout}
+	return f
+}
+
+// headerTimeout bounds how long a caller may take to send the headers.
+const headerTimeout = 10 * time.Second
+
+// Serve accepts callers until Close.
+func (f *Front) Serve(l net.Listener) error {
+	if err := f.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "httpfront")
+	}
+	return nil
+}
+
+// Step advances the node.
+func (f *Front) Step() { f.do(func(now time.Duration, n *request.Node) { n.Step(now) }) }
+
+// Handle takes a message of another agent.
+func (f *Front) Handle(m request.Message) {
+	f.do(func(now time.Duration, n *request.Node) { n.Handle(now, m) })
+}
+
+// SetMembers adopts the running agents of the service.
+func (f *Front) SetMembers(list []request.Member) {
+	f.do(func(now time.Duration, n *request.Node) { n.SetMembers(now, list) })
+}
+
+// Drain refuses what has not started. Idle says when the rest has ended.
+func (f *Front) Drain() {
+	f.do(func(now time.Duration, n *request.Node) { n.Drain(now) })
+	f.server.SetKeepAlivesEnabled(false)
+}
+
+// Idle reports whether no request is queued or in progress.
+func (f *Front) Idle() (idle bool) {
+	f.do(func(_ time.Duration, n *request.Node) { idle = n.Idle() })
+	return idle
+}
+
+// State returns a summary for the dump.
+func (f *Front) State() (s request.State) {
+	f.do(func(_ time.Duration, n *request.Node) { s = n.State() })
+	return s
+}
+
+// Close ends all connections; answers that are not complete are cut.
+func (f *Front) Close() {
+	_ = f.server.Close()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.conns {
+		_ = c.Conn.Close()
+	}
+}
+
+// do calls the node, then passes its messages and events on.
+func (f *Front) do(call func(time.Duration, *request.Node)) {
+	f.mu.Lock()
+	now := f.cfg.Clock()
+	call(now, f.node)
+	messages, events := f.node.Take(now)
+	for _, e := range events {
+		if wait := f.waits[e.Ticket]; wait != nil {
+			wait <- e
+		}
+	}
+	f.mu.Unlock()
+	for _, m := range messages {
+		f.cfg.Send(m)
+	}
+}
+
+// submit queues a request. Its events arrive on the channel.
+func (f *Front) submit(r request.Request) (t request.Ticket, events chan request.Event) {
+	events = make(chan request.Event, waitEvents)
+	f.do(func(now time.Duration, n *request.Node) {
+		r.Deadline += now
+		t = n.Submit(now, r)
+		f.waits[t] = events
+	})
+	return t, events
+}
+
+func (f *Front) forget(t request.Ticket) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.waits, t)
+}
+
+// cancel cancels a request that has no event yet; one that was started is cancelled
+// by its exchange.
+func (f *Front) cancel(t request.Ticket, events chan request.Event) {
+	f.do(func(now time.Duration, n *request.Node) {
+		if len(events) == 0 {
+			n.Cancel(now, t)
+		}
+	})
+}
+
+func (f *Front) finish(t request.Ticket, o request.Outcome, reason request.Reason, a *request.Answer) {
+	f.do(func(now time.Duration, n *request.Node) { n.Finish(now, t, o, reason, a) })
+}
+
+func (f *Front) free(t request.Ticket) {
+	f.do(func(now time.Duration, n *request.Node) { n.Free(now, t) })
+}
+
+// dial opens a connection to the upstream.
+func (f *Front) dial(ctx context.Context, network, _ string) (net.Conn, error) {
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, network, f.cfg.Upstream.String())
+	if err != nil {
+		return nil, err
+	}
+	c := &upstreamConn{Conn: conn, released: make(chan struct{})}
+	c.forget = func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.conns, c)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.conns[c] = true
+	return c, nil
+}
--- a/request/attempts.go
+++ b/request/attempts.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// MaxBodyBytes is the default bound of the body of an answer that is kept.
+const MaxBodyBytes = 64 << 10
+
 // AttemptsConfig holds the parameters of Attempts. Zero fields take the default.
 type AttemptsConfig struct {
 	// Retention is how long an outcome is kept after its end; default 15 min.
@@ -15,7 +18,7 @@
 		c.Retention = 15 * time.Minute
 	}
 	if c.MaxBodyBytes == 0 {
-		c.MaxBodyBytes = 64 << 10
+		c.MaxBodyBytes = MaxBodyBytes
 	}
 	return c
 }
--- a/settings/agent.go
+++ b/settings/agent.go
@@ -33,6 +33,17 @@
 	// ReplyAddress receives the replies on their way to clients (packet_io.mode
 	// "udp").
 	ReplyAddress netip.AddrPort `json:"reply_address"`
+	// HTTPListen is the address on which the agent accepts HTTP/1.1 connections of
+	// callers. Without it the service's flows are carried whole. Either all agents of
+	// a service have it or none.
+	HTTPListen netip.AddrPort `json:"http_listen"`
+	// HTTPUpstream is the upstream's HTTP address on this VM.
+	HTTPUpstream netip.AddrPort `json:"http_upstream"`
+	// HTTPQueue is the number of requests that wait for a slot.
+	HTTPQueue int `json:"http_queue" default:"16" min:"1" max:"10000"`
+	// HTTPRetentionSeconds is how long the outcome of a request with an idempotency
+	// key is remembered, the same on all agents of a service.
+	HTTPRetentionSeconds Seconds `json:"http_retention_seconds" default:"900" min:"1" max:"86400"`
 	// Balance tunes the placement of new flows.
 	Balance Balance `json:"balance"`
 	// SettlingSeconds is the longest time for which the views of two processes are
@@ -90,6 +101,9 @@
 		at.add(found, "data_address", "is announced to balancers and cannot be the unspecified address")
 	}
 	checkAdvertise(at, found, a.ControlListen, a.ControlAdvertise)
+	if a.HTTPListen.IsValid() && !a.HTTPUpstream.IsValid() && !at.known("http_upstream") {
+		at.add(found, "http_upstream", "is required with http_listen")
+	}
 	if a.PacketIO.Mode != ModeUDP {
 		return
 	}
