--- a/cmd/nutmegtrack/standin.go
+++ b/cmd/nutmegtrack/standin.go
@@ -10,6 +10,7 @@
 	newStandinFabric,
 	newStandinClient,
 	newStandinUpstream,
+	newStandinHTTPUpstream,
 }
 
 // newStandin returns the parent of all stand-ins.
