Add package caller

Change: a client on net/http that repeats within a budget, with randomised backoff, what is idempotent, keyed or was told not run, and says not run only when no attempt may have run. Measured: go test ./caller passes. Conclusion: a request without a key is never repeated after an unknown outcome.

--- /dev/null
+++ b/caller/budget.go
@@ -0,0 +1,44 @@
+package caller
+
+import "sync"
+
+// BudgetConfig bounds the retries of a client, so that they cannot multiply an
+// overload. Zero fields take the default.
+type BudgetConfig struct {
+	Share float64 // retries for each request; default 0.2
+	Most  float64 // retries saved up at most, and available at first; default 10
+}
+
+// budget is a token bucket that is filled by requests.
+type budget struct {
+	cfg BudgetConfig
+
+	mu   sync.Mutex
+	left float64
+}
+
+func newBudget(cfg BudgetConfig) *budget {
+	if cfg.Share == 0 {
+		cfg.Share = 0.2
+	}
+	if cfg.Most == 0 {
+		cfg.Most = 10
+	}
+	return &budget{cfg: cfg, left: cfg.Most}
+}
+
+func (b *budget) earn() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.left = min(b.left+b.cfg.Share, b.cfg.Most)
+}
+
+func (b *budget) spend() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.left < 1 {
+		return false
+	}
+	b.left--
+	return true
+}
--- /dev/null
+++ b/caller/client_test.go
@@ -0,0 +1,113 @@
+package caller
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/nutmegtrack/nutmegtrack/httpfront"
+	"github.com/nutmegtrack/nutmegtrack/request"
+)
+
+func TestCaller(t *testing.T) {
+	RegisterFailHandler(ginkgo.Fail)
+	suite, reporter := ginkgo.GinkgoConfiguration()
+	suite.RandomSeed = 1
+	ginkgo.RunSpecs(t, "caller", suite, reporter)
+}
+
+// service answers each attempt with the next of the given outcomes; "cut" breaks the
+// connection.
+type service struct {
+	*httptest.Server
+	retries []string // the header of each attempt
+	slept   []time.Duration
+}
+
+func serve(outcomes ...string) *service {
+	s := &service{}
+	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		outcome, reason, _ := strings.Cut(outcomes[len(s.retries)], " ")
+		s.retries = append(s.retries, r.Header.Get(httpfront.HeaderRetry))
+		if outcome == "cut" {
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set(httpfront.HeaderOutcome, outcome)
+		w.Header().Set(httpfront.HeaderReason, reason)
+		if outcome == "not-run" {
+			w.Header().Set("Retry-After", "1")
+		}
+		_, _ = io.Copy(w, r.Body)
+	}))
+	ginkgo.DeferCleanup(s.Close)
+	return s
+}
+
+func (s *service) do(method, key string, cfg Config) Result {
+	cfg.Sleep = func(_ context.Context, d time.Duration) error {
+		s.slept = append(s.slept, d)
+		return nil
+	}
+	r, err := http.NewRequest(method, s.URL, strings.NewReader("body"))
+	Expect(err).NotTo(HaveOccurred())
+	if key != "" {
+		r.Header.Set(httpfront.HeaderKey, key)
+	}
+	return New(cfg).Do(r)
+}
+
+var _ = ginkgo.Describe("Client", func() {
+	ginkgo.It("repeats what was told not run, after the time the answer asks for", func() {
+		// Guards against a refused order that is given up, and a client that hurries.
+		s := serve("not-run", "done")
+		result := s.do("POST", "", Config{})
+		Expect(result.Outcome).To(Equal(request.Done))
+		Expect(io.ReadAll(result.Response.Body)).To(Equal([]byte("body")))
+		Expect(s.slept).To(HaveExactElements(BeNumerically(">=", time.Second)))
+		Expect(s.retries).To(Equal([]string{"", ""}))
+	})
+
+	ginkgo.It("never repeats a request without a key after an unknown outcome", func() {
+		// Guards against an order that is placed twice.
+		for _, outcome := range []string{"unknown", "cut"} {
+			s := serve(outcome, "done")
+			Expect(s.do("POST", "", Config{}).Outcome).To(Equal(request.Unknown))
+			Expect(s.retries).To(HaveLen(1))
+		}
+	})
+
+	ginkgo.It("repeats keyed and idempotent requests after an unknown outcome", func() {
+		// Guards against giving up where a retry is safe.
+		for method, key := range map[string]string{"POST": "k", "PUT": ""} {
+			s := serve("cut", "unknown deadline", "done")
+			Expect(s.do(method, key, Config{}).Outcome).To(Equal(request.Done))
+			Expect(s.retries).To(Equal([]string{"", "1", "1"}))
+		}
+		s := serve("unknown attempt-lost", "done")
+		Expect(s.do("POST", "k", Config{}).Outcome).To(Equal(request.Unknown))
+	})
+
+	ginkgo.It("says not run only when no attempt may have run", func() {
+		// Guards against "not run" for an order whose first attempt was lost.
+		s := serve("cut", "not-run")
+		Expect(s.do("POST", "k", Config{Attempts: 2}).Outcome).To(Equal(request.Unknown))
+		s = serve("not-run", "not-run")
+		Expect(s.do("POST", "k", Config{Attempts: 2}).Outcome).To(Equal(request.NotRun))
+		s.Close()
+		Expect(s.do("POST", "", Config{Attempts: 2})).To(And(HaveField("Outcome", request.NotRun), HaveField("Attempts", 2)))
+	})
+
+	ginkgo.It("stops when the retry budget is spent", func() {
+		// Guards against retries that multiply an overload.
+		s := serve("not-run", "not-run", "not-run", "not-run")
+		result := s.do("GET", "", Config{Attempts: 9, Budget: BudgetConfig{Most: 2}})
+		Expect(result.Attempts).To(Equal(3))
+	})
+})
--- a/httpfront/headers.go
+++ b/httpfront/headers.go
@@ -56,8 +56,8 @@
 	return ""
 }
 
-// idempotent reports whether a method may be run again (RFC 9110, section 9.2.2).
-func idempotent(method string) bool {
+// Idempotent reports whether a method may be run again (RFC 9110, section 9.2.2).
+func Idempotent(method string) bool {
 	switch method {
 	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace, http.MethodPut, http.MethodDelete:
 		return true
--- a/httpfront/serve.go
+++ b/httpfront/serve.go
@@ -46,7 +46,7 @@
 		return request.Request{}, HeaderKey + ": longer than " + strconv.Itoa(maxKeyBytes) + " bytes"
 	}
 	req := request.Request{Deadline: left, Retry: r.Header.Get(HeaderRetry) == "1"}
-	if key != "" && !idempotent(r.Method) {
+	if key != "" && !Idempotent(r.Method) {
 		req.Keyed = true
 		req.Key = request.KeyOf(f.cfg.Service, r.Method+" "+r.URL.RequestURI(), key)
 	}
