Synchronise the attempts seen by the test service of package caller

Cause: the handler's goroutine wrote what the test read; the race detector reported it. Change: a mutex. Conclusion: the race was in the test only.

--- a/caller/client_test.go
+++ b/caller/client_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -27,15 +28,31 @@
 // connection.
 type service struct {
 	*httptest.Server
-	retries []string // the header of each attempt
-	slept   []time.Duration
+	slept []time.Duration
+
+	mu   sync.Mutex
+	seen []string // the retry header of each attempt
+}
+
+// record notes an attempt and returns its number.
+func (s *service) record(retry string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seen = append(s.seen, retry)
+	return len(s.seen) - 1
+}
+
+func (s *service) retries() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seen
 }
 
 func serve(outcomes ...string) *service {
 	s := &service{}
 	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		outcome, reason, _ := strings.Cut(outcomes[len(s.retries)], " ")
-		s.retries = append(s.retries, r.Header.Get(httpfront.HeaderRetry))
+		n := s.record(r.Header.Get(httpfront.HeaderRetry))
+		outcome, reason, _ := strings.Cut(outcomes[n], " ")
 		if outcome == "cut" {
 			panic(http.ErrAbortHandler)
 		}
@@ -71,7 +88,7 @@
 		Expect(result.Outcome).To(Equal(request.Done))
 		Expect(io.ReadAll(result.Response.Body)).To(Equal([]byte("body")))
 		Expect(s.slept).To(HaveExactElements(BeNumerically(">=", time.Second)))
-		Expect(s.retries).To(Equal([]string{"", ""}))
+		Expect(s.retries()).To(Equal([]string{"", ""}))
 	})
 
 	ginkgo.It("never repeats a request without a key after an unknown outcome", func() {
@@ -79,7 +96,7 @@
 		for _, outcome := range []string{"unknown", "cut"} {
 			s := serve(outcome, "done")
 			Expect(s.do("POST", "", Config{}).Outcome).To(Equal(request.Unknown))
-			Expect(s.retries).To(HaveLen(1))
+			Expect(s.retries()).To(HaveLen(1))
 		}
 	})
 
@@ -88,7 +105,7 @@
 		for method, key := range map[string]string{"POST": "k", "PUT": ""} {
 			s := serve("cut", "unknown deadline", "done")
 			Expect(s.do(method, key, Config{}).Outcome).To(Equal(request.Done))
-			Expect(s.retries).To(Equal([]string{"", "1", "1"}))
+			Expect(s.retries()).To(Equal([]string{"", "1", "1"}))
 		}
 		s := serve("unknown attempt-lost", "done")
 		Expect(s.do("POST", "k", Config{}).Outcome).To(Equal(request.Unknown))
