Let registrars remember that a key's attempt is done

Change: the agent tells both registrars; records carry it through hand-over; a retry is then told done with the reason answer-lost, status 409. TestRetryAfterDoneAndDeath shows the case.

--- a/bench/requests.go
+++ b/bench/requests.go
@@ -38,6 +38,8 @@
 	NotRunButRun int `json:"not_run_but_run"`
 	// Crossed counts answers taken by a caller that were cut or named another request.
 	Crossed int `json:"crossed"`
+	// AnswersLost counts requests whose caller learns only that they are done.
+	AnswersLost int `json:"answers_lost"`
 	// UnknownShare is the share of requests whose caller ended without knowing.
 	UnknownShare float64 `json:"unknown_share"`
 	// SlotUse is the share of slots in use over the time in which requests waited for
--- a/bench/requests_caller.go
+++ b/bench/requests_caller.go
@@ -147,6 +147,10 @@
 
 // check compares an answer with its request.
 func (c *requestCallers) check(a callAnswer) {
+	if a.answer == nil && a.reason == request.ReasonAnswerLost {
+		c.w.ledger.answersLost++
+		return
+	}
 	if a.answer == nil || len(a.answer.Body) != 8 || binary.BigEndian.Uint64(a.answer.Body) != uint64(a.id) {
 		c.w.ledger.crossed++
 	}
--- a/bench/requests_ledger.go
+++ b/bench/requests_ledger.go
@@ -18,6 +18,7 @@
 	idempotent   map[int]bool
 	unknown      map[request.Reason]int
 	crossed      int
+	answersLost  int
 	ratios       []float64
 	busy, slots  uint64
 	busyAll      uint64
@@ -80,7 +81,7 @@
 	seconds := w.net.Now().Seconds()
 	r := RequestsResult{
 		Variant: string(w.permits), Seed: w.cfg.Seed, Requests: w.callers.started,
-		Crossed: l.crossed, VirtualSeconds: seconds, Deaths: w.deaths,
+		Crossed: l.crossed, AnswersLost: l.answersLost, VirtualSeconds: seconds, Deaths: w.deaths,
 		UnknownLost: l.unknown[request.ReasonAttemptLost], UnknownDeadline: l.unknown[request.ReasonDeadline],
 		ControlBytesByKind:    l.bytesByKind,
 		UnknownBroken:         l.unknown[request.ReasonBroken],
--- a/bench/requests_store.go
+++ b/bench/requests_store.go
@@ -42,9 +42,13 @@
 		return nil
 	}
 	s.writes++
-	if m.Kind == request.KindRelease {
+	switch m.Kind {
+	case request.KindRelease:
 		s.table.Release(m.Key, m.Attempt)
 		return nil
+	case request.KindDone:
+		s.table.Done(m.Key, m.Attempt)
+		return nil
 	}
 	reply := s.table.Claim(now, m)
 	s.w.net.After(s.addr, storeDelay, func() { s.w.send(s.addr, from, reply) })
--- a/httpfront/serve.go
+++ b/httpfront/serve.go
@@ -79,7 +79,7 @@
 		return
 	}
 	reason := e.Reason
-	if e.Outcome == request.Done {
+	if e.Outcome == request.Done && reason == request.ReasonNone {
 		reason = request.ReasonAnswerTooLarge
 	}
 	h.Set(HeaderOutcome, e.Outcome.String())
@@ -94,7 +94,7 @@
 func statusOf(o request.Outcome, reason request.Reason) int {
 	switch {
 	case o == request.Done:
-		// The answer was too large to be kept; the request itself is done.
+		// The request itself is done; its answer is not kept.
 		return http.StatusConflict
 	case reason == request.ReasonDeadline:
 		return http.StatusGatewayTimeout
--- a/request/claims.go
+++ b/request/claims.go
@@ -178,13 +178,17 @@
 	a.running, a.sent = true, now
 }
 
-// End forgets an attempt. One that did not run gives its claims back.
-func (c *Claims) End(id AttemptID) {
+// End forgets an attempt. One that did not run gives its claims back; the registrars
+// learn of one that is done.
+func (c *Claims) End(id AttemptID, o Outcome) {
 	a := c.table[id]
 	if a == nil {
 		return
 	}
-	if !a.running && !a.yielded {
+	switch {
+	case a.running && o == Done:
+		c.tell(KindDone, a.name(id), a)
+	case !a.running && !a.yielded:
 		c.release(id, a)
 	}
 	delete(c.table, id)
@@ -200,10 +204,13 @@
 	a.granted = [2]bool{}
 }
 
-func (c *Claims) sendRelease(name AttemptID, a *claim) {
+func (c *Claims) sendRelease(name AttemptID, a *claim) { c.tell(KindRelease, name, a) }
+
+// tell sends a message on an attempt to both registrars.
+func (c *Claims) tell(kind Kind, name AttemptID, a *claim) {
 	for i, to := range a.pair {
 		if to != (Process{}) && (i == 0 || to != a.pair[0]) {
-			c.out = append(c.out, Message{Kind: KindRelease, From: c.self, To: to, Key: a.key, Attempt: name})
+			c.out = append(c.out, Message{Kind: kind, From: c.self, To: to, Key: a.key, Attempt: name})
 		}
 	}
 }
@@ -229,6 +236,10 @@
 	case Refused:
 		a.refused = true
 	case Held:
+		if m.Outcome == Done && c.gone(m.Other) {
+			c.found = append(c.found, Found{Attempt: id, Outcome: Done, Reason: ReasonAnswerLost})
+			return
+		}
 		c.held(now, id, a, m.From, m.Other)
 	}
 }
--- a/request/handover.go
+++ b/request/handover.go
@@ -103,7 +103,7 @@
 	for k, held := range r.records {
 		if held.expires > now && !r.current.holds(held.primary.ID, held.primary.Incarnation) && r.lacks(m, k, held, known, first) {
 			for _, a := range held.attempts {
-				reply.Records = append(reply.Records, Record{Key: k, Attempt: a, Left: held.expires - now})
+				reply.Records = append(reply.Records, Record{Key: k, Attempt: a, Left: held.expires - now, Done: held.done == a})
 			}
 		}
 	}
@@ -148,7 +148,7 @@
 	delete(r.pull.missing, m.From)
 	r.pull.fresh = r.pull.fresh && m.Complete == 0
 	for _, rec := range m.Records {
-		r.merge(now, rec.Key, rec.Attempt, now+rec.Left)
+		r.merge(now, rec)
 	}
 	for _, h := range m.Histories {
 		r.pull.received = append(r.pull.received, pastView{newView(h.Members), now + h.Left})
--- a/request/message.go
+++ b/request/message.go
@@ -14,6 +14,8 @@
 	KindClaimReply
 	// KindRelease takes back the claim of an attempt that ended without running.
 	KindRelease
+	// KindDone tells a registrar that the attempt that holds a key is done.
+	KindDone
 	// KindFind asks the agent of an attempt what became of it.
 	KindFind
 	// KindFindReply answers it.
@@ -50,8 +52,8 @@
 	Other    AttemptID // the holder of the key, or the attempt asked for
 	Pair     Pair      // registrars in the sender's view (claim)
 	Verdict  Verdict
-	Holding  bool // the asking attempt holds a grant (find) or runs (claim)
-	Outcome  Outcome
+	Holding  bool    // the asking attempt holds a grant (find) or runs (claim)
+	Outcome  Outcome // Done in a registrar's answer when the holder is done
 	Reason   Reason
 	Answer   *Answer
 
@@ -67,6 +69,7 @@
 	Key     Key
 	Attempt AttemptID
 	Left    time.Duration // of the retention time
+	Done    bool
 }
 
 // History is a membership under which keys may have been granted.
--- a/request/node.go
+++ b/request/node.go
@@ -207,7 +207,7 @@
 	}
 	n.attempts.End(now, r.id, r.Key, n.ownOutcome(r, o), reason, own)
 	r.ended = true
-	n.claims.End(r.id)
+	n.claims.End(r.id, n.ownOutcome(r, o))
 	delete(n.byID, r.id)
 	if !r.started {
 		delete(n.requests, t)
@@ -354,6 +354,8 @@
 		n.out = append(n.out, n.registrar.Claim(now, m))
 	case KindRelease:
 		n.registrar.Release(m.Key, m.Attempt)
+	case KindDone:
+		n.registrar.Done(m.Key, m.Attempt)
 	case KindClaimReply:
 		n.claims.Reply(now, m)
 	case KindFind:
--- a/request/node_test.go
+++ b/request/node_test.go
@@ -225,6 +225,27 @@
 	g.Expect(c.told).To(HaveKeyWithValue(retry, Unknown))
 }
 
+// Guards against "unknown" for a retry where the registrars know that the first
+// attempt is done, although the agent that kept the answer is gone.
+func TestRetryAfterDoneAndDeath(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster(nil)
+	c.settle(time.Second)
+	c.keyed(0, "k")
+	c.settle(100 * ms)
+	c.finish()
+	c.settle(100 * ms)
+	delete(c.nodes, 0)
+	for i := 1; i < 5; i++ {
+		c.nodes[i].SetMembers(c.now, members(1, 2, 3, 4))
+	}
+	c.settle(time.Second)
+	retry := c.keyed(1, "k")
+	c.settle(time.Second)
+	g.Expect(c.told).To(HaveKeyWithValue(retry, Done))
+	g.Expect(c.runs[KeyOf("s", "c", "k")]).To(Equal(1))
+}
+
 // Guards against two attempts that hold one registrar each and wait for each other.
 func TestSplitClaimsAreResolved(t *testing.T) {
 	g := NewWithT(t)
--- a/request/outcome.go
+++ b/request/outcome.go
@@ -50,10 +50,13 @@
 	// ReasonAnswerTooLarge means that the first attempt is done and its answer was
 	// too large to be kept.
 	ReasonAnswerTooLarge
+	// ReasonAnswerLost means that the first attempt is done and its agent, which kept
+	// the answer, is gone.
+	ReasonAnswerLost
 )
 
 var reasonNames = [...]string{"", "queue-full", "too-late", "deadline", "draining", "canceled",
-	"no-permit", "attempt-lost", "broken", "answer-too-large"}
+	"no-permit", "attempt-lost", "broken", "answer-too-large", "answer-lost"}
 
 // String returns the reason's lower-case name.
 func (r Reason) String() string {
--- a/request/registrar.go
+++ b/request/registrar.go
@@ -60,6 +60,7 @@
 type record struct {
 	attempts []AttemptID
 	expires  time.Duration
+	done     AttemptID // the one that is done; zero when none is known to be
 	// primary, when set, is the other registrar of the first grant: an attempt that
 	// ran has a record there too, which is handed over in place of this one.
 	primary Process
@@ -96,6 +97,9 @@
 	case found && held.expires > now && held.other(m.Attempt) != nil:
 		// A record is valid in every view: it only ever prevents a run.
 		reply.Verdict, reply.Other = Held, *held.other(m.Attempt)
+		if held.done == reply.Other {
+			reply.Outcome = Done
+		}
 		r.Counts.Held++
 	case m.Pair != r.current.pair(m.Key) || !m.Pair.Has(r.self) || !r.settled(m.Key, m.Pair) || r.mayBeLost(now, m.Key):
 		reply.Verdict = Refused
@@ -115,7 +119,7 @@
 	granted := record{attempts: []AttemptID{a}, expires: now + r.cfg.Retention}
 	switch {
 	case found && held.expires > now:
-		granted.primary = held.primary
+		granted.primary, granted.done = held.primary, held.done
 	case m.Pair[1] == r.self && !m.Holding:
 		granted.primary = m.Pair[0]
 	}
@@ -129,11 +133,14 @@
 
 // merge adds a record of another registrar. Attempts that held one registrar each
 // are all kept until they are released: any of them may be the one that ran.
-func (r *Registrar) merge(now time.Duration, k Key, a AttemptID, expires time.Duration) {
+func (r *Registrar) merge(now time.Duration, rec Record) {
+	k, a, expires := rec.Key, rec.Attempt, now+rec.Left
 	held, found := r.records[k]
 	if !found || held.expires <= now {
-		r.remember(k, record{attempts: []AttemptID{a}, expires: expires, received: r.adopted})
-		return
+		held = record{attempts: []AttemptID{a}, expires: expires}
+	}
+	if rec.Done {
+		held.done = a
 	}
 	if !slices.Contains(held.attempts, a) {
 		held.attempts = append(slices.Clone(held.attempts), a)
@@ -143,6 +150,14 @@
 	r.remember(k, held)
 }
 
+// Done notes that the attempt that holds a key is done.
+func (r *Registrar) Done(k Key, a AttemptID) {
+	if held, found := r.records[k]; found && slices.Contains(held.attempts, a) {
+		held.done = a
+		r.records[k] = held
+	}
+}
+
 // Release forgets the claim of an attempt that ended without running.
 func (r *Registrar) Release(k Key, a AttemptID) {
 	held := r.records[k]
