Bound the memory of answers kept for retries

Cause: each keyed request kept up to 64 KB for 15 minutes, and requests without a key kept an entry that nobody asks for. Change: all bodies together stay below 64 MB, further answers are remembered without a body; requests without a key are forgotten at their end, and Node itself checks that nothing is sent after "not run". Conclusion: an agent's memory for answers no longer grows with the rate.

--- a/request/attempts.go
+++ b/request/attempts.go
@@ -11,6 +11,9 @@
 	Retention time.Duration
 	// MaxBodyBytes bounds the body of an answer that is kept; default 64 KB.
 	MaxBodyBytes int
+	// MaxTotalBytes bounds all bodies that are kept; default 64 MB. Answers beyond it
+	// are remembered without a body.
+	MaxTotalBytes int
 }
 
 func (c AttemptsConfig) withDefaults() AttemptsConfig {
@@ -20,6 +23,9 @@
 	if c.MaxBodyBytes == 0 {
 		c.MaxBodyBytes = MaxBodyBytes
 	}
+	if c.MaxTotalBytes == 0 {
+		c.MaxTotalBytes = 64 << 20
+	}
 	return c
 }
 
@@ -28,6 +34,7 @@
 	cfg   AttemptsConfig
 	table map[AttemptID]*attempt
 	ended []expiringAttempt
+	bytes int // of the bodies kept
 
 	// Late counts answers for attempts that had ended or are not known.
 	Late uint64
@@ -88,7 +95,11 @@
 
 // kept returns the part of an answer that is kept.
 func (t *Attempts) kept(a *Answer) *Answer {
-	if a == nil || len(a.Body) <= t.cfg.MaxBodyBytes {
+	if a == nil {
+		return nil
+	}
+	if n := len(a.Body); n <= t.cfg.MaxBodyBytes && t.bytes+n <= t.cfg.MaxTotalBytes {
+		t.bytes += n
 		return a
 	}
 	return &Answer{Status: a.Status, TooLong: true}
@@ -114,7 +125,15 @@
 func (t *Attempts) Step(now time.Duration) {
 	i := 0
 	for ; i < len(t.ended) && t.ended[i].at <= now; i++ {
-		delete(t.table, t.ended[i].id)
+		t.Forget(t.ended[i].id)
 	}
 	t.ended = t.ended[i:]
 }
+
+// Forget removes an attempt that nobody will ask for.
+func (t *Attempts) Forget(id AttemptID) {
+	if a := t.table[id]; a != nil && a.answer != nil {
+		t.bytes -= len(a.answer.Body)
+	}
+	delete(t.table, id)
+}
--- a/request/attempts_test.go
+++ b/request/attempts_test.go
@@ -37,6 +37,20 @@
 		Expect(find(t).Outcome).To(Equal(Unknown))
 	})
 
+	ginkgo.It("bounds the bodies of all answers", func() {
+		// Guards against memory that grows with the rate of keyed requests.
+		t := NewAttempts(AttemptsConfig{MaxTotalBytes: 3, Retention: time.Minute})
+		next := AttemptID{Number: 2, Agent: 1, Incarnation: 1}
+		for _, x := range []AttemptID{id, next} {
+			t.Open(x, key)
+			t.End(0, x, key, Done, ReasonNone, &Answer{Body: []byte("ab")})
+		}
+		Expect(find(t).Answer.Body).To(HaveLen(2))
+		Expect(t.table[next].answer.TooLong).To(BeTrue())
+		t.Step(time.Minute)
+		Expect(t.bytes).To(BeZero())
+	})
+
 	ginkgo.It("stops when a request is told not run after a byte reached the upstream", func() {
 		// Guards against a wrong "not run", after which a caller would run it again.
 		t := NewAttempts(AttemptsConfig{})
--- a/request/node.go
+++ b/request/node.go
@@ -68,6 +68,7 @@
 	claimed bool
 	started bool // holds a slot
 	ended   bool // has an outcome
+	notRun  bool // was told not run
 	parked  time.Duration
 }
 
@@ -149,6 +150,7 @@
 func (n *Node) Sent(t Ticket) {
 	if r := n.requests[t]; r != nil {
 		check(r.started && (!r.Keyed || r.claimed), "request %d is sent before its start", t)
+		check(!r.notRun, "request %d is sent after it was told not run", t)
 		n.attempts.Sent(r.id)
 	}
 }
@@ -206,7 +208,10 @@
 		own = nil // an earlier attempt's
 	}
 	n.attempts.End(now, r.id, r.Key, n.ownOutcome(r, o), reason, own)
-	r.ended = true
+	if !r.Keyed {
+		n.attempts.Forget(r.id) // only retries with the key ask for attempts
+	}
+	r.ended, r.notRun = true, o == NotRun
 	n.claims.End(r.id, n.ownOutcome(r, o))
 	delete(n.byID, r.id)
 	if !r.started {
--- a/request/node_test.go
+++ b/request/node_test.go
@@ -271,6 +271,14 @@
 	}
 }
 
+// Guards against a byte that reaches the upstream after the caller was told not run.
+func TestSentAfterNotRunStops(t *testing.T) {
+	n := newTestNode(0, NodeConfig{}, 0)
+	ticket := n.Submit(0, Request{Deadline: time.Minute})
+	n.Finish(0, ticket, NotRun, ReasonBroken, nil)
+	NewWithT(t).Expect(func() { n.Sent(ticket) }).To(PanicWith(ContainSubstring("after it was told not run")))
+}
+
 // Guards against queued requests that start after the agent has been told to stop.
 func TestDrainRefusesWhatHasNotStarted(t *testing.T) {
 	g := NewWithT(t)
