Ask an admission before an agent takes a new flow

Cause: nothing limits the flows of a customer; package quota decides about new flows but the flow table has no place to ask it.

Change: TableConfig.Admission is asked where a new flow is taken and told when the flow is removed. A waiting flow's first packet is kept by the caller until Table.Decide, bounded by MaxWaiting and MaxWait. Further packets of a waiting flow are dropped, so that no peer opens it in the meantime. Without an admission the table behaves as before.

--- a/flow/accept.go
+++ b/flow/accept.go
@@ -8,7 +8,7 @@
 
 // takes reports whether this agent takes a new flow whose next choice is given.
 func (t *Table) takes(now time.Duration, next *peer) bool {
-	if !t.self.State.Accepts() || len(t.flows.entries) >= t.cfg.MaxFlows {
+	if !t.self.State.Accepts() || len(t.flows.entries)+len(t.waiting.byNumber) >= t.cfg.MaxFlows {
 		return false
 	}
 	if next == nil {
--- a/flow/action.go
+++ b/flow/action.go
@@ -16,6 +16,9 @@
 	Deliver
 	// Forward sends the packet to another agent under the updated header.
 	Forward
+	// Wait keeps the packet until Table.Decide returns what to do with it, or until
+	// Table.WaitsFor is false.
+	Wait
 )
 
 // Action is the decision of Table.Receive.
@@ -24,6 +27,7 @@
 	Reason Reason
 	To     packet.AgentID // receiver of a forwarded packet
 	Addr   netip.AddrPort // data address of To
+	Flow   uint64         // number of the flow under Wait
 	Hint   bool           // send a hint with this agent as owner to the header's origin
 	// HintAlso lists further balancers to send the hint to. It is valid until the
 	// next call of Receive. A caller may ignore it at the cost of detours.
--- /dev/null
+++ b/flow/admission_test.go
@@ -0,0 +1,125 @@
+package flow
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/nutmegtrack/nutmegtrack/packet"
+)
+
+func TestFlow(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "flow")
+}
+
+// fakeAdmission answers with a fixed verdict and counts what is open.
+type fakeAdmission struct {
+	verdict        Verdict
+	asked          []uint64 // flow numbers
+	customer       uint64
+	admitted, ends int
+}
+
+func (a *fakeAdmission) Admit(_ time.Duration, customer, flow uint64) Verdict {
+	a.asked, a.customer = append(a.asked, flow), customer
+	if a.verdict == Admitted {
+		a.admitted++
+	}
+	return a.verdict
+}
+
+func (a *fakeAdmission) Release(_ time.Duration, customer uint64) {
+	Expect(customer).To(BeEquivalentTo(7))
+	a.ends++
+}
+
+var _ = Describe("The admission of a table", func() {
+	const service packet.ServiceID = 1
+	key := packet.KeyOf(netip.MustParseAddrPort("10.0.0.7:40000"), netip.MustParseAddrPort("10.96.0.1:80"), packet.ProtoTCP)
+	var (
+		admission *fakeAdmission
+		table     *Table
+	)
+	receive := func(now time.Duration, in packet.Info) Action {
+		in.Key = key
+		return table.Receive(now, &packet.Header{Kind: packet.KindData, Service: service, Customer: 7}, &in)
+	}
+	syn := packet.Info{First: true}
+	BeforeEach(func() {
+		admission = &fakeAdmission{}
+		cfg := TableConfig{Admission: admission, MaxWaiting: 1}
+		table = NewTable(cfg, Upstream{ID: 9, State: Ready}, service, rand.New(rand.NewPCG(1, 1)))
+	})
+
+	// Guards against an agent that takes flows without asking the admission, or
+	// asks with another customer than the packet's.
+	It("takes only what is admitted", func() {
+		Expect(receive(0, syn)).To(Equal(Action{Kind: Drop, Reason: ReasonRefused}))
+		Expect(table.Open()).To(BeZero())
+		admission.verdict = Admitted
+		Expect(receive(0, syn).Kind).To(Equal(Deliver))
+		Expect(receive(0, syn).Kind).To(Equal(Deliver), "a retransmission belongs to the open flow")
+		Expect(admission.admitted).To(Equal(1))
+		Expect(admission.customer).To(BeEquivalentTo(7))
+	})
+
+	// Guards against a flow end that does not release the flow, or does so twice.
+	It("releases a flow once when it has ended", func() {
+		admission.verdict = Admitted
+		receive(0, syn)
+		receive(time.Second, packet.Info{RST: true})
+		for now := 2 * time.Second; now < 10*time.Second; now += time.Second {
+			table.Step(now)
+		}
+		Expect(admission.ends).To(Equal(1))
+	})
+
+	// Guards against a first packet that is delivered twice: at once and after the
+	// decision, or by two decisions.
+	It("decides a waiting flow once", func() {
+		admission.verdict = Waiting
+		wait := receive(0, syn)
+		Expect(wait.Kind).To(Equal(Wait))
+		Expect(receive(0, syn)).To(Equal(Action{Kind: Drop, Reason: ReasonWaiting}))
+		action, h := table.Decide(time.Second, 7, wait.Flow, Admitted)
+		Expect(action.Kind).To(Equal(Deliver))
+		Expect(h.Service).To(Equal(service))
+		Expect(table.Open()).To(Equal(1))
+		action, _ = table.Decide(time.Second, 7, wait.Flow, Admitted)
+		Expect(action.Kind).To(Equal(Drop))
+		Expect(admission.ends).To(Equal(1), "what the second decision admitted")
+	})
+
+	// Guards against waiting packets without a bound in number or time, and against
+	// a token that is lost when its flow has been given up.
+	It("bounds the waiting flows", func() {
+		admission.verdict = Waiting
+		wait := receive(0, syn)
+		other := packet.Info{Key: key, First: true}
+		other.Key.SrcPort++
+		h := packet.Header{Kind: packet.KindData, Service: service, Customer: 7}
+		Expect(table.Receive(0, &h, &other).Reason).To(Equal(ReasonRefused))
+		Expect(admission.asked).To(HaveLen(1))
+		table.Step(4 * time.Second)
+		Expect(table.WaitsFor(wait.Flow)).To(BeFalse())
+		action, _ := table.Decide(4*time.Second, 7, wait.Flow, Admitted)
+		Expect(action.Kind).To(Equal(Drop))
+		Expect(admission.ends).To(Equal(1))
+	})
+
+	// Guards against a draining agent that opens a flow because it waited.
+	It("gives an admission back when it no longer takes flows", func() {
+		admission.verdict = Waiting
+		wait := receive(0, syn)
+		table.SetState(time.Second, Draining)
+		action, _ := table.Decide(time.Second, 7, wait.Flow, Admitted)
+		Expect(action).To(Equal(Action{Kind: Drop, Reason: ReasonNoUpstream}))
+		Expect(admission.ends).To(Equal(1))
+		Expect(table.Open()).To(BeZero())
+	})
+})
--- a/flow/config.go
+++ b/flow/config.go
@@ -23,6 +23,9 @@
 	HintFanOut    int           // balancers that are told of a displaced flow at once; default 8, at most 8
 	DigestRate    int           // digest bytes per second; default 3072
 	Observer      Observer      // may be nil
+	Admission     Admission     // may be nil: all flows are admitted
+	MaxWaiting    int           // flows that wait for the admission; default 1024
+	MaxWait       time.Duration // default 4 s
 }
 
 func orDefault[T int | float64 | time.Duration](v *T, d T) {
@@ -51,5 +54,8 @@
 	orDefault(&c.HintFanOut, maxOrigins)
 	c.HintFanOut = min(c.HintFanOut, maxOrigins)
 	orDefault(&c.DigestRate, 3072)
+	orDefault(&c.MaxWaiting, 1024)
+	// Longer than quota.Config.MaxWait, so that the admission decides first.
+	orDefault(&c.MaxWait, 4*time.Second)
 	return c
 }
--- a/flow/lifetime.go
+++ b/flow/lifetime.go
@@ -109,5 +109,6 @@
 	if t.cfg.Observer != nil {
 		t.cfg.Observer.FlowEnded(t.self.ID, &e.key)
 	}
+	t.release(now, e)
 	t.flows.remove(position)
 }
--- a/flow/reason.go
+++ b/flow/reason.go
@@ -17,12 +17,17 @@
 	// ReasonBadPath: the header names this agent as visited, or its list of
 	// visited agents and its hop count contradict each other.
 	ReasonBadPath
+	// ReasonRefused: the customer's plan does not admit the flow.
+	ReasonRefused
+	// ReasonWaiting: the flow's first packet is kept until its admission is decided.
+	ReasonWaiting
 
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
 	"none", "no_service", "no_upstream", "wrong_service", "no_owner", "bad_path",
+	"refused", "waiting",
 }
 
 // String returns the reason's name as metrics use it.
--- a/flow/receive.go
+++ b/flow/receive.go
@@ -22,6 +22,10 @@
 		t.refresh(now, e, in)
 		return t.deliver(now, h, e)
 	}
+	// A second packet must not open the flow elsewhere while it may be admitted here.
+	if t.waiting.holds(&in.Key) {
+		return t.drop(ReasonWaiting)
+	}
 	if a, done := t.forwardToHolder(now, hash, h); done {
 		return a
 	}
@@ -99,7 +103,7 @@
 	}
 	next := t.nextChoice(hash, h)
 	if t.takes(now, next) {
-		return t.deliver(now, h, t.take(now, hash, &in.Key))
+		return t.admit(now, hash, h, &in.Key)
 	}
 	if next == nil {
 		return t.drop(ReasonNoUpstream)
--- a/flow/step.go
+++ b/flow/step.go
@@ -14,6 +14,7 @@
 // second; more often shortens the delay of digests.
 func (t *Table) Step(now time.Duration) []Message {
 	t.sweep(now)
+	t.expireWaiting(now)
 	t.handoffs.expire(now)
 	t.updateMeans(now)
 	t.withdraw(now)
--- a/flow/store.go
+++ b/flow/store.go
@@ -15,7 +15,7 @@
 	flagHinted  // the recent balancers were told where the flow is
 )
 
-// entry is one flow held by the agent; 64 bytes.
+// entry is one flow held by the agent; 72 bytes.
 type entry struct {
 	key    packet.Key
 	flags  uint8
@@ -24,6 +24,8 @@
 	end    uint32         // removal of an ending flow, seconds
 	target packet.AgentID // first choice that holds the flow's fingerprint; 0 when it is this agent
 	future packet.AgentID // first choice once starting upstreams are ready; 0 as above or equal to target
+	// customer is what the admission was asked with.
+	customer uint64
 }
 
 // flowStore keeps entries densely in a slice and finds them through an
--- a/flow/table.go
+++ b/flow/table.go
@@ -20,6 +20,7 @@
 
 	flows    flowStore
 	ending   int // flows that have ended and linger
+	waiting  waitingFlows
 	handoffs handoffMemory
 	peers    peerSet
 	inboxes  map[packet.AgentID]*inbox
@@ -43,6 +44,7 @@
 // Counters are totals since the table was made.
 type Counters struct {
 	Delivered, Forwarded, HandedOff, Offered, Hints uint64
+	Waited                                          uint64 // flows whose admission was not decided at once
 	Dropped                                         [reasonCount]uint64
 }
 
@@ -56,6 +58,7 @@
 		service:    service,
 		rng:        rng,
 		flows:      newFlowStore(),
+		waiting:    newWaitingFlows(),
 		handoffs:   newHandoffMemory(cfg.HandoffMemory, cfg.MaxHandoffs),
 		peers:      peerSet{byID: make(map[packet.AgentID]*peer)},
 		inboxes:    make(map[packet.AgentID]*inbox),
