Recognise customers at the balancer and refuse unknown sources

Cause: a source that belongs to no customer was served, and sources under the default plan had no identifier in Header.Customer.

Change: the plan table keeps the customer's hash with each prefix; all sources that only the default plan covers share one identifier. The balancer drops new flows of sources without a customer (packets.dropped.no_customer), and of all sources while it has no lists (packets.dropped.no_lists). Packets of known flows pass. The new refusal reason is also returned by daemon.Lists.Customer.

Conclusion: agents can count flows by customer without lists of their own.

--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -49,6 +49,9 @@
 	log    bytes.Buffer
 	pipe   *packetio.Pipe
 	reader *reader
+	// customer and refusal are what the lists say of every source.
+	customer uint64
+	refusal  flow.Reason
 }
 
 func newTestBalancer(records ...member.Record) *testBalancer {
@@ -64,6 +67,8 @@
 	t.members.Do(func(now time.Duration, n *member.Node) { n.Load(now, records) })
 	t.refreshView()
 	t.reader = t.newReader(t.pipe)
+	t.reader.customer = func(*[16]byte) (uint64, flow.Reason) { return t.customer, t.refusal }
+	t.customer = 7
 	return t
 }
 
@@ -97,6 +102,22 @@
 		Expect(h.Kind).To(Equal(packet.KindData))
 		Expect(h.Service).To(Equal(packet.ServiceIDOf("impact-portal")))
 		Expect(h.Origin).To(Equal(dataAddr))
+		Expect(h.Customer).To(BeEquivalentTo(7))
+	})
+
+	// Guards against new flows of sources without a customer, and against an edit or
+	// the lack of lists that interrupts open flows.
+	It("refuses only new flows of sources without a customer", func() {
+		b := newTestBalancer(u1)
+		ack := packet.AppendTCP(nil, &packet.TCPSegment{
+			Key: packet.KeyOf(client, service, packet.ProtoTCP), Flags: packet.FlagACK})
+		Expect(b.handle(syn(client))).To(HaveLen(1))
+		b.customer = 0
+		for _, reason := range []flow.Reason{flow.ReasonNoCustomer, flow.ReasonNoLists} {
+			b.refusal = reason
+			Expect(b.handle(syn(client), ack)).To(HaveLen(1))
+			Expect(b.counters.dropped[reason].Count()).To(BeEquivalentTo(1))
+		}
 	})
 
 	// Guards against hints that are lost or recorded for another flow.
--- a/balancer/reader.go
+++ b/balancer/reader.go
@@ -13,7 +13,7 @@
 type reader struct {
 	router   *router
 	origin   netip.AddrPort // announced to agents for hints
-	customer func(src *[16]byte) uint64
+	customer func(src *[16]byte) (uint64, flow.Reason)
 	source   packetio.Source
 	sink     packetio.Sink
 	counters *counters
@@ -21,7 +21,9 @@
 	in        *packetio.Inbox
 	out       *packetio.Outbox
 	infos     [packetio.BatchSize]packet.Info
-	routed    []int // positions in the inbox of the packets to route
+	customers [packetio.BatchSize]uint64
+	refusals  [packetio.BatchSize]flow.Reason // set where customers is 0
+	routed    []int                           // positions in the inbox of the packets to route
 	decisions [packetio.BatchSize]flow.Decision
 	hints     []hint
 	tally     tally
@@ -78,6 +80,7 @@
 			r.tally.malformed++
 			continue
 		}
+		r.customers[i], r.refusals[i] = r.customer(&r.infos[i].Key.Src)
 		r.routed = append(r.routed, i)
 	}
 }
@@ -103,10 +106,20 @@
 		router.Learn(now, &r.hints[i].key, r.hints[i].owner)
 	}
 	for _, i := range r.routed {
-		r.decisions[i] = router.Route(now, &r.infos[i])
+		r.decisions[i] = r.decide(now, router, i)
 	}
 }
 
+// decide refuses new flows of sources without a customer. Packets of known flows
+// pass, so that an edit or the lack of lists interrupts nothing.
+func (r *reader) decide(now time.Duration, router *flow.Router, i int) flow.Decision {
+	in := &r.infos[i]
+	if r.customers[i] == 0 && in.First && (in.Key.Proto == packet.ProtoTCP || !router.Knows(now, in)) {
+		return flow.Decision{Reason: r.refusals[i]}
+	}
+	return router.Route(now, in)
+}
+
 // frame puts a packet with its header into the outbox, or drops it.
 func (r *reader) frame(i int) {
 	d := &r.decisions[i]
@@ -120,7 +133,7 @@
 	h := packet.Header{
 		Kind:     packet.KindData,
 		Service:  d.Service,
-		Customer: r.customer(&r.infos[i].Key.Src),
+		Customer: r.customers[i],
 		Origin:   r.origin,
 	}
 	framed := r.in.Framed(i)
--- a/daemon/lists.go
+++ b/daemon/lists.go
@@ -9,9 +9,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/nutmegtrack/nutmegtrack/event"
+	"github.com/nutmegtrack/nutmegtrack/flow"
 	"github.com/nutmegtrack/nutmegtrack/plan"
 	"github.com/nutmegtrack/nutmegtrack/store"
 )
@@ -126,19 +125,23 @@
 }
 
 // Customer returns the identifier of the customer that a source address in
-// IPv4-mapped form belongs to, or 0 when there is none. It does not allocate.
-func (l *Lists) Customer(source *[16]byte) uint64 {
+// IPv4-mapped form belongs to, or 0 with the reason to refuse its new flows. It
+// does not allocate.
+func (l *Lists) Customer(source *[16]byte) (uint64, flow.Reason) {
 	a := l.active.Load()
 	if a == nil {
-		return 0
+		return 0, flow.ReasonNoLists
 	}
 	m, ok := a.Table.Lookup(netip.AddrFrom16(*source))
-	if !ok || m.Customer == nil {
-		return 0
+	if !ok {
+		return 0, flow.ReasonNoCustomer
 	}
-	return xxhash.Sum64String(m.Customer.Name)
+	return m.ID, flow.ReasonNone
 }
 
+// Active returns the lists in force, or nil.
+func (l *Lists) Active() *plan.Installed { return l.active.Load() }
+
 // ListsState is the dump source "lists".
 type ListsState struct {
 	plan.ReaderStatus
--- a/daemon/lists_test.go
+++ b/daemon/lists_test.go
@@ -21,6 +21,7 @@
 	"github.com/nutmegtrack/nutmegtrack/daemon"
 	"github.com/nutmegtrack/nutmegtrack/event"
 	"github.com/nutmegtrack/nutmegtrack/fake"
+	"github.com/nutmegtrack/nutmegtrack/flow"
 	"github.com/nutmegtrack/nutmegtrack/plan"
 	"github.com/nutmegtrack/nutmegtrack/plan/edit"
 	"github.com/nutmegtrack/nutmegtrack/store"
@@ -129,7 +130,9 @@
 		source := netip.MustParseAddr("10.0.7.9").As16()
 		Expect(second.Customer(&source)).To(Equal(xxhash.Sum64String("office-7")))
 		unknown := netip.MustParseAddr("10.200.0.1").As16()
-		Expect(second.Customer(&unknown)).To(BeZero())
+		id, refusal := second.Customer(&unknown)
+		Expect(id).To(BeZero())
+		Expect(refusal).To(Equal(flow.ReasonNoCustomer))
 		Expect(second.State().Customers).To(Equal(10000))
 	})
 
--- a/flow/reason.go
+++ b/flow/reason.go
@@ -21,13 +21,18 @@
 	ReasonRefused
 	// ReasonWaiting: the flow's first packet is kept until its admission is decided.
 	ReasonWaiting
+	// ReasonNoCustomer: the source belongs to no customer and there is no default
+	// plan.
+	ReasonNoCustomer
+	// ReasonNoLists: the balancer has no lists yet, so it knows no customers.
+	ReasonNoLists
 
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
 	"none", "no_service", "no_upstream", "wrong_service", "no_owner", "bad_path",
-	"refused", "waiting",
+	"refused", "waiting", "no_customer", "no_lists",
 }
 
 // String returns the reason's name as metrics use it.
--- a/flow/router.go
+++ b/flow/router.go
@@ -124,6 +124,13 @@
 	return Decision{OK: true, Service: s.id, Agent: u.ID, Addr: u.Addr}
 }
 
+// Knows reports whether the router has carried the packet's flow or has a hint for
+// it. It does not allocate.
+func (r *Router) Knows(now time.Duration, in *packet.Info) bool {
+	i, found := r.endpoints[endpointKey{addr: in.Key.Dst, port: in.Key.DstPort, proto: in.Key.Proto}]
+	return found && r.hinted(now, &r.services[i], in.Key.Hash(), in) != nil
+}
+
 // hinted returns the upstream that the flow's hint names if it can still hold
 // the flow. The lookup is limited to the packet's own service, so that an address
 // that moved to another service never follows an old hint.
--- a/plan/lists_test.go
+++ b/plan/lists_test.go
@@ -126,6 +126,7 @@
 		Expect(ok).To(BeFalse())
 		table := plan.NewTable(parse(customers, strings.Replace(plansText, "{", `{"default_plan": "basic", `, 1)))
 		match, ok := table.Lookup(addr("10.1.0.1"))
+		Expect(match.ID).To(Equal(plan.DefaultCustomer))
 		Expect(ok).To(BeTrue())
 		Expect(match.Customer).To(BeNil())
 		Expect(match.Plan.Name).To(Equal("basic"))
--- a/plan/table.go
+++ b/plan/table.go
@@ -3,9 +3,18 @@
 import (
 	"net/netip"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gaissmai/bart"
 )
 
+// DefaultCustomer identifies all sources together that only the default plan
+// covers. No customer has it, because the name of a customer is not empty.
+var DefaultCustomer = CustomerID("")
+
+// CustomerID returns the hash that identifies a customer in packets. It is never 0,
+// which stands for no customer.
+func CustomerID(name string) uint64 { return max(1, xxhash.Sum64String(name)) }
+
 // Table finds the customer and the plan of a source address. It is built once for
 // each revision and safe for concurrent reads.
 type Table struct {
@@ -16,6 +25,7 @@
 // Match is what a source address belongs to. Customer is nil for a source that
 // only the default plan covers.
 type Match struct {
+	ID       uint64 // CustomerID of Customer, or DefaultCustomer; 0 when refused
 	Customer *Customer
 	Plan     *Plan
 }
@@ -31,7 +41,7 @@
 	for i := range l.Customers {
 		c := &l.Customers[i]
 		for _, p := range c.Sources {
-			t.sources.Insert(p, Match{Customer: c, Plan: plans[c.Plan]})
+			t.sources.Insert(p, Match{ID: CustomerID(c.Name), Customer: c, Plan: plans[c.Plan]})
 		}
 	}
 	return t
@@ -44,5 +54,8 @@
 	if m, ok := t.sources.Lookup(source.Unmap().WithZone("")); ok {
 		return m, true
 	}
-	return Match{Plan: t.defaultPlan}, t.defaultPlan != nil
+	if t.defaultPlan == nil {
+		return Match{}, false
+	}
+	return Match{ID: DefaultCustomer, Plan: t.defaultPlan}, true
 }
