Enforce the limits of plans with quota tokens

Change: an agent admits new flows with quota.Holder and keeps the first packet of a flow that waits for a token. For each service one ready balancer, chosen by rendezvous hashing, writes quota/<service> by compare-and-swap and runs quota.Grantor with the write's mod revision as its term, until the key or a holder names a later one. It takes limits from the active lists and holders from the membership. Agents learn the grantor from heartbeat answers and from its own messages. All messages of a step to one receiver share one call and are encoded as CBOR.

A grantor's quota.Party has its term as incarnation, since a process that becomes the grantor twice would otherwise reuse sequence numbers of its channels. Agent tests now send packets of a customer and run a grantor.

The wait for tokens at the start of a load is the next thing to shorten.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -43,7 +43,14 @@
 	flows   flows
 	peers   peers
 	sender  *sender
+	quota   *daemon.Quota
+	routes  routes
 	lists   *daemon.Lists
+
+	admission *admission // used under the lock of flows
+	late      *reader    // delivers the first packets of flows that have waited
+	lateLock  sync.Mutex // guards late
+
 	started time.Duration
 	state   sync.Mutex // serializes changes of state
 }
@@ -104,10 +111,12 @@
 		Log: a.log, Clock: a.clock, Rand: daemon.NewRand(a.rng), Transport: transport, Spawn: spawn,
 	})
 	a.sender = a.newSender(transport, spawn, silent.Peer)
+	a.setUpQuota(transport, spawn, silent.Peer)
 	a.flows = flows{clock: a.clock, table: flow.NewTable(a.tableConfig(), a.upstream(), a.service, daemon.NewRand(a.rng))}
 	a.control.Register(control.MemberService, control.NewMember(a.members.Handle))
 	a.control.Register(daemon.ListsService, daemon.NewListsRPC(a.lists))
 	a.control.Register(flowService, &flowRPC{handle: a.receiveMessage})
+	a.control.Register(daemon.QuotaService, daemon.NewQuotaRPC(a.quota))
 	a.control.Register(daemon.AdminService, daemon.NewAdmin(a.drainRequested))
 	a.addDumpSources()
 }
@@ -135,6 +144,7 @@
 		MaxFlows:  a.cfg.Service.Connections,
 		Threshold: a.cfg.Balance.Threshold,
 		Settling:  a.cfg.SettlingSeconds.Duration(),
+		Admission: a.admission,
 	}
 }
 
@@ -166,6 +176,7 @@
 	answered := a.peers.home.Load() != nil
 	a.members.Step(a.life.Context())
 	a.refreshPeers()
+	a.stepQuota()
 	a.stepFlows()
 	a.becomeReady(answered)
 	a.stepLists()
@@ -197,6 +208,9 @@
 // before others know of it.
 func (a *Agent) announce(s flow.State) {
 	a.flows.setState(s)
+	if s == flow.Draining {
+		a.flows.do(func(time.Duration, *flow.Table) { a.admission.drain() })
+	}
 	a.members.Do(func(now time.Duration, n *member.Announcer) { n.SetState(now, s) })
 	a.log.Log(event.StateChanged, "upstream", a.cfg.Name, "service", a.cfg.Service.Name, "state", s)
 }
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/netip"
 	"testing"
 	"time"
@@ -12,11 +13,13 @@
 	. "github.com/onsi/gomega"
 	"go.uber.org/goleak"
 
+	"github.com/nutmegtrack/nutmegtrack/daemon"
 	"github.com/nutmegtrack/nutmegtrack/event"
 	"github.com/nutmegtrack/nutmegtrack/flow"
 	"github.com/nutmegtrack/nutmegtrack/member"
 	"github.com/nutmegtrack/nutmegtrack/packet"
 	"github.com/nutmegtrack/nutmegtrack/packetio"
+	"github.com/nutmegtrack/nutmegtrack/quota"
 	"github.com/nutmegtrack/nutmegtrack/settings"
 )
 
@@ -41,11 +44,72 @@
 	cut    bool // calls between agents fail
 	calls  int  // flow messages that were sent
 	agents map[netip.AddrPort]*testAgent
+	// grantor issues the tokens of customerID at seed; nil for none.
+	grantor *quota.Grantor
+}
+
+// customerID is the customer of the test packets.
+const customerID = 7
+
+var grantorID = quota.Party{ID: packet.AgentIDOf("b1"), Incarnation: 1}
+
+// newNetwork returns a network with a grantor that issues a number of connections.
+func newNetwork(connections int32) *network {
+	n := &network{agents: map[netip.AddrPort]*testAgent{}}
+	rng := rand.New(rand.NewPCG(1, 1))
+	n.grantor = quota.NewGrantor(0, quota.Config{}, packet.ServiceIDOf("impact-portal"), grantorID, 1, rng)
+	n.grantor.SetLimits([]quota.Amount{
+		{Account: quota.Account{Customer: customerID, Kind: quota.Connections}, Tokens: connections},
+		{Account: quota.Account{Customer: customerID, Kind: quota.Rate}, Tokens: 1000},
+	})
+	return n
+}
+
+// stepGrantor advances the grantor and passes its messages on.
+func (n *network) stepGrantor() {
+	if n.grantor == nil {
+		return
+	}
+	var holders []quota.HolderInfo
+	for _, a := range n.agents {
+		self := a.self()
+		party := quota.Party{ID: a.id, Incarnation: self.Incarnation}
+		holders = append(holders, quota.HolderInfo{Party: party, Accepting: self.State == flow.Ready})
+	}
+	n.grantor.SetHolders(n.now, holders)
+	n.toAgents(n.grantor.Step(n.now))
+}
+
+func (n *network) toAgents(messages []quota.Message) {
+	for _, m := range messages {
+		for _, a := range n.agents {
+			if a.id == m.To.ID {
+				answers := a.receiveQuota(daemon.QuotaBatch{Control: seed, Messages: []quota.Message{m}})
+				n.toAgents(n.toGrantor(answers))
+			}
+		}
+	}
+}
+
+func (n *network) toGrantor(messages []quota.Message) (answers []quota.Message) {
+	for _, m := range messages {
+		if n.grantor != nil {
+			answers = append(answers, n.grantor.Handle(n.now, m)...)
+		}
+	}
+	return answers
 }
 
 func (n *network) Call(_ context.Context, to netip.AddrPort, method string, args, reply any) error {
+	if batch, quotas := args.(*daemon.QuotaBatch); quotas && to == seed {
+		reply.(*daemon.QuotaBatch).Messages = n.toGrantor(batch.Messages)
+		return nil
+	}
 	if to == seed {
 		*reply.(*member.Message) = member.Message{Records: n.records()}
+		if n.grantor != nil {
+			reply.(*member.Message).Grantor = &member.Grantor{ID: grantorID.ID, Control: seed, Term: 1}
+		}
 		return nil
 	}
 	a := n.agents[to]
@@ -60,6 +124,8 @@
 		*reply.(*member.Message) = a.members.Handle(*m)
 	case *flow.Message:
 		a.receiveMessage(*m)
+	case *daemon.QuotaBatch:
+		reply.(*daemon.QuotaBatch).Messages = a.receiveQuota(*m)
 	}
 	return nil
 }
@@ -77,6 +143,7 @@
 		for _, a := range n.agents {
 			a.step()
 		}
+		n.stepGrantor()
 	}
 }
 
@@ -124,14 +191,14 @@
 // encapsulated puts a packet under the header that a balancer sends.
 func encapsulated(service string, raw []byte) []byte {
 	b := make([]byte, packet.HeaderSize, packet.HeaderSize+len(raw))
-	h := packet.Header{Kind: packet.KindData, Service: packet.ServiceIDOf(service), Origin: origin}
+	h := packet.Header{Kind: packet.KindData, Service: packet.ServiceIDOf(service), Customer: customerID, Origin: origin}
 	h.Put(b)
 	return append(b, raw...)
 }
 
 var _ = Describe("An agent", func() {
 	var n *network
-	BeforeEach(func() { n = &network{agents: map[netip.AddrPort]*testAgent{}} })
+	BeforeEach(func() { n = newNetwork(100) })
 	syn := segment(serviceAddr, packet.FlagSYN)
 
 	// Guards against packets that reach the upstream changed, and against replies
--- a/agent/dump.go
+++ b/agent/dump.go
@@ -18,6 +18,7 @@
 	a.control.Dump.AddSource(daemon.SourceProcess, func() any { return a.process() })
 	a.control.Dump.AddSource("lists", func() any { return a.lists.State() })
 	a.control.Dump.AddSource(daemon.SourceMembers, func() any { return a.records() })
+	a.control.Dump.AddSource("quota", func() any { return a.quotaState() })
 	a.control.Dump.AddSource("flows", func() any { return a.flowState() })
 }
 
--- a/agent/peers.go
+++ b/agent/peers.go
@@ -42,7 +42,7 @@
 	var (
 		changed   bool
 		upstreams []flow.Upstream
-		controls  map[packet.AgentID]netip.AddrPort
+		records   []member.Record
 	)
 	a.members.Do(func(_ time.Duration, n *member.Announcer) {
 		view := n.Table().View()
@@ -51,13 +51,17 @@
 		}
 		a.peers.view = view
 		upstreams = n.Peers()
-		controls = controlAddresses(n.Table().ServiceMembers(a.cfg.Service.Name))
+		records = n.Table().ServiceMembers(a.cfg.Service.Name)
 	})
 	if !changed {
 		return
 	}
-	a.peers.controls = controls
-	a.flows.do(func(now time.Duration, t *flow.Table) { t.SetPeers(now, upstreams) })
+	a.peers.controls = controlAddresses(records)
+	a.routes.setPeers(a.peers.controls)
+	a.flows.do(func(now time.Duration, t *flow.Table) {
+		t.SetPeers(now, upstreams)
+		a.admission.holder.SetPeers(quotaPeers(records))
+	})
 }
 
 func controlAddresses(records []member.Record) map[packet.AgentID]netip.AddrPort {
--- /dev/null
+++ b/agent/quota.go
@@ -0,0 +1,146 @@
+package agent
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/daemon"
+	"github.com/nutmegtrack/nutmegtrack/event"
+	"github.com/nutmegtrack/nutmegtrack/flow"
+	"github.com/nutmegtrack/nutmegtrack/member"
+	"github.com/nutmegtrack/nutmegtrack/packet"
+	"github.com/nutmegtrack/nutmegtrack/packetio"
+	"github.com/nutmegtrack/nutmegtrack/quota"
+)
+
+// routes are the control addresses of the processes that quota messages go to.
+type routes struct {
+	mu      sync.Mutex
+	peers   map[packet.AgentID]netip.AddrPort
+	grantor member.Grantor
+}
+
+// setGrantor reports whether the grantor is newer than the known one.
+func (r *routes) setGrantor(g member.Grantor) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	newer := g.Term > r.grantor.Term
+	if newer {
+		r.grantor = g
+	}
+	return newer
+}
+
+func (r *routes) setPeers(peers map[packet.AgentID]netip.AddrPort) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.peers = peers
+}
+
+func (r *routes) address(p quota.Party) (netip.AddrPort, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if p == grantorParty(&r.grantor) {
+		return r.grantor.Control, true
+	}
+	a, known := r.peers[p.ID]
+	return a, known
+}
+
+// grantorParty identifies a grantor for one term, as the balancers do.
+func grantorParty(g *member.Grantor) quota.Party {
+	return quota.Party{ID: g.ID, Incarnation: uint64(g.Term)}
+}
+
+// setUpQuota connects the holder of this agent's tokens.
+func (a *Agent) setUpQuota(transport daemon.Transport, spawn func(func()), failed func(netip.AddrPort, error)) {
+	self := quota.Party{ID: a.id, Incarnation: a.self().Incarnation}
+	holder := quota.NewHolder(quota.Config{}, a.service, self, daemon.NewRand(a.rng))
+	a.admission = newAdmission(holder, a.registry, daemon.NewQuiet(a.log, a.clock, event.LeaseExpired))
+	a.quota = daemon.NewQuota(daemon.QuotaConfig{
+		Transport: transport, Spawn: spawn, Failed: failed,
+		Self:    func() netip.AddrPort { return a.self().Control },
+		Address: a.routes.address, Handle: a.receiveQuota,
+	})
+	a.late = &reader{
+		agent: a, data: a.ports.data, upstream: a.ports.upstream,
+		delivery: packetio.NewOutbox(packetio.BatchSize),
+		outgoing: packetio.NewOutbox(maxHints),
+	}
+}
+
+// receiveQuota passes messages to the holder. A grantor's message of a higher term
+// also tells its address.
+func (a *Agent) receiveQuota(b daemon.QuotaBatch) (answers []quota.Message) {
+	a.flows.do(func(now time.Duration, _ *flow.Table) {
+		for _, m := range b.Messages {
+			if m.Term > 0 && uint64(m.Term) == m.From.Incarnation && b.Control.IsValid() {
+				a.routes.setGrantor(member.Grantor{ID: m.From.ID, Control: b.Control, Term: m.Term})
+			}
+			answers = append(answers, a.admission.handle(now, m)...)
+		}
+	})
+	a.decideLate()
+	return answers
+}
+
+// stepQuota advances the holder, sends its messages and executes its decisions.
+func (a *Agent) stepQuota() {
+	a.learnGrantor()
+	var messages []quota.Message
+	a.flows.do(func(now time.Duration, _ *flow.Table) { messages = a.admission.holder.Step(now) })
+	a.quota.Send(a.life.Context(), messages)
+	a.decideLate()
+	a.flows.do(func(_ time.Duration, t *flow.Table) { a.admission.forget(t) })
+}
+
+// learnGrantor takes the grantor that the home balancers named.
+func (a *Agent) learnGrantor() {
+	var g member.Grantor
+	a.members.Do(func(_ time.Duration, n *member.Announcer) { g = n.Grantor() })
+	if a.routes.setGrantor(g) {
+		a.flows.do(func(now time.Duration, _ *flow.Table) {
+			a.admission.holder.SetGrantor(now, grantorParty(&g), g.Term)
+		})
+	}
+}
+
+// decideLate executes the late decisions, a batch at a time.
+func (a *Agent) decideLate() {
+	a.lateLock.Lock()
+	defer a.lateLock.Unlock()
+	for more := true; more; {
+		r := a.late
+		r.delivery.Reset()
+		r.outgoing.Reset()
+		a.flows.do(func(now time.Duration, t *flow.Table) { more = r.decideBatch(now, t) })
+		r.tally.refused = r.upstream.Send(r.delivery) + r.data.Send(r.outgoing)
+		a.counters.add(&r.tally)
+		r.tally = tally{}
+	}
+}
+
+// decideBatch reports whether there may be more decisions.
+func (r *reader) decideBatch(now time.Duration, t *flow.Table) bool {
+	for i := range packetio.BatchSize {
+		d, found := r.agent.admission.nextDecision()
+		if !found {
+			return false
+		}
+		r.decide(now, t, i, d)
+	}
+	return true
+}
+
+// quotaPeers returns the agents of the service that have not left or failed.
+func quotaPeers(records []member.Record) (out []quota.Peer) {
+	for i := range records {
+		r := &records[i]
+		if !r.Gone() {
+			party := quota.Party{ID: packet.AgentIDOf(r.Name), Incarnation: r.Incarnation}
+			out = append(out, quota.Peer{Party: party, Accepting: r.State == flow.Ready})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/agent/quota_test.go
@@ -0,0 +1,81 @@
+package agent
+
+import (
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/nutmegtrack/nutmegtrack/packet"
+	"github.com/nutmegtrack/nutmegtrack/packetio"
+	"github.com/nutmegtrack/nutmegtrack/quota"
+)
+
+var _ = Describe("The admission of an agent", func() {
+	from := func(port uint16, flags uint8) []byte {
+		key := packet.KeyOf(netip.AddrPortFrom(client.Addr(), port), serviceAddr, packet.ProtoTCP)
+		return packet.AppendTCP(nil, &packet.TCPSegment{Key: key, Flags: flags})
+	}
+	used := func(a *testAgent) int32 {
+		_, n := a.admission.holder.Held(quota.Account{Customer: customerID, Kind: quota.Connections})
+		return n
+	}
+
+	// Guards against an agent that admits without a lease or without tokens.
+	It("refuses without a lease, and without tokens once the wait is over", func() {
+		n := newNetwork(0)
+		grantor := n.grantor
+		n.grantor = nil
+		a := n.add("u1", 8001)
+		n.run(time.Second)
+		a.handle(encapsulated("impact-portal", from(1, packet.FlagSYN)))
+		Expect(a.admission.noLease.Count()).To(BeEquivalentTo(1))
+		n.grantor = grantor
+		n.run(5 * time.Second)
+		a.handle(encapsulated("impact-portal", from(2, packet.FlagSYN)))
+		n.run(5 * time.Second)
+		Expect(a.admission.noTokens.Count()).To(BeEquivalentTo(1))
+		Expect(a.admission.kept).To(BeEmpty())
+		Expect(a.Left()).To(BeZero())
+		Expect(a.replies.Sent()).To(BeEmpty())
+	})
+
+	// Guards against a waiting first packet that is lost or delivered twice, and
+	// against a flow end that does not return its token.
+	It("delivers a waiting packet once when another flow has ended", func() {
+		n := newNetwork(1)
+		a := n.add("u1", 8001)
+		n.run(time.Second)
+		a.handle(encapsulated("impact-portal", from(1, packet.FlagSYN)))
+		Expect(a.replies.Sent()).To(HaveLen(1))
+		Expect(used(a)).To(BeEquivalentTo(1))
+		a.handle(encapsulated("impact-portal", from(1, packet.FlagRST)))
+		n.run(time.Second)
+		a.replies.Sent()
+		second := from(2, packet.FlagSYN)
+		a.handle(encapsulated("impact-portal", second))
+		a.handle(encapsulated("impact-portal", second))
+		Expect(a.replies.Sent()).To(BeEmpty())
+		n.run(3 * time.Second)
+		Expect(a.replies.Sent()).To(Equal([]packetio.Datagram{{Data: second, To: sinkAddr}}))
+		Expect(used(a)).To(BeEquivalentTo(1))
+		Expect(a.Left()).To(Equal(1))
+	})
+
+	// Guards against a packet that no balancer assigned to a customer and that opens
+	// a flow all the same.
+	It("refuses a new flow without a customer", func() {
+		n := newNetwork(1)
+		a := n.add("u1", 8001)
+		n.run(time.Second)
+		b := encapsulated("impact-portal", from(1, packet.FlagSYN))
+		h, raw, err := packet.ReadHeader(b)
+		Expect(err).NotTo(HaveOccurred())
+		h.Customer = 0
+		h.Put(b)
+		a.handle(b[:packet.HeaderSize+len(raw)])
+		Expect(a.admission.noCustomer.Count()).To(BeEquivalentTo(1))
+		Expect(a.Left()).To(BeZero())
+	})
+})
--- a/agent/reader.go
+++ b/agent/reader.go
@@ -81,6 +81,8 @@
 		h.Put(b)
 		r.outgoing.Add(b, action.Addr)
 		r.tally.forwarded++
+	case flow.Wait:
+		r.agent.admission.keep(action.Flow, raw)
 	case flow.Drop:
 		r.tally.dropped[action.Reason]++
 	}
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -41,6 +41,7 @@
 	fleet   fleet
 	lists   *daemon.Lists
 	collect *collector // nil without a store
+	grants  *grantors  // nil without a store
 
 	closeStore func()
 }
@@ -105,6 +106,8 @@
 	})
 	if s != nil {
 		b.collect = newCollector(b, s)
+		b.grants = newGrantors(b, s, transport, spawn, silent.Peer)
+		b.control.Register(daemon.QuotaService, daemon.NewQuotaRPC(b.grants.quota))
 	}
 	b.control.Register(daemon.ListsService, daemon.NewListsRPC(b.lists))
 	b.control.Register(control.MemberService, control.NewMember(b.members.Handle))
@@ -141,6 +144,7 @@
 		collect := func() { b.collect.step(b.life.Context()) }
 		b.life.Spawn(collect) // a starting balancer reads the shards at once
 		b.life.Every(collectInterval, collect)
+		b.life.Every(electInterval, func() { b.grants.elect(b.life.Context()) })
 	}
 	b.life.Supervise(b.drain, b.close)
 }
@@ -159,6 +163,9 @@
 	b.members.Step(b.life.Context())
 	b.refreshView()
 	b.stepLists()
+	if b.grants != nil {
+		b.grants.step(b.life.Context())
+	}
 }
 
 func (b *Balancer) drainRequested() int {
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -61,7 +61,8 @@
 // newStoreBalancer returns a balancer that uses a store; nil stands for none.
 func newStoreBalancer(name string, s store.Store, records ...member.Record) *testBalancer {
 	t := &testBalancer{pipe: packetio.NewPipe(1)}
-	cfg := settings.Balancer{Name: name, FailureDomain: "a", Readers: 2, HintEntries: 4096}
+	control := netip.AddrPortFrom(dataAddr.Addr(), 7900+uint16(name[len(name)-1]))
+	cfg := settings.Balancer{Name: name, FailureDomain: "a", ControlAdvertise: control, Readers: 2, HintEntries: 4096}
 	t.Balancer = newBalancer(cfg, event.NewLogger(&t.log), func() time.Duration { return t.now })
 	t.assemble(ports{data: t.pipe, dataAddr: dataAddr}, s, nil, t.life.Spawn)
 	t.members.Do(func(now time.Duration, n *member.Node) { n.Load(now, records) })
--- a/balancer/dump.go
+++ b/balancer/dump.go
@@ -13,6 +13,7 @@
 	b.control.Dump.AddSource("lists", func() any { return b.lists.State() })
 	b.control.Dump.AddSource(daemon.SourceMembers, func() any { return b.records() })
 	b.control.Dump.AddSource("view", func() any { return b.view() })
+	b.control.Dump.AddSource("quota", func() any { return b.grants.state() })
 	b.control.Dump.AddSource("health", func() any { return b.health.get() })
 }
 
--- /dev/null
+++ b/balancer/grantors_test.go
@@ -0,0 +1,168 @@
+package balancer
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/nutmegtrack/nutmegtrack/daemon"
+	"github.com/nutmegtrack/nutmegtrack/fake"
+	"github.com/nutmegtrack/nutmegtrack/flow"
+	"github.com/nutmegtrack/nutmegtrack/member"
+	"github.com/nutmegtrack/nutmegtrack/packet"
+	"github.com/nutmegtrack/nutmegtrack/plan"
+	"github.com/nutmegtrack/nutmegtrack/quota"
+)
+
+var _ = Describe("The grantor of a service", func() {
+	const service = "impact-portal"
+	var (
+		ctx    = context.Background()
+		now    time.Duration
+		s      *fake.Store
+		b1, b2 *testBalancer
+	)
+	lists := &plan.Installed{Lists: &plan.Lists{
+		Customers: []plan.Customer{{Name: "a", Plan: "gold"}},
+		Plans:     []plan.Plan{{Name: "gold", Services: map[string]plan.Limits{service: {Connections: 10, NewConnectionsPerSecond: 5}}}},
+	}}
+	tell := func(to *testBalancer, from ...*testBalancer) {
+		for _, b := range from {
+			r := b.self()
+			to.members.Do(func(now time.Duration, n *member.Node) { n.Load(now, []member.Record{r}) })
+		}
+	}
+	add := func(name string) *testBalancer {
+		b := newStoreBalancer(name, s, upstreamRecord("u1", "127.0.0.1:7101"))
+		b.now = startLimit
+		b.grants.active = func() *plan.Installed { return lists }
+		return b
+	}
+	term := func(b *testBalancer) int64 {
+		if t := b.grants.terms[service]; t != nil {
+			return t.number
+		}
+		return 0
+	}
+	elect := func(balancers ...*testBalancer) {
+		for _, b := range balancers {
+			b.grants.elect(ctx)
+		}
+	}
+	renew := func(b *testBalancer, number, known int64) int {
+		return len(b.grants.handle(daemon.QuotaBatch{Messages: []quota.Message{{
+			Kind: quota.MessageRenew, Service: packet.ServiceIDOf(service), Seq: 1, Term: known,
+			From: quota.Party{ID: packet.AgentIDOf("u1"), Incarnation: 1}, To: grantorParty(b.cfg.Name, number),
+		}}}))
+	}
+	BeforeEach(func() {
+		now = 0
+		s = fake.NewStore(func() time.Duration { return now })
+		b1, b2 = add("b1"), add("b2")
+	})
+
+	// Guards against two balancers that both believe they are the grantor: neither
+	// knows of the other, so both campaign from the same read.
+	It("is one balancer when two campaign at once", func() {
+		raced := false
+		s.Before = func(c fake.Call) error {
+			if c == fake.CallTxn && !raced {
+				raced = true
+				elect(b2)
+			}
+			return nil
+		}
+		elect(b1)
+		Expect(raced).To(BeTrue())
+		Expect(term(b1)).To(BeZero())
+		Expect(term(b2)).NotTo(BeZero())
+	})
+
+	// Guards against a balancer that does not learn that its write took effect, and
+	// against a grantor that starts twice in one term and so counts twice.
+	It("begins its term after a lost response", func() {
+		s.LoseResponses = 1
+		elect(b1)
+		Expect(term(b1)).To(BeZero())
+		elect(b1)
+		first := b1.grants.terms[service]
+		Expect(first).NotTo(BeNil())
+		elect(b1)
+		Expect(b1.grants.terms[service]).To(BeIdenticalTo(first))
+	})
+
+	// Guards against a grantor that goes on after its term was replaced, and against
+	// a graceful stop without a successor.
+	It("hands over at a graceful stop", func() {
+		elect(b1)
+		old := term(b1)
+		tell(b2, b1)
+		elect(b2)
+		Expect(term(b2)).To(BeZero(), "the grantor is ready")
+		b1.setState(flow.Draining)
+		tell(b2, b1)
+		elect(b1)
+		Expect(term(b1)).To(Equal(old), "nobody has replaced it yet")
+		elect(b2)
+		Expect(term(b2)).To(BeNumerically(">", old))
+		elect(b1)
+		Expect(term(b1)).To(BeZero())
+		Expect(renew(b1, old, old)).To(BeZero())
+		Expect(b1.log.String()).To(ContainSubstring("event=1501"))
+	})
+
+	// Guards against a grantor that answers holders who know its successor.
+	It("steps down when a holder knows a higher term", func() {
+		elect(b1)
+		old := term(b1)
+		Expect(renew(b1, old, old)).To(Equal(1))
+		Expect(renew(b1, old, old+1)).To(BeZero())
+		Expect(term(b1)).To(BeZero())
+		elect(b1)
+		Expect(term(b1)).To(BeNumerically(">", old), "the store still named the old term")
+	})
+
+	// Guards against a service without a grantor during an outage of the store.
+	It("goes on while the store is down", func() {
+		elect(b1)
+		old := term(b1)
+		s.Outage = true
+		elect(b1)
+		Expect(term(b1)).To(Equal(old))
+		Expect(renew(b1, old, old)).To(Equal(1))
+	})
+
+	// Guards against a balancer without lists that takes back all tokens.
+	It("needs lists", func() {
+		b1.grants.active = func() *plan.Installed { return nil }
+		elect(b1)
+		Expect(term(b1)).To(BeZero())
+	})
+
+	// Guards against agents that do not learn the grantor from their home balancers.
+	It("is named in heartbeat answers", func() {
+		elect(b1, b2)
+		reply := member.Message{}
+		b2.members.Do(func(now time.Duration, n *member.Node) {
+			known, _ := n.Table().Get("u1")
+			a := member.NewAnnouncer(member.Config{Seeds: []netip.AddrPort{dataAddr}}, known, daemon.NewRand(b2.rng))
+			reply = n.Handle(now, a.Step(now)[0].Request)
+		})
+		Expect(reply.Grantor).To(HaveValue(HaveField("Term", term(b1))))
+	})
+
+	// Guards against limits in the plan that are not issued.
+	It("issues the tokens of the plan in force", func() {
+		elect(b1)
+		Expect(b1.grants.terms[service].limits).To(BeNil())
+		b1.grants.step(ctx)
+		Expect(b1.grants.state()).To(HaveLen(1))
+		Expect(b1.grants.state()[0].Ledger).To(Equal([]LedgerEntry{
+			{Customer: "a", Kind: "connections", Limit: 10},
+			{Customer: "a", Kind: "new_connections_per_second", Limit: 5},
+		}))
+	})
+})
--- /dev/null
+++ b/balancer/quota_dump.go
@@ -0,0 +1,57 @@
+package balancer
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/nutmegtrack/nutmegtrack/quota"
+)
+
+// GrantorState is one service of the dump source "quota".
+type GrantorState struct {
+	Service string        `json:"service"`
+	Term    int64         `json:"term"`
+	Counted bool          `json:"counted"` // all tokens have been counted in this term
+	Ledger  []LedgerEntry `json:"ledger"`
+}
+
+// LedgerEntry is one limit of one customer.
+type LedgerEntry struct {
+	Customer string `json:"customer"` // empty for the sources under the default plan
+	Kind     string `json:"kind"`
+	Limit    int32  `json:"limit"`
+	Issued   int32  `json:"issued"`
+	Exact    bool   `json:"exact"` // Issued has been counted
+}
+
+// state describes the terms of this balancer for a dump.
+func (g *grantors) state() []GrantorState {
+	out := []GrantorState{}
+	if g == nil {
+		return out
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, t := range g.terms {
+		out = append(out, GrantorState{t.service, t.number, t.counted(), t.ledger()})
+	}
+	slices.SortFunc(out, func(a, b GrantorState) int { return strings.Compare(a.Service, b.Service) })
+	return out
+}
+
+func (t *term) ledger() (out []LedgerEntry) {
+	if t.limits == nil {
+		return nil
+	}
+	for _, l := range t.limits.Lists.LimitsAt(t.service) {
+		out = append(out,
+			t.entry(l.Name, quota.Account{Customer: l.ID, Kind: quota.Connections}, l.Limits.Connections),
+			t.entry(l.Name, quota.Account{Customer: l.ID, Kind: quota.Rate}, l.Limits.NewConnectionsPerSecond))
+	}
+	return out
+}
+
+func (t *term) entry(name string, id quota.Account, limit int) LedgerEntry {
+	issued, exact := t.grantor.Issued(id)
+	return LedgerEntry{name, id.Kind.String(), int32(limit), issued, exact}
+}
--- a/balancer/reader.go
+++ b/balancer/reader.go
@@ -114,12 +114,24 @@
 // pass, so that an edit or the lack of lists interrupts nothing.
 func (r *reader) decide(now time.Duration, router *flow.Router, i int) flow.Decision {
 	in := &r.infos[i]
-	if r.customers[i] == 0 && in.First && (in.Key.Proto == packet.ProtoTCP || !router.Knows(now, in)) {
+	if r.customers[i] == 0 && in.First && !r.mayBeKnown(now, router, i) {
 		return flow.Decision{Reason: r.refusals[i]}
 	}
 	return router.Route(now, in)
 }
 
+// mayBeKnown reports whether a first packet may belong to an open flow. Every UDP
+// packet is a first packet. A balancer without lists may have started a moment ago
+// and know no flows, so it leaves UDP to the agents, which refuse new flows without
+// a customer.
+func (r *reader) mayBeKnown(now time.Duration, router *flow.Router, i int) bool {
+	in := &r.infos[i]
+	if in.Key.Proto == packet.ProtoTCP {
+		return false
+	}
+	return r.refusals[i] == flow.ReasonNoLists || router.Knows(now, in)
+}
+
 // frame puts a packet with its header into the outbox, or drops it.
 func (r *reader) frame(i int) {
 	d := &r.decisions[i]
--- /dev/null
+++ b/daemon/quota_test.go
@@ -0,0 +1,89 @@
+package daemon_test
+
+import (
+	"context"
+	"net/netip"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/nutmegtrack/nutmegtrack/daemon"
+	"github.com/nutmegtrack/nutmegtrack/quota"
+)
+
+// callLog is a transport that records the batches as the receiver decodes them.
+type callLog struct {
+	batches []daemon.QuotaBatch
+	answer  []quota.Message
+	fail    bool
+}
+
+func (c *callLog) Call(_ context.Context, _ netip.AddrPort, _ string, args, reply any) error {
+	b, err := args.(*daemon.QuotaBatch).MarshalBinary()
+	if err != nil {
+		return err
+	}
+	var got daemon.QuotaBatch
+	Expect(got.UnmarshalBinary(b)).To(Succeed())
+	c.batches = append(c.batches, got)
+	if c.fail {
+		return errors.New("unreachable")
+	}
+	reply.(*daemon.QuotaBatch).Messages = c.answer
+	c.answer = nil
+	return nil
+}
+
+var _ = Describe("The exchange of quota messages", func() {
+	var (
+		log     *callLog
+		handled []quota.Message
+		failed  int
+		q       *daemon.Quota
+		self    = quota.Party{ID: 1, Incarnation: 1 << 60}
+		peer    = quota.Party{ID: 2, Incarnation: 7}
+		other   = quota.Party{ID: 3, Incarnation: 8}
+		address = netip.MustParseAddrPort("127.0.0.1:7900")
+	)
+	amounts := []quota.Amount{{Account: quota.Account{Customer: 1 << 63, Kind: quota.Rate}, Tokens: 12}}
+	message := func(to quota.Party, seq uint64) quota.Message {
+		return quota.Message{
+			Kind: quota.MessageReport, Service: 9, From: self, To: to, Term: 5, Seq: seq, Groups: 1 << 63, Amounts: amounts,
+			Channels: []quota.ChannelReport{{Peer: other, OutstandingSeq: 3, Outstanding: amounts, ReceivedSeq: 4}},
+		}
+	}
+	BeforeEach(func() {
+		log, handled, failed = &callLog{}, nil, 0
+		q = daemon.NewQuota(daemon.QuotaConfig{
+			Transport: log, Spawn: func(f func()) { f() },
+			Self:    func() netip.AddrPort { return address },
+			Address: func(p quota.Party) (netip.AddrPort, bool) { return address, p != other },
+			Handle: func(b daemon.QuotaBatch) []quota.Message {
+				handled = append(handled, b.Messages...)
+				return nil
+			},
+			Failed: func(netip.AddrPort, error) { failed++ },
+		})
+	})
+
+	// Guards against fields that are lost on the wire, and against a call for each
+	// message of a step.
+	It("sends the messages of a step to one receiver in one call", func() {
+		log.answer = []quota.Message{message(self, 9)}
+		q.Send(ctx, []quota.Message{message(peer, 1), message(other, 1), message(peer, 2)})
+		Expect(log.batches).To(Equal([]daemon.QuotaBatch{
+			{Control: address, Messages: []quota.Message{message(peer, 1), message(peer, 2)}},
+		}))
+		Expect(handled).To(Equal([]quota.Message{message(self, 9)}))
+	})
+
+	// Guards against a receiver that is never called again after a failed call.
+	It("calls again after a failure", func() {
+		log.fail = true
+		q.Send(ctx, []quota.Message{message(peer, 1)})
+		q.Send(ctx, []quota.Message{message(peer, 2)})
+		Expect(failed).To(Equal(2))
+		Expect(log.batches).To(HaveLen(2))
+	})
+})
--- /dev/null
+++ b/daemon/quotawire.go
@@ -0,0 +1,122 @@
+package daemon
+
+import (
+	"net/netip"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/nutmegtrack/nutmegtrack/packet"
+	"github.com/nutmegtrack/nutmegtrack/quota"
+)
+
+// errMixedBatch says that the messages of a batch differ in service or parties.
+var errMixedBatch = errors.New("daemon: quota messages of one batch differ in service or parties")
+
+// wireBatch is the encoding of a QuotaBatch. The fields that all messages of a batch
+// share are sent once.
+type wireBatch struct {
+	_        struct{} `cbor:",toarray"`
+	Control  netip.AddrPort
+	Service  packet.ServiceID
+	From, To wireParty
+	Messages []wireQuotaMessage
+}
+
+type wireParty struct {
+	_           struct{} `cbor:",toarray"`
+	ID          packet.AgentID
+	Incarnation uint64
+}
+
+type wireQuotaMessage struct {
+	Kind     quota.MessageKind `cbor:"1,keyasint"`
+	Term     int64             `cbor:"2,keyasint,omitempty"`
+	Seq      uint64            `cbor:"3,keyasint,omitempty"`
+	Groups   uint64            `cbor:"4,keyasint,omitempty"`
+	Amounts  []wireAmount      `cbor:"5,keyasint,omitempty"`
+	Channels []wireChannel     `cbor:"6,keyasint,omitempty"`
+}
+
+type wireAmount struct {
+	_        struct{} `cbor:",toarray"`
+	Customer uint64
+	Kind     quota.Kind
+	Tokens   int32
+}
+
+type wireChannel struct {
+	_                           struct{} `cbor:",toarray"`
+	Peer                        wireParty
+	OutstandingSeq, ReceivedSeq uint64
+	Outstanding                 []wireAmount
+}
+
+// MarshalBinary encodes the batch. It makes gob send one byte string in place of
+// type descriptions for each new connection.
+func (b QuotaBatch) MarshalBinary() ([]byte, error) {
+	w := wireBatch{Control: b.Control}
+	for i := range b.Messages {
+		m := &b.Messages[i]
+		from, to := wireParty{ID: m.From.ID, Incarnation: m.From.Incarnation}, wireParty{ID: m.To.ID, Incarnation: m.To.Incarnation}
+		if i > 0 && (w.Service != m.Service || w.From != from || w.To != to) {
+			return nil, errMixedBatch
+		}
+		w.Service, w.From, w.To = m.Service, from, to
+		w.Messages = append(w.Messages, encodeQuota(m))
+	}
+	return cbor.Marshal(w)
+}
+
+// UnmarshalBinary decodes a batch written by MarshalBinary.
+func (b *QuotaBatch) UnmarshalBinary(data []byte) error {
+	var w wireBatch
+	if err := cbor.Unmarshal(data, &w); err != nil {
+		return errors.Wrap(err, "daemon: quota messages")
+	}
+	b.Control = w.Control
+	b.Messages = nil
+	for i := range w.Messages {
+		m := decodeQuota(&w.Messages[i])
+		m.Service = w.Service
+		m.From, m.To = quota.Party{ID: w.From.ID, Incarnation: w.From.Incarnation}, quota.Party{ID: w.To.ID, Incarnation: w.To.Incarnation}
+		b.Messages = append(b.Messages, m)
+	}
+	return nil
+}
+
+func encodeQuota(m *quota.Message) wireQuotaMessage {
+	w := wireQuotaMessage{Kind: m.Kind, Term: m.Term, Seq: m.Seq, Groups: m.Groups, Amounts: encodeAmounts(m.Amounts)}
+	for _, c := range m.Channels {
+		w.Channels = append(w.Channels, wireChannel{
+			Peer:           wireParty{ID: c.Peer.ID, Incarnation: c.Peer.Incarnation},
+			OutstandingSeq: c.OutstandingSeq, ReceivedSeq: c.ReceivedSeq, Outstanding: encodeAmounts(c.Outstanding),
+		})
+	}
+	return w
+}
+
+func decodeQuota(w *wireQuotaMessage) quota.Message {
+	m := quota.Message{Kind: w.Kind, Term: w.Term, Seq: w.Seq, Groups: w.Groups, Amounts: decodeAmounts(w.Amounts)}
+	for _, c := range w.Channels {
+		m.Channels = append(m.Channels, quota.ChannelReport{
+			Peer:           quota.Party{ID: c.Peer.ID, Incarnation: c.Peer.Incarnation},
+			OutstandingSeq: c.OutstandingSeq, ReceivedSeq: c.ReceivedSeq, Outstanding: decodeAmounts(c.Outstanding),
+		})
+	}
+	return m
+}
+
+func encodeAmounts(list []quota.Amount) (out []wireAmount) {
+	for _, a := range list {
+		out = append(out, wireAmount{Customer: a.Account.Customer, Kind: a.Account.Kind, Tokens: a.Tokens})
+	}
+	return out
+}
+
+func decodeAmounts(list []wireAmount) (out []quota.Amount) {
+	for _, a := range list {
+		out = append(out, quota.Amount{Account: quota.Account{Customer: a.Customer, Kind: a.Kind}, Tokens: a.Tokens})
+	}
+	return out
+}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -1,7 +1,7 @@
 package event
 
 // Events by number: 1000 processes and settings, 1100 packet path, 1200
-// membership, 1300 store and lists, 1400 control calls.
+// membership, 1300 store and lists, 1400 control calls, 1500 limits of plans.
 var (
 	Started      = Definition{1000, Info, "started", "The process has opened its sockets."}
 	Draining     = Definition{1001, Info, "draining", "A graceful shutdown or drain has begun."}
@@ -22,6 +22,11 @@
 	StoreFailed   = Definition{1302, Warn, "store call failed", "The store did not answer; the process goes on with what it has and tries again. At most one event is logged each minute."}
 
 	ControlFailed = Definition{1400, Warn, "control service failed", "The control listener reported an error; other processes may be unable to reach this one."}
+
+	GrantorStarted    = Definition{1500, Info, "quota grantor started", "This balancer issues the tokens of `service` from now on, in the given `term`."}
+	GrantorStopped    = Definition{1501, Info, "quota grantor stopped", "This balancer no longer issues the tokens of `service`; another one has, or will have, a higher term."}
+	RecountUnfinished = Definition{1502, Warn, "recount not finished", "The grantor of `service` has not been able to count all tokens; limits that were raised are not issued until it has. Look for agents that do not answer. At most one event is logged each minute."}
+	LeaseExpired      = Definition{1503, Warn, "admission lease expired", "New flows were refused because the grantor has not renewed this agent's admission lease; open flows go on. Check the grantor of the service and the way to it. At most one event is logged each minute."}
 )
 
 // Catalogue lists every event that the programs log, in order of number.
@@ -31,4 +36,5 @@
 	StateChanged, PeerSilent,
 	ListsActive, ListsRejected, StoreFailed,
 	ControlFailed,
+	GrantorStarted, GrantorStopped, RecountUnfinished, LeaseExpired,
 }
--- a/member/announcer.go
+++ b/member/announcer.go
@@ -39,6 +39,7 @@
 	next     map[netip.AddrPort]time.Duration
 	peers    map[string]*delivery
 	revision int64
+	grantor  Grantor
 }
 
 // delivery is a push of the present record to one peer.
@@ -136,7 +137,7 @@
 func (a *Announcer) heartbeat(home netip.AddrPort) Call {
 	m := Message{
 		Kind: KindHeartbeat, ID: nameHash(a.self.Name), Sum: a.sum, Revision: a.revision,
-		Members: a.table.membersSum(a.self.Service), HomeSum: hashHomes(a.homes),
+		Members: a.table.membersSum(a.self.Service), HomeSum: hashHomes(a.homes), Term: a.grantor.Term,
 	}
 	wait := a.cfg.Heartbeat
 	if a.acked[home] != a.sum {
@@ -193,6 +194,7 @@
 	delete(a.avoid, c.To)
 	delete(a.missed, c.To)
 	a.acked[c.To] = c.Request.Sum
+	a.noteGrantor(m.Grantor)
 	if m.Resend {
 		delete(a.acked, c.To)
 		a.next[c.To] = min(a.next[c.To], a.now+a.cfg.Retry)
--- /dev/null
+++ b/member/grantor.go
@@ -0,0 +1,47 @@
+package member
+
+import (
+	"maps"
+	"net/netip"
+
+	"github.com/nutmegtrack/nutmegtrack/packet"
+)
+
+// Grantor is the balancer that issues a service's quota tokens.
+type Grantor struct {
+	ID      packet.AgentID `cbor:"1,keyasint"`
+	Control netip.AddrPort `cbor:"2,keyasint"`
+	Term    int64          `cbor:"3,keyasint"` // mod revision of the write that made it the grantor
+}
+
+// SetGrantors installs the grantors of services that the store shows. A service
+// keeps the highest term seen.
+func (n *Node) SetGrantors(grantors map[string]Grantor) {
+	merged := make(map[string]Grantor, len(grantors))
+	maps.Copy(merged, grantors)
+	for service, known := range n.grantors {
+		if known.Term > merged[service].Term {
+			merged[service] = known
+		}
+	}
+	n.grantors = merged
+}
+
+// grantorAfter returns the service's grantor when its term is above the one that
+// an agent knows.
+func (n *Node) grantorAfter(service string, term int64) *Grantor {
+	if g := n.grantors[service]; g.Term > term {
+		return &g
+	}
+	return nil
+}
+
+// Grantor returns the service's grantor of the highest term that this agent has
+// heard of; the term is 0 before the first.
+func (a *Announcer) Grantor() Grantor { return a.grantor }
+
+func (a *Announcer) noteGrantor(g *Grantor) {
+	if g != nil && g.Term > a.grantor.Term {
+		a.grantor = *g
+	}
+}
--- a/member/message.go
+++ b/member/message.go
@@ -44,6 +44,8 @@
 	Homes   []netip.AddrPort `cbor:"8,keyasint,omitempty"` // the agent's home balancers, best first
 	HomeSum uint32           `cbor:"9,keyasint,omitempty"` // hash of the homes as the agent knows them
 	Resend  bool             `cbor:"10,keyasint,omitempty"`
+	Term    int64            `cbor:"18,keyasint,omitempty"` // of the grantor that the agent knows
+	Grantor *Grantor         `cbor:"19,keyasint,omitempty"` // a grantor of a higher term
 
 	// Anti-entropy.
 	Digests []Digest `cbor:"11,keyasint,omitempty"`
--- a/member/node.go
+++ b/member/node.go
@@ -26,6 +26,7 @@
 	exchange time.Duration // time of the next anti-entropy exchange
 	behind   bool          // the last exchange brought as many records as one may
 	expiry   time.Duration // time of the next look for records to remove
+	grantors map[string]Grantor
 }
 
 // revision is the highest revision of the active lists that is known, and a
--- /dev/null
+++ b/plan/limits.go
@@ -0,0 +1,29 @@
+package plan
+
+// CustomerLimits are the limits of one customer at one service.
+type CustomerLimits struct {
+	ID     uint64 // as in Match
+	Name   string // empty for the sources that only the default plan covers
+	Limits Limits
+}
+
+// LimitsAt returns the limits of all customers whose plan names the service.
+func (l *Lists) LimitsAt(service string) []CustomerLimits {
+	plans := make(map[string]*Plan, len(l.Plans))
+	for i := range l.Plans {
+		plans[l.Plans[i].Name] = &l.Plans[i]
+	}
+	var out []CustomerLimits
+	add := func(customer, plan string) {
+		if p := plans[plan]; p != nil {
+			if limits, named := p.Services[service]; named {
+				out = append(out, CustomerLimits{CustomerID(customer), customer, limits})
+			}
+		}
+	}
+	for i := range l.Customers {
+		add(l.Customers[i].Name, l.Customers[i].Plan)
+	}
+	add("", l.DefaultPlan)
+	return out
+}
