--- a/agent/peers.go
+++ b/agent/peers.go
@@ -58,7 +58,11 @@
 	}
 	a.peers.controls = controlAddresses(records)
 	a.refreshRequests(records, a.peers.controls)
-	a.flows.do(func(now time.Duration, t *flow.Table) { t.SetPeers(now, upstreams) })
+	a.routes.setPeers(a.peers.controls)
+	a.flows.do(func(now time.Duration, t *flow.Table) {
+		t.SetPeers(now, upstreams)
+		a.admission.holder.SetPeers(quotaPeers(records))
+	})
 }
 
 func controlAddresses(records []member.Record) map[packet.AgentID]netip.AddrPort {
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -47,6 +47,9 @@
 	log    bytes.Buffer
 	pipe   *packetio.Pipe
 	reader *reader
+	// customer and refusal are what the lists say of every source.
+	customer uint64
+	refusal  flow.Reason
 }
 
 func newTestBalancer(records ...member.Record) *testBalancer {
@@ -56,12 +59,15 @@
 // newStoreBalancer returns a balancer that uses a store; nil stands for none.
 func newStoreBalancer(name string, s store.Store, records ...member.Record) *testBalancer {
 	t := &testBalancer{pipe: packetio.NewPipe(1)}
-	cfg := settings.Balancer{Name: name, FailureDomain: "a", Readers: 2, HintEntries: 4096}
+	control := netip.AddrPortFrom(dataAddr.Addr(), 7900+uint16(name[len(name)-1]))
+	cfg := settings.Balancer{Name: name, FailureDomain: "a", ControlAdvertise: control, Readers: 2, HintEntries: 4096}
 	t.Balancer = newBalancer(cfg, event.NewLogger(&t.log), func() time.Duration { return t.now })
 	t.assemble(ports{data: t.pipe, dataAddr: dataAddr}, s, nil, t.life.Spawn)
 	t.members.Do(func(now time.Duration, n *member.Node) { n.Load(now, records) })
 	t.refreshView()
 	t.reader = t.newReader(t.pipe)
+	t.reader.customer = func(*[16]byte) (uint64, flow.Reason) { return t.customer, t.refusal }
+	t.customer = 7
 	return t
 }
 
@@ -95,6 +101,22 @@
 		Expect(h.Kind).To(Equal(packet.KindData))
 		Expect(h.Service).To(Equal(packet.ServiceIDOf("impact-portal")))
 		Expect(h.Origin).To(Equal(dataAddr))
+		Expect(h.Customer).To(BeEquivalentTo(7))
+	})
+
+	// Guards against new flows of sources without a customer, and against an edit or
+	// the lack of lists that interrupts open flows.
+	It("refuses only new flows of sources without a customer", func() {
+		b := newTestBalancer(u1)
+		ack := packet.AppendTCP(nil, &packet.TCPSegment{
+			Key: packet.KeyOf(client, service, packet.ProtoTCP), Flags: packet.FlagACK})
+		Expect(b.handle(syn(client))).To(HaveLen(1))
+		b.customer = 0
+		for _, reason := range []flow.Reason{flow.ReasonNoCustomer, flow.ReasonNoLists} {
+			b.refusal = reason
+			Expect(b.handle(syn(client), ack)).To(HaveLen(1))
+			Expect(b.counters.dropped[reason].Count()).To(BeEquivalentTo(1))
+		}
 	})
 
 	// Guards against hints that are lost or recorded for another flow.
--- a/flow/accept.go
+++ b/flow/accept.go
@@ -9,7 +9,7 @@
 // takes reports whether this agent takes a new flow that has made a number of hops
 // and whose next choice is given.
 func (t *Table) takes(now time.Duration, hops uint8, next *peer) bool {
-	if !t.self.State.Accepts() || len(t.flows.entries) >= t.cfg.MaxFlows {
+	if !t.self.State.Accepts() || len(t.flows.entries)+len(t.waiting.byNumber) >= t.cfg.MaxFlows {
 		return false
 	}
 	// The next choice may be draining unknown to this agent and needs a hop to pass
