Let an agent that was taken for failed fetch the records again

Cause: an agent that was paused, found failed and rejoined had seen no change of membership. Its peers may have granted its keys meanwhile, and it would still have granted them; the decision on a holder that is gone then reads its missing record as a proof that nothing ran. Change: a member has a version that changes when it rejoins (epoch and version of its membership record). A pair of registrars includes it, so that all agents claim and hand over again. Measured: the new test of Registrar fails on a scratch copy without the version and passes with it; TestAtMostOnce passes with -rapid.checks=3000.

--- a/agent/requests.go
+++ b/agent/requests.go
@@ -110,7 +110,7 @@
 		r := &records[i]
 		if !r.State.Gone() {
 			out = append(out, request.Member{ID: packet.AgentIDOf(r.Name), Incarnation: r.Incarnation,
-				FailureDomain: r.FailureDomain, Registrar: r.State == flow.Ready})
+				FailureDomain: r.FailureDomain, Registrar: r.State == flow.Ready, Version: r.Epoch<<32 | r.Version})
 		}
 	}
 	return out
--- a/bench/requests_agent.go
+++ b/bench/requests_agent.go
@@ -41,6 +41,7 @@
 	node   *request.Node
 	up     *requestUpstream
 	ready  bool
+	joins  uint64 // times that others took the agent for failed
 	dead   bool
 	paused bool
 	held   []func() // what arrived during a pause
@@ -96,7 +97,7 @@
 
 // learn adopts a membership; an agent that was found failed still counts itself.
 func (a *requestAgent) learn(members []request.Member) {
-	own := request.Member{ID: a.self.ID, Incarnation: a.self.Incarnation, FailureDomain: a.domain, Registrar: a.ready}
+	own := request.Member{ID: a.self.ID, Incarnation: a.self.Incarnation, FailureDomain: a.domain, Registrar: a.ready, Version: a.joins}
 	list := []request.Member{own}
 	for _, m := range members {
 		if m.ID != a.self.ID {
--- a/bench/requests_world.go
+++ b/bench/requests_world.go
@@ -191,7 +191,8 @@
 
 // refute announces an agent that was found failed and runs.
 func (w *requestWorld) refute(a *requestAgent) {
-	w.truth = append(w.truth, request.Member{ID: a.self.ID, Incarnation: a.self.Incarnation, FailureDomain: a.domain, Registrar: true})
+	a.joins++
+	w.truth = append(w.truth, request.Member{ID: a.self.ID, Incarnation: a.self.Incarnation, FailureDomain: a.domain, Registrar: true, Version: a.joins})
 	w.publish()
 }
 
--- a/request/claims.go
+++ b/request/claims.go
@@ -121,7 +121,7 @@
 
 func (c *Claims) pair(k Key) Pair {
 	if c.cfg.Single != (Process{}) {
-		return Pair{c.cfg.Single, c.cfg.Single}
+		return Pair{{Process: c.cfg.Single}, {Process: c.cfg.Single}}
 	}
 	return c.view.pair(k)
 }
@@ -138,10 +138,10 @@
 	a.sent = now
 	a.tries++
 	for i, to := range a.pair {
-		if a.granted[i] || to == (Process{}) || i == 1 && a.pair[0] == to {
+		if a.granted[i] || to == (Seat{}) || i == 1 && a.pair[0] == to {
 			continue
 		}
-		c.out = append(c.out, Message{Kind: KindClaim, From: c.self, To: to, Key: a.key, Attempt: a.name(id), Pair: a.pair, Holding: a.running})
+		c.out = append(c.out, Message{Kind: KindClaim, From: c.self, To: to.Process, Key: a.key, Attempt: a.name(id), Pair: a.pair, Holding: a.running})
 	}
 }
 
@@ -209,8 +209,8 @@
 // tell sends a message on an attempt to both registrars.
 func (c *Claims) tell(kind Kind, name AttemptID, a *claim) {
 	for i, to := range a.pair {
-		if to != (Process{}) && (i == 0 || to != a.pair[0]) {
-			c.out = append(c.out, Message{Kind: kind, From: c.self, To: to, Key: a.key, Attempt: name})
+		if to != (Seat{}) && (i == 0 || to != a.pair[0]) {
+			c.out = append(c.out, Message{Kind: kind, From: c.self, To: to.Process, Key: a.key, Attempt: name})
 		}
 	}
 }
@@ -229,7 +229,7 @@
 	switch m.Verdict {
 	case Granted:
 		for i, p := range a.pair {
-			a.granted[i] = a.granted[i] || p == m.From
+			a.granted[i] = a.granted[i] || p.Process == m.From
 		}
 		a.refused = a.refused && !a.holds()
 		c.dropLost(now, id, a)
@@ -254,7 +254,7 @@
 	}
 	if c.gone(holder) {
 		for i, p := range a.pair {
-			a.lost[i] = a.lost[i] || p == from
+			a.lost[i] = a.lost[i] || p.Process == from
 		}
 		a.lostTo = holder
 		c.dropLost(now, id, a)
--- a/request/handover.go
+++ b/request/handover.go
@@ -126,14 +126,15 @@
 // record. It was sent all records when it became complete in the first of the known
 // views, and has granted the key itself in those since in which it kept the key.
 func (r *Registrar) lacks(m Message, k Key, held record, known []*view, first int) bool {
-	if !r.current.pair(k).Has(m.From) {
+	seat := r.current.pair(k).seat(m.From)
+	if seat == (Seat{}) {
 		return false
 	}
 	if len(known) == 0 || held.received > first {
 		return true
 	}
 	for _, v := range known {
-		if !v.pair(k).Has(m.From) {
+		if v.pair(k).seat(m.From) != seat {
 			return true
 		}
 	}
--- a/request/members.go
+++ b/request/members.go
@@ -15,6 +15,9 @@
 	// Registrar members are ranked for keys. Starting and draining agents are not,
 	// but are asked for their records.
 	Registrar bool
+	// Version changes each time the agent rejoins after others took it for failed.
+	// Its peers may have granted its keys meanwhile, without its knowledge.
+	Version uint64
 }
 
 // view is one membership. It is never changed after it is made.
@@ -33,6 +36,7 @@
 		}
 		v.hash = mix(v.hash ^ mix(uint64(m.ID)<<1|state))
 		v.hash = mix(v.hash ^ m.Incarnation)
+		v.hash = mix(v.hash ^ m.Version)
 	}
 	return v
 }
@@ -60,10 +64,26 @@
 // Pair holds the registrars of a key: the first-ranked agent and the highest-ranked
 // one of another failure domain. Both are equal when the service has one agent; the
 // zero value means that there are none.
-type Pair [2]Process
+type Pair [2]Seat
+
+// Seat is an agent's place as a registrar until it rejoins.
+type Seat struct {
+	Process
+	Version uint64
+}
 
 // Has reports whether a process is one of the pair.
-func (p Pair) Has(x Process) bool { return p[0] == x || p[1] == x }
+func (p Pair) Has(x Process) bool { return p[0].Process == x || p[1].Process == x }
+
+// seat returns the seat of a process, which is zero when it is not one of the pair.
+func (p Pair) seat(x Process) Seat {
+	for _, s := range p {
+		if s.Process == x {
+			return s
+		}
+	}
+	return Seat{}
+}
 
 // pair ranks the members for a key. Without an agent in a second failure domain the
 // second registrar is the next one in the same domain.
@@ -95,7 +115,7 @@
 	} else if same.member != nil {
 		second = same
 	}
-	return Pair{first.process(), second.process()}
+	return Pair{first.seat(), second.seat()}
 }
 
 type ranked struct {
@@ -110,8 +130,8 @@
 	return r
 }
 
-func (r ranked) process() Process {
-	return Process{ID: r.member.ID, Incarnation: r.member.Incarnation}
+func (r ranked) seat() Seat {
+	return Seat{Process: Process{ID: r.member.ID, Incarnation: r.member.Incarnation}, Version: r.member.Version}
 }
 
 // mix is a bijective 64-bit finalizer that spreads every input bit.
--- a/request/message.go
+++ b/request/message.go
@@ -97,11 +97,14 @@
 const (
 	callBytes    = 48 // headers of the call and of its empty answer
 	processBytes = 17
-	keyBytes     = 20 // sent also when it is zero
-	attemptBytes = 28
-	recordBytes  = 65
-	memberBytes  = 33
-	viewBytes    = 20 // two hashes
+	versionBytes = 4
+
+	emptyPairBytes = 18
+	keyBytes       = 20 // sent also when it is zero
+	attemptBytes   = 28
+	recordBytes    = 65
+	memberBytes    = 33
+	viewBytes      = 20 // two hashes
 )
 
 // Size estimates the bytes on the wire, the answer of the call included.
@@ -111,7 +114,9 @@
 		n += attemptBytes
 	}
 	if m.Pair != (Pair{}) {
-		n += 2 * processBytes
+		n += 2 * (processBytes + versionBytes)
+	} else {
+		n += emptyPairBytes
 	}
 	if m.Other != (AttemptID{}) {
 		n += attemptBytes
--- a/request/message_test.go
+++ b/request/message_test.go
@@ -25,7 +25,7 @@
 			list = append(list, m)
 		}
 		messages := []Message{
-			{Kind: KindClaim, From: p, To: p, Key: k, Attempt: a, Pair: Pair{p, p}},
+			{Kind: KindClaim, From: p, To: p, Key: k, Attempt: a, Pair: Pair{{p, 1}, {p, 1}}},
 			{Kind: KindRelease, From: p, To: p, Key: k, Attempt: a},
 			{Kind: KindFind, From: p, To: p, Key: k, Attempt: a, Other: a},
 			{Kind: KindPull, From: p, To: p, View: math.MaxUint64, Complete: math.MaxUint64},
--- a/request/node_test.go
+++ b/request/node_test.go
@@ -262,7 +262,7 @@
 			for id, a := range n.claims.table {
 				a.granted = [2]bool{}
 				m := Message{Kind: KindClaim, From: n.self, Key: a.key, Attempt: a.name(id), Pair: a.pair}
-				m.To = p[int(n.self.ID)-1]
+				m.To = p[int(n.self.ID)-1].Process
 				c.wire = append(c.wire, m)
 			}
 		}
--- a/request/registrar.go
+++ b/request/registrar.go
@@ -120,8 +120,8 @@
 	switch {
 	case found && held.expires > now:
 		granted.primary, granted.done = held.primary, held.done
-	case m.Pair[1] == r.self && !m.Holding:
-		granted.primary = m.Pair[0]
+	case m.Pair[1].Process == r.self && !m.Holding:
+		granted.primary = m.Pair[0].Process
 	}
 	r.remember(k, granted)
 }
--- a/request/registrar_test.go
+++ b/request/registrar_test.go
@@ -39,8 +39,8 @@
 		a := AttemptID{Number: number, Agent: 9, Incarnation: 1}
 		return r.Claim(now, Message{Key: key, Attempt: a, Pair: r.current.pair(key)}).Verdict
 	}
-	find := func(p Process) *Registrar { return all[p.ID-1] }
-	remove := func(now time.Duration, gone ...Process) (left []*Registrar) {
+	find := func(p Seat) *Registrar { return all[p.ID-1] }
+	remove := func(now time.Duration, gone ...Seat) (left []*Registrar) {
 		var list []Member
 		for _, r := range all {
 			if !(Pair{gone[0], gone[len(gone)-1]}).Has(r.self) {
@@ -106,10 +106,28 @@
 		find(p[0]).SetMembers(time.Second, members(0, 1, 2, 3))
 		exchange(time.Second, left...)
 		for _, r := range left {
-			Expect(r.self == p[0] || r.complete != r.current).To(BeTrue())
+			Expect(r.self == p[0].Process || r.complete != r.current).To(BeTrue())
 		}
 	})
 
+	ginkgo.It("gets the records again after it was taken for failed without its knowledge", func() {
+		// Guards against an agent that was paused and misses what ran meanwhile.
+		paused := find(p[1])
+		left := remove(time.Second, p[1])
+		exchange(time.Second, left...)
+		for _, r := range left {
+			claim(2*time.Second, r, 1)
+		}
+		list := members(0, 1, 2, 3)
+		list[p[1].ID-1].Version++
+		for _, r := range all {
+			r.SetMembers(3*time.Second, list)
+		}
+		Expect(claim(3*time.Second, paused, 2)).To(Equal(Refused))
+		exchange(3*time.Second, all...)
+		Expect(claim(4*time.Second, paused, 2)).To(Equal(Held))
+	})
+
 	ginkgo.It("refuses for the retention time after both registrars were lost at once", func() {
 		// Guards against a second run after the only two records were lost.
 		claim(0, find(p[0]), 1)
