flow: do not send packets to a failed upstream by a hint from a SYN

Cause: repetitions of a SYN pass several balancers, and each remembers the dead upstream as the flow's place. After it was marked failed, one balancer placed the next repetition anew, and the others still sent the flow's later packets to the dead one by their hints. With no other change of the fleet the owner is the flow's first choice and sends no hint that would correct them, so a flow became silent when all its retransmissions met such balancers. Change: a hint that only SYNs have used is not followed to a failed upstream. Hints that other packets have used still are, because the upstream may have been marked failed by mistake.

--- a/flow/hints.go
+++ b/flow/hints.go
@@ -17,6 +17,7 @@
 	incarnation uint32 // low bits of the owner's incarnation
 	used        uint32 // seconds since process start
 	learned     bool   // sent by the owner, not assumed from a routing decision
+	opening     bool   // assumed from a SYN, and no other packet has used it since
 }
 
 // hintTable is a set-associative cache of fixed size.
--- a/flow/router.go
+++ b/flow/router.go
@@ -119,7 +119,7 @@
 		return Decision{Reason: ReasonNoUpstream, Service: s.id}
 	}
 	if !r.cfg.LearnedOnly {
-		r.remember(now, hash, u, false)
+		r.remember(now, hash, u, hint{opening: opensTCP(in)})
 	}
 	return Decision{OK: true, Service: s.id, Agent: u.ID, Addr: u.Addr}
 }
@@ -140,10 +140,13 @@
 	if uint32(u.Incarnation) != h.incarnation || u.State == Leaving {
 		return nil
 	}
-	if in.First && u.State == Failed {
+	// A SYN that this balancer sent to a failed upstream may have been lost there,
+	// and another balancer may have placed its repetition elsewhere.
+	if u.State == Failed && (in.First || h.opening) {
 		return nil
 	}
 	h.used = seconds(now)
+	h.opening = h.opening && in.First
 	return u
 }
 
@@ -167,15 +170,12 @@
 	}
 	s := &r.services[i]
 	if j, known := s.byID[owner]; known {
-		r.remember(now, k.Hash(), &s.upstreams[j], true)
+		r.remember(now, k.Hash(), &s.upstreams[j], hint{learned: true})
 	}
 }
 
-func (r *Router) remember(now time.Duration, hash uint64, u *Upstream, learned bool) {
-	r.hints.put(now, hint{
-		hash:        hash,
-		owner:       u.ID,
-		incarnation: uint32(u.Incarnation),
-		learned:     learned,
-	})
+// remember stores a hint that names the upstream.
+func (r *Router) remember(now time.Duration, hash uint64, u *Upstream, h hint) {
+	h.hash, h.owner, h.incarnation = hash, u.ID, uint32(u.Incarnation)
+	r.hints.put(now, h)
 }
