packetio: drop packets that waited in a socket for more than 200 ms

Cause: a process that is paused loses no packets; it passes them on when it continues. Clients have repeated them by then. A UDP request delivered after its repetition and after the next request was run a second time. Change: the data sockets of balancers and agents read the time of arrival (SO_TIMESTAMPNS), drop packets older than 200 ms and count them as packets.late. The receiving path still allocates nothing. Conclusion: a packet that was already read when the process was paused is still passed on late; that window is one batch.

--- a/agent/counters.go
+++ b/agent/counters.go
@@ -13,6 +13,7 @@
 type tally struct {
 	received, delivered, forwarded, replies  int
 	hints, malformed, wrongEndpoint, refused int
+	late                                     int
 	dropped                                  [reasons]int
 }
 
@@ -20,6 +21,7 @@
 type counters struct {
 	received, delivered, forwarded, replies  metrics.Counter
 	hints, malformed, wrongEndpoint, refused metrics.Counter
+	late                                     metrics.Counter
 	dropped                                  [reasons]metrics.Counter
 }
 
@@ -30,6 +32,7 @@
 		forwarded:     metrics.NewRegisteredCounter("packets.forwarded", r),
 		replies:       metrics.NewRegisteredCounter("packets.replies", r),
 		hints:         metrics.NewRegisteredCounter("hints.sent", r),
+		late:          metrics.NewRegisteredCounter("packets.late", r),
 		malformed:     metrics.NewRegisteredCounter("packets.malformed", r),
 		wrongEndpoint: metrics.NewRegisteredCounter("packets.dropped.wrong_endpoint", r),
 		refused:       metrics.NewRegisteredCounter("packets.refused_by_system", r),
@@ -48,6 +51,7 @@
 	inc(c.replies, t.replies)
 	inc(c.hints, t.hints)
 	inc(c.malformed, t.malformed)
+	inc(c.late, t.late)
 	inc(c.wrongEndpoint, t.wrongEndpoint)
 	inc(c.refused, t.refused)
 	for i := 1; i < reasons; i++ {
--- a/agent/ports.go
+++ b/agent/ports.go
@@ -34,6 +34,9 @@
 		return p, err
 	}
 	p.data, p.dataAddr = data, data.LocalAddr()
+	if err := data.LimitAge(packetio.MaxAge); err != nil {
+		return p, err
+	}
 	if err := p.openUpstream(cfg); err != nil {
 		return p, err
 	}
--- a/agent/reader.go
+++ b/agent/reader.go
@@ -43,6 +43,7 @@
 
 // handle processes the packets of the inbox.
 func (r *reader) handle() {
+	r.tally.late = r.in.Late()
 	r.delivery.Reset()
 	r.outgoing.Reset()
 	r.agent.flows.do(r.packets)
--- a/balancer/counters.go
+++ b/balancer/counters.go
@@ -14,6 +14,7 @@
 type tally struct {
 	received, sent, refused  int
 	hinted, hints, malformed int
+	late                     int
 	dropped                  [reasons]int
 }
 
@@ -21,6 +22,7 @@
 type counters struct {
 	received, sent, refused  metrics.Counter
 	hinted, hints, malformed metrics.Counter
+	late                     metrics.Counter
 	dropped                  [reasons]metrics.Counter
 }
 
@@ -31,6 +33,7 @@
 		refused:   metrics.NewRegisteredCounter("packets.refused_by_system", r),
 		hinted:    metrics.NewRegisteredCounter("packets.sent_by_hint", r),
 		hints:     metrics.NewRegisteredCounter("hints.received", r),
+		late:      metrics.NewRegisteredCounter("packets.late", r),
 		malformed: metrics.NewRegisteredCounter("packets.malformed", r),
 	}
 	for i := 1; i < reasons; i++ {
@@ -47,6 +50,7 @@
 	inc(c.hinted, t.hinted)
 	inc(c.hints, t.hints)
 	inc(c.malformed, t.malformed)
+	inc(c.late, t.late)
 	for i := 1; i < reasons; i++ {
 		inc(c.dropped[i], t.dropped[i])
 	}
--- a/balancer/ports.go
+++ b/balancer/ports.go
@@ -33,6 +33,9 @@
 		return p, err
 	}
 	p.data, p.dataAddr = data, data.LocalAddr()
+	if err := data.LimitAge(packetio.MaxAge); err != nil {
+		return p, err
+	}
 	if cfg.PacketIO.Mode == settings.ModeTUN {
 		device, err := tun.Open(cfg.PacketIO.Device)
 		if err != nil {
--- a/balancer/reader.go
+++ b/balancer/reader.go
@@ -67,6 +67,7 @@
 // parse sorts the inbox into packets to route and hints.
 func (r *reader) parse() {
 	r.routed, r.hints = r.routed[:0], r.hints[:0]
+	r.tally.late = r.in.Late()
 	for i := range r.in.Len() {
 		b := r.in.Packet(i)
 		if isEncapsulated(b) {
--- a/demo/run.go
+++ b/demo/run.go
@@ -80,11 +80,12 @@
 	rng := f.cfg.rng(index)
 	schedule := scheduleOf(f.cfg.actions(), f.cfg.length(), rng)
 	edits := editSchedule(f.cfg.length(), rng)
+	faults := faultSchedule(f.cfg.length(), rng)
 	if err := f.startLoad(ctx); err != nil {
 		return nil, err
 	}
 	f.say("load started")
-	balance, rate, err := f.underLoad(ctx, schedule, edits)
+	balance, rate, err := f.underLoad(ctx, schedule, edits, faults)
 	if err != nil {
 		return nil, err
 	}
@@ -121,9 +122,9 @@
 	return f.loadLists(ctx)
 }
 
-// underLoad performs both schedules until the load has lasted its time. It returns
+// underLoad performs the schedules side by side until the load has lasted its time. It returns
 // the balance and the control traffic per second and daemon.
-func (f *fleet) underLoad(ctx context.Context, schedule, edits []planned) ([]imbalance, float64, error) {
+func (f *fleet) underLoad(ctx context.Context, schedules ...[]planned) ([]imbalance, float64, error) {
 	start := time.Now()
 	before, err := f.controlBytes(ctx)
 	if err != nil {
@@ -133,8 +134,9 @@
 	group, changes := errgroup.WithContext(ctx)
 	loaded, stop := context.WithCancel(changes)
 	defer stop()
-	group.Go(func() error { return f.perform(changes, start, schedule) })
-	group.Go(func() error { return f.perform(changes, start, edits) })
+	for _, s := range schedules {
+		group.Go(func() error { return f.perform(changes, start, s) })
+	}
 	group.Go(func() error { return f.storeOutage(changes, start) })
 	group.Go(func() error {
 		f.watchRevisions(loaded)
--- /dev/null
+++ b/packetio/age_test.go
@@ -0,0 +1,46 @@
+package packetio_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/nutmegtrack/nutmegtrack/packetio"
+)
+
+var _ = Describe("A UDP socket with a limit of age", func() {
+	send := func(a, b *packetio.UDP, texts ...string) {
+		out := packetio.NewOutbox(len(texts))
+		for _, s := range texts {
+			Expect(out.Add([]byte(s), b.LocalAddr())).To(BeTrue())
+		}
+		Expect(a.Send(out)).To(BeZero())
+	}
+
+	// Guards against a process that was paused and passes on packets whose senders have
+	// repeated them since.
+	It("drops packets that have waited for longer", func() {
+		a, b := listen(), listen()
+		Expect(b.LimitAge(time.Nanosecond)).To(Succeed())
+		send(a, b, "one", "two")
+		in := packetio.NewInbox(0, 100)
+		for late := 0; late < 2; late += in.Late() {
+			Expect(b.Receive(in)).To(Succeed())
+			Expect(in.Len()).To(BeZero())
+		}
+	})
+
+	// Guards against a wrong reading of the time of arrival, which would drop all
+	// packets.
+	It("keeps younger packets", func() {
+		a, b := listen(), listen()
+		Expect(b.LimitAge(time.Hour)).To(Succeed())
+		send(a, b, "one")
+		in := packetio.NewInbox(2, 100)
+		Expect(b.Receive(in)).To(Succeed())
+		Expect(string(in.Packet(0))).To(Equal("one"))
+		Expect(in.Framed(0)).To(HaveLen(5))
+		Expect(in.Late()).To(BeZero())
+	})
+})
--- a/packetio/alloc_test.go
+++ b/packetio/alloc_test.go
@@ -7,6 +7,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -16,8 +17,11 @@
 
 var _ = Describe("The packet path of a UDP socket", func() {
 	// Guards against garbage collection on the packet path.
-	It("allocates nothing for a packet", func() {
+	DescribeTable("allocates nothing for a packet", func(maxAge time.Duration) {
 		a, b := listen(), listen()
+		if maxAge > 0 {
+			Expect(b.LimitAge(maxAge)).To(Succeed())
+		}
 		in, out := packetio.NewInbox(8, 100), packetio.NewOutbox(1)
 		to := b.LocalAddr()
 		payload := make([]byte, 100)
@@ -30,5 +34,8 @@
 			}
 		})
 		Expect(count).To(BeZero())
-	})
+	},
+		Entry("of any age", time.Duration(0)),
+		Entry("of limited age", time.Hour),
+	)
 })
--- a/packetio/packetio.go
+++ b/packetio/packetio.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/netip"
+	"time"
 
 	"golang.org/x/net/ipv4"
 )
@@ -14,6 +15,10 @@
 	// payload of a jumbo frame. A longer one is cut by the system and then dropped
 	// as malformed.
 	MaxPacket = 9216
+	// MaxAge is the limit of age for packets on their way to an upstream: the least
+	// time after which a TCP sender repeats a packet. A UDP request that is delivered
+	// after its repetition may run again.
+	MaxAge = 200 * time.Millisecond
 )
 
 // Source delivers packets.
@@ -41,6 +46,7 @@
 type Inbox struct {
 	room     int
 	count    int
+	late     int // dropped by the last Receive for their age
 	buffers  [][]byte
 	messages []ipv4.Message
 }
@@ -63,6 +69,9 @@
 // Len returns the number of packets received.
 func (in *Inbox) Len() int { return in.count }
 
+// Late returns the number of packets that the last Receive dropped for their age.
+func (in *Inbox) Late() int { return in.late }
+
 // Packet returns packet i.
 func (in *Inbox) Packet(i int) []byte {
 	return in.buffers[i][in.room : in.room+in.messages[i].N]
@@ -74,7 +83,7 @@
 }
 
 // Reset removes all packets.
-func (in *Inbox) Reset() { in.count = 0 }
+func (in *Inbox) Reset() { in.count, in.late = 0, 0 }
 
 // Put appends a copy of b and reports whether there was space. Sources that do
 // not read in batches use it.
--- a/packetio/udp.go
+++ b/packetio/udp.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"os"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/net/ipv4"
@@ -20,6 +21,7 @@
 	conn   *net.UDPConn
 	reader *ipv4.PacketConn
 	writer *ipv4.PacketConn
+	maxAge time.Duration // 0: packets of any age are received
 }
 
 // ListenUDP opens a socket on the address. A socket reaches peers of its own
@@ -57,11 +59,17 @@
 // Receive implements Source.
 func (u *UDP) Receive(in *Inbox) error {
 	in.Reset()
+	if u.maxAge > 0 {
+		in.makeRoomForTimes()
+	}
 	n, err := u.reader.ReadBatch(in.messages, 0)
 	if err != nil {
 		return err
 	}
 	in.count = n
+	if u.maxAge > 0 {
+		in.dropLate(time.Now().Add(-u.maxAge))
+	}
 	return nil
 }
 
