Compare connections with plans in the demo

Cause: over_plan and refused_under_plan were null, so that no run showed whether the limits of plans hold.

Both can violate the run. The example lists have a customer on a small plan; in the demo it asks for 90 connections where 60 are allowed, and the first edit under load lowers that to 40. Its flows that nobody answers are refused, not broken; all other flows count as before. Clients reset the SYN-ACK of a flow that they have given up, as TCP does.

--- a/demo/drain.go
+++ b/demo/drain.go
@@ -88,7 +88,17 @@
 	if err != nil {
 		return err
 	}
+	endConnections(ledger, time.Now())
 	u.ledger = ledger
 	u.server.signal(syscall.SIGKILL)
 	return nil
 }
+
+// endConnections closes the connections that an upstream's death ends.
+func endConnections(r *standin.UpstreamReport, at time.Time) {
+	for i := range r.Connections {
+		if r.Connections[i].Closed == 0 {
+			r.Connections[i].Closed = time.Duration(at.UnixNano())
+		}
+	}
+}
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -44,6 +44,7 @@
 	numbers   map[string]int // last number given to a VM, by kind
 	notes     []string       // violations seen during the run
 	lists     listTimes
+	history   []listsAt // after each accepted edit
 }
 
 type fabricAddrs struct{ packets, control netip.AddrPort }
--- a/demo/lists.go
+++ b/demo/lists.go
@@ -66,6 +66,9 @@
 	if err != nil {
 		f.violated("revision %d is not active: %v", o.Revision, err)
 	}
+	if err := f.recordLists(began); err != nil {
+		return err
+	}
 	f.say("revision %d active on every balancer after %.2f s", o.Revision, took.Seconds())
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/demo/lists_edits.go
+++ b/demo/lists_edits.go
@@ -24,6 +24,7 @@
 
 // listActions are the edits of a run, in order.
 var listActions = []action{
+	{"plan lowered", lowerPlan},
 	{"customers edited", editCustomers},
 	{"plans edited", editPlans},
 	{"two operators edit", editTwice},
@@ -75,6 +76,12 @@
 	return f.editList(ctx, "customers", "set", customer.Name, "--plan", other.Plan)
 }
 
+// lowerPlan lowers the limit of the greedy customer while its connections are open.
+func lowerPlan(ctx context.Context, f *fleet, _ *rand.Rand) error {
+	service := f.spec.services[0].name
+	return f.editList(ctx, "plans", "set", trialPlan, "--service", service, "--connections", strconv.Itoa(loweredConnections))
+}
+
 // editPlans changes the weight of a plan.
 func editPlans(ctx context.Context, f *fleet, rng *rand.Rand) error {
 	customer := f.spec.customers[rng.IntN(len(f.spec.customers))]
--- a/demo/observe.go
+++ b/demo/observe.go
@@ -25,6 +25,8 @@
 	daemons    int
 	balance    []imbalance
 	lists      listTimes
+	overPlan   int
+	refused    float64  // highest share of a customer's attempts refused below its plan
 	notes      []string // violations seen during the run
 }
 
@@ -72,6 +74,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	o.lists, o.notes = f.lists, slices.Clone(f.notes)
+	l := limits{history: f.history, customers: append(slices.Clone(f.spec.customers), f.spec.greedy)}
+	o.overPlan = l.overPlan(o.upstreams)
+	o.refused = l.refusedUnderPlan(&o.clients, o.upstreams)
 	return o, nil
 }
 
--- a/demo/result.go
+++ b/demo/result.go
@@ -11,8 +11,8 @@
 	RequestsSent         uint64   `json:"requests_sent"`
 	RequestsRunTwice     int      `json:"requests_run_twice"`
 	NotRunButRun         *int     `json:"not_run_but_run"`
-	OverPlan             *int     `json:"over_plan"`
-	RefusedUnderPlan     *int     `json:"refused_under_plan"`
+	OverPlan             int      `json:"over_plan"`
+	RefusedUnderPlan     float64  `json:"refused_under_plan"`
 	ConfigInForceSeconds *float64 `json:"config_in_force_seconds_max"`
 	ImbalanceMaxOverMean *float64 `json:"imbalance_max_over_mean"`
 	ControlRate          *float64 `json:"control_bytes_per_second_per_daemon"`
@@ -41,6 +41,8 @@
 	r.WrongServicePackets += o.wrongServicePackets()
 	r.RequestsSent += o.clients.RequestsSent
 	r.RequestsRunTwice += len(o.runTwice())
+	r.OverPlan = max(r.OverPlan, o.overPlan)
+	r.RefusedUnderPlan = max(r.RefusedUnderPlan, o.refused)
 	r.ControlRate = higher(r.ControlRate, o.control)
 	if o.lists.Worst != nil {
 		r.ConfigInForceSeconds = higher(r.ConfigInForceSeconds, *o.lists.Worst)
--- a/demo/spec.go
+++ b/demo/spec.go
@@ -19,9 +19,20 @@
 	domains   []string // failure domains
 	balancers int
 	services  []serviceSpec
-	customers []customer
+	customers []customer // without greedy, in order of the list
+	greedy    customer   // asks for more than its plan; the last one of the list
 }
 
+const (
+	// trialPlan is the plan of the greedy customer. It names one service and allows
+	// 60 connections there.
+	trialPlan = "trial"
+	// greedyFlows is what the greedy customer asks for.
+	greedyFlows = 90
+	// loweredConnections is what an edit lowers the trial plan to under load.
+	loweredConnections = 40
+)
+
 // customer is one entry of the list of customers.
 type customer struct {
 	Name    string
@@ -108,7 +119,11 @@
 	if err := json.Unmarshal(plain, &list); err != nil {
 		return errors.Wrap(err, "list of customers")
 	}
-	s.customers = list.Customers
+	last := len(list.Customers) - 1
+	if last < 0 || list.Customers[last].Plan != trialPlan {
+		return errors.Newf("the last customer of %s is not on plan %q", s.name, trialPlan)
+	}
+	s.customers, s.greedy = list.Customers[:last:last], list.Customers[last]
 	return nil
 }
 
@@ -122,6 +137,9 @@
 		target := standin.Target{Service: service.name, Addresses: service.addresses}
 		cfg.Targets = append(cfg.Targets, target)
 	}
+	greedy := cfg.Targets[0]
+	greedy.Greedy, greedy.Sources, greedy.Flows = true, s.greedy.Sources, greedyFlows
+	cfg.Targets = append(cfg.Targets, greedy)
 	return cfg
 }
 
--- a/demo/summary.go
+++ b/demo/summary.go
@@ -38,6 +38,8 @@
 		c.RequestsSent, c.ResponsesExpected, len(o.runTwice()), c.Mismatched, c.Retransmissions)
 	line("packets", "%d through the fabric, %d dropped there, %d to a wrong service",
 		o.fabric.Packets, o.fabric.Dropped, o.wrongServicePackets())
+	line("plans", "%d connections above a plan, %.2f%% of a customer's attempts refused below its plan, %d flows refused",
+		o.overPlan, 100*o.refused, c.FlowsRefused)
 	line("control traffic", "%.0f bytes per second and daemon, mean of %d daemons", o.control, o.daemons)
 	for _, b := range o.balance {
 		line("imbalance", "%s", b.String())
--- a/demo/verdict.go
+++ b/demo/verdict.go
@@ -11,6 +11,10 @@
 // receives no new work.
 const newWorkBound = 3 * time.Second
 
+// refusedBound is the share of a customer's attempts that may be refused below its
+// plan.
+const refusedBound = 0.001
+
 func (o *observed) wrongServicePackets() uint64 {
 	var n uint64
 	for _, u := range o.upstreams {
@@ -43,6 +47,8 @@
 	report(o.wrongServicePackets() > 0, "%d packets reached another service", o.wrongServicePackets())
 	report(c.WrongService > 0, "%d responses came from another service", c.WrongService)
 	report(c.Mismatched > 0, "%d responses do not belong to their request", c.Mismatched)
+	report(o.overPlan > 0, "a customer had %d connections above its plan", o.overPlan)
+	report(o.refused > refusedBound, "%.2f%% of a customer's attempts were refused below its plan", 100*o.refused)
 	twice := o.runTwice()
 	report(len(twice) > 0, "%d requests ran more than once", len(twice))
 	ran, complete := o.distinctRuns(len(twice))
--- a/demo/verdict_test.go
+++ b/demo/verdict_test.go
@@ -43,6 +43,8 @@
 			u.FlowsOpened, u.drained = 1, time.Unix(100, 0)
 			u.LastOpen = time.Duration(time.Unix(104, 0).UnixNano())
 		}, "after its drain"),
+		Entry("connections above a plan", func(o *observed) { o.overPlan = 1 }, "above its plan"),
+		Entry("refusals below a plan", func(o *observed) { o.refused = 0.002 }, "refused below its plan"),
 		Entry("a fault noted during the run", func(o *observed) { o.notes = []string{"noted"} }, "noted"),
 	)
 
--- a/standin/caller.go
+++ b/standin/caller.go
@@ -15,8 +15,23 @@
 type Target struct {
 	Service   string           `json:"service"`
 	Addresses []netip.AddrPort `json:"addresses"` // each is used for TCP and UDP
+	// Greedy is set for a customer that asks for more than its plan: its flows come
+	// from Sources alone, Flows of them are kept open or tried, and one that gets no
+	// answer is refused, not broken. All use TCP, because an agent counts a UDP flow
+	// for minutes after its client has gone.
+	Greedy  bool           `json:"greedy,omitempty"`
+	Sources []netip.Prefix `json:"sources,omitempty"`
+	Flows   int            `json:"flows,omitempty"`
 }
 
+// targetKey identifies a target in the counts of flows.
+type targetKey struct {
+	service string
+	greedy  bool
+}
+
+func (t *Target) key() targetKey { return targetKey{t.Service, t.Greedy} }
+
 // CallersConfig describes the load of all clients of one process.
 type CallersConfig struct {
 	Targets  []Target       `json:"targets"`
@@ -44,15 +59,24 @@
 // Check reports settings with which no client could open a flow.
 func (c *CallersConfig) Check() error {
 	for _, t := range c.Targets {
-		if !slices.ContainsFunc(t.Addresses, c.reachable) {
+		reachable := func(a netip.AddrPort) bool { return reachable(c.sourcesOf(&t), a) }
+		if !slices.ContainsFunc(t.Addresses, reachable) {
 			return errors.Newf("no source has the IP version of an address of %s", t.Service)
 		}
 	}
 	return nil
 }
 
-func (c *CallersConfig) reachable(dst netip.AddrPort) bool {
-	return slices.ContainsFunc(c.Sources, func(p netip.Prefix) bool {
+// sourcesOf returns the prefixes from which a target's clients come.
+func (c *CallersConfig) sourcesOf(t *Target) []netip.Prefix {
+	if t.Greedy {
+		return t.Sources
+	}
+	return c.Sources
+}
+
+func reachable(sources []netip.Prefix, dst netip.AddrPort) bool {
+	return slices.ContainsFunc(sources, func(p netip.Prefix) bool {
 		return p.Addr().Is4() == dst.Addr().Is4()
 	})
 }
@@ -81,9 +105,9 @@
 	rng     *rand.Rand
 	byKey   map[packet.Key]*callerFlow // keys in the direction to the service
 	flows   []*callerFlow              // in order of opening
-	open    map[string]int             // by service
-	feeds   map[string]int             // those of the open flows that stay open
-	killed  map[uint16]bool            // tags of the upstreams killed on purpose
+	open    map[targetKey]int
+	feeds   map[targetKey]int // those of the open flows that stay open
+	killed  map[uint16]bool   // tags of the upstreams killed on purpose
 	report  CallersReport
 	nextID  FlowID
 	closing bool
@@ -98,8 +122,8 @@
 		cfg:    cfg,
 		rng:    rng,
 		byKey:  make(map[packet.Key]*callerFlow),
-		open:   make(map[string]int),
-		feeds:  make(map[string]int),
+		open:   make(map[targetKey]int),
+		feeds:  make(map[targetKey]int),
 		killed: make(map[uint16]bool),
 		nextID: FlowID(cfg.Run) << 32,
 		out:    out,
@@ -125,12 +149,16 @@
 
 // fill opens flows up to the configured number, spread over the ramp-up time.
 func (c *Callers) fill(now time.Duration) {
-	wanted := c.cfg.Flows
-	if now < c.cfg.RampUp {
-		wanted = int(float64(wanted) * float64(now) / float64(c.cfg.RampUp))
-	}
-	for _, t := range c.cfg.Targets {
-		for c.open[t.Service] < wanted {
+	for i := range c.cfg.Targets {
+		t := &c.cfg.Targets[i]
+		wanted := c.cfg.Flows
+		if t.Greedy {
+			wanted = t.Flows
+		}
+		if now < c.cfg.RampUp {
+			wanted = int(float64(wanted) * float64(now) / float64(c.cfg.RampUp))
+		}
+		for c.open[t.key()] < wanted {
 			c.openFlow(now, t)
 		}
 	}
@@ -155,7 +183,7 @@
 		}
 		end := now + time.Duration(c.rng.Float64()*float64(within))
 		if f.until == 0 {
-			c.feeds[f.service]--
+			c.feeds[f.target.key()]--
 			f.until = end
 		}
 		f.until = min(f.until, end)
@@ -167,21 +195,22 @@
 	r := c.report
 	r.FlowsOpenBy = make(map[string]int)
 	for _, t := range c.cfg.Targets {
-		r.FlowsOpenBy[t.Service] = c.open[t.Service]
-		r.FlowsOpen += c.open[t.Service]
+		r.FlowsOpenBy[t.Service] += c.open[t.key()]
+		r.FlowsOpen += c.open[t.key()]
 	}
 	r.Broken = append([]BrokenFlow(nil), r.Broken...)
+	r.Attempts = append([]Attempt(nil), r.Attempts...)
 	return r
 }
 
 // openFlow starts a flow of a new or returning client.
-func (c *Callers) openFlow(now time.Duration, t Target) {
+func (c *Callers) openFlow(now time.Duration, t *Target) {
 	f := c.newFlow(now, t)
 	c.byKey[f.key] = f
 	c.flows = append(c.flows, f)
-	c.open[t.Service]++
+	c.open[t.key()]++
 	if f.until == 0 {
-		c.feeds[t.Service]++
+		c.feeds[t.key()]++
 	}
 	c.report.FlowsOpened++
 	c.report.FlowsOpenMax = max(c.report.FlowsOpenMax, c.totalOpen())
@@ -202,16 +231,16 @@
 }
 
 // newFlow draws kind, addresses and ports of a flow whose key is not in use.
-func (c *Callers) newFlow(now time.Duration, t Target) *callerFlow {
+func (c *Callers) newFlow(now time.Duration, t *Target) *callerFlow {
 	c.nextID++
-	f := &callerFlow{service: t.Service, opened: now, isn: c.rng.Uint32()}
+	f := &callerFlow{target: t, opened: now, isn: c.rng.Uint32()}
 	f.sendNext = f.isn + 1
 	f.id.request = Request{Service: packet.ServiceIDOf(t.Service), Flow: c.nextID}
 	proto := uint8(packet.ProtoTCP)
 	// A drawn kind would turn all flows into feeds in time, as only the others end.
-	if float64(c.feeds[t.Service]) >= c.cfg.Feeds*float64(c.open[t.Service]+1) {
+	if float64(c.feeds[t.key()]) >= c.cfg.Feeds*float64(c.open[t.key()]+1) {
 		f.until = now + c.around(c.cfg.Lifetime)
-	} else if c.rng.Float64() < c.cfg.UDP {
+	} else if !t.Greedy && c.rng.Float64() < c.cfg.UDP {
 		proto = packet.ProtoUDP
 	}
 	for {
@@ -223,10 +252,11 @@
 }
 
 // drawKey draws a source of the same IP version as the service's address.
-func (c *Callers) drawKey(t Target, proto uint8) packet.Key {
+func (c *Callers) drawKey(t *Target, proto uint8) packet.Key {
 	for {
 		dst := t.Addresses[c.rng.IntN(len(t.Addresses))]
-		prefix := c.cfg.Sources[c.rng.IntN(len(c.cfg.Sources))]
+		sources := c.cfg.sourcesOf(t)
+		prefix := sources[c.rng.IntN(len(sources))]
 		if prefix.Addr().Is4() != dst.Addr().Is4() {
 			continue
 		}
--- a/standin/caller_flow.go
+++ b/standin/caller_flow.go
@@ -17,20 +17,22 @@
 
 // callerFlow is a client's state of one flow.
 type callerFlow struct {
-	key      packet.Key
-	id       identity
-	service  string
-	phase    phase
-	opened   time.Duration
-	until    time.Duration // when to close; 0 for a feed
-	isn      uint32
-	sendNext uint32 // sequence number of the next byte to the service
-	peerISN  uint32
-	peerNext uint32 // sequence number expected from the service
-	waiting  bool   // a packet is sent and not answered
-	packet   []byte // latest packet, for retransmission
-	sent     int    // transmissions of that packet
-	next     time.Duration
+	key    packet.Key
+	id     identity
+	target *Target
+	// attempted is set once the outcome of opening is recorded.
+	attempted bool
+	phase     phase
+	opened    time.Duration
+	until     time.Duration // when to close; 0 for a feed
+	isn       uint32
+	sendNext  uint32 // sequence number of the next byte to the service
+	peerISN   uint32
+	peerNext  uint32 // sequence number expected from the service
+	waiting   bool   // a packet is sent and not answered
+	packet    []byte // latest packet, for retransmission
+	sent      int    // transmissions of that packet
+	next      time.Duration
 }
 
 // stepFlow does what is due for the flow at now.
@@ -54,6 +56,11 @@
 
 func (c *Callers) retransmit(now time.Duration, f *callerFlow) {
 	if f.sent >= maxTransmissions {
+		c.noteAttempt(now, f, false)
+		if f.target.Greedy && f.unanswered() {
+			c.refuse(f)
+			return
+		}
 		reason := ReasonSilent
 		if f.phase == phaseOpening {
 			reason = ReasonSilentOpen
@@ -112,9 +119,9 @@
 func (c *Callers) end(f *callerFlow) {
 	f.phase = phaseEnded
 	delete(c.byKey, f.key)
-	c.open[f.service]--
+	c.open[f.target.key()]--
 	if f.until == 0 {
-		c.feeds[f.service]--
+		c.feeds[f.target.key()]--
 	}
 }
 
@@ -129,7 +136,7 @@
 	}
 	if len(c.report.Broken) < brokenLogSize {
 		c.report.Broken = append(c.report.Broken, BrokenFlow{
-			Flow: f.id.request.Flow, Service: f.service, Proto: f.key.Proto,
+			Flow: f.id.request.Flow, Service: f.target.Service, Proto: f.key.Proto,
 			Source: f.key.Source().String(), Dest: f.key.Destination().String(),
 			Reason: reason, Detail: detail, Upstream: f.id.upstream,
 			Planned: planned, Request: f.id.request.Number,
@@ -143,6 +150,9 @@
 	}
 }
 
+// unanswered reports whether no upstream has ever answered the flow.
+func (f *callerFlow) unanswered() bool { return f.peerISN == 0 && f.id.upstream == "" }
+
 // killedOwner reports whether the upstream that answered the flow was killed on
 // purpose. A flow that nothing has answered yet belongs to no upstream.
 func (c *Callers) killedOwner(f *callerFlow) bool {
--- a/standin/caller_receive.go
+++ b/standin/caller_receive.go
@@ -17,6 +17,7 @@
 	f := c.byKey[in.Key.Reverse()]
 	if f == nil || in.ICMPError {
 		c.report.Stray++
+		c.resetStray(&in)
 		return
 	}
 	if f.key.Proto == packet.ProtoUDP {
@@ -26,6 +27,16 @@
 	c.receiveTCP(now, f, &in)
 }
 
+// resetStray answers the SYN-ACK of a flow that was given up, as a client's TCP
+// stack would.
+func (c *Callers) resetStray(in *packet.Info) {
+	if in.ICMPError || in.Key.Proto != packet.ProtoTCP || in.Flags&packet.FlagSYN == 0 {
+		return
+	}
+	s := packet.TCPSegment{Key: in.Key.Reverse(), Seq: in.Ack, Flags: packet.FlagRST}
+	c.out(packet.AppendTCP(nil, &s))
+}
+
 func (c *Callers) receiveTCP(now time.Duration, f *callerFlow, in *packet.Info) {
 	switch {
 	case in.RST:
@@ -56,6 +67,7 @@
 	}
 	f.phase, f.waiting, f.next = phaseOpen, false, now
 	f.peerISN, f.peerNext = in.Seq, in.Seq+1
+	c.noteAttempt(now, f, true)
 	c.acknowledge(f)
 }
 
@@ -108,6 +120,7 @@
 		c.report.ResponsesLate++
 		return
 	}
+	c.noteAttempt(now, f, true)
 	c.report.ResponsesExpected++
 	f.id.upstream, f.id.state = r.Upstream, r.State
 	f.waiting = false
--- a/standin/caller_report.go
+++ b/standin/caller_report.go
@@ -34,8 +34,11 @@
 	Mismatched        uint64         `json:"mismatched"`
 	WrongService      uint64         `json:"wrong_service"`
 	Retransmissions   uint64         `json:"retransmissions"`
-	Stray             uint64         `json:"stray"` // packets of no known flow
+	Stray             uint64         `json:"stray"`         // packets of no known flow
+	FlowsRefused      uint64         `json:"flows_refused"` // of greedy targets, without an answer
 	Broken            []BrokenFlow   `json:"broken"`
+	Attempts          []Attempt      `json:"attempts"`
+	AttemptsDropped   uint64         `json:"attempts_dropped"` // not listed for lack of space
 }
 
 // brokenLogSize bounds the broken flows that a report describes; all are counted.
--- a/standin/responder.go
+++ b/standin/responder.go
@@ -50,9 +50,11 @@
 	rng       *rand.Rand
 	flows     map[packet.Key]*serverFlow
 	ledger    *Ledger
-	counts    UpstreamCounts
-	previous  []byte // latest response, for FaultCross
-	nextSweep time.Duration
+	// connections has the same limit as ledger.
+	connections connectionLog
+	counts      UpstreamCounts
+	previous    []byte // latest response, for FaultCross
+	nextSweep   time.Duration
 }
 
 // UpstreamCounts is what an upstream has counted since its start.
@@ -85,6 +87,8 @@
 		rng:       rng,
 		flows:     make(map[packet.Key]*serverFlow),
 		ledger:    NewLedger(cfg.LedgerLimit),
+
+		connections: connectionLog{limit: cfg.LedgerLimit},
 	}
 	for _, a := range cfg.Addresses {
 		r.addresses[a] = true
@@ -145,6 +149,7 @@
 	}
 	isn := uint32(UpstreamTag(r.cfg.Name))<<tagBits | uint32(uint16(r.rng.Uint32()))
 	f := &serverFlow{state: r.rng.Uint64(), isn: isn, sendNext: isn + 1, lastSeen: now}
+	f.connection = r.connections.open(now, k.Source().Addr())
 	r.flows[k] = f
 	r.counts.FlowsOpened++
 	r.counts.LastOpen = now
@@ -163,6 +168,7 @@
 			limit = closedLinger
 		}
 		if now-f.lastSeen > limit {
+			r.connections.close(f.lastSeen, f.connection)
 			delete(r.flows, k)
 		}
 	}
--- a/standin/responder_flow.go
+++ b/standin/responder_flow.go
@@ -17,6 +17,7 @@
 	answer      []byte // latest response
 	answerSeq   uint32 // sequence number of its first byte
 	requests    int
+	connection  int // position in the log of connections
 	closed      bool
 	lastSeen    time.Duration
 }
@@ -30,7 +31,7 @@
 
 func (r *Responder) receiveTCP(now time.Duration, in *packet.Info) []byte {
 	if in.RST {
-		delete(r.flows, in.Key)
+		r.forget(now, in.Key)
 		return nil
 	}
 	f := r.flows[in.Key]
@@ -49,15 +50,24 @@
 		return r.receiveData(in, f)
 	}
 	if in.FIN {
-		return receiveFIN(in, f)
+		return r.receiveFIN(now, in, f)
 	}
 	return nil
 }
 
+// forget removes the state of a flow.
+func (r *Responder) forget(now time.Duration, k packet.Key) {
+	if f := r.flows[k]; f != nil {
+		r.connections.close(now, f.connection)
+		delete(r.flows, k)
+	}
+}
+
 // receiveSYN opens a flow. A SYN with another sequence number is a new connection
 // on reused ports and replaces the old state.
 func (r *Responder) receiveSYN(now time.Duration, in *packet.Info, f *serverFlow) []byte {
 	if f == nil || f.closed || f.clientISN != in.Seq {
+		r.forget(now, in.Key)
 		f = r.newFlow(now, in.Key)
 		if f == nil {
 			return nil
@@ -96,11 +106,12 @@
 	return reply(in, packet.FlagACK|packet.FlagPSH, f.answerSeq, f.receiveNext, f.answer)
 }
 
-func receiveFIN(in *packet.Info, f *serverFlow) []byte {
+func (r *Responder) receiveFIN(now time.Duration, in *packet.Info, f *serverFlow) []byte {
 	if in.Seq != f.receiveNext {
 		return nil
 	}
 	f.closed = true
+	r.connections.close(now, f.connection)
 	return reply(in, packet.FlagFIN|packet.FlagACK, f.sendNext, in.Seq+1, nil)
 }
 
@@ -166,7 +177,7 @@
 	}
 	switch r.cfg.Fault {
 	case FaultForget, FaultAdopt:
-		delete(r.flows, in.Key)
+		r.forget(f.lastSeen, in.Key)
 	case FaultRunTwice:
 		r.run(req)
 	case FaultCross:
--- a/standin/upstream.go
+++ b/standin/upstream.go
@@ -31,6 +31,9 @@
 	UpstreamCounts
 	Runs    []Run  `json:"runs,omitempty"`
 	Dropped uint64 `json:"dropped"` // requests not recorded for lack of space
+	// Connections lists all flows, except ConnectionsDropped for lack of space.
+	Connections        []Connection `json:"connections,omitempty"`
+	ConnectionsDropped uint64       `json:"connections_dropped"`
 }
 
 const (
@@ -104,6 +107,8 @@
 	r.Dropped = dropped
 	if runs {
 		r.Runs = append([]Run(nil), all...)
+		list, dropped := u.core.Connections(time.Since(u.started))
+		r.Connections, r.ConnectionsDropped = sinceEpoch(list, u.started), dropped
 	}
 	return r
 }
