--- a/agent/agent.go
+++ b/agent/agent.go
@@ -88,7 +88,7 @@
 func (a *Agent) assemble(p ports, transport daemon.Transport, spawn func(func())) {
 	a.ports = p
 	a.started = a.clock()
-	a.control = daemon.NewControl(a.registry, a.log)
+	a.control = daemon.NewControl(a.registry, a.log, a.cfg.ControlListen.Addr())
 	if transport == nil {
 		transport = a.control.Client
 	}
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -89,7 +89,7 @@
 // spawn runs a call in the background.
 func (b *Balancer) assemble(p ports, s store.Store, transport daemon.Transport, spawn func(func())) {
 	b.ports = p
-	b.control = daemon.NewControl(b.registry, b.log)
+	b.control = daemon.NewControl(b.registry, b.log, b.cfg.ControlListen.Addr())
 	if transport == nil {
 		transport = b.control.Client
 	}
--- a/control/client.go
+++ b/control/client.go
@@ -18,6 +18,7 @@
 type ClientConfig struct {
 	Timeout        time.Duration // for each call, connecting included; default 1 s
 	MaxConnections int           // open at the same time; default 64
+	Source         netip.Addr    // local address where it can reach the destination; default the system's choice
 }
 
 // Client makes calls over one persistent connection for each address. It is safe
@@ -85,7 +86,7 @@
 		}
 		conn = &clientConn{ready: make(chan struct{})}
 		c.conns[to] = conn
-		go conn.open(to, c.cfg.Timeout, c.counts)
+		go conn.open(to, &c.cfg, c.counts)
 	}
 	c.turn++
 	conn.used = c.turn
@@ -148,9 +149,10 @@
 	}
 }
 
-func (c *clientConn) open(to netip.AddrPort, timeout time.Duration, counts *Counts) {
+func (c *clientConn) open(to netip.AddrPort, cfg *ClientConfig, counts *Counts) {
 	defer close(c.ready)
-	conn, err := net.DialTimeout("tcp", to.String(), timeout)
+	dialer := net.Dialer{Timeout: cfg.Timeout, LocalAddr: localAddr(cfg.Source, to.Addr())}
+	conn, err := dialer.Dial("tcp", to.String())
 	if err != nil {
 		c.err = err
 		return
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -32,11 +33,12 @@
 }
 
 // NewControl returns a control service that has the Dump service and adds its
-// traffic to the registry's metrics.
-func NewControl(registry metrics.Registry, log *event.Logger) *Control {
+// traffic to the registry's metrics. Its client connects from the address source, so
+// that others can tell daemons apart.
+func NewControl(registry metrics.Registry, log *event.Logger, source netip.Addr) *Control {
 	counts := control.NewCounts(registry)
 	c := &Control{
-		Client: control.NewClient(control.ClientConfig{}, counts),
+		Client: control.NewClient(control.ClientConfig{Source: source}, counts),
 		Dump:   control.NewDump(),
 		server: control.NewServer(counts),
 		log:    log,
--- a/demo/balancer.go
+++ b/demo/balancer.go
@@ -24,11 +24,15 @@
 
 // newBalancer chooses the name and addresses of a balancer.
 func (f *fleet) newBalancer() (*balancerVM, error) {
-	addrs, err := f.ports.list(4)
+	control, err := f.ports.nextHost()
 	if err != nil {
 		return nil, err
 	}
-	b := &balancerVM{data: addrs[0], health: addrs[1], control: addrs[2], advertise: addrs[3]}
+	addrs, err := f.ports.list(3)
+	if err != nil {
+		return nil, err
+	}
+	b := &balancerVM{data: addrs[0], health: addrs[1], control: control, advertise: addrs[2]}
 	b.name, b.domain = f.vmName("balancer")
 	return b, nil
 }
--- a/demo/faults.go
+++ b/demo/faults.go
@@ -10,6 +10,7 @@
 var faultActions = []action{
 	{"balancer frozen", freezeBalancer},
 	{"agent frozen", freezeAgent},
+	{"failure domain cut off", partitionDomain},
 }
 
 // faultSchedule spreads the faults over the part of the load with changes.
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -44,6 +44,10 @@
 	numbers   map[string]int // last number given to a VM, by kind
 	notes     []string       // violations seen during the run
 	lists     listTimes
+	domains   map[string]string // failure domain of each VM ever started
+	cutDomain string            // failure domain that is cut from the others; empty for none
+
+	relayCalls sync.Mutex // keeps updates of the relay's partitions in order
 }
 
 type fabricAddrs struct{ packets, control netip.AddrPort }
@@ -58,6 +62,7 @@
 		abort:   abort,
 		calls:   newCalls(),
 		numbers: make(map[string]int),
+		domains: make(map[string]string),
 	}
 	return f, errors.Wrap(os.Mkdir(f.dir, 0o700), "directory of the deployment")
 }
@@ -95,7 +100,9 @@
 	defer f.mu.Unlock()
 	f.numbers[kind]++
 	n := f.numbers[kind]
-	return fmt.Sprintf("%s-%d", kind, n), f.spec.domains[(n-1)%len(f.spec.domains)]
+	name, domain = fmt.Sprintf("%s-%d", kind, n), f.spec.domains[(n-1)%len(f.spec.domains)]
+	f.domains[name] = domain
+	return name, domain
 }
 
 // end stops all processes, first by SIGTERM and then by SIGKILL.
--- /dev/null
+++ b/demo/partition_test.go
@@ -0,0 +1,38 @@
+package demo
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("a partition", func() {
+	f := func(cut string) *fleet {
+		return &fleet{cutDomain: cut, domains: map[string]string{"b1": "z1", "b2": "z2", "u3": "z3"}}
+	}
+
+	// Guards against a partition that cuts nothing, or daemons of the same side.
+	It("separates one failure domain from all others", func() {
+		cuts := f("z2").partitions()
+		Expect(cuts).To(HaveLen(1))
+		Expect(cuts[0].A).To(ConsistOf("b2"))
+		Expect(cuts[0].B).To(ConsistOf("b1", "u3"))
+	})
+
+	// Guards against a partition that never ends.
+	It("is lifted without a failure domain", func() {
+		Expect(f("").partitions()).To(BeEmpty())
+	})
+})
+
+var _ = Describe("daemons", func() {
+	// Guards against callers that the relay cannot tell apart and therefore never cuts.
+	It("have control addresses of their own", func() {
+		p := newPorts()
+		first, err := p.nextHost()
+		Expect(err).NotTo(HaveOccurred())
+		second, err := p.nextHost()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(first.Addr()).NotTo(Equal(second.Addr()))
+		Expect(first.Addr()).NotTo(Equal(loopback))
+	})
+})
--- a/demo/platform.go
+++ b/demo/platform.go
@@ -86,6 +86,9 @@
 
 // addRoute opens the advertised control port of a daemon at the relay.
 func (f *fleet) addRoute(ctx context.Context, name string, advertise, target netip.AddrPort) error {
-	route := standin.Route{Name: name, Advertise: advertise, Target: target}
-	return sendJSON(ctx, http.MethodPost, f.fabric.control, "/relay/routes", route)
+	route := standin.Route{Name: name, Advertise: advertise, Target: target, Source: target.Addr()}
+	if err := sendJSON(ctx, http.MethodPost, f.fabric.control, "/relay/routes", route); err != nil {
+		return err
+	}
+	return f.tellRelay(ctx)
 }
--- a/demo/ports.go
+++ b/demo/ports.go
@@ -19,28 +19,41 @@
 
 var loopback = netip.MustParseAddr("127.0.0.1")
 
-// ports hands out addresses on 127.0.0.1 that are free for TCP and UDP.
+// ports hands out addresses on the loopback interface that are free for TCP and UDP.
 type ports struct {
 	mu    sync.Mutex
 	given map[uint16]bool
+	hosts int // loopback addresses given to daemons
 }
 
 func newPorts() *ports { return &ports{given: make(map[uint16]bool)} }
 
-// next returns an address that was free a moment ago. The choice is not seeded:
+// next returns an address on 127.0.0.1.
+func (p *ports) next() (netip.AddrPort, error) { return p.nextOn(loopback) }
+
+// nextHost returns an address on a loopback address that no other daemon has.
+func (p *ports) nextHost() (netip.AddrPort, error) {
+	p.mu.Lock()
+	p.hosts++
+	n := p.hosts + 1 // 127.0.0.1 is shared
+	p.mu.Unlock()
+	return p.nextOn(netip.AddrFrom4([4]byte{127, byte(n >> 16), byte(n >> 8), byte(n)}))
+}
+
+// nextOn returns an address that was free a moment ago. The choice is not seeded:
 // demos that run at the same time must not try the same ports.
-func (p *ports) next() (netip.AddrPort, error) {
+func (p *ports) nextOn(host netip.Addr) (netip.AddrPort, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for range attempts {
 		port := uint16(portLow + rand.IntN(portHigh-portLow))
-		addr := netip.AddrPortFrom(loopback, port)
+		addr := netip.AddrPortFrom(host, port)
 		if !p.given[port] && isFree(addr) {
 			p.given[port] = true
 			return addr, nil
 		}
 	}
-	return netip.AddrPort{}, errors.New("no free port on 127.0.0.1")
+	return netip.AddrPort{}, errors.Newf("no free port on %s", host)
 }
 
 // list returns n free addresses.
--- a/demo/upstream.go
+++ b/demo/upstream.go
@@ -26,11 +26,15 @@
 }
 
 func (f *fleet) newUpstreamAddrs() (a upstreamAddrs, err error) {
-	list, err := f.ports.list(6)
+	control, err := f.ports.nextHost()
 	if err != nil {
 		return a, err
 	}
-	return upstreamAddrs{list[0], list[1], list[2], list[3], list[4], list[5]}, nil
+	list, err := f.ports.list(5)
+	if err != nil {
+		return a, err
+	}
+	return upstreamAddrs{list[0], control, list[1], list[2], list[3], list[4]}, nil
 }
 
 // startUpstream starts one upstream of the service with its agent.
