Measure the cost of addresses; share the size of calls

Cause: no slope had the service's addresses as its unit, and two types encoded calls to count their bytes. Change: two slopes per address for the balancer's data path; wireSize uses callSize.

--- a/bench/slopes.go
+++ b/bench/slopes.go
@@ -2,17 +2,18 @@
 
 // Roles of the processes whose cost RunSlopes measures.
 const (
-	RoleBalancer   = "balancer data path"
-	RoleAgent      = "agent data path"
-	RoleMember     = "membership of a balancer"
-	RoleAnnouncer  = "membership of an agent"
-	RoleCollector  = "collector"
-	RoleReader     = "store reader"
-	RoleHolder     = "quota holder"
-	RoleGrantor    = "quota grantor"
-	defaultRepeats = 5
+	RoleBalancer  = "balancer data path"
+	RoleAgent     = "agent data path"
+	RoleMember    = "membership of a balancer"
+	RoleAnnouncer = "membership of an agent"
+	RoleCollector = "collector"
+	RoleReader    = "store reader"
+	RoleHolder    = "quota holder"
+	RoleGrantor   = "quota grantor"
 )
 
+const defaultRepeats = 5
+
 // SlopeRoles lists the roles in the order of RunSlopes.
 var SlopeRoles = []string{
 	RoleBalancer, RoleAgent, RoleMember, RoleAnnouncer, RoleCollector, RoleReader, RoleHolder, RoleGrantor,
--- a/bench/slopes_flow.go
+++ b/bench/slopes_flow.go
@@ -23,6 +23,8 @@
 		{"route one packet of each flow by its hint", CPU, "flow", []int{2000, 6000, 20000, 60000, 200000}, routeHinted},
 		{"hint table", Memory, "flow", []int{4096, 16384, 65536, 262144, 524288}, hintMemory},
 		{"view and its index", Memory, "upstream", []int{480, 1600, 4800, 16000, targetUpstreams}, viewMemory},
+		{"view of a service with 11 upstreams and its index", Memory, "address", []int{43, 130, 430, 1300, targetServices}, addressMemory},
+		{"route one packet without a hint, 11 upstreams", CPU, "address", []int{43, 130, 430, 1300, targetServices}, routeAddresses},
 		{"install a view", CPU, "upstream", []int{480, 1600, 4800, 16000, targetUpstreams}, viewCPU},
 	}
 }
@@ -63,6 +65,35 @@
 	})}
 }
 
+// addressView returns a view of one service with n addresses.
+func addressView(n int) *flow.View {
+	v := slopeView(11, 1)
+	for i := 1; i < n; i++ {
+		v.Services[0].Endpoints = append(v.Services[0].Endpoints, flow.Endpoint{Addr: slopeServiceAddr(i), Proto: packet.ProtoTCP})
+	}
+	return v
+}
+
+func addressMemory(m meter, n int) Point {
+	return Point{float64(n), m.heap(func() any {
+		r := flow.NewRouter(flow.RouterConfig{Hints: -1})
+		r.SetView(0, addressView(n))
+		return r
+	})}
+}
+
+func routeAddresses(m meter, n int) Point {
+	r := flow.NewRouter(flow.RouterConfig{Hints: -1})
+	r.SetView(0, addressView(n))
+	packets := firstPackets(routedPackets)
+	for i := range packets {
+		k := &packets[i].Key
+		*k = packet.KeyOf(k.Source(), slopeServiceAddr(i%n), packet.ProtoTCP)
+	}
+	total := m.cpu(func() {}, func() { routeAll(r, packets) })
+	return Point{float64(n), total / routedPackets}
+}
+
 func viewCPU(m meter, n int) Point {
 	v := slopeView(n, servicesOf(n))
 	r := flow.NewRouter(flow.RouterConfig{Hints: -1})
--- a/bench/slopes_meter.go
+++ b/bench/slopes_meter.go
@@ -1,9 +1,7 @@
 package bench
 
 import (
-	"encoding/gob"
 	"math"
-	"net/rpc"
 	"runtime"
 	"syscall"
 )
@@ -58,43 +56,3 @@
 	}
 	return usage.Utime.Nano() + usage.Stime.Nano()
 }
-
-// callSize computes the bytes of calls of one RPC method by encoding them with
-// gob, with the TCP and IP headers of one request and one response packet. The
-// type descriptions, which gob sends once for each connection, are left out.
-type callSize struct {
-	method string
-	n      int
-	enc    *gob.Encoder
-	seq    uint64
-}
-
-// newCallSize returns the size of calls with arguments and replies of the types
-// of the samples.
-func newCallSize(method string, arguments, reply any) *callSize {
-	s := &callSize{method: method}
-	s.enc = gob.NewEncoder(s)
-	s.bytes(arguments, reply)
-	return s
-}
-
-// Write counts bytes.
-func (s *callSize) Write(b []byte) (int, error) {
-	s.n += len(b)
-	return len(b), nil
-}
-
-// bytes returns the size of one call.
-func (s *callSize) bytes(arguments, reply any) int {
-	s.n = 0
-	s.seq++
-	for _, v := range []any{
-		&rpc.Request{ServiceMethod: s.method, Seq: s.seq}, arguments,
-		&rpc.Response{ServiceMethod: s.method, Seq: s.seq}, reply,
-	} {
-		if err := s.enc.Encode(v); err != nil {
-			panic("bench: " + s.method + " is not gob-encodable: " + err.Error())
-		}
-	}
-	return s.n + tcpIPHeaders
-}
--- a/bench/wire.go
+++ b/bench/wire.go
@@ -16,42 +16,60 @@
 	udpIPHeaders = 28
 )
 
-// wireSize computes the size of a call of net/rpc by encoding it. Type
-// descriptions, which gob sends once for each connection, are left out.
-type wireSize struct {
-	n   int
-	enc *gob.Encoder
-	seq uint64
+// callSize computes the bytes of calls of one RPC method by encoding them with
+// gob, with the TCP and IP headers of one request and one response packet. The
+// type descriptions, which gob sends once for each connection, are left out.
+type callSize struct {
+	method string
+	n      int
+	enc    *gob.Encoder
+	seq    uint64
+}
+
+// newCallSize returns the size of calls with arguments and replies of the types
+// of the samples.
+func newCallSize(method string, arguments, reply any) *callSize {
+	s := &callSize{method: method}
+	s.enc = gob.NewEncoder(s)
+	s.bytes(arguments, reply)
+	return s
 }
 
 // Write counts bytes.
-func (s *wireSize) Write(b []byte) (int, error) {
+func (s *callSize) Write(b []byte) (int, error) {
 	s.n += len(b)
 	return len(b), nil
 }
 
-func newWireSize() *wireSize {
-	s := &wireSize{}
-	s.enc = gob.NewEncoder(s)
-	s.message(&flow.Message{}) // sends the type descriptions
-	return s
-}
-
-// message returns the bytes of one message with its call and the empty response.
-func (s *wireSize) message(m *flow.Message) int {
+// bytes returns the size of one call.
+func (s *callSize) bytes(arguments, reply any) int {
 	s.n = 0
 	s.seq++
 	for _, v := range []any{
-		&rpc.Request{ServiceMethod: "Flow.Send", Seq: s.seq}, m,
-		&rpc.Response{ServiceMethod: "Flow.Send", Seq: s.seq}, struct{ OK bool }{true},
+		&rpc.Request{ServiceMethod: s.method, Seq: s.seq}, arguments,
+		&rpc.Response{ServiceMethod: s.method, Seq: s.seq}, reply,
 	} {
 		if err := s.enc.Encode(v); err != nil {
-			panic("bench: message is not gob-encodable: " + err.Error())
+			panic("bench: " + s.method + " is not gob-encodable: " + err.Error())
 		}
 	}
 	return s.n + tcpIPHeaders
 }
 
+// wireSize computes the bytes of messages between agents.
+type wireSize struct {
+	call *callSize
+}
+
+func newWireSize() *wireSize {
+	return &wireSize{call: newCallSize("Flow.Send", &flow.Message{}, struct{ OK bool }{true})}
+}
+
+// message returns the bytes of one message with its call and the empty response.
+func (s *wireSize) message(m *flow.Message) int {
+	return s.call.bytes(m, struct{ OK bool }{true})
+}
+
 // hintSize returns the bytes of a hint for a flow on the wire.
 func hintSize(k *packet.Key) int {
 	var b [packet.HintSize]byte
