Shorten the replies to quota messages

Cause: a reply repeats the service and both parties, which the caller knows.

Change: replies leave them out, and the RPC method has a shorter name, since net/rpc sends it with each request and response. A test shows that messages to third processes are sent and not put into the reply.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -86,7 +86,11 @@
 			if a.id == m.To.ID {
 				var reply daemon.QuotaBatch
 				batch := daemon.QuotaBatch{Control: seed, Messages: []quota.Message{m}}
-				Expect(daemon.NewQuotaRPC(a.quota).Messages(&batch, &reply)).To(Succeed())
+				Expect(daemon.NewQuotaRPC(a.quota).Send(&batch, &reply)).To(Succeed())
+				for i := range reply.Messages {
+					answer := &reply.Messages[i]
+					answer.Service, answer.From, answer.To = m.Service, m.To, m.From
+				}
 				n.toAgents(n.toGrantor(reply.Messages))
 			}
 		}
@@ -127,7 +131,7 @@
 	case *flow.Message:
 		a.receiveMessage(*m)
 	case *daemon.QuotaBatch:
-		return daemon.NewQuotaRPC(a.quota).Messages(m, reply.(*daemon.QuotaBatch))
+		return daemon.NewQuotaRPC(a.quota).Send(m, reply.(*daemon.QuotaBatch))
 	}
 	return nil
 }
--- a/daemon/quota.go
+++ b/daemon/quota.go
@@ -11,7 +11,7 @@
 const (
 	// QuotaService is the name of the RPC service for quota messages.
 	QuotaService = "Quota"
-	quotaMethod  = QuotaService + ".Messages"
+	quotaMethod  = QuotaService + ".Send"
 	// maxQuotaQueue bounds the messages that wait for a call in progress. The
 	// protocol repeats those that are lost.
 	maxQuotaQueue = 256
@@ -24,6 +24,14 @@
 	Messages []quota.Message
 }
 
+// completeReply sets service and parties of the messages in the reply to a request.
+func (b *QuotaBatch) completeReply(request *QuotaBatch) {
+	for i := range b.Messages {
+		m, asked := &b.Messages[i], &request.Messages[0]
+		m.Service, m.From, m.To = asked.Service, asked.To, asked.From
+	}
+}
+
 // QuotaConfig says how quota messages are exchanged.
 type QuotaConfig struct {
 	Transport Transport
@@ -95,6 +103,7 @@
 			q.cfg.Failed(address, err)
 			continue
 		}
+		reply.completeReply(&batch)
 		if len(reply.Messages) > 0 {
 			q.Send(ctx, q.cfg.Handle(reply))
 		}
@@ -122,9 +131,9 @@
 // NewQuotaRPC returns the service.
 func NewQuotaRPC(q *Quota) *QuotaRPC { return &QuotaRPC{quota: q} }
 
-// Messages serves the RPC. The reply carries the messages to the caller; the others
-// are sent.
-func (r *QuotaRPC) Messages(batch *QuotaBatch, reply *QuotaBatch) error {
+// Send serves the RPC. The reply carries the messages to the caller, without service
+// and parties, which the caller knows; the others are sent.
+func (r *QuotaRPC) Send(batch *QuotaBatch, reply *QuotaBatch) error {
 	if len(batch.Messages) == 0 {
 		return nil
 	}
@@ -132,6 +141,7 @@
 	var others []quota.Message
 	for _, m := range r.quota.cfg.Handle(*batch) {
 		if m.To == caller && m.Service == service {
+			m.Service, m.From, m.To = 0, quota.Party{}, quota.Party{}
 			reply.Messages = append(reply.Messages, m)
 		} else {
 			others = append(others, m)
--- a/daemon/quota_test.go
+++ b/daemon/quota_test.go
@@ -70,12 +70,32 @@
 	// Guards against fields that are lost on the wire, and against a call for each
 	// message of a step.
 	It("sends the messages of a step to one receiver in one call", func() {
-		log.answer = []quota.Message{message(self, 9)}
+		answer := message(self, 9)
+		answer.Service, answer.From, answer.To = 0, quota.Party{}, quota.Party{}
+		log.answer = []quota.Message{answer}
 		q.Send(ctx, []quota.Message{message(peer, 1), message(other, 1), message(peer, 2)})
 		Expect(log.batches).To(Equal([]daemon.QuotaBatch{
 			{Control: address, Messages: []quota.Message{message(peer, 1), message(peer, 2)}},
 		}))
-		Expect(handled).To(Equal([]quota.Message{message(self, 9)}))
+		answer = message(self, 9)
+		answer.From = peer
+		Expect(handled).To(Equal([]quota.Message{answer}))
+	})
+
+	// Guards against messages to third processes that are lost in a reply.
+	It("answers the caller and sends the rest", func() {
+		q = daemon.NewQuota(daemon.QuotaConfig{
+			Transport: log, Spawn: func(f func()) { f() },
+			Address: func(quota.Party) (netip.AddrPort, bool) { return address, true },
+			Handle:  func(daemon.QuotaBatch) []quota.Message { return []quota.Message{message(peer, 1), message(other, 2)} },
+		})
+		request := message(self, 1)
+		request.From = peer
+		var reply daemon.QuotaBatch
+		Expect(daemon.NewQuotaRPC(q).Send(&daemon.QuotaBatch{Messages: []quota.Message{request}}, &reply)).To(Succeed())
+		Expect(reply.Messages).To(HaveLen(1))
+		Expect(reply.Messages[0].Seq).To(BeEquivalentTo(1))
+		Expect(log.batches).To(Equal([]daemon.QuotaBatch{{Messages: []quota.Message{message(other, 2)}}}))
 	})
 
 	// Guards against a receiver that is never called again after a failed call.
