demo: let the store go down during an edit and resolve it afterwards

Cause: the demo made no edit while the store was down, so nothing showed what an operator is told then. The edit must be told unknown, and another one during the outage must not be accepted. After the outage and one more edit, edit-status must say stale or accepted as the case is. The outage follows the last scheduled edit, which it would otherwise make fail.

--- a/demo/outage.go
+++ b/demo/outage.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/nutmegtrack/nutmegtrack/standin"
@@ -13,19 +14,31 @@
 	outageTo   = 0.95
 )
 
-// storeOutage lets the store drop all connections for a while.
-func (f *fleet) storeOutage(ctx context.Context, start time.Time) error {
+// outageSchedule is the store's outage at its time.
+func outageSchedule(length time.Duration, rng *rand.Rand) []planned {
+	return []planned{{
+		at:     time.Duration(outageFrom * float64(length)),
+		action: action{"store outage", storeOutage},
+		rng:    rand.New(rand.NewPCG(rng.Uint64(), 0)),
+	}}
+}
+
+// storeOutage lets the store drop all connections for a while, beginning in the middle
+// of an edit. Another edit is tried while it is down.
+func storeOutage(ctx context.Context, f *fleet, rng *rand.Rand) error {
 	length := f.cfg.Seconds * float64(time.Second)
-	if !pause(ctx, time.Until(start.Add(time.Duration(outageFrom*length)))) {
-		return context.Cause(ctx)
-	}
-	f.say("store down")
-	if err := f.setStoreFaults(ctx, standin.Faults{Outage: standin.OutageDrop}); err != nil {
+	end := time.Now().Add(time.Duration((outageTo - outageFrom) * length))
+	cut, err := f.editIntoOutage(ctx, rng)
+	if err != nil {
 		return err
 	}
-	if !pause(ctx, time.Until(start.Add(time.Duration(outageTo*length)))) {
+	f.editDuringOutage(rng)
+	if !pause(ctx, time.Until(end)) {
 		return context.Cause(ctx)
 	}
+	if err := f.setStoreFaults(ctx, standin.Faults{}); err != nil {
+		return err
+	}
 	f.say("store up")
-	return f.setStoreFaults(ctx, standin.Faults{})
+	return f.resolveEdit(ctx, cut, rng)
 }
--- /dev/null
+++ b/demo/outage_store.go
@@ -0,0 +1,39 @@
+package demo
+
+import (
+	"context"
+
+	"github.com/nutmegtrack/nutmegtrack/standin"
+	"github.com/nutmegtrack/nutmegtrack/store"
+)
+
+// outageStore begins the store's outage at the transaction that replaces the head of
+// the lists, the only one of an edit with conditions.
+type outageStore struct {
+	store.Store
+	setFaults func(context.Context, standin.Faults) error
+	effective bool // the transaction takes effect, and only its response is lost
+	began     bool
+}
+
+func (s *outageStore) Txn(ctx context.Context, conditions []store.Compare, writes []store.Op) (store.TxnResult, error) {
+	if len(conditions) == 0 || s.began {
+		return s.Store.Txn(ctx, conditions, writes)
+	}
+	s.began = true
+	down := standin.Faults{Outage: standin.OutageDrop}
+	if !s.effective {
+		if err := s.setFaults(ctx, down); err != nil {
+			return store.TxnResult{}, err
+		}
+		return s.Store.Txn(ctx, conditions, writes)
+	}
+	if err := s.setFaults(ctx, standin.Faults{LoseResponses: 1}); err != nil {
+		return store.TxnResult{}, err
+	}
+	result, err := s.Store.Txn(ctx, conditions, writes)
+	if failed := s.setFaults(ctx, down); failed != nil {
+		return store.TxnResult{}, failed
+	}
+	return result, err
+}
--- a/demo/run.go
+++ b/demo/run.go
@@ -81,6 +81,8 @@
 	schedule := scheduleOf(f.cfg.actions(), f.cfg.length(), rng)
 	edits := editSchedule(f.cfg.length(), rng)
 	faults := faultSchedule(f.cfg.length(), rng)
+	// The outage waits for the last edit, which it would make fail.
+	edits = append(edits, outageSchedule(f.cfg.length(), rng)...)
 	if err := f.startLoad(ctx); err != nil {
 		return nil, err
 	}
@@ -137,7 +139,6 @@
 	for _, s := range schedules {
 		group.Go(func() error { return f.perform(changes, start, s) })
 	}
-	group.Go(func() error { return f.storeOutage(changes, start) })
 	group.Go(func() error {
 		f.watchRevisions(loaded)
 		return nil
