demo: draw only balancers whose process has started

Cause: a balancer is listed before its process starts, so that others have it as a seed. Since the faults run beside the changes of the fleet, freezing could draw one that another action was about to start; the run then ended with a nil pointer and left its processes behind. Change: actions draw from the balancers whose process has started, and the process is stored under the fleet's lock. The test fails with the former drawBalancer and passes with the new one. Conclusion: a panic of the demo still leaves its processes behind.

--- a/demo/actions.go
+++ b/demo/actions.go
@@ -93,6 +93,6 @@
 }
 
 func drawBalancer(f *fleet, rng *rand.Rand) *balancerVM {
-	live := f.liveBalancers()
+	live := f.startedBalancers()
 	return live[rng.IntN(len(live))]
 }
--- a/demo/balancer.go
+++ b/demo/balancer.go
@@ -75,7 +75,10 @@
 	if err != nil {
 		return err
 	}
-	b.process, err = f.run(b.name, "balancer", "--settings", path)
+	p, err := f.run(b.name, "balancer", "--settings", path)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	b.process = p
 	return err
 }
 
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -138,6 +138,15 @@
 	return live
 }
 
+// startedBalancers returns the live balancers whose process runs. One that is about to
+// start is live before, so that others have it as a seed.
+func (f *fleet) startedBalancers() []*balancerVM {
+	live := f.liveBalancers()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.DeleteFunc(live, func(b *balancerVM) bool { return b.process == nil })
+}
+
 // serving returns the upstreams of a service that nobody has drained or killed.
 func (f *fleet) serving(service string) []*upstreamVM {
 	f.mu.Lock()
--- /dev/null
+++ b/demo/fleet_test.go
@@ -0,0 +1,21 @@
+package demo
+
+import (
+	"math/rand/v2"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("a fleet", func() {
+	// Guards against an action that takes a balancer whose process does not run yet,
+	// while another action starts it.
+	It("draws only balancers that have started", func() {
+		started := &balancerVM{process: &process{}}
+		f := &fleet{balancers: []*balancerVM{{}, started, {}}}
+		rng := rand.New(rand.NewPCG(1, 1))
+		for range 20 {
+			Expect(drawBalancer(f, rng)).To(BeIdenticalTo(started))
+		}
+	})
+})
