Drop a waiting first packet before the client repeats it

Change: a first packet waits for at most 900 ms; the client stand-in repeats a SYN after 1 s as RFC 6298 says, not after 150 ms, and still gives up after 8 s. Left open: a client that repeats its SYN faster than 900 ms can still open two flows during a partition.

--- a/flow/config.go
+++ b/flow/config.go
@@ -25,7 +25,7 @@
 	Observer      Observer      // may be nil
 	Admission     Admission     // may be nil: all flows are admitted
 	MaxWaiting    int           // flows that wait for the admission; default 1024
-	MaxWait       time.Duration // default 4 s
+	MaxWait       time.Duration // default 900 ms
 }
 
 func orDefault[T int | float64 | time.Duration](v *T, d T) {
@@ -55,7 +55,8 @@
 	c.HintFanOut = min(c.HintFanOut, maxOrigins)
 	orDefault(&c.DigestRate, 3072)
 	orDefault(&c.MaxWaiting, 1024)
-	// Longer than quota.Config.MaxWait, so that the admission decides first.
-	orDefault(&c.MaxWait, 4*time.Second)
+	// A TCP client repeats its SYN after 1 s (RFC 6298), and the repeated SYN may
+	// open the flow at another agent. The first one must have been dropped by then.
+	orDefault(&c.MaxWait, 900*time.Millisecond)
 	return c
 }
--- a/standin/caller.go
+++ b/standin/caller.go
@@ -90,12 +90,17 @@
 
 const (
 	firstRetransmission = 150 * time.Millisecond
+	// openingRetransmission is the retransmission time before a round-trip time is
+	// known (RFC 6298, section 2).
+	openingRetransmission = time.Second
 	// maxRetransmission and maxTransmissions let a flow be silent for about 8 s
 	// before it counts as broken. That is shorter than a TCP stack would wait, and
 	// longer than the system may need after a balancer's death.
 	maxRetransmission = time.Second
 	maxTransmissions  = 10
-	firstPort         = 1024
+	// maxOpenings gives a flow that was never answered the same 8 s.
+	maxOpenings = 8
+	firstPort   = 1024
 )
 
 // Callers is the pure part of the client stand-in: many clients, each with its
