Let flows wait for a token no longer than their first packet is kept

The holder let a flow wait for 3 s, but its first packet was dropped after 900 ms, so tokens went to flows that no longer existed. Change: the agent's holder decides after 800 ms.

--- a/agent/quota.go
+++ b/agent/quota.go
@@ -20,6 +20,11 @@
 // daemon of the demo, in which a customer is always at its plan.
 const maxAskInterval = 2 * time.Second
 
+// maxTokenWait is how long a flow waits for a token. It is shorter than
+// flow.TableConfig.MaxWait, so that no token is spent on a flow whose first packet
+// has been dropped.
+const maxTokenWait = 800 * time.Millisecond
+
 // routes are the control addresses of the processes that quota messages go to.
 type routes struct {
 	mu      sync.Mutex
@@ -62,7 +67,7 @@
 // setUpQuota connects the holder of this agent's tokens.
 func (a *Agent) setUpQuota(transport daemon.Transport, spawn func(func()), failed func(netip.AddrPort, error)) {
 	self := quota.Party{ID: a.id, Incarnation: a.self().Incarnation}
-	holder := quota.NewHolder(quota.Config{MaxAskInterval: maxAskInterval}, a.service, self, daemon.NewRand(a.rng))
+	holder := quota.NewHolder(quota.Config{MaxAskInterval: maxAskInterval, MaxWait: maxTokenWait}, a.service, self, daemon.NewRand(a.rng))
 	a.admission = newAdmission(holder, a.registry, daemon.NewQuiet(a.log, a.clock, event.LeaseExpired))
 	a.quota = daemon.NewQuota(daemon.QuotaConfig{
 		Transport: transport, Spawn: spawn, Failed: failed,
