--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -146,7 +146,7 @@
 		collect := func() { b.collect.step(b.life.Context()) }
 		b.life.Spawn(collect) // a starting balancer reads the shards at once
 		b.life.Every(collectInterval, collect)
-		b.life.Every(electInterval, func() { b.grants.elect(b.life.Context()) })
+		b.life.Every(electInterval, func() { b.grants.electWhenDue(b.life.Context()) })
 	}
 	b.life.Supervise(b.drain, b.close)
 }
--- a/balancer/election.go
+++ b/balancer/election.go
@@ -74,6 +74,25 @@
 	return name
 }
 
+// electWhenDue holds an election unless the balancers together would read the store
+// more often than electReads.
+func (g *grantors) electWhenDue(ctx context.Context) {
+	now := g.clock()
+	if now < g.next {
+		return
+	}
+	balancers := 0
+	g.members.Do(func(_ time.Duration, n *member.Node) { balancers = len(n.Table().Balancers()) })
+	// A timer that is a little early must not skip a turn.
+	g.next = now + electPause(balancers) - electInterval/2
+	g.elect(ctx)
+}
+
+// electPause returns the time between two elections of one of n balancers.
+func electPause(n int) time.Duration {
+	return max(electInterval, time.Duration(n)*time.Second/electReads)
+}
+
 // elect reads who the grantors are, steps down where another balancer has replaced
 // this one, and campaigns for services whose grantor is not ready. Without an
 // answer of the store all terms go on, because nobody can have replaced them.
--- a/balancer/grantors.go
+++ b/balancer/grantors.go
@@ -21,6 +21,8 @@
 	// electInterval is the time between two reads of the grantors. A handover takes
 	// about one, which is within the 3 s for which a stopping balancer goes on.
 	electInterval = time.Second
+	// electReads bounds the reads of all balancers together, per second.
+	electReads = 50
 	// holdersInterval bounds the work of comparing the membership at the target scale.
 	holdersInterval = time.Second
 	// recountLimit is the time after which an unfinished first count is logged.
@@ -42,7 +44,8 @@
 	recount *daemon.Quiet
 	quota   *daemon.Quota
 
-	electing sync.Mutex // held during an election, with its calls to the store
+	electing sync.Mutex    // held during an election, with its calls to the store
+	next     time.Duration // when the next election is due; used by the timer only
 
 	mu    sync.Mutex
 	terms map[string]*term // by service
--- a/balancer/grantors_test.go
+++ b/balancer/grantors_test.go
@@ -66,6 +66,15 @@
 
 	// Guards against two balancers that both believe they are the grantor: neither
 	// knows of the other, so both campaign from the same read.
+	// Guards against a fleet of balancers that overloads the store: one read a second
+	// from each of 5,300 exceeds its 2,000.
+	It("read the store at most 50 times a second, all balancers together", func() {
+		Expect(electPause(4)).To(Equal(time.Second))
+		for _, n := range []int{50, 500, 5300} {
+			Expect(float64(n) / electPause(n).Seconds()).To(BeNumerically("<=", 50))
+		}
+	})
+
 	It("is one balancer when two campaign at once", func() {
 		raced := false
 		s.Before = func(c fake.Call) error {
--- a/quota/recount.go
+++ b/quota/recount.go
@@ -58,7 +58,7 @@
 	// is repeated.
 	resendParts = 10
 	// maxPauseFactor bounds the pause between recounts, in RecountIntervals.
-	maxPauseFactor = 32
+	maxPauseFactor = 8
 )
 
 // stepRecount starts, repeats or gives up a recount.
--- a/quota/types.go
+++ b/quota/types.go
@@ -153,7 +153,7 @@
 	// RecountTimeout ends a holder's freeze when no release comes. Default 1 s.
 	RecountTimeout time.Duration
 	// RecountInterval is the time between two recounts. After a recount in which a
-	// holder did not answer it doubles up to 32 times. Default 200 ms.
+	// holder did not answer it doubles up to 8 times. Default 200 ms.
 	RecountInterval time.Duration
 	// RecountAccounts bounds the accounts of one recount, and so the size of a
 	// report. Default 500.
