Use the usual terms for log limits and network segments

Cause: daemon.Quiet and the fake network's zones needed explaining. Change: LogLimiter, segments and cuts. No behaviour changes. Measured: go test ./... passes.

--- a/agent/admission.go
+++ b/agent/admission.go
@@ -15,17 +15,17 @@
 // lock of flows.
 type admission struct {
 	holder    *quota.Holder
-	customers map[uint64]bool   // customers whose tokens have been used, asked for or received
-	kept      map[uint64][]byte // first packets of waiting flows by number
-	decisions []quota.Decision  // not yet executed
-	lease     *daemon.Quiet     // logs refusals without a lease
+	customers map[uint64]bool    // customers whose tokens have been used, asked for or received
+	kept      map[uint64][]byte  // first packets of waiting flows by number
+	decisions []quota.Decision   // not yet executed
+	lease     *daemon.LogLimiter // logs refusals without a lease
 	draining  bool
 
 	admitted, waited              metrics.Counter
 	noCustomer, noLease, noTokens metrics.Counter
 }
 
-func newAdmission(holder *quota.Holder, r metrics.Registry, lease *daemon.Quiet) *admission {
+func newAdmission(holder *quota.Holder, r metrics.Registry, lease *daemon.LogLimiter) *admission {
 	return &admission{
 		holder:     holder,
 		customers:  make(map[uint64]bool),
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -100,7 +100,7 @@
 	if transport == nil {
 		transport = a.control.Client
 	}
-	silent := daemon.NewQuiet(a.log, a.clock, event.PeerSilent)
+	silent := daemon.NewLogLimiter(a.log, a.clock, event.PeerSilent)
 	announcer := member.NewAnnouncer(member.Config{Seeds: a.cfg.Seeds}, a.record(), daemon.NewRand(a.rng))
 	a.members = daemon.NewMembers(announcer, daemon.MembersConfig{
 		Clock:     a.clock,
--- a/agent/quota.go
+++ b/agent/quota.go
@@ -68,7 +68,7 @@
 func (a *Agent) setUpQuota(transport daemon.Transport, spawn func(func()), failed func(netip.AddrPort, error)) {
 	self := quota.Party{ID: a.id, Incarnation: a.self().Incarnation}
 	holder := quota.NewHolder(quota.Config{MaxAskInterval: maxAskInterval, MaxWait: maxTokenWait}, a.service, self, daemon.NewRand(a.rng))
-	a.admission = newAdmission(holder, a.registry, daemon.NewQuiet(a.log, a.clock, event.LeaseExpired))
+	a.admission = newAdmission(holder, a.registry, daemon.NewLogLimiter(a.log, a.clock, event.LeaseExpired))
 	a.quota = daemon.NewQuota(daemon.QuotaConfig{
 		Transport: transport, Spawn: spawn, Failed: failed,
 		Address: a.routes.address, Handle: a.receiveQuota,
--- a/balancer/collector.go
+++ b/balancer/collector.go
@@ -33,7 +33,7 @@
 	members *daemon.Members[*member.Node]
 	clock   daemon.Clock
 	domain  string
-	failed  *daemon.Quiet
+	failed  *daemon.LogLimiter
 
 	mu      sync.Mutex // held during a step, with its calls to the store
 	read    bool       // the shards of all domains have been read
@@ -49,7 +49,7 @@
 		members: b.members,
 		clock:   b.clock,
 		domain:  b.cfg.FailureDomain,
-		failed:  daemon.NewQuiet(b.log, b.clock, event.StoreFailed),
+		failed:  daemon.NewLogLimiter(b.log, b.clock, event.StoreFailed),
 	}
 }
 
--- a/balancer/grantors.go
+++ b/balancer/grantors.go
@@ -40,8 +40,8 @@
 	clock   daemon.Clock
 	rng     *rand.Rand
 	log     *event.Logger
-	failed  *daemon.Quiet
-	recount *daemon.Quiet
+	failed  *daemon.LogLimiter
+	recount *daemon.LogLimiter
 	quota   *daemon.Quota
 
 	electing sync.Mutex    // held during an election, with its calls to the store
@@ -66,8 +66,8 @@
 func newGrantors(b *Balancer, s store.Store, transport daemon.Transport, spawn func(func()), failed func(netip.AddrPort, error)) *grantors {
 	g := &grantors{
 		store: s, members: b.members, active: b.lists.Active, clock: b.clock, rng: daemon.NewRand(b.rng), log: b.log,
-		failed:  daemon.NewQuiet(b.log, b.clock, event.StoreFailed),
-		recount: daemon.NewQuiet(b.log, b.clock, event.RecountUnfinished),
+		failed:  daemon.NewLogLimiter(b.log, b.clock, event.StoreFailed),
+		recount: daemon.NewLogLimiter(b.log, b.clock, event.RecountUnfinished),
 		terms:   make(map[string]*term),
 		ended:   make(map[string]int64),
 	}
--- a/bench/limits_faults.go
+++ b/bench/limits_faults.go
@@ -30,8 +30,8 @@
 		r.observer.lost(agent)
 		r.policy.lost(agent)
 	case 2: // an agent is cut off from some peers and from the grantor
-		r.net.Cut(agentZone(agent), "grantor")
-		r.net.Cut(agentZone(agent), agentZone((agent+1)%r.o.Upstreams))
+		r.net.Cut(agentSegment(agent), "grantor")
+		r.net.Cut(agentSegment(agent), agentSegment((agent+1)%r.o.Upstreams))
 		r.net.After(netip.AddrPort{}, length, r.net.Heal)
 	case 3: // a plan is lowered while its connections are open
 		customer := uint64(1 + r.rng.IntN(r.o.Customers))
--- a/bench/limits_policies.go
+++ b/bench/limits_policies.go
@@ -99,7 +99,7 @@
 	r.net.Attach(grantorAddr, "grantor", func(_ time.Duration, _ netip.AddrPort, m any) any { return p.decide(m.(uint64)) })
 	for i := range r.o.Upstreams {
 		p.agents = append(p.agents, map[uint64]int32{})
-		r.net.Attach(agentAddr(i), agentZone(i), nil)
+		r.net.Attach(agentAddr(i), agentSegment(i), nil)
 	}
 	return p
 }
@@ -188,7 +188,7 @@
 	p.parties[i] = quota.Party{ID: packet.AgentIDOf("u" + strconv.Itoa(i)), Incarnation: uint64(life + 1)}
 	rng := rand.New(rand.NewPCG(p.run.o.Seed, uint64(100*i+life)))
 	p.holders[i] = quota.NewHolder(p.cfg, benchService, p.parties[i], rng)
-	p.run.net.Attach(agentAddr(i), agentZone(i), func(now time.Duration, _ netip.AddrPort, m any) any {
+	p.run.net.Attach(agentAddr(i), agentSegment(i), func(now time.Duration, _ netip.AddrPort, m any) any {
 		if now >= p.run.paused[i] {
 			p.send(agentAddr(i), p.holders[i].Handle(now, m.(quota.Message)))
 			p.decide(i)
@@ -317,4 +317,4 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(i / 250)}), uint16(1000+i))
 }
 
-func agentZone(i int) string { return "agent" + strconv.Itoa(i) }
+func agentSegment(i int) string { return "agent" + strconv.Itoa(i) }
--- a/daemon/lists.go
+++ b/daemon/lists.go
@@ -36,7 +36,7 @@
 // concurrent use.
 type Lists struct {
 	cfg         ListsConfig
-	storeFailed *Quiet
+	storeFailed *LogLimiter
 	active      atomic.Pointer[plan.Installed]
 
 	mu       sync.Mutex
@@ -53,7 +53,7 @@
 	}
 	return &Lists{
 		cfg:         cfg,
-		storeFailed: NewQuiet(cfg.Log, cfg.Clock, event.StoreFailed),
+		storeFailed: NewLogLimiter(cfg.Log, cfg.Clock, event.StoreFailed),
 		reader:      plan.NewReader(plan.ReaderConfig{}, cfg.Rand),
 		watches:     make(map[uint64]context.CancelFunc),
 	}
--- a/fake/network.go
+++ b/fake/network.go
@@ -26,18 +26,18 @@
 	// Observe, when set, sees each message as it is sent, lost ones included.
 	Observe func(from, to netip.AddrPort, message any)
 
-	rng     *rand.Rand
-	now     time.Duration
-	queue   queue
-	order   uint64
-	nodes   map[netip.AddrPort]node
-	severed map[[2]string]bool
+	rng   *rand.Rand
+	now   time.Duration
+	queue queue
+	order uint64
+	nodes map[netip.AddrPort]node
+	cuts  map[[2]string]bool
 }
 
 type node struct {
-	zone   string
-	handle Handler
-	serial uint64 // distinguishes a restarted process from its predecessor
+	segment string
+	handle  Handler
+	serial  uint64 // distinguishes a restarted process from its predecessor
 }
 
 // NewNetwork returns an empty network whose requests time out after 1 s.
@@ -46,34 +46,34 @@
 		Timeout: time.Second,
 		rng:     rand.New(rand.NewPCG(seed, 0)),
 		nodes:   make(map[netip.AddrPort]node),
-		severed: make(map[[2]string]bool),
+		cuts:    make(map[[2]string]bool),
 	}
 }
 
 // Now returns the virtual time.
 func (n *Network) Now() time.Duration { return n.now }
 
-// Attach starts a process at an address. The zone is what Cut separates.
-func (n *Network) Attach(addr netip.AddrPort, zone string, handle Handler) {
+// Attach starts a process at an address. The segment is what Cut separates.
+func (n *Network) Attach(addr netip.AddrPort, segment string, handle Handler) {
 	n.order++
-	n.nodes[addr] = node{zone: zone, handle: handle, serial: n.order}
+	n.nodes[addr] = node{segment: segment, handle: handle, serial: n.order}
 }
 
 // Detach stops the process at an address: messages to it are lost, and its timers
 // and the outcomes of its requests are dropped.
 func (n *Network) Detach(addr netip.AddrPort) { delete(n.nodes, addr) }
 
-// Cut drops all messages between two zones until Heal.
+// Cut drops all messages between two segments until Heal.
 func (n *Network) Cut(a, b string) {
-	n.severed[[2]string{a, b}] = true
-	n.severed[[2]string{b, a}] = true
+	n.cuts[[2]string{a, b}] = true
+	n.cuts[[2]string{b, a}] = true
 }
 
-// CutOneWay drops the messages from one zone to another until Heal.
-func (n *Network) CutOneWay(from, to string) { n.severed[[2]string{from, to}] = true }
+// CutOneWay drops the messages from one segment to another until Heal.
+func (n *Network) CutOneWay(from, to string) { n.cuts[[2]string{from, to}] = true }
 
 // Heal ends all cuts.
-func (n *Network) Heal() { clear(n.severed) }
+func (n *Network) Heal() { clear(n.cuts) }
 
 // After calls f once, unless the process at owner has stopped by then. An invalid
 // owner never stops.
@@ -148,12 +148,12 @@
 	if n.rng.Float64() < n.Faults.Duplication {
 		copies = 2
 	}
-	zone := n.nodes[from].zone
+	segment := n.nodes[from].segment
 	for range copies {
 		lost := n.rng.Float64() < n.Faults.Loss
 		n.schedule(n.now+n.delay(), func() {
 			receiver, running := n.nodes[to]
-			if running && !lost && !n.severed[[2]string{zone, receiver.zone}] {
+			if running && !lost && !n.cuts[[2]string{segment, receiver.segment}] {
 				arrive(receiver)
 			}
 		})
--- a/member/fleet_test.go
+++ b/member/fleet_test.go
@@ -137,7 +137,7 @@
 
 	It("does not take the word of one observer", func() {
 		f := newFleet(12)
-		f.zones["b0"], f.zones["u0"], f.zones["u3"] = "bad", "victims", "victims"
+		f.segments["b0"], f.segments["u0"], f.segments["u3"] = "bad", "victims", "victims"
 		f.start(6, 7)
 		f.net.Cut("bad", "victims")
 		f.every(func() {
@@ -148,7 +148,7 @@
 
 	It("is refuted by an upstream that was cut off", func() {
 		f := newFleet(13)
-		f.zones["u0"] = "island"
+		f.segments["u0"] = "island"
 		f.start(5, 7)
 		for i := range 3 {
 			f.net.Cut("island", fmt.Sprintf("fd%d", i))
--- a/member/harness_test.go
+++ b/member/harness_test.go
@@ -39,14 +39,14 @@
 	agents    map[string]*member.Announcer
 	seeds     []netip.AddrPort
 	started   map[string]time.Duration
-	zones     map[string]string // network zones of processes that are not in their failure domain's
+	segments  map[string]string // network segments of processes that are not in their failure domain's
 	traffic   map[string]int    // bytes that balancers sent and received, by kind of message
 	since     time.Duration     // start of the count of traffic
 }
 
 func newFleet(seed uint64) *fleet {
 	f := &fleet{net: fake.NewNetwork(seed), seed: seed,
-		balancers: make(map[string]*member.Node), agents: make(map[string]*member.Announcer), zones: make(map[string]string),
+		balancers: make(map[string]*member.Node), agents: make(map[string]*member.Announcer), segments: make(map[string]string),
 		started: make(map[string]time.Duration)}
 	f.net.Faults = fake.Faults{MinDelay: time.Millisecond, MaxDelay: 3 * time.Millisecond}
 	return f
@@ -131,15 +131,15 @@
 }
 
 func (f *fleet) attach(p protocol) {
-	at, zone := p.Self().Control, p.Self().FailureDomain
-	if z, moved := f.zones[p.Self().Name]; moved {
-		zone = z
+	at, segment := p.Self().Control, p.Self().FailureDomain
+	if z, moved := f.segments[p.Self().Name]; moved {
+		segment = z
 	}
 	// A protocol's time starts with its process.
 	start := f.net.Now()
 	f.started[p.Self().Name] = start
 	now := func() time.Duration { return f.net.Now() - start }
-	f.net.Attach(at, zone, func(_ time.Duration, _ netip.AddrPort, m any) any {
+	f.net.Attach(at, segment, func(_ time.Duration, _ netip.AddrPort, m any) any {
 		return p.Handle(now(), m.(member.Message))
 	})
 	f.net.Every(at, 100*time.Millisecond, func() {
