Let agents hold no lists

Cause: agents fetched both lists from their home balancers only to show the revision: 41% of a balancer's control traffic at the target size by docs/CAPACITY.md. Change: an agent shows the revision that its home balancers have in force. CAPACITY gives the sums without the fetches; that agents need the lists was ruled out by searching their uses.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -46,7 +46,6 @@
 	sender   *sender
 	quota    *daemon.Quota
 	routes   routes
-	lists    *daemon.Lists
 	requests requests
 
 	admission *admission // used under the lock of flows
@@ -109,14 +108,10 @@
 		Failed:    silent.Peer,
 		Answered:  a.callAnswered,
 	})
-	a.lists = daemon.NewLists(daemon.ListsConfig{
-		Log: a.log, Clock: a.clock, Rand: daemon.NewRand(a.rng), Transport: transport, Spawn: spawn,
-	})
 	a.sender = a.newSender(transport, spawn, silent.Peer)
 	a.setUpQuota(transport, spawn, silent.Peer)
 	a.flows = flows{clock: a.clock, table: flow.NewTable(a.tableConfig(), a.upstream(), a.service, daemon.NewRand(a.rng))}
 	a.control.Register(control.MemberService, control.NewMember(a.members.Handle))
-	a.control.Register(daemon.ListsService, daemon.NewListsRPC(a.lists))
 	a.control.Register(flowService, &flowRPC{handle: a.receiveMessage})
 	a.control.Register(daemon.QuotaService, daemon.NewQuotaRPC(a.quota))
 	a.control.Register(daemon.AdminService, daemon.NewAdmin(a.drainRequested))
@@ -175,7 +170,7 @@
 	a.life.Supervise(a.drain, a.close)
 }
 
-// step advances membership, the flow table and the lists.
+// step advances membership, the quota tokens and the flow table.
 func (a *Agent) step() {
 	answered := a.peers.home.Load() != nil
 	a.members.Step(a.life.Context())
@@ -183,7 +178,6 @@
 	a.stepQuota()
 	a.stepFlows()
 	a.becomeReady(answered)
-	a.stepLists()
 }
 
 func (a *Agent) receiveMessage(m flow.Message) {
--- a/agent/dump.go
+++ b/agent/dump.go
@@ -16,7 +16,6 @@
 
 func (a *Agent) addDumpSources() {
 	a.control.Dump.AddSource(daemon.SourceProcess, func() any { return a.process() })
-	a.control.Dump.AddSource("lists", func() any { return a.lists.State() })
 	a.control.Dump.AddSource(daemon.SourceMembers, func() any { return a.records() })
 	a.control.Dump.AddSource("quota", func() any { return a.quotaState() })
 	a.control.Dump.AddSource("flows", func() any { return a.flowState() })
@@ -28,7 +27,9 @@
 		p = daemon.DumpProcess(&self, now)
 		p.KnownRevision = n.Revision()
 	})
-	p.Revision = a.lists.Revision()
+	// Balancers recognise customers and grantors know the limits, so an agent holds no
+	// lists: the revision of its home balancers is in force on it.
+	p.Revision = p.KnownRevision
 	p.OpenFlows = a.flows.open()
 	return p
 }
--- a/agent/peers.go
+++ b/agent/peers.go
@@ -26,17 +26,6 @@
 	}
 }
 
-// stepLists fetches newer lists from the balancer that answered last.
-func (a *Agent) stepLists() {
-	home := a.peers.home.Load()
-	if home == nil {
-		return
-	}
-	var known int64
-	a.members.Do(func(_ time.Duration, n *member.Announcer) { known = n.Revision() })
-	a.lists.Step(a.life.Context(), false, known, *home)
-}
-
 // refreshPeers tells the flow table of a changed membership.
 func (a *Agent) refreshPeers() {
 	var (
