--- a/quota/types.go
+++ b/quota/types.go
@@ -152,8 +152,8 @@
 	Lease time.Duration
 	// RecountTimeout ends a holder's freeze when no release comes. Default 1 s.
 	RecountTimeout time.Duration
-	// RecountInterval is the time between two recounts. After a recount in which a
-	// holder did not answer it doubles up to 8 times. Default 200 ms.
+	// RecountInterval is the time between two recounts. After each recount in which a
+	// holder did not answer the time doubles, up to eight intervals. Default 200 ms.
 	RecountInterval time.Duration
 	// RecountAccounts bounds the accounts of one recount, and so the size of a
 	// report. Default 500.
