Share the hash step of rendezvous rankings

Cause: packages flow, member and request each had the same 64-bit finalizer, and two of them the same seed of an agent's scores. Change: internal/rendezvous holds it; the values are the same.

--- a/flow/inbox.go
+++ b/flow/inbox.go
@@ -1,6 +1,10 @@
 package flow
 
-import "time"
+import (
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/internal/rendezvous"
+)
 
 // digestFilter counts the fingerprints of all inboxes by their low bits, so that
 // the search for a flow's holder skips the inboxes for most flows that no peer
@@ -59,7 +63,7 @@
 	b.set[fp]++
 	*b.filter.slot(fp)++
 	b.count++
-	b.sum += mix(uint64(fp))
+	b.sum += rendezvous.Mix(uint64(fp))
 }
 
 func (b *inbox) remove(fp uint32) {
@@ -75,7 +79,7 @@
 	}
 	*b.filter.slot(fp)--
 	b.count--
-	b.sum -= mix(uint64(fp))
+	b.sum -= rendezvous.Mix(uint64(fp))
 }
 
 // needsResync reports whether the sender must be asked for its whole digest.
--- a/flow/outbox.go
+++ b/flow/outbox.go
@@ -1,6 +1,10 @@
 package flow
 
-import "time"
+import (
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/internal/rendezvous"
+)
 
 const (
 	// fingerprintWire is the gob size of one fingerprint in bytes.
@@ -72,13 +76,13 @@
 	if op.remove {
 		m.Remove = append(m.Remove, op.fp)
 		o.count--
-		o.sum -= mix(uint64(op.fp))
+		o.sum -= rendezvous.Mix(uint64(op.fp))
 		return
 	}
 	o.adds--
 	m.Add = append(m.Add, op.fp)
 	o.count++
-	o.sum += mix(uint64(op.fp))
+	o.sum += rendezvous.Mix(uint64(op.fp))
 }
 
 // check adds the digest's hash to a message when nothing is pending and a check is
--- a/member/rank.go
+++ b/member/rank.go
@@ -5,6 +5,8 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/nutmegtrack/nutmegtrack/internal/rendezvous"
 )
 
 // ranking is a list of balancers with the hashes of their names, which each
@@ -25,7 +27,7 @@
 	scores := make([]uint64, 0, n+1)
 	seed := nameHash(key)
 	for i, h := range l.hashes {
-		score := mix(seed ^ h)
+		score := rendezvous.Score(seed, h)
 		if len(best) == n && score <= scores[n-1] {
 			continue
 		}
@@ -44,15 +46,6 @@
 	return out
 }
 
-// mix spreads the bits of x, so that names that differ little rank independently.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
-
 // homes returns the live balancers that an agent sends its heartbeats to: those
 // of its failure domain, or any when the domain has none.
 func (t *Table) homes(name, domain string, n int) []Record {
--- a/request/members.go
+++ b/request/members.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"github.com/nutmegtrack/nutmegtrack/internal/rendezvous"
 	"github.com/nutmegtrack/nutmegtrack/packet"
 )
 
@@ -34,9 +35,9 @@
 		if m.Registrar {
 			state = 1
 		}
-		v.hash = mix(v.hash ^ mix(uint64(m.ID)<<1|state))
-		v.hash = mix(v.hash ^ m.Incarnation)
-		v.hash = mix(v.hash ^ m.Version)
+		v.hash = rendezvous.Mix(v.hash ^ rendezvous.Mix(uint64(m.ID)<<1|state))
+		v.hash = rendezvous.Mix(v.hash ^ m.Incarnation)
+		v.hash = rendezvous.Mix(v.hash ^ m.Version)
 	}
 	return v
 }
@@ -92,7 +93,7 @@
 	h := k.hash()
 	for i := range v.Members {
 		if m := &v.Members[i]; m.Registrar {
-			first = first.max(ranked{member: m, score: mix(h ^ mix(uint64(m.ID)*0x9e3779b97f4a7c15))})
+			first = first.max(ranked{member: m, score: rendezvous.Score(h, rendezvous.Seed(uint64(m.ID)))})
 		}
 	}
 	if first.member == nil {
@@ -103,7 +104,7 @@
 		if !m.Registrar || m == first.member {
 			continue
 		}
-		r := ranked{member: m, score: mix(h ^ mix(uint64(m.ID)*0x9e3779b97f4a7c15))}
+		r := ranked{member: m, score: rendezvous.Score(h, rendezvous.Seed(uint64(m.ID)))}
 		same = same.max(r)
 		if m.FailureDomain != first.member.FailureDomain {
 			other = other.max(r)
@@ -133,13 +134,3 @@
 func (r ranked) seat() Seat {
 	return Seat{Process: Process{ID: r.member.ID, Incarnation: r.member.Incarnation}, Version: r.member.Version}
 }
-
-// mix is a bijective 64-bit finalizer that spreads every input bit.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	x ^= x >> 33
-	return x
-}
