Start all suites with spec.Run, and fix rapid's seed in package member

Package member draws with rapid in plain test functions, and nothing fixed its seed, so a run could differ from the one before. Change: the suites call spec.Run; packages that draw outside their specs call spec.Main; flow's golden file is compared by spec.Golden (UPDATE_GOLDEN=1 in place of -update). No assertion changed. Package demo keeps its own start, because it has a type spec. Measured: go test -count=1 ./... passes; an altered golden file fails TestGoldenSession.

--- a/bench/flows_test.go
+++ b/bench/flows_test.go
@@ -7,12 +7,11 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/nutmegtrack/nutmegtrack/internal/spec"
 )
 
-func TestBench(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "bench")
-}
+func TestBench(t *testing.T) { spec.Run(t, "bench") }
 
 // result returns a policy's result.
 func result(list []FlowsResult, policy string) FlowsResult {
--- a/caller/client_test.go
+++ b/caller/client_test.go
@@ -14,15 +14,11 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/nutmegtrack/nutmegtrack/httpfront"
+	"github.com/nutmegtrack/nutmegtrack/internal/spec"
 	"github.com/nutmegtrack/nutmegtrack/request"
 )
 
-func TestCaller(t *testing.T) {
-	RegisterFailHandler(ginkgo.Fail)
-	suite, reporter := ginkgo.GinkgoConfiguration()
-	suite.RandomSeed = 1
-	ginkgo.RunSpecs(t, "caller", suite, reporter)
-}
+func TestCaller(t *testing.T) { spec.Run(t, "caller") }
 
 // service answers each attempt with the next of the given outcomes; "cut" breaks the
 // connection.
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/nutmegtrack/nutmegtrack/control"
+	"github.com/nutmegtrack/nutmegtrack/internal/spec"
 	"github.com/nutmegtrack/nutmegtrack/member"
 )
 
@@ -21,8 +22,7 @@
 	// Guards against connections and waits that outlive Close.
 	defer goleak.VerifyNone(t, goleak.IgnoreAnyFunction(
 		"github.com/onsi/ginkgo/v2/internal/interrupt_handler.(*InterruptHandler).registerForInterrupts.func2"))
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "control")
+	spec.Run(t, "control")
 }
 
 // serve starts a server with a Member service and returns its address.
--- a/flow/random_test.go
+++ b/flow/random_test.go
@@ -1,10 +1,7 @@
 package flow
 
 import (
-	"flag"
 	"fmt"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -14,11 +11,10 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/nutmegtrack/nutmegtrack/internal/spec"
 	"github.com/nutmegtrack/nutmegtrack/packet"
 )
 
-var update = flag.Bool("update", false, "write the golden files anew")
-
 var _ = Describe("flowStore", func() {
 	// Guards against entries lost or doubled by the index's gap closing.
 	It("behaves as a map", func() {
@@ -198,21 +194,7 @@
 	step("b starts", 20*time.Second)
 	r.setState("b", Ready)
 	step("b is ready", 20*time.Second)
-	checkGolden(t, "session.golden", log.String())
-}
-
-func checkGolden(t *testing.T, name, got string) {
-	path := filepath.Join("testdata", name)
-	if *update {
-		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	Expect(got).To(Equal(string(want)))
+	spec.Golden("session.golden", log.String())
 }
 
 // bytesPerFlow returns the memory of a table with n open flows, all of them
--- a/flow/suite_test.go
+++ b/flow/suite_test.go
@@ -1,24 +1,19 @@
 package flow
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"testing"
 	"time"
 
-	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/nutmegtrack/nutmegtrack/internal/spec"
 	"github.com/nutmegtrack/nutmegtrack/packet"
 )
 
-func TestFlow(t *testing.T) {
-	RegisterFailHandler(Fail)
-	Expect(flag.Set("rapid.seed", "1")).To(Succeed())
-	RunSpecs(t, "flow")
-}
+func TestFlow(t *testing.T) { spec.Run(t, "flow") }
 
 const (
 	testService  = packet.ServiceID(1)
--- a/httpfront/front_test.go
+++ b/httpfront/front_test.go
@@ -18,16 +18,12 @@
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/nutmegtrack/nutmegtrack/internal/spec"
 	"github.com/nutmegtrack/nutmegtrack/packet"
 	"github.com/nutmegtrack/nutmegtrack/request"
 )
 
-func TestFront(t *testing.T) {
-	RegisterFailHandler(ginkgo.Fail)
-	suite, reporter := ginkgo.GinkgoConfiguration()
-	suite.RandomSeed = 1
-	ginkgo.RunSpecs(t, "httpfront", suite, reporter)
-}
+func TestFront(t *testing.T) { spec.Run(t, "httpfront") }
 
 // fleet is a set of fronts that exchange messages, in front of one upstream.
 type fleet struct {
--- a/internal/spec/spec.go
+++ b/internal/spec/spec.go
@@ -17,23 +17,43 @@
 // Run runs the specs of a package.
 func Run(t *testing.T, name string) {
 	gomega.RegisterFailHandler(ginkgo.Fail)
-	Set(t, "rapid.seed", "1")
-	Set(t, "rapid.nofailfile", "true")
+	fixRapid()
 	suite, reporter := ginkgo.GinkgoConfiguration()
 	suite.RandomSeed = seed
 	ginkgo.RunSpecs(t, name, suite, reporter)
 }
 
+// Main runs the tests of a package that draws with rapid outside its specs too, and
+// exits. Without it, what is drawn there depends on the run.
+func Main(m *testing.M) {
+	flag.Parse()
+	fixRapid()
+	os.Exit(m.Run())
+}
+
+// fixRapid fixes what rapid draws, when it is linked in.
+func fixRapid() {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if err := setFlag(name, value); err != nil {
+			panic(err)
+		}
+	}
+}
+
 // Set sets a flag of the test binary when a package that declares it is linked in.
 func Set(t *testing.T, name, value string) {
-	if flag.Lookup(name) == nil {
-		return
-	}
-	if err := flag.Set(name, value); err != nil {
+	if err := setFlag(name, value); err != nil {
 		t.Fatal(err)
 	}
 }
 
+func setFlag(name, value string) error {
+	if flag.Lookup(name) == nil {
+		return nil
+	}
+	return flag.Set(name, value)
+}
+
 // Golden compares with a file of testdata; UPDATE_GOLDEN=1 rewrites it.
 func Golden(name, got string) {
 	ginkgo.GinkgoHelper()
--- a/member/harness_test.go
+++ b/member/harness_test.go
@@ -12,13 +12,13 @@
 
 	"github.com/nutmegtrack/nutmegtrack/fake"
 	"github.com/nutmegtrack/nutmegtrack/flow"
+	"github.com/nutmegtrack/nutmegtrack/internal/spec"
 	"github.com/nutmegtrack/nutmegtrack/member"
 )
 
-func TestMember(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "member")
-}
+func TestMain(m *testing.M) { spec.Main(m) }
+
+func TestMember(t *testing.T) { spec.Run(t, "member") }
 
 // protocol is what Node and Announcer have in common.
 type protocol interface {
--- a/packet/packet_test.go
+++ b/packet/packet_test.go
@@ -1,7 +1,6 @@
 package packet_test
 
 import (
-	"flag"
 	"net/netip"
 	"testing"
 
@@ -9,14 +8,11 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/nutmegtrack/nutmegtrack/internal/spec"
 	"github.com/nutmegtrack/nutmegtrack/packet"
 )
 
-func TestPacket(t *testing.T) {
-	RegisterFailHandler(Fail)
-	Expect(flag.Set("rapid.seed", "1")).To(Succeed())
-	RunSpecs(t, "packet")
-}
+func TestPacket(t *testing.T) { spec.Run(t, "packet") }
 
 var (
 	client4  = netip.MustParseAddrPort("10.1.2.3:40000")
--- a/request/suite_test.go
+++ b/request/suite_test.go
@@ -1,35 +1,17 @@
 package request
 
 import (
-	"flag"
 	"math/rand/v2"
-	"os"
 	"testing"
 	"time"
 
-	"github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
-
+	"github.com/nutmegtrack/nutmegtrack/internal/spec"
 	"github.com/nutmegtrack/nutmegtrack/packet"
 )
 
-// TestMain fixes rapid's seed, so that all runs are equal.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { spec.Main(m) }
 
-func TestRequest(t *testing.T) {
-	RegisterFailHandler(ginkgo.Fail)
-	suite, reporter := ginkgo.GinkgoConfiguration()
-	suite.RandomSeed = 1
-	ginkgo.RunSpecs(t, "request", suite, reporter)
-}
+func TestRequest(t *testing.T) { spec.Run(t, "request") }
 
 const ms = time.Millisecond
 
--- a/standin/suite_test.go
+++ b/standin/suite_test.go
@@ -3,11 +3,7 @@
 import (
 	"testing"
 
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
+	"github.com/nutmegtrack/nutmegtrack/internal/spec"
 )
 
-func TestStandin(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "standin")
-}
+func TestStandin(t *testing.T) { spec.Run(t, "standin") }
