Simplify the tables of package quota

Cause: holder and ledger mapped accounts to indexes that a sort had to renumber, two sorts had the same comparison, a finished recount was marked by moving its start back, and the balancer asked for 64 invented accounts to learn whether all groups were counted. Change: the maps hold the rows; compareAccounts serves both sorts; recount.done; Grantor.Counted.

--- a/agent/quota.go
+++ b/agent/quota.go
@@ -16,8 +16,8 @@
 
 // maxAskInterval is the longest time between two asks of a flow that waits. Peers
 // remember an ask for 3 s and give a token as soon as they have one, so that asking
-// once a second, the default, only costs control traffic: 0.3 to 0.6 KB/s for each
-// daemon of the demo, in which a customer is always at its plan.
+// more often, as quota.Config does by default, only costs control traffic: 0.3 to 0.6
+// KB/s for each daemon of the demo, in which a customer is always at its plan.
 const maxAskInterval = 2 * time.Second
 
 // maxTokenWait is how long a flow waits for a token. It is shorter than
--- a/balancer/grantors.go
+++ b/balancer/grantors.go
@@ -27,9 +27,6 @@
 	holdersInterval = time.Second
 	// recountLimit is the time after which an unfinished first count is logged.
 	recountLimit = 10 * time.Second
-	// quotaGroups is the number of groups in which package quota counts accounts:
-	// an account's customer modulo this number is its group.
-	quotaGroups = 64
 )
 
 // grantors are the services for which this balancer issues tokens.
@@ -139,7 +136,7 @@
 	for _, t := range g.terms {
 		g.refresh(now, t)
 		out = append(out, t.grantor.Step(now)...)
-		if now-t.begun >= recountLimit && !t.counted() {
+		if now-t.begun >= recountLimit && !t.grantor.Counted() {
 			g.recount.Log("service", t.service, "term", t.number)
 		}
 	}
@@ -181,16 +178,6 @@
 	return out
 }
 
-// counted reports whether all groups have been counted in this term.
-func (t *term) counted() bool {
-	for group := range uint64(quotaGroups) {
-		if _, exact := t.grantor.Issued(quota.Account{Customer: group}); !exact {
-			return false
-		}
-	}
-	return true
-}
-
 // handle passes messages to the grantor that they are for. A holder that knows a
 // higher term has heard of a successor, so this balancer steps down.
 func (g *grantors) handle(b daemon.QuotaBatch) (answers []quota.Message) {
--- a/balancer/quota_dump.go
+++ b/balancer/quota_dump.go
@@ -33,7 +33,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, t := range g.terms {
-		out = append(out, GrantorState{t.service, t.number, t.counted(), t.ledger()})
+		out = append(out, GrantorState{t.service, t.number, t.grantor.Counted(), t.ledger()})
 	}
 	slices.SortFunc(out, func(a, b GrantorState) int { return strings.Compare(a.Service, b.Service) })
 	return out
--- a/quota/grantor.go
+++ b/quota/grantor.go
@@ -293,9 +293,11 @@
 	if g.ledger.known&id.group() == 0 {
 		return 0, false
 	}
-	i, ok := g.ledger.index[id]
-	if !ok {
-		return 0, true
+	if e := g.ledger.index[id]; e != nil {
+		return e.issued, true
 	}
-	return g.ledger.entries[i].issued, true
+	return 0, true
 }
+
+// Counted reports whether the counts of all accounts are exact.
+func (g *Grantor) Counted() bool { return g.ledger.known == allGroups }
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -43,7 +43,7 @@
 	rng     *rand.Rand
 
 	accounts []*account
-	index    map[Account]int
+	index    map[Account]*account
 	needs    []*account // accounts with a need, in order of first need
 
 	customers map[uint64]*customer
@@ -81,7 +81,7 @@
 		self:      self,
 		service:   service,
 		rng:       rng,
-		index:     map[Account]int{},
+		index:     map[Account]*account{},
 		channels:  map[Party]*channel{},
 		customers: map[uint64]*customer{},
 		lease:     newLease(&cfg),
@@ -223,11 +223,11 @@
 func (h *Holder) returnFree(a *account) { h.give(a, h.grantor, a.free()) }
 
 func (h *Holder) account(id Account) *account {
-	if i, ok := h.index[id]; ok {
-		return h.accounts[i]
+	if a := h.index[id]; a != nil {
+		return a
 	}
 	a := &account{id: id}
-	h.index[id] = len(h.accounts)
+	h.index[id] = a
 	h.accounts = append(h.accounts, a)
 	return a
 }
@@ -244,9 +244,8 @@
 
 // Held returns the tokens held and the tokens used of one account.
 func (h *Holder) Held(id Account) (held, used int32) {
-	i, ok := h.index[id]
-	if !ok {
-		return 0, 0
+	if a := h.index[id]; a != nil {
+		return a.held, a.used
 	}
-	return h.accounts[i].held, h.accounts[i].used
+	return 0, 0
 }
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -1,7 +1,7 @@
 package quota
 
 import (
-	"sort"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 )
@@ -18,21 +18,21 @@
 // ledger says how many tokens of each account are outstanding.
 type ledger struct {
 	entries []*entry
-	index   map[Account]int
+	index   map[Account]*entry
 	// known is set for groups whose issued counts are exact, one bit each.
 	known uint64
 	// changes lists the entries to compare with their limit.
 	changes []*entry
 }
 
-func newLedger() ledger { return ledger{index: map[Account]int{}} }
+func newLedger() ledger { return ledger{index: map[Account]*entry{}} }
 
 func (l *ledger) entry(id Account) *entry {
-	if i, ok := l.index[id]; ok {
-		return l.entries[i]
+	if e := l.index[id]; e != nil {
+		return e
 	}
 	e := &entry{id: id}
-	l.index[id] = len(l.entries)
+	l.index[id] = e
 	l.entries = append(l.entries, e)
 	return e
 }
@@ -57,13 +57,7 @@
 		ready = append(ready, e)
 	}
 	l.changes = rest
-	sort.Slice(ready, func(i, j int) bool {
-		a, b := ready[i].id, ready[j].id
-		if a.Customer != b.Customer {
-			return a.Customer < b.Customer
-		}
-		return a.Kind < b.Kind
-	})
+	slices.SortFunc(ready, compareEntries)
 	return ready
 }
 
@@ -94,22 +88,11 @@
 		}
 	}
 	l.known |= groups
-	sortEntries(l)
+	// Entries that were added from the map get a fixed order.
+	slices.SortFunc(l.entries, compareEntries)
 }
 
-// sortEntries gives entries that were added from a map a fixed order.
-func sortEntries(l *ledger) {
-	sort.Slice(l.entries, func(i, j int) bool {
-		a, b := l.entries[i].id, l.entries[j].id
-		if a.Customer != b.Customer {
-			return a.Customer < b.Customer
-		}
-		return a.Kind < b.Kind
-	})
-	for i, e := range l.entries {
-		l.index[e.id] = i
-	}
-}
+func compareEntries(a, b *entry) int { return compareAccounts(a.id, b.id) }
 
 // returned books tokens that a holder gave back.
 func (l *ledger) returned(a Amount) {
--- a/quota/recount.go
+++ b/quota/recount.go
@@ -11,6 +11,7 @@
 	groups uint64 // groups being counted; 0 when none
 	seq    uint64
 	start  time.Duration // when the first freeze message was sent
+	done   bool          // all holders have reported; the next step releases them
 	resend time.Duration
 	next   time.Duration // earliest start of the next recount
 	pause  time.Duration // before the next recount; grows while holders do not answer
@@ -20,7 +21,7 @@
 }
 
 func (r *recount) requestAll(now time.Duration) {
-	r.wanted = ^uint64(0)
+	r.wanted = allGroups
 	r.next = now
 }
 
@@ -64,7 +65,7 @@
 // stepRecount starts, repeats or gives up a recount.
 func (g *Grantor) stepRecount(now time.Duration) []Message {
 	r := &g.recount
-	if r.groups != 0 && now >= r.start+g.cfg.RecountTimeout/2 {
+	if r.groups != 0 && (r.done || now >= r.start+g.cfg.RecountTimeout/2) {
 		return g.endRecount(now)
 	}
 	if r.groups != 0 {
@@ -77,7 +78,7 @@
 	if now < r.next || !r.pending() {
 		return nil
 	}
-	r.groups, r.start = g.nextGroups(), now
+	r.groups, r.start, r.done = g.nextGroups(), now, false
 	r.seq++
 	r.reports = map[Party]*Message{}
 	r.resend = now + g.cfg.RecountTimeout/resendParts
@@ -128,7 +129,7 @@
 // so reports that are complete within half of it describe one instant.
 func (g *Grantor) handleReport(now time.Duration, m *Message) {
 	r := &g.recount
-	if r.groups == 0 || m.Seq != r.seq || now >= r.start+g.cfg.RecountTimeout/2 {
+	if r.groups == 0 || r.done || m.Seq != r.seq || now >= r.start+g.cfg.RecountTimeout/2 {
 		return
 	}
 	r.reports[m.From] = m
@@ -145,8 +146,7 @@
 	}
 	r.wanted &^= r.groups
 	g.ledger.recounted(r.groups, g.countTokens())
-	// The next step releases the holders.
-	r.start = now - g.cfg.RecountTimeout
+	r.done = true
 }
 
 // noteParty adds a holder that only other holders know of, so that the recount
--- a/quota/types.go
+++ b/quota/types.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/nutmegtrack/nutmegtrack/packet"
@@ -35,11 +36,19 @@
 	Kind     Kind
 }
 
+// compareAccounts orders accounts by customer, then by kind.
+func compareAccounts(a, b Account) int {
+	return cmp.Or(cmp.Compare(a.Customer, b.Customer), cmp.Compare(a.Kind, b.Kind))
+}
+
 // groups is the number of parts into which accounts are divided, so that a
 // recount of many accounts stops only some of the transfers at a time. It is the
 // number of bits of Message.Groups.
 const groups = 64
 
+// allGroups has the bits of all groups.
+const allGroups = ^uint64(0)
+
 func (a Account) group() uint64 { return 1 << (a.Customer % groups) }
 
 // Party is one process that holds or issues tokens, for one process start.
