Share the drop counters of agent and balancer

Cause: both daemons registered and added the counters of dropped packets with the same code. Change: daemon.Drops and daemon.DropCounters; the metrics keep their names. Measured: go test ./agent ./balancer ./daemon passes, the allocation tests among them.

--- a/balancer/counters.go
+++ b/balancer/counters.go
@@ -3,19 +3,16 @@
 import (
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/nutmegtrack/nutmegtrack/flow"
+	"github.com/nutmegtrack/nutmegtrack/daemon"
 )
 
-// reasons is the number of drop reasons.
-const reasons = len(flow.Counters{}.Dropped)
-
 // tally counts the packets of one batch, so that readers touch the shared
 // counters once for each batch.
 type tally struct {
 	received, sent, refused  int
 	hinted, hints, malformed int
 	late                     int
-	dropped                  [reasons]int
+	dropped                  daemon.Drops
 }
 
 // counters are the packet metrics of the process.
@@ -23,12 +20,13 @@
 	received, sent, refused  metrics.Counter
 	hinted, hints, malformed metrics.Counter
 	late                     metrics.Counter
-	dropped                  [reasons]metrics.Counter
+	dropped                  daemon.DropCounters
 }
 
 func newCounters(r metrics.Registry) *counters {
-	c := &counters{
+	return &counters{
 		received:  metrics.NewRegisteredCounter("packets.received", r),
+		dropped:   daemon.NewDropCounters(r),
 		sent:      metrics.NewRegisteredCounter("packets.sent", r),
 		refused:   metrics.NewRegisteredCounter("packets.refused_by_system", r),
 		hinted:    metrics.NewRegisteredCounter("packets.sent_by_hint", r),
@@ -36,28 +34,15 @@
 		late:      metrics.NewRegisteredCounter("packets.late", r),
 		malformed: metrics.NewRegisteredCounter("packets.malformed", r),
 	}
-	for i := 1; i < reasons; i++ {
-		name := "packets.dropped." + flow.Reason(i).String()
-		c.dropped[i] = metrics.NewRegisteredCounter(name, r)
-	}
-	return c
 }
 
 func (c *counters) add(t *tally) {
-	inc(c.received, t.received)
-	inc(c.sent, t.sent)
-	inc(c.refused, t.refused)
-	inc(c.hinted, t.hinted)
-	inc(c.hints, t.hints)
-	inc(c.malformed, t.malformed)
-	inc(c.late, t.late)
-	for i := 1; i < reasons; i++ {
-		inc(c.dropped[i], t.dropped[i])
-	}
-}
-
-func inc(c metrics.Counter, n int) {
-	if n > 0 {
-		c.Inc(int64(n))
-	}
+	daemon.Count(c.received, t.received)
+	daemon.Count(c.sent, t.sent)
+	daemon.Count(c.refused, t.refused)
+	daemon.Count(c.hinted, t.hinted)
+	daemon.Count(c.hints, t.hints)
+	daemon.Count(c.malformed, t.malformed)
+	daemon.Count(c.late, t.late)
+	c.dropped.Add(&t.dropped)
 }
