httpfront: keep reading a request's body after the answer has begun

Cause: the front's net/http server discards the unread part of a request's body when the handler begins to answer, unless full duplex is enabled. An upstream that answered early received a cut body, and the caller a cut answer ("streams large bodies both ways", unexpected EOF in 1 of 10 runs). The upstream of that test had the same fault of its own. Change: the front enables full duplex for each request that runs, and the test's upstream does as well. A new spec makes the fault happen each time: it sends the second half of the body only after the first half has come back.

--- a/httpfront/exchange.go
+++ b/httpfront/exchange.go
@@ -29,6 +29,10 @@
 // run sends the request and passes the answer on. The slot is free when the upstream
 // has let go.
 func (f *Front) run(x *exchange) {
+	// By default the server discards the unread part of the request's body when the
+	// answer begins, so that the upstream would receive a cut body. The error says
+	// that the connection cannot do both at once; HTTP/1 connections can.
+	_ = http.NewResponseController(x.w).EnableFullDuplex()
 	ctx := x.r.Context()
 	if x.keyed {
 		// A retry receives the answer of an attempt whose caller has gone away.
--- a/httpfront/front_test.go
+++ b/httpfront/front_test.go
@@ -218,6 +218,8 @@
 		large := bytes.Repeat([]byte("0123456789abcdef"), 1<<18)
 		f := newFleet(1, func(w http.ResponseWriter, r *http.Request) {
 			if r.Method == http.MethodPut {
+				// This upstream too answers before it has read the whole body.
+				_ = http.NewResponseController(w).EnableFullDuplex()
 				_, _ = io.Copy(w, r.Body)
 				return
 			}
@@ -239,6 +241,35 @@
 		Expect([]any{line, err}).To(Equal([]any{"data: 1\n", nil}))
 	})
 
+	ginkgo.It("goes on sending the body after the answer has begun", func() {
+		// Guards against a front that discards the rest of a request's body once the
+		// upstream answers: the caller's upload would arrive cut.
+		f := newFleet(1, func(w http.ResponseWriter, r *http.Request) {
+			control := http.NewResponseController(w)
+			Expect(control.EnableFullDuplex()).To(Succeed())
+			part := make([]byte, len("first"))
+			_, _ = io.ReadFull(r.Body, part)
+			_, _ = w.Write(part)
+			Expect(control.Flush()).To(Succeed())
+			_, _ = io.Copy(w, r.Body)
+		})
+		body, send := io.Pipe()
+		r, _ := http.NewRequest(http.MethodPut, f.urls[0], body)
+		go func() { _, _ = io.WriteString(send, "first") }()
+		resp, err := http.DefaultClient.Do(r)
+		Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		part := make([]byte, len("first"))
+		_, err = io.ReadFull(resp.Body, part)
+		Expect([]any{string(part), err}).To(Equal([]any{"first", nil}))
+		go func() {
+			_, _ = io.WriteString(send, "second")
+			_ = send.Close()
+		}()
+		rest, err := io.ReadAll(resp.Body)
+		Expect([]any{string(rest), err}).To(Equal([]any{"second", nil}))
+	})
+
 	ginkgo.It("carries upgraded connections", func() {
 		// Guards against a changed protocol whose bytes are read as HTTP.
 		f := newFleet(1, func(w http.ResponseWriter, _ *http.Request) {
