--- a/agent/admission.go
+++ b/agent/admission.go
@@ -7,7 +7,6 @@
 
 	"github.com/nutmegtrack/nutmegtrack/daemon"
 	"github.com/nutmegtrack/nutmegtrack/flow"
-	"github.com/nutmegtrack/nutmegtrack/packet"
 	"github.com/nutmegtrack/nutmegtrack/quota"
 )
 
@@ -122,7 +121,7 @@
 		return
 	}
 	// The packet was parsed when it arrived.
-	if packet.Parse(raw, &r.info) != nil {
+	if r.agent.format().Parse(raw, &r.info) != nil {
 		return
 	}
 	r.deliver(&h, raw)
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"time"
 
@@ -28,9 +29,10 @@
 // Agent is one agent process.
 type Agent struct {
 	cfg       settings.Agent
+	options   Options
 	id        packet.AgentID
 	service   packet.ServiceID
-	endpoints map[endpoint]bool
+	endpoints map[endpoint]bool // nil where operators state the services' addresses
 	log       *event.Logger
 	clock     daemon.Clock
 	rng       *rand.Rand
@@ -47,24 +49,29 @@
 	quota    *daemon.Quota
 	routes   routes
 	requests requests
+	beside   *beside // nil without an upstream that announces itself
+	health   *http.Server
 
 	admission *admission // used under the lock of flows
+	paths     paths      // used under the lock of flows
 	late      *reader    // delivers the first packets of flows that have waited
 	lateLock  sync.Mutex // guards late
 
-	started time.Duration
-	state   sync.Mutex // serializes changes of state
+	started  time.Duration
+	state    sync.Mutex // serializes changes of state
+	stopping bool       // the state no longer follows the upstream; guarded by state
 }
 
 // New returns an agent that has opened nothing yet.
-func New(cfg settings.Agent, log *event.Logger) *Agent {
-	return newAgent(cfg, log, daemon.NewClock())
+func New(cfg settings.Agent, options Options, log *event.Logger) *Agent {
+	return newAgent(cfg, options, log, daemon.NewClock())
 }
 
-func newAgent(cfg settings.Agent, log *event.Logger, clock daemon.Clock) *Agent {
+func newAgent(cfg settings.Agent, options Options, log *event.Logger, clock daemon.Clock) *Agent {
 	registry := metrics.NewRegistry()
 	return &Agent{
 		cfg:       cfg,
+		options:   options,
 		id:        packet.AgentIDOf(cfg.Name),
 		service:   packet.ServiceIDOf(cfg.Service.Name),
 		endpoints: endpointSet(cfg.Service.Endpoints),
@@ -116,6 +123,9 @@
 	a.control.Register(daemon.QuotaService, daemon.NewQuotaRPC(a.quota))
 	a.control.Register(daemon.AdminService, daemon.NewAdmin(a.drainRequested))
 	a.assembleRequests(transport, spawn)
+	if a.options.UpstreamAPI != nil {
+		a.beside = newBeside(a)
+	}
 	a.addDumpSources()
 }
 
@@ -138,14 +148,23 @@
 }
 
 func (a *Agent) tableConfig() flow.TableConfig {
-	return flow.TableConfig{
+	c := flow.TableConfig{
 		MaxFlows:  a.cfg.Service.Connections,
 		Threshold: a.cfg.Balance.Threshold,
 		Settling:  a.cfg.SettlingSeconds.Duration(),
-		Admission: a.admission,
 	}
+	if a.limited() {
+		c.Admission = a.admission
+	}
+	if a.options.Packets != nil {
+		c.Rebuild = a.cfg.RebuildSeconds.Duration()
+	}
+	return c
 }
 
+// limited reports whether plans limit customers.
+func (a *Agent) limited() bool { return a.cfg.Limits != settings.LimitsNone }
+
 func (a *Agent) upstream() flow.Upstream {
 	self := a.self()
 	return flow.Upstream{
@@ -160,14 +179,36 @@
 
 // launch starts the goroutines.
 func (a *Agent) launch() {
+	a.flows.do(func(now time.Duration, t *flow.Table) { t.Rebuild(now) })
 	a.life.Go(a.newReader().run)
 	if a.ports.replies != nil {
 		a.life.Go(a.newReplyReader().run)
 	}
 	a.control.Serve(a.ports.control)
 	a.launchRequests()
+	a.launchUpstream()
 	a.life.Every(tick, a.step)
-	a.life.Supervise(a.drain, a.close)
+	a.life.Supervise(a.stop, a.close)
+}
+
+// launchUpstream serves the upstream's announcements and the health endpoint.
+func (a *Agent) launchUpstream() {
+	if a.beside != nil {
+		a.life.Go(func() error { return a.beside.serve(a.ports.announce) })
+	}
+	if a.ports.health != nil {
+		a.health = &http.Server{ReadHeaderTimeout: readHeaderTimeout, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+		a.life.Spawn(func() { _ = a.health.Serve(a.ports.health) })
+	}
+}
+
+// stop is the graceful shutdown.
+func (a *Agent) stop() {
+	if a.beside != nil {
+		a.leaveUpstream()
+		return
+	}
+	a.drain()
 }
 
 // step advances membership, the quota tokens and the flow table.
@@ -175,8 +216,14 @@
 	answered := a.peers.home.Load() != nil
 	a.members.Step(a.life.Context())
 	a.refreshPeers()
-	a.stepQuota()
+	if a.limited() {
+		a.stepQuota()
+	}
 	a.stepFlows()
+	if a.beside != nil {
+		a.followUpstream()
+		return
+	}
 	a.becomeReady(answered)
 }
 
@@ -217,6 +264,12 @@
 func (a *Agent) close() {
 	a.ports.closePackets()
 	a.closeRequests()
+	if a.beside != nil {
+		_ = a.beside.api.Close()
+	}
+	if a.health != nil {
+		_ = a.health.Close()
+	}
 	a.control.Close()
 }
 
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -172,7 +172,7 @@
 		SettlingSeconds: 15,
 	}
 	a := &testAgent{data: packetio.NewPipe(1), replies: packetio.NewPipe(1)}
-	a.Agent = newAgent(cfg, event.NewLogger(io.Discard), func() time.Duration { return n.now })
+	a.Agent = newAgent(cfg, Options{}, event.NewLogger(io.Discard), func() time.Duration { return n.now })
 	p := ports{data: a.data, dataAddr: netip.AddrPortFrom(origin.Addr(), control+1000), upstream: a.replies, replies: a.replies}
 	a.assemble(p, n, func(f func()) { f() })
 	a.reader, a.replyReader = a.newReader(), a.newReplyReader()
@@ -345,7 +345,7 @@
 			Service:         settings.Service{Name: "impact-portal", Connections: 10},
 			PacketIO:        settings.PacketIO{Mode: settings.ModeUDP},
 			SettlingSeconds: 0.1,
-		}, event.NewLogger(io.Discard))
+		}, Options{}, event.NewLogger(io.Discard))
 		Expect(a.Start()).To(Succeed())
 		a.Shutdown()
 		<-a.Done()
--- a/agent/counters.go
+++ b/agent/counters.go
@@ -10,7 +10,7 @@
 type tally struct {
 	received, delivered, forwarded, replies  int
 	hints, malformed, wrongEndpoint, refused int
-	late                                     int
+	late, returned                           int
 	dropped                                  daemon.Drops
 }
 
@@ -18,7 +18,7 @@
 type counters struct {
 	received, delivered, forwarded, replies  metrics.Counter
 	hints, malformed, wrongEndpoint, refused metrics.Counter
-	late                                     metrics.Counter
+	late, returned                           metrics.Counter
 	dropped                                  daemon.DropCounters
 }
 
@@ -30,6 +30,7 @@
 		forwarded:     metrics.NewRegisteredCounter("packets.forwarded", r),
 		replies:       metrics.NewRegisteredCounter("packets.replies", r),
 		hints:         metrics.NewRegisteredCounter("hints.sent", r),
+		returned:      metrics.NewRegisteredCounter("packets.returned", r),
 		late:          metrics.NewRegisteredCounter("packets.late", r),
 		malformed:     metrics.NewRegisteredCounter("packets.malformed", r),
 		wrongEndpoint: metrics.NewRegisteredCounter("packets.dropped.wrong_endpoint", r),
@@ -45,6 +46,7 @@
 	daemon.Count(c.hints, t.hints)
 	daemon.Count(c.malformed, t.malformed)
 	daemon.Count(c.late, t.late)
+	daemon.Count(c.returned, t.returned)
 	daemon.Count(c.wrongEndpoint, t.wrongEndpoint)
 	daemon.Count(c.refused, t.refused)
 	c.dropped.Add(&t.dropped)
--- a/agent/endpoint.go
+++ b/agent/endpoint.go
@@ -13,6 +13,9 @@
 }
 
 func endpointSet(list []settings.Endpoint) map[endpoint]bool {
+	if len(list) == 0 {
+		return nil
+	}
 	out := make(map[endpoint]bool, len(list))
 	for _, e := range list {
 		out[endpoint{e.Address.Addr().As16(), e.Address.Port(), protocol(e.Protocol)}] = true
@@ -27,7 +30,8 @@
 	return packet.ProtoTCP
 }
 
-// owns reports whether the flow's destination is an address of this service.
+// owns reports whether the flow's destination is an address of this service, as far as
+// the agent knows its addresses.
 func (a *Agent) owns(k *packet.Key) bool {
-	return a.endpoints[endpoint{k.Dst, k.DstPort, k.Proto}]
+	return a.endpoints == nil || a.endpoints[endpoint{k.Dst, k.DstPort, k.Proto}]
 }
--- a/agent/ports.go
+++ b/agent/ports.go
@@ -20,6 +20,8 @@
 	device   packetio.Source // TUN device; nil without one
 	control  net.Listener
 	http     net.Listener // from callers; nil without http_listen
+	announce net.Listener // from the upstream; nil without upstream_listen
+	health   net.Listener // nil without health_address
 }
 
 // openPorts opens all sockets that the settings name, or none.
@@ -41,9 +43,20 @@
 	if err := p.openUpstream(cfg); err != nil {
 		return p, err
 	}
-	if cfg.HTTPListen.IsValid() {
-		if p.http, err = net.Listen("tcp", cfg.HTTPListen.String()); err != nil {
-			return p, errors.Wrap(err, "agent: http_listen")
+	for _, l := range []struct {
+		field   string
+		address netip.AddrPort
+		open    *net.Listener
+	}{
+		{"http_listen", cfg.HTTPListen, &p.http},
+		{"upstream_listen", cfg.UpstreamListen, &p.announce},
+		{"health_address", cfg.HealthAddress, &p.health},
+	} {
+		if !l.address.IsValid() {
+			continue
+		}
+		if *l.open, err = net.Listen("tcp", l.address.String()); err != nil {
+			return p, errors.Wrap(err, "agent: "+l.field)
 		}
 	}
 	p.control, err = net.Listen("tcp", cfg.ControlListen.String())
@@ -84,10 +97,9 @@
 
 func (p *ports) close() {
 	p.closePackets()
-	if p.control != nil {
-		_ = p.control.Close()
-	}
-	if p.http != nil {
-		_ = p.http.Close()
+	for _, l := range []net.Listener{p.control, p.http, p.announce, p.health} {
+		if l != nil {
+			_ = l.Close()
+		}
 	}
 }
--- a/agent/reader.go
+++ b/agent/reader.go
@@ -62,7 +62,7 @@
 	r.tally.received++
 	b := r.in.Packet(i)
 	h, raw, err := packet.ReadHeader(b)
-	if err != nil || h.Kind != packet.KindData || packet.Parse(raw, &r.info) != nil {
+	if err != nil || h.Kind != packet.KindData || r.agent.format().Parse(raw, &r.info) != nil {
 		r.tally.malformed++
 		return
 	}
@@ -94,10 +94,21 @@
 		r.agent.log.Log(event.WrongService, "service", h.Service, "source", r.info.Key.Source())
 		return
 	}
+	if f := r.agent.options.Packets; f != nil {
+		f.SetTag(raw, r.agent.paths.remember(h))
+	}
 	r.delivery.Add(raw, r.agent.cfg.UpstreamSinkAddress)
 	r.tally.delivered++
 }
 
+// format is that of clients' packets.
+func (a *Agent) format() packet.Format {
+	if a.options.Packets != nil {
+		return a.options.Packets
+	}
+	return packet.IP{}
+}
+
 // hint tells the packet's origin and other balancers that this agent owns the flow.
 func (r *reader) hint(h *packet.Header, i int, also []netip.AddrPort) {
 	b := r.hints[i][:]
@@ -117,25 +128,30 @@
 	}
 }
 
-// replyReader is the path of the upstream's replies.
+// replyReader is the path of the upstream's packets: replies, and packets of clients
+// that it sends back.
 type replyReader struct {
 	agent   *Agent
 	replies packetio.Conn
+	data    packetio.Conn
 	to      netip.AddrPort
 
-	in    *packetio.Inbox
-	out   *packetio.Outbox
-	info  packet.Info
-	tally tally
+	in       *packetio.Inbox
+	out      *packetio.Outbox // to clients
+	outgoing *packetio.Outbox // to other agents
+	info     packet.Info
+	tally    tally
 }
 
 func (a *Agent) newReplyReader() *replyReader {
 	return &replyReader{
-		agent:   a,
-		replies: a.ports.replies,
-		to:      a.cfg.ReplyAddress,
-		in:      packetio.NewInbox(0, packetio.MaxPacket),
-		out:     packetio.NewOutbox(packetio.BatchSize),
+		agent:    a,
+		replies:  a.ports.replies,
+		data:     a.ports.data,
+		to:       a.cfg.ReplyAddress,
+		in:       packetio.NewInbox(packet.HeaderSize, packetio.MaxPacket),
+		out:      packetio.NewOutbox(packetio.BatchSize),
+		outgoing: packetio.NewOutbox(packetio.BatchSize),
 	}
 }
 
@@ -143,10 +159,17 @@
 
 func (r *replyReader) handle() {
 	r.out.Reset()
+	r.outgoing.Reset()
 	r.agent.flows.do(r.packets)
 	r.tally.refused = r.replies.Send(r.out)
+	if r.outgoing.Len() > 0 {
+		r.tally.refused += r.data.Send(r.outgoing)
+	}
 	r.agent.counters.add(&r.tally)
 	r.tally = tally{}
+	if r.agent.beside != nil {
+		r.agent.beside.alive()
+	}
 }
 
 // packets notes the replies and sends them on. A packet that cannot be parsed,
@@ -154,10 +177,51 @@
 func (r *replyReader) packets(now time.Duration, t *flow.Table) {
 	for i := range r.in.Len() {
 		b := r.in.Packet(i)
-		if packet.Parse(b, &r.info) == nil {
+		to := r.to
+		if r.agent.format().Parse(b, &r.info) == nil {
+			if r.info.Returned {
+				r.returned(now, t, i)
+				continue
+			}
 			t.Reply(now, &r.info)
+			to = r.clientAddress()
+		}
+		if !to.IsValid() {
+			r.tally.malformed++
+			continue
 		}
-		r.out.Add(b, r.to)
+		r.out.Add(b, to)
 		r.tally.replies++
 	}
 }
+
+// clientAddress returns where the parsed reply goes.
+func (r *replyReader) clientAddress() netip.AddrPort {
+	if f := r.agent.options.Packets; f != nil {
+		k := r.info.Key.Reverse()
+		return f.ClientAddress(&k)
+	}
+	return r.to
+}
+
+// returned places a packet that the upstream has sent back.
+func (r *replyReader) returned(now time.Duration, t *flow.Table, i int) {
+	r.tally.returned++
+	f := r.agent.options.Packets
+	b := r.in.Packet(i)
+	h, known := r.agent.paths.find(f.Tag(b))
+	if !known {
+		r.tally.malformed++
+		return
+	}
+	action := t.Returned(now, &h, &r.info)
+	if action.Kind != flow.Forward {
+		r.tally.dropped[action.Reason]++
+		return
+	}
+	f.Forget(b)
+	framed := r.in.Framed(i)
+	h.Put(framed)
+	r.outgoing.Add(framed, action.Addr)
+	r.tally.forwarded++
+}
--- a/agent/run.go
+++ b/agent/run.go
@@ -9,12 +9,18 @@
 )
 
 // Run runs a process of this daemon until it has stopped and returns its exit
-// status. Log events go to w.
-func Run(settingsFile string, w io.Writer) int {
+// status. Log events go to w. The environment of VMs needs no options.
+func Run(settingsFile string, w io.Writer, environments map[string]Environment) int {
 	cfg, err := settings.LoadAgent(settingsFile)
 	if err != nil {
 		return process.ReportSettings(event.NewLogger(w), err)
 	}
 	log := event.NewLogger(w, "name", cfg.Name)
-	return process.Run(New(cfg, log), log)
+	var options Options
+	if environment := environments[cfg.Environment]; environment != nil {
+		if options, err = environment(&cfg); err != nil {
+			return process.ReportSettings(log, err)
+		}
+	}
+	return process.Run(New(cfg, options, log), log)
 }
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -10,8 +11,12 @@
 	"github.com/nutmegtrack/nutmegtrack/control"
 	"github.com/nutmegtrack/nutmegtrack/daemon"
 	"github.com/nutmegtrack/nutmegtrack/event"
+	"github.com/nutmegtrack/nutmegtrack/finding"
 	"github.com/nutmegtrack/nutmegtrack/flow"
 	"github.com/nutmegtrack/nutmegtrack/member"
+	"github.com/nutmegtrack/nutmegtrack/packet"
+	"github.com/nutmegtrack/nutmegtrack/packetio"
+	"github.com/nutmegtrack/nutmegtrack/route"
 	"github.com/nutmegtrack/nutmegtrack/settings"
 	"github.com/nutmegtrack/nutmegtrack/store"
 )
@@ -25,9 +30,24 @@
 	leaveLimit = time.Second
 )
 
+// Options connects a balancer with what it runs on. The zero value stands for a VM:
+// IP packets, the store of the settings, addresses that the agents announce.
+type Options struct {
+	// Packets is the format of clients' packets, which come to
+	// settings.Balancer.ClientAddress.
+	Packets packet.Datagram
+	// Store is used in place of the store of the settings.
+	Store store.Store
+	// RoutesKey is the store's key of the operators' routes, and DecodeRoutes reads
+	// them. Without a key the agents announce the addresses of their services.
+	RoutesKey    string
+	DecodeRoutes func(text []byte) (*route.Document, finding.List, error)
+}
+
 // Balancer is one balancer process.
 type Balancer struct {
 	cfg      settings.Balancer
+	options  Options
 	log      *event.Logger
 	clock    daemon.Clock
 	rng      *rand.Rand
@@ -41,16 +61,20 @@
 	control *daemon.Control
 	members *daemon.Members[*member.Node]
 	fleet   fleet
+	routed  atomic.Pointer[route.Document] // routes that the router has
 	lists   *daemon.Lists
-	collect *collector // nil without a store
-	grants  *grantors  // nil without a store
+	routes  *daemon.Routes // nil where the agents announce the services' addresses
+	collect *collector     // nil without a store
+	grants  *grantors      // nil without a store
 
 	closeStore func()
 }
 
 // New returns a balancer that has opened nothing yet.
-func New(cfg settings.Balancer, log *event.Logger) *Balancer {
-	return newBalancer(cfg, log, daemon.NewClock())
+func New(cfg settings.Balancer, options Options, log *event.Logger) *Balancer {
+	b := newBalancer(cfg, log, daemon.NewClock())
+	b.options = options
+	return b
 }
 
 func newBalancer(cfg settings.Balancer, log *event.Logger, clock daemon.Clock) *Balancer {
@@ -71,7 +95,7 @@
 
 // Start opens the sockets and begins to serve.
 func (b *Balancer) Start() error {
-	s, closeStore, err := openStore(b.cfg.Store)
+	s, closeStore, err := b.openStore()
 	if err != nil {
 		return err
 	}
@@ -106,8 +130,16 @@
 		Log: b.log, Clock: b.clock, Rand: daemon.NewRand(b.rng), Transport: transport, Store: s,
 		Spawn: spawn, Activated: b.listsActivated,
 	})
+	if s != nil && b.options.RoutesKey != "" {
+		b.routes = daemon.NewRoutes(daemon.RoutesConfig{
+			Log: b.log, Clock: b.clock, Rand: daemon.NewRand(b.rng), Store: s,
+			Key: b.options.RoutesKey, Decode: b.options.DecodeRoutes,
+		})
+	}
 	if s != nil {
 		b.collect = newCollector(b, s)
+	}
+	if s != nil && b.limited() {
 		b.grants = newGrantors(b, s, transport, spawn, silent.Peer)
 		b.control.Register(daemon.QuotaService, daemon.NewQuotaRPC(b.grants.quota))
 	}
@@ -117,6 +149,9 @@
 	b.addDumpSources()
 }
 
+// limited reports whether plans limit customers.
+func (b *Balancer) limited() bool { return b.cfg.Limits != settings.LimitsNone }
+
 func (b *Balancer) record() member.Record {
 	return member.Record{
 		Name:          b.cfg.Name,
@@ -130,10 +165,8 @@
 
 // launch starts the goroutines.
 func (b *Balancer) launch() {
-	source := b.ports.device
-	if source == nil {
-		source = b.ports.data
-	} else {
+	source := b.ports.clientPackets()
+	if source != packetio.Source(b.ports.data) {
 		b.life.Go(b.newReader(b.ports.data).run) // hints
 	}
 	for range b.readers() {
@@ -146,8 +179,13 @@
 		collect := func() { b.collect.step(b.life.Context()) }
 		b.life.Spawn(collect) // a starting balancer reads the shards at once
 		b.life.Every(collectInterval, collect)
+	}
+	if b.grants != nil {
 		b.life.Every(electInterval, func() { b.grants.electWhenDue(b.life.Context()) })
 	}
+	if b.routes != nil {
+		b.life.Spawn(func() { b.routes.Run(b.life.Context()) })
+	}
 	b.life.Supervise(b.drain, b.close)
 }
 
@@ -164,7 +202,9 @@
 func (b *Balancer) step() {
 	b.members.Step(b.life.Context())
 	b.refreshView()
-	b.stepLists()
+	if b.limited() {
+		b.stepLists()
+	}
 	if b.grants != nil {
 		b.grants.step(b.life.Context())
 	}
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -224,7 +224,7 @@
 	// Guards against goroutines and sockets that outlive a graceful shutdown.
 	It("stops without leftovers", func() {
 		defer goleak.VerifyNone(GinkgoT(), goleak.IgnoreCurrent())
-		b := New(cfg, event.NewLogger(io.Discard))
+		b := New(cfg, Options{}, event.NewLogger(io.Discard))
 		Expect(b.Start()).To(Succeed())
 		b.Shutdown()
 		b.Shutdown()
@@ -235,11 +235,11 @@
 	// Guards against sockets that stay open when a later one cannot be opened.
 	It("opens nothing when one address is in use", func() {
 		defer goleak.VerifyNone(GinkgoT(), goleak.IgnoreCurrent())
-		first := New(cfg, event.NewLogger(io.Discard))
+		first := New(cfg, Options{}, event.NewLogger(io.Discard))
 		Expect(first.Start()).To(Succeed())
 		taken := cfg
 		taken.HealthAddress = netip.MustParseAddrPort(first.ports.health.Addr().String())
-		Expect(New(taken, event.NewLogger(io.Discard)).Start()).NotTo(Succeed())
+		Expect(New(taken, Options{}, event.NewLogger(io.Discard)).Start()).NotTo(Succeed())
 		first.Shutdown()
 		<-first.Done()
 	})
--- a/balancer/counters.go
+++ b/balancer/counters.go
@@ -11,7 +11,7 @@
 type tally struct {
 	received, sent, refused  int
 	hinted, hints, malformed int
-	late                     int
+	late, resets             int
 	dropped                  daemon.Drops
 }
 
@@ -19,7 +19,7 @@
 type counters struct {
 	received, sent, refused  metrics.Counter
 	hinted, hints, malformed metrics.Counter
-	late                     metrics.Counter
+	late, resets             metrics.Counter
 	dropped                  daemon.DropCounters
 }
 
@@ -31,6 +31,7 @@
 		refused:   metrics.NewRegisteredCounter("packets.refused_by_system", r),
 		hinted:    metrics.NewRegisteredCounter("packets.sent_by_hint", r),
 		hints:     metrics.NewRegisteredCounter("hints.received", r),
+		resets:    metrics.NewRegisteredCounter("resets.sent", r),
 		late:      metrics.NewRegisteredCounter("packets.late", r),
 		malformed: metrics.NewRegisteredCounter("packets.malformed", r),
 	}
@@ -44,5 +45,6 @@
 	daemon.Count(c.hints, t.hints)
 	daemon.Count(c.malformed, t.malformed)
 	daemon.Count(c.late, t.late)
+	daemon.Count(c.resets, t.resets)
 	c.dropped.Add(&t.dropped)
 }
--- a/balancer/fleet.go
+++ b/balancer/fleet.go
@@ -7,6 +7,7 @@
 	"github.com/nutmegtrack/nutmegtrack/event"
 	"github.com/nutmegtrack/nutmegtrack/flow"
 	"github.com/nutmegtrack/nutmegtrack/member"
+	"github.com/nutmegtrack/nutmegtrack/route"
 )
 
 const (
@@ -22,6 +23,8 @@
 type fleet struct {
 	mu      sync.Mutex
 	view    *flow.View // never nil
+	members *flow.View // as the membership showed it
+	routes  *route.Document
 	changed time.Duration
 }
 
@@ -29,20 +32,44 @@
 func (b *Balancer) refreshView() {
 	b.fleet.mu.Lock()
 	defer b.fleet.mu.Unlock()
-	var view *flow.View
+	var members *flow.View
 	now := time.Duration(0)
-	b.members.Do(func(t time.Duration, n *member.Node) { now, view = t, n.Table().View() })
-	if view != b.fleet.view {
+	b.members.Do(func(t time.Duration, n *member.Node) { now, members = t, n.Table().View() })
+	var routes *route.Document
+	if b.routes != nil {
+		routes = b.routes.Active()
+	}
+	if members != b.fleet.members || routes != b.fleet.routes {
+		view := withRoutes(members, routes)
 		b.router.setView(view)
+		b.routed.Store(routes)
 		b.logChanges(b.fleet.view, view)
 		b.fleet.view, b.fleet.changed = view, now
+		b.fleet.members, b.fleet.routes = members, routes
 	}
-	quiet := len(view.Services) > 0 && now-b.fleet.changed >= viewQuiet
-	if quiet || now >= startLimit {
+	if b.viewComplete(now) {
 		b.health.start()
 	}
 }
 
+// withRoutes returns the view of the membership with the operators' routes.
+func withRoutes(members *flow.View, routes *route.Document) *flow.View {
+	if routes == nil {
+		return members
+	}
+	return &flow.View{Services: members.Services, Routes: routes.FlowRoutes()}
+}
+
+// viewComplete reports whether a starting balancer may take traffic. Without routes
+// it could only drop packets.
+func (b *Balancer) viewComplete(now time.Duration) bool {
+	if b.routes != nil && b.fleet.routes == nil {
+		return false
+	}
+	quiet := len(b.fleet.view.Services) > 0 && now-b.fleet.changed >= viewQuiet
+	return quiet || now >= startLimit
+}
+
 // logChanges logs the upstreams whose state differs between two views. Services are
 // ordered by name in both.
 func (b *Balancer) logChanges(before, after *flow.View) {
--- a/balancer/lists.go
+++ b/balancer/lists.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/nutmegtrack/nutmegtrack/member"
-	"github.com/nutmegtrack/nutmegtrack/settings"
 	"github.com/nutmegtrack/nutmegtrack/store"
 	"github.com/nutmegtrack/nutmegtrack/store/etcd"
 )
@@ -18,7 +17,11 @@
 
 // openStore returns the client of the store and what closes it; the store is nil
 // without endpoints.
-func openStore(cfg settings.Store) (store.Store, func(), error) {
+func (b *Balancer) openStore() (store.Store, func(), error) {
+	cfg := b.cfg.Store
+	if b.options.Store != nil {
+		return b.options.Store, func() {}, nil
+	}
 	if len(cfg.Endpoints) == 0 {
 		return nil, func() {}, nil
 	}
--- a/balancer/ports.go
+++ b/balancer/ports.go
@@ -16,10 +16,22 @@
 	data     packetio.Conn // to agents, and hints from them
 	dataAddr netip.AddrPort
 	device   packetio.Source // IP packets, when they don't come through data
+	clients  packetio.Conn   // packets of clients that are datagrams themselves
 	control  net.Listener
 	health   net.Listener
 }
 
+// clientPackets returns where the packets of clients come from.
+func (p *ports) clientPackets() packetio.Source {
+	switch {
+	case p.clients != nil:
+		return p.clients
+	case p.device != nil:
+		return p.device
+	}
+	return p.data
+}
+
 // openPorts opens all sockets that the settings name, or none.
 func openPorts(cfg *settings.Balancer) (p ports, err error) {
 	defer func() {
@@ -43,6 +55,16 @@
 		}
 		p.device = packetio.NewDevice(device)
 	}
+	if cfg.ClientAddress.IsValid() {
+		clients, err := packetio.ListenUDP(cfg.ClientAddress)
+		if err != nil {
+			return p, err
+		}
+		p.clients = clients
+		if err := clients.LimitAge(packetio.MaxAge); err != nil {
+			return p, err
+		}
+	}
 	if p.control, err = net.Listen("tcp", cfg.ControlListen.String()); err != nil {
 		return p, errors.Wrap(err, "balancer: control_listen")
 	}
@@ -57,6 +79,9 @@
 	if p.device != nil {
 		_ = p.device.Close()
 	}
+	if p.clients != nil {
+		_ = p.clients.Close()
+	}
 	if p.data != nil {
 		_ = p.data.Close()
 	}
--- a/balancer/reader.go
+++ b/balancer/reader.go
@@ -18,8 +18,17 @@
 	sink     packetio.Sink
 	counters *counters
 
+	// format is that of clients' packets; hints have none. Where it is a datagram
+	// format, packets and hints come through sockets of their own.
+	format   packet.Format
+	datagram packet.Datagram // nil for IP packets
+	clients  packetio.Sink   // for resets
+	current  func() bool     // whether the routes are known to be the newest
+	onlyData bool            // hints come through another socket
+
 	in        *packetio.Inbox
 	out       *packetio.Outbox
+	resets    *packetio.Outbox
 	infos     [packetio.BatchSize]packet.Info
 	customers [packetio.BatchSize]uint64
 	refusals  [packetio.BatchSize]flow.Reason // set where customers is 0
@@ -36,10 +45,12 @@
 }
 
 func (b *Balancer) newReader(source packetio.Source) *reader {
-	return &reader{
+	r := &reader{
 		router:   b.router,
 		origin:   b.ports.dataAddr,
-		customer: b.lists.Customer,
+		customer: b.customer,
+		format:   packet.IP{},
+		resets:   packetio.NewOutbox(packetio.BatchSize),
 		source:   source,
 		sink:     b.ports.data,
 		counters: b.counters,
@@ -48,6 +59,33 @@
 		routed:   make([]int, 0, packetio.BatchSize),
 		hints:    make([]hint, 0, packetio.BatchSize),
 	}
+	if b.ports.clients != nil && source == packetio.Source(b.ports.clients) {
+		r.format, r.datagram = b.options.Packets, b.options.Packets
+		r.clients, r.current, r.onlyData = b.ports.clients, b.routesCurrent, true
+	}
+	return r
+}
+
+// unlimited stands for all customers where no plans limit them.
+const unlimited = 1
+
+// customer returns the customer that a source belongs to, or 0 with the reason to
+// refuse its new flows.
+func (b *Balancer) customer(source *[16]byte) (uint64, flow.Reason) {
+	if !b.limited() {
+		return unlimited, flow.ReasonNone
+	}
+	return b.lists.Customer(source)
+}
+
+// maxRoutesAge is the age of the routes up to which an address that they lack is known
+// to lead nowhere. It is below the 3 s within which new routes must be in force.
+const maxRoutesAge = 2500 * time.Millisecond
+
+// routesCurrent reports whether an address that the router does not know leads nowhere.
+// The routes may have been read a moment before the router has them.
+func (b *Balancer) routesCurrent() bool {
+	return b.routes != nil && b.routed.Load() == b.routes.Active() && b.routes.Age() < maxRoutesAge
 }
 
 // run handles packets until the source is closed.
@@ -58,10 +96,14 @@
 	r.parse()
 	r.router.do(r.route)
 	r.out.Reset()
+	r.resets.Reset()
 	for _, i := range r.routed {
 		r.frame(i)
 	}
 	r.tally.refused = r.sink.Send(r.out)
+	if r.resets.Len() > 0 {
+		r.tally.refused += r.clients.Send(r.resets)
+	}
 	r.counters.add(&r.tally)
 	r.tally = tally{}
 }
@@ -72,12 +114,12 @@
 	r.tally.late = r.in.Late()
 	for i := range r.in.Len() {
 		b := r.in.Packet(i)
-		if isEncapsulated(b) {
+		if !r.onlyData && isEncapsulated(b) {
 			r.parseHint(b)
 			continue
 		}
 		r.tally.received++
-		if packet.Parse(b, &r.infos[i]) != nil {
+		if r.format.Parse(b, &r.infos[i]) != nil {
 			r.tally.malformed++
 			continue
 		}
@@ -138,6 +180,7 @@
 	d := &r.decisions[i]
 	if !d.OK {
 		r.tally.dropped[d.Reason]++
+		r.reset(i)
 		return
 	}
 	if d.Hinted {
@@ -155,6 +198,18 @@
 	r.tally.sent++
 }
 
+// reset ends the flow of a packet whose address leads nowhere, so that the client need
+// not wait for its deadline.
+func (r *reader) reset(i int) {
+	if r.datagram == nil || r.decisions[i].Reason != flow.ReasonNoService || !r.current() {
+		return
+	}
+	if b := r.datagram.AppendReset(nil, &r.infos[i]); b != nil {
+		r.resets.Add(b, r.datagram.ClientAddress(&r.infos[i].Key))
+		r.tally.resets++
+	}
+}
+
 // isEncapsulated tells an encapsulation header, whose first byte is a small
 // version number, from an IP packet, whose first four bits are 4 or 6.
 func isEncapsulated(b []byte) bool { return len(b) > 0 && b[0]>>4 == 0 }
--- a/cmd/nutmegtrack/daemons.go
+++ b/cmd/nutmegtrack/daemons.go
@@ -7,15 +7,20 @@
 
 	"github.com/nutmegtrack/nutmegtrack/agent"
 	"github.com/nutmegtrack/nutmegtrack/balancer"
+	"github.com/nutmegtrack/nutmegtrack/platform"
 	"github.com/nutmegtrack/nutmegtrack/process"
 )
 
 func newBalancer() command {
-	return newDaemon("balancer", "runs the balancer daemon of an entry VM", balancer.Run)
+	return newDaemon("balancer", "runs the balancer daemon of an entry VM", func(file string, w io.Writer) int {
+		return balancer.Run(file, w, platform.Balancers)
+	})
 }
 
 func newAgent() command {
-	return newDaemon("agent", "runs the agent daemon of an upstream VM", agent.Run)
+	return newDaemon("agent", "runs the agent daemon of an upstream VM", func(file string, w io.Writer) int {
+		return agent.Run(file, w, platform.Agents)
+	})
 }
 
 func newDaemon(name, description string, run func(string, io.Writer) int) command {
--- a/cmd/nutmegtrack/daemons_test.go
+++ b/cmd/nutmegtrack/daemons_test.go
@@ -33,7 +33,7 @@
 		b := balancer.New(settings.Balancer{
 			Name: "b1", FailureDomain: "a", Readers: 1, HintEntries: 1024,
 			DataAddress: loopback, ControlListen: loopback, HealthAddress: loopback,
-		}, event.NewLogger(io.Discard))
+		}, balancer.Options{}, event.NewLogger(io.Discard))
 		Expect(b.Start()).To(Succeed())
 		address := b.ControlAddress().String()
 		Expect(run([]string{"dump", address})).To(Equal(exitOK))
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -2,7 +2,7 @@
 
 // Events by number: 1000 processes and settings, 1100 packet path, 1200
 // membership, 1300 store and lists, 1400 control calls, 1500 limits of plans,
-// 1600 requests.
+// 1600 requests, 1700 the upstream beside an agent.
 var (
 	Started      = Definition{1000, Info, "started", "The process has opened its sockets."}
 	Draining     = Definition{1001, Info, "draining", "A graceful shutdown or drain has begun."}
@@ -22,6 +22,10 @@
 	ListsRejected = Definition{1301, Error, "lists rejected", "Lists read from the store or a peer were not activated; the revision active before stays in force."}
 	StoreFailed   = Definition{1302, Warn, "store call failed", "The store did not answer; the process goes on with what it has and tries again. At most one event is logged each minute."}
 
+	RoutesActive   = Definition{1310, Info, "routes active", "The routes of the given version are in force on this process."}
+	RoutesRejected = Definition{1311, Error, "routes rejected", "A document of routes was not put into force; the one before stays."}
+	RouteUnusable  = Definition{1312, Warn, "route unusable", "One route of a document cannot be used, for the reason in `finding`; the others are in force."}
+
 	ControlFailed = Definition{1400, Warn, "control service failed", "The control listener reported an error; other processes may be unable to reach this one."}
 
 	GrantorStarted    = Definition{1500, Info, "quota grantor started", "This balancer issues the tokens of `service` from now on, in the given `term`."}
@@ -29,6 +33,10 @@
 	RecountUnfinished = Definition{1502, Warn, "recount not finished", "The grantor of `service` has not been able to count all tokens; limits that were raised are not issued until it has. Look for agents that do not answer. At most one event is logged each minute."}
 	LeaseExpired      = Definition{1503, Warn, "admission lease expired", "New flows were refused because the grantor has not renewed this agent's admission lease; open flows go on. Check the grantor of the service and the way to it. At most one event is logged each minute."}
 
+	UpstreamStarted   = Definition{1700, Info, "upstream started", "The upstream on this VM has announced a new start; flows of an earlier one have ended."}
+	UpstreamState     = Definition{1701, Info, "upstream announced", "The upstream on this VM has announced another state, has said that it ends, or has been silent for too long."}
+	UpstreamMalformed = Definition{1702, Warn, "announcement rejected", "An announcement of an upstream was malformed, older than one that is known, or of another upstream; it changed nothing. At most one event is logged each minute."}
+
 	HTTPListening = Definition{1600, Info, "HTTP front listening", "The agent accepts HTTP connections of callers for its upstream."}
 )
 
@@ -38,7 +46,9 @@
 	WrongService, SendFailed,
 	StateChanged, PeerSilent,
 	ListsActive, ListsRejected, StoreFailed,
+	RoutesActive, RoutesRejected, RouteUnusable,
 	ControlFailed,
 	GrantorStarted, GrantorStopped, RecountUnfinished, LeaseExpired,
 	HTTPListening,
+	UpstreamStarted, UpstreamState, UpstreamMalformed,
 }
--- a/flow/config.go
+++ b/flow/config.go
@@ -26,6 +26,11 @@
 	Admission     Admission     // may be nil: all flows are admitted
 	MaxWaiting    int           // flows that wait for the admission; default 1024
 	MaxWait       time.Duration // default 900 ms
+	// Rebuild is the time after the start in which packets of unknown flows are shown
+	// to the upstream, which returns those of flows that it does not hold. Flows that
+	// the upstream's packets show are adopted at any time. Default 0: the upstream
+	// returns nothing, and the table begins empty.
+	Rebuild time.Duration
 }
 
 func orDefault[T int | float64 | time.Duration](v *T, d T) {
--- a/flow/hints.go
+++ b/flow/hints.go
@@ -12,12 +12,12 @@
 
 // hint says which agent holds a flow. A zero owner marks an unused entry.
 type hint struct {
-	hash        uint64
-	owner       packet.AgentID
-	incarnation uint32 // low bits of the owner's incarnation
-	used        uint32 // seconds since process start
-	learned     bool   // sent by the owner, not assumed from a routing decision
-	opening     bool   // assumed from a SYN, and no other packet has used it since
+	hash    uint64
+	owner   packet.AgentID
+	holder  uint32 // low bits of what identifies the holder of the owner's flows
+	used    uint32 // seconds since process start
+	learned bool   // sent by the owner, not assumed from a routing decision
+	opening bool   // assumed from a SYN, and no other packet has used it since
 }
 
 // hintTable is a set-associative cache of fixed size.
--- a/flow/inbox.go
+++ b/flow/inbox.go
@@ -19,6 +19,7 @@
 type inbox struct {
 	filter      *digestFilter // shared by the table's inboxes
 	incarnation uint64
+	start       uint64 // of the sender's upstream; 0 when not known
 	seq         uint32
 	set         map[uint32]uint16
 	old         map[uint32]uint16 // digest before the last reset, kept until the new one is complete
@@ -28,22 +29,40 @@
 	mismatch    bool          // the sender must send the whole digest again
 	asked       time.Duration // when it was last asked to
 	complete    bool          // a check has matched since the last reset
+	keepOld     time.Duration // until then, old is kept although the new digest is complete
 }
 
 // clear forgets everything.
 func (b *inbox) clear() {
 	b.forget(b.set)
 	b.forget(b.old)
-	*b = inbox{filter: b.filter, incarnation: b.incarnation, asked: b.asked}
+	*b = inbox{filter: b.filter, incarnation: b.incarnation, start: b.start, asked: b.asked}
 }
 
 // restart begins a new digest. Until it is complete, the old one still serves to
 // find holders: an outdated fingerprint costs a detour, a missing one a flow.
 func (b *inbox) restart() {
-	old := b.set
+	old, keep := b.set, b.keepOld
 	b.set = nil
+	if len(old) == 0 {
+		old, b.old = b.old, nil
+	}
 	b.clear()
-	b.old = old
+	b.old, b.keepOld = old, keep
+}
+
+// restarted begins the digest of an agent that has started anew. Its upstream may
+// still hold flows that the agent has not learned again, so the old digest is kept
+// for that time.
+func (b *inbox) restarted(now, keep time.Duration) {
+	b.keepOld = now + keep
+	b.restart()
+}
+
+// sameUpstream reports whether the message may come from an agent beside the same
+// start of the upstream as before.
+func (b *inbox) sameUpstream(m *Message) bool {
+	return m.Start == 0 || b.start == 0 || m.Start == b.start
 }
 
 // forget takes a set out of the filter.
@@ -88,14 +107,20 @@
 }
 
 // apply updates the digest from a message; room is the number of fingerprints
-// that may still be added.
-func (b *inbox) apply(m *Message, room int) {
-	if b.incarnation != m.Incarnation {
-		b.incarnation = m.Incarnation
+// that may still be added. The digest of an agent that restarted is kept for a time.
+func (b *inbox) apply(now time.Duration, m *Message, room int, keep time.Duration) {
+	switch {
+	case b.incarnation != m.Incarnation && keep > 0 && b.sameUpstream(m):
+		b.restarted(now, keep)
+	case b.incarnation != m.Incarnation, !b.sameUpstream(m):
 		b.clear()
-	} else if m.Reset {
+	case m.Reset:
 		b.restart()
 	}
+	b.incarnation = m.Incarnation
+	if m.Start != 0 {
+		b.start = m.Start
+	}
 	b.mismatch = b.mismatch || (!m.Reset && m.Seq != b.seq+1)
 	b.seq = m.Seq
 	for _, fp := range m.Add {
@@ -114,7 +139,7 @@
 		b.mismatch = !equal
 		b.complete = equal
 	}
-	if b.complete && b.old != nil {
+	if b.complete && b.old != nil && now >= b.keepOld {
 		b.forget(b.old)
 		b.old = nil
 	}
--- a/flow/lifetime.go
+++ b/flow/lifetime.go
@@ -33,6 +33,9 @@
 func (t *Table) Reply(now time.Duration, in *packet.Info) {
 	k := in.Key.Reverse()
 	e := t.flows.find(k.Hash(), &k)
+	if e == nil {
+		e = t.adopt(now, &k, in)
+	}
 	if e == nil || in.ICMPError {
 		return
 	}
--- a/flow/message.go
+++ b/flow/message.go
@@ -7,6 +7,7 @@
 type Message struct {
 	From, To    packet.AgentID
 	Incarnation uint64 // of the sender
+	Start       uint64 // of the sender's upstream; 0 when not known
 
 	// HasLoad marks Open and Limit as set.
 	HasLoad bool
--- a/flow/peer.go
+++ b/flow/peer.go
@@ -49,6 +49,14 @@
 	}
 }
 
+// lastAccepted returns when the peer was last seen to accept flows.
+func (p *peer) lastAccepted(now time.Duration) time.Duration {
+	if p.State.Accepts() {
+		return now
+	}
+	return p.acceptedUntil
+}
+
 // settled reports whether the peer has accepted flows long enough for all views
 // to show it.
 func (p *peer) settled(now, settling time.Duration) bool {
--- /dev/null
+++ b/flow/rebuild.go
@@ -0,0 +1,129 @@
+package flow
+
+import (
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/packet"
+)
+
+// An agent that has just started beside an upstream that was running before knows
+// none of the upstream's flows. It rebuilds its table from the upstream itself: the
+// upstream's own packets show flows that it holds, and it returns the packets of flows
+// that it does not hold.
+
+// trialTime is the time after which a packet that was not returned shows that the
+// upstream holds its flow. Upstream and agent are on one VM, so that a packet comes
+// back in well under a millisecond unless one of them waits for the processor.
+const trialTime = 30 * time.Millisecond
+
+// trial is what is known of a flow that this agent does not hold in its table.
+type trial struct {
+	at       time.Duration
+	returned bool // the upstream does not hold the flow
+}
+
+// maxTried is the number of upstreams that a packet of an unknown flow is shown to.
+const maxTried = 2
+
+// maxTrials bounds the trials; beyond it, packets of unknown flows are forwarded.
+const maxTrials = 1 << 14
+
+// rebuilding reports whether the table may lack flows that the upstream holds.
+func (t *Table) rebuilding(now time.Duration) bool {
+	return t.cfg.Rebuild > 0 && now < t.rebuildUntil
+}
+
+// try applies the rebuilding phase to a packet of an unknown flow. One packet at a
+// time is shown to the upstream: each packet that reaches an upstream which does not
+// hold its flow is one too many.
+func (t *Table) try(now time.Duration, hash uint64, h *packet.Header, in *packet.Info) (Action, bool) {
+	if !t.rebuilding(now) || in.RST {
+		return Action{}, false
+	}
+	tr, known := t.trials[hash]
+	switch {
+	case known && tr.returned:
+		return Action{}, false
+	case known && now-tr.at < trialTime:
+		return t.drop(ReasonWaiting), true
+	case known:
+		delete(t.trials, hash)
+		return t.deliver(now, h, t.take(now, hash, &in.Key)), true
+	case len(t.trials) >= maxTrials || h.Tried >= maxTried:
+		return Action{}, false
+	}
+	t.trials[hash] = trial{at: now}
+	h.Tried++
+	t.counters.Tried++
+	return Action{Kind: Deliver}, true
+}
+
+// Returned decides about a packet that the upstream has sent back. The header is the
+// one that it was delivered under. The flow is not here; a first packet was not
+// accepted.
+func (t *Table) Returned(now time.Duration, h *packet.Header, in *packet.Info) Action {
+	t.counters.Returned++
+	hash := in.Key.Hash()
+	if _, known := t.trials[hash]; known {
+		t.trials[hash] = trial{at: now, returned: true}
+	}
+	t.forgetFlow(now, hash, &in.Key)
+	if in.First {
+		return t.placeElsewhere(now, hash, h)
+	}
+	if a, done := t.forwardToHolder(now, hash, h, in); done {
+		return a
+	}
+	return t.forwardAlongRanking(now, hash, h)
+}
+
+// placeElsewhere hands a first packet that the upstream did not accept to the flow's
+// next choice.
+func (t *Table) placeElsewhere(now time.Duration, hash uint64, h *packet.Header) Action {
+	next := t.nextChoice(hash, h)
+	if next == nil {
+		return t.drop(ReasonNoUpstream)
+	}
+	t.handoffs.remember(now, hash, next.ID)
+	t.counters.HandedOff++
+	return t.forward(h, next)
+}
+
+// forgetFlow removes a flow that the upstream turned out not to hold.
+func (t *Table) forgetFlow(now time.Duration, hash uint64, k *packet.Key) {
+	if position, found := t.flows.position(hash, k); found {
+		t.end(now, position)
+	}
+}
+
+// adopt takes a flow that the upstream's own packet shows it to hold.
+func (t *Table) adopt(now time.Duration, k *packet.Key, in *packet.Info) *entry {
+	if t.cfg.Rebuild == 0 || in.RST || in.ICMPError || len(t.flows.entries) >= t.cfg.MaxFlows {
+		return nil
+	}
+	hash := k.Hash()
+	delete(t.trials, hash)
+	t.counters.Adopted++
+	return t.take(now, hash, k)
+}
+
+// RestartUpstream says that the upstream has started anew: it holds no flow of before.
+func (t *Table) RestartUpstream(now time.Duration, start uint64) {
+	t.self.Start = start
+	for len(t.flows.entries) > 0 {
+		t.end(now, len(t.flows.entries)-1)
+	}
+	clear(t.trials)
+}
+
+// expireTrials forgets the trials that are too old to matter.
+func (t *Table) expireTrials(now time.Duration) {
+	if len(t.trials) == 0 {
+		return
+	}
+	for hash, tr := range t.trials {
+		if now-tr.at >= t.cfg.HandoffMemory {
+			delete(t.trials, hash)
+		}
+	}
+}
--- a/flow/receive.go
+++ b/flow/receive.go
@@ -32,6 +32,9 @@
 	if in.First {
 		return t.receiveFirst(now, hash, h, in)
 	}
+	if a, done := t.try(now, hash, h, in); done {
+		return a
+	}
 	return t.forwardAlongRanking(now, hash, h)
 }
 
@@ -69,6 +72,12 @@
 	return t.forward(h, p), true
 }
 
+// lastResort reports whether this agent takes flows although it is not ready: it has
+// just started, nobody else accepts, and its upstream returns what it does not accept.
+func (t *Table) lastResort() bool {
+	return t.cfg.Rebuild > 0 && t.self.State == Starting && len(t.flows.entries) < t.cfg.MaxFlows
+}
+
 // opensTCP reports whether the packet is a SYN. Its client has no connection yet, so
 // a SYN for a failed upstream is placed anew, where other packets still go there in
 // case the upstream was marked failed by mistake.
@@ -112,13 +121,18 @@
 	}
 	t.origins.note(now, h.Origin)
 	h.Flags &^= packet.FlagReturnIfUnknown
-	if p := t.previousOwner(now, hash, h); p != nil {
+	// The first copy of a SYN belongs to no older flow, and later copies must not go
+	// back to an agent that has not answered.
+	if p := t.previousOwner(now, hash, h); p != nil && !in.Numbered {
 		return t.offer(h, p)
 	}
 	next := t.nextChoice(hash, h)
 	if t.takes(now, h.Hops, next) {
 		return t.admit(now, hash, h, &in.Key)
 	}
+	if next == nil && t.lastResort() {
+		return t.admit(now, hash, h, &in.Key)
+	}
 	if next == nil {
 		return t.drop(ReasonNoUpstream)
 	}
@@ -216,19 +230,29 @@
 		return t.drop(ReasonNoOwner)
 	}
 	p, _ := t.peers.best(hash, func(p *peer) bool {
-		return p.recent(now, t.cfg.Settling) && !p.State.Gone() && !h.HasVisited(p.ID)
+		return p.recent(now, t.cfg.Settling) && t.mayHold(p) && !h.HasVisited(p.ID)
 	})
 	if p == nil {
 		p, _ = t.peers.best(hash, func(p *peer) bool {
-			return p.State != Starting && !p.State.Gone() && !h.HasVisited(p.ID)
+			return p.State != Starting && t.mayHold(p) && !h.HasVisited(p.ID)
 		})
 	}
+	// After a power failure all agents start anew beside upstreams that hold flows.
+	if p == nil && t.cfg.Rebuild > 0 {
+		p, _ = t.peers.best(hash, func(p *peer) bool { return p.State == Starting && !h.HasVisited(p.ID) })
+	}
 	if p == nil {
 		return t.drop(ReasonNoOwner)
 	}
 	return t.forward(h, p)
 }
 
+// mayHold reports whether the peer may hold flows. Where flows survive a restart of
+// the agent, a failed one may hold them still: its packets go there and nowhere else.
+func (t *Table) mayHold(p *peer) bool {
+	return p.State != Leaving && (p.State != Failed || t.cfg.Rebuild > 0)
+}
+
 // forward adds this agent to the header's path. The checks hold by construction:
 // a failure is a fault of this package, not of the input.
 func (t *Table) forward(h *packet.Header, p *peer) Action {
--- a/flow/router.go
+++ b/flow/router.go
@@ -1,7 +1,9 @@
 package flow
 
 import (
+	"cmp"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/nutmegtrack/nutmegtrack/packet"
@@ -35,9 +37,25 @@
 	cfg       RouterConfig
 	hints     hintTable
 	services  []routedService
-	endpoints map[endpointKey]int
+	endpoints map[endpointKey]destination
 }
 
+// destination is where the flows to one address go: to one service, or to several by
+// weight. A service is its position in the view, or noService when no upstream of it
+// is known.
+type destination struct {
+	service int
+	split   []share // nil for one service
+	total   uint64
+}
+
+type share struct {
+	service int
+	weight  uint64
+}
+
+const noService = -1
+
 // endpointKey is a service address in the form that a packet's key has.
 type endpointKey struct {
 	addr  [16]byte
@@ -69,15 +87,58 @@
 // SetView replaces the fleet as the router knows it.
 func (r *Router) SetView(_ time.Duration, v *View) {
 	r.services = make([]routedService, len(v.Services))
-	r.endpoints = make(map[endpointKey]int)
+	r.endpoints = make(map[endpointKey]destination)
+	position := make(map[packet.ServiceID]int, len(v.Services))
 	for i := range v.Services {
 		s := &v.Services[i]
 		r.services[i] = prepareService(s)
+		position[s.ID] = i
+		if v.Routes != nil {
+			continue
+		}
 		for _, e := range s.Endpoints {
-			k := endpointKey{addr: e.Addr.Addr().As16(), port: e.Addr.Port(), proto: e.Proto}
-			r.endpoints[k] = i
+			r.endpoints[keyOfEndpoint(e)] = destination{service: i}
 		}
 	}
+	for i := range v.Routes {
+		r.endpoints[keyOfEndpoint(v.Routes[i].Endpoint)] = newDestination(v.Routes[i].Targets, position)
+	}
+}
+
+func keyOfEndpoint(e Endpoint) endpointKey {
+	return endpointKey{addr: e.Addr.Addr().As16(), port: e.Addr.Port(), proto: e.Proto}
+}
+
+func newDestination(targets []Target, position map[packet.ServiceID]int) destination {
+	d := destination{service: noService}
+	for _, t := range targets {
+		i, known := position[t.Service]
+		if !known {
+			i = noService
+		}
+		if len(targets) == 1 {
+			d.service = i
+			return d
+		}
+		d.split = append(d.split, share{service: i, weight: uint64(max(t.Weight, 0))})
+		d.total += uint64(max(t.Weight, 0))
+	}
+	return d
+}
+
+// choose returns the service of a new flow.
+func (d *destination) choose(hash uint64) int {
+	if d.total == 0 {
+		return d.service
+	}
+	at := hash % d.total
+	for _, s := range d.split {
+		if at < s.weight {
+			return s.service
+		}
+		at -= s.weight
+	}
+	return noService
 }
 
 func prepareService(s *Service) routedService {
@@ -104,17 +165,20 @@
 
 // Route decides where a packet goes. It does not allocate.
 func (r *Router) Route(now time.Duration, in *packet.Info) Decision {
-	k := endpointKey{addr: in.Key.Dst, port: in.Key.DstPort, proto: in.Key.Proto}
-	i, found := r.endpoints[k]
+	d, found := r.destination(&in.Key)
 	if !found {
 		return Decision{Reason: ReasonNoService}
 	}
-	s := &r.services[i]
 	hash := in.Key.Hash()
-	if u := r.hinted(now, s, hash, in); u != nil {
+	if s, u := r.hinted(now, &d, hash, in); u != nil {
 		return Decision{OK: true, Hinted: true, Service: s.id, Agent: u.ID, Addr: u.Addr}
 	}
-	u := s.firstChoice(hash)
+	i := d.choose(hash)
+	if i == noService {
+		return Decision{Reason: ReasonNoUpstream}
+	}
+	s := &r.services[i]
+	u := s.choice(hash, in)
 	if u == nil {
 		return Decision{Reason: ReasonNoUpstream, Service: s.id}
 	}
@@ -124,37 +188,85 @@
 	return Decision{OK: true, Service: s.id, Agent: u.ID, Addr: u.Addr}
 }
 
+func (r *Router) destination(k *packet.Key) (destination, bool) {
+	d, found := r.endpoints[endpointKey{addr: k.Dst, port: k.DstPort, proto: k.Proto}]
+	return d, found
+}
+
 // Knows reports whether the router has carried the packet's flow or has a hint for
 // it. It does not allocate.
 func (r *Router) Knows(now time.Duration, in *packet.Info) bool {
-	i, found := r.endpoints[endpointKey{addr: in.Key.Dst, port: in.Key.DstPort, proto: in.Key.Proto}]
-	return found && r.hinted(now, &r.services[i], in.Key.Hash(), in) != nil
+	d, found := r.destination(&in.Key)
+	if !found {
+		return false
+	}
+	_, u := r.hinted(now, &d, in.Key.Hash(), in)
+	return u != nil
 }
 
 // hinted returns the upstream that the flow's hint names if it can still hold
-// the flow. The lookup is limited to the packet's own service, so that an address
-// that moved to another service never follows an old hint.
-func (r *Router) hinted(now time.Duration, s *routedService, hash uint64, in *packet.Info) *Upstream {
+// the flow. The lookup is limited to the services of the packet's address, so that an
+// address that moved to another service never follows an old hint.
+func (r *Router) hinted(now time.Duration, d *destination, hash uint64, in *packet.Info) (*routedService, *Upstream) {
 	h := r.hints.find(hash)
-	if h == nil {
-		return nil
+	// The copy of a SYN says that the first one was not answered where it went.
+	if h == nil || in.Repeat > 0 {
+		return nil, nil
 	}
-	i, found := s.byID[h.owner]
-	if !found {
-		return nil
+	s, i := r.find(d, h.owner)
+	if s == nil {
+		return nil, nil
 	}
 	u := &s.upstreams[i]
-	if uint32(u.Incarnation) != h.incarnation || u.State == Leaving {
-		return nil
+	if u.holder() != h.holder || u.State == Leaving {
+		return nil, nil
 	}
 	// A SYN that this balancer sent to a failed upstream may have been lost there,
 	// and another balancer may have placed its repetition elsewhere.
 	if u.State == Failed && (in.First || h.opening) {
-		return nil
+		return nil, nil
 	}
 	h.used = seconds(now)
 	h.opening = h.opening && in.First
-	return u
+	return s, u
+}
+
+// find returns the service of the destination that has the upstream, and the
+// upstream's position there, or nil.
+func (r *Router) find(d *destination, owner packet.AgentID) (*routedService, int) {
+	if d.split == nil {
+		return r.findIn(d.service, owner)
+	}
+	for _, s := range d.split {
+		if found, i := r.findIn(s.service, owner); found != nil {
+			return found, i
+		}
+	}
+	return nil, 0
+}
+
+func (r *Router) findIn(service int, owner packet.AgentID) (*routedService, int) {
+	if service == noService {
+		return nil, 0
+	}
+	s := &r.services[service]
+	i, known := s.byID[owner]
+	if !known {
+		return nil, 0
+	}
+	return s, i
+}
+
+// choice returns the flow's first choice, or for the copies of a SYN, which the first
+// choice has not answered, one of the next.
+func (s *routedService) choice(hash uint64, in *packet.Info) *Upstream {
+	first := s.firstChoice(hash)
+	if in.Repeat == 0 || len(s.candidates) < 2 {
+		return first
+	}
+	ranked := slices.Clone(s.candidates)
+	slices.SortFunc(ranked, func(a, b candidate) int { return cmp.Compare(score(hash, b.seed), score(hash, a.seed)) })
+	return &s.upstreams[ranked[int(in.Repeat)%len(ranked)].upstream]
 }
 
 func (s *routedService) firstChoice(hash uint64) *Upstream {
@@ -171,18 +283,17 @@
 // Learn records a hint that an agent sent. A hint for an unknown service address
 // or upstream is ignored.
 func (r *Router) Learn(now time.Duration, k *packet.Key, owner packet.AgentID) {
-	i, found := r.endpoints[endpointKey{addr: k.Dst, port: k.DstPort, proto: k.Proto}]
+	d, found := r.destination(k)
 	if !found {
 		return
 	}
-	s := &r.services[i]
-	if j, known := s.byID[owner]; known {
-		r.remember(now, k.Hash(), &s.upstreams[j], hint{learned: true})
+	if s, i := r.find(&d, owner); s != nil {
+		r.remember(now, k.Hash(), &s.upstreams[i], hint{learned: true})
 	}
 }
 
 // remember stores a hint that names the upstream.
 func (r *Router) remember(now time.Duration, hash uint64, u *Upstream, h hint) {
-	h.hash, h.owner, h.incarnation = hash, u.ID, uint32(u.Incarnation)
+	h.hash, h.owner, h.holder = hash, u.ID, u.holder()
 	r.hints.put(now, h)
 }
--- a/flow/step.go
+++ b/flow/step.go
@@ -16,6 +16,7 @@
 	t.sweep(now)
 	t.expireWaiting(now)
 	t.handoffs.expire(now)
+	t.expireTrials(now)
 	t.updateMeans(now)
 	t.withdraw(now)
 	t.earn(now)
@@ -37,7 +38,7 @@
 // messageTo returns the message under construction for a peer.
 func (t *Table) messageTo(p *peer) *Message {
 	if p.message == nil {
-		p.message = &Message{From: t.self.ID, To: p.ID, Incarnation: t.self.Incarnation}
+		p.message = &Message{From: t.self.ID, To: p.ID, Incarnation: t.self.Incarnation, Start: t.self.Start}
 	}
 	return p.message
 }
@@ -119,15 +120,15 @@
 		t.restartDigest(now, p)
 	}
 	if m.Seq != 0 {
-		t.receiveDigest(m.From, &m)
+		t.receiveDigest(now, m.From, &m)
 	}
 }
 
-func (t *Table) receiveDigest(from packet.AgentID, m *Message) {
+func (t *Table) receiveDigest(now time.Duration, from packet.AgentID, m *Message) {
 	if t.inboxes[from] == nil && len(t.inboxes) >= maxInboxes+len(t.peers.list) {
 		return
 	}
-	t.inbox(from).apply(m, t.digestRoom())
+	t.inbox(from).apply(now, m, t.digestRoom(), t.cfg.Rebuild)
 }
 
 // Undelivered tells the table that a message may not have reached its receiver. It
--- a/flow/store.go
+++ b/flow/store.go
@@ -52,13 +52,20 @@
 // find returns the flow's entry, or nil. The pointer is valid until the next
 // insert or remove.
 func (s *flowStore) find(hash uint64, k *packet.Key) *entry {
+	if i, found := s.position(hash, k); found {
+		return &s.entries[i]
+	}
+	return nil
+}
+
+// position returns where the flow's entry is.
+func (s *flowStore) position(hash uint64, k *packet.Key) (int, bool) {
 	for i := s.slot(hash); s.index[i] != 0; i = s.next(i) {
-		e := &s.entries[s.index[i]-1]
-		if e.hash == hash && e.key == *k {
-			return e
+		if e := &s.entries[s.index[i]-1]; e.hash == hash && e.key == *k {
+			return int(s.index[i] - 1), true
 		}
 	}
-	return nil
+	return 0, false
 }
 
 // insert adds a flow that the store does not hold.
--- a/flow/table.go
+++ b/flow/table.go
@@ -27,24 +27,29 @@
 	filter   digestFilter
 	removals removalQueue
 	origins  origins
-
-	unsettled   time.Duration // until then, another view may show another first choice
-	stateSince  time.Duration // when self.State was set
-	loadSent    time.Duration
-	stepped     time.Duration
-	budget      int // digest bytes that may be sent now
-	sweepFrom   int
-	firstPeer   int     // where Step starts, so that pacing starves no peer
-	meanReady   float64 // open flows of the accepting upstreams
-	meanSettled float64 // open flows of those past slow start
-	slowStart   bool    // some peer is past slow start, so that the limit of slow start applies
-	counters    Counters
+	trials   map[uint64]trial // by hash of the flow
+
+	rebuildUntil time.Duration
+	unsettled    time.Duration // until then, another view may show another first choice
+	stateSince   time.Duration // when self.State was set
+	loadSent     time.Duration
+	stepped      time.Duration
+	budget       int // digest bytes that may be sent now
+	sweepFrom    int
+	firstPeer    int     // where Step starts, so that pacing starves no peer
+	meanReady    float64 // open flows of the accepting upstreams
+	meanSettled  float64 // open flows of those past slow start
+	slowStart    bool    // some peer is past slow start, so that the limit of slow start applies
+	counters     Counters
 }
 
 // Counters are totals since the table was made.
 type Counters struct {
 	Delivered, Forwarded, HandedOff, Offered, Hints uint64
 	Waited                                          uint64 // flows whose admission was not decided at once
+	Tried                                           uint64 // packets of unknown flows shown to the upstream
+	Returned                                        uint64 // packets that the upstream sent back
+	Adopted                                         uint64 // flows learned from the upstream's own packets
 	Dropped                                         [reasonCount]uint64
 }
 
@@ -62,6 +67,7 @@
 		handoffs:   newHandoffMemory(cfg.HandoffMemory, cfg.MaxHandoffs),
 		peers:      peerSet{byID: make(map[packet.AgentID]*peer)},
 		inboxes:    make(map[packet.AgentID]*inbox),
+		trials:     make(map[uint64]trial),
 		loadSent:   never,
 		stateSince: never,
 	}
@@ -78,6 +84,12 @@
 	t.retargetAll(now)
 }
 
+// Rebuild begins the rebuilding phase. Call it when packets may arrive.
+func (t *Table) Rebuild(now time.Duration) { t.rebuildUntil = now + t.cfg.Rebuild }
+
+// Start returns what identifies the start of the upstream, 0 when it is not known.
+func (t *Table) Start() uint64 { return t.self.Start }
+
 // State returns the state set last.
 func (t *Table) State() State { return t.self.State }
 
@@ -111,6 +123,9 @@
 	if old == nil || old.Incarnation != u.Incarnation {
 		p := newPeer(now, u)
 		p.in = t.inbox(u.ID)
+		if old != nil && t.cfg.Rebuild > 0 && (u.Start == 0 || u.Start == old.Start) {
+			p.acceptedUntil = max(p.acceptedUntil, old.lastAccepted(now))
+		}
 		t.unsettled = now + t.cfg.Settling
 		return p
 	}
--- a/flow/view.go
+++ b/flow/view.go
@@ -32,6 +32,15 @@
 	return "unknown"
 }
 
+// holder identifies what holds the upstream's flows: the upstream itself where it is
+// told apart from its agent.
+func (u *Upstream) holder() uint32 {
+	if u.Start != 0 {
+		return uint32(u.Start)
+	}
+	return uint32(u.Incarnation)
+}
+
 // Accepts reports whether an upstream in this state takes new flows.
 func (s State) Accepts() bool { return s == Ready }
 
@@ -46,9 +55,13 @@
 
 // Upstream is one upstream VM of a service as a view shows it.
 type Upstream struct {
-	ID            packet.AgentID
-	Name          string
-	Incarnation   uint64
+	ID          packet.AgentID
+	Name        string
+	Incarnation uint64 // of the agent's process
+	// Start identifies the start of the upstream itself, whose flows survive a
+	// restart of the agent. 0 when it is not known or not told apart from the
+	// agent's.
+	Start         uint64
 	Addr          netip.AddrPort // agent's data address
 	State         State
 	FailureDomain string
@@ -62,8 +75,23 @@
 	Upstreams []Upstream
 }
 
+// Target is a service that receives a share of a route's new flows.
+type Target struct {
+	Service packet.ServiceID
+	Weight  int // share of the sum of the route's weights
+}
+
+// Route is where the flows to one address go.
+type Route struct {
+	Endpoint Endpoint
+	Targets  []Target
+}
+
 // View is the fleet as one process knows it. A view is installed whole and is
 // never changed afterwards.
 type View struct {
 	Services []Service
+	// Routes replaces the endpoints of the services where operators state the
+	// services' addresses; nil where the upstreams announce them.
+	Routes []Route
 }
--- a/member/announcer.go
+++ b/member/announcer.go
@@ -262,6 +262,19 @@
 	a.announce(self)
 }
 
+// SetUpstream announces a new state together with the start of the upstream and its
+// slots.
+func (a *Announcer) SetUpstream(now time.Duration, start uint64, slots int, s flow.State) {
+	a.advance(now)
+	self := a.self
+	self.Start, self.Slots, self.State = start, slots, s
+	if self.sum() == a.self.sum() {
+		return
+	}
+	self.Version++
+	a.announce(self)
+}
+
 // Peers returns all upstreams of the service in order of name, self included.
 func (a *Announcer) Peers() []flow.Upstream {
 	for _, s := range a.table.View().Services {
--- a/member/group.go
+++ b/member/group.go
@@ -158,6 +158,7 @@
 		ID:            packet.AgentIDOf(r.Name),
 		Name:          r.Name,
 		Incarnation:   r.Incarnation,
+		Start:         r.Start,
 		Addr:          r.Data,
 		State:         r.State,
 		FailureDomain: r.FailureDomain,
--- a/member/record.go
+++ b/member/record.go
@@ -27,6 +27,7 @@
 	Name, Service, FailureDomain string
 	Role                         Role
 	Incarnation                  uint64 // random for each process start
+	Start                        uint64 // identifies the start of the upstream itself; 0 when not told apart
 	Epoch, Version               uint64
 	State                        flow.State
 	Data, Control                netip.AddrPort
--- a/member/wire.go
+++ b/member/wire.go
@@ -25,13 +25,14 @@
 	Data, Control                netip.AddrPort
 	Endpoints                    []wireEndpoint
 	Slots, Connections           int
+	Start                        uint64
 }
 
 func toWire(r *Record) wireRecord {
 	w := wireRecord{
 		Name: r.Name, Service: r.Service, FailureDomain: r.FailureDomain, Role: r.Role,
 		Incarnation: r.Incarnation, Epoch: r.Epoch, Version: r.Version, State: r.State,
-		Data: r.Data, Control: r.Control, Slots: r.Slots, Connections: r.Connections,
+		Data: r.Data, Control: r.Control, Slots: r.Slots, Connections: r.Connections, Start: r.Start,
 	}
 	for _, e := range r.Endpoints {
 		w.Endpoints = append(w.Endpoints, wireEndpoint{Addr: e.Addr, Proto: e.Proto})
@@ -43,7 +44,7 @@
 	r := Record{
 		Name: w.Name, Service: w.Service, FailureDomain: w.FailureDomain, Role: w.Role,
 		Incarnation: w.Incarnation, Epoch: w.Epoch, Version: w.Version, State: w.State,
-		Data: w.Data, Control: w.Control, Slots: w.Slots, Connections: w.Connections,
+		Data: w.Data, Control: w.Control, Slots: w.Slots, Connections: w.Connections, Start: w.Start,
 	}
 	for _, e := range w.Endpoints {
 		r.Endpoints = append(r.Endpoints, flow.Endpoint{Addr: e.Addr, Proto: e.Proto})
--- a/packet/header.go
+++ b/packet/header.go
@@ -47,6 +47,7 @@
 	Kind     Kind
 	Hops     uint8 // agents passed after the first one
 	Flags    uint8
+	Tried    uint8 // upstreams that the packet was shown to and that returned it
 	Service  ServiceID
 	Customer uint64           // hash of the customer's name; 0 when unknown
 	Origin   netip.AddrPort   // data address of the balancer, for hints
@@ -65,7 +66,7 @@
 	origin := h.Origin.Addr().As16()
 	copy(b[20:36], origin[:])
 	binary.BigEndian.PutUint16(b[36:], h.Origin.Port())
-	b[38], b[39] = 0, 0
+	b[38], b[39] = h.Tried, 0
 	for i, id := range h.Visited {
 		binary.BigEndian.PutUint32(b[40+4*i:], uint32(id))
 	}
@@ -103,6 +104,7 @@
 	h.Customer = binary.BigEndian.Uint64(b[12:])
 	origin := netip.AddrFrom16([16]byte(b[20:36])).Unmap()
 	h.Origin = netip.AddrPortFrom(origin, binary.BigEndian.Uint16(b[36:]))
+	h.Tried = b[38]
 	for i := range h.Visited {
 		h.Visited[i] = AgentID(binary.BigEndian.Uint32(b[40+4*i:]))
 	}
--- a/packet/parse.go
+++ b/packet/parse.go
@@ -43,6 +43,13 @@
 	ICMPError bool
 	// Flags holds all TCP flags.
 	Flags uint8
+	// Numbered is set for first packets of formats that number the copies of a
+	// repeated first packet; Repeat is then the number, from 0.
+	Numbered bool
+	Repeat   uint8
+	// Returned is set for a packet that the upstream sent back because it does not
+	// hold the flow or does not accept it.
+	Returned bool
 	// Seq and Ack are the TCP sequence and acknowledgement numbers.
 	Seq, Ack uint32
 	// Payload is the transport payload; it aliases the parsed bytes.
--- a/process/main.go
+++ b/process/main.go
@@ -28,5 +28,5 @@
 		fmt.Fprintf(os.Stderr, "%s: --settings FILE is required\n", name)
 		return ExitSettings
 	}
-	return run(file, os.Stderr)
+	return run(file, os.Stdout)
 }
--- a/settings/agent.go
+++ b/settings/agent.go
@@ -12,6 +12,10 @@
 	Name string `json:"name" required:"true"`
 	// FailureDomain is the failure domain of the VM.
 	FailureDomain string `json:"failure_domain" required:"true"`
+	// Environment is what the process runs on: "vm" or "platform".
+	Environment string `json:"environment" default:"vm" oneof:"vm platform"`
+	// Limits says whether plans limit customers: "plans" or "none".
+	Limits string `json:"limits" default:"plans" oneof:"plans none"`
 	// DataAddress receives encapsulated packets from balancers and agents.
 	DataAddress netip.AddrPort `json:"data_address" required:"true"`
 	// ControlListen is the address that the control service listens on.
@@ -33,6 +37,17 @@
 	// ReplyAddress receives the replies on their way to clients (packet_io.mode
 	// "udp").
 	ReplyAddress netip.AddrPort `json:"reply_address"`
+	// UpstreamListen is the address on which the upstream announces itself
+	// (environment "platform").
+	UpstreamListen netip.AddrPort `json:"upstream_listen"`
+	// HealthAddress serves the health endpoint over HTTP; none when absent.
+	HealthAddress netip.AddrPort `json:"health_address"`
+	// HeartbeatSeconds is the interval at which the upstream announces itself.
+	HeartbeatSeconds Seconds `json:"heartbeat_seconds" default:"1" min:"0.01" max:"600"`
+	// RebuildSeconds is the time after the start in which packets of unknown flows are
+	// shown to the upstream (environment "platform"). Flows that are silent for longer
+	// are lost by a restart of the agent.
+	RebuildSeconds Seconds `json:"rebuild_seconds" default:"20" min:"0" max:"3600"`
 	// HTTPListen is the address on which the agent accepts HTTP/1.1 connections of
 	// callers. Without it the service's flows are carried whole. Either all agents of
 	// a service have it or none.
@@ -59,7 +74,8 @@
 	// Name is the service's name.
 	Name string `json:"name" required:"true"`
 	// Endpoints are the service's addresses, the same on all its upstreams.
-	Endpoints []Endpoint `json:"endpoints" required:"true"`
+	// Required with environment "vm"; elsewhere operators state them.
+	Endpoints []Endpoint `json:"endpoints"`
 	// Slots is the number of requests that the upstream runs at once.
 	Slots int `json:"slots" default:"5" min:"1" max:"1000000"`
 	// Connections is the number of open flows that the upstream supports.
@@ -104,19 +120,39 @@
 	if a.HTTPListen.IsValid() && !a.HTTPUpstream.IsValid() && !at.known("http_upstream") {
 		at.add(found, "http_upstream", "is required with http_listen")
 	}
+	if a.Environment == EnvironmentPlatform {
+		a.checkPlatform(at, found)
+		return
+	}
+	if len(a.Service.Endpoints) == 0 {
+		at.add(found, "service.endpoints", `is required with environment "vm"`)
+	}
 	if a.PacketIO.Mode != ModeUDP {
 		return
 	}
-	for _, need := range []struct {
-		field string
-		value netip.AddrPort
-	}{
-		{"upstream_sink_address", a.UpstreamSinkAddress},
-		{"reply_listen", a.ReplyListen},
-		{"reply_address", a.ReplyAddress},
-	} {
-		if !need.value.IsValid() && !at.known(need.field) {
-			at.add(found, need.field, `is required with packet_io.mode "udp"`)
+	needAddresses(at, found, `is required with packet_io.mode "udp"`,
+		need{"upstream_sink_address", a.UpstreamSinkAddress},
+		need{"reply_listen", a.ReplyListen},
+		need{"reply_address", a.ReplyAddress})
+}
+
+func (a *Agent) checkPlatform(at positions, found *finding.List) {
+	needAddresses(at, found, `is required with environment "platform"`,
+		need{"upstream_listen", a.UpstreamListen},
+		need{"upstream_sink_address", a.UpstreamSinkAddress},
+		need{"reply_listen", a.ReplyListen})
+}
+
+// need is a field that must have an address.
+type need struct {
+	field string
+	value netip.AddrPort
+}
+
+func needAddresses(at positions, found *finding.List, message string, fields ...need) {
+	for _, f := range fields {
+		if !f.value.IsValid() && !at.known(f.field) {
+			at.add(found, f.field, message)
 		}
 	}
 }
--- a/settings/balancer.go
+++ b/settings/balancer.go
@@ -12,6 +12,13 @@
 	Name string `json:"name" required:"true"`
 	// FailureDomain is the failure domain of the VM.
 	FailureDomain string `json:"failure_domain" required:"true"`
+	// Environment is what the process runs on: "vm" or "platform".
+	Environment string `json:"environment" default:"vm" oneof:"vm platform"`
+	// Limits says whether plans limit customers: "plans" or "none".
+	Limits string `json:"limits" default:"plans" oneof:"plans none"`
+	// ClientAddress receives the packets of clients where they don't come to
+	// DataAddress (environment "platform").
+	ClientAddress netip.AddrPort `json:"client_address"`
 	// DataAddress receives IP packets from the fabric and hints from agents.
 	DataAddress netip.AddrPort `json:"data_address" required:"true"`
 	// HealthAddress serves the health endpoint over HTTP.
@@ -51,6 +58,9 @@
 
 func (b *Balancer) check(at positions, found *finding.List) {
 	b.PacketIO.check(at, found)
+	if b.Environment == EnvironmentPlatform && !b.ClientAddress.IsValid() && !at.known("client_address") {
+		at.add(found, "client_address", `is required with environment "platform"`)
+	}
 	if b.DataAddress.IsValid() && b.DataAddress.Addr().IsUnspecified() {
 		// Agents send hints to this address, so it must name the VM.
 		at.add(found, "data_address", "is announced to agents and cannot be the unspecified address")
--- a/settings/common.go
+++ b/settings/common.go
@@ -15,6 +15,22 @@
 	return time.Duration(float64(s) * float64(time.Second))
 }
 
+// Values of Environment.
+const (
+	// EnvironmentVM: IP packets of the VM, an etcd store, services that the agents'
+	// settings describe.
+	EnvironmentVM = "vm"
+	// EnvironmentPlatform: the platform's packets, store, routes and announcements of
+	// upstreams (docs/platform.md).
+	EnvironmentPlatform = "platform"
+)
+
+// Values of Limits.
+const (
+	LimitsPlans = "plans" // customers get what their plans allow
+	LimitsNone  = "none"  // no lists are read and every flow is admitted
+)
+
 // Values of PacketIO.Mode.
 const (
 	ModeUDP = "udp" // one raw IP packet in each UDP datagram
