flow: reset the flows of upstreams that have ended, and only those

An agent that stops beside a running upstream announces the state away, and no flow is given up meanwhile. Balancers reset only by routes that they route by. A connection attempt ends after 400 ms, so that a VM without power holds up nobody for a second.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -57,9 +57,10 @@
 	late      *reader    // delivers the first packets of flows that have waited
 	lateLock  sync.Mutex // guards late
 
-	started  time.Duration
-	state    sync.Mutex // serializes changes of state
-	stopping bool       // the state no longer follows the upstream; guarded by state
+	started   time.Duration
+	startedAt time.Time
+	state     sync.Mutex // serializes changes of state
+	stopping  bool       // the state no longer follows the upstream; guarded by state
 }
 
 // New returns an agent that has opened nothing yet.
@@ -81,6 +82,7 @@
 		life:      daemon.NewLifecycle(),
 		registry:  registry,
 		counters:  newCounters(registry),
+		startedAt: time.Now(),
 	}
 }
 
@@ -158,10 +160,18 @@
 	}
 	if a.options.Packets != nil {
 		c.Rebuild = a.cfg.RebuildSeconds.Duration()
+		c.DigestDelay, c.DigestRate = rebuildDigestDelay, rebuildDigestRate
 	}
 	return c
 }
 
+const (
+	// rebuildDigestDelay and rebuildDigestRate (bytes/s) make a flow's place known to
+	// its first choice well within flow's lostWait.
+	rebuildDigestDelay = 50 * time.Millisecond
+	rebuildDigestRate  = 64 << 10
+)
+
 // limited reports whether plans limit customers.
 func (a *Agent) limited() bool { return a.cfg.Limits != settings.LimitsNone }
 
--- a/agent/counters.go
+++ b/agent/counters.go
@@ -10,7 +10,7 @@
 type tally struct {
 	received, delivered, forwarded, replies  int
 	hints, malformed, wrongEndpoint, refused int
-	late, returned                           int
+	late, returned, resets                   int
 	dropped                                  daemon.Drops
 }
 
@@ -18,7 +18,7 @@
 type counters struct {
 	received, delivered, forwarded, replies  metrics.Counter
 	hints, malformed, wrongEndpoint, refused metrics.Counter
-	late, returned                           metrics.Counter
+	late, returned, resets                   metrics.Counter
 	dropped                                  daemon.DropCounters
 }
 
@@ -31,6 +31,7 @@
 		replies:       metrics.NewRegisteredCounter("packets.replies", r),
 		hints:         metrics.NewRegisteredCounter("hints.sent", r),
 		returned:      metrics.NewRegisteredCounter("packets.returned", r),
+		resets:        metrics.NewRegisteredCounter("resets.sent", r),
 		late:          metrics.NewRegisteredCounter("packets.late", r),
 		malformed:     metrics.NewRegisteredCounter("packets.malformed", r),
 		wrongEndpoint: metrics.NewRegisteredCounter("packets.dropped.wrong_endpoint", r),
@@ -47,6 +48,7 @@
 	daemon.Count(c.malformed, t.malformed)
 	daemon.Count(c.late, t.late)
 	daemon.Count(c.returned, t.returned)
+	daemon.Count(c.resets, t.resets)
 	daemon.Count(c.wrongEndpoint, t.wrongEndpoint)
 	daemon.Count(c.refused, t.refused)
 	c.dropped.Add(&t.dropped)
--- a/agent/reader.go
+++ b/agent/reader.go
@@ -84,11 +84,25 @@
 		r.tally.forwarded++
 	case flow.Wait:
 		r.agent.admission.keep(action.Flow, raw)
+	case flow.Reset:
+		r.tally.dropped[action.Reason]++
+		r.agent.reset(r.outgoing, &r.info, &r.tally)
 	case flow.Drop:
 		r.tally.dropped[action.Reason]++
 	}
 }
 
+// reset answers a client's packet with the end of its flow.
+func (a *Agent) reset(out *packetio.Outbox, in *packet.Info, t *tally) {
+	f := a.options.Packets
+	if f == nil {
+		return
+	}
+	if b := f.AppendReset(nil, in); b != nil && out.Add(b, f.ClientAddress(&in.Key)) {
+		t.resets++
+	}
+}
+
 func (r *reader) deliver(h *packet.Header, raw []byte) {
 	if h.Service != r.agent.service {
 		r.agent.log.Log(event.WrongService, "service", h.Service, "source", r.info.Key.Source())
@@ -217,6 +231,9 @@
 	action := t.Returned(now, &h, &r.info)
 	if action.Kind != flow.Forward {
 		r.tally.dropped[action.Reason]++
+		if action.Kind == flow.Reset {
+			r.agent.reset(r.outgoing, &r.info, &r.tally)
+		}
 		return
 	}
 	f.Forget(b)
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -53,8 +53,14 @@
 	mu      sync.Mutex
 	tracker *upstream.Tracker
 	state   flow.State // last logged
+	fresh   bool       // the upstream started no earlier than this process
 }
 
+// freshMargin is the time by which an upstream may have started before its agent when
+// both start with their VM. Its agent then misses none of its flows: it must be heard of
+// by the balancers before it gets one.
+const freshMargin = time.Second
+
 func newBeside(a *Agent) *beside {
 	b := &beside{
 		agent:     a,
@@ -82,6 +88,9 @@
 	_, before := b.tracker.Last()
 	err := b.tracker.Announce(b.agent.clock(), announcement)
 	_, start := b.tracker.Last()
+	if err == nil && start != before {
+		b.fresh = before != 0 || time.UnixMilli(announcement.Born).After(b.agent.startedAt.Add(-freshMargin))
+	}
 	b.mu.Unlock()
 	if err != nil {
 		b.malformed.Log("error", err)
@@ -117,13 +126,14 @@
 	state flow.State
 	start uint64
 	slots int
+	fresh bool
 }
 
 func (b *beside) condition() (c condition) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	last, start := b.tracker.Last()
-	c = condition{state: b.tracker.State(b.agent.clock()), start: start, slots: last.Slots}
+	c = condition{state: b.tracker.State(b.agent.clock()), start: start, slots: last.Slots, fresh: b.fresh}
 	if c.state != b.state {
 		b.agent.log.Log(event.UpstreamState, "id", last.ID, "from", b.state, "to", c.state,
 			"number", last.Sequence, "silent_seconds", (b.agent.clock() - b.tracker.Heard()).Seconds())
@@ -144,7 +154,7 @@
 	var restarted bool
 	a.flows.do(func(now time.Duration, t *flow.Table) {
 		if restarted = c.start != 0 && t.Start() != c.start; restarted {
-			t.RestartUpstream(now, c.start)
+			t.RestartUpstream(now, c.start, c.fresh)
 		}
 		warm := t.State() == flow.Ready || t.Warm(now) || now-a.started >= a.cfg.SettlingSeconds.Duration()
 		if c.state == flow.Ready && !(warm && a.peers.home.Load() != nil) {
@@ -165,7 +175,7 @@
 func (a *Agent) leaveUpstream() {
 	c := a.beside.condition()
 	a.log.Log(event.Draining, "open", a.flows.open(), "upstream", c.state)
-	to := flow.Failed
+	to := flow.Away
 	if c.state == flow.Leaving {
 		to = flow.Leaving
 	}
--- a/balancer/reader.go
+++ b/balancer/reader.go
@@ -85,7 +85,11 @@
 // routesCurrent reports whether an address that the router does not know leads nowhere.
 // The routes may have been read a moment before the router has them.
 func (b *Balancer) routesCurrent() bool {
-	return b.routes != nil && b.routed.Load() == b.routes.Active() && b.routes.Age() < maxRoutesAge
+	if b.routes == nil {
+		return false
+	}
+	active := b.routes.Active()
+	return active != nil && b.routed.Load() == active && b.routes.Age() < maxRoutesAge
 }
 
 // run handles packets until the source is closed.
--- /dev/null
+++ b/balancer/routes_test.go
@@ -0,0 +1,124 @@
+package balancer
+
+import (
+	"context"
+	"net/netip"
+	"strconv"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/nutmegtrack/nutmegtrack/event"
+	"github.com/nutmegtrack/nutmegtrack/fake"
+	"github.com/nutmegtrack/nutmegtrack/finding"
+	"github.com/nutmegtrack/nutmegtrack/flow"
+	"github.com/nutmegtrack/nutmegtrack/packet"
+	"github.com/nutmegtrack/nutmegtrack/packetio"
+	"github.com/nutmegtrack/nutmegtrack/route"
+	"github.com/nutmegtrack/nutmegtrack/settings"
+	"github.com/nutmegtrack/nutmegtrack/store"
+)
+
+// datagrams is a datagram format that carries IP packets; a reset is the word "reset".
+type datagrams struct{ packet.IP }
+
+func (datagrams) SetTag([]byte, uint32) {}
+func (datagrams) Tag([]byte) uint32     { return 0 }
+func (datagrams) Forget([]byte)         {}
+func (datagrams) AppendReset(dst []byte, _ *packet.Info) []byte {
+	return append(dst, "reset"...)
+}
+func (datagrams) ClientAddress(k *packet.Key) netip.AddrPort { return k.Source() }
+
+// portalRoute is a document with one route to impact-portal, of the version in text.
+func portalRoute(text []byte) (*route.Document, finding.List, error) {
+	version, err := strconv.ParseInt(string(text), 10, 64)
+	return &route.Document{Version: version, Routes: []route.Route{{
+		Name: "r1", Endpoint: flow.Endpoint{Addr: service, Proto: packet.ProtoTCP},
+		Targets: []route.Target{{Service: "impact-portal", Weight: 1}},
+	}}}, nil, err
+}
+
+var _ = Describe("A balancer with operators' routes", func() {
+	const key = "routes"
+	var (
+		t       *testBalancer
+		s       *fake.Store
+		clients *packetio.Pipe
+		elsew   = netip.MustParseAddrPort("10.96.0.9:80")
+		ctx     = context.Background()
+	)
+	BeforeEach(func() {
+		t = &testBalancer{pipe: packetio.NewPipe(1)}
+		clients = packetio.NewPipe(1)
+		s = fake.NewStore(func() time.Duration { return t.now })
+		cfg := settings.Balancer{Name: "b1", FailureDomain: "a", Readers: 1, HintEntries: 1024, Limits: settings.LimitsNone}
+		t.Balancer = newBalancer(cfg, event.NewLogger(&t.log), func() time.Duration { return t.now })
+		t.options = Options{Packets: datagrams{}, RoutesKey: key, DecodeRoutes: portalRoute}
+		t.assemble(ports{data: t.pipe, dataAddr: dataAddr, clients: clients}, s, nil, t.life.Spawn)
+		t.reader = t.newReader(clients)
+	})
+	put := func(version string) {
+		_, err := s.Txn(ctx, nil, []store.Op{{Key: key, Value: []byte(version)}})
+		Expect(err).NotTo(HaveOccurred())
+	}
+	// send passes packets through and returns how many were answered with a reset.
+	send := func(packets ...[]byte) int {
+		t.handle(packets...)
+		return len(clients.Sent())
+	}
+	ack := func(to netip.AddrPort) []byte {
+		return packet.AppendTCP(nil, &packet.TCPSegment{
+			Key: packet.KeyOf(client, to, packet.ProtoTCP), Flags: packet.FlagACK})
+	}
+
+	// Guards against open flows that a balancer resets while it starts: before it has
+	// the routes, and when it has read them but does not route by them yet.
+	It("resets nothing before it routes by the routes", func() {
+		Expect(send(ack(service), ack(elsew))).To(Equal(0))
+		put("1")
+		Expect(t.routes.Refresh(ctx)).To(Succeed())
+		Expect(t.routes.Active()).NotTo(BeNil())
+		Expect(send(ack(service), ack(elsew))).To(Equal(0))
+	})
+
+	// Guards against clients that wait for a deadline at an address that no route has.
+	It("resets the flows to an address without a route", func() {
+		put("1")
+		Expect(t.routes.Refresh(ctx)).To(Succeed())
+		t.refreshView()
+		Expect(send(ack(service), ack(elsew))).To(Equal(1))
+	})
+
+	// Guards against resets by a balancer that is cut off from the store and may lack a
+	// route that was just added.
+	It("resets nothing when its routes may be out of date", func() {
+		put("1")
+		Expect(t.routes.Refresh(ctx)).To(Succeed())
+		t.refreshView()
+		t.now += maxRoutesAge
+		Expect(send(ack(elsew))).To(Equal(0))
+	})
+
+	// Guards against a balancer that takes traffic it can only drop.
+	It("is not ready before it has routes", func() {
+		t.now = 2 * startLimit
+		t.refreshView()
+		Expect(t.health.get()).To(Equal(healthStarting))
+		put("1")
+		Expect(t.routes.Refresh(ctx)).To(Succeed())
+		t.refreshView()
+		Expect(t.health.get()).To(Equal(healthReady))
+	})
+
+	// Guards against routes that go back to an older version.
+	It("keeps the highest version", func() {
+		put("5")
+		Expect(t.routes.Refresh(ctx)).To(Succeed())
+		put("4")
+		Expect(t.routes.Refresh(ctx)).To(Succeed())
+		Expect(t.routes.Active().Version).To(BeEquivalentTo(5))
+		Expect(t.log.String()).To(ContainSubstring("event=1311"))
+	})
+})
--- a/control/client.go
+++ b/control/client.go
@@ -17,6 +17,7 @@
 // ClientConfig holds the parameters of a client. Zero fields take the default.
 type ClientConfig struct {
 	Timeout        time.Duration // for each call, connecting included; default 1 s
+	DialTimeout    time.Duration // for connecting; default 400 ms, more than any round trip
 	MaxConnections int           // open at the same time; default 64
 	Source         netip.Addr    // local address where it can reach the destination; default the system's choice
 }
@@ -49,6 +50,9 @@
 	if cfg.Timeout == 0 {
 		cfg.Timeout = time.Second
 	}
+	if cfg.DialTimeout == 0 {
+		cfg.DialTimeout = 400 * time.Millisecond
+	}
 	if cfg.MaxConnections == 0 {
 		cfg.MaxConnections = 64
 	}
@@ -151,7 +155,7 @@
 
 func (c *clientConn) open(to netip.AddrPort, cfg *ClientConfig, counts *Counts) {
 	defer close(c.ready)
-	dialer := net.Dialer{Timeout: cfg.Timeout, LocalAddr: localAddr(cfg.Source, to.Addr())}
+	dialer := net.Dialer{Timeout: cfg.DialTimeout, LocalAddr: localAddr(cfg.Source, to.Addr())}
 	conn, err := dialer.Dial("tcp", to.String())
 	if err != nil {
 		c.err = err
--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -68,7 +68,7 @@
 // Run reads the document until the context ends.
 func (r *Routes) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if err := r.read(ctx); err != nil {
+		if err := r.Refresh(ctx); err != nil {
 			r.failed.Log("key", r.cfg.Key, "error", err)
 			pause(ctx, r.jitter(routesRetry))
 			continue
@@ -99,7 +99,7 @@
 			}
 			r.take(change.Events)
 		case <-timer.C:
-			if err := r.read(ctx); err != nil {
+			if err := r.Refresh(ctx); err != nil {
 				r.failed.Log("key", r.cfg.Key, "error", err)
 				return
 			}
@@ -110,7 +110,8 @@
 	}
 }
 
-func (r *Routes) read(ctx context.Context) error {
+// Refresh reads the document from the store once.
+func (r *Routes) Refresh(ctx context.Context) error {
 	begun := r.cfg.Clock()
 	kv, err := r.cfg.Store.Get(ctx, r.cfg.Key)
 	if err != nil {
--- a/flow/accept.go
+++ b/flow/accept.go
@@ -76,6 +76,7 @@
 func (t *Table) take(now time.Duration, hash uint64, k *packet.Key) *entry {
 	e := t.flows.insert(now, hash, k)
 	t.handoffs.forget(hash)
+	t.lost.forget(hash)
 	t.retarget(now, e)
 	if t.cfg.Observer != nil {
 		t.cfg.Observer.FlowTaken(t.self.ID, k)
--- a/flow/action.go
+++ b/flow/action.go
@@ -16,6 +16,8 @@
 	Deliver
 	// Forward sends the packet to another agent under the updated header.
 	Forward
+	// Reset answers the client that its flow has ended: no upstream holds it.
+	Reset
 	// Wait keeps the packet until Table.Decide returns what to do with it, or until
 	// Table.WaitsFor is false.
 	Wait
--- a/flow/inbox.go
+++ b/flow/inbox.go
@@ -29,6 +29,7 @@
 	mismatch    bool          // the sender must send the whole digest again
 	asked       time.Duration // when it was last asked to
 	complete    bool          // a check has matched since the last reset
+	whole       bool          // the sender knows every flow that its upstream holds
 	keepOld     time.Duration // until then, old is kept although the new digest is complete
 }
 
--- a/flow/message.go
+++ b/flow/message.go
@@ -9,6 +9,9 @@
 	Incarnation uint64 // of the sender
 	Start       uint64 // of the sender's upstream; 0 when not known
 
+	// Complete says that the sender knows every flow that its upstream holds.
+	Complete bool
+
 	// HasLoad marks Open and Limit as set.
 	HasLoad bool
 	Open    uint32 // flows open at the sender
--- a/flow/peer.go
+++ b/flow/peer.go
@@ -16,6 +16,7 @@
 	out           outbox
 	in            *inbox
 	message       *Message // under construction in Step
+	listed        State    // state in the list of peers before
 }
 
 // load is the last load report of a peer, advanced by the flows handed to it.
@@ -78,6 +79,20 @@
 
 func (s *peerSet) get(id packet.AgentID) *peer { return s.byID[id] }
 
+// sameMembers reports whether two sets have the same peers, in the same incarnations and
+// states.
+func (s *peerSet) sameMembers(other *peerSet) bool {
+	if len(s.list) != len(other.list) {
+		return false
+	}
+	for _, p := range s.list {
+		if o := other.byID[p.ID]; o == nil || o.Incarnation != p.Incarnation || o.listed != p.State {
+			return false
+		}
+	}
+	return true
+}
+
 // best returns the highest-ranked peer for which include is true, with its score.
 func (s *peerSet) best(hash uint64, include func(*peer) bool) (*peer, uint64) {
 	var found *peer
--- a/flow/reason.go
+++ b/flow/reason.go
@@ -26,13 +26,15 @@
 	ReasonNoCustomer
 	// ReasonNoLists: the balancer has no lists yet, so it knows no customers.
 	ReasonNoLists
+	// ReasonFlowLost: the upstream that held the flow has ended or started anew.
+	ReasonFlowLost
 
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
 	"none", "no_service", "no_upstream", "wrong_service", "no_owner", "bad_path",
-	"refused", "waiting", "no_customer", "no_lists",
+	"refused", "waiting", "no_customer", "no_lists", "flow_lost",
 }
 
 // String returns the reason's name as metrics use it.
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -28,16 +28,14 @@
 // maxTrials bounds the trials; beyond it, packets of unknown flows are forwarded.
 const maxTrials = 1 << 14
 
-// rebuilding reports whether the table may lack flows that the upstream holds.
-func (t *Table) rebuilding(now time.Duration) bool {
-	return t.cfg.Rebuild > 0 && now < t.rebuildUntil
-}
+// complete reports whether the table holds every flow that the upstream holds.
+func (t *Table) complete(now time.Duration) bool { return now >= t.rebuildUntil }
 
 // try applies the rebuilding phase to a packet of an unknown flow. One packet at a
 // time is shown to the upstream: each packet that reaches an upstream which does not
 // hold its flow is one too many.
 func (t *Table) try(now time.Duration, hash uint64, h *packet.Header, in *packet.Info) (Action, bool) {
-	if !t.rebuilding(now) || in.RST {
+	if t.complete(now) || in.RST {
 		return Action{}, false
 	}
 	tr, known := t.trials[hash]
@@ -64,17 +62,14 @@
 func (t *Table) Returned(now time.Duration, h *packet.Header, in *packet.Info) Action {
 	t.counters.Returned++
 	hash := in.Key.Hash()
-	if _, known := t.trials[hash]; known {
+	if tr, known := t.trials[hash]; known && !tr.returned {
 		t.trials[hash] = trial{at: now, returned: true}
 	}
 	t.forgetFlow(now, hash, &in.Key)
 	if in.First {
 		return t.placeElsewhere(now, hash, h)
 	}
-	if a, done := t.forwardToHolder(now, hash, h, in); done {
-		return a
-	}
-	return t.forwardAlongRanking(now, hash, h)
+	return t.passOn(now, hash, h, in)
 }
 
 // placeElsewhere hands a first packet that the upstream did not accept to the flow's
@@ -108,10 +103,16 @@
 }
 
 // RestartUpstream says that the upstream has started anew: it holds no flow of before.
-func (t *Table) RestartUpstream(now time.Duration, start uint64) {
+// Fresh says that it started no earlier than this agent, which then knows all its flows.
+func (t *Table) RestartUpstream(now time.Duration, start uint64, fresh bool) {
 	t.self.Start = start
+	if fresh {
+		t.rebuildUntil = now
+	}
 	for len(t.flows.entries) > 0 {
-		t.end(now, len(t.flows.entries)-1)
+		last := len(t.flows.entries) - 1
+		t.lost.remember(now, t.flows.entries[last].hash)
+		t.end(now, last)
 	}
 	clear(t.trials)
 }
--- a/flow/receive.go
+++ b/flow/receive.go
@@ -32,9 +32,24 @@
 	if in.First {
 		return t.receiveFirst(now, hash, h, in)
 	}
+	if t.lost.has(now, hash) {
+		return t.resetLost(in)
+	}
 	if a, done := t.try(now, hash, h, in); done {
 		return a
 	}
+	return t.passOn(now, hash, h, in)
+}
+
+// passOn decides about a packet of a flow that this agent's upstream does not hold, or
+// is not known to hold.
+func (t *Table) passOn(now time.Duration, hash uint64, h *packet.Header, in *packet.Info) Action {
+	if a, done := t.forwardToHolder(now, hash, h, in); done {
+		return a
+	}
+	if t.lostFor(now, hash) >= lostWait && t.heldByNobody(now, hash) {
+		return t.resetLost(in)
+	}
 	return t.forwardAlongRanking(now, hash, h)
 }
 
--- a/flow/step.go
+++ b/flow/step.go
@@ -17,6 +17,7 @@
 	t.expireWaiting(now)
 	t.handoffs.expire(now)
 	t.expireTrials(now)
+	t.lost.expire(now)
 	t.updateMeans(now)
 	t.withdraw(now)
 	t.earn(now)
@@ -38,7 +39,10 @@
 // messageTo returns the message under construction for a peer.
 func (t *Table) messageTo(p *peer) *Message {
 	if p.message == nil {
-		p.message = &Message{From: t.self.ID, To: p.ID, Incarnation: t.self.Incarnation, Start: t.self.Start}
+		p.message = &Message{
+			From: t.self.ID, To: p.ID, Incarnation: t.self.Incarnation, Start: t.self.Start,
+			Complete: t.complete(t.stepped),
+		}
 	}
 	return p.message
 }
@@ -122,6 +126,9 @@
 	if m.Seq != 0 {
 		t.receiveDigest(now, m.From, &m)
 	}
+	if b := t.inboxes[m.From]; b != nil {
+		b.whole = m.Complete
+	}
 }
 
 func (t *Table) receiveDigest(now time.Duration, from packet.AgentID, m *Message) {
--- a/flow/table.go
+++ b/flow/table.go
@@ -28,8 +28,10 @@
 	removals removalQueue
 	origins  origins
 	trials   map[uint64]trial // by hash of the flow
+	lost     lostFlows
 
-	rebuildUntil time.Duration
+	rebuildUntil time.Duration // until then, flows of the upstream may be unknown
+	peersChanged time.Duration // when the list of peers last changed
 	unsettled    time.Duration // until then, another view may show another first choice
 	stateSince   time.Duration // when self.State was set
 	loadSent     time.Duration
@@ -47,6 +49,7 @@
 type Counters struct {
 	Delivered, Forwarded, HandedOff, Offered, Hints uint64
 	Waited                                          uint64 // flows whose admission was not decided at once
+	Reset                                           uint64 // packets of lost flows that were answered with a reset
 	Tried                                           uint64 // packets of unknown flows shown to the upstream
 	Returned                                        uint64 // packets that the upstream sent back
 	Adopted                                         uint64 // flows learned from the upstream's own packets
@@ -68,6 +71,7 @@
 		peers:      peerSet{byID: make(map[packet.AgentID]*peer)},
 		inboxes:    make(map[packet.AgentID]*inbox),
 		trials:     make(map[uint64]trial),
+		lost:       newLostFlows(cfg.MaxFlows),
 		loadSent:   never,
 		stateSince: never,
 	}
@@ -106,6 +110,9 @@
 		}
 	}
 	slices.SortFunc(next.list, func(a, b *peer) int { return int(int64(a.ID) - int64(b.ID)) })
+	if !t.peers.sameMembers(&next) {
+		t.peersChanged = now
+	}
 	for id := range t.peers.byID {
 		if next.byID[id] == nil {
 			t.inbox(id).clear()
@@ -113,6 +120,9 @@
 		}
 	}
 	t.peers = next
+	for _, p := range next.list {
+		p.listed = p.State
+	}
 	t.retargetAll(now)
 	t.resetNewPeers(now)
 }
--- a/flow/view.go
+++ b/flow/view.go
@@ -18,11 +18,17 @@
 	Draining
 	// Leaving upstreams have ended their flows and are about to exit.
 	Leaving
-	// Failed upstreams were found dead by several observers.
+	// Failed upstreams were found dead by several observers, or by their own agent.
 	Failed
+	// Away upstreams run on while their agent restarts: they receive no flows, and the
+	// packets of their flows are shown to no other upstream.
+	Away
 )
 
-var stateNames = [...]string{"starting", "ready", "draining", "leaving", "failed"}
+// MaxState is the highest State.
+const MaxState = Away
+
+var stateNames = [...]string{"starting", "ready", "draining", "leaving", "failed", "away"}
 
 // String returns the state's lower-case name.
 func (s State) String() string {
--- a/member/record.go
+++ b/member/record.go
@@ -58,7 +58,7 @@
 const maxCounter = 1 << 62
 
 func (r *Record) valid() bool {
-	return r.Name != "" && r.State <= flow.Failed && r.Role <= RoleBalancer &&
+	return r.Name != "" && r.State <= flow.MaxState && r.Role <= RoleBalancer &&
 		r.Epoch < maxCounter && r.Version < maxCounter
 }
 
