Watch the routes from the store's present revision; keep learned flows at the first announcement

Cause: (1) a watch began at the document's own revision. Change: routes are read by a list, which says at which revision it was made, and every round of the loop ends with a pause. The first start that an agent learns of ends no flow.

--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -154,7 +154,7 @@
 	var restarted bool
 	a.flows.do(func(now time.Duration, t *flow.Table) {
 		if restarted = c.start != 0 && t.Start() != c.start; restarted {
-			t.RestartUpstream(now, c.start, c.fresh)
+			t.SetStart(now, c.start, c.fresh)
 		}
 		warm := t.State() == flow.Ready || t.Warm(now) || now-a.started >= a.cfg.SettlingSeconds.Duration()
 		if c.state == flow.Ready && !(warm && a.peers.home.Load() != nil) {
--- a/balancer/routes_test.go
+++ b/balancer/routes_test.go
@@ -112,6 +112,35 @@
 		Expect(t.health.get()).To(Equal(healthReady))
 	})
 
+	// Guards against a watch from a revision that the store has long forgotten: it ends
+	// at once, and a loop of reads and watches without a pause made 23,000 calls in a day.
+	It("watches from the store's present revision", func() {
+		put("1")
+		for range 20 {
+			_, err := s.Txn(ctx, nil, []store.Op{{Key: "other", Value: []byte("x")}})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		kv, err := s.Get(ctx, "other")
+		Expect(err).NotTo(HaveOccurred())
+		s.Compact(kv.ModRevision)
+		watched := make(chan struct{}, 2)
+		s.Before = func(c fake.Call) error {
+			if c == fake.CallWatch {
+				watched <- struct{}{}
+			}
+			return nil
+		}
+		run, cancel := context.WithCancel(ctx)
+		ended := make(chan struct{})
+		go func() { defer close(ended); t.routes.Run(run) }()
+		<-watched
+		put("2")
+		Eventually(func() int64 { return t.routes.Active().Version }).Should(BeEquivalentTo(2))
+		cancel()
+		<-ended
+		Expect(watched).To(BeEmpty())
+	})
+
 	// Guards against routes that go back to an older version.
 	It("keeps the highest version", func() {
 		put("5")
--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -46,7 +46,8 @@
 	active atomic.Pointer[route.Document]
 
 	mu       sync.Mutex
-	revision int64         // store's revision of the newest text seen, also if rejected
+	revision int64         // of the newest text seen, also if rejected
+	read     int64         // the store's own when the document was last read
 	checked  time.Duration // when the store last confirmed the document
 }
 
@@ -70,10 +71,11 @@
 	for ctx.Err() == nil {
 		if err := r.Refresh(ctx); err != nil {
 			r.failed.Log("key", r.cfg.Key, "error", err)
-			pause(ctx, r.jitter(routesRetry))
-			continue
+		} else {
+			r.follow(ctx)
 		}
-		r.follow(ctx)
+		// A watch that ends at once must not lead to calls without a pause.
+		pause(ctx, r.jitter(routesRetry))
 	}
 }
 
@@ -82,7 +84,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r.mu.Lock()
-	from := r.revision + 1
+	from := r.read + 1
 	r.mu.Unlock()
 	changes, err := r.cfg.Store.Watch(ctx, r.cfg.Key, from)
 	if err != nil {
@@ -113,15 +115,22 @@
 // Refresh reads the document from the store once.
 func (r *Routes) Refresh(ctx context.Context) error {
 	begun := r.cfg.Clock()
-	kv, err := r.cfg.Store.Get(ctx, r.cfg.Key)
+	// A list says at which of the store's revisions it was made. A watch from the
+	// revision of the document would ask for history that the store has forgotten.
+	kvs, revision, err := r.cfg.Store.List(ctx, r.cfg.Key)
 	if err != nil {
 		return err
 	}
-	r.mu.Lock()
-	r.checked = begun
-	r.mu.Unlock()
-	r.install(kv)
-	return nil
+	for _, kv := range kvs {
+		if kv.Key == r.cfg.Key {
+			r.mu.Lock()
+			r.checked, r.read = begun, revision
+			r.mu.Unlock()
+			r.install(kv)
+			return nil
+		}
+	}
+	return store.ErrNotFound
 }
 
 func (r *Routes) take(events []store.Event) {
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -102,13 +102,19 @@
 	return t.take(now, hash, k)
 }
 
-// RestartUpstream says that the upstream has started anew: it holds no flow of before.
-// Fresh says that it started no earlier than this agent, which then knows all its flows.
-func (t *Table) RestartUpstream(now time.Duration, start uint64, fresh bool) {
+// SetStart says which start of the upstream this agent is beside. Fresh says that it
+// started no earlier than this agent, which then knows all its flows. Another start than
+// before holds no flow of before; the first one that the agent learns of may hold those
+// that the upstream's packets have shown already.
+func (t *Table) SetStart(now time.Duration, start uint64, fresh bool) {
+	before := t.self.Start
 	t.self.Start = start
 	if fresh {
 		t.rebuildUntil = now
 	}
+	if before == 0 || before == start {
+		return
+	}
 	for len(t.flows.entries) > 0 {
 		last := len(t.flows.entries) - 1
 		t.lost.remember(now, t.flows.entries[last].hash)
--- /dev/null
+++ b/flow/rebuild_test.go
@@ -0,0 +1,300 @@
+package flow
+
+import (
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/nutmegtrack/nutmegtrack/packet"
+)
+
+// upstreams are the upstreams beside the agents of a rig: each holds flows and returns
+// the packets of others.
+type upstreams struct {
+	*rig
+	holds map[string]map[packet.Key]bool // by agent
+	shown map[string]int                 // packets of flows that the upstream does not hold
+}
+
+const rebuildTime = 20 * time.Second
+
+func newUpstreams(n int) *upstreams {
+	u := &upstreams{
+		rig:   newRig(n, TableConfig{Rebuild: rebuildTime, DigestDelay: time.Millisecond, Settling: 4 * time.Second}),
+		holds: map[string]map[packet.Key]bool{},
+		shown: map[string]int{},
+	}
+	for i := range u.list {
+		u.list[i].Start = uint64(100 + i)
+		u.holds[u.list[i].Name] = map[packet.Key]bool{}
+		u.agents[u.list[i].ID].SetStart(0, u.list[i].Start, true)
+	}
+	u.announce()
+	return u
+}
+
+// restartAgent replaces the agent's table by an empty one.
+func (u *upstreams) restartAgent(name string) {
+	for i := range u.list {
+		if u.list[i].Name == name {
+			u.list[i].Incarnation += 100
+			old := u.agents[u.list[i].ID]
+			self := u.list[i]
+			self.Start = 0 // until the upstream announces itself
+			t := NewTable(old.cfg, self, testService, rand.New(rand.NewPCG(2, uint64(i))))
+			t.cfg.Observer = nil
+			t.Rebuild(u.now)
+			u.agents[u.list[i].ID] = t
+		}
+	}
+	u.announce()
+}
+
+// restartUpstream ends all flows of the upstream.
+func (u *upstreams) restartUpstream(name string) {
+	for i := range u.list {
+		if u.list[i].Name == name {
+			u.list[i].Start += 1000
+			u.holds[name] = map[packet.Key]bool{}
+			u.agents[u.list[i].ID].SetStart(u.now, u.list[i].Start, true)
+		}
+	}
+	u.announce()
+}
+
+// pass sends a packet to the agent and on, as the upstreams make it go. It returns the
+// agents visited and the last action.
+func (u *upstreams) pass(first string, in packet.Info) (string, Action) {
+	h := packet.Header{Kind: packet.KindData, Service: testService, Origin: testOrigin}
+	t, path := u.agents[u.named(first).ID], ""
+	for {
+		path += t.self.Name
+		a := t.Receive(u.now, &h, &in)
+		if a.Kind == Deliver && !u.accepts(t.self.Name, &in) {
+			u.shown[t.self.Name]++
+			path += "!"
+			a = t.Returned(u.now, &h, &in)
+		}
+		if a.Kind != Forward {
+			return path, a
+		}
+		t = u.agents[a.To]
+	}
+}
+
+func (u *upstreams) accepts(name string, in *packet.Info) bool {
+	if in.First {
+		u.holds[name][in.Key] = true
+	}
+	return u.holds[name][in.Key]
+}
+
+// reply passes a packet of the upstream for the flow to its agent.
+func (u *upstreams) reply(name string, k packet.Key) {
+	in := packet.Info{Key: k.Reverse(), Flags: packet.FlagACK}
+	u.agents[u.named(name).ID].Reply(u.now, &in)
+}
+
+// numbered returns copy n of a SYN.
+func numbered(k packet.Key, n uint8) packet.Info {
+	in := syn(k)
+	in.Numbered, in.Repeat = true, n
+	return in
+}
+
+var _ = Describe("An agent that restarts beside a running upstream", func() {
+	var (
+		u *upstreams
+		k packet.Key
+	)
+	BeforeEach(func() {
+		u = newUpstreams(4)
+		u.run(settled)
+		k = u.keyRanked(packet.ProtoTCP, "a", "b", "c", "d")
+	})
+
+	// Guards against flows that a restart of their agent breaks.
+	It("finds the flows that its upstream holds", func() {
+		u.pass("a", numbered(k, 0))
+		u.restartAgent("a")
+		path, action := u.pass("a", data(k))
+		Expect(path).To(Equal("a"))
+		Expect(action.Kind).To(Equal(Deliver))
+		u.now += trialTime
+		u.pass("a", data(k))
+		Expect(u.agents[u.named("a").ID].Open()).To(Equal(1))
+	})
+
+	// Guards against a table that stays empty where packets of the upstream show flows.
+	It("learns flows from its upstream's packets", func() {
+		u.pass("a", numbered(k, 0))
+		u.restartAgent("a")
+		u.reply("a", k)
+		Expect(u.agents[u.named("a").ID].Open()).To(Equal(1))
+	})
+
+	// Guards against the flows that the upstream's packets have shown being taken for
+	// those of an earlier start when the upstream announces itself.
+	It("keeps the flows it has learned when it learns its upstream's start", func() {
+		u.pass("a", numbered(k, 0))
+		u.restartAgent("a")
+		u.reply("a", k)
+		u.agents[u.named("a").ID].SetStart(u.now, u.named("a").Start, false)
+		_, action := u.pass("a", data(k))
+		Expect(action.Kind).To(Equal(Deliver))
+		Expect(u.agents[u.named("a").ID].Open()).To(Equal(1))
+	})
+
+	// Guards against packets of one flow that reach three upstreams which do not hold it:
+	// one packet at a time is shown, and once to each.
+	It("shows one packet of a flow that its upstream does not hold", func() {
+		u.setState("a", Draining)
+		u.announce()
+		u.pass("b", numbered(k, 0))
+		u.setState("a", Ready)
+		u.restartAgent("a")
+		u.agents[u.named("a").ID].SetState(u.now, Ready)
+		for range 20 {
+			_, action := u.pass("a", data(k))
+			Expect(action.Kind).To(Equal(Deliver))
+		}
+		Expect(u.shown).To(Equal(map[string]int{"a": 1}))
+	})
+
+	// Guards against a second packet that is shown before the upstream had the time to
+	// return the first.
+	It("shows no second packet while the first may still be returned", func() {
+		u.restartAgent("a")
+		t := u.agents[u.named("a").ID]
+		in := data(k)
+		first, second := packet.Header{Service: testService}, packet.Header{Service: testService}
+		Expect(t.Receive(u.now, &first, &in).Kind).To(Equal(Deliver))
+		Expect(t.Receive(u.now, &second, &in)).To(Equal(Action{Kind: Drop, Reason: ReasonWaiting}))
+	})
+
+	// Guards against packets of a flow that visit other upstreams while only the owner's
+	// agent is away for a moment.
+	It("shows the packets of its flows to no other upstream while it is away", func() {
+		u.pass("a", numbered(k, 0))
+		u.setState("a", Away)
+		u.announce()
+		for range 20 {
+			u.now += 100 * time.Millisecond
+			path, action := u.pass("b", data(k))
+			Expect(path).To(Equal("ba"))
+			Expect(action.Kind).NotTo(Equal(Reset))
+		}
+		Expect(u.shown).To(BeEmpty())
+	})
+
+	// Guards against the loss of a silent flow that its restarted owner has not learned
+	// again: its first choice still knows from the old digest where it is.
+	It("is still found by its old digest", func() {
+		u.setState("a", Draining)
+		u.announce()
+		u.pass("b", numbered(k, 0))
+		u.setState("a", Ready)
+		u.announce()
+		u.run(2 * time.Second)
+		u.restartAgent("b")
+		u.run(5 * time.Second)
+		path, action := u.pass("a", data(k))
+		Expect(path).To(Equal("ab"))
+		Expect(action.Kind).To(Equal(Deliver))
+	})
+})
+
+var _ = Describe("The flows of an upstream that has ended", func() {
+	var (
+		u *upstreams
+		k packet.Key
+	)
+	BeforeEach(func() {
+		u = newUpstreams(4)
+		u.run(settled)
+		k = u.keyRanked(packet.ProtoTCP, "a", "b", "c", "d")
+	})
+
+	// Guards against clients that wait for their deadline on a lost flow.
+	It("are reset by the agent that held them, at once", func() {
+		u.pass("a", numbered(k, 0))
+		u.restartUpstream("a")
+		_, action := u.pass("a", data(k))
+		Expect(action).To(Equal(Action{Kind: Reset, Reason: ReasonFlowLost}))
+	})
+
+	// Guards against clients that wait after a power failure, when nobody remembers
+	// any flow.
+	It("are reset by their first choice once no upstream can hold them", func() {
+		u.run(2 * time.Second)
+		_, action := u.pass("a", data(k))
+		Expect(action.Kind).To(Equal(Drop))
+		u.now += lostWait
+		path, action := u.pass("a", data(k))
+		Expect(path).To(Equal("a"))
+		Expect(action.Kind).To(Equal(Reset))
+	})
+
+	// Guards against a reset of a flow that an upstream holds whose agent does not know
+	// it yet.
+	It("are not reset while some agent may not know its flows", func() {
+		u.restartAgent("c")
+		u.run(2 * time.Second)
+		u.pass("a", data(k))
+		u.now += lostWait
+		_, action := u.pass("a", data(k))
+		Expect(action.Kind).NotTo(Equal(Reset))
+		u.run(rebuildTime)
+		u.pass("a", data(k))
+		u.now += lostWait
+		_, action = u.pass("a", data(k))
+		Expect(action.Kind).To(Equal(Reset))
+	})
+
+	// Guards against a reset by an agent that some other balancer's view ranks first.
+	It("are not reset by another agent than their first choice", func() {
+		u.run(2 * time.Second)
+		for range 5 {
+			u.now += lostWait
+			Expect(u.agents[u.named("b").ID].heldByNobody(u.now, k.Hash())).To(BeFalse())
+		}
+	})
+
+	// Guards against a new flow of the same addresses that the end of the old one kills.
+	It("do not stand in the way of a new flow", func() {
+		u.pass("a", numbered(k, 0))
+		u.restartUpstream("a")
+		u.pass("a", numbered(k, 0))
+		_, action := u.pass("a", data(k))
+		Expect(action.Kind).To(Equal(Deliver))
+	})
+})
+
+var _ = Describe("Copies of a SYN", func() {
+	// Guards against a SYN that goes back to the agent which has not answered it.
+	It("are taken by the agent that receives them, without asking the first choice", func() {
+		u := newUpstreams(4)
+		u.run(time.Second) // unsettled: other first packets are offered to older owners
+		k := u.keyRanked(packet.ProtoTCP, "a", "b", "c", "d")
+		path, action := u.pass("b", numbered(k, 1))
+		Expect(path).To(Equal("b"))
+		Expect(action.Kind).To(Equal(Deliver))
+	})
+
+	// Guards against a flow that is opened at two upstreams and lost at both: the one
+	// that the client has not chosen returns its packets.
+	It("leave the flow with the upstream that the client chose", func() {
+		u := newUpstreams(4)
+		u.run(settled)
+		k := u.keyRanked(packet.ProtoTCP, "a", "b", "c", "d")
+		u.pass("a", numbered(k, 0))
+		u.pass("b", numbered(k, 1))
+		delete(u.holds["a"], k)
+		u.run(time.Second)
+		path, action := u.pass("a", data(k))
+		Expect(path).To(Equal("a!b"))
+		Expect(action.Kind).To(Equal(Deliver))
+	})
+})
--- /dev/null
+++ b/upstream/tracker_test.go
@@ -0,0 +1,96 @@
+package upstream_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/nutmegtrack/nutmegtrack/flow"
+	"github.com/nutmegtrack/nutmegtrack/internal/spec"
+	"github.com/nutmegtrack/nutmegtrack/upstream"
+)
+
+func TestUpstream(t *testing.T) { spec.Run(t, "upstream") }
+
+var _ = Describe("Tracker", func() {
+	const heartbeat = time.Second
+	address := netip.MustParseAddrPort("10.1.0.12:8165")
+	first := upstream.Announcement{ID: "i-1", Born: 1000, Sequence: 1, Service: "portal", Address: address, Slots: 5}
+	var t *upstream.Tracker
+	BeforeEach(func() {
+		t = upstream.NewTracker(upstream.Config{Service: "portal", Address: address, Heartbeat: heartbeat})
+		Expect(t.State(0)).To(Equal(flow.Starting))
+		Expect(t.Announce(0, first)).To(Succeed())
+	})
+
+	// Guards against an announcement that overtook a later one and undoes it.
+	It("ignores an announcement that is older than the last", func() {
+		drain := first
+		drain.Sequence, drain.Draining = 3, true
+		Expect(t.Announce(0, drain)).To(Succeed())
+		late := first
+		late.Sequence = 2
+		Expect(t.Announce(0, late)).To(MatchError(upstream.ErrStale))
+		Expect(t.State(0)).To(Equal(flow.Draining))
+	})
+
+	// Guards against a delayed announcement of a dead upstream that replaces its
+	// successor at the same address.
+	It("ignores an earlier start of the upstream", func() {
+		next := upstream.Announcement{ID: "i-2", Born: 2000, Sequence: 1, Service: "portal", Address: address, Slots: 5}
+		Expect(t.Announce(0, next)).To(Succeed())
+		late := first
+		late.Sequence = 99
+		Expect(t.Announce(0, late)).To(MatchError(upstream.ErrStale))
+		last, _ := t.Last()
+		Expect(last.ID).To(Equal("i-2"))
+	})
+
+	// Guards against a restart under the same name, whose numbers begin anew, that is
+	// taken for a late announcement.
+	It("takes a restart under the same name as new", func() {
+		_, before := t.Last()
+		again := first
+		again.Born = 3000
+		Expect(t.Announce(0, again)).To(Succeed())
+		_, after := t.Last()
+		Expect(after).NotTo(Equal(before))
+	})
+
+	// Guards against packets for a service that another one at the address receives.
+	It("ignores other services and addresses", func() {
+		other := first
+		other.Sequence, other.Service = 2, "intake"
+		Expect(t.Announce(0, other)).To(MatchError(upstream.ErrOther))
+		other = first
+		other.Sequence, other.Address = 2, netip.MustParseAddrPort("10.1.0.13:8165")
+		Expect(t.Announce(0, other)).To(MatchError(upstream.ErrOther))
+	})
+
+	// Guards against new flows for an upstream that has said that it leaves.
+	It("does not let a draining upstream become ready again", func() {
+		drain := first
+		drain.Sequence, drain.Draining = 2, true
+		Expect(t.Announce(0, drain)).To(Succeed())
+		ready := first
+		ready.Sequence = 3
+		Expect(t.Announce(0, ready)).To(Succeed())
+		Expect(t.State(0)).To(Equal(flow.Draining))
+		Expect(t.Leave("i-9")).To(BeFalse())
+		Expect(t.State(0)).To(Equal(flow.Draining))
+		Expect(t.Leave("i-1")).To(BeTrue())
+		Expect(t.State(0)).To(Equal(flow.Leaving))
+	})
+
+	// Guards against a crashed upstream that receives flows for ever, and against one
+	// lost announcement that takes a running one out.
+	It("counts a silent upstream as failed, and a packet as a sign of life", func() {
+		Expect(t.State(3 * heartbeat)).To(Equal(flow.Ready))
+		Expect(t.State(3*heartbeat + 1)).To(Equal(flow.Failed))
+		t.Alive(3 * heartbeat)
+		Expect(t.State(4 * heartbeat)).To(Equal(flow.Ready))
+	})
+})
