Pass routes on between balancers; follow the settings file; fewer calls to the store

SIGHUP ended the processes. Change: two balancers of each failure domain read the store, together about once a second; versions, with the time at which the store confirmed them, travel with membership, and the others fetch the document from a peer. Processes read their settings again on SIGHUP and when the file has changed; seeds take effect at once.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -28,7 +28,8 @@
 
 // Agent is one agent process.
 type Agent struct {
-	cfg       settings.Agent
+	cfg       settings.Agent // as at the start
+	inForce   settings.Agent // used by Reload
 	options   Options
 	id        packet.AgentID
 	service   packet.ServiceID
@@ -72,6 +73,7 @@
 	registry := metrics.NewRegistry()
 	return &Agent{
 		cfg:       cfg,
+		inForce:   cfg,
 		options:   options,
 		id:        packet.AgentIDOf(cfg.Name),
 		service:   packet.ServiceIDOf(cfg.Service.Name),
--- /dev/null
+++ b/agent/reload.go
@@ -0,0 +1,22 @@
+package agent
+
+import (
+	"slices"
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/member"
+	"github.com/nutmegtrack/nutmegtrack/settings"
+)
+
+// Reload implements process.Reloader. Seeds change while the agent runs.
+func (a *Agent) Reload(file string) (changed, waiting []string, err error) {
+	cfg, err := settings.LoadAgent(file)
+	if err != nil {
+		return nil, nil, err
+	}
+	changed = settings.Differences(&a.inForce, &cfg)
+	a.inForce.Seeds = cfg.Seeds
+	a.members.Do(func(_ time.Duration, n *member.Announcer) { n.SetSeeds(cfg.Seeds) })
+	waiting = slices.DeleteFunc(slices.Clone(changed), func(field string) bool { return field == "seeds" })
+	return changed, waiting, nil
+}
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -42,11 +42,16 @@
 	// them. Without a key the agents announce the addresses of their services.
 	RoutesKey    string
 	DecodeRoutes func(text []byte) (*route.Document, finding.List, error)
+	// CollectorPause is the time between two looks of a candidate at the lease of its
+	// failure domain's collector, for stores that are paid by the call. Default: a look
+	// in each step.
+	CollectorPause time.Duration
 }
 
 // Balancer is one balancer process.
 type Balancer struct {
-	cfg      settings.Balancer
+	cfg      settings.Balancer // as at the start
+	inForce  settings.Balancer // in force; used by Reload
 	options  Options
 	log      *event.Logger
 	clock    daemon.Clock
@@ -81,6 +86,7 @@
 	registry := metrics.NewRegistry()
 	return &Balancer{
 		cfg:      cfg,
+		inForce:  cfg,
 		log:      log,
 		clock:    clock,
 		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -134,7 +140,9 @@
 		b.routes = daemon.NewRoutes(daemon.RoutesConfig{
 			Log: b.log, Clock: b.clock, Rand: daemon.NewRand(b.rng), Store: s,
 			Key: b.options.RoutesKey, Decode: b.options.DecodeRoutes,
+			Transport: transport, Spawn: spawn, Installed: b.routesInstalled,
 		})
+		b.control.Register(daemon.RoutesService, daemon.NewRoutesRPC(b.routes))
 	}
 	if s != nil {
 		b.collect = newCollector(b, s)
@@ -202,6 +210,9 @@
 func (b *Balancer) step() {
 	b.members.Step(b.life.Context())
 	b.refreshView()
+	if b.routes != nil {
+		b.stepRoutes()
+	}
 	if b.limited() {
 		b.stepLists()
 	}
--- a/balancer/collector.go
+++ b/balancer/collector.go
@@ -34,11 +34,13 @@
 	clock   daemon.Clock
 	domain  string
 	failed  *daemon.LogLimiter
+	pause   time.Duration // between two looks at the lease that another one holds
 
 	mu      sync.Mutex // held during a step, with its calls to the store
 	read    bool       // the shards of all domains have been read
 	lease   store.LeaseID
 	renewed time.Duration
+	looked  time.Duration // when the lease of another was last seen
 	stopped bool
 }
 
@@ -49,6 +51,7 @@
 		members: b.members,
 		clock:   b.clock,
 		domain:  b.cfg.FailureDomain,
+		pause:   b.options.CollectorPause,
 		failed:  daemon.NewLogLimiter(b.log, b.clock, event.StoreFailed),
 	}
 }
@@ -113,9 +116,14 @@
 	if c.shard.Term() != 0 {
 		return nil
 	}
+	if c.looked != 0 && c.clock()-c.looked < c.pause {
+		return nil
+	}
 	kv, err := c.store.Get(ctx, member.LeaseKey(c.domain))
 	if err == nil {
-		c.shard.ReadLease(kv)
+		if !c.shard.ReadLease(kv) {
+			c.looked = c.clock()
+		}
 		return nil
 	}
 	if !errors.Is(err, store.ErrNotFound) {
--- /dev/null
+++ b/balancer/reload.go
@@ -0,0 +1,22 @@
+package balancer
+
+import (
+	"slices"
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/member"
+	"github.com/nutmegtrack/nutmegtrack/settings"
+)
+
+// Reload implements process.Reloader. Seeds change while the balancer runs.
+func (b *Balancer) Reload(file string) (changed, waiting []string, err error) {
+	cfg, err := settings.LoadBalancer(file)
+	if err != nil {
+		return nil, nil, err
+	}
+	changed = settings.Differences(&b.inForce, &cfg)
+	b.inForce.Seeds = cfg.Seeds
+	b.members.Do(func(_ time.Duration, n *member.Node) { n.SetSeeds(cfg.Seeds) })
+	waiting = slices.DeleteFunc(slices.Clone(changed), func(field string) bool { return field == "seeds" })
+	return changed, waiting, nil
+}
--- a/balancer/run.go
+++ b/balancer/run.go
@@ -26,5 +26,5 @@
 			return process.ReportSettings(log, err)
 		}
 	}
-	return process.Run(New(cfg, options, log), log)
+	return process.Run(New(cfg, options, log), log, settingsFile)
 }
--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,10 +20,20 @@
 	// routesRetry is the mean pause after a failed read. Whatever waits for the store
 	// after an outage waits for half of it; each call during one is paid for.
 	routesRetry = 300 * time.Millisecond
-	// routesCheck is the interval at which the document is read although the watch
-	// shows no change: a watch may be silent for good. It is a part of the 3 s within
+	// routesCheck is the mean time between two reads, by any reader, although no watch
+	// shows a change: a watch may be silent for good. It is a part of the 3 s within
 	// which a document must be in force.
-	routesCheck = 1500 * time.Millisecond
+	routesCheck = time.Second
+	// routesCheckMin bounds the reads of one process.
+	routesCheckMin = 1500 * time.Millisecond
+	// idleReader is the pause of a process that leaves the reading to others.
+	idleReader = 500 * time.Millisecond
+)
+
+// Names of the RPC service that serves the document to peers.
+const (
+	RoutesService = "Routes"
+	routesFetch   = RoutesService + ".Fetch"
 )
 
 // RoutesConfig says how the routes of one process are read.
@@ -32,6 +43,9 @@
 	Rand  *rand.Rand
 	Store store.Store
 	Key   string // key of the document
+	// Transport and Spawn fetch the document from peers.
+	Transport Transport
+	Spawn     func(func())
 	// Decode returns a document and what of it cannot be used.
 	Decode func(text []byte) (*route.Document, finding.List, error)
 	// Installed is told of each document that is in force; it may be nil.
@@ -41,11 +55,14 @@
 // Routes keeps the newest document of routes from the store. Its methods are safe
 // for concurrent use.
 type Routes struct {
-	cfg    RoutesConfig
-	failed *LogLimiter
-	active atomic.Pointer[route.Document]
+	cfg     RoutesConfig
+	failed  *LogLimiter
+	active  atomic.Pointer[route.Document]
+	readers atomic.Int64 // processes that read the store; 0 when this one does not
 
 	mu       sync.Mutex
+	text     []byte        // of the active document, for peers
+	fetched  time.Duration // when a peer was last asked
 	revision int64         // of the newest text seen, also if rejected
 	read     int64         // the store's own when the document was last read
 	checked  time.Duration // when the store last confirmed the document
@@ -53,22 +70,106 @@
 
 // NewRoutes returns a reader without a document.
 func NewRoutes(cfg RoutesConfig) *Routes {
-	return &Routes{cfg: cfg, failed: NewLogLimiter(cfg.Log, cfg.Clock, event.StoreFailed)}
+	r := &Routes{cfg: cfg, failed: NewLogLimiter(cfg.Log, cfg.Clock, event.StoreFailed), fetched: -routesRetry}
+	r.readers.Store(1)
+	return r
+}
+
+// Step says whether this process reads the store, how many do, the highest version that
+// is known, and a process that has it. A version that is missing here is fetched.
+func (r *Routes) Step(ctx context.Context, reads bool, readers int, known int64, peer netip.AddrPort) {
+	if !reads {
+		readers = 0
+	}
+	r.readers.Store(int64(readers))
+	if known <= r.Version() || !peer.IsValid() {
+		return
+	}
+	r.mu.Lock()
+	now := r.cfg.Clock()
+	due := now-r.fetched >= routesRetry
+	if due {
+		r.fetched = now
+	}
+	r.mu.Unlock()
+	if due {
+		r.cfg.Spawn(func() { r.fetch(ctx, peer) })
+	}
+}
+
+// fetch takes the document from a peer.
+func (r *Routes) fetch(ctx context.Context, peer netip.AddrPort) {
+	var reply RoutesReply
+	if err := r.cfg.Transport.Call(ctx, peer, routesFetch, &RoutesArgs{Above: r.Version()}, &reply); err != nil {
+		r.failed.Log("peer", peer, "error", err)
+		return
+	}
+	if len(reply.Text) > 0 {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.activate(reply.Text, "peer", peer)
+	}
+}
+
+// RoutesArgs asks for a document of a version above one.
+type RoutesArgs struct{ Above int64 }
+
+// RoutesReply holds the document as the store has it, or nothing.
+type RoutesReply struct{ Text []byte }
+
+// RoutesRPC serves the document to peers.
+type RoutesRPC struct {
+	routes *Routes
+}
+
+// NewRoutesRPC returns the service of a process's routes.
+func NewRoutesRPC(r *Routes) *RoutesRPC { return &RoutesRPC{routes: r} }
+
+// Fetch serves the RPC.
+func (s *RoutesRPC) Fetch(args *RoutesArgs, reply *RoutesReply) error {
+	s.routes.mu.Lock()
+	defer s.routes.mu.Unlock()
+	if s.routes.Version() > args.Above {
+		reply.Text = s.routes.text
+	}
+	return nil
+}
+
+// Version returns the version in force, 0 for none.
+func (r *Routes) Version() int64 {
+	if d := r.active.Load(); d != nil {
+		return d.Version
+	}
+	return 0
 }
 
 // Active returns the document in force, or nil.
 func (r *Routes) Active() *route.Document { return r.active.Load() }
 
-// Age returns the time since the store confirmed the document.
-func (r *Routes) Age() time.Duration {
+// Age returns the time since the store confirmed the document, or since Confirm.
+func (r *Routes) Age() time.Duration { return r.cfg.Clock() - r.Checked() }
+
+// Checked returns the time at which the store confirmed the document.
+func (r *Routes) Checked() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.cfg.Clock() - r.checked
+	return r.checked
+}
+
+// Confirm says that the document was the newest that any process knew at a time.
+func (r *Routes) Confirm(at time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.checked = max(r.checked, at)
 }
 
 // Run reads the document until the context ends.
 func (r *Routes) Run(ctx context.Context) {
-	for ctx.Err() == nil {
+	for first := true; ctx.Err() == nil; first = false {
+		if !first && r.readers.Load() == 0 && r.Version() > 0 {
+			pause(ctx, idleReader)
+			continue
+		}
 		if err := r.Refresh(ctx); err != nil {
 			r.failed.Log("key", r.cfg.Key, "error", err)
 		} else {
@@ -92,7 +193,7 @@
 		return
 	}
 	for {
-		timer := time.NewTimer(r.jitter(routesCheck))
+		timer := time.NewTimer(r.jitter(r.checkInterval()))
 		select {
 		case change, open := <-changes:
 			timer.Stop()
@@ -101,6 +202,9 @@
 			}
 			r.take(change.Events)
 		case <-timer.C:
+			if r.readers.Load() == 0 {
+				return
+			}
 			if err := r.Refresh(ctx); err != nil {
 				r.failed.Log("key", r.cfg.Key, "error", err)
 				return
@@ -112,6 +216,11 @@
 	}
 }
 
+// checkInterval is the time between the reads of one of the readers.
+func (r *Routes) checkInterval() time.Duration {
+	return max(routesCheckMin, time.Duration(r.readers.Load())*routesCheck)
+}
+
 // Refresh reads the document from the store once.
 func (r *Routes) Refresh(ctx context.Context) error {
 	begun := r.cfg.Clock()
@@ -150,21 +259,29 @@
 		return
 	}
 	r.revision = kv.ModRevision
-	doc, found, err := r.cfg.Decode(kv.Value)
+	r.activate(kv.Value, "revision", kv.ModRevision)
+}
+
+// activate puts a document into force; source says for the log where it came from. The
+// caller holds the lock.
+func (r *Routes) activate(text []byte, source string, from any) {
+	doc, found, err := r.cfg.Decode(text)
 	if err != nil {
-		r.cfg.Log.Log(event.RoutesRejected, "revision", kv.ModRevision, "error", err)
+		r.cfg.Log.Log(event.RoutesRejected, source, from, "error", err)
+		return
+	}
+	if doc.Version <= r.Version() {
+		if doc.Version < r.Version() {
+			r.cfg.Log.Log(event.RoutesRejected, source, from, "error", errors.Newf("version %d is below %d", doc.Version, r.Version()))
+		}
 		return
 	}
 	for _, f := range found {
 		r.cfg.Log.Log(event.RouteUnusable, "version", doc.Version, "finding", f.String())
 	}
-	if old := r.active.Load(); old != nil && doc.Version <= old.Version {
-		r.cfg.Log.Log(event.RoutesRejected, "revision", kv.ModRevision,
-			"error", errors.Newf("version %d is not above %d", doc.Version, old.Version))
-		return
-	}
+	r.text = text
 	r.active.Store(doc)
-	r.cfg.Log.Log(event.RoutesActive, "version", doc.Version, "revision", kv.ModRevision, "routes", len(doc.Routes))
+	r.cfg.Log.Log(event.RoutesActive, "version", doc.Version, source, from, "routes", len(doc.Routes))
 	if r.cfg.Installed != nil {
 		r.cfg.Installed(doc)
 	}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -12,6 +12,9 @@
 	StoppedEarly = Definition{1005, Error, "stopped by a second signal", "A second SIGTERM or SIGINT arrived during a graceful shutdown; the process exits at once and cuts the flows counted by `left`."}
 	DrainLimit   = Definition{1006, Warn, "drain limit reached", "Flows were still open when `drain_limit_seconds` ended; `left` counts them. They are cut."}
 
+	Reloaded     = Definition{1007, Info, "settings reloaded", "The settings file was read again. `changed` names the fields that differ from before, `next_start` those of them that take effect at the next start only."}
+	ReloadFailed = Definition{1008, Error, "settings kept", "The settings file was read again and has mistakes, one event 1003 for each; the settings of before stay in force."}
+
 	WrongService = Definition{1100, Error, "packet for another service at delivery", "The assertion before delivery failed and the packet was dropped; this is a fault in the program. Report it with the dump."}
 	SendFailed   = Definition{1101, Warn, "packets not sent", "The system refused to send packets; `packets` counts them since the last such event. Check routes and socket buffers."}
 
@@ -43,6 +46,7 @@
 // Catalogue lists every event that the programs log, in order of number.
 var Catalogue = []Definition{
 	Started, Draining, Stopped, BadSettings, SocketFailed, StoppedEarly, DrainLimit,
+	Reloaded, ReloadFailed,
 	WrongService, SendFailed,
 	StateChanged, PeerSilent,
 	ListsActive, ListsRejected, StoreFailed,
--- a/member/announcer.go
+++ b/member/announcer.go
@@ -283,6 +283,9 @@
 	return nil
 }
 
+// SetSeeds replaces the seeds.
+func (a *Announcer) SetSeeds(seeds []netip.AddrPort) { a.cfg.Seeds = seeds }
+
 // Self returns this agent's record as announced.
 func (a *Announcer) Self() Record { return a.self }
 
--- a/member/gossip.go
+++ b/member/gossip.go
@@ -107,28 +107,23 @@
 	n.rumours[r.Name] = &rumour{left: n.cfg.Rounds, whole: whole}
 }
 
-func (n *Node) noteRevision(rev int64, source netip.AddrPort) {
-	if rev <= n.revision.number {
-		return
-	}
-	n.revision = revision{number: rev, source: source, rumour: rumour{left: n.cfg.Rounds}}
-}
-
 // pushRumours sends the records whose round is due to FanOut random peers.
 func (n *Node) pushRumours() {
 	due := n.dueRumours()
-	r := &n.revision.rumour
-	announce := r.left > 0 && n.now >= r.next
-	if len(due) == 0 && !announce {
+	lists, routes := n.lists.due(n.now), n.routes.due(n.now)
+	if len(due) == 0 && !lists && !routes {
 		return
 	}
 	peers := n.randomPeers(n.cfg.FanOut)
 	if len(peers) == 0 {
 		return
 	}
-	if announce {
-		r.left--
-		r.next = n.now + n.cfg.Push
+	// Every message carries both numbers.
+	if lists {
+		n.lists.pushed(n.now + n.cfg.Push)
+	}
+	if routes {
+		n.routes.pushed(n.now + n.cfg.Push)
 	}
 	for _, p := range peers {
 		n.send(p, n.push(due))
--- a/member/message.go
+++ b/member/message.go
@@ -32,10 +32,13 @@
 // the wire.
 type Message struct {
 	Kind     Kind           `cbor:"1,keyasint,omitempty"`
-	From     netip.AddrPort `cbor:"2,keyasint,omitzero"`  // sender's control address, when an answer is sent as a call
-	Revision int64          `cbor:"3,keyasint,omitempty"` // highest revision of the active lists that the sender knows
-	Records  []Record       `cbor:"4,keyasint,omitempty"`
-	Changes  []Change       `cbor:"17,keyasint,omitempty"`
+	From     netip.AddrPort `cbor:"2,keyasint,omitzero"`   // sender's control address, when an answer is sent as a call
+	Revision int64          `cbor:"3,keyasint,omitempty"`  // highest revision of the active lists that the sender knows
+	Routes   int64          `cbor:"20,keyasint,omitempty"` // highest version of the routes that the sender knows
+	// RoutesAge is the time in milliseconds since the store confirmed that version.
+	RoutesAge uint32   `cbor:"21,keyasint,omitempty"`
+	Records   []Record `cbor:"4,keyasint,omitempty"`
+	Changes   []Change `cbor:"17,keyasint,omitempty"`
 
 	// Heartbeat and its reply.
 	ID      uint64           `cbor:"5,keyasint,omitempty"` // hash of the agent's name
--- a/member/node.go
+++ b/member/node.go
@@ -21,7 +21,9 @@
 	now      time.Duration
 	out      []Call // waiting for the next Step
 	rumours  map[string]*rumour
-	revision revision
+	lists    news          // revision of the active lists
+	routes   news          // version of the routes
+	checked  time.Duration // when the store confirmed the version of the routes
 	watch    watch
 	exchange time.Duration // time of the next anti-entropy exchange
 	behind   bool          // the last exchange brought as many records as one may
@@ -29,14 +31,30 @@
 	grantors map[string]Grantor
 }
 
-// revision is the highest revision of the active lists that is known, and a
-// process that has it.
-type revision struct {
+// news is the highest number of something that all balancers must have, and a process
+// that has it.
+type news struct {
 	number int64
 	source netip.AddrPort
 	rumour rumour
 }
 
+// note takes a number that a process has.
+func (n *news) note(number int64, source netip.AddrPort, rounds int) {
+	if number > n.number {
+		*n = news{number: number, source: source, rumour: rumour{left: rounds}}
+	}
+}
+
+// due reports whether the number is to be pushed.
+func (n *news) due(now time.Duration) bool { return n.rumour.left > 0 && now >= n.rumour.next }
+
+// pushed notes a round of pushes.
+func (n *news) pushed(next time.Duration) {
+	n.rumour.left--
+	n.rumour.next = next
+}
+
 // NewNode returns the protocol of the balancer self. A zero incarnation is
 // replaced with a random one.
 func NewNode(cfg Config, self Record, rng *rand.Rand) *Node {
@@ -69,7 +87,7 @@
 	out := n.out
 	n.out = nil
 	for i := range out {
-		out[i].Request.Revision = n.revision.number
+		n.addNews(&out[i].Request)
 	}
 	return out
 }
@@ -77,9 +95,9 @@
 // Handle serves a request and returns the reply.
 func (n *Node) Handle(now time.Duration, m Message) Message {
 	n.advance(now)
-	n.noteRevision(m.Revision, m.From)
+	n.noteNews(&m, m.From)
 	reply := n.serve(m)
-	reply.Revision = n.revision.number
+	n.addNews(&reply)
 	return reply
 }
 
@@ -107,7 +125,7 @@
 // Reply takes the answer to a call.
 func (n *Node) Reply(now time.Duration, c Call, m Message) {
 	n.advance(now)
-	n.noteRevision(m.Revision, c.To)
+	n.noteNews(&m, c.To)
 	switch c.Request.Kind {
 	case KindDigest:
 		n.continueExchange(c, m)
@@ -146,16 +164,55 @@
 
 // SetRevision announces that this balancer has the given revision of the lists.
 func (n *Node) SetRevision(rev int64) {
-	n.noteRevision(rev, n.self.Control)
+	n.lists.note(rev, n.self.Control, n.cfg.Rounds)
+}
+
+// SetRoutes announces that this balancer has the given version of the routes, which the
+// store has confirmed at a time.
+func (n *Node) SetRoutes(version int64, checked time.Duration) {
+	n.routes.note(version, n.self.Control, n.cfg.Rounds)
+	if version == n.routes.number {
+		n.checked = max(n.checked, checked)
+	}
+}
+
+// RoutesChecked returns the time at which the store confirmed, to any process, that the
+// version of Routes is the newest.
+func (n *Node) RoutesChecked() time.Duration { return n.checked }
+
+// Routes returns the highest known version of the routes and the control address of a
+// process that knows it, which may be zero.
+func (n *Node) Routes() (int64, netip.AddrPort) { return n.routes.number, n.routes.source }
+
+// addNews puts the numbers that this process knows into a message.
+func (n *Node) addNews(m *Message) {
+	m.Revision, m.Routes = n.lists.number, n.routes.number
+	if m.Routes > 0 {
+		m.RoutesAge = uint32(min((n.now - n.checked).Milliseconds(), maxRoutesAge))
+	}
+}
+
+// maxRoutesAge is the greatest age of the routes that a message states, in milliseconds.
+const maxRoutesAge = 60_000
+
+func (n *Node) noteNews(m *Message, source netip.AddrPort) {
+	if m.Routes > 0 && m.Routes >= n.routes.number {
+		n.checked = max(n.checked, n.now-time.Duration(m.RoutesAge)*time.Millisecond)
+	}
+	n.lists.note(m.Revision, source, n.cfg.Rounds)
+	n.routes.note(m.Routes, source, n.cfg.Rounds)
 }
 
 // Revision returns the highest known revision of the lists and the control
 // address of a process that knows it. The address is zero when it came with a
 // request that names no sender.
 func (n *Node) Revision() (int64, netip.AddrPort) {
-	return n.revision.number, n.revision.source
+	return n.lists.number, n.lists.source
 }
 
+// SetSeeds replaces the seeds.
+func (n *Node) SetSeeds(seeds []netip.AddrPort) { n.cfg.Seeds = seeds }
+
 // Table returns the records. The caller must not merge into it; use Load.
 func (n *Node) Table() *Table { return n.table }
 
--- a/process/process.go
+++ b/process/process.go
@@ -4,6 +4,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -48,15 +49,19 @@
 }
 
 // Run starts the daemon and returns the exit status after it has stopped. SIGTERM
-// and SIGINT begin a graceful shutdown; a second one ends the process at once.
-func Run(d Daemon, log *event.Logger) int {
+// and SIGINT begin a graceful shutdown; a second one ends the process at once. A
+// daemon that is a Reloader follows the settings file: on SIGHUP, and when the file
+// changes without a signal.
+func Run(d Daemon, log *event.Logger, settingsFile string) int {
 	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	defer signal.Stop(signals)
-	return run(d, log, signals)
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	return run(d, log, signals, newFollower(settingsFile, log), ticker.C)
 }
 
-func run(d Daemon, log *event.Logger, signals <-chan os.Signal) int {
+func run(d Daemon, log *event.Logger, signals <-chan os.Signal, f *follower, tick <-chan time.Time) int {
 	if err := d.Start(); err != nil {
 		log.Log(event.SocketFailed, "error", err)
 		return ExitFailure
@@ -64,12 +69,18 @@
 	for received := 0; ; {
 		select {
 		case s := <-signals:
+			if s == syscall.SIGHUP {
+				f.check(d, true)
+				continue
+			}
 			received++
 			if received > 1 {
 				log.Log(event.StoppedEarly, "signal", s, "left", d.Left())
 				return ExitFailure
 			}
 			d.Shutdown()
+		case <-tick:
+			f.check(d, false)
 		case <-d.Done():
 			return finish(d, log)
 		}
--- a/process/process_test.go
+++ b/process/process_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"os"
+	"path/filepath"
 	"syscall"
 	"testing"
 
@@ -24,6 +25,18 @@
 	done          chan struct{}
 }
 
+// reloading is a daemon that follows its settings.
+type reloading struct {
+	daemon
+	reloads int
+	err     error
+}
+
+func (r *reloading) Reload(string) (changed, waiting []string, err error) {
+	r.reloads++
+	return []string{"seeds", "name"}, []string{"name"}, r.err
+}
+
 func (d *daemon) Start() error          { return d.startErr }
 func (d *daemon) Done() <-chan struct{} { return d.done }
 func (d *daemon) Err() error            { return d.err }
@@ -49,7 +62,7 @@
 	// Guards against a graceful shutdown that looks like a crash to a supervisor.
 	It("exits with status 0 after SIGTERM", func() {
 		signals <- syscall.SIGTERM
-		Expect(run(&daemon{done: make(chan struct{})}, log, signals)).To(Equal(ExitOK))
+		Expect(run(&daemon{done: make(chan struct{})}, log, signals, newFollower("", log), nil)).To(Equal(ExitOK))
 		Expect(out.String()).To(ContainSubstring("event=1002"))
 	})
 
@@ -57,19 +70,49 @@
 	It("exits with status 1 after a second SIGTERM and says so", func() {
 		signals <- syscall.SIGTERM
 		signals <- syscall.SIGTERM
-		Expect(run(&daemon{stuck: true}, log, signals)).To(Equal(ExitFailure))
+		Expect(run(&daemon{stuck: true}, log, signals, newFollower("", log), nil)).To(Equal(ExitFailure))
 		Expect(out.String()).To(MatchRegexp(`event=1005 .*left=3`))
 	})
 
 	// Guards against a daemon without sockets that keeps running.
 	It("exits with status 1 when the daemon cannot start or fails", func() {
-		Expect(run(&daemon{startErr: errors.New("in use")}, log, signals)).To(Equal(ExitFailure))
+		Expect(run(&daemon{startErr: errors.New("in use")}, log, signals, newFollower("", log), nil)).To(Equal(ExitFailure))
 		done := make(chan struct{})
 		close(done)
-		Expect(run(&daemon{done: done, err: errors.New("lost")}, log, signals)).To(Equal(ExitFailure))
+		Expect(run(&daemon{done: done, err: errors.New("lost")}, log, signals, newFollower("", log), nil)).To(Equal(ExitFailure))
 		Expect(out.String()).To(ContainSubstring("event=1004"))
 	})
 
+	// Guards against a SIGHUP that ends the process, and against changed settings that
+	// wait for a signal.
+	It("reloads the settings on SIGHUP and when the file has changed", func() {
+		file := filepath.Join(GinkgoT().TempDir(), "settings.json")
+		Expect(os.WriteFile(file, []byte("one"), 0o600)).To(Succeed())
+		d := &reloading{daemon: daemon{done: make(chan struct{})}}
+		f := newFollower(file, log)
+		f.check(d, false)
+		Expect(d.reloads).To(Equal(0))
+		Expect(os.WriteFile(file, []byte("two"), 0o600)).To(Succeed())
+		f.check(d, false)
+		f.check(d, false)
+		Expect(d.reloads).To(Equal(1))
+		signals <- syscall.SIGHUP
+		signals <- syscall.SIGTERM
+		Expect(run(d, log, signals, f, nil)).To(Equal(ExitOK))
+		Expect(d.reloads).To(Equal(2))
+		Expect(out.String()).To(MatchRegexp(`event=1007 .*changed=name,seeds next_start=name`))
+	})
+
+	// Guards against settings with mistakes that end a running process or pass unnoticed.
+	It("keeps running with the old settings when the new ones have mistakes", func() {
+		d := &reloading{daemon: daemon{done: make(chan struct{})}, err: finding.List{{Message: "bad"}}}
+		signals <- syscall.SIGHUP
+		signals <- syscall.SIGTERM
+		Expect(run(d, log, signals, newFollower("settings.json", log), nil)).To(Equal(ExitOK))
+		Expect(out.String()).To(ContainSubstring("event=1003"))
+		Expect(out.String()).To(ContainSubstring("event=1008"))
+	})
+
 	// Guards against findings that are reported one at a time.
 	It("reports every finding of the settings", func() {
 		err := finding.List{{File: "a.json", Line: 2, Field: "x", Message: "one"}, {File: "a.json", Line: 3, Message: "two"}}
--- /dev/null
+++ b/process/reload.go
@@ -0,0 +1,79 @@
+package process
+
+import (
+	"os"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/nutmegtrack/nutmegtrack/event"
+)
+
+// checkInterval is the time between two looks at the settings file, which may change
+// without a signal.
+const checkInterval = 2 * time.Second
+
+// Reloader is a daemon that takes changed settings while it runs.
+type Reloader interface {
+	// Reload reads the settings file and takes what can change while the daemon runs.
+	// It returns the fields that changed, and of those the ones that wait for the next
+	// start. After an error, a finding.List, the settings stay as they were.
+	Reload(file string) (changed, waiting []string, err error)
+}
+
+// follower follows the settings file of a daemon.
+type follower struct {
+	file string
+	log  *event.Logger
+	last uint64 // hash of the content that was read last; 0 when it could not be read
+}
+
+func newFollower(file string, log *event.Logger) *follower {
+	f := &follower{file: file, log: log}
+	f.last, _ = f.hash()
+	return f
+}
+
+func (f *follower) hash() (uint64, error) {
+	text, err := os.ReadFile(f.file)
+	if err != nil {
+		return 0, err
+	}
+	return xxhash.Sum64(text), nil
+}
+
+// check reloads the settings when the file has changed, or always after a signal. A
+// file that cannot be read or has findings leaves the old settings in force.
+func (f *follower) check(d Daemon, signalled bool) {
+	r, can := d.(Reloader)
+	if !can || f.file == "" {
+		return
+	}
+	hash, err := f.hash()
+	if !signalled && (err != nil || hash == f.last) {
+		return
+	}
+	f.last = hash
+	changed, waiting, err := r.Reload(f.file)
+	if err != nil {
+		ReportSettings(f.log, err)
+		f.log.Log(event.ReloadFailed, "file", f.file)
+		return
+	}
+	f.log.Log(event.Reloaded, "file", f.file, "signal", signalled, "changed", text(changed), "next_start", text(waiting))
+}
+
+func text(fields []string) string {
+	if len(fields) == 0 {
+		return "none"
+	}
+	out := ""
+	for i, f := range slices.Sorted(slices.Values(fields)) {
+		if i > 0 {
+			out += ","
+		}
+		out += f
+	}
+	return out
+}
