Spread flows over a starting fleet; bound the wait for digests

Cause: after a power failure one agent was ready first and received the flows of all clients for seconds. Change: while less than half of the upstreams that run are ready, those that are starting take flows too; an agent waits at most 500 ms for digests.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -60,8 +60,9 @@
 
 	started   time.Duration
 	startedAt time.Time
-	state     sync.Mutex // serializes changes of state
-	stopping  bool       // the state no longer follows the upstream; guarded by state
+	state     sync.Mutex    // serializes changes of state
+	homeSince time.Duration // when a balancer had answered; guarded by state
+	stopping  bool          // the state no longer follows the upstream; guarded by state
 }
 
 // New returns an agent that has opened nothing yet.
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -156,8 +156,7 @@
 		if restarted = c.start != 0 && t.Start() != c.start; restarted {
 			t.SetStart(now, c.start, c.fresh)
 		}
-		warm := t.State() == flow.Ready || t.Warm(now) || now-a.started >= a.cfg.SettlingSeconds.Duration()
-		if c.state == flow.Ready && !(warm && a.peers.home.Load() != nil) {
+		if c.state == flow.Ready && t.State() != flow.Ready && !a.mayBecomeReady(now, t) {
 			c.state = flow.Starting
 		}
 		t.SetState(now, c.state)
@@ -170,6 +169,23 @@
 	}
 }
 
+// warmLimit bounds the wait of a starting agent for the digests of its peers. Some may
+// be gone, and a packet of a flow that it does not know finds the holder along the
+// ranking.
+const warmLimit = 500 * time.Millisecond
+
+// mayBecomeReady reports whether an agent whose upstream is ready knows enough of its
+// peers to take flows.
+func (a *Agent) mayBecomeReady(now time.Duration, t *flow.Table) bool {
+	if a.peers.home.Load() == nil {
+		return false
+	}
+	if a.homeSince == 0 {
+		a.homeSince = now
+	}
+	return t.Warm(now) || now-a.homeSince >= warmLimit
+}
+
 // leaveUpstream stops an agent. Its upstream mostly runs on, and only this VM's agent
 // reaches it, so the agent says that it is away and exits at once to be back soon.
 func (a *Agent) leaveUpstream() {
--- a/flow/accept.go
+++ b/flow/accept.go
@@ -9,7 +9,7 @@
 // takes reports whether this agent takes a new flow that has made a number of hops
 // and whose next choice is given.
 func (t *Table) takes(now time.Duration, hops uint8, next *peer) bool {
-	if !t.self.State.Accepts() || len(t.flows.entries)+len(t.waiting.byNumber) >= t.cfg.MaxFlows {
+	if !t.accepts() || len(t.flows.entries)+len(t.waiting.byNumber) >= t.cfg.MaxFlows {
 		return false
 	}
 	// The next choice may be draining unknown to this agent and needs a hop to pass
@@ -56,7 +56,7 @@
 		}
 	}
 	t.slowStart = settled.n > 0
-	if t.self.State.Accepts() {
+	if t.accepts() {
 		ready.add(t.Open())
 		if t.limit(now) == t.cfg.MaxFlows {
 			settled.add(t.Open())
--- a/flow/admission.go
+++ b/flow/admission.go
@@ -112,7 +112,7 @@
 	if v != Admitted {
 		return t.drop(ReasonRefused), f.header
 	}
-	if !t.self.State.Accepts() || len(t.flows.entries) >= t.cfg.MaxFlows {
+	if !t.accepts() || len(t.flows.entries) >= t.cfg.MaxFlows {
 		t.cfg.Admission.Release(now, customer)
 		return t.drop(ReasonNoUpstream), f.header
 	}
--- a/flow/digest.go
+++ b/flow/digest.go
@@ -66,7 +66,11 @@
 	if p != nil {
 		id = p.ID
 	}
-	if own := score(hash, t.seed); include(t.self.State) && own > top {
+	own, state := score(hash, t.seed), t.self.State
+	if t.accepts() {
+		state = Ready
+	}
+	if include(state) && own > top {
 		return 0, own
 	}
 	return id, top
--- a/flow/rebuild_test.go
+++ b/flow/rebuild_test.go
@@ -298,3 +298,48 @@
 		Expect(action.Kind).To(Equal(Deliver))
 	})
 })
+
+var _ = Describe("A fleet that starts as a whole", func() {
+	// Guards against the flows of all clients on the first upstream that is ready.
+	It("spreads flows over upstreams that run although their agents are starting", func() {
+		fleet := newUpstreams(3)
+		for _, name := range []string{"b", "c"} {
+			fleet.setState(name, Starting)
+		}
+		router := NewRouter(RouterConfig{})
+		router.SetView(0, testView(fleet.list))
+		used := map[packet.AgentID]bool{}
+		for n := range 100 {
+			in := syn(key(n, packet.ProtoTCP))
+			used[router.Route(0, &in).Agent] = true
+		}
+		Expect(used).To(HaveLen(3))
+
+		fleet.announce()
+		k := fleet.keyRanked(packet.ProtoTCP, "b", "a", "c")
+		path, action := fleet.pass("b", numbered(k, 0))
+		Expect(path).To(Equal("b"))
+		Expect(action.Kind).To(Equal(Deliver))
+	})
+
+	// Guards against flows for an agent whose upstream has not started, and for a single
+	// new upstream before it knows the flows of its peers.
+	It("uses no upstream that has not announced itself, nor one that joins a running fleet", func() {
+		u := newUpstreams(3)
+		for i := range u.list {
+			if u.list[i].Name != "a" {
+				u.list[i].Start = 0
+			}
+		}
+		u.setState("b", Starting)
+		u.setState("c", Starting)
+		u.announce()
+		for _, p := range u.agents[u.named("a").ID].peers.list {
+			Expect(p.State).To(Equal(Starting))
+		}
+		joined := newUpstreams(3)
+		joined.setState("b", Starting)
+		joined.announce()
+		Expect(joined.agents[joined.named("a").ID].peers.get(joined.named("b").ID).State).To(Equal(Starting))
+	})
+})
--- a/flow/receive.go
+++ b/flow/receive.go
@@ -165,7 +165,7 @@
 // change before it.
 func (t *Table) previousOwner(now time.Duration, hash uint64, h *packet.Header) *peer {
 	// An offer takes two hops, there and back.
-	if !t.self.State.Accepts() || h.Hops+2 > packet.MaxHops {
+	if !t.accepts() || h.Hops+2 > packet.MaxHops {
 		return nil
 	}
 	_, floor := t.peers.best(hash, func(p *peer) bool { return p.settled(now, t.cfg.Settling) })
@@ -184,7 +184,7 @@
 }
 
 func (t *Table) selfSettled(now time.Duration) bool {
-	return t.self.State.Accepts() && (t.stateSince == never || now-t.stateSince >= t.cfg.Settling)
+	return t.accepts() && (t.stateSince == never || now-t.stateSince >= t.cfg.Settling)
 }
 
 // offer sends a first packet to a possible previous owner.
--- a/flow/router.go
+++ b/flow/router.go
@@ -142,13 +142,14 @@
 }
 
 func prepareService(s *Service) routedService {
-	out := routedService{id: s.ID, upstreams: s.Upstreams, byID: make(map[packet.AgentID]int, len(s.Upstreams))}
-	for i := range s.Upstreams {
-		out.byID[s.Upstreams[i].ID] = i
+	upstreams := withStarting(s.Upstreams)
+	out := routedService{id: s.ID, upstreams: upstreams, byID: make(map[packet.AgentID]int, len(upstreams))}
+	for i := range upstreams {
+		out.byID[upstreams[i].ID] = i
 	}
-	out.candidates = selectUpstreams(s.Upstreams, State.Accepts)
+	out.candidates = selectUpstreams(upstreams, State.Accepts)
 	if len(out.candidates) == 0 {
-		out.candidates = selectUpstreams(s.Upstreams, func(s State) bool { return !s.Gone() })
+		out.candidates = selectUpstreams(upstreams, func(s State) bool { return !s.Gone() })
 	}
 	return out
 }
--- a/flow/step.go
+++ b/flow/step.go
@@ -51,7 +51,7 @@
 // service. Nobody hands flows to an agent that does not accept any, so such an
 // agent sends none.
 func (t *Table) addLoads(now time.Duration) {
-	if now-t.loadSent < t.cfg.LoadInterval || !t.self.State.Accepts() {
+	if now-t.loadSent < t.cfg.LoadInterval || !t.accepts() {
 		return
 	}
 	t.loadSent = now
--- a/flow/table.go
+++ b/flow/table.go
@@ -30,6 +30,7 @@
 	trials   map[uint64]trial // by hash of the flow
 	lost     lostFlows
 
+	early        bool          // flows are taken although the state is Starting
 	rebuildUntil time.Duration // until then, flows of the upstream may be unknown
 	peersChanged time.Duration // when the list of peers last changed
 	unsettled    time.Duration // until then, another view may show another first choice
@@ -91,6 +92,11 @@
 // Rebuild begins the rebuilding phase. Call it when packets may arrive.
 func (t *Table) Rebuild(now time.Duration) { t.rebuildUntil = now + t.cfg.Rebuild }
 
+// accepts reports whether this agent takes new flows.
+func (t *Table) accepts() bool {
+	return t.self.State.Accepts() || t.early && t.self.runsStarting()
+}
+
 // Start returns what identifies the start of the upstream, 0 when it is not known.
 func (t *Table) Start() uint64 { return t.self.Start }
 
@@ -101,7 +107,11 @@
 // is ignored: SetState has its current state.
 func (t *Table) SetPeers(now time.Duration, upstreams []Upstream) {
 	next := peerSet{byID: make(map[packet.AgentID]*peer, len(upstreams))}
-	for _, u := range upstreams {
+	t.early = false
+	for _, u := range withStarting(upstreams) {
+		if u.ID == t.self.ID {
+			t.early = u.State.Accepts()
+		}
 		if u.ID != t.self.ID && next.byID[u.ID] == nil {
 			p := t.mergePeer(now, u)
 			next.byID[u.ID] = p
