member: agents go on trying balancers that did not answer

Cause: an agent avoids a balancer for 5 s after two failed heartbeats. Change: when all known balancers are avoided, they are tried all the same.

--- a/member/announcer.go
+++ b/member/announcer.go
@@ -107,20 +107,23 @@
 	if !a.Confirmed() {
 		count += spareHomes
 	}
-	var out []netip.AddrPort
-	for _, h := range a.homes {
-		if a.now >= a.avoid[h] && len(out) < count {
-			out = append(out, h)
-		}
-	}
 	seeds := slices.Clone(a.cfg.Seeds)
 	a.rng.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
-	for _, s := range seeds {
-		if len(out) < count && a.now >= a.avoid[s] && !slices.Contains(out, s) {
-			out = append(out, s)
+	var out, avoided []netip.AddrPort
+	for _, b := range append(slices.Clone(a.homes), seeds...) {
+		switch {
+		case slices.Contains(out, b) || slices.Contains(avoided, b):
+		case a.now < a.avoid[b]:
+			avoided = append(avoided, b)
+		case len(out) < count:
+			out = append(out, b)
 		}
 	}
-	return out
+	if len(out) > 0 {
+		return out
+	}
+	// All balancers may have been lost at once, and be back before the avoidance ends.
+	return avoided[:min(len(avoided), count)]
 }
 
 // Confirmed reports whether a balancer has the present record. A leaving agent
