agent: an upstream that still warms up counts as started with its agent

Change: freshness also follows from the announcement's remaining warm-up and low number; an agent shows the packets of unknown flows to a fresh upstream too.

--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -56,10 +56,22 @@
 	fresh   bool       // the upstream started no earlier than this process
 }
 
-// freshMargin is the time by which an upstream may have started before its agent when
-// both start with their VM. Its agent then misses none of its flows: it must be heard of
-// by the balancers before it gets one.
-const freshMargin = time.Second
+const (
+	// freshMargin is the time by which an upstream may have started before its agent when
+	// both start with their VM. Its agent then misses none of its flows: it must be heard
+	// of by the balancers before it gets one.
+	freshMargin = time.Second
+	// freshNumber is the highest number of an upstream's first announcement that an agent
+	// may receive after a start of the VM: it repeats those that nobody takes.
+	freshNumber = 4
+)
+
+// startedWithAgent reports whether the upstream started no earlier than the agent. The
+// time of day may have jumped on this VM, so an upstream that still warms up counts as
+// well.
+func startedWithAgent(a *upstream.Announcement, agent time.Time) bool {
+	return time.UnixMilli(a.Born).After(agent.Add(-freshMargin)) || a.Warmup > 0 && a.Sequence <= freshNumber
+}
 
 func newBeside(a *Agent) *beside {
 	b := &beside{
@@ -89,7 +101,7 @@
 	err := b.tracker.Announce(b.agent.clock(), announcement)
 	_, start := b.tracker.Last()
 	if err == nil && start != before {
-		b.fresh = before != 0 || time.UnixMilli(announcement.Born).After(b.agent.startedAt.Add(-freshMargin))
+		b.fresh = before != 0 || startedWithAgent(&announcement, b.agent.startedAt)
 	}
 	b.mu.Unlock()
 	if err != nil {
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -31,6 +31,11 @@
 // complete reports whether the table holds every flow that the upstream holds.
 func (t *Table) complete(now time.Duration) bool { return now >= t.rebuildUntil }
 
+// whole reports whether peers may take this agent's digests for all that its upstream
+// holds. The upstream that started with its agent holds nothing that the agent has not
+// seen; its agent still shows it the packets of unknown flows, in case it is older.
+func (t *Table) whole(now time.Duration) bool { return t.fresh || t.complete(now) }
+
 // try applies the rebuilding phase to a packet of an unknown flow. One packet at a
 // time is shown to the upstream: each packet that reaches an upstream which does not
 // hold its flow is one too many.
@@ -108,10 +113,7 @@
 // that the upstream's packets have shown already.
 func (t *Table) SetStart(now time.Duration, start uint64, fresh bool) {
 	before := t.self.Start
-	t.self.Start = start
-	if fresh {
-		t.rebuildUntil = now
-	}
+	t.self.Start, t.fresh = start, fresh
 	if before == 0 || before == start {
 		return
 	}
--- a/flow/step.go
+++ b/flow/step.go
@@ -41,7 +41,7 @@
 	if p.message == nil {
 		p.message = &Message{
 			From: t.self.ID, To: p.ID, Incarnation: t.self.Incarnation, Start: t.self.Start,
-			Complete: t.complete(t.stepped),
+			Complete: t.whole(t.stepped),
 		}
 	}
 	return p.message
--- a/flow/table.go
+++ b/flow/table.go
@@ -30,6 +30,7 @@
 	trials   map[uint64]trial // by hash of the flow
 	lost     lostFlows
 
+	fresh        bool          // the upstream started no earlier than this agent
 	early        bool          // flows are taken although the state is Starting
 	rebuildUntil time.Duration // until then, flows of the upstream may be unknown
 	peersChanged time.Duration // when the list of peers last changed
