agent: reset lost flows without waiting for a further packet

Cause: a lost flow was reset at the client's next retransmission after 300 ms, 600 ms after its request, when the answer is late in any case. Change: an agent looks at suspected flows after 50 ms by itself; a flow that is taken away from its first choice is named there at once, so that the wait can be short. Digests of agents beside announcing upstreams are sent without delay.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -54,6 +54,7 @@
 	health   *http.Server
 
 	admission *admission // used under the lock of flows
+	prompt    prompt
 	paths     paths      // used under the lock of flows
 	late      *reader    // delivers the first packets of flows that have waited
 	lateLock  sync.Mutex // guards late
@@ -86,6 +87,7 @@
 		registry:  registry,
 		counters:  newCounters(registry),
 		startedAt: time.Now(),
+		prompt:    prompt{step: make(chan struct{}, 1)},
 	}
 }
 
@@ -170,8 +172,8 @@
 
 const (
 	// rebuildDigestDelay and rebuildDigestRate (bytes/s) make a flow's place known to
-	// its first choice well within flow's lostWait.
-	rebuildDigestDelay = 50 * time.Millisecond
+	// its first choice well within flow.LostWait.
+	rebuildDigestDelay = time.Millisecond
 	rebuildDigestRate  = 64 << 10
 )
 
@@ -200,6 +202,9 @@
 	a.control.Serve(a.ports.control)
 	a.launchRequests()
 	a.launchUpstream()
+	if a.options.Packets != nil {
+		a.life.Spawn(a.sendPromptly)
+	}
 	a.life.Every(tick, a.step)
 	a.life.Supervise(a.stop, a.close)
 }
--- /dev/null
+++ b/agent/lost.go
@@ -0,0 +1,64 @@
+package agent
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/flow"
+	"github.com/nutmegtrack/nutmegtrack/packet"
+	"github.com/nutmegtrack/nutmegtrack/packetio"
+)
+
+// prompt does what the flow table wants done sooner than at the next tick.
+type prompt struct {
+	step  chan struct{} // a digest is to be sent
+	armed atomic.Bool   // a look at suspected flows is due
+}
+
+// after looks at the table after a batch of packets; the caller holds its lock.
+func (p *prompt) after(a *Agent, t *flow.Table) {
+	if t.Urgent() {
+		select {
+		case p.step <- struct{}{}:
+		default:
+		}
+	}
+	if t.Suspects() && p.armed.CompareAndSwap(false, true) {
+		time.AfterFunc(flow.LostWait, a.resetLostFlows)
+	}
+}
+
+// sendPromptly sends digests between ticks until the agent stops.
+func (a *Agent) sendPromptly() {
+	for {
+		select {
+		case <-a.prompt.step:
+			a.stepFlows()
+		case <-a.life.Context().Done():
+			return
+		}
+	}
+}
+
+// resetLostFlows tells the clients of lost flows that these have ended.
+func (a *Agent) resetLostFlows() {
+	if a.life.Context().Err() != nil {
+		return
+	}
+	a.prompt.armed.Store(false)
+	var lost []flow.LostFlow
+	a.flows.do(func(now time.Duration, t *flow.Table) {
+		lost = t.Lost(now)
+		a.prompt.after(a, t)
+	})
+	if len(lost) == 0 || a.options.Packets == nil {
+		return
+	}
+	out := packetio.NewOutbox(len(lost))
+	t := tally{}
+	for _, f := range lost {
+		a.reset(out, &packet.Info{Key: f.Key, Ack: f.Ack}, &t)
+	}
+	t.refused = a.ports.data.Send(out)
+	a.counters.add(&t)
+}
--- a/agent/peers.go
+++ b/agent/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -10,11 +11,12 @@
 	"github.com/nutmegtrack/nutmegtrack/packet"
 )
 
-// peers is what the flow table has been told of the service's upstreams. It is
-// used by the timer only, except for home.
+// peers is what the flow table has been told of the service's upstreams. The view is
+// used by the timer only.
 type peers struct {
 	view     *flow.View
-	controls map[packet.AgentID]netip.AddrPort
+	controls atomic.Pointer[map[packet.AgentID]netip.AddrPort]
+	stepping sync.Mutex
 	home     atomic.Pointer[netip.AddrPort] // balancer that answered a heartbeat last
 }
 
@@ -45,9 +47,10 @@
 	if !changed {
 		return
 	}
-	a.peers.controls = controlAddresses(records)
-	a.refreshRequests(records, a.peers.controls)
-	a.routes.setPeers(a.peers.controls)
+	controls := controlAddresses(records)
+	a.peers.controls.Store(&controls)
+	a.refreshRequests(records, controls)
+	a.routes.setPeers(controls)
 	a.flows.do(func(now time.Duration, t *flow.Table) {
 		t.SetPeers(now, upstreams)
 		a.admission.holder.SetPeers(quotaPeers(records))
@@ -64,10 +67,17 @@
 
 // stepFlows advances the flow table and sends its messages.
 func (a *Agent) stepFlows() {
+	// Messages to one agent are sent in the order of the steps.
+	a.peers.stepping.Lock()
+	defer a.peers.stepping.Unlock()
 	var messages []flow.Message
 	a.flows.do(func(now time.Duration, t *flow.Table) { messages = t.Step(now) })
+	controls := a.peers.controls.Load()
+	if controls == nil {
+		return
+	}
 	for _, m := range messages {
-		if to, known := a.peers.controls[m.To]; known {
+		if to, known := (*controls)[m.To]; known {
 			a.sender.send(a.life.Context(), to, m)
 		}
 	}
--- a/agent/reader.go
+++ b/agent/reader.go
@@ -56,6 +56,9 @@
 	for i := range r.in.Len() {
 		r.packet(now, t, i)
 	}
+	if r.agent.options.Packets != nil {
+		r.agent.prompt.after(r.agent, t)
+	}
 }
 
 func (r *reader) packet(now time.Duration, t *flow.Table, i int) {
@@ -207,6 +210,9 @@
 		r.out.Add(b, to)
 		r.tally.replies++
 	}
+	if r.agent.options.Packets != nil {
+		r.agent.prompt.after(r.agent, t)
+	}
 }
 
 // clientAddress returns where the parsed reply goes.
--- a/flow/accept.go
+++ b/flow/accept.go
@@ -78,6 +78,7 @@
 	t.handoffs.forget(hash)
 	t.lost.forget(hash)
 	t.retarget(now, e)
+	t.urgent = t.urgent || e.target != 0
 	if t.cfg.Observer != nil {
 		t.cfg.Observer.FlowTaken(t.self.ID, k)
 	}
--- a/flow/lost.go
+++ b/flow/lost.go
@@ -15,10 +15,14 @@
 	// peersQuiet is the time without a change among the peers after which their list
 	// counts as whole: a balancer that has just started learns of all agents within
 	// two heartbeats of theirs and a push round.
-	peersQuiet = 400 * time.Millisecond
-	// lostWait is the time for which a flow must have been unknown everywhere. A flow
-	// that was opened elsewhere a moment ago appears in a digest within it.
-	lostWait = 300 * time.Millisecond
+	peersQuiet = 250 * time.Millisecond
+	// LostWait is the time for which a flow must have been unknown everywhere. A flow
+	// that was opened elsewhere a moment ago appears in a digest within it: agents
+	// send these at once.
+	LostWait = 50 * time.Millisecond
+	// suspectTime is the time after which a suspected flow is not looked at any more
+	// without a further packet.
+	suspectTime = 5 * time.Second
 	// lostMemory is the time for which a lost flow is remembered: clients repeat a
 	// packet at least every 1.6 s and give up after some seconds.
 	lostMemory = 20 * time.Second
@@ -58,17 +62,54 @@
 	}
 }
 
-// lostFor returns the time for which the upstream has been known not to hold the flow
-// of a packet that arrived here; 0 for the first one.
-func (t *Table) lostFor(now time.Duration, hash uint64) time.Duration {
-	tr, known := t.trials[hash]
-	switch {
-	case known && tr.returned:
-		return now - tr.at
-	case !known && t.complete(now) && len(t.trials) < maxTrials:
-		t.trials[hash] = trial{at: now, returned: true}
+// LostFlow is a flow that no upstream holds. Ack is what its client had acknowledged.
+type LostFlow struct {
+	Key packet.Key
+	Ack uint32
+}
+
+// suspectLost notes that the upstream does not hold the flow of a packet that arrived
+// here.
+func (t *Table) suspectLost(now time.Duration, hash uint64, in *packet.Info) {
+	if tr, known := t.trials[hash]; known && tr.returned && now-tr.at < suspectTime {
+		tr.ack = in.Ack
+		t.trials[hash] = tr
+		return
+	}
+	if len(t.trials) < maxTrials {
+		t.trials[hash] = trial{at: now, returned: true, key: in.Key, ack: in.Ack}
+		t.suspected = append(t.suspected, hash)
+	}
+}
+
+// Suspects reports whether some flow may turn out to be lost. The caller then calls
+// Lost after LostWait, and again while Suspects is true.
+func (t *Table) Suspects() bool { return len(t.suspected) > 0 }
+
+// Lost returns the flows that have turned out to be lost, each once. Later packets of
+// them are answered by Receive.
+func (t *Table) Lost(now time.Duration) (out []LostFlow) {
+	kept := t.suspected[:0]
+	for _, hash := range t.suspected {
+		tr, known := t.trials[hash]
+		switch {
+		case !known || !tr.returned || now-tr.at >= suspectTime || t.knownElsewhere(now, hash):
+		case now-tr.at < LostWait || !t.heldByNobody(now, hash):
+			kept = append(kept, hash)
+		default:
+			delete(t.trials, hash)
+			t.lost.remember(now, hash)
+			t.counters.Reset++
+			out = append(out, LostFlow{Key: tr.key, Ack: tr.ack})
+		}
 	}
-	return 0
+	t.suspected = kept
+	return out
+}
+
+// knownElsewhere reports whether the flow is here after all, or at a peer.
+func (t *Table) knownElsewhere(now time.Duration, hash uint64) bool {
+	return t.holder(now, hash, &packet.Header{}) != nil
 }
 
 // heldByNobody reports whether a flow that neither this agent nor a peer's digest knows
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -19,7 +19,9 @@
 // trial is what is known of a flow that this agent does not hold in its table.
 type trial struct {
 	at       time.Duration
-	returned bool // the upstream does not hold the flow
+	returned bool       // the upstream does not hold the flow
+	key      packet.Key // of the flow
+	ack      uint32     // what the client had acknowledged in its last packet
 }
 
 // maxTried is the number of upstreams that a packet of an unknown flow is shown to.
@@ -55,7 +57,7 @@
 	case len(t.trials) >= maxTrials || h.Tried >= maxTried:
 		return Action{}, false
 	}
-	t.trials[hash] = trial{at: now}
+	t.trials[hash] = trial{at: now, key: in.Key, ack: in.Ack}
 	h.Tried++
 	t.counters.Tried++
 	return Action{Kind: Deliver}, true
@@ -68,7 +70,7 @@
 	t.counters.Returned++
 	hash := in.Key.Hash()
 	if tr, known := t.trials[hash]; known && !tr.returned {
-		t.trials[hash] = trial{at: now, returned: true}
+		t.suspectLost(now, hash, in)
 	}
 	t.forgetFlow(now, hash, &in.Key)
 	if in.First {
@@ -123,6 +125,7 @@
 		t.end(now, last)
 	}
 	clear(t.trials)
+	t.suspected = t.suspected[:0]
 }
 
 // expireTrials forgets the trials that are too old to matter.
--- a/flow/rebuild_test.go
+++ b/flow/rebuild_test.go
@@ -229,10 +229,17 @@
 	// any flow.
 	It("are reset by their first choice once no upstream can hold them", func() {
 		u.run(2 * time.Second)
-		_, action := u.pass("a", data(k))
+		in := data(k)
+		in.Ack = 77
+		_, action := u.pass("a", in)
 		Expect(action.Kind).To(Equal(Drop))
-		u.now += lostWait
-		path, action := u.pass("a", data(k))
+		t := u.agents[u.named("a").ID]
+		Expect(t.Suspects()).To(BeTrue())
+		Expect(t.Lost(u.now)).To(BeEmpty())
+		u.now += LostWait
+		Expect(t.Lost(u.now)).To(Equal([]LostFlow{{Key: k, Ack: 77}}))
+		Expect(t.Suspects()).To(BeFalse())
+		path, action := u.pass("a", in)
 		Expect(path).To(Equal("a"))
 		Expect(action.Kind).To(Equal(Reset))
 	})
@@ -242,22 +249,36 @@
 	It("are not reset while some agent may not know its flows", func() {
 		u.restartAgent("c")
 		u.run(2 * time.Second)
+		t := u.agents[u.named("a").ID]
 		u.pass("a", data(k))
-		u.now += lostWait
-		_, action := u.pass("a", data(k))
-		Expect(action.Kind).NotTo(Equal(Reset))
+		u.now += LostWait
+		Expect(t.Lost(u.now)).To(BeEmpty())
 		u.run(rebuildTime)
+		t.expireTrials(u.now)
 		u.pass("a", data(k))
-		u.now += lostWait
-		_, action = u.pass("a", data(k))
-		Expect(action.Kind).To(Equal(Reset))
+		u.now += LostWait
+		Expect(t.Lost(u.now)).To(HaveLen(1))
+	})
+
+	// Guards against a reset of a flow that was opened elsewhere a moment ago.
+	It("are not reset when a digest names the flow meanwhile", func() {
+		u.run(2 * time.Second)
+		u.pass("a", data(k))
+		u.pass("b", numbered(k, 1))
+		Expect(u.agents[u.named("b").ID].Urgent()).To(BeTrue())
+		for _, m := range u.agents[u.named("b").ID].Step(u.now + time.Millisecond) {
+			u.agents[m.To].Handle(u.now, m)
+		}
+		u.now += LostWait
+		Expect(u.agents[u.named("a").ID].Lost(u.now)).To(BeEmpty())
+		Expect(u.agents[u.named("a").ID].Suspects()).To(BeFalse())
 	})
 
 	// Guards against a reset by an agent that some other balancer's view ranks first.
 	It("are not reset by another agent than their first choice", func() {
 		u.run(2 * time.Second)
 		for range 5 {
-			u.now += lostWait
+			u.now += LostWait
 			Expect(u.agents[u.named("b").ID].heldByNobody(u.now, k.Hash())).To(BeFalse())
 		}
 	})
--- a/flow/receive.go
+++ b/flow/receive.go
@@ -47,8 +47,8 @@
 	if a, done := t.forwardToHolder(now, hash, h, in); done {
 		return a
 	}
-	if t.lostFor(now, hash) >= lostWait && t.heldByNobody(now, hash) {
-		return t.resetLost(in)
+	if tr := t.trials[hash]; t.complete(now) || tr.returned {
+		t.suspectLost(now, hash, in)
 	}
 	return t.forwardAlongRanking(now, hash, h)
 }
--- a/flow/table.go
+++ b/flow/table.go
@@ -29,6 +29,9 @@
 	origins  origins
 	trials   map[uint64]trial // by hash of the flow
 	lost     lostFlows
+	// suspected are the hashes of trials that may be lost flows.
+	suspected []uint64
+	urgent    bool // a digest should be sent at once
 
 	fresh        bool          // the upstream started no earlier than this agent
 	early        bool          // flows are taken although the state is Starting
@@ -93,6 +96,14 @@
 // Rebuild begins the rebuilding phase. Call it when packets may arrive.
 func (t *Table) Rebuild(now time.Duration) { t.rebuildUntil = now + t.cfg.Rebuild }
 
+// Urgent reports, once, that Step should be called at once: this agent has taken a flow
+// whose first choice must learn of it.
+func (t *Table) Urgent() bool {
+	urgent := t.urgent
+	t.urgent = false
+	return urgent
+}
+
 // accepts reports whether this agent takes new flows.
 func (t *Table) accepts() bool {
 	return t.self.State.Accepts() || t.early && t.self.runsStarting()
