Carry open flows by learned addresses while no routes can be read

Change: an agent announces the addresses that its upstream's own packets show. Balancers without routes carry packets of open flows by them; new flows wait for the routes, which operators may have changed.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -56,9 +56,10 @@
 
 	admission *admission // used under the lock of flows
 	prompt    prompt
-	paths     paths      // used under the lock of flows
-	late      *reader    // delivers the first packets of flows that have waited
-	lateLock  sync.Mutex // guards late
+	learned   map[endpoint]bool // addresses of flows that the upstream holds; as admission
+	paths     paths             // used under the lock of flows
+	late      *reader           // delivers the first packets of flows that have waited
+	lateLock  sync.Mutex        // guards late
 
 	started   time.Duration
 	startedAt time.Time
@@ -89,6 +90,7 @@
 		counters:  newCounters(registry),
 		startedAt: time.Now(),
 		prompt:    newPrompt(),
+		learned:   make(map[endpoint]bool),
 	}
 }
 
--- a/agent/endpoint.go
+++ b/agent/endpoint.go
@@ -1,6 +1,11 @@
 package agent
 
 import (
+	"cmp"
+	"net/netip"
+	"slices"
+
+	"github.com/nutmegtrack/nutmegtrack/flow"
 	"github.com/nutmegtrack/nutmegtrack/packet"
 	"github.com/nutmegtrack/nutmegtrack/settings"
 )
@@ -35,3 +40,29 @@
 func (a *Agent) owns(k *packet.Key) bool {
 	return a.endpoints == nil || a.endpoints[endpoint{k.Dst, k.DstPort, k.Proto}]
 }
+
+// maxLearned bounds the addresses that an agent learns from its upstream's packets.
+const maxLearned = 64
+
+// learn notes an address whose flows the upstream holds, as its own packet shows. It
+// reports whether the address is new. It is used under the lock of flows.
+func (a *Agent) learn(k *packet.Key) bool {
+	e := endpoint{k.Dst, k.DstPort, k.Proto}
+	if a.endpoints != nil || a.learned[e] || len(a.learned) >= maxLearned {
+		return false
+	}
+	a.learned[e] = true
+	return true
+}
+
+// learnedEndpoints returns the addresses in a fixed order.
+func (a *Agent) learnedEndpoints() []flow.Endpoint {
+	out := make([]flow.Endpoint, 0, len(a.learned))
+	for e := range a.learned {
+		out = append(out, flow.Endpoint{Addr: netip.AddrPortFrom(netip.AddrFrom16(e.addr).Unmap(), e.port), Proto: e.proto})
+	}
+	slices.SortFunc(out, func(x, y flow.Endpoint) int {
+		return cmp.Or(x.Addr.Compare(y.Addr), cmp.Compare(x.Proto, y.Proto))
+	})
+	return out
+}
--- a/agent/reader.go
+++ b/agent/reader.go
@@ -201,6 +201,8 @@
 				continue
 			}
 			t.Reply(now, &r.info)
+			k := r.info.Key.Reverse()
+			r.agent.learn(&k)
 			to = r.clientAddress()
 		}
 		if !to.IsValid() {
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -164,6 +164,7 @@
 	}
 	c := a.beside.condition()
 	var restarted bool
+	announced := member.Upstream{Start: c.start, Slots: c.slots}
 	a.flows.do(func(now time.Duration, t *flow.Table) {
 		if restarted = c.start != 0 && t.Start() != c.start; restarted {
 			t.SetStart(now, c.start, c.fresh)
@@ -175,9 +176,10 @@
 		if c.slots > 0 {
 			t.SetSlots(c.slots)
 		}
+		announced.State, announced.Endpoints = c.state, a.learnedEndpoints()
 	})
 	before := a.self().State
-	a.members.Do(func(now time.Duration, n *member.Announcer) { n.SetUpstream(now, c.start, c.slots, c.state) })
+	a.members.Do(func(now time.Duration, n *member.Announcer) { n.SetUpstream(now, announced) })
 	if before != c.state || restarted {
 		a.log.Log(event.StateChanged, "upstream", a.cfg.Name, "service", a.cfg.Service.Name, "state", c.state)
 		a.members.Step(a.life.Context())
--- a/balancer/reader.go
+++ b/balancer/reader.go
@@ -25,6 +25,7 @@
 	clients  packetio.Sink   // for resets
 	current  func() bool     // whether the routes are known to be the newest
 	onlyData bool            // hints come through another socket
+	mayRoute func() bool     // whether new flows may be placed
 
 	in        *packetio.Inbox
 	out       *packetio.Outbox
@@ -50,6 +51,7 @@
 		origin:   b.ports.dataAddr,
 		customer: b.customer,
 		format:   packet.IP{},
+		mayRoute: b.mayRoute,
 		resets:   packetio.NewOutbox(packetio.BatchSize),
 		source:   source,
 		sink:     b.ports.data,
@@ -66,6 +68,9 @@
 	return r
 }
 
+// mayRoute reports whether new flows can be routed.
+func (b *Balancer) mayRoute() bool { return b.routes == nil || b.routed.Load() != nil }
+
 // unlimited stands for all customers where no plans limit them.
 const unlimited = 1
 
@@ -161,6 +166,11 @@
 // pass, so that an edit or the lack of lists interrupts nothing.
 func (r *reader) decide(now time.Duration, router *flow.Router, i int) flow.Decision {
 	in := &r.infos[i]
+	// The addresses that agents have learned from their upstreams' flows lead open flows
+	// on while no routes can be read. Operators may have changed the routes since.
+	if in.First && !r.mayRoute() {
+		return flow.Decision{Reason: flow.ReasonNoRoutes}
+	}
 	if r.customers[i] == 0 && in.First && !r.mayBeKnown(now, router, i) {
 		return flow.Decision{Reason: r.refusals[i]}
 	}
--- a/balancer/routes_test.go
+++ b/balancer/routes_test.go
@@ -13,6 +13,7 @@
 	"github.com/nutmegtrack/nutmegtrack/fake"
 	"github.com/nutmegtrack/nutmegtrack/finding"
 	"github.com/nutmegtrack/nutmegtrack/flow"
+	"github.com/nutmegtrack/nutmegtrack/member"
 	"github.com/nutmegtrack/nutmegtrack/packet"
 	"github.com/nutmegtrack/nutmegtrack/packetio"
 	"github.com/nutmegtrack/nutmegtrack/route"
@@ -141,6 +142,21 @@
 		Expect(watched).To(BeEmpty())
 	})
 
+	// Guards against open flows that stand still while the store is away and all processes
+	// have restarted, and against new flows by what operators may have changed since.
+	It("carries open flows, and no new ones, by what the agents have learned", func() {
+		u1 := upstreamRecord("u1", "127.0.0.1:7101")
+		t.members.Do(func(now time.Duration, n *member.Node) { n.Load(now, []member.Record{u1}) })
+		t.refreshView()
+		Expect(t.handle(ack(service))).To(HaveLen(1))
+		Expect(t.handle(syn(client))).To(BeEmpty())
+		Expect(t.counters.dropped[flow.ReasonNoRoutes].Count()).To(BeEquivalentTo(1))
+		put("1")
+		Expect(t.routes.Refresh(ctx)).To(Succeed())
+		t.refreshView()
+		Expect(t.handle(syn(client))).To(HaveLen(1))
+	})
+
 	// Guards against routes that go back to an older version.
 	It("keeps the highest version", func() {
 		put("5")
--- a/flow/reason.go
+++ b/flow/reason.go
@@ -28,13 +28,15 @@
 	ReasonNoLists
 	// ReasonFlowLost: the upstream that held the flow has ended or started anew.
 	ReasonFlowLost
+	// ReasonNoRoutes: the balancer has no routes yet, so it places no new flows.
+	ReasonNoRoutes
 
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
 	"none", "no_service", "no_upstream", "wrong_service", "no_owner", "bad_path",
-	"refused", "waiting", "no_customer", "no_lists", "flow_lost",
+	"refused", "waiting", "no_customer", "no_lists", "flow_lost", "no_routes",
 }
 
 // String returns the reason's name as metrics use it.
--- /dev/null
+++ b/flow/work_test.go
@@ -0,0 +1,122 @@
+package flow
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/nutmegtrack/nutmegtrack/load"
+	"github.com/nutmegtrack/nutmegtrack/packet"
+)
+
+var _ = Describe("A table with a gate", func() {
+	var (
+		r *rig
+		t *Table
+	)
+	BeforeEach(func() {
+		r = newRig(1, TableConfig{Rebuild: rebuildTime, Gate: load.NewGate(load.Config{})})
+		t = r.agents[r.named("a").ID]
+		t.SetSlots(1) // and two more by the gate's slack
+	})
+	receive := func(in packet.Info) Action {
+		h := packet.Header{Kind: packet.KindData, Service: testService, Origin: testOrigin, Class: packet.NewClass(1, 200*time.Millisecond)}
+		return t.Receive(r.now, &h, &in)
+	}
+	request := func(n int, seq uint32) packet.Info {
+		in := data(key(n, packet.ProtoTCP))
+		in.Seq, in.Payload = seq, []byte("request")
+		return in
+	}
+	answer := func(n int) {
+		k := key(n, packet.ProtoTCP)
+		in := packet.Info{Key: k.Reverse(), Payload: []byte("answer")}
+		t.Reply(r.now, &in)
+	}
+	open := func(n int) Action { return receive(numbered(key(n, packet.ProtoTCP), 0)) }
+
+	// Guards against requests that are counted twice, or that count for ever.
+	It("counts the requests that its upstream has", func() {
+		open(1)
+		Expect(t.Load()).To(Equal(load.Load{Slots: 1, Opening: 1}))
+		receive(request(1, 100))
+		receive(request(1, 100)) // sent again
+		Expect(t.Load()).To(Equal(load.Load{Slots: 1, Busy: 1}))
+		answer(1)
+		receive(request(1, 100)) // late
+		Expect(t.Load()).To(Equal(load.Load{Slots: 1}))
+		receive(request(1, 107))
+		Expect(t.Load().Busy).To(Equal(1))
+		receive(packet.Info{Key: key(1, packet.ProtoTCP), RST: true})
+		Expect(t.Load()).To(Equal(load.Load{Slots: 1}))
+	})
+
+	// Guards against a slot that stays reserved for a client that has given up.
+	It("expects a request of a new flow for a short time only", func() {
+		open(1)
+		r.now += openingTime
+		t.closeOpenings(r.now)
+		Expect(t.Load().Opening).To(Equal(0))
+	})
+
+	// Guards against a flow that is delivered while all slots are taken, and against one
+	// that waits although a slot is free.
+	It("holds a flow until a slot is free", func() {
+		for n := range 3 {
+			Expect(open(n).Kind).To(Equal(Deliver))
+			receive(request(n, 1))
+		}
+		held := open(3)
+		Expect(held.Kind).To(Equal(Wait))
+		Expect(t.MayAdmit()).To(BeFalse())
+		Expect(open(3)).To(Equal(Action{Kind: Drop, Reason: ReasonWaiting}))
+		for n := range 3 {
+			answer(n)
+		}
+		Expect(t.MayAdmit()).To(BeTrue())
+		number, a, _ := t.Admit(r.now)
+		Expect(number).To(Equal(held.Flow))
+		Expect(a.Kind).To(Equal(Deliver))
+		Expect(t.Open()).To(Equal(4))
+		number, _, _ = t.Admit(r.now)
+		Expect(number).To(BeZero())
+	})
+
+	// Guards against first packets that are kept for ever, and against a flow that opens
+	// when its client has gone.
+	It("forgets a flow that has waited too long", func() {
+		for n := range 3 {
+			open(n)
+			receive(request(n, 1))
+		}
+		held := open(3)
+		r.now += 1200 * time.Millisecond
+		t.Step(r.now)
+		Expect(t.WaitsFor(held.Flow)).To(BeFalse())
+	})
+
+	// Guards against flows that wait at an upstream which takes none any more.
+	It("passes waiting flows on when it drains", func() {
+		r = newRig(2, TableConfig{Rebuild: rebuildTime, Gate: load.NewGate(load.Config{PassOn: 1})})
+		t = r.agents[r.named("a").ID]
+		t.SetSlots(1)
+		r.agents[r.named("b").ID].SetSlots(1)
+		for n := range 3 {
+			k := r.keyRanked(packet.ProtoTCP, "a", "b")
+			k.SrcPort += uint16(n)
+			h := packet.Header{Service: testService, Hops: 1, Visited: [4]packet.AgentID{r.named("b").ID}}
+			in := numbered(k, 0)
+			t.Receive(r.now, &h, &in)
+		}
+		k := key(77, packet.ProtoTCP)
+		h := packet.Header{Service: testService, Hops: 1, Visited: [4]packet.AgentID{99}}
+		in := numbered(k, 0)
+		Expect(t.Receive(r.now, &h, &in).Kind).To(Equal(Wait))
+		t.SetState(r.now, Draining)
+		_, a, passed := t.Admit(r.now)
+		Expect(a.Kind).To(Equal(Forward))
+		Expect(a.To).To(Equal(r.named("b").ID))
+		Expect(passed.Hops).To(BeEquivalentTo(2))
+	})
+})
--- a/member/announcer.go
+++ b/member/announcer.go
@@ -265,12 +265,19 @@
 	a.announce(self)
 }
 
-// SetUpstream announces a new state together with the start of the upstream and its
-// slots.
-func (a *Announcer) SetUpstream(now time.Duration, start uint64, slots int, s flow.State) {
+// Upstream is what an agent announces of the upstream beside it.
+type Upstream struct {
+	Start     uint64 // identifies the start of the upstream; 0 when not known
+	Slots     int
+	Endpoints []flow.Endpoint // addresses whose flows it holds
+	State     flow.State
+}
+
+// SetUpstream announces the upstream.
+func (a *Announcer) SetUpstream(now time.Duration, u Upstream) {
 	a.advance(now)
 	self := a.self
-	self.Start, self.Slots, self.State = start, slots, s
+	self.Start, self.Slots, self.Endpoints, self.State = u.Start, u.Slots, u.Endpoints, u.State
 	if self.sum() == a.self.sum() {
 		return
 	}
--- a/packet/packet_test.go
+++ b/packet/packet_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -225,3 +226,18 @@
 		t.Fatalf("Parse and Hash allocate %v times", n)
 	}
 }
+
+var _ = Describe("Class", func() {
+	// Guards against priorities or objectives that arrive as others.
+	DescribeTable("holds a priority and a latency objective", func(priority int, aim time.Duration, wantPriority int, wantAim time.Duration) {
+		c := packet.NewClass(priority, aim)
+		Expect(c.Priority()).To(BeEquivalentTo(wantPriority))
+		Expect(c.Aim()).To(Equal(wantAim))
+	},
+		Entry(nil, 0, time.Duration(0), 0, time.Duration(0)),
+		Entry(nil, 2, 250*time.Millisecond, 2, 250*time.Millisecond),
+		Entry(nil, 1, 224*time.Millisecond, 1, 200*time.Millisecond),
+		Entry(nil, 99, 9*time.Second, 7, 1550*time.Millisecond),
+		Entry(nil, -1, -time.Second, 0, time.Duration(0)),
+	)
+})
