--- a/agent/reader.go
+++ b/agent/reader.go
@@ -65,6 +65,10 @@
 	r.tally.received++
 	b := r.in.Packet(i)
 	h, raw, err := packet.ReadHeader(b)
+	if err == nil && h.Kind == packet.KindHint {
+		r.told(now, t, &h, raw)
+		return
+	}
 	if err != nil || h.Kind != packet.KindData || r.agent.format().Parse(raw, &r.info) != nil {
 		r.tally.malformed++
 		return
@@ -95,6 +99,16 @@
 	}
 }
 
+// told takes the hint of another agent.
+func (r *reader) told(now time.Duration, t *flow.Table, h *packet.Header, b []byte) {
+	k, owner, err := packet.ReadHint(b)
+	if err != nil || h.Service != r.agent.service {
+		r.tally.malformed++
+		return
+	}
+	t.Told(now, &k, owner)
+}
+
 // reset answers a client's packet with the end of its flow.
 func (a *Agent) reset(out *packetio.Outbox, in *packet.Info, t *tally) {
 	f := a.options.Packets
--- a/flow/rebuild_test.go
+++ b/flow/rebuild_test.go
@@ -274,6 +274,19 @@
 		Expect(u.agents[u.named("a").ID].Suspects()).To(BeFalse())
 	})
 
+	// Guards against a reset of a flow that its holder serves while its first choice waits
+	// for the digest: the holder tells the agents that passed a packet on.
+	It("are not reset when the holder has told of the flow", func() {
+		u.run(2 * time.Second)
+		u.pass("b", numbered(k, 2))
+		path, action := u.pass("a", data(k))
+		Expect(path).To(Equal("ab"))
+		Expect(action.HintAlso).To(ContainElement(u.named("a").Addr))
+		u.agents[u.named("a").ID].Told(u.now, &k, u.named("b").ID)
+		u.now += LostWait
+		Expect(u.agents[u.named("a").ID].Lost(u.now)).To(BeEmpty())
+	})
+
 	// Guards against a reset by an agent that some other balancer's view ranks first.
 	It("are not reset by another agent than their first choice", func() {
 		u.run(2 * time.Second)
--- a/flow/receive.go
+++ b/flow/receive.go
@@ -311,20 +311,36 @@
 	return h.Flags&packet.FlagReturned != 0 && int(h.Hops) == 2*(lastVisited(h)+1)
 }
 
-// addHints sends a hint to the packet's balancer. The first detoured packet of a
-// flow that is away from its first choice tells the other recent balancers too.
-// Hints have no rate limit: in the flow benchmark a limit of 96 a second raised
-// both the detours and the control bytes, since each missing hint costs another
-// detour.
+// addHints sends a hint to the packet's balancer and to the agents that have passed it
+// on, which would otherwise not know where the flow is until they have the next digest.
+// The first detoured packet of a flow that is away from its first choice tells the other
+// recent balancers too. Hints have no rate limit: in the flow benchmark a limit of 96 a
+// second raised both the detours and the control bytes, since each missing hint costs
+// another detour.
 func (t *Table) addHints(now time.Duration, h *packet.Header, e *entry, a *Action) {
 	a.Hint = true
-	t.counters.Hints++
-	if e.target == 0 || e.flags&flagHinted != 0 {
-		return
+	also := t.hintAlso[:0]
+	if t.cfg.Rebuild > 0 {
+		for _, id := range h.Visited {
+			if p := t.peers.get(id); p != nil {
+				also = append(also, p.Addr)
+			}
+		}
+	}
+	if e.target != 0 && e.flags&flagHinted == 0 {
+		e.flags |= flagHinted
+		also = append(also, t.origins.others(now, t.cfg.HintFanOut-1, h.Origin)...)
+	}
+	a.HintAlso, t.hintAlso = also, also
+	t.counters.Hints += uint64(1 + len(also))
+}
+
+// Told takes a peer's hint that it holds a flow.
+func (t *Table) Told(now time.Duration, k *packet.Key, owner packet.AgentID) {
+	hash := k.Hash()
+	if t.peers.get(owner) != nil && t.flows.find(hash, k) == nil {
+		t.handoffs.remember(now, hash, owner)
 	}
-	e.flags |= flagHinted
-	a.HintAlso = t.origins.others(now, t.cfg.HintFanOut-1, h.Origin)
-	t.counters.Hints += uint64(len(a.HintAlso))
 }
 
 func (t *Table) drop(r Reason) Action {
--- a/flow/table.go
+++ b/flow/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -27,6 +28,7 @@
 	filter   digestFilter
 	removals removalQueue
 	origins  origins
+	hintAlso []netip.AddrPort // of the last hint
 	trials   map[uint64]trial // by hash of the flow
 	lost     lostFlows
 	// suspected are the hashes of trials that may be lost flows.
