Tell lost flows from others although some agents know little of their upstreams

Three upstreams that were draining run on without announcing themselves, VMs without an upstream stayed "starting", and agents of VMs that were being removed announced "away". Change: an agent opens a connection to an upstream that answers no first packet, has not announced itself, or when the agent is stopped: a refused connection on the same VM ends the upstream's flows. An agent that stays away for 3 s counts as gone. Lost digest messages are asked for again after 400 ms.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -168,7 +168,7 @@
 	}
 	if a.options.Packets != nil {
 		c.Rebuild = a.cfg.RebuildSeconds.Duration()
-		c.DigestDelay, c.DigestRate = rebuildDigestDelay, rebuildDigestRate
+		c.DigestDelay, c.DigestRate, c.ResyncDelay = rebuildDigestDelay, rebuildDigestRate, rebuildResyncDelay
 		c.Gate, c.MaxWait = load.NewGate(load.Config{}), holdLimit
 	}
 	return c
@@ -182,6 +182,9 @@
 	// its first choice well within flow.LostWait.
 	rebuildDigestDelay = time.Millisecond
 	rebuildDigestRate  = 64 << 10
+	// rebuildResyncDelay bounds the time for which a lost digest message keeps an agent
+	// from telling lost flows from others.
+	rebuildResyncDelay = 400 * time.Millisecond
 )
 
 // limited reports whether plans limit customers.
@@ -249,6 +252,9 @@
 	}
 	a.stepFlows()
 	if a.beside != nil {
+		if a.beside.probeDue() {
+			a.life.Spawn(a.beside.probe)
+		}
 		a.followUpstream()
 		a.admitWaiting()
 		return
--- a/agent/counters.go
+++ b/agent/counters.go
@@ -12,6 +12,7 @@
 	hints, malformed, wrongEndpoint, refused int
 	late, returned, resets                   int
 	dropped                                  daemon.Drops
+	offered                                  bool // a first packet was delivered
 }
 
 // counters are the packet metrics of the process.
--- a/agent/reader.go
+++ b/agent/reader.go
@@ -48,6 +48,9 @@
 	r.outgoing.Reset()
 	r.agent.flows.do(r.packets)
 	r.tally.refused = r.upstream.Send(r.delivery) + r.data.Send(r.outgoing)
+	if r.tally.offered && r.agent.beside != nil {
+		r.agent.beside.offer(r.agent.clock())
+	}
 	r.agent.counters.add(&r.tally)
 	r.tally = tally{}
 }
@@ -127,6 +130,7 @@
 	}
 	if f := r.agent.options.Packets; f != nil {
 		f.SetTag(raw, r.agent.paths.remember(h))
+		r.tally.offered = r.tally.offered || r.info.First
 	}
 	r.delivery.Add(raw, r.agent.cfg.UpstreamSinkAddress)
 	r.tally.delivered++
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -52,8 +52,10 @@
 
 	mu      sync.Mutex
 	tracker *upstream.Tracker
-	state   flow.State // last logged
-	fresh   bool       // the upstream started no earlier than this process
+	state   flow.State    // last logged
+	offered time.Duration // when the oldest first packet without an answer was delivered; 0: none
+	probed  time.Duration // when the upstream was last probed
+	fresh   bool          // the upstream started no earlier than this process
 }
 
 const (
@@ -130,6 +132,16 @@
 func (b *beside) alive() {
 	b.mu.Lock()
 	b.tracker.Alive(b.agent.clock())
+	b.offered = 0
+	b.mu.Unlock()
+}
+
+// offer notes that first packets were delivered to the upstream.
+func (b *beside) offer(now time.Duration) {
+	b.mu.Lock()
+	if b.offered == 0 {
+		b.offered = now
+	}
 	b.mu.Unlock()
 }
 
@@ -139,13 +151,14 @@
 	start uint64
 	slots int
 	fresh bool
+	ended bool
 }
 
 func (b *beside) condition() (c condition) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	last, start := b.tracker.Last()
-	c = condition{state: b.tracker.State(b.agent.clock()), start: start, slots: last.Slots, fresh: b.fresh}
+	c = condition{state: b.tracker.State(b.agent.clock()), start: start, slots: last.Slots, fresh: b.fresh, ended: b.tracker.HasEnded()}
 	if c.state != b.state {
 		b.agent.log.Log(event.UpstreamState, "id", last.ID, "from", b.state, "to", c.state,
 			"number", last.Sequence, "silent_seconds", (b.agent.clock() - b.tracker.Heard()).Seconds())
@@ -169,6 +182,9 @@
 		if restarted = c.start != 0 && t.Start() != c.start; restarted {
 			t.SetStart(now, c.start, c.fresh)
 		}
+		if c.ended {
+			t.EndUpstream(now)
+		}
 		if c.state == flow.Ready && t.State() != flow.Ready && !a.mayBecomeReady(now, t) {
 			c.state = flow.Starting
 		}
@@ -203,13 +219,15 @@
 	return t.Warm(now) || now-a.homeSince >= warmLimit
 }
 
-// leaveUpstream stops an agent. Its upstream mostly runs on, and only this VM's agent
-// reaches it, so the agent says that it is away and exits at once to be back soon.
+// leaveUpstream stops an agent. When its upstream runs on, only this VM's agent reaches
+// it, so the agent says that it is away and exits at once to be back soon. When nothing
+// runs there, the VM is being removed.
 func (a *Agent) leaveUpstream() {
+	a.beside.probe()
 	c := a.beside.condition()
 	a.log.Log(event.Draining, "open", a.flows.open(), "upstream", c.state)
 	to := flow.Away
-	if c.state == flow.Leaving {
+	if c.state == flow.Leaving || c.ended {
 		to = flow.Leaving
 	}
 	a.state.Lock()
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -39,6 +39,7 @@
 	UpstreamStarted   = Definition{1700, Info, "upstream started", "The upstream on this VM has announced a new start; flows of an earlier one have ended."}
 	UpstreamState     = Definition{1701, Info, "upstream announced", "The upstream on this VM has announced another state, has said that it ends, or has been silent for too long."}
 	UpstreamMalformed = Definition{1702, Warn, "announcement rejected", "An announcement of an upstream was malformed, older than one that is known, or of another upstream; it changed nothing. At most one event is logged each minute."}
+	UpstreamProbed    = Definition{1703, Info, "upstream probed", "The upstream had not answered a first packet or had not announced itself, and the agent opened a connection to it; `ended` says that nothing runs there, so that its flows are lost."}
 
 	HTTPListening = Definition{1600, Info, "HTTP front listening", "The agent accepts HTTP connections of callers for its upstream."}
 )
@@ -54,5 +55,5 @@
 	ControlFailed,
 	GrantorStarted, GrantorStopped, RecountUnfinished, LeaseExpired,
 	HTTPListening,
-	UpstreamStarted, UpstreamState, UpstreamMalformed,
+	UpstreamStarted, UpstreamState, UpstreamMalformed, UpstreamProbed,
 }
--- a/flow/lost.go
+++ b/flow/lost.go
@@ -23,6 +23,20 @@
 	// suspectTime is the time after which a suspected flow is not looked at any more
 	// without a further packet.
 	suspectTime = 5 * time.Second
+	// silentPeer is the time after which a peer that has sent nothing counts as gone.
+	// Agents that restart are back within a second.
+	silentPeer = 5 * time.Second
+	// silentPeerFresh is the same time for an agent whose upstream has started with it,
+	// as after a power failure: clients wait on lost flows of all upstreams then.
+	silentPeerFresh = time.Second
+	// awayLimit is the time after which an agent that is away counts as gone with its
+	// upstream. It restarts within a second.
+	awayLimit = 3 * time.Second
+	// maxDoubtful is the number of peers that are asked for an unknown flow, which is what
+	// one packet can visit; with more, agents wait until they know their upstreams' flows.
+	maxDoubtful = packet.MaxHops
+	// askWait is the time in which a doubtful peer that holds a flow tells of it.
+	askWait = 2 * LostWait
 	// lostMemory is the time for which a lost flow is remembered: clients repeat a
 	// packet at least every 1.6 s and give up after some seconds.
 	lostMemory = 20 * time.Second
@@ -71,15 +85,23 @@
 // suspectLost notes that the upstream does not hold the flow of a packet that arrived
 // here.
 func (t *Table) suspectLost(now time.Duration, hash uint64, in *packet.Info) {
-	if tr, known := t.trials[hash]; known && tr.returned && now-tr.at < suspectTime {
-		tr.ack = in.Ack
-		t.trials[hash] = tr
+	// Only the flow's first choice is told of it by its holder.
+	if target, _ := t.targets(hash); target != 0 {
+		return
+	}
+	tr, known := t.trials[hash]
+	if !known && len(t.trials) >= maxTrials {
 		return
 	}
-	if len(t.trials) < maxTrials {
-		t.trials[hash] = trial{at: now, returned: true, key: in.Key, ack: in.Ack}
+	if !known || !tr.returned || now-tr.at >= suspectTime {
+		tr = trial{at: now, returned: true, key: in.Key}
+	}
+	tr.ack = in.Ack
+	if !tr.suspected {
+		tr.suspected = true
 		t.suspected = append(t.suspected, hash)
 	}
+	t.trials[hash] = tr
 }
 
 // Suspects reports whether some flow may turn out to be lost. The caller then calls
@@ -93,7 +115,10 @@
 	for _, hash := range t.suspected {
 		tr, known := t.trials[hash]
 		switch {
-		case !known || !tr.returned || now-tr.at >= suspectTime || t.knownElsewhere(now, hash):
+		case !known || !tr.returned:
+		case now-tr.at >= suspectTime || t.knownElsewhere(now, hash):
+			tr.suspected = false
+			t.trials[hash] = tr
 		case now-tr.at < LostWait || !t.heldByNobody(now, hash):
 			kept = append(kept, hash)
 		default:
@@ -114,7 +139,7 @@
 
 // heldByNobody reports whether a flow that neither this agent nor a peer's digest knows
 // is held by no upstream: it ranks this agent first, and every peer has sent its whole
-// digest and knows all flows of its upstream.
+// digest and knows all flows of its upstream, or was asked for this flow.
 func (t *Table) heldByNobody(now time.Duration, hash uint64) bool {
 	if t.cfg.Rebuild == 0 || t.self.Start == 0 || now-t.peersChanged < peersQuiet {
 		return false
@@ -122,18 +147,76 @@
 	if target, _ := t.targets(hash); target != 0 {
 		return false
 	}
+	doubtful, away := t.doubtful(now)
+	if away || len(doubtful) > maxDoubtful {
+		return false
+	}
+	tr := t.trials[hash]
+	return len(doubtful) == 0 || tr.asked != 0 && now-tr.asked >= askWait
+}
+
+// doubtful returns up to maxDoubtful+1 peers that may hold flows which this agent does
+// not know of, and whether a peer is away that may. The result is valid until the next
+// call.
+func (t *Table) doubtful(now time.Duration) (list []*peer, away bool) {
+	list = t.doubt[:0]
 	for _, p := range t.peers.list {
-		if !p.accountedFor() {
-			return false
+		switch {
+		case p.accountedFor(now) || t.silentFor(now, p):
+		case p.State == Away:
+			away = true
+		case len(list) <= maxDoubtful:
+			list = append(list, p)
+		}
+	}
+	t.doubt = list
+	return list, away
+}
+
+// askDoubtful returns the next doubtful peer to which a packet of an unknown flow is
+// passed on, or nil. A peer that holds the flow tells of it; one that does not shows the
+// packet to its upstream and passes it on to the next.
+func (t *Table) askDoubtful(now time.Duration, hash uint64, h *packet.Header) *peer {
+	if t.cfg.Rebuild == 0 || h.Hops >= packet.MaxHops {
+		return nil
+	}
+	doubtful, away := t.doubtful(now)
+	if away || len(doubtful) > maxDoubtful {
+		return nil
+	}
+	for _, p := range doubtful {
+		if h.HasVisited(p.ID) {
+			continue
 		}
+		if tr, known := t.trials[hash]; known && tr.asked == 0 {
+			tr.asked = now
+			t.trials[hash] = tr
+		}
+		h.Flags |= packet.FlagAsked
+		return p
 	}
-	return true
+	return nil
 }
 
 // accountedFor reports whether the peer's digest names all flows of its upstream that
-// rank this agent first. An upstream that has ended holds none.
-func (p *peer) accountedFor() bool {
-	return p.State.Gone() || p.State != Away && p.in.whole && p.in.complete
+// rank this agent first. An upstream that has ended holds none, and neither does one
+// whose agent has been away for much longer than a restart takes.
+func (p *peer) accountedFor(now time.Duration) bool {
+	if p.State == Away {
+		return now-p.changed >= awayLimit
+	}
+	return p.State.Gone() || p.in.whole && p.in.complete
+}
+
+// silentFor reports whether the peer has been listed for a while and has sent nothing,
+// where a running agent sends its digest to each peer that starts. Such a record may be
+// that of a VM that was removed before this agent started.
+func (t *Table) silentFor(now time.Duration, p *peer) bool {
+	limit := silentPeer
+	if t.fresh {
+		limit = silentPeerFresh
+	}
+	return p.State != Away && p.in.incarnation != p.Incarnation && now-p.listedSince >= limit
 }
 
 // resetLost answers a packet of a lost flow.
--- a/flow/peer.go
+++ b/flow/peer.go
@@ -16,7 +16,9 @@
 	out           outbox
 	in            *inbox
 	message       *Message // under construction in Step
-	listed        State    // state in the list of peers before
+	listedSince   time.Duration
+	changed       time.Duration // when its state changed
+	listed        State         // state in the list of peers before
 }
 
 // loadReport is the last load report of a peer, advanced by the flows handed to it.
@@ -29,7 +31,7 @@
 const never = -1 << 62 * time.Nanosecond
 
 func newPeer(now time.Duration, u Upstream) *peer {
-	p := &peer{Upstream: u, seed: seedOf(u.ID), acceptedSince: now, acceptedUntil: never}
+	p := &peer{Upstream: u, seed: seedOf(u.ID), acceptedSince: now, acceptedUntil: never, listedSince: now, changed: now}
 	// A draining upstream may have taken flows until a moment ago.
 	if u.State.Accepts() || u.State == Draining {
 		p.acceptedUntil = now
@@ -41,6 +43,9 @@
 // update installs a newer record of the same incarnation.
 func (p *peer) update(now time.Duration, u Upstream) {
 	was := p.State.Accepts()
+	if u.State != p.State {
+		p.changed = now
+	}
 	p.Upstream = u
 	if u.State.Accepts() && !was {
 		p.acceptedSince = now
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -22,6 +22,9 @@
 	returned bool       // the upstream does not hold the flow
 	key      packet.Key // of the flow
 	ack      uint32     // what the client had acknowledged in its last packet
+	// suspected marks a trial that Table.suspected lists.
+	suspected bool
+	asked     time.Duration // when the doubtful peers were first asked; 0: not yet
 }
 
 // maxTried is the number of upstreams that a packet of an unknown flow is shown to.
@@ -54,11 +57,15 @@
 	case known:
 		delete(t.trials, hash)
 		return t.deliver(now, h, t.take(now, hash, &in.Key)), true
-	case len(t.trials) >= maxTrials || h.Tried >= maxTried:
+	case len(t.trials) >= maxTrials || h.Tried >= maxTried && h.Flags&packet.FlagAsked == 0:
 		return Action{}, false
 	}
 	t.trials[hash] = trial{at: now, key: in.Key, ack: in.Ack}
-	h.Tried++
+	// An upstream that started with its agent holds what the agent knows, but for a
+	// doubt about their clocks.
+	if !t.fresh {
+		h.Tried++
+	}
 	t.counters.Tried++
 	return Action{Kind: Deliver}, true
 }
@@ -70,6 +77,8 @@
 	t.counters.Returned++
 	hash := in.Key.Hash()
 	if tr, known := t.trials[hash]; known && !tr.returned {
+		tr.at, tr.returned = now, true
+		t.trials[hash] = tr
 		t.suspectLost(now, hash, in)
 	}
 	t.forgetFlow(now, hash, &in.Key)
@@ -119,6 +128,18 @@
 	if before == 0 || before == start {
 		return
 	}
+	t.loseFlows(now)
+}
+
+// EndUpstream says that the upstream does not run: its flows are lost, and it holds none.
+func (t *Table) EndUpstream(now time.Duration) {
+	t.fresh = true
+	t.rebuildUntil = now
+	t.loseFlows(now)
+}
+
+// loseFlows ends all flows and remembers them as lost.
+func (t *Table) loseFlows(now time.Duration) {
 	for len(t.flows.entries) > 0 {
 		last := len(t.flows.entries) - 1
 		t.lost.remember(now, t.flows.entries[last].hash)
--- a/flow/table.go
+++ b/flow/table.go
@@ -33,7 +33,8 @@
 	lost     lostFlows
 	// suspected are the hashes of trials that may be lost flows.
 	suspected []uint64
-	urgent    bool // a digest should be sent at once
+	doubt     []*peer // result of doubtful
+	urgent    bool    // a digest should be sent at once
 	work      work
 
 	fresh        bool          // the upstream started no earlier than this agent
--- a/packet/header.go
+++ b/packet/header.go
@@ -22,6 +22,9 @@
 	FlagReturnIfUnknown uint8 = 1 << iota
 	// FlagReturned marks a packet sent back under FlagReturnIfUnknown.
 	FlagReturned
+	// FlagAsked marks a packet of an unknown flow that every upstream which may hold the
+	// flow is shown.
+	FlagAsked
 )
 
 const (
--- a/upstream/tracker.go
+++ b/upstream/tracker.go
@@ -61,6 +61,7 @@
 	start uint64
 	heard time.Duration // time of the last sign of life
 	left  bool          // the upstream has said that it ends
+	ended bool          // the upstream was found not to run
 }
 
 // NewTracker returns a tracker that has heard nothing.
@@ -86,6 +87,7 @@
 		a.Draining = a.Draining || t.last.Draining
 	}
 	t.known, t.last, t.start, t.heard = true, a, start, now
+	t.ended = false
 	return nil
 }
 
@@ -100,11 +102,14 @@
 }
 
 // Alive notes a sign of life other than an announcement, such as a packet.
-func (t *Tracker) Alive(now time.Duration) {
-	if t.known {
-		t.heard = now
-	}
-}
+func (t *Tracker) Alive(now time.Duration) { t.heard, t.ended = now, false }
+
+// Ended says that nothing runs at the upstream's address. Flows that it held are lost.
+func (t *Tracker) Ended() { t.ended = true }
+
+// HasEnded reports whether the upstream was found not to run and has given no sign of
+// life since.
+func (t *Tracker) HasEnded() bool { return t.ended }
 
 // Known reports whether an announcement has been taken.
 func (t *Tracker) Known() bool { return t.known }
@@ -117,15 +122,15 @@
 
 // State returns the state that the agent announces for the upstream: Starting before
 // the first announcement, Leaving after the upstream has said that it ends, Failed
-// when it has been silent for too long.
+// when it was found not to run or has been silent for too long, also from the start of the process on.
 func (t *Tracker) State(now time.Duration) flow.State {
 	switch {
-	case !t.known:
-		return flow.Starting
 	case t.left:
 		return flow.Leaving
-	case now-t.heard > silentBeats*t.cfg.Heartbeat:
+	case t.ended, now-t.heard > silentBeats*t.cfg.Heartbeat:
 		return flow.Failed
+	case !t.known:
+		return flow.Starting
 	case t.last.Draining:
 		return flow.Draining
 	}
--- a/upstream/tracker_test.go
+++ b/upstream/tracker_test.go
@@ -85,6 +85,27 @@
 		Expect(t.State(0)).To(Equal(flow.Leaving))
 	})
 
+	// Guards against an agent that waits for ever for the upstream of a VM that has none
+	// any more: its peers could not rule out that it holds flows.
+	It("counts an upstream that never announces itself as failed", func() {
+		t = upstream.NewTracker(upstream.Config{Service: "portal", Address: address, Heartbeat: heartbeat})
+		Expect(t.State(3 * heartbeat)).To(Equal(flow.Starting))
+		Expect(t.State(3*heartbeat + 1)).To(Equal(flow.Failed))
+		Expect(t.Announce(4*heartbeat, first)).To(Succeed())
+		Expect(t.State(4 * heartbeat)).To(Equal(flow.Ready))
+	})
+
+	// Guards against flows for an upstream that is known not to run, and against one that
+	// stays out after it has started again.
+	It("counts an upstream that does not run as failed until it gives a sign of life", func() {
+		t.Ended()
+		Expect(t.State(0)).To(Equal(flow.Failed))
+		again := first
+		again.Born, again.ID = 5000, "i-2"
+		Expect(t.Announce(0, again)).To(Succeed())
+		Expect(t.State(0)).To(Equal(flow.Ready))
+	})
+
 	// Guards against a crashed upstream that receives flows for ever, and against one
 	// lost announcement that takes a running one out.
 	It("counts a silent upstream as failed, and a packet as a sign of life", func() {
