Log what happens to each flow, bounded and without blocking

Cause: from a failed request nothing led to its cause: the log said nothing of single flows, and a slow reader of the log blocked the process. Change: first packets, packets of unknown flows and resets are logged by balancer and agent with what decided them; lines wait in a bounded queue, at most 40 a second are about flows, and what is left out is counted in the log.

--- /dev/null
+++ b/agent/flowlog.go
@@ -0,0 +1,62 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/daemon"
+	"github.com/nutmegtrack/nutmegtrack/event"
+	"github.com/nutmegtrack/nutmegtrack/flow"
+	"github.com/nutmegtrack/nutmegtrack/packet"
+)
+
+// logFirst logs what happens to the first packet of a flow, with what decided it. It is
+// called under the lock of flows.
+func (a *Agent) logFirst(now time.Duration, t *flow.Table, in *packet.Info, h *packet.Header, action *flow.Action, waited time.Duration) {
+	id, l := daemon.FlowID(&in.Key), t.Load()
+	pairs := []any{"flow", id, "copy", in.Repeat, "hops", h.Hops, "state", t.State(),
+		"busy", l.Busy, "opening", l.Opening, "slots", l.Slots, "waiting", t.Waiting()}
+	switch action.Kind {
+	case flow.Deliver:
+		a.log.LogFlow(event.FlowTaken, append(pairs, "open", t.Open(), "waited", waited.Seconds(), "from", h.Origin)...)
+	case flow.Forward:
+		a.log.LogFlow(event.FlowPassedOn, append(pairs, "to", action.Addr, "known", action.Known, "waited", waited.Seconds())...)
+	case flow.Wait:
+		a.log.LogFlow(event.FlowHeld, pairs...)
+	default:
+		a.log.LogFlow(event.FlowRefused, append(pairs, "reason", action.Reason, "reset", action.Kind == flow.Reset)...)
+	}
+}
+
+// logOther logs what happens to a packet of an open flow that this agent does not hold,
+// unless the flow is known to be elsewhere.
+func (a *Agent) logOther(now time.Duration, t *flow.Table, in *packet.Info, h *packet.Header, action *flow.Action) {
+	outcome := "dropped"
+	switch {
+	case action.Kind == flow.Deliver && action.Tried:
+		outcome = "shown to the upstream"
+	case action.Kind == flow.Forward && !action.Known:
+		outcome = "passed on"
+	case action.Kind == flow.Reset:
+		a.logReset(now, t, &in.Key, action.Reason)
+		return
+	case action.Kind != flow.Drop:
+		return
+	}
+	a.log.LogFlow(event.FlowUnknown, "flow", daemon.FlowID(&in.Key), "outcome", outcome, "to", action.Addr,
+		"reason", action.Reason, "hops", h.Hops, "state", t.State(), "returned", in.Returned)
+}
+
+func (a *Agent) logReset(now time.Duration, t *flow.Table, k *packet.Key, reason flow.Reason) {
+	peers, changed := t.Peers()
+	a.log.LogFlow(event.FlowReset, "flow", daemon.FlowID(k), "reason", reason, "start", t.Start(),
+		"peers", peers, "peers_age", (now - changed).Seconds())
+}
+
+// logGivenUp logs the flows that have waited too long.
+func (a *Agent) logGivenUp(t *flow.Table) {
+	l := t.Load()
+	for _, k := range t.GivenUp() {
+		a.log.LogFlow(event.FlowRefused, "flow", daemon.FlowID(&k), "reason", flow.ReasonRefused, "reset", false,
+			"busy", l.Busy, "opening", l.Opening, "slots", l.Slots, "waiting", t.Waiting())
+	}
+}
--- a/agent/lost.go
+++ b/agent/lost.go
@@ -63,6 +63,9 @@
 	var lost []flow.LostFlow
 	a.flows.do(func(now time.Duration, t *flow.Table) {
 		lost = t.Lost(now)
+		for i := range lost {
+			a.logReset(now, t, &lost[i].Key, flow.ReasonFlowLost)
+		}
 		a.prompt.after(a, t)
 	})
 	if len(lost) == 0 || a.options.Packets == nil {
--- a/agent/peers.go
+++ b/agent/peers.go
@@ -71,7 +71,10 @@
 	a.peers.stepping.Lock()
 	defer a.peers.stepping.Unlock()
 	var messages []flow.Message
-	a.flows.do(func(now time.Duration, t *flow.Table) { messages = t.Step(now) })
+	a.flows.do(func(now time.Duration, t *flow.Table) {
+		messages = t.Step(now)
+		a.logGivenUp(t)
+	})
 	controls := a.peers.controls.Load()
 	if controls == nil {
 		return
--- a/agent/reader.go
+++ b/agent/reader.go
@@ -82,7 +82,11 @@
 		r.tally.wrongEndpoint++
 		return
 	}
-	switch action := t.Receive(now, &h, &r.info); action.Kind {
+	action := t.Receive(now, &h, &r.info)
+	if r.agent.options.Packets != nil {
+		r.log(now, t, &h, &action)
+	}
+	switch action.Kind {
 	case flow.Deliver:
 		r.deliver(&h, raw)
 		if action.Hint {
@@ -102,6 +106,14 @@
 	}
 }
 
+func (r *reader) log(now time.Duration, t *flow.Table, h *packet.Header, action *flow.Action) {
+	if r.info.First {
+		r.agent.logFirst(now, t, &r.info, h, action, 0)
+	} else {
+		r.agent.logOther(now, t, &r.info, h, action)
+	}
+}
+
 // told takes the hint of another agent.
 func (r *reader) told(now time.Duration, t *flow.Table, h *packet.Header, b []byte) {
 	k, owner, err := packet.ReadHint(b)
@@ -255,6 +267,11 @@
 		return
 	}
 	action := t.Returned(now, &h, &r.info)
+	if r.info.First {
+		r.agent.logFirst(now, t, &r.info, &h, &action, 0)
+	} else {
+		r.agent.logOther(now, t, &r.info, &h, &action)
+	}
 	if action.Kind != flow.Forward {
 		r.tally.dropped[action.Reason]++
 		if action.Kind == flow.Reset {
--- a/balancer/fleet.go
+++ b/balancer/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/nutmegtrack/nutmegtrack/event"
@@ -25,7 +26,7 @@
 	view    *flow.View // never nil
 	members *flow.View // as the membership showed it
 	routes  *route.Document
-	changed time.Duration
+	changed atomic.Int64 // time.Duration
 }
 
 // refreshView installs the membership table's view when it has changed.
@@ -44,7 +45,8 @@
 		b.router.setView(view)
 		b.routed.Store(routes)
 		b.logChanges(b.fleet.view, view)
-		b.fleet.view, b.fleet.changed = view, now
+		b.fleet.view = view
+		b.fleet.changed.Store(int64(now))
 		b.fleet.members, b.fleet.routes = members, routes
 	}
 	if b.viewComplete(now) {
@@ -52,6 +54,9 @@
 	}
 }
 
+// viewChanged returns the time of the last change of the view.
+func (b *Balancer) viewChanged() time.Duration { return time.Duration(b.fleet.changed.Load()) }
+
 // withRoutes returns the view of the membership with the operators' routes.
 func withRoutes(members *flow.View, routes *route.Document) *flow.View {
 	if routes == nil {
@@ -66,7 +71,7 @@
 	if b.routes != nil && b.fleet.routes == nil {
 		return false
 	}
-	quiet := len(b.fleet.view.Services) > 0 && now-b.fleet.changed >= viewQuiet
+	quiet := len(b.fleet.view.Services) > 0 && now-b.viewChanged() >= viewQuiet
 	return quiet || now >= startLimit
 }
 
--- /dev/null
+++ b/balancer/flowlog.go
@@ -0,0 +1,27 @@
+package balancer
+
+import (
+	"github.com/nutmegtrack/nutmegtrack/daemon"
+	"github.com/nutmegtrack/nutmegtrack/event"
+	"github.com/nutmegtrack/nutmegtrack/flow"
+	"github.com/nutmegtrack/nutmegtrack/packet"
+)
+
+// logFirst logs what happens to the first packet of a flow, with what was known.
+func (b *Balancer) logFirst(in *packet.Info, d *flow.Decision) {
+	now := b.clock()
+	id, copies := daemon.FlowID(&in.Key), in.Repeat
+	version, age, viewAge := int64(0), 0.0, 0.0
+	if b.routes != nil {
+		version, age = b.routes.Version(), b.routes.Age().Seconds()
+	}
+	viewAge = (now - b.viewChanged()).Seconds()
+	if !d.OK {
+		reset := d.Reason == flow.ReasonNoService && b.routesCurrent()
+		b.log.LogFlow(event.FlowNotPlaced, "flow", id, "copy", copies, "reason", d.Reason, "reset", reset,
+			"routes", version, "routes_age", age, "view_age", viewAge)
+		return
+	}
+	b.log.LogFlow(event.FlowPlaced, "flow", id, "copy", copies, "agent", d.Addr, "hinted", d.Hinted,
+		"routes", version, "routes_age", age, "view_age", viewAge)
+}
--- a/balancer/reader.go
+++ b/balancer/reader.go
@@ -26,6 +26,7 @@
 	current  func() bool     // whether the routes are known to be the newest
 	onlyData bool            // hints come through another socket
 	mayRoute func() bool     // whether new flows may be placed
+	log      func(i int)     // logs the decision about a first packet
 
 	in        *packetio.Inbox
 	out       *packetio.Outbox
@@ -52,6 +53,7 @@
 		customer: b.customer,
 		format:   packet.IP{},
 		mayRoute: b.mayRoute,
+		log:      func(int) {},
 		resets:   packetio.NewOutbox(packetio.BatchSize),
 		source:   source,
 		sink:     b.ports.data,
@@ -64,6 +66,7 @@
 	if b.ports.clients != nil && source == packetio.Source(b.ports.clients) {
 		r.format, r.datagram = b.options.Packets, b.options.Packets
 		r.clients, r.current, r.onlyData = b.ports.clients, b.routesCurrent, true
+		r.log = func(i int) { b.logFirst(&r.infos[i], &r.decisions[i]) }
 	}
 	return r
 }
@@ -192,6 +195,9 @@
 // frame puts a packet with its header into the outbox, or drops it.
 func (r *reader) frame(i int) {
 	d := &r.decisions[i]
+	if r.infos[i].First {
+		r.log(i)
+	}
 	if !d.OK {
 		r.tally.dropped[d.Reason]++
 		r.reset(i)
--- a/balancer/run.go
+++ b/balancer/run.go
@@ -19,7 +19,8 @@
 	if err != nil {
 		return process.ReportSettings(event.NewLogger(w), err)
 	}
-	log := event.NewLogger(w, "name", cfg.Name)
+	log := event.NewQueued(w, "name", cfg.Name)
+	defer log.Close()
 	var options Options
 	if environment := environments[cfg.Environment]; environment != nil {
 		if options, err = environment(&cfg); err != nil {
--- /dev/null
+++ b/event/async_test.go
@@ -0,0 +1,67 @@
+package event_test
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"sync"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/nutmegtrack/nutmegtrack/event"
+)
+
+// stuck is a reader of the log that reads nothing until it is released.
+type stuck struct {
+	release chan struct{}
+	mu      sync.Mutex
+	read    bytes.Buffer
+}
+
+func (s *stuck) Write(b []byte) (int, error) {
+	<-s.release
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.read.Write(b)
+}
+
+var _ = Describe("A queued logger", func() {
+	// Guards against packets that wait for a slow reader of the log, and against lines
+	// that are missing without a word.
+	It("never blocks, and counts what it leaves out", func() {
+		w := &stuck{release: make(chan struct{})}
+		l := event.NewQueued(w, "name", "x")
+		for range 5000 {
+			l.Log(event.Started)
+		}
+		close(w.release)
+		l.Close()
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		lines := strings.Count(w.read.String(), "event=1000")
+		Expect(lines).To(BeNumerically("<", 5000))
+		Expect(lines).To(BeNumerically(">=", 1024))
+	})
+
+	// Guards against a log that grows with the load.
+	It("bounds the lines about single flows and counts the others", func() {
+		var out bytes.Buffer
+		l := event.NewQueued(&out)
+		for range 1000 {
+			l.LogFlow(event.FlowPlaced)
+		}
+		l.Close()
+		Expect(strings.Count(out.String(), "event=1800")).To(BeNumerically("<", 300))
+		Expect(out.String()).To(MatchRegexp(`event=1009 .*flow_lines=[1-9]`))
+	})
+
+	// Guards against a process that does not end because nobody reads its log.
+	It("closes although nobody reads", func() {
+		r, w := io.Pipe()
+		defer r.Close()
+		l := event.NewQueued(w)
+		l.Log(event.Started)
+		l.Close()
+	})
+})
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -2,7 +2,8 @@
 
 // Events by number: 1000 processes and settings, 1100 packet path, 1200
 // membership, 1300 store and lists, 1400 control calls, 1500 limits of plans,
-// 1600 requests, 1700 the upstream beside an agent.
+// 1600 requests, 1700 the upstream beside an agent, 1800
+// single flows.
 var (
 	Started      = Definition{1000, Info, "started", "The process has opened its sockets."}
 	Draining     = Definition{1001, Info, "draining", "A graceful shutdown or drain has begun."}
@@ -14,6 +15,7 @@
 
 	Reloaded     = Definition{1007, Info, "settings reloaded", "The settings file was read again. `changed` names the fields that differ from before, `next_start` those of them that take effect at the next start only."}
 	ReloadFailed = Definition{1008, Error, "settings kept", "The settings file was read again and has mistakes, one event 1003 for each; the settings of before stay in force."}
+	LinesLeftOut = Definition{1009, Warn, "log lines left out", "Lines about single flows exceeded their rate (`flow_lines`), or a slow reader of the log let the queue fill (`queue_full`); so many lines are missing before this one."}
 
 	WrongService = Definition{1100, Error, "packet for another service at delivery", "The assertion before delivery failed and the packet was dropped; this is a fault in the program. Report it with the dump."}
 	SendFailed   = Definition{1101, Warn, "packets not sent", "The system refused to send packets; `packets` counts them since the last such event. Check routes and socket buffers."}
@@ -41,13 +43,22 @@
 	UpstreamMalformed = Definition{1702, Warn, "announcement rejected", "An announcement of an upstream was malformed, older than one that is known, or of another upstream; it changed nothing. At most one event is logged each minute."}
 	UpstreamProbed    = Definition{1703, Info, "upstream probed", "The upstream had not answered a first packet or had not announced itself, and the agent opened a connection to it; `ended` says that nothing runs there, so that its flows are lost."}
 
+	FlowPlaced    = Definition{1800, Info, "flow placed", "A balancer has sent the first packet of a flow to an agent. `copy` is the number of the client's copy; `routes` and `routes_age` are the version in force and the seconds since the store confirmed it, `view_age` the seconds since the list of upstreams changed."}
+	FlowNotPlaced = Definition{1801, Info, "flow not placed", "A balancer has not sent the first packet of a flow on, for the reason given; `reset` says whether the client was told at once."}
+	FlowTaken     = Definition{1810, Info, "flow taken", "An agent has delivered the first packet of a flow to its upstream. `busy` and `opening` are the requests that the upstream had and those expected, of `slots`; `waited` is the time in seconds that the packet was kept."}
+	FlowPassedOn  = Definition{1811, Info, "flow passed on", "An agent has passed the first packet of a flow on to another agent: its upstream is busy, does not accept or has returned the packet."}
+	FlowHeld      = Definition{1812, Info, "flow held", "The first packet of a flow waits for a slot of the upstream; `waiting` flows wait there."}
+	FlowRefused   = Definition{1813, Info, "flow refused", "An agent has given up the first packet of a flow; `reset` says whether the client was told at once. Nothing ran."}
+	FlowReset     = Definition{1814, Info, "flow reset", "An agent has told a client that its flow has ended, because the upstream that held it has ended or started anew, or because no upstream holds it; `peers` and `peers_age` are the upstreams known and the seconds since their list changed."}
+	FlowUnknown   = Definition{1815, Info, "packet of an unknown flow", "An agent has received a packet of an open flow that it does not hold, and has shown it to its upstream, passed it on or dropped it."}
+
 	HTTPListening = Definition{1600, Info, "HTTP front listening", "The agent accepts HTTP connections of callers for its upstream."}
 )
 
 // Catalogue lists every event that the programs log, in order of number.
 var Catalogue = []Definition{
 	Started, Draining, Stopped, BadSettings, SocketFailed, StoppedEarly, DrainLimit,
-	Reloaded, ReloadFailed,
+	Reloaded, ReloadFailed, LinesLeftOut,
 	WrongService, SendFailed,
 	StateChanged, PeerSilent,
 	ListsActive, ListsRejected, StoreFailed,
@@ -56,4 +67,5 @@
 	GrantorStarted, GrantorStopped, RecountUnfinished, LeaseExpired,
 	HTTPListening,
 	UpstreamStarted, UpstreamState, UpstreamMalformed, UpstreamProbed,
+	FlowPlaced, FlowNotPlaced, FlowTaken, FlowPassedOn, FlowHeld, FlowRefused, FlowReset, FlowUnknown,
 }
--- a/event/event.go
+++ b/event/event.go
@@ -5,6 +5,7 @@
 
 import (
 	"io"
+	"sync/atomic"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -30,7 +31,9 @@
 
 // Logger writes events as logfmt lines. It is safe for concurrent use.
 type Logger struct {
-	base log.Logger
+	base       log.Logger
+	queue      *queue       // nil for a logger that writes at once
+	nextReport atomic.Int64 // time of the next line about lines left out, Unix nanoseconds
 }
 
 // NewLogger returns a logger that writes to w; pairs are added to each line.
@@ -42,6 +45,13 @@
 
 // Log writes one event with its key-value pairs.
 func (l *Logger) Log(d Definition, pairs ...any) {
+	l.write(d, pairs)
+	if l.queue != nil {
+		l.queue.flush()
+	}
+}
+
+func (l *Logger) write(d Definition, pairs []any) {
 	leveled := level.Info(l.base)
 	switch d.Severity {
 	case Warn:
--- a/flow/action.go
+++ b/flow/action.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/nutmegtrack/nutmegtrack/packet"
 )
@@ -30,6 +31,9 @@
 	To     packet.AgentID // receiver of a forwarded packet
 	Addr   netip.AddrPort // data address of To
 	Flow   uint64         // number of the flow under Wait
+	Waited time.Duration  // of Table.Admit: how long the packet was kept
+	Tried  bool           // under Deliver: the upstream may not hold the flow
+	Known  bool           // under Forward: the flow is known to be there
 	Hint   bool           // send a hint with this agent as owner to the header's origin
 	// HintAlso lists further balancers to send the hint to. It is valid until the
 	// next call of Receive. A caller may ignore it at the cost of detours.
--- a/flow/admission.go
+++ b/flow/admission.go
@@ -33,6 +33,7 @@
 type waitingFlow struct {
 	key    packet.Key
 	header packet.Header
+	since  time.Duration
 	until  time.Duration
 }
 
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -67,7 +67,7 @@
 		h.Tried++
 	}
 	t.counters.Tried++
-	return Action{Kind: Deliver}, true
+	return Action{Kind: Deliver, Tried: true}, true
 }
 
 // Returned decides about a packet that the upstream has sent back. The header is the
--- a/flow/receive.go
+++ b/flow/receive.go
@@ -87,7 +87,9 @@
 		return Action{}, false
 	}
 	h.Flags &^= packet.FlagReturnIfUnknown | packet.FlagReturned
-	return t.forward(h, p), true
+	a := t.forward(h, p)
+	a.Known = true
+	return a, true
 }
 
 // lastResort reports whether this agent takes flows although it is not ready: it has
--- a/flow/table.go
+++ b/flow/table.go
@@ -36,6 +36,7 @@
 	doubt     []*peer // result of doubtful
 	urgent    bool    // a digest should be sent at once
 	work      work
+	givenUp   []packet.Key // not reported yet
 
 	fresh        bool          // the upstream started no earlier than this agent
 	early        bool          // flows are taken although the state is Starting
@@ -102,6 +103,9 @@
 // Rebuild begins the rebuilding phase. Call it when packets may arrive.
 func (t *Table) Rebuild(now time.Duration) { t.rebuildUntil = now + t.cfg.Rebuild }
 
+// Peers returns the number of peers and the time of the last change of their list.
+func (t *Table) Peers() (n int, changed time.Duration) { return len(t.peers.list), t.peersChanged }
+
 // Urgent reports, once, that Step should be called at once: this agent has taken a flow
 // whose first choice must learn of it.
 func (t *Table) Urgent() bool {
--- a/flow/work.go
+++ b/flow/work.go
@@ -122,7 +122,7 @@
 		t.counters.HandedOff++
 		return t.forward(h, next)
 	case load.Wait:
-		t.waiting.add(number, &waitingFlow{key: in.Key, header: *h, until: now + t.cfg.MaxWait})
+		t.waiting.add(number, &waitingFlow{key: in.Key, header: *h, since: now, until: now + t.cfg.MaxWait})
 		t.counters.Held++
 		return Action{Kind: Wait, Flow: number}
 	}
@@ -181,6 +181,7 @@
 		} else {
 			a = t.admit(now, hash, &f.header, &f.key)
 		}
+		a.Waited = now - f.since
 		return number, a, f.header
 	}
 }
@@ -192,8 +193,24 @@
 		return
 	}
 	for _, number := range t.cfg.Gate.Expired(now) {
-		if t.waiting.remove(number) != nil {
+		if f := t.waiting.remove(number); f != nil {
 			t.drop(ReasonRefused)
+			t.givenUp = append(t.givenUp, f.key)
 		}
 	}
 }
+
+// GivenUp returns, once, the flows that have waited too long for a slot.
+func (t *Table) GivenUp() []packet.Key {
+	out := t.givenUp
+	t.givenUp = nil
+	return out
+}
+
+// Waiting returns the number of flows that wait for a slot.
+func (t *Table) Waiting() int {
+	if t.cfg.Gate == nil {
+		return 0
+	}
+	return t.cfg.Gate.Waiting()
+}
