Metrics page, trace of a flow, check of settings; know the peers before resetting

Cause: (1) on-call engineers had no metrics page and no way from a flow to its story. (2) The first traces showed a reset by an agent that knew no peers yet (peers=0, 278 ms after its start): an empty list looked like a whole one.

--- a/agent/admission.go
+++ b/agent/admission.go
@@ -154,6 +154,7 @@
 				return false
 			}
 			r.release(i, number, action, &h)
+			a.waitTime.Update(int64(action.Waited))
 			a.logFirst(now, t, &r.info, &h, &action, action.Waited)
 		}
 		return true
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -54,6 +54,10 @@
 	beside   *beside // nil without an upstream that announces itself
 	health   *http.Server
 
+	exposition  *daemon.Exposition
+	requestTime metrics.Histogram // of the upstream's answers
+	waitTime    metrics.Histogram // of first packets that waited for a slot
+
 	admission *admission // used under the lock of flows
 	prompt    prompt
 	learned   map[endpoint]bool // addresses of flows that the upstream holds; as admission
@@ -90,7 +94,10 @@
 		counters:  newCounters(registry),
 		startedAt: time.Now(),
 		prompt:    newPrompt(),
-		learned:   make(map[endpoint]bool),
+
+		requestTime: daemon.NewTimeHistogram("upstream.request", registry),
+		waitTime:    daemon.NewTimeHistogram("flows.wait", registry),
+		learned:     make(map[endpoint]bool),
 	}
 }
 
@@ -137,6 +144,7 @@
 		a.beside = newBeside(a)
 	}
 	a.addDumpSources()
+	a.addGauges()
 }
 
 func (a *Agent) record() member.Record {
@@ -169,6 +177,7 @@
 	if a.options.Packets != nil {
 		c.Rebuild = a.cfg.RebuildSeconds.Duration()
 		c.DigestDelay, c.DigestRate, c.ResyncDelay = rebuildDigestDelay, rebuildDigestRate, rebuildResyncDelay
+		c.Worked = func(d time.Duration) { a.requestTime.Update(int64(d)) }
 		c.Gate, c.MaxWait = load.NewGate(load.Config{}), holdLimit
 	}
 	return c
@@ -215,6 +224,7 @@
 	a.control.Serve(a.ports.control)
 	a.launchRequests()
 	a.launchUpstream()
+	a.exposition = daemon.ServeMetrics(a.ports.metrics, a.registry, a.life.Spawn)
 	if a.options.Packets != nil {
 		a.life.Spawn(a.actPromptly)
 	}
@@ -247,6 +257,9 @@
 	answered := a.peers.home.Load() != nil
 	a.members.Step(a.life.Context())
 	a.refreshPeers()
+	if answered {
+		a.flows.do(func(now time.Duration, t *flow.Table) { t.PeersKnown(now) })
+	}
 	if a.limited() {
 		a.stepQuota()
 	}
@@ -305,6 +318,7 @@
 	if a.health != nil {
 		_ = a.health.Close()
 	}
+	a.exposition.Close()
 	a.control.Close()
 }
 
--- a/agent/flowlog.go
+++ b/agent/flowlog.go
@@ -23,6 +23,9 @@
 	case flow.Wait:
 		a.log.LogFlow(event.FlowHeld, pairs...)
 	default:
+		if action.Reason == flow.ReasonWaiting {
+			return // a copy of a packet that is kept
+		}
 		a.log.LogFlow(event.FlowRefused, append(pairs, "reason", action.Reason, "reset", action.Kind == flow.Reset)...)
 	}
 }
--- /dev/null
+++ b/agent/gauges.go
@@ -0,0 +1,36 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/nutmegtrack/nutmegtrack/flow"
+)
+
+// addGauges registers what is read from the flow table when metrics are asked for.
+func (a *Agent) addGauges() {
+	gauge := func(name string, read func(now time.Duration, t *flow.Table) float64) {
+		_ = a.registry.Register(name, metrics.NewFunctionalGaugeFloat64(func() (v float64) {
+			a.flows.do(func(now time.Duration, t *flow.Table) { v = read(now, t) })
+			return v
+		}))
+	}
+	gauge("flows.open", func(_ time.Duration, t *flow.Table) float64 { return float64(t.Open()) })
+	gauge("flows.waiting", func(_ time.Duration, t *flow.Table) float64 { return float64(t.Waiting()) })
+	gauge("flows.held", func(_ time.Duration, t *flow.Table) float64 { return float64(t.Counters().Held) })
+	gauge("flows.handed_off", func(_ time.Duration, t *flow.Table) float64 { return float64(t.Counters().HandedOff) })
+	gauge("flows.adopted", func(_ time.Duration, t *flow.Table) float64 { return float64(t.Counters().Adopted) })
+	gauge("flows.tried", func(_ time.Duration, t *flow.Table) float64 { return float64(t.Counters().Tried) })
+	gauge("flows.reset", func(_ time.Duration, t *flow.Table) float64 { return float64(t.Counters().Reset) })
+	gauge("upstream.requests", func(_ time.Duration, t *flow.Table) float64 { return float64(t.Load().Busy) })
+	gauge("upstream.slots", func(_ time.Duration, t *flow.Table) float64 { return float64(t.Load().Slots) })
+	gauge("peers.count", func(_ time.Duration, t *flow.Table) float64 {
+		n, _ := t.Peers()
+		return float64(n)
+	})
+	gauge("peers.age_seconds", func(now time.Duration, t *flow.Table) float64 {
+		_, changed := t.Peers()
+		return (now - changed).Seconds()
+	})
+}
--- a/agent/ports.go
+++ b/agent/ports.go
@@ -22,6 +22,7 @@
 	http     net.Listener // from callers; nil without http_listen
 	announce net.Listener // from the upstream; nil without upstream_listen
 	health   net.Listener // nil without health_address
+	metrics  net.Listener // nil without metrics_address
 }
 
 // openPorts opens all sockets that the settings name, or none.
@@ -51,6 +52,7 @@
 		{"http_listen", cfg.HTTPListen, &p.http},
 		{"upstream_listen", cfg.UpstreamListen, &p.announce},
 		{"health_address", cfg.HealthAddress, &p.health},
+		{"metrics_address", cfg.MetricsAddress, &p.metrics},
 	} {
 		if !l.address.IsValid() {
 			continue
@@ -97,7 +99,7 @@
 
 func (p *ports) close() {
 	p.closePackets()
-	for _, l := range []net.Listener{p.control, p.http, p.announce, p.health} {
+	for _, l := range []net.Listener{p.control, p.http, p.announce, p.health, p.metrics} {
 		if l != nil {
 			_ = l.Close()
 		}
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -36,8 +36,9 @@
 	// Packets is the format of clients' packets, which come to
 	// settings.Balancer.ClientAddress.
 	Packets packet.Datagram
-	// Store is used in place of the store of the settings.
-	Store store.Store
+	// OpenStore returns a store that is used in place of the store of the settings. Each
+	// of its calls is passed to observe.
+	OpenStore func(observe StoreObserver) store.Store
 	// RoutesKey is the store's key of the operators' routes, and DecodeRoutes reads
 	// them. Without a key the agents announce the addresses of their services.
 	RoutesKey    string
@@ -48,6 +49,10 @@
 	CollectorPause time.Duration
 }
 
+// StoreObserver takes the outcome of one call to the store: the call's name, such as
+// "txn", the time that it took, and its error.
+type StoreObserver func(call string, d time.Duration, err error)
+
 // Balancer is one balancer process.
 type Balancer struct {
 	cfg      settings.Balancer // as at the start
@@ -62,15 +67,16 @@
 	router   *router
 	health   *health
 
-	ports   ports
-	control *daemon.Control
-	members *daemon.Members[*member.Node]
-	fleet   fleet
-	routed  atomic.Pointer[route.Document] // routes that the router has
-	lists   *daemon.Lists
-	routes  *daemon.Routes // nil where the agents announce the services' addresses
-	collect *collector     // nil without a store
-	grants  *grantors      // nil without a store
+	exposition *daemon.Exposition
+	ports      ports
+	control    *daemon.Control
+	members    *daemon.Members[*member.Node]
+	fleet      fleet
+	routed     atomic.Pointer[route.Document] // routes that the router has
+	lists      *daemon.Lists
+	routes     *daemon.Routes // nil where the agents announce the services' addresses
+	collect    *collector     // nil without a store
+	grants     *grantors      // nil without a store
 
 	closeStore func()
 }
@@ -155,6 +161,7 @@
 	b.control.Register(control.MemberService, control.NewMember(b.members.Handle))
 	b.control.Register(daemon.AdminService, daemon.NewAdmin(b.drainRequested))
 	b.addDumpSources()
+	b.addGauges()
 }
 
 // limited reports whether plans limit customers.
@@ -181,6 +188,7 @@
 		b.life.Go(b.newReader(source).run)
 	}
 	b.life.Spawn(func() { b.health.serve(b.ports.health) })
+	b.exposition = daemon.ServeMetrics(b.ports.metrics, b.registry, b.life.Spawn)
 	b.control.Serve(b.ports.control)
 	b.life.Every(tick, b.step)
 	if b.collect != nil {
@@ -260,6 +268,7 @@
 func (b *Balancer) close() {
 	b.ports.closePackets()
 	b.health.close()
+	b.exposition.Close()
 	b.control.Close()
 	b.closeStore()
 }
--- a/balancer/lists.go
+++ b/balancer/lists.go
@@ -19,8 +19,8 @@
 // without endpoints.
 func (b *Balancer) openStore() (store.Store, func(), error) {
 	cfg := b.cfg.Store
-	if b.options.Store != nil {
-		return b.options.Store, func() {}, nil
+	if b.options.OpenStore != nil {
+		return b.options.OpenStore(newStoreMetrics(b.registry).observe), func() {}, nil
 	}
 	if len(cfg.Endpoints) == 0 {
 		return nil, func() {}, nil
--- a/balancer/ports.go
+++ b/balancer/ports.go
@@ -19,6 +19,7 @@
 	clients  packetio.Conn   // packets of clients that are datagrams themselves
 	control  net.Listener
 	health   net.Listener
+	metrics  net.Listener // nil without metrics_address
 }
 
 // clientPackets returns where the packets of clients come from.
@@ -71,6 +72,11 @@
 	if p.health, err = net.Listen("tcp", cfg.HealthAddress.String()); err != nil {
 		return p, errors.Wrap(err, "balancer: health_address")
 	}
+	if cfg.MetricsAddress.IsValid() {
+		if p.metrics, err = net.Listen("tcp", cfg.MetricsAddress.String()); err != nil {
+			return p, errors.Wrap(err, "balancer: metrics_address")
+		}
+	}
 	return p, nil
 }
 
@@ -89,7 +95,7 @@
 
 func (p *ports) close() {
 	p.closePackets()
-	for _, l := range []net.Listener{p.control, p.health} {
+	for _, l := range []net.Listener{p.control, p.health, p.metrics} {
 		if l != nil {
 			_ = l.Close()
 		}
--- a/cmd/nutmegtrack/main.go
+++ b/cmd/nutmegtrack/main.go
@@ -29,6 +29,8 @@
 	newDump,
 	newDrain,
 	newStatus,
+	newTrace,
+	newSettings,
 	newCustomers,
 	newPlans,
 	newEditStatus,
--- /dev/null
+++ b/cmd/nutmegtrack/trace.go
@@ -0,0 +1,38 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/nutmegtrack/nutmegtrack/trace"
+)
+
+func newTrace() command {
+	sub := flaggy.NewSubcommand("trace")
+	sub.Description = "tells the story of a flow from logs on standard input (docs/OPERATIONS.md)"
+	var flow string
+	sub.AddPositionalValue(&flow, "FLOW", 1, true, "the flow as in the log, or its client's ADDRESS:PORT or ADDRESS")
+	return command{sub: sub, run: func() int { return runTrace(flow) }}
+}
+
+func runTrace(flow string) int {
+	records, skipped, err := trace.Read(os.Stdin)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "nutmegtrack trace:", err)
+		return exitFailure
+	}
+	stories := trace.Tell(records, flow)
+	for i := range stories {
+		if err := stories[i].Write(os.Stdout); err != nil {
+			fmt.Fprintln(os.Stderr, "nutmegtrack trace:", err)
+			return exitFailure
+		}
+	}
+	fmt.Fprintf(os.Stderr, "%d lines about events, %d others skipped, %d flows\n", len(records), skipped, len(stories))
+	if len(stories) == 0 {
+		return exitFailure
+	}
+	return exitOK
+}
--- a/event/async.go
+++ b/event/async.go
@@ -85,8 +85,9 @@
 	}
 }
 
-// batchBytes bounds one write.
-const batchBytes = 1 << 16
+// batchBytes is the size from which on lines are written: with one more line a write to a
+// pipe stays below 4,096 bytes, which the system does not split.
+const batchBytes = 3 << 10
 
 // collect appends the lines that wait.
 func (q *queue) collect(batch []byte) []byte {
--- a/flow/config.go
+++ b/flow/config.go
@@ -33,6 +33,8 @@
 	// Gate keeps new flows from an upstream whose slots are taken; nil: every flow is
 	// taken that the limits allow.
 	Gate *load.Gate
+	// Worked is told of the time that the upstream took for each request; may be nil.
+	Worked func(time.Duration)
 	// Rebuild is the time after the start in which packets of unknown flows are shown
 	// to the upstream, which returns those of flows that it does not hold. Flows that
 	// the upstream's packets show are adopted at any time. Default 0: the upstream
--- a/flow/lost.go
+++ b/flow/lost.go
@@ -141,7 +141,7 @@
 // is held by no upstream: it ranks this agent first, and every peer has sent its whole
 // digest and knows all flows of its upstream, or was asked for this flow.
 func (t *Table) heldByNobody(now time.Duration, hash uint64) bool {
-	if t.cfg.Rebuild == 0 || t.self.Start == 0 || now-t.peersChanged < peersQuiet {
+	if t.cfg.Rebuild == 0 || t.self.Start == 0 || !t.peersKnown || now-t.peersChanged < peersQuiet {
 		return false
 	}
 	if target, _ := t.targets(hash); target != 0 {
--- a/flow/rebuild_test.go
+++ b/flow/rebuild_test.go
@@ -33,6 +33,9 @@
 		u.agents[u.list[i].ID].SetStart(0, u.list[i].Start, true)
 	}
 	u.announce()
+	for _, t := range u.agents {
+		t.PeersKnown(0)
+	}
 	return u
 }
 
@@ -47,6 +50,7 @@
 			t := NewTable(old.cfg, self, testService, rand.New(rand.NewPCG(2, uint64(i))))
 			t.cfg.Observer = nil
 			t.Rebuild(u.now)
+			t.PeersKnown(u.now)
 			u.agents[u.list[i].ID] = t
 		}
 	}
@@ -352,6 +356,23 @@
 		Expect(t.Lost(u.now)).To(HaveLen(1))
 	})
 
+	// Guards against resets by an agent that has heard of no peers yet because no balancer
+	// has answered: every flow looks lost to it.
+	It("are not reset before the peers are known", func() {
+		self := u.named("a")
+		t := NewTable(u.agents[self.ID].cfg, self, testService, rand.New(rand.NewPCG(3, 3)))
+		t.SetStart(u.now, self.Start, true)
+		t.SetPeers(u.now, []Upstream{self})
+		in := data(k)
+		h := packet.Header{Service: testService}
+		t.Receive(u.now, &h, &in)
+		u.now += peersQuiet + LostWait
+		Expect(t.Lost(u.now)).To(BeEmpty())
+		t.PeersKnown(u.now)
+		u.now += peersQuiet
+		Expect(t.Lost(u.now)).To(HaveLen(1))
+	})
+
 	// Guards against a reset by an agent that some other balancer's view ranks first.
 	It("are not reset by another agent than their first choice", func() {
 		u.run(2 * time.Second)
--- a/flow/table.go
+++ b/flow/table.go
@@ -41,6 +41,7 @@
 	fresh        bool          // the upstream started no earlier than this agent
 	early        bool          // flows are taken although the state is Starting
 	rebuildUntil time.Duration // until then, flows of the upstream may be unknown
+	peersKnown   bool          // the list of peers comes from a balancer
 	peersChanged time.Duration // when the list of peers last changed
 	unsettled    time.Duration // until then, another view may show another first choice
 	stateSince   time.Duration // when self.State was set
@@ -159,6 +160,14 @@
 	t.resetNewPeers(now)
 }
 
+// PeersKnown says that a balancer has told which peers there are. Before that, an empty
+// list means nothing.
+func (t *Table) PeersKnown(now time.Duration) {
+	if !t.peersKnown {
+		t.peersKnown, t.peersChanged = true, now
+	}
+}
+
 // mergePeer returns the record of an upstream, new or updated.
 func (t *Table) mergePeer(now time.Duration, u Upstream) *peer {
 	old := t.peers.get(u.ID)
--- a/flow/work.go
+++ b/flow/work.go
@@ -91,7 +91,11 @@
 // answer notes data of the upstream, with which its work on a request ends.
 func (t *Table) answer(now time.Duration, e *entry, in *packet.Info) {
 	if len(in.Payload) > 0 && e.flags&flagBusy != 0 {
-		t.cfg.Gate.Worked(time.Duration(uint32(now.Milliseconds())-e.began) * time.Millisecond)
+		took := time.Duration(uint32(now.Milliseconds())-e.began) * time.Millisecond
+		t.cfg.Gate.Worked(took)
+		if t.cfg.Worked != nil {
+			t.cfg.Worked(took)
+		}
 		t.idle(e)
 	}
 }
--- a/member/rejoin_test.go
+++ b/member/rejoin_test.go
@@ -30,7 +30,7 @@
 		reached := now
 		for reached == now || !a.Confirmed() {
 			now += 100 * time.Millisecond
-			Expect(now-reached).To(BeNumerically("<=", 500*time.Millisecond))
+			Expect(now - reached).To(BeNumerically("<=", 500*time.Millisecond))
 			for _, c := range a.Step(now) {
 				if c.To == seeds[0] {
 					a.Reply(now, c, member.Message{})
--- a/settings/agent.go
+++ b/settings/agent.go
@@ -18,6 +18,8 @@
 	Limits string `json:"limits" default:"plans" oneof:"plans none"`
 	// DataAddress receives encapsulated packets from balancers and agents.
 	DataAddress netip.AddrPort `json:"data_address" required:"true"`
+	// MetricsAddress serves counters and histograms over HTTP; none when absent.
+	MetricsAddress netip.AddrPort `json:"metrics_address"`
 	// ControlListen is the address that the control service listens on.
 	ControlListen netip.AddrPort `json:"control_listen" required:"true"`
 	// ControlAdvertise is the control address announced to other processes. When
--- a/settings/balancer.go
+++ b/settings/balancer.go
@@ -23,6 +23,8 @@
 	DataAddress netip.AddrPort `json:"data_address" required:"true"`
 	// HealthAddress serves the health endpoint over HTTP.
 	HealthAddress netip.AddrPort `json:"health_address" required:"true"`
+	// MetricsAddress serves counters and histograms over HTTP; none when absent.
+	MetricsAddress netip.AddrPort `json:"metrics_address"`
 	// ControlListen is the address that the control service listens on.
 	ControlListen netip.AddrPort `json:"control_listen" required:"true"`
 	// ControlAdvertise is the control address announced to other processes. When
--- /dev/null
+++ b/trace/trace.go
@@ -0,0 +1,200 @@
+// Package trace reads the collected logs of balancers and agents and tells the story of
+// one flow in order: what each process did with it, and what it believed at that moment.
+package trace
+
+import (
+	"bufio"
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-logfmt/logfmt"
+)
+
+// Record is one line of a log.
+type Record struct {
+	Time    time.Time
+	Process string // the pair name
+	Event   string // the number
+	Text    string // the pair msg
+	Flow    string // empty in lines about no single flow
+	Pairs   []Pair // all others, in order
+}
+
+// Pair is one key with its value.
+type Pair struct{ Key, Value string }
+
+// maxLine bounds the length of a line in bytes.
+const maxLine = 1 << 20
+
+// Read returns the records of a log. Lines may have any text before the first pair
+// level=; lines without one, and lines that cannot be read, are counted and skipped.
+func Read(r io.Reader) (records []Record, skipped int, err error) {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, maxLine)
+	for lines.Scan() {
+		if record, ok := parse(lines.Text()); ok {
+			records = append(records, record)
+		} else if strings.TrimSpace(lines.Text()) != "" {
+			skipped++
+		}
+	}
+	return records, skipped, lines.Err()
+}
+
+func parse(line string) (r Record, ok bool) {
+	start := strings.Index(line, "level=")
+	if start < 0 {
+		return r, false
+	}
+	d := logfmt.NewDecoder(strings.NewReader(line[start:]))
+	if !d.ScanRecord() {
+		return r, false
+	}
+	for d.ScanKeyval() {
+		key, value := string(d.Key()), string(d.Value())
+		switch key {
+		case "level":
+		case "ts":
+			r.Time, _ = time.Parse(time.RFC3339Nano, value)
+		case "name":
+			r.Process = value
+		case "event":
+			r.Event = value
+		case "msg":
+			r.Text = value
+		case "flow":
+			r.Flow = value
+		default:
+			r.Pairs = append(r.Pairs, Pair{key, value})
+		}
+	}
+	return r, d.Err() == nil && !r.Time.IsZero() && r.Process != "" && r.Event != ""
+}
+
+// Value returns the value of a pair, or "".
+func (r *Record) Value(key string) string {
+	for _, p := range r.Pairs {
+		if p.Key == key {
+			return p.Value
+		}
+	}
+	return ""
+}
+
+// Story is what the logs say of one flow.
+type Story struct {
+	Flow  string
+	Steps []Step
+}
+
+// Step is one line about the flow with the beliefs of its process at that moment.
+type Step struct {
+	Record
+	Beliefs []Record // oldest first
+}
+
+// started is the event with which a process begins.
+const started = "1000"
+
+// beliefs are the events that say what a process believes, with the pair whose values
+// have beliefs of their own: a later line replaces an earlier one with the same value.
+var beliefs = map[string]string{
+	started: "", "1001": "", "1007": "", // process and settings
+	"1200": "upstream", // states of upstreams
+	"1300": "", "1302": "key", "1310": "",
+	"1701": "", "1703": "",
+}
+
+// Tell returns the stories of the flows whose identifier or client's address begins with
+// the text, in the order of their first lines.
+func Tell(records []Record, flow string) []Story {
+	sorted := slices.Clone(records)
+	slices.SortStableFunc(sorted, func(a, b Record) int { return a.Time.Compare(b.Time) })
+	known := make(map[string]map[string]Record) // by process, then by belief
+	stories := make(map[string]*Story)
+	var order []string
+	for _, r := range sorted {
+		if by, is := beliefs[r.Event]; is {
+			// A process that starts believes nothing.
+			if known[r.Process] == nil || r.Event == started {
+				known[r.Process] = make(map[string]Record)
+			}
+			known[r.Process][r.Event+" "+r.Value(by)] = r
+		}
+		if r.Flow == "" || !matches(r.Flow, flow) {
+			continue
+		}
+		if stories[r.Flow] == nil {
+			stories[r.Flow] = &Story{Flow: r.Flow}
+			order = append(order, r.Flow)
+		}
+		s := stories[r.Flow]
+		s.Steps = append(s.Steps, Step{Record: r, Beliefs: relevant(&r, known[r.Process])})
+	}
+	out := make([]Story, len(order))
+	for i, flow := range order {
+		out[i] = *stories[flow]
+	}
+	return out
+}
+
+// matches reports whether the text is the flow's identifier or its client's address,
+// with or without the port.
+func matches(id, text string) bool {
+	return id == text || strings.HasPrefix(id, text+">") || strings.HasPrefix(id, text+":")
+}
+
+// relevant returns the beliefs of a process about itself, and about the upstreams that
+// are not ready.
+func relevant(step *Record, known map[string]Record) (out []Record) {
+	for _, r := range known {
+		if r.Event == "1200" && r.Value("state") == "ready" && r.Value("upstream") != step.Process {
+			continue
+		}
+		out = append(out, r)
+	}
+	slices.SortFunc(out, func(a, b Record) int { return cmp.Or(a.Time.Compare(b.Time), strings.Compare(a.Event, b.Event)) })
+	return out
+}
+
+// Write prints a story: each step, and under it the beliefs that have changed since the
+// process's step before, with their age.
+func (s *Story) Write(w io.Writer) error {
+	if _, err := fmt.Fprintf(w, "flow %s\n", s.Flow); err != nil {
+		return err
+	}
+	told := make(map[string]bool)
+	for i := range s.Steps {
+		step := &s.Steps[i]
+		if _, err := fmt.Fprintf(w, "%s  %-24s %s %s%s\n", stamp(step.Time), step.Process, step.Event, step.Text, pairs(&step.Record)); err != nil {
+			return err
+		}
+		for j := range step.Beliefs {
+			b := &step.Beliefs[j]
+			id := b.Process + b.Time.String() + b.Event + b.Value("upstream")
+			if told[id] {
+				continue
+			}
+			told[id] = true
+			age := step.Time.Sub(b.Time).Round(time.Millisecond)
+			if _, err := fmt.Fprintf(w, "    believed for %s: %s %s%s\n", age, b.Event, b.Text, pairs(b)); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func stamp(t time.Time) string { return t.Format("15:04:05.000") }
+
+func pairs(r *Record) string {
+	var b strings.Builder
+	for _, p := range r.Pairs {
+		fmt.Fprintf(&b, " %s=%s", p.Key, p.Value)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/trace/trace_test.go
@@ -0,0 +1,51 @@
+package trace_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/nutmegtrack/nutmegtrack/internal/spec"
+	"github.com/nutmegtrack/nutmegtrack/trace"
+)
+
+func TestTrace(t *testing.T) { spec.Run(t, "trace") }
+
+var _ = Describe("A trace", func() {
+	// Guards against a story that mixes flows, loses steps or shows a belief that a
+	// process no longer or not yet had.
+	It("tells a flow's story in order, with what each process believed", func() {
+		file, err := os.Open("testdata/log.txt")
+		Expect(err).NotTo(HaveOccurred())
+		defer file.Close()
+		records, skipped, err := trace.Read(file)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(skipped).To(Equal(1))
+		stories := trace.Tell(records, "100.64.0.31:1025")
+		Expect(stories).To(HaveLen(1))
+		var out strings.Builder
+		Expect(stories[0].Write(&out)).To(Succeed())
+		spec.Golden("story.golden", out.String())
+	})
+
+	// Guards against a client whose other flows are not found by its address.
+	It("finds all flows of a client", func() {
+		line := "level=info ts=2026-01-01T00:00:00Z name=a event=1800 msg=x flow="
+		records, _, err := trace.Read(strings.NewReader(line + "10.0.0.1:5>1.1.1.1:80\n" + line + "10.0.0.1:6>1.1.1.1:80\n" + line + "10.0.0.11:5>1.1.1.1:80\n"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(trace.Tell(records, "10.0.0.1")).To(HaveLen(2))
+		Expect(trace.Tell(records, "10.0.0.1:5")).To(HaveLen(1))
+	})
+})
+
+// FuzzRead guards against a line that makes the reader panic.
+func FuzzRead(f *testing.F) {
+	f.Add("level=info ts=2026-01-01T00:00:00Z name=a event=1800 msg=x flow=y")
+	f.Fuzz(func(_ *testing.T, text string) {
+		records, _, _ := trace.Read(strings.NewReader(text))
+		trace.Tell(records, "y")
+	})
+}
