--- a/balancer/fleet.go
+++ b/balancer/fleet.go
@@ -15,6 +15,10 @@
 	// viewQuiet is the time without a change of the view after which a starting
 	// balancer counts it as complete.
 	viewQuiet = time.Second
+	// routedQuiet is the same time for a balancer whose store lists the fleet and whose
+	// routes say which services there are. While it waits, the fabric may find too few
+	// balancers ready and send to those that are down as well.
+	routedQuiet = 200 * time.Millisecond
 	// startLimit ends the wait for a complete view, so that the first balancer of
 	// a deployment without upstreams becomes ready too.
 	startLimit = 3 * time.Second
@@ -68,10 +72,14 @@
 // viewComplete reports whether a starting balancer may take traffic. Without routes
 // it could only drop packets.
 func (b *Balancer) viewComplete(now time.Duration) bool {
-	if b.routes != nil && b.fleet.routes == nil {
-		return false
+	wait := viewQuiet
+	if b.routes != nil {
+		if b.fleet.routes == nil {
+			return false
+		}
+		wait = routedQuiet
 	}
-	quiet := len(b.fleet.view.Services) > 0 && now-b.viewChanged() >= viewQuiet
+	quiet := len(b.fleet.view.Services) > 0 && now-b.viewChanged() >= wait
 	return quiet || now >= startLimit
 }
 
