--- a/agent/agent.go
+++ b/agent/agent.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -154,7 +155,7 @@
 		FailureDomain: a.cfg.FailureDomain,
 		Role:          member.RoleUpstream,
 		State:         flow.Starting,
-		Data:          a.ports.dataAddr,
+		Data:          cmp.Or(a.cfg.DataAdvertise, a.ports.dataAddr),
 		Control:       daemon.Advertised(a.cfg.ControlAdvertise, a.ports.control),
 		Slots:         a.cfg.Service.Slots,
 		Connections:   a.cfg.Service.Connections,
--- a/cmd/nutmegtrack/main.go
+++ b/cmd/nutmegtrack/main.go
@@ -36,6 +36,7 @@
 	newEditStatus,
 	newStandin,
 	newDemo,
+	newSoak,
 	newBenchCommand,
 }
 
--- /dev/null
+++ b/cmd/nutmegtrack/soak.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/nutmegtrack/nutmegtrack/soak"
+)
+
+func newSoak() command {
+	sub := flaggy.NewSubcommand("soak")
+	sub.Description = "runs the daemons under faults and checks the promises (docs/soak.md)"
+	cfg := soak.Config{Seconds: 20, Seed: 1}
+	runs := 1
+	sub.Float64(&cfg.Pause, "", "pause", "longest pause between the starts of two faults, seconds (default: drawn)")
+	sub.Float64(&cfg.Seconds, "", "seconds", "length of the faults in each run")
+	sub.UInt64(&cfg.Seed, "", "seed", "seed of the first run")
+	sub.Int(&runs, "", "runs", "number of runs, with seeds that follow")
+	sub.Int(&cfg.Balancers, "", "balancers", "balancers (default 3)")
+	sub.Int(&cfg.Upstreams, "", "upstreams", "upstreams of each of two services (default 3)")
+	sub.Int(&cfg.Clients, "", "clients", "client machines (default 6)")
+	var quiet, keep bool
+	sub.Bool(&quiet, "", "quiet", "do not print the faults")
+	sub.Bool(&keep, "", "keep", "keep settings and logs; they are kept after a violation in any case")
+	return command{sub: sub, run: func() int { return runSoak(cfg, runs, quiet, keep) }}
+}
+
+func runSoak(cfg soak.Config, runs int, quiet, keep bool) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	var err error
+	if cfg.Program, err = os.Executable(); err != nil {
+		fmt.Fprintln(os.Stderr, "nutmegtrack soak:", err)
+		return exitFailure
+	}
+	status := exitOK
+	for range runs {
+		if code := soakOnce(ctx, cfg, quiet, keep); code != exitOK {
+			status = code
+		}
+		if ctx.Err() != nil {
+			return exitFailure
+		}
+		cfg.Seed++
+	}
+	return status
+}
+
+func soakOnce(ctx context.Context, cfg soak.Config, quiet, keep bool) int {
+	dir, err := os.MkdirTemp("", "nutmegtrack-soak-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "nutmegtrack soak:", err)
+		return exitFailure
+	}
+	cfg.Dir, cfg.Progress = dir, os.Stderr
+	if quiet {
+		null, err := os.OpenFile(os.DevNull, os.O_WRONLY, 0)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "nutmegtrack soak:", err)
+			return exitFailure
+		}
+		defer null.Close()
+		cfg.Progress = null
+	}
+	result, err := soak.Run(ctx, cfg)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "nutmegtrack soak:", err)
+		return exitFailure
+	}
+	text, err := json.Marshal(&result)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "nutmegtrack soak:", err)
+		return exitFailure
+	}
+	fmt.Println(string(text))
+	for _, v := range result.Violations {
+		fmt.Fprintln(os.Stderr, "violation:", v)
+	}
+	if len(result.Violations) > 0 || keep {
+		fmt.Fprintln(os.Stderr, "settings and logs are in", dir)
+	} else if err := os.RemoveAll(dir); err != nil {
+		fmt.Fprintln(os.Stderr, "nutmegtrack soak:", err)
+	}
+	if len(result.Violations) > 0 {
+		return exitFailure
+	}
+	return exitOK
+}
--- a/flow/lost.go
+++ b/flow/lost.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"slices"
 	"time"
 
 	"github.com/nutmegtrack/nutmegtrack/packet"
@@ -35,8 +36,6 @@
 	// maxDoubtful is the number of peers that are asked for an unknown flow, which is what
 	// one packet can visit; with more, agents wait until they know their upstreams' flows.
 	maxDoubtful = packet.MaxHops
-	// askWait is the time in which a doubtful peer that holds a flow tells of it.
-	askWait = 2 * LostWait
 	// lostMemory is the time for which a lost flow is remembered: clients repeat a
 	// packet at least every 1.6 s and give up after some seconds.
 	lostMemory = 20 * time.Second
@@ -139,7 +138,7 @@
 
 // heldByNobody reports whether a flow that neither this agent nor a peer's digest knows
 // is held by no upstream: it ranks this agent first, and every peer has sent its whole
-// digest and knows all flows of its upstream, or was asked for this flow.
+// digest and knows all flows of its upstream, or has said that it does not hold this one.
 func (t *Table) heldByNobody(now time.Duration, hash uint64) bool {
 	if t.cfg.Rebuild == 0 || t.self.Start == 0 || !t.peersKnown || now-t.peersChanged < peersQuiet {
 		return false
@@ -152,7 +151,36 @@
 		return false
 	}
 	tr := t.trials[hash]
-	return len(doubtful) == 0 || tr.asked != 0 && now-tr.asked >= askWait
+	return !slices.ContainsFunc(doubtful, func(p *peer) bool { return !tr.hasDenied(p.ID) })
+}
+
+// hasDenied reports whether the peer has said that it does not hold the flow.
+func (tr *trial) hasDenied(peer packet.AgentID) bool { return slices.Contains(tr.denied[:], peer) }
+
+// deny tells the agents on the path of a packet that was passed on to ask for its flow
+// that this agent's upstream does not hold it.
+func (t *Table) deny(now time.Duration, hash uint64, h *packet.Header) {
+	if h.Flags&packet.FlagAsked == 0 || t.self.Start == 0 || !t.complete(now) && !t.trials[hash].returned {
+		return
+	}
+	for _, id := range h.Visited {
+		if p := t.peers.get(id); p != nil {
+			m := t.messageTo(p)
+			m.NotHeld = append(m.NotHeld, hash)
+			t.urgent = true
+		}
+	}
+}
+
+// denied takes a peer's word that it does not hold the flows.
+func (t *Table) denied(peer packet.AgentID, flows []uint64) {
+	for _, hash := range flows {
+		tr, known := t.trials[hash]
+		if free := slices.Index(tr.denied[:], 0); known && free >= 0 && !tr.hasDenied(peer) {
+			tr.denied[free] = peer
+			t.trials[hash] = tr
+		}
+	}
 }
 
 // doubtful returns up to maxDoubtful+1 peers that may hold flows which this agent does
@@ -174,8 +202,9 @@
 }
 
 // askDoubtful returns the next doubtful peer to which a packet of an unknown flow is
-// passed on, or nil. A peer that holds the flow tells of it; one that does not shows the
-// packet to its upstream and passes it on to the next.
+// passed on, or nil. A peer that holds the flow tells of it. One that does not shows the
+// packet to its upstream, says that it does not hold the flow, and passes the packet on
+// to the next. Silence is no answer: the packet may be lost.
 func (t *Table) askDoubtful(now time.Duration, hash uint64, h *packet.Header) *peer {
 	if t.cfg.Rebuild == 0 || h.Hops >= packet.MaxHops {
 		return nil
@@ -185,13 +214,9 @@
 		return nil
 	}
 	for _, p := range doubtful {
-		if h.HasVisited(p.ID) {
+		if tr := t.trials[hash]; h.HasVisited(p.ID) || tr.hasDenied(p.ID) {
 			continue
 		}
-		if tr, known := t.trials[hash]; known && tr.asked == 0 {
-			tr.asked = now
-			t.trials[hash] = tr
-		}
 		h.Flags |= packet.FlagAsked
 		return p
 	}
--- a/flow/message.go
+++ b/flow/message.go
@@ -30,6 +30,10 @@
 	Count uint32
 	Sum   uint64
 
+	// NotHeld names, by hash, flows that the receiver has asked for by passing a packet on
+	// and that the sender's upstream does not hold.
+	NotHeld []uint64
+
 	// Resync asks the receiver to send its digest to the sender again.
 	Resync bool
 }
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -24,7 +24,8 @@
 	ack      uint32     // what the client had acknowledged in its last packet
 	// suspected marks a trial that Table.suspected lists.
 	suspected bool
-	asked     time.Duration // when the doubtful peers were first asked; 0: not yet
+	// denied are the doubtful peers that have said that they do not hold the flow.
+	denied [maxDoubtful]packet.AgentID
 }
 
 // maxTried is the number of upstreams that a packet of an unknown flow is shown to.
--- a/flow/rebuild_test.go
+++ b/flow/rebuild_test.go
@@ -57,6 +57,27 @@
 	u.announce()
 }
 
+// startKnown makes the agent learn the start of its running upstream.
+func (u *upstreams) startKnown(name string) {
+	for i := range u.list {
+		if u.list[i].Name == name {
+			u.list[i].Start = uint64(100 + i)
+			u.agents[u.list[i].ID].SetStart(u.now, u.list[i].Start, false)
+		}
+	}
+	u.announce()
+	u.now += peersQuiet
+}
+
+// answer delivers what the first agent has to tell the second at once.
+func (u *upstreams) answer(from, to string) {
+	for _, m := range u.agents[u.named(from).ID].Step(u.now) {
+		if m.To == u.named(to).ID {
+			u.agents[m.To].Handle(u.now, m)
+		}
+	}
+}
+
 // restartUpstream ends all flows of the upstream.
 func (u *upstreams) restartUpstream(name string) {
 	for i := range u.list {
@@ -256,11 +277,15 @@
 		u.restartAgent("d")
 		u.run(2 * time.Second)
 		t := u.agents[u.named("a").ID]
+		u.startKnown("c")
+		u.startKnown("d")
 		path, _ := u.pass("a", data(k))
 		Expect(path).To(HavePrefix("ad!c!"))
 		u.now += LostWait
 		Expect(t.Lost(u.now)).To(BeEmpty())
-		u.now += askWait
+		u.answer("d", "a")
+		Expect(t.Lost(u.now)).To(BeEmpty())
+		u.answer("c", "a")
 		Expect(t.Lost(u.now)).To(HaveLen(1))
 
 		held := u.keyRanked(packet.ProtoTCP, "a", "d", "b", "c")
@@ -270,6 +295,29 @@
 		Expect(action.Kind).To(Equal(Deliver))
 	})
 
+	// Guards against a reset of a flow whose agent was never asked, because the packet got
+	// lost on its way there (soak, seed 106).
+	It("are not reset while an agent that was asked has not answered", func() {
+		u.restartAgent("c")
+		u.restartAgent("d")
+		u.run(2 * time.Second)
+		u.startKnown("c")
+		u.startKnown("d")
+		t := u.agents[u.named("a").ID]
+		in := data(k)
+		h := packet.Header{Service: testService}
+		Expect(t.Receive(u.now, &h, &in).To).To(Equal(u.named("d").ID)) // lost
+		u.now += 2 * time.Second
+		Expect(t.Lost(u.now)).To(BeEmpty())
+		path, _ := u.pass("a", in)
+		Expect(path).To(HavePrefix("ad!c!"))
+		u.answer("d", "a")
+		path, _ = u.pass("a", in)
+		Expect(path).To(HavePrefix("ac"))
+		u.answer("c", "a")
+		Expect(t.Lost(u.now)).To(HaveLen(1))
+	})
+
 	// Guards against a reset while more agents may hold the flow than one packet visits.
 	It("are not reset while many agents may not know their flows", func() {
 		u = newUpstreams(8)
@@ -281,12 +329,12 @@
 		t := u.agents[u.named("a").ID]
 		k := u.keyRanked(packet.ProtoTCP, "a", "b", "c")
 		u.pass("a", data(k))
-		u.now += askWait
+		u.now += 2 * LostWait
 		Expect(t.Lost(u.now)).To(BeEmpty())
 		u.run(rebuildTime)
 		t.expireTrials(u.now)
 		u.pass("a", data(k))
-		u.now += askWait
+		u.now += 2 * LostWait
 		Expect(t.Lost(u.now)).To(HaveLen(1))
 	})
 
--- a/flow/step.go
+++ b/flow/step.go
@@ -125,6 +125,7 @@
 	if p != nil && m.Resync {
 		t.restartDigest(now, p)
 	}
+	t.denied(m.From, m.NotHeld)
 	if m.Seq != 0 {
 		t.receiveDigest(now, m.From, &m)
 	}
--- a/packet/header.go
+++ b/packet/header.go
@@ -23,7 +23,7 @@
 	// FlagReturned marks a packet sent back under FlagReturnIfUnknown.
 	FlagReturned
 	// FlagAsked marks a packet of an unknown flow that every upstream which may hold the
-	// flow is shown.
+	// flow is shown, and whose agents tell those on its path when it does not.
 	FlagAsked
 )
 
--- a/settings/agent.go
+++ b/settings/agent.go
@@ -18,6 +18,9 @@
 	Limits string `json:"limits" default:"plans" oneof:"plans none"`
 	// DataAddress receives encapsulated packets from balancers and agents.
 	DataAddress netip.AddrPort `json:"data_address" required:"true"`
+	// DataAdvertise is the data address announced to other processes. When absent it is
+	// data_address.
+	DataAdvertise netip.AddrPort `json:"data_advertise"`
 	// MetricsAddress serves counters and histograms over HTTP; none when absent.
 	MetricsAddress netip.AddrPort `json:"metrics_address"`
 	// ControlListen is the address that the control service listens on.
--- /dev/null
+++ b/soak/faults.go
@@ -0,0 +1,228 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"syscall"
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/platform/standin"
+)
+
+// fault is one disturbance. It returns after its time.
+type fault struct {
+	name string
+	run  func(f *fleet, rng *rand.Rand)
+}
+
+// span draws a duration between two bounds.
+func span(rng *rand.Rand, from, to time.Duration) time.Duration {
+	return from + time.Duration(rng.Int64N(int64(to-from)))
+}
+
+func pick(rng *rand.Rand, list []*vm) *vm { return list[rng.IntN(len(list))] }
+
+func (f *fleet) any(rng *rand.Rand) *vm {
+	if rng.IntN(2) == 0 {
+		return pick(rng, f.balancers)
+	}
+	return pick(rng, f.agents)
+}
+
+// faults are drawn with equal chances.
+var faults = []fault{
+	{"kill a daemon", func(f *fleet, rng *rand.Rand) { f.disturbAndKill(f.any(rng)) }},
+	{"kill half of the daemons", func(f *fleet, rng *rand.Rand) {
+		for _, v := range append(append([]*vm{}, f.balancers...), f.agents...) {
+			if rng.IntN(2) == 0 {
+				f.disturbAndKill(v)
+			}
+		}
+	}},
+	{"restart a balancer", func(f *fleet, rng *rand.Rand) { pick(rng, f.balancers).process.signal(syscall.SIGTERM) }},
+	{"restart an agent", func(f *fleet, rng *rand.Rand) { pick(rng, f.agents).process.signal(syscall.SIGTERM) }},
+	{"restart all agents in turn", func(f *fleet, rng *rand.Rand) {
+		for _, v := range f.agents {
+			v.process.signal(syscall.SIGTERM)
+			time.Sleep(span(rng, 600*time.Millisecond, 1200*time.Millisecond))
+		}
+	}},
+	{"reload settings", func(f *fleet, rng *rand.Rand) { f.any(rng).process.signal(syscall.SIGHUP) }},
+	{"pause a daemon", func(f *fleet, rng *rand.Rand) {
+		v, d := f.any(rng), span(rng, 300*time.Millisecond, 4*time.Second)
+		f.oracle.disturb(v.addr, d)
+		v.process.signal(syscall.SIGSTOP)
+		time.Sleep(d)
+		v.process.signal(syscall.SIGCONT)
+	}},
+	{"power of an upstream VM", func(f *fleet, rng *rand.Rand) { f.powerOff(rng, pick(rng, f.agents)) }},
+	{"power of all VMs", func(f *fleet, rng *rand.Rand) {
+		done := make(chan struct{})
+		all := append(append([]*vm{}, f.balancers...), f.agents...)
+		seed := rng.Uint64()
+		for i, v := range all {
+			go func() {
+				f.powerOff(rand.New(rand.NewPCG(seed, uint64(i))), v)
+				done <- struct{}{}
+			}()
+		}
+		for range all {
+			<-done
+		}
+	}},
+	{"crash of a server", func(f *fleet, rng *rand.Rand) {
+		v := pick(rng, f.agents)
+		f.oracle.disturb(v.addr, time.Second)
+		f.endServer(v, (*standin.Server).Crash)
+		time.Sleep(span(rng, 100*time.Millisecond, 2*time.Second))
+		f.restartServer(v)
+	}},
+	{"replacement of a server", func(f *fleet, rng *rand.Rand) {
+		v := pick(rng, f.agents)
+		v.mu.Lock()
+		s := v.server
+		v.mu.Unlock()
+		if s == nil {
+			return
+		}
+		s.Drain()
+		time.Sleep(span(rng, 3*time.Second, 5*time.Second))
+		f.endServer(v, func(ending *standin.Server) {
+			if ending == s {
+				ending.Leave()
+			} else {
+				ending.Crash()
+			}
+		})
+		f.restartServer(v)
+	}},
+	{"store refuses", func(f *fleet, rng *rand.Rand) {
+		f.storeFault(rng, standin.Faults{Status: http.StatusServiceUnavailable})
+	}},
+	{"store is silent", func(f *fleet, rng *rand.Rand) { f.storeFault(rng, standin.Faults{Silent: true}) }},
+	{"store is slow", func(f *fleet, rng *rand.Rand) { f.storeFault(rng, standin.Faults{Delay: 300 * time.Millisecond}) }},
+	{"store loses answers", func(f *fleet, rng *rand.Rand) { f.storeFault(rng, standin.Faults{LoseAnswers: 3}) }},
+	{"store forgets", func(f *fleet, _ *rand.Rand) { f.store.Compact() }},
+	{"connections to the store go silent", func(f *fleet, rng *rand.Rand) {
+		d := span(rng, time.Second, 4*time.Second)
+		f.oracle.disturbStore(d)
+		f.storeLink.silent.Store(true)
+		time.Sleep(d)
+		f.storeLink.silent.Store(false)
+		f.storeLink.reset()
+	}},
+	{"connections are reset", func(f *fleet, rng *rand.Rand) {
+		v := f.any(rng)
+		f.oracle.disturb(v.addr, 0)
+		v.tcp.reset()
+		f.storeLink.reset()
+	}},
+	{"control of a daemon goes silent", func(f *fleet, rng *rand.Rand) {
+		f.linkFault(rng, f.any(rng), func(v *vm, on bool) { v.tcp.silent.Store(on) })
+	}},
+	{"control of a daemon is slow", func(f *fleet, rng *rand.Rand) {
+		f.linkFault(rng, f.any(rng), func(v *vm, on bool) { v.tcp.delayNs.Store(delayOf(on)) })
+	}},
+	{"an agent gets no packets", func(f *fleet, rng *rand.Rand) {
+		f.linkFault(rng, pick(rng, f.agents), func(v *vm, on bool) { v.udp.silent.Store(on) })
+	}},
+	{"an agent loses packets", func(f *fleet, rng *rand.Rand) {
+		f.linkFault(rng, pick(rng, f.agents), func(v *vm, on bool) {
+			v.udp.drop.Store(0)
+			if on {
+				v.udp.drop.Store(lossShare)
+			}
+		})
+	}},
+	{"an agent gets packets late", func(f *fleet, rng *rand.Rand) {
+		f.linkFault(rng, pick(rng, f.agents), func(v *vm, on bool) { v.udp.delayNs.Store(delayOf(on)) })
+	}},
+	{"a route is added and removed", func(f *fleet, rng *rand.Rand) { f.changeRoute(rng) }},
+}
+
+// lossShare is the loss of a bad link in datagrams of 1,000.
+const lossShare = 100
+
+func delayOf(on bool) int64 {
+	if on {
+		return int64(80 * time.Millisecond)
+	}
+	return 0
+}
+
+func (f *fleet) disturbAndKill(v *vm) {
+	f.oracle.disturb(v.addr, 2*restartPause)
+	v.kill()
+}
+
+// powerOff ends a VM's daemon and server, and starts them again after a while.
+func (f *fleet) powerOff(rng *rand.Rand, v *vm) {
+	d := span(rng, 500*time.Millisecond, 2500*time.Millisecond)
+	f.oracle.disturb(v.addr, d+2*restartPause)
+	v.process.hold(true)
+	v.kill()
+	f.endServer(v, (*standin.Server).Crash)
+	time.Sleep(d)
+	v.process.hold(false)
+	if v.service != "" {
+		f.restartServer(v)
+	}
+}
+
+// restartServer starts a server. Its port may still be in use for a moment.
+func (f *fleet) restartServer(v *vm) {
+	for range 20 {
+		if f.startServer(v) == nil {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	f.oracle.Violation("the soak could not start a server beside " + v.name)
+}
+
+func (f *fleet) storeFault(rng *rand.Rand, faults standin.Faults) {
+	d := span(rng, time.Second, 4*time.Second)
+	f.oracle.disturbStore(d)
+	f.store.SetFaults(faults)
+	time.Sleep(d)
+	f.store.SetFaults(standin.Faults{})
+}
+
+func (f *fleet) linkFault(rng *rand.Rand, v *vm, set func(v *vm, on bool)) {
+	d := span(rng, 500*time.Millisecond, 4*time.Second)
+	f.oracle.disturb(v.addr, d)
+	set(v, true)
+	time.Sleep(d)
+	set(v, false)
+}
+
+// changeRoute adds a route, tries it, and removes it.
+func (f *fleet) changeRoute(rng *rand.Rand) {
+	f.routeLock.Lock()
+	defer f.routeLock.Unlock()
+	n := len(services)*(2+rng.IntN(20)) + rng.IntN(len(services))
+	a := f.cfg.address(netRoute, n, 9443)
+	f.routes[a] = f.serviceOf(a)
+	f.putRoutes()
+	f.oracle.setRoute(a, true)
+	f.tryRoute(rng, a, 5*time.Second)
+	delete(f.routes, a)
+	f.putRoutes()
+	f.oracle.setRoute(a, false)
+	f.tryRoute(rng, a, 7*time.Second)
+}
+
+// tryRoute opens flows to an address now and then.
+func (f *fleet) tryRoute(rng *rand.Rand, a netip.AddrPort, d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(300 * time.Millisecond) {
+		c := f.clients[rng.IntN(len(f.clients))]
+		flow, err := c.Open(a)
+		switch err {
+		case nil:
+			flow.Close()
+		case standin.ErrReset:
+			f.oracle.refused(a)
+		}
+	}
+}
--- /dev/null
+++ b/soak/fleet.go
@@ -0,0 +1,339 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/nutmegtrack/nutmegtrack/packet"
+	"github.com/nutmegtrack/nutmegtrack/platform"
+	"github.com/nutmegtrack/nutmegtrack/platform/standin"
+)
+
+// services of the deployment.
+var services = []string{"portal", "intake"}
+
+// vm is one daemon with its proxies, and the server beside an agent.
+type vm struct {
+	name    string
+	addr    netip.Addr
+	service string // of an agent
+	process *process
+	tcp     *tcpProxy
+	udp     *udpProxy // of an agent
+
+	mu     sync.Mutex
+	server *standin.Server
+	starts int // of the server
+}
+
+// fleet is a running deployment.
+type fleet struct {
+	cfg       Config
+	oracle    *oracle
+	store     *standin.Store
+	storeHTTP *http.Server
+	storeLink *tcpProxy
+	balancers []*vm
+	agents    []*vm
+	fabric    *fabric
+	clients   []*standin.Client
+	routeLock sync.Mutex
+	version   int64
+	routes    map[netip.AddrPort]string // service
+	rng       *lockedRand
+}
+
+// lockedRand is a source of random numbers that goroutines share.
+type lockedRand struct {
+	mu  sync.Mutex
+	rng *rand.Rand
+}
+
+func (r *lockedRand) IntN(n int) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rng.IntN(n)
+}
+
+func startFleet(cfg Config, o *oracle) (f *fleet, err error) {
+	f = &fleet{cfg: cfg, oracle: o, routes: map[netip.AddrPort]string{}, rng: &lockedRand{rng: rand.New(rand.NewPCG(cfg.Seed, 1))}}
+	defer func() {
+		if err != nil {
+			f.stop(false)
+		}
+	}()
+	if err := f.startStore(); err != nil {
+		return f, err
+	}
+	for i, s := range services {
+		f.routes[cfg.address(netRoute, i, 8443)] = s
+	}
+	f.putRoutes()
+	for i := range cfg.Balancers {
+		if err := f.startBalancer(i); err != nil {
+			return f, err
+		}
+	}
+	for i := range cfg.Upstreams * len(services) {
+		if err := f.startAgent(i); err != nil {
+			return f, err
+		}
+	}
+	if f.fabric, err = startFabric(&cfg, f.balancers); err != nil {
+		return f, err
+	}
+	for i := range cfg.Clients {
+		c, err := standin.StartClient(cfg.address(netClient, i, clientPort), f.fabric.send, o)
+		if err != nil {
+			return f, err
+		}
+		f.clients = append(f.clients, c)
+	}
+	return f, nil
+}
+
+func (f *fleet) startStore() error {
+	begun := time.Now()
+	f.store = standin.NewStore(func() time.Duration { return time.Since(begun) })
+	at := f.cfg.address(netStore, 0, storePort)
+	l, err := net.Listen("tcp", at.String())
+	if err != nil {
+		return errors.Wrap(err, "soak: store")
+	}
+	f.storeHTTP = &http.Server{Handler: f.store, ReadHeaderTimeout: time.Second}
+	go func() { _ = f.storeHTTP.Serve(l) }() // ends with Close
+	f.storeLink, err = newTCPProxy(f.cfg.address(netStore, 0, proxyPort), at)
+	return err
+}
+
+// putRoutes writes the routes as the operator does.
+func (f *fleet) putRoutes() {
+	f.version++
+	type entry map[string]any
+	list := []entry{}
+	for a, service := range f.routes {
+		list = append(list, entry{"name": a.String(), "hostname": a.Addr().String(), "prefix": fmt.Sprintf("/%d/", a.Port()),
+			"route-type": "non_idempotent", "timeout-ms": 4000, "target-latency-ms": 200, "priority": 1, "service": service})
+	}
+	text, err := json.Marshal(entry{"version": f.version, "routes": list, "limits": entry{"idle-timeout-ms": 12000}})
+	if err != nil {
+		panic(err)
+	}
+	f.store.Put(platform.ConfigKey, text)
+}
+
+func (f *fleet) seeds() string {
+	out := ""
+	for i := range min(3, f.cfg.Balancers) {
+		out += fmt.Sprintf("%q,", f.cfg.address(netBalancer, i, proxyPort))
+	}
+	return out
+}
+
+func (f *fleet) settings(name, text string) (string, error) {
+	file := filepath.Join(f.cfg.Dir, name+".json")
+	return file, os.WriteFile(file, []byte(text), 0o600)
+}
+
+func (f *fleet) startBalancer(i int) error {
+	at := func(port int) netip.AddrPort { return f.cfg.address(netBalancer, i, port) }
+	v := &vm{name: fmt.Sprintf("balancer-%d", i), addr: at(0).Addr()}
+	var err error
+	if v.tcp, err = newTCPProxy(at(proxyPort), at(controlPort)); err != nil {
+		return err
+	}
+	file, err := f.settings(v.name, fmt.Sprintf(`{
+		"name": %q, "failure_domain": "fd-%d", "environment": "platform", "limits": "none",
+		"client_address": %q, "data_address": %q, "health_address": %q,
+		"control_listen": %q, "control_advertise": %q, "seeds": [%s],
+		"store": {"endpoints": ["http://%s"], "timeout_seconds": 1},
+		"readers": 1, "hint_entries": 16384, "drain_seconds": 1.8,
+	}`, v.name, i%3, at(clientPort), at(internalPort), at(readyPort), at(controlPort), at(proxyPort), f.seeds(),
+		f.cfg.address(netStore, 0, proxyPort)))
+	if err != nil {
+		return err
+	}
+	v.process = startProcess(f.cfg.Dir, v.name, f.cfg.Program, "balancer", "--settings", file)
+	f.balancers = append(f.balancers, v)
+	return nil
+}
+
+func (f *fleet) startAgent(i int) error {
+	at := func(port int) netip.AddrPort { return f.cfg.address(netAgent, i, port) }
+	v := &vm{name: fmt.Sprintf("agent-%d", i), addr: at(0).Addr(), service: services[i%len(services)]}
+	var err error
+	if v.tcp, err = newTCPProxy(at(proxyPort), at(internalPort)); err != nil {
+		return err
+	}
+	if v.udp, err = newUDPProxy(at(proxyPort), at(clientPort), f.rng.IntN); err != nil {
+		return err
+	}
+	file, err := f.settings(v.name, fmt.Sprintf(`{
+		"name": %q, "failure_domain": "fd-%d", "environment": "platform", "limits": "none",
+		"data_address": %q, "data_advertise": %q, "control_listen": %q, "control_advertise": %q,
+		"health_address": %q, "seeds": [%s], "service": {"name": %q},
+		"upstream_sink_address": %q, "upstream_listen": %q, "reply_listen": %q,
+		"heartbeat_seconds": 0.5, "settling_seconds": 4, "rebuild_seconds": 20,
+	}`, v.name, i%3, at(clientPort), at(proxyPort), at(internalPort), at(proxyPort), at(readyPort), f.seeds(), v.service,
+		at(appPort), at(announcePort), at(outboundPort)))
+	if err != nil {
+		return err
+	}
+	f.agents = append(f.agents, v)
+	v.process = startProcess(f.cfg.Dir, v.name, f.cfg.Program, "agent", "--settings", file)
+	return f.startServer(v)
+}
+
+// startServer starts a new server beside an agent.
+func (f *fleet) startServer(v *vm) error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.server != nil {
+		return nil
+	}
+	v.starts++
+	at := func(port int) netip.AddrPort { return netip.AddrPortFrom(v.addr, uint16(port)) }
+	s, err := standin.StartServer(standin.ServerConfig{
+		ID: fmt.Sprintf("%s-%d", v.name, v.starts), Service: v.service, App: at(appPort), Outbound: at(outboundPort),
+		Control: at(announcePort), Owns: func(a netip.AddrPort) bool { return f.serviceOf(a) == v.service }, Watch: f.oracle,
+	})
+	if err == nil {
+		v.server = s
+		f.oracle.started(s)
+	}
+	return err
+}
+
+// serviceOf returns the service that an address has or had: its last byte tells, so that
+// the address of a removed route still does.
+func (f *fleet) serviceOf(a netip.AddrPort) string {
+	return services[(int(a.Addr().As4()[3])-1)%len(services)]
+}
+
+// endServer ends the server beside an agent: it crashes or leaves.
+func (f *fleet) endServer(v *vm, end func(*standin.Server)) {
+	v.mu.Lock()
+	s := v.server
+	v.server = nil
+	v.mu.Unlock()
+	if s != nil {
+		f.oracle.ended(s)
+		end(s)
+	}
+}
+
+func (f *fleet) stop(graceful bool) {
+	var wait sync.WaitGroup
+	for _, v := range append(append([]*vm{}, f.balancers...), f.agents...) {
+		wait.Go(func() {
+			if v.process != nil {
+				v.process.stop(graceful)
+			}
+			f.endServer(v, (*standin.Server).Crash)
+			if v.tcp != nil {
+				v.tcp.close()
+			}
+			if v.udp != nil {
+				v.udp.close()
+			}
+		})
+	}
+	wait.Wait()
+	for _, c := range f.clients {
+		c.Close()
+	}
+	if f.fabric != nil {
+		f.fabric.close()
+	}
+	if f.storeLink != nil {
+		f.storeLink.close()
+	}
+	if f.storeHTTP != nil {
+		_ = f.storeHTTP.Close()
+	}
+}
+
+// fabric sends the packets of clients to the balancers that are ready.
+type fabric struct {
+	conn  *net.UDPConn
+	all   []netip.AddrPort
+	ready atomic.Pointer[[]netip.AddrPort]
+	done  chan struct{}
+}
+
+const (
+	fabricPoll  = 500 * time.Millisecond
+	fabricLimit = 400 * time.Millisecond
+	fabricMiss  = 2 // answers in a row that must be missing
+)
+
+func startFabric(cfg *Config, balancers []*vm) (*fabric, error) {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(cfg.address(netStore, 1, clientPort)))
+	if err != nil {
+		return nil, errors.Wrap(err, "soak: fabric")
+	}
+	fb := &fabric{conn: conn, done: make(chan struct{})}
+	for _, v := range balancers {
+		fb.all = append(fb.all, netip.AddrPortFrom(v.addr, clientPort))
+	}
+	fb.ready.Store(&fb.all)
+	go fb.poll()
+	return fb, nil
+}
+
+func (fb *fabric) poll() {
+	missed := make([]int, len(fb.all))
+	client := http.Client{Timeout: fabricLimit, Transport: &http.Transport{DisableKeepAlives: true}}
+	for {
+		var ready []netip.AddrPort
+		for i, a := range fb.all {
+			response, err := client.Get(fmt.Sprintf("http://%s/ready", netip.AddrPortFrom(a.Addr(), readyPort)))
+			if err == nil {
+				_ = response.Body.Close()
+			}
+			if err != nil || response.StatusCode != http.StatusOK {
+				missed[i]++
+			} else {
+				missed[i] = 0
+			}
+			if missed[i] < fabricMiss {
+				ready = append(ready, a)
+			}
+		}
+		if 2*len(ready) < len(fb.all) {
+			ready = fb.all
+		}
+		fb.ready.Store(&ready)
+		select {
+		case <-time.After(fabricPoll):
+		case <-fb.done:
+			return
+		}
+	}
+}
+
+func (fb *fabric) send(b []byte, k packet.Key) {
+	ready := *fb.ready.Load()
+	// The system refuses to send to a port without a listener now and then.
+	_, _ = fb.conn.WriteToUDPAddrPort(b, ready[k.Hash()%uint64(len(ready))])
+}
+
+func (fb *fabric) close() {
+	close(fb.done)
+	_ = fb.conn.Close()
+}
+
+// kill ends a process at once; it starts again.
+func (v *vm) kill() { v.process.signal(syscall.SIGKILL) }
--- /dev/null
+++ b/soak/oracle.go
@@ -0,0 +1,243 @@
+package soak
+
+import (
+	"fmt"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/packet"
+	"github.com/nutmegtrack/nutmegtrack/platform/standin"
+)
+
+// oracle checks the promises by what clients and upstreams see.
+type oracle struct {
+	mu        sync.Mutex
+	flows     map[packet.Key]*flowRecord
+	ran       map[string]string        // server by request
+	disturbed map[netip.Addr]time.Time // until when a VM is not held to its promises
+	alive     map[*standin.Server]bool
+	routes    map[netip.AddrPort]routeRecord
+	store     time.Time // until when the store is not stable
+	result    *Result
+	clock     func() time.Time
+}
+
+type flowRecord struct {
+	server *standin.Server
+	window *window // nil: no packet has reached another server lately
+}
+
+// window counts the packets of a flow from the first one that reached another server on.
+type window struct {
+	foreign int
+	own     bool
+	excused bool
+}
+
+// routeRecord says since when a route is there or gone.
+type routeRecord struct {
+	there bool
+	since time.Time
+}
+
+func newOracle(r *Result) *oracle {
+	return &oracle{
+		flows: map[packet.Key]*flowRecord{}, ran: map[string]string{}, disturbed: map[netip.Addr]time.Time{},
+		alive: map[*standin.Server]bool{}, routes: map[netip.AddrPort]routeRecord{}, result: r, clock: time.Now,
+	}
+}
+
+// maxViolations bounds the report.
+const maxViolations = 50
+
+func (o *oracle) violation(format string, args ...any) {
+	if len(o.result.Violations) < maxViolations {
+		text := o.clock().Format("15:04:05.000") + " " + fmt.Sprintf(format, args...)
+		o.result.Violations = append(o.result.Violations, text)
+	}
+}
+
+// Violation implements the stand-ins' watchers.
+func (o *oracle) Violation(text string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.violation("%s", text)
+}
+
+// disturb says that a VM is disturbed, without plan, for a time from now on.
+func (o *oracle) disturb(vm netip.Addr, d time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if until := o.clock().Add(d + touchTime); until.After(o.disturbed[vm]) {
+		o.disturbed[vm] = until
+	}
+}
+
+func (o *oracle) disturbStore(d time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if until := o.clock().Add(d + touchTime); until.After(o.store) {
+		o.store = until
+	}
+}
+
+// calm reports whether all VMs are held to their promises. The caller holds the lock.
+func (o *oracle) calm(vms ...netip.Addr) bool {
+	now := o.clock()
+	for _, vm := range vms {
+		if now.Before(o.disturbed[vm]) {
+			return false
+		}
+	}
+	return true
+}
+
+// judged is calm, and counts the answer.
+func (o *oracle) judged(vms ...netip.Addr) bool {
+	calm := o.calm(vms...)
+	if calm {
+		o.result.Judged++
+	} else {
+		o.result.Excused++
+	}
+	return calm
+}
+
+func (o *oracle) started(s *standin.Server) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.alive[s] = true
+}
+
+func (o *oracle) ended(s *standin.Server) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.alive, s)
+}
+
+// Received implements standin.Watcher.
+func (o *oracle) Received(s *standin.Server, k packet.Key) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	f := o.flows[k]
+	if f == nil || f.server != s {
+		f = &flowRecord{server: s}
+		o.flows[k] = f
+	}
+	if f.window != nil {
+		f.window.own = true
+	}
+}
+
+// Closed implements standin.Watcher.
+func (o *oracle) Closed(_ *standin.Server, k packet.Key) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.flows, k)
+}
+
+// Foreign implements standin.Watcher.
+func (o *oracle) Foreign(s *standin.Server, k packet.Key) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	f := o.flows[k]
+	if f == nil || f.server == s || !o.alive[f.server] {
+		return
+	}
+	if f.window == nil {
+		f.window = &window{}
+		time.AfterFunc(flowWindow, func() { o.endWindow(k, f) })
+	}
+	f.window.foreign++
+	f.window.excused = !o.judged(s.Host(), f.server.Host()) || f.window.excused
+}
+
+func (o *oracle) endWindow(k packet.Key, f *flowRecord) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	w := f.window
+	f.window = nil
+	if o.flows[k] == f && o.alive[f.server] && w.foreign >= flowPackets && !w.own && !w.excused && o.calm(f.server.Host()) {
+		o.violation("%d packets of flow %v reached other servers, and none its own %s", w.foreign, id(k), f.server.Name())
+	}
+}
+
+// Reset implements standin.ClientWatcher.
+func (o *oracle) Reset(k packet.Key, from netip.Addr) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	f := o.flows[k]
+	if f == nil || !o.alive[f.server] || !o.judged(f.server.Host(), from) {
+		return
+	}
+	if r, known := o.routes[k.Destination()]; known && !r.there {
+		return
+	}
+	o.violation("flow %v was reset by %s while its server %s lives", id(k), from, f.server.Name())
+}
+
+// First implements standin.Watcher.
+func (o *oracle) First(s *standin.Server, k packet.Key) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if since, drained := s.DrainedSince(); drained && o.clock().Sub(since) > drainBound && o.calm(s.Host()) {
+		o.violation("server %s got the new flow %v %s after its drain was acknowledged", s.Name(), id(k), o.clock().Sub(since))
+	}
+	r, known := o.routes[k.Destination()]
+	if known && !r.there && o.clock().Sub(r.since) > removedBound && o.clock().After(o.store) {
+		o.violation("server %s got the new flow %v %s after its route was removed", s.Name(), id(k), o.clock().Sub(r.since))
+	}
+}
+
+// Ran implements standin.Watcher.
+func (o *oracle) Ran(s *standin.Server, request string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if before, twice := o.ran[request]; twice {
+		o.violation("request %s ran at %s and at %s", request, before, s.Name())
+	}
+	o.ran[request] = s.Name()
+}
+
+// setRoute notes a change of the routes that the store has acknowledged.
+func (o *oracle) setRoute(a netip.AddrPort, there bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.routes[a] = routeRecord{there: there, since: o.clock()}
+}
+
+// refused notes that the client of a new flow got a reset.
+func (o *oracle) refused(to netip.AddrPort) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	r, known := o.routes[to]
+	age := o.clock().Sub(r.since)
+	if known && r.there && age > configBound && age < 2*configBound && o.clock().After(o.store) {
+		o.violation("a new flow to %s was reset %s after its route was added", to, age)
+	}
+}
+
+// count adds a request's outcome.
+func (o *oracle) count(err error, calm bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	r := o.result
+	r.Requests++
+	switch err {
+	case nil:
+		r.Answered++
+	case standin.ErrReset:
+		r.Reset++
+	default:
+		r.TimedOut++
+	}
+	if calm {
+		r.CalmSent++
+		if err == nil {
+			r.CalmOK++
+		}
+	}
+}
+
+func id(k packet.Key) string { return k.Source().String() + ">" + k.Destination().String() }
--- /dev/null
+++ b/soak/oracle_test.go
@@ -0,0 +1,132 @@
+package soak
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/nutmegtrack/nutmegtrack/packet"
+	"github.com/nutmegtrack/nutmegtrack/platform/standin"
+)
+
+func TestSoak(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "soak")
+}
+
+// The oracle is the part of the soak that could pass over a broken promise, so each of its
+// checks is made to fail here, and to excuse what is allowed.
+var _ = Describe("The oracle", func() {
+	var (
+		now    time.Time
+		result Result
+		o      *oracle
+		a, b   *standin.Server
+		k      packet.Key
+		to     = netip.MustParseAddrPort("127.9.4.1:8443")
+	)
+	BeforeEach(func() {
+		now, result = time.Unix(1000, 0), Result{}
+		o = newOracle(&result)
+		o.clock = func() time.Time { return now }
+		a = standin.NewServer(standin.ServerConfig{ID: "a", App: netip.MustParseAddrPort("127.9.2.1:1")})
+		b = standin.NewServer(standin.ServerConfig{ID: "b", App: netip.MustParseAddrPort("127.9.2.2:1")})
+		o.started(a)
+		o.started(b)
+		k = packet.KeyOf(netip.MustParseAddrPort("127.9.3.1:1025"), to, packet.ProtoTCP)
+		o.Received(a, k)
+	})
+
+	It("counts a request that runs twice", func() {
+		o.Ran(a, "c0u0-1")
+		Expect(result.Violations).To(BeEmpty())
+		o.Ran(b, "c0u0-1")
+		Expect(result.Violations).To(HaveLen(1))
+	})
+
+	It("counts a reset of a flow whose server lives", func() {
+		o.Reset(k, b.Host())
+		Expect(result.Violations).To(HaveLen(1))
+		Expect(result.Judged).To(Equal(1))
+	})
+
+	It("excuses a reset when the server is gone, a VM concerned is disturbed, or the route is removed", func() {
+		o.ended(a)
+		o.Reset(k, b.Host())
+		o.started(a)
+		o.disturb(b.Host(), time.Second)
+		o.Reset(k, b.Host())
+		Expect(result.Excused).To(Equal(1))
+		now = now.Add(time.Second + touchTime)
+		o.setRoute(to, false)
+		o.Reset(k, b.Host())
+		Expect(result.Violations).To(BeEmpty())
+		o.setRoute(to, true)
+		o.Reset(k, b.Host())
+		Expect(result.Violations).To(HaveLen(1))
+	})
+
+	It("counts packets of a flow that reach others and never its own server", func() {
+		for range flowPackets {
+			o.Foreign(b, k)
+		}
+		o.endWindow(k, o.flows[k])
+		Expect(result.Violations).To(HaveLen(1))
+	})
+
+	It("excuses them when one reaches its own, or when they are few", func() {
+		for range flowPackets {
+			o.Foreign(b, k)
+		}
+		o.Received(a, k)
+		o.endWindow(k, o.flows[k])
+		o.Foreign(b, k)
+		o.endWindow(k, o.flows[k])
+		Expect(result.Violations).To(BeEmpty())
+	})
+
+	It("counts a new flow on a removed route after the bound", func() {
+		o.setRoute(to, false)
+		now = now.Add(removedBound)
+		o.First(a, k)
+		Expect(result.Violations).To(BeEmpty())
+		now = now.Add(1)
+		o.First(a, k)
+		Expect(result.Violations).To(HaveLen(1))
+	})
+
+	It("counts a new flow that is reset although its route was added", func() {
+		o.setRoute(to, true)
+		now = now.Add(configBound)
+		o.refused(to)
+		Expect(result.Violations).To(BeEmpty())
+		now = now.Add(1)
+		o.refused(to)
+		Expect(result.Violations).To(HaveLen(1))
+	})
+
+	It("excuses routes while the store is disturbed", func() {
+		o.setRoute(to, false)
+		o.disturbStore(2 * removedBound)
+		now = now.Add(2 * removedBound)
+		o.First(a, k)
+		Expect(result.Violations).To(BeEmpty())
+	})
+})
+
+var _ = Describe("The faults of a run", func() {
+	It("are the same for the same seed", func() {
+		draw := func() (names []string) {
+			s := newSchedule(&Config{Seed: 7})
+			for range 20 {
+				f, _, _ := s.next()
+				names = append(names, f.name)
+			}
+			return names
+		}
+		Expect(draw()).To(Equal(draw()))
+	})
+})
--- /dev/null
+++ b/soak/proxy.go
@@ -0,0 +1,149 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// link is how a proxy treats what passes.
+type link struct {
+	silent  atomic.Bool  // nothing passes, and nobody is told
+	drop    atomic.Int64 // this many of 1,000 datagrams are lost
+	delayNs atomic.Int64
+}
+
+// udpProxy passes datagrams to one address.
+type udpProxy struct {
+	link
+	conn *net.UDPConn
+	to   netip.AddrPort
+}
+
+func newUDPProxy(at, to netip.AddrPort, random func(int) int) (*udpProxy, error) {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(at))
+	if err != nil {
+		return nil, errors.Wrap(err, "soak: proxy")
+	}
+	p := &udpProxy{conn: conn, to: to}
+	go p.run(random)
+	return p, nil
+}
+
+func (p *udpProxy) run(random func(int) int) {
+	b := make([]byte, 1<<16)
+	for {
+		n, err := p.conn.Read(b)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil || p.silent.Load() || random(1000) < int(p.drop.Load()) {
+			continue
+		}
+		packet := append([]byte(nil), b[:n]...)
+		send := func() { _, _ = p.conn.WriteToUDPAddrPort(packet, p.to) }
+		if d := time.Duration(p.delayNs.Load()); d > 0 {
+			time.AfterFunc(d, send)
+		} else {
+			send()
+		}
+	}
+}
+
+func (p *udpProxy) close() { _ = p.conn.Close() }
+
+// tcpProxy passes connections to one address.
+type tcpProxy struct {
+	link
+	listener net.Listener
+	to       netip.AddrPort
+	mu       sync.Mutex
+	conns    map[net.Conn]bool
+}
+
+func newTCPProxy(at, to netip.AddrPort) (*tcpProxy, error) {
+	l, err := net.Listen("tcp", at.String())
+	if err != nil {
+		return nil, errors.Wrap(err, "soak: proxy")
+	}
+	p := &tcpProxy{listener: l, to: to, conns: map[net.Conn]bool{}}
+	go p.run()
+	return p, nil
+}
+
+func (p *tcpProxy) run() {
+	for {
+		conn, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.serve(conn)
+	}
+}
+
+func (p *tcpProxy) serve(from net.Conn) {
+	defer from.Close()
+	to, err := net.DialTimeout("tcp", p.to.String(), time.Second)
+	if err != nil {
+		// A port without a listener resets the connection.
+		_ = from.(*net.TCPConn).SetLinger(0)
+		return
+	}
+	defer to.Close()
+	p.track(from, true)
+	defer p.track(from, false)
+	ended := make(chan struct{}, 2)
+	pass := func(dst, src net.Conn) {
+		_, _ = io.Copy(&gate{w: dst, link: &p.link}, src)
+		ended <- struct{}{}
+	}
+	go pass(to, from)
+	go pass(from, to)
+	<-ended
+}
+
+func (p *tcpProxy) track(c net.Conn, add bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if add {
+		p.conns[c] = true
+	} else {
+		delete(p.conns, c)
+	}
+}
+
+// reset ends all connections.
+func (p *tcpProxy) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}
+}
+
+func (p *tcpProxy) close() {
+	_ = p.listener.Close()
+	p.reset()
+}
+
+// gate holds up or swallows what is written through a link.
+type gate struct {
+	w    io.Writer
+	link *link
+}
+
+func (g *gate) Write(b []byte) (int, error) {
+	if d := time.Duration(g.link.delayNs.Load()); d > 0 {
+		time.Sleep(d)
+	}
+	if g.link.silent.Load() {
+		return len(b), nil
+	}
+	return g.w.Write(b)
+}
--- /dev/null
+++ b/soak/run.go
@@ -0,0 +1,157 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/platform/standin"
+)
+
+const (
+	warmUp       = 3 * time.Second // from the start of the processes to that of the faults
+	requestLimit = 4 * time.Second // deadline of a request
+	longUsers    = 3               // users of each client that keep a flow open
+	freshUsers   = 2               // users of each client that open a flow for each request
+	calmCheck    = 4 * time.Second // in which requests are counted after calmTime
+	// Runs differ in how closely their faults follow each other: the longest pause of a run
+	// lies between these.
+	shortPause = 800 * time.Millisecond
+	longPause  = 6 * time.Second
+)
+
+// Run makes one run. The error says that it could not be made; broken promises are in
+// the result.
+func Run(ctx context.Context, cfg Config) (Result, error) {
+	cfg = cfg.withDefaults()
+	result := Result{Seed: cfg.Seed}
+	o := newOracle(&result)
+	f, err := startFleet(cfg, o)
+	if err != nil {
+		return result, err
+	}
+	defer f.stop(false)
+	var calm atomic.Bool
+	load, endLoad := context.WithCancel(ctx)
+	defer endLoad()
+	var users sync.WaitGroup
+	f.startLoad(load, &users, &calm)
+	sleep(ctx, warmUp)
+	f.disturb(ctx, &result)
+	sleep(ctx, calmTime)
+	calm.Store(true)
+	sleep(ctx, calmCheck)
+	calm.Store(false)
+	endLoad()
+	users.Wait()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if float64(result.CalmOK) < calmShare*float64(result.CalmSent) || result.CalmSent == 0 {
+		o.violation("after %s without faults %d of %d requests were answered", calmTime, result.CalmOK, result.CalmSent)
+	}
+	return result, ctx.Err()
+}
+
+// sleep waits unless the context ends.
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// schedule draws the faults of a run.
+type schedule struct {
+	rng     *rand.Rand
+	longest time.Duration // pause
+}
+
+func newSchedule(cfg *Config) schedule {
+	s := schedule{rng: rand.New(rand.NewPCG(cfg.Seed, 2)), longest: time.Duration(cfg.Pause * float64(time.Second))}
+	if s.longest == 0 {
+		s.longest = span(s.rng, shortPause, longPause)
+	}
+	return s
+}
+
+// next returns the next fault, the source of its random numbers, and the pause after its start.
+func (s schedule) next() (fault, *rand.Rand, time.Duration) {
+	f := faults[s.rng.IntN(len(faults))]
+	return f, rand.New(rand.NewPCG(s.rng.Uint64(), 3)), span(s.rng, s.longest/4, s.longest)
+}
+
+// disturb draws faults, which overlap, and waits for the last to end.
+func (f *fleet) disturb(ctx context.Context, result *Result) {
+	s := newSchedule(&f.cfg)
+	var running sync.WaitGroup
+	end := time.Now().Add(time.Duration(f.cfg.Seconds * float64(time.Second)))
+	for time.Now().Before(end) && ctx.Err() == nil {
+		next, own, pause := s.next()
+		fmt.Fprintf(f.cfg.Progress, "%s %s\n", time.Now().Format("15:04:05.000"), next.name)
+		result.Faults++
+		running.Go(func() { next.run(f, own) })
+		sleep(ctx, pause)
+	}
+	running.Wait()
+}
+
+// startLoad starts the users of all clients.
+func (f *fleet) startLoad(ctx context.Context, users *sync.WaitGroup, calm *atomic.Bool) {
+	for i, c := range f.clients {
+		for u := range longUsers + freshUsers {
+			rng := rand.New(rand.NewPCG(f.cfg.Seed, uint64(100*i+u)))
+			to := f.cfg.address(netRoute, rng.IntN(len(services)), 8443)
+			user := user{client: c, to: to, name: fmt.Sprintf("c%du%d", i, u), rng: rng, oracle: f.oracle, calm: calm}
+			if u < longUsers {
+				user.requests = 30
+			}
+			users.Go(func() { user.run(ctx) })
+		}
+	}
+}
+
+// user opens flows and sends requests on them, one after the other.
+type user struct {
+	client   *standin.Client
+	to       netip.AddrPort
+	name     string
+	rng      *rand.Rand
+	oracle   *oracle
+	calm     *atomic.Bool
+	requests int // of each flow; 0: one
+	sent     int
+}
+
+func (u *user) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		calm := u.calm.Load()
+		flow, err := u.client.Open(u.to)
+		if err != nil {
+			u.oracle.count(err, calm)
+			sleep(ctx, span(u.rng, 50*time.Millisecond, 200*time.Millisecond))
+			continue
+		}
+		u.use(ctx, flow)
+	}
+}
+
+func (u *user) use(ctx context.Context, flow *standin.Flow) {
+	for range max(1, u.requests) {
+		u.sent++
+		calm := u.calm.Load()
+		err := flow.Request(fmt.Sprintf("%s-%d", u.name, u.sent), requestLimit)
+		u.oracle.count(err, calm)
+		if err != nil {
+			return
+		}
+		sleep(ctx, span(u.rng, 50*time.Millisecond, 400*time.Millisecond))
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	flow.Close()
+}
