flow: send the addition for a flow just taken with the step that it asks for

An agent that takes a flow away from its first choice asks for a step at once; that step found the addition younger than the digest's delay of 1 ms and left it for the next tick, up to 100 ms later. The first choice had called the flow lost 50 ms after the first packet that another balancer brought, and reset it. Change: an addition for a flow just taken is due at once. The rule that a digest arrives within 50 ms is still an assumption about time; next.

--- a/flow/accept.go
+++ b/flow/accept.go
@@ -79,9 +79,21 @@
 	t.lost.forget(hash)
 	delete(t.trials, hash)
 	t.retarget(now, e)
-	t.urgent = t.urgent || e.target != 0
+	t.announceTaken(e)
 	if t.cfg.Observer != nil {
 		t.cfg.Observer.FlowTaken(t.self.ID, k)
 	}
 	return e
 }
+
+// announceTaken makes the flow's first choice learn of it with the next Step: packets of
+// the flow may reach that agent through another balancer within milliseconds.
+func (t *Table) announceTaken(e *entry) {
+	p := t.peers.get(e.target)
+	if p == nil {
+		return
+	}
+	t.urgent = true
+	// Without Rebuild nothing is reset, and additions share messages.
+	p.out.urgent = t.cfg.Rebuild > 0
+}
--- a/flow/outbox.go
+++ b/flow/outbox.go
@@ -31,6 +31,7 @@
 	sum        uint64
 	addSince   time.Duration // when the oldest unsent addition was pushed
 	adds       int           // unsent additions
+	urgent     bool          // an unsent addition does not wait for others
 	checked    time.Duration // when Count and Sum were last sent
 	checkDue   bool          // after a restart
 	changed    time.Duration // when an operation was last sent
@@ -49,7 +50,7 @@
 
 // restart forgets what was sent; the caller pushes the whole digest afterwards.
 func (o *outbox) restart() {
-	o.ops, o.adds = o.ops[:0], 0
+	o.ops, o.adds, o.urgent = o.ops[:0], 0, false
 	o.reset, o.checkDue = true, true
 	o.count, o.sum = 0, 0
 	o.generation++
@@ -66,6 +67,7 @@
 		o.apply(op, m)
 	}
 	o.ops = append(o.ops[:0], o.ops[n:]...)
+	o.urgent = o.urgent && o.adds > 0
 	o.seq++
 	m.Seq, m.Reset = o.seq, o.reset
 	o.reset = false
@@ -102,10 +104,10 @@
 	return o.checkDue || (live && now-o.checked >= interval)
 }
 
-// due reports whether the peer must be sent a digest message. Additions wait for
-// delay, so that several share a message; hand-off memory and rule 5 cover the
-// flow until then. Removals wait for the next message, since an outdated
+// due reports whether the peer must be sent a digest message. Additions that are not
+// urgent wait for delay, so that several share a message; hand-off memory and rule 5
+// cover the flow until then. Removals wait for the next message, since an outdated
 // fingerprint costs at most a detour.
 func (o *outbox) due(now, delay, interval time.Duration) bool {
-	return o.reset || o.checkWanted(now, interval) || (o.adds > 0 && now-o.addSince >= delay)
+	return o.reset || o.urgent || o.checkWanted(now, interval) || (o.adds > 0 && now-o.addSince >= delay)
 }
--- a/flow/rebuild_test.go
+++ b/flow/rebuild_test.go
@@ -353,6 +353,22 @@
 		Expect(t.Lost(u.now)).To(HaveLen(1))
 	})
 
+	// Guards against a reset of a young flow: the step that its holder makes at once found
+	// the addition younger than the digest's delay and left it for the next tick, 100 ms
+	// later (harthy-ops-grown trouble-2).
+	It("are not those that an upstream took a moment ago away from their first choice", func() {
+		u.pass("b", numbered(u.keyRanked(packet.ProtoTCP, "a", "c", "b"), 0))
+		u.run(10 * time.Second)
+		u.answer("b", "a") // whatever else was due
+		u.pass("b", numbered(k, 0))
+		Expect(u.agents[u.named("b").ID].Urgent()).To(BeTrue())
+		u.answer("b", "a")
+		path, action := u.pass("a", data(k))
+		Expect(path).To(Equal("ab"))
+		Expect(action.Kind).To(Equal(Deliver))
+		Expect(u.agents[u.named("a").ID].Suspects()).To(BeFalse())
+	})
+
 	// Guards against a reset of a flow that was opened elsewhere a moment ago.
 	It("are not reset when a digest names the flow meanwhile", func() {
 		u.run(2 * time.Second)
