--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -136,6 +136,18 @@
 		}
 	})
 
+	// Guards against packets that only an upstream writes and that an upstream would take for
+	// forged ones.
+	It("drops packets that no client can have written", func() {
+		b := newTestBalancer(u1)
+		key := packet.KeyOf(client, service, packet.ProtoTCP)
+		answer := packet.AppendTCP(nil, &packet.TCPSegment{Key: key, Flags: packet.FlagSYN | packet.FlagACK})
+		Expect(b.handle(answer)).To(BeEmpty())
+		Expect(b.counters.malformed.Count()).To(BeEquivalentTo(1))
+		Expect(fromClient(&packet.Info{Flags: packet.FlagACK})).To(BeTrue())
+		Expect(fromClient(&packet.Info{Flags: packet.FlagACK, Returned: true})).To(BeFalse())
+	})
+
 	// Guards against malformed or foreign packets that are sent on or stop the reader.
 	It("counts and drops what it cannot route", func() {
 		b := newTestBalancer(u1)
--- a/balancer/reader.go
+++ b/balancer/reader.go
@@ -133,7 +133,7 @@
 			continue
 		}
 		r.tally.received++
-		if r.format.Parse(b, &r.infos[i]) != nil {
+		if r.format.Parse(b, &r.infos[i]) != nil || !fromClient(&r.infos[i]) {
 			r.tally.malformed++
 			continue
 		}
@@ -142,6 +142,13 @@
 	}
 }
 
+// fromClient reports whether a client can have written the packet. Only upstreams answer a
+// SYN and return packets; an upstream would take such a packet for a forged one.
+func fromClient(in *packet.Info) bool {
+	const answer = packet.FlagSYN | packet.FlagACK
+	return !in.Returned && in.Flags&answer != answer
+}
+
 func (r *reader) parseHint(b []byte) {
 	h, rest, err := packet.ReadHeader(b)
 	if err != nil || h.Kind != packet.KindHint {
--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/nutmegtrack/nutmegtrack/event"
@@ -70,7 +71,8 @@
 	mu       sync.Mutex
 	text     []byte        // of the active document, for peers
 	fetched  time.Duration // when a peer was last asked
-	revision int64         // of the newest text seen, also if rejected
+	revision int64         // of the newest text that could be read
+	rejected uint64        // hash of the newest text that could not
 	read     int64         // the store's own when the document was last read
 	checked  time.Duration // when the store last confirmed the document
 }
@@ -295,23 +297,30 @@
 	if kv.ModRevision <= r.revision {
 		return
 	}
-	r.revision = kv.ModRevision
-	r.activate(kv.Value, "revision", kv.ModRevision)
+	// A text that cannot be read may be the fault of one answer; the next read decides.
+	if r.activate(kv.Value, "revision", kv.ModRevision) {
+		r.revision = kv.ModRevision
+	}
 }
 
-// activate puts a document into force; source says for the log where it came from. The
-// caller holds the lock.
-func (r *Routes) activate(text []byte, source string, from any) {
+// activate puts a document into force and reports whether it could be read; source says for
+// the log where it came from. The caller holds the lock.
+func (r *Routes) activate(text []byte, source string, from any) bool {
+	hash := xxhash.Sum64(text)
+	if hash == r.rejected {
+		return false
+	}
 	doc, found, err := r.cfg.Decode(text)
 	if err != nil {
+		r.rejected = hash
 		r.cfg.Log.Log(event.RoutesRejected, source, from, "error", err)
-		return
+		return false
 	}
 	if doc.Version <= r.Version() {
 		if doc.Version < r.Version() {
 			r.cfg.Log.Log(event.RoutesRejected, source, from, "error", errors.Newf("version %d is below %d", doc.Version, r.Version()))
 		}
-		return
+		return true
 	}
 	for _, f := range found {
 		r.cfg.Log.Log(event.RouteUnusable, "version", doc.Version, "finding", f.String())
@@ -322,6 +331,7 @@
 	if r.cfg.Installed != nil {
 		r.cfg.Installed(doc)
 	}
+	return true
 }
 
 // jitter spreads a duration by a quarter in both directions.
--- a/daemon/routes_turn_test.go
+++ b/daemon/routes_turn_test.go
@@ -2,14 +2,19 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"net/netip"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/nutmegtrack/nutmegtrack/event"
+	"github.com/nutmegtrack/nutmegtrack/finding"
 	"github.com/nutmegtrack/nutmegtrack/route"
+	"github.com/nutmegtrack/nutmegtrack/store"
 )
 
 var _ = Describe("The check of the routes", func() {
@@ -46,3 +51,28 @@
 		Expect(r.retryPause()).To(Equal(routesRetry))
 	})
 })
+
+var _ = Describe("A document that cannot be read", func() {
+	// Guards against a document that stays out of force because one answer of the store was
+	// damaged: its revision must not count as seen.
+	It("is read again", func() {
+		decoded := 0
+		r := NewRoutes(RoutesConfig{
+			Log: event.NewLogger(io.Discard), Clock: func() time.Duration { return 0 },
+			Decode: func(text []byte) (*route.Document, finding.List, error) {
+				decoded++
+				if string(text) != "whole" {
+					return nil, nil, errors.New("damaged")
+				}
+				return &route.Document{Version: 7}, nil, nil
+			},
+		})
+		for range 3 {
+			r.install(store.KV{Value: []byte("wh"), ModRevision: 12})
+		}
+		Expect(decoded).To(Equal(1), "a text is not decoded again and again")
+		Expect(r.Version()).To(BeZero())
+		r.install(store.KV{Value: []byte("whole"), ModRevision: 12})
+		Expect(r.Version()).To(Equal(int64(7)))
+	})
+})
--- a/route/document.go
+++ b/route/document.go
@@ -18,6 +18,8 @@
 	Idempotent
 	// Upload requests carry large bodies and run at most once.
 	Upload
+	// Download requests have large answers and may be repeated after any failure.
+	Download
 )
 
 // Document is one version of the routes.
