flow: ask all peers before a flow is called lost

A digest that is late, or a holder that takes another agent for the first choice, made an open flow look lost; two further waits (250 ms after a change of the first choice, a peer's word on single packets) stood for an answer as well. Change: the first choice asks all peers, up to 128 flows in one datagram each, and they answer from their tables: held, not held, unsure. A holder's answer leads the next packet there. Without an answer: repeated, then the last whole digest, the state of the peer, or silence. An upstream that a peer names and the asker does not know holds the reset back.

--- a/agent/admission.go
+++ b/agent/admission.go
@@ -150,7 +150,7 @@
 			number, action, h := t.Admit(now)
 			if number == 0 {
 				a.admission.forget(t)
-				a.prompt.after(a, t)
+				a.prompt.after(t)
 				return false
 			}
 			r.release(i, number, action, &h)
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -277,6 +277,41 @@
 		Expect(id).To(Equal(owner.id))
 	})
 
+	// Guards against a flow that is called lost because a question about it is not answered,
+	// or is answered to another agent.
+	It("answers the inquiries of its peers and counts what it cannot read", func() {
+		owner, other := n.add("u1", 8001), n.add("u2", 8002)
+		n.run(20 * time.Second)
+		owner.handle(encapsulated("impact-portal", syn))
+		if owner.Left() == 0 {
+			owner, other = other, owner
+			owner.handle(owner.forwardedFrom(other))
+		}
+		owner.data.Sent()
+		held := packet.KeyOf(client, serviceAddr, packet.ProtoTCP)
+		question := packet.Inquiry{From: other.id, Number: 9, Flows: []uint64{held.Hash(), 1}}
+		asked := packet.AppendInquiry(nil, owner.service, &question)
+		owner.handle(asked)
+		answers := owner.data.Sent()
+		Expect(answers).To(HaveLen(1))
+		Expect(answers[0].To).To(Equal(other.self().Data))
+		h, rest, err := packet.ReadHeader(answers[0].Data)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(h.Kind).To(Equal(packet.KindAnswer))
+		a, err := packet.ReadAnswer(rest)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.Number).To(BeEquivalentTo(9))
+		Expect(a.Standings).To(Equal([]packet.Standing{packet.Held, packet.NotHeld}))
+		Expect(a.Peers).To(ConsistOf(owner.id, other.id))
+
+		question.From = 99
+		owner.handle(packet.AppendInquiry(nil, owner.service, &question))
+		owner.handle(asked[:len(asked)-1])
+		owner.handle(packet.AppendInquiry(nil, owner.service+1, &question))
+		Expect(owner.data.Sent()).To(BeEmpty())
+		Expect(owner.counters.malformed.Count()).To(BeEquivalentTo(2))
+	})
+
 	// Guards against a digest that stays incomplete after failed calls, so that a
 	// retransmitted first packet opens the flow a second time, and against an
 	// unreachable agent that uses up the control budget.
--- a/agent/counters.go
+++ b/agent/counters.go
@@ -10,7 +10,7 @@
 type tally struct {
 	received, delivered, forwarded, replies  int
 	hints, malformed, wrongEndpoint, refused int
-	late, returned, resets                   int
+	late, returned, resets, inquiries        int
 	dropped                                  daemon.Drops
 	offered                                  bool // a first packet was delivered
 }
@@ -19,7 +19,7 @@
 type counters struct {
 	received, delivered, forwarded, replies  metrics.Counter
 	hints, malformed, wrongEndpoint, refused metrics.Counter
-	late, returned, resets                   metrics.Counter
+	late, returned, resets, inquiries        metrics.Counter
 	dropped                                  daemon.DropCounters
 }
 
@@ -33,6 +33,7 @@
 		hints:         metrics.NewRegisteredCounter("hints.sent", r),
 		returned:      metrics.NewRegisteredCounter("packets.returned", r),
 		resets:        metrics.NewRegisteredCounter("resets.sent", r),
+		inquiries:     metrics.NewRegisteredCounter("inquiries.sent", r),
 		late:          metrics.NewRegisteredCounter("packets.late", r),
 		malformed:     metrics.NewRegisteredCounter("packets.malformed", r),
 		wrongEndpoint: metrics.NewRegisteredCounter("packets.dropped.wrong_endpoint", r),
@@ -50,6 +51,7 @@
 	daemon.Count(c.late, t.late)
 	daemon.Count(c.returned, t.returned)
 	daemon.Count(c.resets, t.resets)
+	daemon.Count(c.inquiries, t.inquiries)
 	daemon.Count(c.wrongEndpoint, t.wrongEndpoint)
 	daemon.Count(c.refused, t.refused)
 	c.dropped.Add(&t.dropped)
--- a/agent/lost.go
+++ b/agent/lost.go
@@ -14,27 +14,29 @@
 type prompt struct {
 	step  daemon.Waker // a digest is to be sent
 	admit daemon.Waker // a waiting flow may be taken
-	armed atomic.Bool  // a look at suspected flows is due
+	look  daemon.Waker // suspected flows are to be looked at
+	armed atomic.Bool  // a later look is due
 }
 
 func newPrompt() prompt {
-	return prompt{step: daemon.NewWaker(), admit: daemon.NewWaker()}
+	return prompt{step: daemon.NewWaker(), admit: daemon.NewWaker(), look: daemon.NewWaker()}
 }
 
 // after looks at the table after a batch of packets; the caller holds its lock.
-func (p *prompt) after(a *Agent, t *flow.Table) {
+func (p *prompt) after(t *flow.Table) {
 	if t.Urgent() {
 		p.step.Wake()
 	}
 	if t.MayAdmit() {
 		p.admit.Wake()
 	}
-	if t.Suspects() && p.armed.CompareAndSwap(false, true) {
-		time.AfterFunc(flow.LostWait, a.resetLostFlows)
+	if t.Restless() {
+		p.look.Wake()
 	}
 }
 
-// actPromptly sends digests and admits waiting flows between ticks until the agent stops.
+// actPromptly sends digests, admits waiting flows and looks after suspected ones between
+// ticks until the agent stops.
 func (a *Agent) actPromptly() {
 	for {
 		select {
@@ -42,26 +44,55 @@
 			a.stepFlows()
 		case <-a.prompt.admit:
 			a.admitWaiting()
+		case <-a.prompt.look:
+			a.lookAfterSuspects()
 		case <-a.life.Context().Done():
 			return
 		}
 	}
 }
 
-// resetLostFlows tells the clients of lost flows that these have ended.
-func (a *Agent) resetLostFlows() {
-	if a.life.Context().Err() != nil {
-		return
-	}
-	a.prompt.armed.Store(false)
-	var lost []flow.LostFlow
+// lookAfterSuspects asks the peers about flows that may be lost, and tells the clients of
+// those that are.
+func (a *Agent) lookAfterSuspects() {
+	var (
+		lost []flow.LostFlow
+		asks []flow.Ask
+		next time.Duration
+	)
 	a.flows.do(func(now time.Duration, t *flow.Table) {
-		lost = t.Lost(now)
+		lost, asks, next = t.Look(now)
 		for i := range lost {
 			a.logReset(now, t, &lost[i].Key, flow.ReasonFlowLost)
 		}
-		a.prompt.after(a, t)
+		a.prompt.after(t)
 	})
+	if next > 0 && a.prompt.armed.CompareAndSwap(false, true) {
+		time.AfterFunc(next, func() {
+			a.prompt.armed.Store(false)
+			a.prompt.look.Wake()
+		})
+	}
+	a.sendInquiries(asks)
+	a.resetLostFlows(lost)
+}
+
+// sendInquiries sends each inquiry to all its receivers.
+func (a *Agent) sendInquiries(asks []flow.Ask) {
+	for i := range asks {
+		out := packetio.NewOutbox(len(asks[i].To))
+		b := packet.AppendInquiry(nil, a.service, &asks[i].Inquiry)
+		for _, to := range asks[i].To {
+			out.Add(b, to)
+		}
+		t := tally{inquiries: len(asks[i].To)}
+		t.refused = a.ports.data.Send(out)
+		a.counters.add(&t)
+	}
+}
+
+// resetLostFlows tells the clients of lost flows that these have ended.
+func (a *Agent) resetLostFlows(lost []flow.LostFlow) {
 	if len(lost) == 0 || a.options.Packets == nil {
 		return
 	}
--- a/agent/reader.go
+++ b/agent/reader.go
@@ -24,6 +24,7 @@
 	delivery *packetio.Outbox // to the upstream
 	outgoing *packetio.Outbox // to agents and, as hints, to balancers
 	hints    [packetio.BatchSize][packet.HintSize]byte
+	answers  [packetio.BatchSize][]byte
 	info     packet.Info
 	tally    tally
 }
@@ -60,7 +61,7 @@
 		r.packet(now, t, i)
 	}
 	if r.agent.options.Packets != nil {
-		r.agent.prompt.after(r.agent, t)
+		r.agent.prompt.after(t)
 	}
 }
 
@@ -68,11 +69,11 @@
 	r.tally.received++
 	b := r.in.Packet(i)
 	h, raw, err := packet.ReadHeader(b)
-	if err == nil && h.Kind == packet.KindHint {
-		r.told(now, t, &h, raw)
+	if err == nil && h.Kind != packet.KindData {
+		r.message(now, t, i, &h, raw)
 		return
 	}
-	if err != nil || h.Kind != packet.KindData || r.agent.format().Parse(raw, &r.info) != nil {
+	if err != nil || r.agent.format().Parse(raw, &r.info) != nil {
 		r.tally.malformed++
 		return
 	}
@@ -114,14 +115,46 @@
 	}
 }
 
-// told takes the hint of another agent.
-func (r *reader) told(now time.Duration, t *flow.Table, h *packet.Header, b []byte) {
-	k, owner, err := packet.ReadHint(b)
-	if err != nil || h.Service != r.agent.service {
+// message takes what another agent says in a datagram.
+func (r *reader) message(now time.Duration, t *flow.Table, i int, h *packet.Header, b []byte) {
+	if h.Service != r.agent.service || !r.understood(now, t, i, h, b) {
 		r.tally.malformed++
-		return
 	}
-	t.Told(now, &k, owner)
+}
+
+func (r *reader) understood(now time.Duration, t *flow.Table, i int, h *packet.Header, b []byte) bool {
+	switch h.Kind {
+	case packet.KindHint:
+		k, owner, err := packet.ReadHint(b)
+		if err == nil {
+			t.Told(now, &k, owner)
+		}
+		return err == nil
+	case packet.KindInquiry:
+		q, err := packet.ReadInquiry(b)
+		if err == nil {
+			r.answer(now, t, i, &q)
+		}
+		return err == nil
+	case packet.KindAnswer:
+		a, err := packet.ReadAnswer(b)
+		if err == nil {
+			t.Answered(now, &a)
+		}
+		return err == nil
+	}
+	return false
+}
+
+// answer answers a peer's inquiry.
+func (r *reader) answer(now time.Duration, t *flow.Table, i int, q *packet.Inquiry) {
+	to, known := t.AddrOf(q.From)
+	if !known {
+		return // the peer asks again when this agent knows it
+	}
+	a := t.Answer(now, q)
+	r.answers[i] = packet.AppendAnswer(r.answers[i][:0], r.agent.service, &a)
+	r.outgoing.Add(r.answers[i], to)
 }
 
 // reset answers a client's packet with the end of its flow.
@@ -243,7 +276,7 @@
 		r.tally.replies++
 	}
 	if r.agent.options.Packets != nil {
-		r.agent.prompt.after(r.agent, t)
+		r.agent.prompt.after(t)
 	}
 }
 
--- a/flow/lost.go
+++ b/flow/lost.go
@@ -1,7 +1,6 @@
 package flow
 
 import (
-	"slices"
 	"time"
 
 	"github.com/nutmegtrack/nutmegtrack/packet"
@@ -14,12 +13,8 @@
 
 const (
 	// peersQuiet is the time after which a list of peers without a further name counts as
-	// whole, and a flow's first choice as known to all of them. A push round takes 200 ms.
+	// whole. A push round takes 200 ms.
 	peersQuiet = 250 * time.Millisecond
-	// LostWait is the time for which a flow must have been unknown everywhere. A flow
-	// that was opened elsewhere a moment ago appears in a digest within it: agents
-	// send these at once.
-	LostWait = 50 * time.Millisecond
 	// suspectTime is the time after which a suspected flow is not looked at any more
 	// without a further packet.
 	suspectTime = 5 * time.Second
@@ -95,10 +90,7 @@
 		tr = trial{at: now, returned: true, key: in.Key}
 	}
 	tr.ack = in.Ack
-	if !tr.suspected {
-		tr.suspected = true
-		t.suspected = append(t.suspected, hash)
-	}
+	t.suspect(hash, &tr)
 	t.trials[hash] = tr
 }
 
@@ -137,18 +129,28 @@
 	if !known || !tr.returned || now-tr.at >= suspectTime {
 		tr = trial{at: now, returned: true, key: s.Flow.Key}
 	}
-	tr.ack, tr.suspected, tr.passed = s.Flow.Ack, true, s.Passed
-	t.suspected = append(t.suspected, hash)
+	tr.ack, tr.passed = s.Flow.Ack, s.Passed
+	t.suspect(hash, &tr)
 	t.trials[hash] = tr
 }
 
-// Suspects reports whether some flow may turn out to be lost. The caller then calls
-// Lost after LostWait, and again while Suspects is true.
+// Suspects reports whether some flow may turn out to be lost.
 func (t *Table) Suspects() bool { return len(t.suspected) > 0 }
 
-// Lost returns the flows that have turned out to be lost, each once. Later packets of
-// them are answered by Receive.
-func (t *Table) Lost(now time.Duration) (out []LostFlow) {
+// suspect lists a trial that is not listed yet.
+func (t *Table) suspect(hash uint64, tr *trial) {
+	if !tr.suspected {
+		tr.suspected, tr.inquiry = true, 0
+		t.suspected = append(t.suspected, hash)
+		t.restless = true
+	}
+}
+
+// takeLost returns the flows that have turned out to be lost. Later packets of them are
+// answered by Receive.
+func (t *Table) takeLost(now time.Duration) (out []LostFlow) {
+	mayBeLost := t.flowsMayBeLost(now)
+	notHeld := t.heldByNobody(now)
 	kept := t.suspected[:0]
 	for _, hash := range t.suspected {
 		tr, known := t.trials[hash]
@@ -162,7 +164,7 @@
 			t.passSuspect(to, &tr)
 			tr.suspected = false
 			t.trials[hash] = tr
-		case now-tr.at < LostWait || !t.heldByNobody(now, hash):
+		case !mayBeLost || !notHeld[hash]:
 			kept = append(kept, hash)
 		default:
 			delete(t.trials, hash)
@@ -180,22 +182,21 @@
 	return t.holder(now, hash, &packet.Header{}) != nil
 }
 
-// heldByNobody reports whether a flow that neither this agent nor a peer's digest knows
-// is held by no upstream: it ranks this agent first, and every peer has sent its whole
-// digest and knows all flows of its upstream, or has said that it does not hold this one.
-func (t *Table) heldByNobody(now time.Duration, hash uint64) bool {
-	if t.cfg.Rebuild == 0 || t.self.Start == 0 || !t.peersKnown || now-t.namesChanged < peersQuiet {
-		return false
-	}
-	if !t.firstChoiceOf(hash) || !t.firstChoiceSettled(now, hash) {
-		return false
-	}
-	doubtful, away := t.doubtful(now)
-	if away || len(doubtful) > maxDoubtful {
-		return false
+// heldByNobody returns the flows of which all peers are known not to hold them.
+func (t *Table) heldByNobody(now time.Duration) map[uint64]bool {
+	out := make(map[uint64]bool)
+	for _, q := range t.inquiries {
+		for i, notHeld := range t.notHeld(now, q) {
+			out[q.flows[i]] = notHeld
+		}
 	}
-	tr := t.trials[hash]
-	return !slices.ContainsFunc(doubtful, func(p *peer) bool { return !tr.hasDenied(p.ID) })
+	return out
+}
+
+// flowsMayBeLost reports whether this agent knows its upstream and its peers well enough to
+// call a flow lost.
+func (t *Table) flowsMayBeLost(now time.Duration) bool {
+	return t.cfg.Rebuild != 0 && t.self.Start != 0 && t.peersKnown && now-t.namesChanged >= peersQuiet
 }
 
 // firstChoiceOf reports whether this agent is the flow's first choice.
@@ -204,54 +205,6 @@
 	return target == 0
 }
 
-// firstChoiceSettled reports whether this agent, the flow's first choice, has been that
-// for long enough that a holder of the flow has told it. Only a change of its own or of an
-// upstream of a higher rank makes it the first choice: while a fleet starts, some state
-// changes all the time.
-func (t *Table) firstChoiceSettled(now time.Duration, hash uint64) bool {
-	if now-t.ownChanged < peersQuiet {
-		return false
-	}
-	own := score(hash, t.seed)
-	return !slices.ContainsFunc(t.peers.list, func(p *peer) bool {
-		return now-p.changed < peersQuiet && score(hash, p.seed) > own
-	})
-}
-
-// hasDenied reports whether the peer has said that it does not hold the flow.
-func (tr *trial) hasDenied(peer packet.AgentID) bool { return slices.Contains(tr.denied[:], peer) }
-
-// deny tells the agents on the path of a packet that was passed on to ask for its flow
-// that this agent's upstream does not hold it.
-func (t *Table) deny(now time.Duration, hash uint64, h *packet.Header) {
-	if h.Flags&packet.FlagAsked == 0 {
-		return
-	}
-	// An upstream that has returned the packet does not hold the flow, whichever start of
-	// it this is. A table without the flow shows as much only when it is complete.
-	if !t.trials[hash].returned && (t.self.Start == 0 || !t.complete(now)) {
-		return
-	}
-	for _, id := range h.Visited {
-		if p := t.peers.get(id); p != nil {
-			m := t.messageTo(p)
-			m.NotHeld = append(m.NotHeld, hash)
-			t.urgent = true
-		}
-	}
-}
-
-// denied takes a peer's word that it does not hold the flows.
-func (t *Table) denied(peer packet.AgentID, flows []uint64) {
-	for _, hash := range flows {
-		tr, known := t.trials[hash]
-		if free := slices.Index(tr.denied[:], 0); known && free >= 0 && !tr.hasDenied(peer) {
-			tr.denied[free] = peer
-			t.trials[hash] = tr
-		}
-	}
-}
-
 // doubtful returns up to maxDoubtful+1 peers that may hold flows which this agent does
 // not know of, and whether a peer is away that may. The result is valid until the next
 // call.
@@ -272,8 +225,8 @@
 
 // askDoubtful returns the next doubtful peer to which a packet of an unknown flow is
 // passed on, or nil. A peer that holds the flow tells of it. One that does not shows the
-// packet to its upstream, says that it does not hold the flow, and passes the packet on
-// to the next. Silence is no answer: the packet may be lost.
+// packet to its upstream, which returns it, and passes it on to the next; it then answers
+// inquiries about the flow. Silence is no answer: the packet may be lost.
 func (t *Table) askDoubtful(now time.Duration, hash uint64, h *packet.Header) *peer {
 	if t.cfg.Rebuild == 0 || h.Hops >= packet.MaxHops {
 		return nil
@@ -287,7 +240,7 @@
 		return nil
 	}
 	for _, p := range doubtful {
-		if tr := t.trials[hash]; h.HasVisited(p.ID) || tr.hasDenied(p.ID) {
+		if h.HasVisited(p.ID) || t.hasDenied(hash, p.ID) {
 			continue
 		}
 		h.Flags |= packet.FlagAsked
--- a/flow/message.go
+++ b/flow/message.go
@@ -30,10 +30,6 @@
 	Count uint32
 	Sum   uint64
 
-	// NotHeld names, by hash, flows that the receiver has asked for by passing a packet on
-	// and that the sender's upstream does not hold.
-	NotHeld []uint64
-
 	// Suspects are flows that may be lost. The sender's upstream does not hold them, and the
 	// receiver is their first choice in the sender's view.
 	Suspects []Suspect
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -24,9 +24,8 @@
 	ack      uint32     // what the client had acknowledged in its last packet
 	// suspected marks a trial that Table.suspected lists.
 	suspected bool
-	passed    uint8 // agents that have passed the suspicion on
-	// denied are the doubtful peers that have said that they do not hold the flow.
-	denied [maxDoubtful]packet.AgentID
+	passed    uint8  // agents that have passed the suspicion on
+	inquiry   uint32 // number of the inquiry about the flow; 0: none
 }
 
 // maxTried is the number of upstreams that a packet of an unknown flow is shown to.
@@ -148,7 +147,7 @@
 		t.end(now, last)
 	}
 	clear(t.trials)
-	t.suspected = t.suspected[:0]
+	t.suspected, t.inquiries = t.suspected[:0], t.inquiries[:0]
 }
 
 // expireTrials forgets the trials that are too old to matter.
--- a/flow/receive.go
+++ b/flow/receive.go
@@ -50,7 +50,6 @@
 	if tr := t.trials[hash]; t.complete(now) || tr.returned {
 		t.suspectLost(now, hash, in)
 	}
-	t.deny(now, hash, h)
 	if p := t.askDoubtful(now, hash, h); p != nil {
 		return t.forward(h, p)
 	}
--- a/flow/step.go
+++ b/flow/step.go
@@ -125,7 +125,6 @@
 	if p != nil && m.Resync {
 		t.restartDigest(now, p)
 	}
-	t.denied(m.From, m.NotHeld)
 	for i := range m.Suspects {
 		t.takeSuspect(now, &m.Suspects[i])
 	}
--- a/flow/store.go
+++ b/flow/store.go
@@ -72,6 +72,16 @@
 	return 0, false
 }
 
+// hasHash reports whether the store holds a flow with the hash.
+func (s *flowStore) hasHash(hash uint64) bool {
+	for i := s.slot(hash); s.index[i] != 0; i = s.next(i) {
+		if s.entries[s.index[i]-1].hash == hash {
+			return true
+		}
+	}
+	return false
+}
+
 // insert adds a flow that the store does not hold.
 func (s *flowStore) insert(now time.Duration, hash uint64, k *packet.Key) *entry {
 	if 2*(len(s.entries)+1) > len(s.index) {
--- a/flow/table.go
+++ b/flow/table.go
@@ -32,11 +32,16 @@
 	trials   map[uint64]trial // by hash of the flow
 	lost     lostFlows
 	// suspected are the hashes of trials that may be lost flows.
-	suspected []uint64
-	doubt     []*peer // result of doubtful
-	urgent    bool    // a digest should be sent at once
-	work      work
-	givenUp   []packet.Key // not reported yet
+	suspected   []uint64
+	inquiries   []*inquiry    // about suspected flows
+	lastInquiry uint32        // number of the latest inquiry
+	inquiryDue  time.Duration // when the next new inquiry may begin
+	restless    bool          // Look should be called at once
+	peersSum    uint64        // identifies the peers that may hold flows, this agent included
+	doubt       []*peer       // result of doubtful
+	urgent      bool          // a digest should be sent at once
+	work        work
+	givenUp     []packet.Key // not reported yet
 
 	fresh        bool          // the upstream started no earlier than this agent
 	early        bool          // flows are taken although the state is Starting
@@ -68,6 +73,8 @@
 	Tried                                           uint64 // packets of unknown flows shown to the upstream
 	Returned                                        uint64 // packets that the upstream sent back
 	Adopted                                         uint64 // flows learned from the upstream's own packets
+	Asked                                           uint64 // inquiries sent, one for each peer
+	Found                                           uint64 // flows that a peer has said to hold in its answer
 	Dropped                                         [reasonCount]uint64
 }
 
@@ -110,6 +117,15 @@
 // Peers returns the number of peers and the time of the last change of their list.
 func (t *Table) Peers() (n int, changed time.Duration) { return len(t.peers.list), t.peersChanged }
 
+// AddrOf returns the data address of a peer.
+func (t *Table) AddrOf(id packet.AgentID) (netip.AddrPort, bool) {
+	p := t.peers.get(id)
+	if p == nil {
+		return netip.AddrPort{}, false
+	}
+	return p.Addr, true
+}
+
 // Urgent reports, once, that Step should be called at once: this agent has taken a flow
 // whose first choice must learn of it.
 func (t *Table) Urgent() bool {
@@ -163,6 +179,7 @@
 		}
 	}
 	t.peers = next
+	t.peersSum = t.sumOfPeers()
 	for _, p := range next.list {
 		p.listed = p.State
 	}
--- a/packet/header.go
+++ b/packet/header.go
@@ -13,6 +13,10 @@
 	KindData Kind = 1 + iota
 	// KindHint marks a header that a flow key and the owner's AgentID follow.
 	KindHint
+	// KindInquiry marks a short header that an Inquiry follows.
+	KindInquiry
+	// KindAnswer marks a short header that an InquiryAnswer follows.
+	KindAnswer
 )
 
 // Bits of Header.Flags.
@@ -23,7 +27,7 @@
 	// FlagReturned marks a packet sent back under FlagReturnIfUnknown.
 	FlagReturned
 	// FlagAsked marks a packet of an unknown flow that every upstream which may hold the
-	// flow is shown, and whose agents tell those on its path when it does not.
+	// flow is shown.
 	FlagAsked
 )
 
@@ -36,7 +40,7 @@
 	// HintSize is the greatest length of an encoded hint in bytes.
 	HintSize = hintHeaderSize + hintKeyV6Size + agentIDSize
 
-	// hintHeaderSize is the length of the fields up to Service.
+	// hintHeaderSize is the length of the fields up to Service, which every kind has.
 	hintHeaderSize = 12
 	hintV4         = 4 // address family of a hint's key
 	hintV6         = 6
@@ -77,8 +81,8 @@
 	return HeaderSize
 }
 
-// ReadHeader decodes a header and returns it with the bytes that follow it. The
-// header of a hint is shorter and sets only Kind, Hops, Flags and Service. It
+// ReadHeader decodes a header and returns it with the bytes that follow it. The header of
+// all kinds but KindData is shorter and sets only Kind, Hops, Flags and Service. It
 // returns ErrTruncated, ErrVersion, ErrKind, or ErrLength for a hop count above
 // MaxHops.
 func ReadHeader(b []byte) (Header, []byte, error) {
@@ -90,7 +94,7 @@
 		return h, nil, ErrVersion
 	}
 	h.Kind = Kind(b[1])
-	if h.Kind != KindData && h.Kind != KindHint {
+	if h.Kind < KindData || h.Kind > KindAnswer {
 		return h, nil, ErrKind
 	}
 	h.Hops = b[2]
@@ -99,7 +103,7 @@
 	}
 	h.Flags = b[3]
 	h.Service = ServiceID(binary.BigEndian.Uint64(b[4:]))
-	if h.Kind == KindHint {
+	if h.Kind != KindData {
 		return h, b[hintHeaderSize:], nil
 	}
 	if len(b) < HeaderSize {
@@ -131,8 +135,7 @@
 // fields of a Header, and IPv4 addresses take four bytes.
 func PutHint(b []byte, service ServiceID, k *Key, owner AgentID) int {
 	_ = b[HintSize-1]
-	b[0], b[1], b[2], b[3] = headerVersion, uint8(KindHint), 0, 0
-	binary.BigEndian.PutUint64(b[4:], uint64(service))
+	putShortHeader(b, KindHint, service)
 	n := hintHeaderSize + putHintKey(b[hintHeaderSize:], k)
 	binary.BigEndian.PutUint32(b[n:], uint32(owner))
 	return n + agentIDSize
--- /dev/null
+++ b/packet/inquiry.go
@@ -0,0 +1,143 @@
+package packet
+
+import "encoding/binary"
+
+// Standing is what an agent says of a flow that it was asked about.
+type Standing uint8
+
+const (
+	// NotHeld flows are not at the agent's upstream.
+	NotHeld Standing = iota
+	// Held flows are.
+	Held
+	// Unsure flows may be: the agent does not know all flows of its upstream yet.
+	Unsure
+)
+
+const (
+	// MaxInquiry is the greatest number of flows in an inquiry, so that it fits into one
+	// packet of an Ethernet.
+	MaxInquiry = 128
+	// MaxInquirySize and MaxAnswerSize are the greatest lengths in bytes.
+	MaxInquirySize = hintHeaderSize + inquirySize + 8*MaxInquiry
+	MaxAnswerSize  = hintHeaderSize + answerSize + MaxInquiry + agentIDSize*maxNamed
+
+	inquirySize = agentIDSize + 4 + 8 + 2 // sender, number, sum of the peers, flows
+	answerSize  = agentIDSize + 4 + 2 + 2 // sender, number, flows, peers
+	// maxNamed bounds the peers named in an answer.
+	maxNamed = 1024
+)
+
+// Inquiry asks an agent whether its upstream holds flows.
+type Inquiry struct {
+	From   AgentID
+	Number uint32   // repeated in the answer
+	Peers  uint64   // sum of the upstreams that the sender knows
+	Flows  []uint64 // hashes
+}
+
+// InquiryAnswer answers an inquiry.
+type InquiryAnswer struct {
+	From      AgentID
+	Number    uint32
+	Standings []Standing // of the inquiry's flows, in their order
+	// Peers are the upstreams that the sender knows, when their sum is another than the
+	// inquiry's; at most 1024 of them.
+	Peers []AgentID
+}
+
+func putShortHeader(b []byte, kind Kind, service ServiceID) {
+	b[0], b[1], b[2], b[3] = headerVersion, uint8(kind), 0, 0
+	binary.BigEndian.PutUint64(b[4:], uint64(service))
+}
+
+// AppendInquiry appends the datagram of an inquiry.
+func AppendInquiry(dst []byte, service ServiceID, q *Inquiry) []byte {
+	var head [hintHeaderSize + inquirySize]byte
+	putShortHeader(head[:], KindInquiry, service)
+	b := head[hintHeaderSize:]
+	binary.BigEndian.PutUint32(b, uint32(q.From))
+	binary.BigEndian.PutUint32(b[4:], q.Number)
+	binary.BigEndian.PutUint64(b[8:], q.Peers)
+	flows := q.Flows[:min(len(q.Flows), MaxInquiry)]
+	binary.BigEndian.PutUint16(b[16:], uint16(len(flows)))
+	dst = append(dst, head[:]...)
+	for _, hash := range flows {
+		dst = binary.BigEndian.AppendUint64(dst, hash)
+	}
+	return dst
+}
+
+// ReadInquiry decodes the bytes that follow the header of an inquiry. It returns
+// ErrTruncated when they are too short, and ErrLength for more flows than MaxInquiry.
+func ReadInquiry(b []byte) (Inquiry, error) {
+	if len(b) < inquirySize {
+		return Inquiry{}, ErrTruncated
+	}
+	q := Inquiry{
+		From:   AgentID(binary.BigEndian.Uint32(b)),
+		Number: binary.BigEndian.Uint32(b[4:]),
+		Peers:  binary.BigEndian.Uint64(b[8:]),
+	}
+	n := int(binary.BigEndian.Uint16(b[16:]))
+	b = b[inquirySize:]
+	if n > MaxInquiry {
+		return Inquiry{}, ErrLength
+	}
+	if len(b) < 8*n {
+		return Inquiry{}, ErrTruncated
+	}
+	q.Flows = make([]uint64, n)
+	for i := range q.Flows {
+		q.Flows[i] = binary.BigEndian.Uint64(b[8*i:])
+	}
+	return q, nil
+}
+
+// AppendAnswer appends the datagram of an answer.
+func AppendAnswer(dst []byte, service ServiceID, a *InquiryAnswer) []byte {
+	var head [hintHeaderSize + answerSize]byte
+	putShortHeader(head[:], KindAnswer, service)
+	b := head[hintHeaderSize:]
+	binary.BigEndian.PutUint32(b, uint32(a.From))
+	binary.BigEndian.PutUint32(b[4:], a.Number)
+	standings := a.Standings[:min(len(a.Standings), MaxInquiry)]
+	peers := a.Peers[:min(len(a.Peers), maxNamed)]
+	binary.BigEndian.PutUint16(b[8:], uint16(len(standings)))
+	binary.BigEndian.PutUint16(b[10:], uint16(len(peers)))
+	dst = append(dst, head[:]...)
+	for _, s := range standings {
+		dst = append(dst, uint8(s))
+	}
+	for _, id := range peers {
+		dst = binary.BigEndian.AppendUint32(dst, uint32(id))
+	}
+	return dst
+}
+
+// ReadAnswer decodes the bytes that follow the header of an answer. It returns
+// ErrTruncated when they are too short, and ErrLength for more flows or peers than an
+// answer has. A standing that this version does not know counts as Unsure.
+func ReadAnswer(b []byte) (InquiryAnswer, error) {
+	if len(b) < answerSize {
+		return InquiryAnswer{}, ErrTruncated
+	}
+	a := InquiryAnswer{From: AgentID(binary.BigEndian.Uint32(b)), Number: binary.BigEndian.Uint32(b[4:])}
+	flows, peers := int(binary.BigEndian.Uint16(b[8:])), int(binary.BigEndian.Uint16(b[10:]))
+	b = b[answerSize:]
+	if flows > MaxInquiry || peers > maxNamed {
+		return InquiryAnswer{}, ErrLength
+	}
+	if len(b) < flows+agentIDSize*peers {
+		return InquiryAnswer{}, ErrTruncated
+	}
+	a.Standings = make([]Standing, flows)
+	for i := range a.Standings {
+		a.Standings[i] = min(Standing(b[i]), Unsure)
+	}
+	b = b[flows:]
+	for i := range peers {
+		a.Peers = append(a.Peers, AgentID(binary.BigEndian.Uint32(b[agentIDSize*i:])))
+	}
+	return a, nil
+}
--- a/packet/packet_test.go
+++ b/packet/packet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -241,3 +242,59 @@
 		Entry(nil, -1, -time.Second, 0, time.Duration(0)),
 	)
 })
+
+var _ = Describe("Inquiries", func() {
+	// Guards against a flow that is taken for lost because a question or its answer is read
+	// as another one.
+	It("survive the way", func() {
+		rapid.Check(GinkgoTB(), func(t *rapid.T) {
+			q := packet.Inquiry{
+				From: packet.AgentID(rapid.Uint32().Draw(t, "from")), Number: rapid.Uint32().Draw(t, "number"),
+				Peers: rapid.Uint64().Draw(t, "peers"),
+				Flows: rapid.SliceOfN(rapid.Uint64(), 0, packet.MaxInquiry).Draw(t, "flows"),
+			}
+			b := packet.AppendInquiry(nil, 7, &q)
+			h, rest, err := packet.ReadHeader(b)
+			if err != nil || h.Kind != packet.KindInquiry || h.Service != 7 || len(b) > packet.MaxInquirySize {
+				t.Fatalf("header %+v of %d bytes, %v", h, len(b), err)
+			}
+			if got, err := packet.ReadInquiry(rest); err != nil || !slices.Equal(got.Flows, q.Flows) ||
+				got.From != q.From || got.Number != q.Number || got.Peers != q.Peers {
+				t.Fatalf("%+v became %+v, %v", q, got, err)
+			}
+			a := packet.InquiryAnswer{From: q.From, Number: q.Number}
+			for range q.Flows {
+				a.Standings = append(a.Standings, packet.Standing(rapid.IntRange(0, 2).Draw(t, "standing")))
+			}
+			for range rapid.IntRange(0, 200).Draw(t, "named") {
+				a.Peers = append(a.Peers, packet.AgentID(rapid.Uint32().Draw(t, "peer")))
+			}
+			b = packet.AppendAnswer(nil, 7, &a)
+			h, rest, err = packet.ReadHeader(b)
+			if err != nil || h.Kind != packet.KindAnswer || len(b) > packet.MaxAnswerSize {
+				t.Fatalf("header %+v of %d bytes, %v", h, len(b), err)
+			}
+			got, err := packet.ReadAnswer(rest)
+			if err != nil || got.From != a.From || got.Number != a.Number ||
+				!slices.Equal(got.Standings, a.Standings) || !slices.Equal(got.Peers, a.Peers) {
+				t.Fatalf("%+v became %+v, %v", a, got, err)
+			}
+		})
+	})
+
+	// Guards against an answer that is cut off and says "not held" for what is missing, and
+	// against one of a later version that this one would take for "not held".
+	It("are not read when they are cut off, nor beyond what is known", func() {
+		q := packet.AppendInquiry(nil, 7, &packet.Inquiry{Flows: []uint64{1, 2}})
+		_, rest, _ := packet.ReadHeader(q[:len(q)-1])
+		_, err := packet.ReadInquiry(rest)
+		Expect(err).To(MatchError(packet.ErrTruncated))
+		a := packet.AppendAnswer(nil, 7, &packet.InquiryAnswer{Standings: []packet.Standing{9, packet.Held}})
+		_, rest, _ = packet.ReadHeader(a)
+		got, err := packet.ReadAnswer(rest)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got.Standings).To(Equal([]packet.Standing{packet.Unsure, packet.Held}))
+		_, err = packet.ReadAnswer(rest[:len(rest)-1])
+		Expect(err).To(MatchError(packet.ErrTruncated))
+	})
+})
