plan: a renamed customer keeps its account and its tokens

The daemons know customers by the hash of the name. A renamed customer was a new one without tokens, and had none for 9 s when the grantor had been killed and the store was away. Change: an entry has an account, which is its name unless stated. An edit that renames an entry (another name, the same sources) writes the former account into the list; a later file without it keeps it; two entries with one account are refused with their places. Weighed: an identity from the sources (every change of the sources would be the same gap), or one that readers derive from the list before (readers that skip a revision would differ). A new grantor during an outage of the store still has to wait for it: limits that are raised meanwhile are issued later (docs/design.md 4.4.1).

--- a/plan/decode_lists.go
+++ b/plan/decode_lists.go
@@ -1,5 +1,7 @@
 package plan
 
+import "cmp"
+
 // decodedCustomers is the list of customers with the nodes of its entries.
 type decodedCustomers struct {
 	list  []Customer
@@ -33,12 +35,15 @@
 			c.Plan = m.string()
 		case "sources":
 			m.array(func(s node) { c.Sources = append(c.Sources, s.prefix()) })
+		case "account":
+			c.Account = m.string()
 		default:
 			return false
 		}
 		return true
 	})
 	n.require("name", "plan", "sources")
+	c.Account = cmp.Or(c.Account, c.Name)
 	return c
 }
 
--- a/plan/diff.go
+++ b/plan/diff.go
@@ -79,12 +79,16 @@
 func customerFields(l *Lists) fieldsByName {
 	out := fieldsByName{}
 	for _, c := range l.Customers {
-		out[c.Name] = map[string]string{"plan": c.Plan, "sources": sourcesText(c.Sources)}
+		out[c.Name] = map[string]string{"plan": c.Plan, "sources": SourcesText(c.Sources)}
+		if c.Account != c.Name {
+			out[c.Name]["account"] = c.Account
+		}
 	}
 	return out
 }
 
-func sourcesText(sources []netip.Prefix) string {
+// SourcesText returns the prefixes as one text that does not depend on their order.
+func SourcesText(sources []netip.Prefix) string {
 	texts := make([]string, len(sources))
 	for i, p := range sources {
 		texts[i] = p.String()
--- a/plan/edit/apply.go
+++ b/plan/edit/apply.go
@@ -34,11 +34,10 @@
 	if err != nil {
 		return outcome, err
 	}
-	changes, err := e.check(base, docs)
+	docs, changes, err := e.check(base, docs)
 	if err != nil {
 		return outcome, err
 	}
-	docs = StripMarkers(docs)
 	if string(docs.Customers) == string(base.Docs.Customers) && string(docs.Plans) == string(base.Docs.Plans) {
 		outcome.Status = Unchanged
 		return outcome, nil
@@ -48,19 +47,27 @@
 	return e.write(ctx, base, docs, outcome)
 }
 
-// check validates the new lists and returns what they change.
-func (e *Editor) check(base *Snapshot, docs plan.Documents) ([]plan.Change, error) {
+// check validates the new lists and returns them as they are stored, and what they change.
+// Findings name the places in the text that the operator wrote.
+func (e *Editor) check(base *Snapshot, docs plan.Documents) (plan.Documents, []plan.Change, error) {
 	lists, findings := plan.Parse(docs, e.cfg.Files, e.cfg.Capacities)
 	if len(findings) > 0 {
-		return nil, errors.Join(ErrInvalid, findings)
+		return docs, nil, errors.Join(ErrInvalid, findings)
 	}
+	docs = StripMarkers(docs)
 	before, err := base.Lists()
 	if err != nil {
 		// The store's lists can be invalid only when something else wrote them; the
 		// edit may be what corrects them, so it is not compared.
-		return nil, nil
+		return docs, nil, nil
+	}
+	if docs.Customers, err = keepAccounts(before, lists, docs.Customers); err != nil {
+		return docs, nil, err
+	}
+	if lists, findings = plan.Parse(docs, e.cfg.Files, e.cfg.Capacities); len(findings) > 0 {
+		return docs, nil, errors.Join(ErrInvalid, findings)
 	}
-	return plan.Diff(before, lists), nil
+	return docs, plan.Diff(before, lists), nil
 }
 
 func (e *Editor) write(ctx context.Context, base *Snapshot, docs plan.Documents, outcome Outcome) (Outcome, error) {
--- a/plan/limits.go
+++ b/plan/limits.go
@@ -14,16 +14,17 @@
 		plans[l.Plans[i].Name] = &l.Plans[i]
 	}
 	var out []CustomerLimits
-	add := func(customer, plan string) {
+	add := func(id uint64, customer, plan string) {
 		if p := plans[plan]; p != nil {
 			if limits, named := p.Services[service]; named {
-				out = append(out, CustomerLimits{CustomerID(customer), customer, limits})
+				out = append(out, CustomerLimits{id, customer, limits})
 			}
 		}
 	}
 	for i := range l.Customers {
-		add(l.Customers[i].Name, l.Customers[i].Plan)
+		c := &l.Customers[i]
+		add(c.ID(), c.Name, c.Plan)
 	}
-	add("", l.DefaultPlan)
+	add(DefaultCustomer, "", l.DefaultPlan)
 	return out
 }
--- a/plan/lists.go
+++ b/plan/lists.go
@@ -13,8 +13,14 @@
 	Name    string         `json:"name"`
 	Plan    string         `json:"plan"`
 	Sources []netip.Prefix `json:"sources"`
+	// Account identifies the customer to the daemons. It is the name that the entry had
+	// first, so that a rename keeps the tokens that its connections hold.
+	Account string `json:"account"`
 }
 
+// ID returns the hash of the customer's account.
+func (c *Customer) ID() uint64 { return CustomerID(c.Account) }
+
 // Limits are what a plan allows at one service.
 type Limits struct {
 	Connections             int     `json:"connections"` // concurrent
--- a/plan/table.go
+++ b/plan/table.go
@@ -11,9 +11,9 @@
 // covers. No customer has it, because the name of a customer is not empty.
 var DefaultCustomer = CustomerID("")
 
-// CustomerID returns the hash that identifies a customer in packets. It is never 0,
-// which stands for no customer.
-func CustomerID(name string) uint64 { return max(1, xxhash.Sum64String(name)) }
+// CustomerID returns the hash of an account, which identifies a customer in packets. It is
+// never 0, which stands for no customer.
+func CustomerID(account string) uint64 { return max(1, xxhash.Sum64String(account)) }
 
 // Table finds the customer and the plan of a source address. It is built once for
 // each revision and safe for concurrent reads.
@@ -25,7 +25,7 @@
 // Match is what a source address belongs to. Customer is nil for a source that
 // only the default plan covers.
 type Match struct {
-	ID       uint64 // CustomerID of Customer, or DefaultCustomer; 0 when refused
+	ID       uint64 // of Customer, or DefaultCustomer; 0 when refused
 	Customer *Customer
 	Plan     *Plan
 }
@@ -41,7 +41,7 @@
 	for i := range l.Customers {
 		c := &l.Customers[i]
 		for _, p := range c.Sources {
-			t.sources.Insert(p, Match{ID: CustomerID(c.Name), Customer: c, Plan: plans[c.Plan]})
+			t.sources.Insert(p, Match{ID: c.ID(), Customer: c, Plan: plans[c.Plan]})
 		}
 	}
 	return t
--- a/plan/text.go
+++ b/plan/text.go
@@ -55,6 +55,12 @@
 	return at != nil
 }
 
+// HasField reports whether the named entry has the field.
+func (t *Text) HasField(name, field string) bool {
+	at, _ := t.find(name)
+	return at != nil && member(at, field) != nil
+}
+
 // Remove removes the named entry, or ErrNoEntry. Comments before it stay.
 func (t *Text) Remove(name string) error {
 	_, i := t.find(name)
--- a/plan/validate.go
+++ b/plan/validate.go
@@ -100,6 +100,24 @@
 	seen[name] = n
 }
 
+// checkAccount checks that no other entry has the account, which is the name where none is
+// given.
+func checkAccount(n node, c *Customer, seen map[string]node) {
+	if c.Name == "" {
+		return
+	}
+	first, taken := seen[c.Account]
+	seen[c.Account] = n
+	switch {
+	case c.Account == c.Name && !taken: // checked as the name, equal names too
+	case taken && c.Account == c.Name && first.child("name").string() == c.Name:
+	case taken:
+		n.reportField("account", "%q is also the account of the entry in line %d; give one of them another", c.Account, first.child("name").line())
+	case nameProblem(c.Account) != "":
+		n.reportField("account", "%s", nameProblem(c.Account))
+	}
+}
+
 func nameProblem(name string) string {
 	switch {
 	case name == "":
@@ -158,9 +176,11 @@
 		plans[p.Name] = true
 	}
 	names := make(map[string]node, len(v.customers.list))
+	accounts := make(map[string]node, len(v.customers.list))
 	for i, c := range v.customers.list {
 		n := v.customers.nodes[i]
 		checkName(n, c.Name, names)
+		checkAccount(n, &c, accounts)
 		if plansKnown && !plans[c.Plan] {
 			n.reportField("plan", "there is no plan %q", c.Plan)
 		}
