--- a/agent/peers.go
+++ b/agent/peers.go
@@ -29,16 +29,6 @@
 	}
 }
 
-// meet makes an agent that no balancer has answered turn to one that has sent it a packet:
-// after a power failure the seeds may be the last to start.
-func (a *Agent) meet(balancer netip.AddrPort) {
-	news := false
-	a.members.Do(func(now time.Duration, n *member.Announcer) { news = n.Meet(now, balancer) })
-	if news {
-		a.wake.Wake()
-	}
-}
-
 // refreshPeers tells the flow table of a changed membership.
 func (a *Agent) refreshPeers() {
 	var (
--- a/agent/reader.go
+++ b/agent/reader.go
@@ -26,7 +26,6 @@
 	hints    [packetio.BatchSize][packet.HintSize]byte
 	answers  [packetio.BatchSize][]byte
 	info     packet.Info
-	met      netip.AddrPort // control address of a balancer that has sent a packet
 	tally    tally
 }
 
@@ -55,10 +54,6 @@
 	}
 	r.agent.counters.add(&r.tally)
 	r.tally = tally{}
-	if r.met.IsValid() {
-		r.agent.meet(r.met)
-		r.met = netip.AddrPort{}
-	}
 }
 
 func (r *reader) packets(now time.Duration, t *flow.Table) {
@@ -88,9 +83,6 @@
 		r.tally.wrongEndpoint++
 		return
 	}
-	if h.OriginControl != 0 && r.agent.peers.home.Load() == nil {
-		r.met = netip.AddrPortFrom(h.Origin.Addr(), h.OriginControl)
-	}
 	action := t.Receive(now, &h, &r.info)
 	if r.agent.options.Packets != nil {
 		r.log(now, t, &h, &action)
--- a/balancer/reader.go
+++ b/balancer/reader.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/nutmegtrack/nutmegtrack/flow"
-	"github.com/nutmegtrack/nutmegtrack/member"
 	"github.com/nutmegtrack/nutmegtrack/packet"
 	"github.com/nutmegtrack/nutmegtrack/packetio"
 )
@@ -14,7 +13,6 @@
 type reader struct {
 	router   *router
 	origin   netip.AddrPort // announced to agents for hints
-	control  uint16         // port of the control service at the same address; 0: elsewhere
 	customer func(src *[16]byte) (uint64, flow.Reason)
 	source   packetio.Source
 	sink     packetio.Sink
@@ -52,7 +50,6 @@
 	r := &reader{
 		router:   b.router,
 		origin:   b.ports.dataAddr,
-		control:  b.controlPort(),
 		customer: b.customer,
 		format:   packet.IP{},
 		mayRoute: b.mayRoute,
@@ -74,17 +71,6 @@
 	return r
 }
 
-// controlPort returns the port of the control service where that has the address of the data
-// socket, and 0 elsewhere.
-func (b *Balancer) controlPort() uint16 {
-	var self member.Record
-	b.members.Do(func(_ time.Duration, n *member.Node) { self = n.Self() })
-	if self.Control.Addr() != b.ports.dataAddr.Addr() {
-		return 0
-	}
-	return self.Control.Port()
-}
-
 // mayRoute reports whether new flows can be routed.
 func (b *Balancer) mayRoute() bool {
 	return b.routes == nil || b.routed.Load() != nil || b.learnedOnly.Load()
@@ -236,8 +222,6 @@
 		Customer: r.customers[i],
 		Class:    d.Class,
 		Origin:   r.origin,
-
-		OriginControl: r.control,
 	}
 	framed := r.in.Framed(i)
 	h.Put(framed)
--- a/flow/lost.go
+++ b/flow/lost.go
@@ -15,9 +15,6 @@
 	// peersQuiet is the time after which a list of peers without a further name counts as
 	// whole. A push round takes 200 ms.
 	peersQuiet = 250 * time.Millisecond
-	// peersQuietFresh is the same time for an agent whose upstream has started with it, as
-	// after a power failure: upstreams that nobody knows have lost their flows as well.
-	peersQuietFresh = 50 * time.Millisecond
 	// suspectTime is the time after which a suspected flow is not looked at any more
 	// without a further packet.
 	suspectTime = 5 * time.Second
@@ -199,11 +196,7 @@
 // flowsMayBeLost reports whether this agent knows its upstream and its peers well enough to
 // call a flow lost.
 func (t *Table) flowsMayBeLost(now time.Duration) bool {
-	quiet := peersQuiet
-	if t.fresh {
-		quiet = peersQuietFresh
-	}
-	return t.cfg.Rebuild != 0 && t.self.Start != 0 && t.peersKnown && now-t.namesChanged >= quiet
+	return t.cfg.Rebuild != 0 && t.self.Start != 0 && t.peersKnown && now-t.namesChanged >= peersQuiet
 }
 
 // firstChoiceOf reports whether this agent is the flow's first choice.
--- a/member/announcer.go
+++ b/member/announcer.go
@@ -21,8 +21,6 @@
 	// is avoided. A home that is left after one lost reply would hear nothing more
 	// and suspect the agent.
 	homeMisses = 2
-	// maxMet bounds the balancers that are tried because they have sent a packet.
-	maxMet = 4
 )
 
 // Announcer is the membership protocol of an agent. It is not safe for concurrent
@@ -35,7 +33,6 @@
 	table    *Table // members of the service
 	now      time.Duration
 	homes    []netip.AddrPort // best first, from a home balancer
-	met      []netip.AddrPort // balancers that have sent a packet while no home was known
 	avoid    map[netip.AddrPort]time.Duration
 	missed   map[netip.AddrPort]int    // heartbeats that failed in a row
 	acked    map[netip.AddrPort]uint32 // sum of the record that a balancer has confirmed
@@ -113,7 +110,7 @@
 	seeds := slices.Clone(a.cfg.Seeds)
 	a.rng.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
 	var out, avoided []netip.AddrPort
-	for _, b := range slices.Concat(a.homes, a.met, seeds) {
+	for _, b := range append(slices.Clone(a.homes), seeds...) {
 		switch {
 		case slices.Contains(out, b) || slices.Contains(avoided, b):
 		case a.now < a.avoid[b]:
@@ -129,17 +126,6 @@
 	return avoided[:min(len(avoided), count)]
 }
 
-// Meet says that a balancer with the control address has sent a packet. While no home is
-// known it is tried like a seed. Meet reports whether that is news.
-func (a *Announcer) Meet(now time.Duration, balancer netip.AddrPort) bool {
-	a.advance(now)
-	if len(a.homes) > 0 || len(a.met) >= maxMet || slices.Contains(a.met, balancer) || slices.Contains(a.cfg.Seeds, balancer) {
-		return false
-	}
-	a.met = append(a.met, balancer)
-	return true
-}
-
 // Confirmed reports whether a balancer has the present record. A leaving agent
 // exits after that.
 func (a *Announcer) Confirmed() bool {
@@ -219,7 +205,7 @@
 		a.next[c.To] = a.now + a.cfg.Heartbeat
 	}
 	if len(m.Homes) > 0 {
-		a.homes, a.met = m.Homes, nil
+		a.homes = m.Homes
 		a.forgetOthers()
 	}
 	a.take(m.Records)
@@ -228,7 +214,7 @@
 // forgetOthers drops the state of balancers that are no longer homes.
 func (a *Announcer) forgetOthers() {
 	unknown := func(p netip.AddrPort) bool {
-		return !slices.Contains(a.homes, p) && !slices.Contains(a.met, p) && !slices.Contains(a.cfg.Seeds, p)
+		return !slices.Contains(a.homes, p) && !slices.Contains(a.cfg.Seeds, p)
 	}
 	maps.DeleteFunc(a.acked, func(p netip.AddrPort, _ uint32) bool { return unknown(p) })
 	maps.DeleteFunc(a.next, func(p netip.AddrPort, _ time.Duration) bool { return unknown(p) })
--- a/packet/header.go
+++ b/packet/header.go
@@ -32,9 +32,9 @@
 )
 
 const (
-	headerVersion = 2
+	headerVersion = 1
 	// HeaderSize is the length of an encoded Header in bytes.
-	HeaderSize = 58
+	HeaderSize = 56
 	// MaxHops is the number of agents a packet may visit after the first one.
 	MaxHops = 4
 	// HintSize is the greatest length of an encoded hint in bytes.
@@ -57,12 +57,9 @@
 	Tried    uint8 // upstreams that the packet was shown to and that returned it
 	Class    Class // of the route's requests
 	Service  ServiceID
-	Customer uint64         // hash of the customer's name; 0 when unknown
-	Origin   netip.AddrPort // data address of the balancer, for hints
-	// OriginControl is the port of the balancer's control service at the address of Origin,
-	// 0 where that is at another address.
-	OriginControl uint16
-	Visited       [MaxHops]AgentID // agents passed, in order; unused entries are 0
+	Customer uint64           // hash of the customer's name; 0 when unknown
+	Origin   netip.AddrPort   // data address of the balancer, for hints
+	Visited  [MaxHops]AgentID // agents passed, in order; unused entries are 0
 }
 
 // Put writes the header to the first HeaderSize bytes of b and returns HeaderSize.
@@ -81,7 +78,6 @@
 	for i, id := range h.Visited {
 		binary.BigEndian.PutUint32(b[40+4*i:], uint32(id))
 	}
-	binary.BigEndian.PutUint16(b[56:], h.OriginControl)
 	return HeaderSize
 }
 
@@ -120,7 +116,6 @@
 	for i := range h.Visited {
 		h.Visited[i] = AgentID(binary.BigEndian.Uint32(b[40+4*i:]))
 	}
-	h.OriginControl = binary.BigEndian.Uint16(b[56:])
 	return h, b[HeaderSize:], nil
 }
 
--- a/packet/packet_test.go
+++ b/packet/packet_test.go
@@ -109,7 +109,6 @@
 				Kind: packet.KindData, Hops: rapid.Uint8Range(0, packet.MaxHops).Draw(t, "hops"),
 				Flags: rapid.Uint8().Draw(t, "flags"), Service: packet.ServiceID(rapid.Uint64().Draw(t, "service")),
 				Customer: rapid.Uint64().Draw(t, "customer"), Origin: drawAddr(t, v6),
-				OriginControl: rapid.Uint16().Draw(t, "control"),
 			}
 			for i := range h.Visited {
 				h.Visited[i] = packet.AgentID(rapid.Uint32().Draw(t, "visited"))
@@ -206,10 +205,9 @@
 			value    byte
 			want     error
 		}{
-			{11, 0, 2, packet.ErrTruncated},
-			{packet.HeaderSize - 1, 0, 2, packet.ErrTruncated},
-			{packet.HeaderSize, 0, 1, packet.ErrVersion},
-			{packet.HeaderSize, 0, 3, packet.ErrVersion},
+			{11, 0, 1, packet.ErrTruncated},
+			{packet.HeaderSize - 1, 0, 1, packet.ErrTruncated},
+			{packet.HeaderSize, 0, 2, packet.ErrVersion},
 			{packet.HeaderSize, 1, 9, packet.ErrKind},
 			{packet.HeaderSize, 2, packet.MaxHops + 1, packet.ErrLength},
 		} {
