flow: expect the first request of a new flow for a measured round trip

Cause: a flow that was taken kept a slot for 40 ms, a figure of one site; where round trips are longer, slots were given away twice, and where they are shorter they stayed idle for clients that had given up. Change: the time is measured from taking flows to their first requests, mean and four deviations.

--- a/flow/lifetime.go
+++ b/flow/lifetime.go
@@ -72,7 +72,7 @@
 	if e.flags&flagEnding != 0 {
 		t.ending--
 	}
-	e.flags &= flagHinted | flagBusy | flagOpening
+	e.flags &= flagHinted | flagBusy | flagOpening | flagSilent
 	e.next = 0
 }
 
--- a/flow/store.go
+++ b/flow/store.go
@@ -14,7 +14,8 @@
 	flagEnding  // removed at entry.end unless a packet reopens it
 	flagHinted  // the recent balancers were told where the flow is
 	flagBusy    // the upstream has a request of the flow
-	flagOpening // taken, and no request has come yet
+	flagOpening // counts as a request to come
+	flagSilent  // taken, and no request has come yet
 )
 
 // entry is one flow held by the agent; 80 bytes.
@@ -27,7 +28,7 @@
 	target packet.AgentID // first choice that holds the flow's fingerprint; 0 when it is this agent
 	future packet.AgentID // first choice once starting upstreams are ready; 0 as above or equal to target
 	next   uint32         // position after the client's last byte
-	began  uint32         // start of the request, milliseconds since process start
+	began  uint32         // start of the request, or when a silent flow was taken, milliseconds since process start
 	// customer is what the admission was asked with.
 	customer uint64
 }
--- a/flow/work.go
+++ b/flow/work.go
@@ -7,9 +7,39 @@
 	"github.com/nutmegtrack/nutmegtrack/packet"
 )
 
-// openingTime is the time for which a flow that was taken counts as a request to come.
-// Its client needs a round trip of some milliseconds; one that has given up sends none.
-const openingTime = 40 * time.Millisecond
+// A flow that was taken counts as a request to come for as long as clients need to send one;
+// a client that has given up, or whose flow another upstream has taken too, sends none. The
+// time is that of a round trip, measured as TCP measures it for its retransmissions (RFC
+// 6298): the mean and four times the deviation.
+const (
+	// openingFirst is the time before any is measured: a round trip between regions.
+	openingFirst = 40 * time.Millisecond
+	openingLeast = 5 * time.Millisecond
+	openingMost  = 200 * time.Millisecond
+)
+
+// openingTime estimates the time from taking a flow to its first request.
+type openingTime struct {
+	mean, deviation time.Duration
+}
+
+// note takes a measured time.
+func (o *openingTime) note(d time.Duration) {
+	if o.mean == 0 {
+		o.mean, o.deviation = d, d/2
+		return
+	}
+	o.deviation += ((d - o.mean).Abs() - o.deviation) / 4
+	o.mean += (d - o.mean) / 8
+}
+
+// limit returns the time after which no request is expected any more.
+func (o *openingTime) limit() time.Duration {
+	if o.mean == 0 {
+		return openingFirst
+	}
+	return min(max(o.mean+4*o.deviation, openingLeast), openingMost)
+}
 
 // staleWork is the time without a packet after which a request no longer counts: its
 // client has given up, or an answer passed this agent unseen.
@@ -22,12 +52,13 @@
 	opening  int // flows with flagOpening
 	openings []opening
 	head     int
+	time     openingTime
 }
 
-// opening is a flow that may have flagOpening until a time.
+// opening is a flow that was taken at a time and may have flagOpening since.
 type opening struct {
 	key   packet.Key
-	until time.Duration
+	since time.Duration
 }
 
 // SetSlots says how many requests the upstream runs at once.
@@ -43,15 +74,16 @@
 	if t.cfg.Gate == nil {
 		return
 	}
-	e.flags |= flagOpening
+	e.flags |= flagOpening | flagSilent
+	e.began = milliseconds(now)
 	t.work.opening++
-	t.work.openings = append(t.work.openings, opening{key: e.key, until: now + openingTime})
+	t.work.openings = append(t.work.openings, opening{key: e.key, since: now})
 }
 
 // closeOpenings forgets the flows that have not sent a request in time.
 func (t *Table) closeOpenings(now time.Duration) {
 	w := &t.work
-	for w.head < len(w.openings) && w.openings[w.head].until <= now {
+	for w.head < len(w.openings) && now-w.openings[w.head].since >= w.time.limit() {
 		k := w.openings[w.head].key
 		w.head++
 		if e := t.flows.find(k.Hash(), &k); e != nil {
@@ -70,6 +102,14 @@
 	}
 }
 
+// milliseconds is the form in which entries hold times.
+func milliseconds(now time.Duration) uint32 { return uint32(now.Milliseconds()) }
+
+// since returns the time since an entry's time, which wraps around after 49 days.
+func since(now time.Duration, at uint32) time.Duration {
+	return time.Duration(milliseconds(now)-at) * time.Millisecond
+}
+
 // request notes data of the client. Data that it sends again is no new request.
 func (t *Table) request(now time.Duration, e *entry, in *packet.Info) {
 	if len(in.Payload) == 0 || t.cfg.Gate == nil {
@@ -81,9 +121,16 @@
 	}
 	e.next = end
 	t.opened(e)
+	if e.flags&flagSilent != 0 {
+		e.flags &^= flagSilent
+		// Clients that keep a flow for later say nothing about a round trip.
+		if d := since(now, e.began); d < openingMost {
+			t.work.time.note(d)
+		}
+	}
 	if e.flags&flagBusy == 0 {
 		e.flags |= flagBusy
-		e.began = uint32(now.Milliseconds())
+		e.began = milliseconds(now)
 		t.work.busy++
 	}
 }
@@ -91,7 +138,7 @@
 // answer notes data of the upstream, with which its work on a request ends.
 func (t *Table) answer(now time.Duration, e *entry, in *packet.Info) {
 	if len(in.Payload) > 0 && e.flags&flagBusy != 0 {
-		took := time.Duration(uint32(now.Milliseconds())-e.began) * time.Millisecond
+		took := since(now, e.began)
 		t.cfg.Gate.Worked(took)
 		if t.cfg.Worked != nil {
 			t.cfg.Worked(took)
--- a/flow/work_test.go
+++ b/flow/work_test.go
@@ -55,11 +55,53 @@
 	// Guards against a slot that stays reserved for a client that has given up.
 	It("expects a request of a new flow for a short time only", func() {
 		open(1)
-		r.now += openingTime
+		r.now += openingFirst
 		t.closeOpenings(r.now)
 		Expect(t.Load().Opening).To(Equal(0))
 	})
 
+	// Load pattern: the return of all clients, many of which have given up or have been taken
+	// elsewhere too. Guards against slots that stay idle for clients that are long gone, where
+	// a round trip is short, and against slots that are given away twice where it is long.
+	DescribeTable("expects it for as long as the round trips of its clients take", func(trip time.Duration) {
+		for n := range 50 {
+			open(n)
+			r.now += trip + time.Duration(n%3)*time.Millisecond
+			receive(request(n, 1))
+			answer(n)
+			receive(packet.Info{Key: key(n, packet.ProtoTCP), RST: true})
+		}
+		open(100)
+		r.now += trip
+		t.closeOpenings(r.now)
+		Expect(t.Load().Opening).To(Equal(1), "a request may still come")
+		r.now += 12 * time.Millisecond
+		t.closeOpenings(r.now)
+		Expect(t.Load().Opening).To(Equal(0))
+	},
+		Entry("within a VM's region", 8*time.Millisecond),
+		Entry("from far away", 80*time.Millisecond),
+	)
+
+	// Guards against a limit that is too low to learn that it is.
+	It("learns of longer round trips although their requests were not expected any more", func() {
+		for n := range 100 {
+			open(n)
+			trip := 8 * time.Millisecond
+			if n >= 50 {
+				trip = 90 * time.Millisecond
+			}
+			r.now += trip
+			t.closeOpenings(r.now)
+			receive(request(n, 1))
+			answer(n)
+		}
+		open(100)
+		r.now += 89 * time.Millisecond
+		t.closeOpenings(r.now)
+		Expect(t.Load().Opening).To(Equal(1))
+	})
+
 	// Guards against a flow that is delivered while all slots are taken, and against one
 	// that waits although a slot is free.
 	It("holds a flow until a slot is free", func() {
