flow: end flows at a failed upstream by what their clients can do

An upstream VM that stands still is called failed after 3 s; packets of its flows that come through a balancer without a hint then led to a reset within 50 ms, also where the request was at work, could not be repeated, and its answer would have come. Beside it, an agent that was away for 3 s counted as gone, which a restart under load can take, and the latency objective was carried in steps of 50 ms up to 1.55 s, figures of the first sites. Change: the header's class has 16 bits: priority, whether requests may be repeated, objective in 5 ms up to 20 s. Flows whose requests run at most once are called lost when their peer has been failed for 7 s; others after 50 ms as before. Agents that are away count as gone after 8 s, above the platform's 6 s.

--- a/flow/inquiry.go
+++ b/flow/inquiry.go
@@ -31,6 +31,11 @@
 	// failedWait is the time for which an answer of a failed peer is waited for: it may
 	// have been called failed by mistake, and then answers as fast as any other.
 	failedWait = 50 * time.Millisecond
+	// failedPatience is the time for which a peer must have been failed before flows are
+	// called lost whose requests may not be repeated. A VM that only stands still is called
+	// failed after 3 s; its upstream may be at work on the request, and the answer still
+	// come. Such a client gains nothing by an early end, where others can ask elsewhere.
+	failedPatience = 7 * time.Second
 )
 
 // inquiry is one question to all peers about some flows.
@@ -223,11 +228,10 @@
 	for _, p := range t.peers.list {
 		standings := q.answers[p.ID]
 		if standings == nil {
-			if !t.heldWithoutAnswer(now, q, p) {
-				continue
+			for i, hash := range q.flows {
+				out[i] = out[i] && !t.heldWithoutAnswer(now, q, p, t.trials[hash].mayRepeat)
 			}
-			clear(out)
-			return out
+			continue
 		}
 		for i, s := range standings {
 			out[i] = out[i] && s == packet.NotHeld
@@ -249,14 +253,14 @@
 	return false
 }
 
-// heldWithoutAnswer reports whether a peer that has not answered an inquiry may hold its
-// flows.
-func (t *Table) heldWithoutAnswer(now time.Duration, q *inquiry, p *peer) bool {
+// heldWithoutAnswer reports whether a peer that has not answered an inquiry may hold a
+// flow of it, whose requests may be repeated or not.
+func (t *Table) heldWithoutAnswer(now time.Duration, q *inquiry, p *peer, mayRepeat bool) bool {
 	switch {
 	case p.State == Leaving:
 		return false
 	case p.State == Failed:
-		return now-q.began < failedWait
+		return now-q.began < failedWait || !mayRepeat && now-p.changed < failedPatience
 	case p.State == Away:
 		return now-p.changed < awayLimit
 	case t.silentFor(now, p):
--- a/flow/lost.go
+++ b/flow/lost.go
@@ -25,8 +25,9 @@
 	// as after a power failure: clients wait on lost flows of all upstreams then.
 	silentPeerFresh = time.Second
 	// awayLimit is the time after which an agent that is away counts as gone with its
-	// upstream. It restarts within a second.
-	awayLimit = 3 * time.Second
+	// upstream. It is back within a second or two; the platform kills one that has not
+	// ended 6 s after it was told to.
+	awayLimit = 8 * time.Second
 	// maxDoubtful is the number of peers that are asked for an unknown flow, which is what
 	// one packet can visit; with more, agents wait until they know their upstreams' flows.
 	maxDoubtful = packet.MaxHops
@@ -77,7 +78,7 @@
 
 // suspectLost notes that the upstream does not hold the flow of a packet that arrived
 // here.
-func (t *Table) suspectLost(now time.Duration, hash uint64, in *packet.Info) {
+func (t *Table) suspectLost(now time.Duration, hash uint64, h *packet.Header, in *packet.Info) {
 	// Only the flow's first choice is told of it by its holder.
 	if !t.firstChoiceOf(hash) {
 		return
@@ -89,7 +90,7 @@
 	if !known || !tr.returned || now-tr.at >= suspectTime {
 		tr = trial{at: now, returned: true, key: in.Key}
 	}
-	tr.ack = in.Ack
+	tr.ack, tr.mayRepeat = in.Ack, h.Class.Repeatable()
 	t.suspect(hash, &tr)
 	t.trials[hash] = tr
 }
@@ -98,6 +99,8 @@
 type Suspect struct {
 	Flow   LostFlow
 	Passed uint8 // agents that have passed it on
+	// MayRepeat says that the flow's requests may run more than once.
+	MayRepeat bool
 }
 
 // maxSuspectPasses ends the way of a suspect between agents whose views differ.
@@ -112,7 +115,9 @@
 		return
 	}
 	m := t.messageTo(p)
-	m.Suspects = append(m.Suspects, Suspect{Flow: LostFlow{Key: tr.key, Ack: tr.ack}, Passed: tr.passed + 1})
+	m.Suspects = append(m.Suspects, Suspect{
+		Flow: LostFlow{Key: tr.key, Ack: tr.ack}, Passed: tr.passed + 1, MayRepeat: tr.mayRepeat,
+	})
 	t.urgent = true
 }
 
@@ -129,7 +134,7 @@
 	if !known || !tr.returned || now-tr.at >= suspectTime {
 		tr = trial{at: now, returned: true, key: s.Flow.Key}
 	}
-	tr.ack, tr.passed = s.Flow.Ack, s.Passed
+	tr.ack, tr.passed, tr.mayRepeat = s.Flow.Ack, s.Passed, s.MayRepeat
 	t.suspect(hash, &tr)
 	t.trials[hash] = tr
 }
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -26,6 +26,8 @@
 	suspected bool
 	passed    uint8  // agents that have passed the suspicion on
 	inquiry   uint32 // number of the inquiry about the flow; 0: none
+	// mayRepeat says that the flow's requests may run more than once.
+	mayRepeat bool
 }
 
 // maxTried is the number of upstreams that a packet of an unknown flow is shown to.
@@ -80,7 +82,7 @@
 	if tr, known := t.trials[hash]; known && !tr.returned {
 		tr.at, tr.returned = now, true
 		t.trials[hash] = tr
-		t.suspectLost(now, hash, in)
+		t.suspectLost(now, hash, h, in)
 	}
 	t.forgetFlow(now, hash, &in.Key)
 	if in.First {
--- a/flow/receive.go
+++ b/flow/receive.go
@@ -48,7 +48,7 @@
 		return a
 	}
 	if tr := t.trials[hash]; t.complete(now) || tr.returned {
-		t.suspectLost(now, hash, in)
+		t.suspectLost(now, hash, h, in)
 	}
 	if p := t.askDoubtful(now, hash, h); p != nil {
 		return t.forward(h, p)
--- a/packet/class.go
+++ b/packet/class.go
@@ -2,30 +2,37 @@
 
 import "time"
 
-// Class says how urgent the requests of a route are: the priority in the upper three
-// bits, the latency objective in units of aimUnit in the lower five.
-type Class uint8
+// Class says how the requests of a route are to be treated: in the upper three bits their
+// priority, in the next one whether they may be repeated, and in the others their latency
+// objective in units of aimUnit.
+type Class uint16
 
 const (
-	aimBits = 5
-	aimMax  = 1<<aimBits - 1
-	// aimUnit is the resolution of latency objectives; those of the deployments are
-	// multiples of it.
-	aimUnit     = 50 * time.Millisecond
-	priorityMax = 1<<(8-aimBits) - 1
+	aimBits    = 12
+	aimMax     = 1<<aimBits - 1
+	repeatable = 1 << aimBits
+	// aimUnit is the resolution of latency objectives. The greatest is 20.475 s.
+	aimUnit     = 5 * time.Millisecond
+	priorityMax = 1<<(15-aimBits) - 1
 )
 
 // NewClass returns the class for a priority, 0 being the highest, and a latency
 // objective, 0 for none. Both are limited to what a class can say: priorities up to 7,
-// objectives up to 1.55 s.
-func NewClass(priority int, aim time.Duration) Class {
+// objectives up to 20.475 s.
+func NewClass(priority int, aim time.Duration, mayRepeat bool) Class {
 	priority = min(max(priority, 0), priorityMax)
-	units := min(max(int(aim/aimUnit), 0), aimMax)
-	return Class(priority<<aimBits | units)
+	c := Class(priority<<(aimBits+1) | min(max(int(aim/aimUnit), 0), aimMax))
+	if mayRepeat {
+		c |= repeatable
+	}
+	return c
 }
 
 // Priority returns the priority; 0 is the highest.
-func (c Class) Priority() uint8 { return uint8(c) >> aimBits }
+func (c Class) Priority() uint8 { return uint8(c >> (aimBits + 1)) }
+
+// Repeatable reports whether the requests may run more than once.
+func (c Class) Repeatable() bool { return c&repeatable != 0 }
 
 // Aim returns the latency objective; 0 means none.
 func (c Class) Aim() time.Duration { return time.Duration(c&aimMax) * aimUnit }
--- a/packet/header.go
+++ b/packet/header.go
@@ -32,9 +32,9 @@
 )
 
 const (
-	headerVersion = 1
+	headerVersion = 2
 	// HeaderSize is the length of an encoded Header in bytes.
-	HeaderSize = 56
+	HeaderSize = 57
 	// MaxHops is the number of agents a packet may visit after the first one.
 	MaxHops = 4
 	// HintSize is the greatest length of an encoded hint in bytes.
@@ -74,9 +74,10 @@
 	origin := h.Origin.Addr().As16()
 	copy(b[20:36], origin[:])
 	binary.BigEndian.PutUint16(b[36:], h.Origin.Port())
-	b[38], b[39] = h.Tried, uint8(h.Class)
+	b[38] = h.Tried
+	binary.BigEndian.PutUint16(b[39:], uint16(h.Class))
 	for i, id := range h.Visited {
-		binary.BigEndian.PutUint32(b[40+4*i:], uint32(id))
+		binary.BigEndian.PutUint32(b[41+4*i:], uint32(id))
 	}
 	return HeaderSize
 }
@@ -112,9 +113,9 @@
 	h.Customer = binary.BigEndian.Uint64(b[12:])
 	origin := netip.AddrFrom16([16]byte(b[20:36])).Unmap()
 	h.Origin = netip.AddrPortFrom(origin, binary.BigEndian.Uint16(b[36:]))
-	h.Tried, h.Class = b[38], Class(b[39])
+	h.Tried, h.Class = b[38], Class(binary.BigEndian.Uint16(b[39:]))
 	for i := range h.Visited {
-		h.Visited[i] = AgentID(binary.BigEndian.Uint32(b[40+4*i:]))
+		h.Visited[i] = AgentID(binary.BigEndian.Uint32(b[41+4*i:]))
 	}
 	return h, b[HeaderSize:], nil
 }
--- a/route/document.go
+++ b/route/document.go
@@ -22,6 +22,9 @@
 	Download
 )
 
+// MayRepeat reports whether requests of the kind may run more than once.
+func (k Kind) MayRepeat() bool { return k == Idempotent || k == Download }
+
 // Document is one version of the routes.
 type Document struct {
 	Version     int64
@@ -80,7 +83,7 @@
 		if !r.Endpoint.Addr.IsValid() || len(r.Targets) == 0 {
 			continue
 		}
-		f := flow.Route{Endpoint: r.Endpoint, Class: packet.NewClass(r.Priority, r.Aim)}
+		f := flow.Route{Endpoint: r.Endpoint, Class: packet.NewClass(r.Priority, r.Aim, r.Kind.MayRepeat())}
 		for _, t := range r.Targets {
 			f.Targets = append(f.Targets, flow.Target{Service: packet.ServiceIDOf(t.Service), Weight: t.Weight})
 		}
