load: bounds from the upstream's own slots, requests and round trips

Cause: the gate's bounds were figures of one site: two requests beyond the slots for a round trip of 6 ms and requests of 40 ms, 256 waiting flows for 5 slots. With short requests of far clients slots are idle for the round trip of every flow; with one slot, 240 flows wait in vain. Flows that others displaced were dropped without a word. Change: the slack is what the slots work off within a measured round trip, the queue holds what they work off within the longest wait. A displaced flow is refused at once, unless a copy of its first packet can have opened it elsewhere.

--- a/agent/flowlog.go
+++ b/agent/flowlog.go
@@ -55,11 +55,17 @@
 		"peers", peers, "peers_age", (now - changed).Seconds())
 }
 
-// logGivenUp logs the flows that have waited too long.
-func (a *Agent) logGivenUp(t *flow.Table) {
+// takeGivenUp logs the flows that have waited in vain and returns those whose clients are to
+// be told.
+func (a *Agent) takeGivenUp(now time.Duration, t *flow.Table) (told []flow.LostFlow) {
 	l := t.Load()
-	for _, k := range t.GivenUp() {
-		a.log.LogFlow(event.FlowRefused, "flow", daemon.FlowID(&k), "reason", flow.ReasonRefused, "reset", false,
+	for _, f := range t.GivenUp() {
+		a.log.LogFlow(event.FlowRefused, "flow", daemon.FlowID(&f.Key), "reason", flow.ReasonRefused, "reset", f.Reset,
+			"waited", f.Waited.Seconds(), "work", t.Work().Seconds(),
 			"busy", l.Busy, "opening", l.Opening, "slots", l.Slots, "waiting", t.Waiting())
+		if f.Reset {
+			told = append(told, flow.LostFlow{Key: f.Key})
+		}
 	}
+	return told
 }
--- a/agent/lost.go
+++ b/agent/lost.go
@@ -74,7 +74,7 @@
 		})
 	}
 	a.sendInquiries(asks)
-	a.resetLostFlows(lost)
+	a.resetFlows(lost)
 }
 
 // sendInquiries sends each inquiry to all its receivers.
@@ -91,14 +91,14 @@
 	}
 }
 
-// resetLostFlows tells the clients of lost flows that these have ended.
-func (a *Agent) resetLostFlows(lost []flow.LostFlow) {
-	if len(lost) == 0 || a.options.Packets == nil {
+// resetFlows tells the clients of flows that these have ended, or were not taken.
+func (a *Agent) resetFlows(ended []flow.LostFlow) {
+	if len(ended) == 0 || a.options.Packets == nil {
 		return
 	}
-	out := packetio.NewOutbox(len(lost))
+	out := packetio.NewOutbox(len(ended))
 	t := tally{}
-	for _, f := range lost {
+	for _, f := range ended {
 		a.reset(out, &packet.Info{Key: f.Key, Ack: f.Ack}, &t)
 	}
 	t.refused = a.ports.data.Send(out)
--- a/agent/peers.go
+++ b/agent/peers.go
@@ -71,11 +71,15 @@
 	// Messages to one agent are sent in the order of the steps.
 	a.peers.stepping.Lock()
 	defer a.peers.stepping.Unlock()
-	var messages []flow.Message
+	var (
+		messages []flow.Message
+		refused  []flow.LostFlow
+	)
 	a.flows.do(func(now time.Duration, t *flow.Table) {
 		messages = t.Step(now)
-		a.logGivenUp(t)
+		refused = a.takeGivenUp(now, t)
 	})
+	a.resetFlows(refused)
 	controls := a.peers.controls.Load()
 	if controls == nil {
 		return
--- a/flow/admission.go
+++ b/flow/admission.go
@@ -35,6 +35,7 @@
 	header packet.Header
 	since  time.Duration
 	until  time.Duration
+	repeat uint8 // number of the copy
 }
 
 // waitingFlows are bounded in number by TableConfig.MaxWaiting and in time by
--- a/flow/table.go
+++ b/flow/table.go
@@ -41,7 +41,7 @@
 	doubt       []*peer       // result of doubtful
 	urgent      bool          // a digest should be sent at once
 	work        work
-	givenUp     []packet.Key // not reported yet
+	givenUp     []GivenUp // not reported yet
 
 	fresh        bool          // the upstream started no earlier than this agent
 	early        bool          // flows are taken although the state is Starting
--- a/flow/work.go
+++ b/flow/work.go
@@ -126,6 +126,7 @@
 		// Clients that keep a flow for later say nothing about a round trip.
 		if d := since(now, e.began); d < openingMost {
 			t.work.time.note(d)
+			t.cfg.Gate.Opened(d)
 		}
 	}
 	if e.flags&flagBusy == 0 {
@@ -162,7 +163,7 @@
 	t.waiting.last++
 	number := t.waiting.last
 	offer := load.Offer{
-		ID: number, Sent: now - sentBefore(in), Priority: h.Class.Priority(), Aim: h.Class.Aim(),
+		ID: number, Sent: now - copyAfter(in.Repeat), Priority: h.Class.Priority(), Aim: h.Class.Aim(),
 		Passed: lastVisited(h) + 1, Others: next != nil && h.Hops+1 < packet.MaxHops,
 	}
 	switch t.cfg.Gate.Offer(now, offer, t.Load()) {
@@ -173,7 +174,10 @@
 		t.counters.HandedOff++
 		return t.forward(h, next)
 	case load.Wait:
-		t.waiting.add(number, &waitingFlow{key: in.Key, header: *h, since: now, until: now + t.cfg.MaxWait})
+		t.expireEvicted(now)
+		t.waiting.add(number, &waitingFlow{
+			key: in.Key, header: *h, since: now, until: now + t.cfg.MaxWait, repeat: in.Repeat,
+		})
 		t.counters.Held++
 		return Action{Kind: Wait, Flow: number}
 	}
@@ -185,10 +189,10 @@
 	return t.drop(ReasonRefused)
 }
 
-// sentBefore returns the time since the client sent its first SYN, by the number of the
-// copy: copies follow after 200 and 600 ms.
-func sentBefore(in *packet.Info) time.Duration {
-	switch in.Repeat {
+// copyAfter returns the time after which a client sends a copy of its first SYN, by the number
+// of the copy: 200 and 600 ms.
+func copyAfter(repeat uint8) time.Duration {
+	switch repeat {
 	case 0:
 		return 0
 	case 1:
@@ -237,22 +241,54 @@
 	}
 }
 
-// expireHeld drops the flows that have waited too long for a slot. Their clients have
-// given the attempt up or are about to.
+// expireHeld gives up the flows that have waited too long for a slot, whose clients have
+// given the attempt up or are about to, and those that others have displaced. The latter are
+// told so if no copy of their first packet can have opened the flow elsewhere.
 func (t *Table) expireHeld(now time.Duration) {
 	if t.cfg.Gate == nil {
 		return
 	}
 	for _, number := range t.cfg.Gate.Expired(now) {
-		if f := t.waiting.remove(number); f != nil {
-			t.drop(ReasonRefused)
-			t.givenUp = append(t.givenUp, f.key)
-		}
+		t.giveUp(now, number, false)
+	}
+	t.expireEvicted(now)
+}
+
+// expireEvicted gives up the flows that others have displaced.
+func (t *Table) expireEvicted(now time.Duration) {
+	for _, number := range t.cfg.Gate.Evicted() {
+		t.giveUp(now, number, true)
+		t.urgent = true
 	}
 }
 
-// GivenUp returns, once, the flows that have waited too long for a slot.
-func (t *Table) GivenUp() []packet.Key {
+// Work returns the mean time of a request at the upstream, 0 before any was measured.
+func (t *Table) Work() time.Duration {
+	if t.cfg.Gate == nil {
+		return 0
+	}
+	return t.cfg.Gate.Work()
+}
+
+func (t *Table) giveUp(now time.Duration, number uint64, tell bool) {
+	f := t.waiting.remove(number)
+	if f == nil {
+		return
+	}
+	t.drop(ReasonRefused)
+	alone := f.repeat < givenUp && now-f.since+copyAfter(f.repeat) < copyAfter(givenUp)
+	t.givenUp = append(t.givenUp, GivenUp{Key: f.key, Waited: now - f.since, Reset: tell && alone})
+}
+
+// GivenUp is a flow that was not taken after it had waited for a slot.
+type GivenUp struct {
+	Key    packet.Key
+	Waited time.Duration
+	Reset  bool // the client is to be told
+}
+
+// GivenUp returns, once, the flows that were given up.
+func (t *Table) GivenUp() []GivenUp {
 	out := t.givenUp
 	t.givenUp = nil
 	return out
--- a/load/doc.go
+++ b/load/doc.go
@@ -16,8 +16,10 @@
 //   - More than can be served for some seconds, by cold upstreams: of what can still be
 //     answered in time the newest is taken first. The oldest first would be taken when
 //     its objective is about to pass, and miss it.
-//   - More than can be served at all: the queue is bounded and what ranks last is
-//     refused at once.
+//   - More than can be served at all: no more flows wait than the upstream works off within
+//     the longest wait, and what ranks last is refused at once.
+//   - Short requests of clients that are far away: the upstream is given as many flows beyond
+//     its slots as it works off within a round trip, or its slots would be idle.
 //
 // The package is a pure step library: it holds no socket, goroutine or clock.
 package load
--- a/load/gate.go
+++ b/load/gate.go
@@ -8,26 +8,31 @@
 
 // Config holds the parameters of a Gate. Zero fields take the default.
 type Config struct {
-	// Slack is the number of requests beyond the slots that the upstream is given, so
-	// that a slot which becomes free need not wait for a flow's round trip to the
-	// client. Default 2: a round trip of 6 ms is a part of one request of 40 ms in each
-	// of 5 slots.
+	// Slack is the least number of requests beyond the slots that the upstream is given, so
+	// that a slot which becomes free need not wait for a flow's round trip to the client.
+	// Where the round trip is long beside a request, more are given: as many as the slots
+	// work off in the meantime. Default 2: one for a round trip, and one because the agent
+	// learns of an answer a moment after the slot is free.
 	Slack int
+	// MaxSlack bounds that number. Default 64.
+	MaxSlack int
 	// PassOn is the number of busy upstreams after which a flow waits. Default 2: each
 	// costs a packet between VMs, and three choices leave little imbalance.
 	PassOn int
-	// MaxWaiting bounds the flows that wait. Default 256, what an upstream of 5 slots
-	// works off in 2 s.
+	// MaxWaiting bounds the flows that wait, for the memory of their packets. Fewer wait
+	// where the upstream works off fewer within MaxWait: the others would wait in vain.
+	// Default 1024.
 	MaxWaiting int
-	// MaxWait is the longest wait. Default 1.2 s: a client gives an attempt up after
-	// 1.4 s, and its first request then has the rest.
+	// MaxWait is the longest wait. Default 1.2 s: a client of the platform gives an attempt
+	// up after 1.4 s, and its first request then has the rest.
 	MaxWait time.Duration
 }
 
 func (c Config) withDefaults() Config {
 	c.Slack = cmp.Or(c.Slack, 2)
 	c.PassOn = cmp.Or(c.PassOn, 2)
-	c.MaxWaiting = cmp.Or(c.MaxWaiting, 256)
+	c.MaxSlack = cmp.Or(c.MaxSlack, 64)
+	c.MaxWaiting = cmp.Or(c.MaxWaiting, 1024)
 	c.MaxWait = cmp.Or(c.MaxWait, 1200*time.Millisecond)
 	return c
 }
@@ -69,23 +74,50 @@
 	waiting []Offer
 	evicted []uint64
 	work    time.Duration // mean time of a request at the upstream
+	lead    time.Duration // mean time from taking a flow to its first request
 }
 
-// workWeight is the weight of one request in the mean time, 1/16: some seconds of
+// workWeight is the weight of one request in the mean times, 1/16: some seconds of
 // requests of one slot.
 const workWeight = 16
 
+// waitingFirst bounds the flows that wait before any request was measured.
+const waitingFirst = 256
+
 // NewGate returns a gate at which nothing waits.
 func NewGate(cfg Config) *Gate { return &Gate{cfg: cfg.withDefaults()} }
 
 // Worked notes the time that the upstream took for a request.
 func (g *Gate) Worked(d time.Duration) { g.work += (d - g.work) / workWeight }
 
+// Opened notes the time from taking a flow to its first request.
+func (g *Gate) Opened(d time.Duration) { g.lead += (d - g.lead) / workWeight }
+
+// Work returns the mean time of a request at the upstream, 0 before any was measured.
+func (g *Gate) Work() time.Duration { return g.work }
+
 // Waiting returns the number of flows that wait.
 func (g *Gate) Waiting() int { return len(g.waiting) }
 
 // free returns the number of flows that the upstream can take.
-func (g *Gate) free(l Load) int { return l.Slots + g.cfg.Slack - l.Busy - l.Opening }
+func (g *Gate) free(l Load) int { return l.Slots + g.slack(l.Slots) - l.Busy - l.Opening }
+
+// slack returns the number of requests beyond the slots that the upstream is given.
+func (g *Gate) slack(slots int) int {
+	if g.work <= 0 {
+		return g.cfg.Slack
+	}
+	return min(max(g.cfg.Slack, int(time.Duration(slots)*g.lead/g.work)+1), g.cfg.MaxSlack)
+}
+
+// room returns the number of flows that may wait: what the slots work off within the longest
+// wait, and two rounds at least.
+func (g *Gate) room(slots int) int {
+	if g.work <= 0 {
+		return min(waitingFirst, g.cfg.MaxWaiting)
+	}
+	return min(max(int(time.Duration(slots)*g.cfg.MaxWait/g.work), 2*slots), g.cfg.MaxWaiting)
+}
 
 // Offer decides about a new flow.
 func (g *Gate) Offer(now time.Duration, o Offer, l Load) Verdict {
@@ -95,7 +127,7 @@
 	if o.Others && o.Passed < g.cfg.PassOn {
 		return PassOn
 	}
-	if len(g.waiting) >= g.cfg.MaxWaiting && !g.evict(now, &o) {
+	if len(g.waiting) >= g.room(l.Slots) && !g.evict(now, &o) {
 		return Refuse
 	}
 	g.waiting = append(g.waiting, o)
@@ -164,11 +196,15 @@
 	return id, true
 }
 
-// Expired returns the flows that have waited too long or were refused in favour of
-// others. They are taken out of the queue.
-func (g *Gate) Expired(now time.Duration) []uint64 {
+// Evicted returns, once, the flows that were taken out of the queue in favour of others.
+func (g *Gate) Evicted() []uint64 {
 	out := g.evicted
 	g.evicted = nil
+	return out
+}
+
+// Expired returns the flows that have waited too long. They are taken out of the queue.
+func (g *Gate) Expired(now time.Duration) (out []uint64) {
 	g.waiting = slices.DeleteFunc(g.waiting, func(o Offer) bool {
 		old := now-o.Sent >= g.cfg.MaxWait
 		if old {
