flow: a peer that is silent to inquiries counts as absent for repeatable flows

A log of every check (trial) shows about 2,000 suspect flows and canDeclareLost true from 0.9 s after the first process start on; every inquiry lacked one answer. side-ub-sukhbaatar-7 had been released, started once more with its VM at 35.31 s, sent one digest message and was removed at 35.5 s. It had a digest of its incarnation, so isUnresponsive did not apply, it had not reported all flows, so its digest did not count, and it was marked as failed 5 s later. One such VM held up the resets of the whole service. maxPeersToProbe, only the first choice asking, and peerListSettleTime were not the cause. Change: a peer is silent if nothing has arrived from it for 5 s, or 1 s where the own upstream started with its agent, although it was sent inquiries all the while. Then it counts as absent for flows whose requests may be repeated. For others nothing changes: the VM may only be cut off, and their clients cannot retry. An answer "maybe held" of a peer that has since failed, left or fallen silent no longer blocks either. Weighed and left: 0.4 s, the time-out of peers with a complete digest, since an agent that shares a processor may be held up that long.

--- a/flow/inquiry.go
+++ b/flow/inquiry.go
@@ -140,6 +140,7 @@
 	for _, p := range t.peers.list {
 		if p.State != Leaving && !isConclusive(q.answers[p.ID]) {
 			a.To = append(a.To, p.Addr)
+			p.noteInquirySent(now)
 		}
 	}
 	q.retryAt = now + q.retryInterval
@@ -165,6 +166,9 @@
 
 // AnswerInquiry returns this agent's answer to a peer's inquiry.
 func (t *Table) AnswerInquiry(now time.Duration, q *packet.Inquiry) packet.InquiryAnswer {
+	if p := t.peers.get(q.From); p != nil {
+		p.noteHeard()
+	}
 	a := packet.InquiryAnswer{From: t.self.ID, Number: q.Number, Statuses: make([]packet.FlowStatus, len(q.Flows))}
 	for i, hash := range q.Flows {
 		a.Statuses[i] = t.status(now, hash)
@@ -200,8 +204,12 @@
 // HandleInquiryAnswer processes a peer's answer to an inquiry. Answers of unknown agents and to
 // inquiries that have ended are ignored.
 func (t *Table) HandleInquiryAnswer(now time.Duration, a *packet.InquiryAnswer) {
+	p := t.peers.get(a.From)
+	if p != nil {
+		p.noteHeard()
+	}
 	i := slices.IndexFunc(t.inquiries, func(q *inquiry) bool { return q.number == a.Number })
-	if i < 0 || t.peers.get(a.From) == nil || len(a.Statuses) != len(t.inquiries[i].flows) {
+	if i < 0 || p == nil || len(a.Statuses) != len(t.inquiries[i].flows) {
 		return
 	}
 	q := t.inquiries[i]
@@ -233,14 +241,16 @@
 	}
 	for _, p := range t.peers.list {
 		statuses := q.answers[p.ID]
-		if statuses == nil {
-			for i, hash := range q.flows {
-				out[i] = out[i] && !t.mayHoldWithoutAnswer(now, q, p, t.unknownFlows[hash].mayRepeat)
+		for i, hash := range q.flows {
+			mayRepeat := t.unknownFlows[hash].mayRepeat
+			switch {
+			case statuses == nil:
+				out[i] = out[i] && !t.mayHoldWithoutAnswer(now, q, p, mayRepeat)
+			case statuses[i] == packet.MaybeHeld:
+				out[i] = out[i] && t.countsAsAbsent(now, q, p, mayRepeat)
+			default:
+				out[i] = out[i] && statuses[i] == packet.NotHeld
 			}
-			continue
-		}
-		for i, s := range statuses {
-			out[i] = out[i] && s == packet.NotHeld
 		}
 	}
 	return out
@@ -262,19 +272,29 @@
 // mayHoldWithoutAnswer reports whether the upstream of a peer that has not answered an inquiry may
 // hold one of its flows. mayRepeat says whether the flow's requests may be repeated.
 func (t *Table) mayHoldWithoutAnswer(now time.Duration, q *inquiry, p *peer, mayRepeat bool) bool {
-	switch {
-	case p.State == Leaving:
-		return false
-	case p.State == Failed:
-		return now-q.startedAt < failedPeerAnswerTimeout || !mayRepeat && now-p.stateChanged < failedPeerGracePeriod
-	case p.State == AgentRestarting:
-		return now-p.stateChanged < peerRestartTimeout
-	case t.isUnresponsive(now, p):
+	if t.countsAsAbsent(now, q, p, mayRepeat) {
 		return false
 	}
+	if p.State == Failed || p.State == AgentRestarting {
+		return true
+	}
 	return now-q.startedAt < answerTimeout || !p.inbox.senderComplete || !p.inbox.verified
 }
 
+// countsAsAbsent reports whether a peer that has given no conclusive answer to an inquiry counts as
+// absent together with its upstream.
+func (t *Table) countsAsAbsent(now time.Duration, q *inquiry, p *peer, mayRepeat bool) bool {
+	switch p.State {
+	case Leaving:
+		return true
+	case Failed:
+		return now-q.startedAt >= failedPeerAnswerTimeout && (mayRepeat || now-p.stateChanged >= failedPeerGracePeriod)
+	case AgentRestarting:
+		return now-p.stateChanged >= peerRestartTimeout
+	}
+	return t.isUnresponsive(now, p) || mayRepeat && t.isSilent(now, p)
+}
+
 // computePeersChecksum returns a checksum of the IDs of the upstreams that may hold flows,
 // including this agent's.
 func (t *Table) computePeersChecksum() uint64 {
--- a/flow/lost.go
+++ b/flow/lost.go
@@ -18,8 +18,8 @@
 	// suspectTimeout is the time from unknownFlow.at after which a flow is no longer suspect.
 	// Further packets do not extend it; one that arrives later makes the flow suspect anew.
 	suspectTimeout = 5 * time.Second
-	// peerSilenceTimeout is the time after which a peer that has sent no digest counts as
-	// absent. An agent restarts within two seconds.
+	// peerSilenceTimeout is the time after which a peer that has sent no digest, or nothing at all
+	// while it was sent inquiries, counts as absent. An agent restarts within two seconds.
 	peerSilenceTimeout = 5 * time.Second
 	// peerSilenceTimeoutAfterOutage replaces peerSilenceTimeout when this agent's own upstream
 	// has started together with this agent, as after a power failure: then clients of all
@@ -282,11 +282,22 @@
 // some time after the peer was listed. A running agent would have sent one, so the peer may be
 // a VM that was removed before this agent started.
 func (t *Table) isUnresponsive(now time.Duration, p *peer) bool {
-	limit := peerSilenceTimeout
+	return p.State != AgentRestarting && p.inbox.incarnation != p.Incarnation && now-p.listedSince >= t.silenceTimeout()
+}
+
+// isSilent reports whether nothing has arrived from the peer for some time although this agent has
+// sent it inquiries all the while, as from a VM that was removed soon after it had started. Its
+// upstream may still hold flows if the VM is only cut off or paused, so only flows whose requests
+// may be repeated are given up for it: their clients can retry elsewhere.
+func (t *Table) isSilent(now time.Duration, p *peer) bool {
+	return p.unansweredSince != never && now-p.unansweredSince >= t.silenceTimeout()
+}
+
+func (t *Table) silenceTimeout() time.Duration {
 	if t.noEarlierFlows {
-		limit = peerSilenceTimeoutAfterOutage
+		return peerSilenceTimeoutAfterOutage
 	}
-	return p.State != AgentRestarting && p.inbox.incarnation != p.Incarnation && now-p.listedSince >= limit
+	return peerSilenceTimeout
 }
 
 // resetLost returns the action for a packet of a lost flow.
--- a/flow/peer.go
+++ b/flow/peer.go
@@ -19,6 +19,9 @@
 	listedSince   time.Duration
 	stateChanged  time.Duration // when its state last changed
 	listedState   State         // state at the last update of the list of peers
+	// unansweredSince is the time of the first inquiry sent since the peer was last heard from;
+	// never if there is none.
+	unansweredSince time.Duration
 }
 
 // loadReport is the last load report of a peer. Flows that Table.receiveFirst has handed off to the
@@ -32,7 +35,7 @@
 const never = -1 << 62 * time.Nanosecond
 
 func newPeer(now time.Duration, u Upstream) *peer {
-	p := &peer{Upstream: u, seed: seedOf(u.ID), acceptedSince: now, acceptedUntil: never, listedSince: now, stateChanged: now}
+	p := &peer{Upstream: u, seed: seedOf(u.ID), acceptedSince: now, acceptedUntil: never, listedSince: now, stateChanged: now, unansweredSince: never}
 	// A draining upstream may have accepted flows until just now.
 	if u.State.Accepts() || u.State == Draining {
 		p.acceptedUntil = now
@@ -41,6 +44,16 @@
 	return p
 }
 
+// noteInquirySent records that an inquiry was sent to the peer.
+func (p *peer) noteInquirySent(now time.Duration) {
+	if p.unansweredSince == never {
+		p.unansweredSince = now
+	}
+}
+
+// noteHeard records that a message or an answer of the peer has arrived.
+func (p *peer) noteHeard() { p.unansweredSince = never }
+
 // update replaces the record by a newer one of the same incarnation.
 func (p *peer) update(now time.Duration, u Upstream) {
 	was := p.State.Accepts()
--- a/flow/step.go
+++ b/flow/step.go
@@ -118,6 +118,9 @@
 		return
 	}
 	p := t.peers.get(m.From)
+	if p != nil {
+		p.noteHeard()
+	}
 	if p != nil && m.HasLoad {
 		p.load = loadReport{known: true, open: int(m.Open), limit: int(m.Limit)}
 	}
