load: flows with a fair chance of being accepted wait instead of being refused at once

The gate let no more flows wait than its slots complete within 1.2 s (at cold work 48 per agent) and evicted the rest. Change: a flow is refused at once only if more than Oversubscription (4) times as many wait as the upstream completes within MaxWait.

--- a/load/doc.go
+++ b/load/doc.go
@@ -18,9 +18,12 @@
 //   - More load for some seconds than cold upstreams can serve: of the flows that can still
 //     be answered in time the newest is accepted first. If the oldest went first, it would
 //     be accepted just before its objective passes, and miss it.
-//   - More load than can be served at all: the number of waiting flows is limited to what the
-//     upstream completes within the longest wait, and the flows that would be accepted last
-//     are refused at once.
+//   - More load than can be served at all: the number of waiting flows is limited to a multiple
+//     of what the upstream completes within the longest wait, and the flows that would be
+//     accepted last are refused at once.
+//   - The return of all clients when every upstream is cold: refused clients return at once and
+//     spend all of their attempts within the first second of the overload, so flows that have a
+//     fair chance of being accepted wait instead (Config.Oversubscription).
 //   - Short requests of clients with long round trips: the upstream is given as many flows
 //     beyond its slots as it completes within a round trip, as its slots would be idle
 //     otherwise.
--- a/load/gate.go
+++ b/load/gate.go
@@ -23,10 +23,14 @@
 	// choices little imbalance remains.
 	MaxPasses int
 	// MaxWaiting is the maximum number of waiting flows; it bounds the memory for their
-	// packets. The limit is lower if the upstream completes fewer requests within MaxWait,
-	// because the other flows would expire, and while no request has been measured; see
-	// Gate.maxWaiting. Default 1024.
+	// packets. The limit is lower if Oversubscription requires it, and while no request has
+	// been measured; see Gate.maxWaiting. Default 1024.
 	MaxWaiting int
+	// Oversubscription is the maximum number of waiting flows for each request that the
+	// upstream completes within MaxWait: a flow is refused at once if its chance of being
+	// accepted is lower than one in Oversubscription. A client that is refused comes back at
+	// once and has spent one of its few attempts, so a flow with a fair chance waits. Default 4.
+	Oversubscription int
 	// MaxWait is the maximum time from a flow's first packet to the end of its wait.
 	// Default 1.2 s: a client of the platform aborts an attempt after 1.4 s, so 0.2 s
 	// remain for the first request.
@@ -38,6 +42,7 @@
 	c.MaxPasses = cmp.Or(c.MaxPasses, 2)
 	c.MaxSlack = cmp.Or(c.MaxSlack, 64)
 	c.MaxWaiting = cmp.Or(c.MaxWaiting, 1024)
+	c.Oversubscription = cmp.Or(c.Oversubscription, 4)
 	c.MaxWait = cmp.Or(c.MaxWait, 1200*time.Millisecond)
 	return c
 }
@@ -121,13 +126,14 @@
 	return min(max(g.cfg.Slack, int(time.Duration(slots)*g.openDelay/g.serviceTime)+1), g.cfg.MaxSlack)
 }
 
-// maxWaiting returns the maximum number of waiting flows: as many as the slots complete
-// within the longest wait, but at least two for each slot.
+// maxWaiting returns the maximum number of waiting flows: Oversubscription times as many as
+// the slots complete within the longest wait, but at least two for each slot.
 func (g *Gate) maxWaiting(slots int) int {
 	if g.serviceTime <= 0 {
 		return min(initialMaxWaiting, g.cfg.MaxWaiting)
 	}
-	return min(max(int(time.Duration(slots)*g.cfg.MaxWait/g.serviceTime), 2*slots), g.cfg.MaxWaiting)
+	completed := int(time.Duration(slots) * g.cfg.MaxWait / g.serviceTime)
+	return min(max(g.cfg.Oversubscription*completed, 2*slots), g.cfg.MaxWaiting)
 }
 
 // Offer returns the verdict on a new flow.
