flow, agent, balancer: callers are told when their flow has waited too long

Cause: a flow that had waited for a slot for 1.2 s was dropped in silence, because the third copy of its SYN goes to another upstream at 600 ms and may have opened the flow there. The copy also took a second place in a queue and, when its turn came, a slot for nobody. Beside it, flow.Table ended the wait of the gate's flows after its own MaxWait, 900 ms by default, without a word to the gate. Change: an agent where a flow waits sends the balancer a hint with FlagWaiting, and the balancer sends all copies of the SYN there. When the wait ends without a slot, the client is sent a reset if no copy can have gone elsewhere: the third copy was not due yet, or has arrived here. Only the gate ends the wait of its flows. A balancer of the former build reads the hint as one about an open flow and sends the third copy elsewhere as before.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -184,15 +184,12 @@
 		c.Rebuild = a.cfg.RebuildSeconds.Duration()
 		c.DigestDelay, c.DigestRate, c.ResyncDelay = rebuildDigestDelay, rebuildDigestRate, rebuildResyncDelay
 		c.OnRequestDone = func(d time.Duration) { a.requestTime.Update(int64(d)) }
-		c.Gate, c.MaxWait = load.NewGate(load.Config{}), maxSlotWait
+		c.Gate = load.NewGate(load.Config{})
 	}
 	return c
 }
 
 const (
-	// maxSlotWait is the maximum time for which a flow waits for a slot. It is a safeguard:
-	// the gate refuses waiting flows sooner. See maxTokenWait for the wait for a token.
-	maxSlotWait = 2 * time.Second
 	// rebuildDigestDelay and rebuildDigestRate (bytes/s) are set so that a flow's first
 	// choice learns which agent owns the flow well before it could treat the flow as lost.
 	rebuildDigestDelay = time.Millisecond
--- a/agent/quota.go
+++ b/agent/quota.go
@@ -20,9 +20,8 @@
 // 0.6 KB/s per daemon if a customer is always at the limit of its plan, as in the demo.
 const maxTokenRequestInterval = 2 * time.Second
 
-// maxTokenWait is the maximum time for which a flow waits for a token. It is shorter than
-// flow.TableConfig.MaxWait, both with its default of 900 ms and with maxSlotWait, so that
-// no token is spent on a flow whose first packet has been dropped.
+// maxTokenWait is the maximum time for which a flow waits for a token. It is shorter than the default
+// of flow.TableConfig.MaxWait, so that the holder's decision ends the wait.
 const maxTokenWait = 800 * time.Millisecond
 
 // quotaAddresses holds the control addresses of the processes that receive quota messages.
--- a/agent/reader.go
+++ b/agent/reader.go
@@ -101,6 +101,9 @@
 		r.counts.forwarded++
 	case flow.Wait:
 		r.agent.admission.buffer(action.Flow, raw)
+		if action.Hint {
+			r.sendWaitingHint(&h, i)
+		}
 	case flow.Reset:
 		r.counts.dropped[action.Reason]++
 		r.agent.queueReset(r.outgoing, &r.info, &r.counts)
@@ -203,6 +206,12 @@
 	}
 }
 
+// sendWaitingHint sends a hint that the flow waits at this agent to the packet's origin.
+func (r *reader) sendWaitingHint(h *packet.Header, i int) {
+	b := r.hints[i][:]
+	r.sendHint(b[:packet.PutWaitingHint(b, h.Service, &r.info.Key, r.agent.id)], h.Origin)
+}
+
 // sendHint queues a hint. It drops a hint without a receiver or in excess of maxHints,
 // which costs one detour.
 func (r *reader) sendHint(b []byte, to netip.AddrPort) {
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -136,6 +136,23 @@
 		}
 	})
 
+	// Guards against a hint about a waiting flow that is read as one about an open flow.
+	It("learns from a hint with packet.FlagWaiting where a flow waits", func() {
+		b := newTestBalancer(u1, u2)
+		key := packet.KeyOf(client, service, packet.ProtoTCP)
+		late := packet.Info{Key: key, First: true, Numbered: true, Repeat: 2}
+		var elsewhere packet.AgentID
+		b.router.do(func(now time.Duration, r *flow.Router) { elsewhere = r.Route(now, &late).Agent })
+		waitsAt := packet.AgentIDOf(u1.Name)
+		if elsewhere == waitsAt {
+			waitsAt = packet.AgentIDOf(u2.Name)
+		}
+		hint := make([]byte, packet.HintSize)
+		packet.PutWaitingHint(hint, packet.ServiceIDOf("impact-portal"), &key, waitsAt)
+		Expect(b.handle(hint)).To(BeEmpty())
+		b.router.do(func(now time.Duration, r *flow.Router) { Expect(r.Route(now, &late).Agent).To(Equal(waitsAt)) })
+	})
+
 	// Guards against forwarding packets that only upstreams send. The receiving upstream
 	// would treat them as forged.
 	It("drops packets that no client can have sent", func() {
--- a/balancer/reader.go
+++ b/balancer/reader.go
@@ -42,8 +42,9 @@
 
 // hint is a hint received from an agent: owner is the agent that owns the flow.
 type hint struct {
-	key   packet.Key
-	owner packet.AgentID
+	key     packet.Key
+	owner   packet.AgentID
+	waiting bool
 }
 
 func (b *Balancer) newReader(source packetio.Source) *reader {
@@ -165,14 +166,18 @@
 		r.counts.malformed++
 		return
 	}
-	r.hints = append(r.hints, hint{key: k, owner: owner})
+	r.hints = append(r.hints, hint{key: k, owner: owner, waiting: h.Flags&packet.FlagWaiting != 0})
 	r.counts.hints++
 }
 
 // route decides on the packets of the batch. It runs with the router's lock held.
 func (r *reader) route(now time.Duration, router *flow.Router) {
 	for i := range r.hints {
-		router.Learn(now, &r.hints[i].key, r.hints[i].owner)
+		if h := &r.hints[i]; h.waiting {
+			router.LearnWaiting(now, &h.key, h.owner)
+		} else {
+			router.Learn(now, &h.key, h.owner)
+		}
 	}
 	for _, i := range r.routed {
 		r.decisions[i] = r.decide(now, router, i)
--- a/flow/action.go
+++ b/flow/action.go
@@ -34,7 +34,7 @@
 	Waited     time.Duration  // from Table.NextWaiting: time that the packet waited
 	Probe      bool           // with Deliver: the packet is a probe, as the upstream may not hold the flow
 	OwnerKnown bool           // with Forward: To is taken to be the flow's owner, by rule 3
-	Hint       bool           // send the header's origin a hint that this agent owns the flow
+	Hint       bool           // send the header's origin a hint that this agent owns the flow or, with Wait, that it waits here
 	// ExtraHints lists further addresses to send the hint to. It is valid until the next call
 	// of a method that returns an Action. A caller may ignore it at the cost of detours.
 	ExtraHints []netip.AddrPort
--- a/flow/admission.go
+++ b/flow/admission.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"math"
 	"time"
 
 	"github.com/nutmegtrack/nutmegtrack/packet"
@@ -38,11 +39,22 @@
 	since      time.Duration
 	until      time.Duration
 	copyNumber uint8 // 0 for the first SYN, n for its n-th retransmission
+	lastCopy   uint8 // the highest copy number received, copyNumber included
+}
+
+// mayBeOpenElsewhere reports whether a copy of the flow's SYN may have gone to another upstream
+// (firstRedirectedCopy), where the flow may be open.
+func (f *waitingFlow) mayBeOpenElsewhere(now time.Duration) bool {
+	if f.copyNumber >= firstRedirectedCopy {
+		return true
+	}
+	sent := now-f.since+synCopyDelay(f.copyNumber) >= synCopyDelay(firstRedirectedCopy)
+	return sent && f.lastCopy < firstRedirectedCopy
 }
 
 // waitingFlows holds the waiting flows. While there are TableConfig.MaxWaiting of them, no flow
-// is passed to the Admission; the Gate limits the number of its own. TableConfig.MaxWait limits
-// the waiting time of all; the Gate may end that of its flows earlier.
+// is passed to the Admission, and TableConfig.MaxWait limits their waiting time. The Gate limits the
+// number and the waiting time of its own.
 type waitingFlows struct {
 	byNumber map[uint64]*waitingFlow
 	byKey    map[packet.Key]uint64
@@ -53,11 +65,16 @@
 	return waitingFlows{byNumber: make(map[uint64]*waitingFlow), byKey: make(map[packet.Key]uint64)}
 }
 
-func (w *waitingFlows) contains(k *packet.Key) bool {
+// noteCopy reports whether the flow of a received packet waits, and records the number of its copy.
+func (w *waitingFlows) noteCopy(in *packet.Info) bool {
 	if len(w.byKey) == 0 {
 		return false
 	}
-	_, found := w.byKey[*k]
+	number, found := w.byKey[in.Key]
+	if found {
+		f := w.byNumber[number]
+		f.lastCopy = max(f.lastCopy, in.Repeat)
+	}
 	return found
 }
 
@@ -127,8 +144,10 @@
 	return t.acceptAdmitted(now, f.key.Hash(), &f.header, &f.key), f.header
 }
 
-// expireWaiting drops the flows that have waited longer than MaxWait, for the Admission or for a
-// slot of the Gate.
+// noTimeLimit is waitingFlow.until of a flow whose wait the Gate ends.
+const noTimeLimit = time.Duration(math.MaxInt64)
+
+// expireWaiting drops the flows that have waited longer than MaxWait for the Admission.
 func (t *Table) expireWaiting(now time.Duration) {
 	for number, f := range t.waiting.byNumber {
 		if now >= f.until {
--- a/flow/config.go
+++ b/flow/config.go
@@ -29,7 +29,7 @@
 	Observer        Observer      // may be nil
 	Admission       Admission     // may be nil: all flows are admitted
 	MaxWaiting      int           // number of waiting flows, for admission or for a slot, from which on no flow is passed to the Admission; default 1024
-	MaxWait         time.Duration // maximum time that a flow waits at this agent; default 900 ms
+	MaxWait         time.Duration // maximum time that a flow waits for the Admission; default 900 ms
 	// Gate limits new flows by the upstream's free slots. With a nil Gate only the other
 	// limits apply.
 	Gate *load.Gate
--- a/flow/hints.go
+++ b/flow/hints.go
@@ -18,6 +18,7 @@
 	holder   uint32 // low bits of the owner's Upstream.holder when the hint was stored
 	lastUsed uint32 // time of last use, seconds since process start
 	learned  bool   // sent by the owner; otherwise assumed
+	waiting  bool   // the flow waits at the owner for a slot, or did when the hint was sent
 	opening  bool   // assumed from a SYN, and not used by another packet since
 }
 
--- a/flow/receive.go
+++ b/flow/receive.go
@@ -24,7 +24,7 @@
 	}
 	// This copy of the first packet must not open the flow elsewhere while it may be admitted
 	// here.
-	if t.waiting.contains(&in.Key) {
+	if t.waiting.noteCopy(in) {
 		return t.drop(ReasonWaiting)
 	}
 	if a, done := t.forwardToOwner(now, hash, h, in); done {
--- a/flow/router.go
+++ b/flow/router.go
@@ -226,7 +226,7 @@
 // address has moved to another service.
 func (r *Router) hinted(now time.Duration, d *destination, hash uint64, in *packet.Info) (*routedService, *Upstream) {
 	h := r.hints.find(hash)
-	if h == nil || in.Repeat >= firstRedirectedCopy {
+	if h == nil || in.Repeat >= firstRedirectedCopy && !h.waiting {
 		return nil, nil
 	}
 	s, i := r.find(d, h.owner)
@@ -274,8 +274,9 @@
 }
 
 // firstRedirectedCopy is the number of the first copy of a SYN that goes to another upstream
-// than the first choice, where it may open the flow a second time. Copy 1 still goes to the first
-// choice, because the original may have been lost on the way or may wait there.
+// than the first choice, where it may open the flow a second time, unless the flow is known to wait
+// at an agent. Copy 1 still goes to the first choice, because the original may have been lost on the
+// way or may wait there.
 const firstRedirectedCopy = 2
 
 // choice returns the flow's first choice among the given candidates. For a late copy of a
@@ -304,12 +305,22 @@
 // Learn stores a hint sent by an agent. Hints for unknown service addresses or upstreams are
 // ignored.
 func (r *Router) Learn(now time.Duration, k *packet.Key, owner packet.AgentID) {
+	r.learn(now, k, owner, hint{learned: true})
+}
+
+// LearnWaiting stores a hint that the flow waits for a slot at an agent. Late copies of its SYN go
+// to this agent too instead of opening the flow a second time.
+func (r *Router) LearnWaiting(now time.Duration, k *packet.Key, owner packet.AgentID) {
+	r.learn(now, k, owner, hint{learned: true, waiting: true})
+}
+
+func (r *Router) learn(now time.Duration, k *packet.Key, owner packet.AgentID, h hint) {
 	d, found := r.destination(k)
 	if !found {
 		return
 	}
 	if s, i := r.find(&d, owner); s != nil {
-		r.record(now, k.Hash(), &s.upstreams[i], hint{learned: true})
+		r.record(now, k.Hash(), &s.upstreams[i], h)
 	}
 }
 
--- a/flow/router_test.go
+++ b/flow/router_test.go
@@ -80,6 +80,27 @@
 		Expect(route(syn(k)).Agent).NotTo(Equal(owner.ID))
 	})
 
+	// Load pattern: every upstream is busy and flows wait longer than the client waits between
+	// two copies of its SYN. Guards against a late copy that opens the flow a second time at
+	// another upstream, where it takes a place in the queue and a slot for nobody.
+	It("sends late copies of a SYN to the agent where the flow waits", func() {
+		waitsAt := r.ranking(k)[2]
+		router.LearnWaiting(0, &k, waitsAt.ID)
+		for repeat := range uint8(3) {
+			Expect(route(numbered(k, repeat)).Agent).To(Equal(waitsAt.ID))
+		}
+	})
+
+	// Guards against a client that gets no answer because the upstream that its agent has
+	// chosen does not answer: a late copy of an accepted flow's SYN still goes elsewhere.
+	It("sends late copies of a SYN elsewhere once the flow no longer waits", func() {
+		owner := r.ranking(k)[0]
+		router.LearnWaiting(0, &k, owner.ID)
+		router.Learn(0, &k, owner.ID)
+		Expect(route(numbered(k, 1)).Agent).To(Equal(owner.ID))
+		Expect(route(numbered(k, 2)).Agent).NotTo(Equal(owner.ID))
+	})
+
 	It("never uses a hint of another service", func() {
 		router.Learn(0, &k, r.named("a").ID)
 		moved := testView(r.list)
--- a/flow/work.go
+++ b/flow/work.go
@@ -178,10 +178,10 @@
 	case load.Wait:
 		t.refuseEvicted(now)
 		t.waiting.add(number, &waitingFlow{
-			key: in.Key, header: *h, since: now, until: now + t.cfg.MaxWait, copyNumber: in.Repeat,
+			key: in.Key, header: *h, since: now, until: noTimeLimit, copyNumber: in.Repeat, lastCopy: in.Repeat,
 		})
 		t.counters.Held++
-		return Action{Kind: Wait, Flow: number}
+		return Action{Kind: Wait, Flow: number, Hint: true}
 	}
 	t.counters.Refused++
 	// A later copy may belong to a flow that an earlier one has opened at another upstream. An
@@ -246,15 +246,14 @@
 }
 
 // refuseExpired refuses the flows that have waited too long for a slot and those that were evicted
-// in favour of other flows. Clients of the former have timed out or are about to. Clients of the
-// latter are sent a reset, unless the client may have sent a copy of the first packet that goes to
-// another upstream (firstRedirectedCopy).
+// in favour of other flows. Their clients are sent a reset, which ends the attempt without a run,
+// unless the flow may be open at another upstream.
 func (t *Table) refuseExpired(now time.Duration) {
 	if t.cfg.Gate == nil {
 		return
 	}
 	for _, number := range t.cfg.Gate.Expired(now) {
-		t.refuseWaiting(now, number, false)
+		t.refuseWaiting(now, number)
 	}
 	t.refuseEvicted(now)
 }
@@ -262,7 +261,7 @@
 // refuseEvicted refuses the flows that the Gate has evicted in favour of other flows.
 func (t *Table) refuseEvicted(now time.Duration) {
 	for _, number := range t.cfg.Gate.Evicted() {
-		t.refuseWaiting(now, number, true)
+		t.refuseWaiting(now, number)
 		t.stepDue = true
 	}
 }
@@ -276,14 +275,13 @@
 	return t.cfg.Gate.ServiceTime()
 }
 
-func (t *Table) refuseWaiting(now time.Duration, number uint64, mayReset bool) {
+func (t *Table) refuseWaiting(now time.Duration, number uint64) {
 	f := t.waiting.remove(number)
 	if f == nil {
 		return
 	}
 	t.drop(ReasonRefused)
-	noOtherCopy := f.copyNumber < firstRedirectedCopy && now-f.since+synCopyDelay(f.copyNumber) < synCopyDelay(firstRedirectedCopy)
-	t.refusedFlows = append(t.refusedFlows, RefusedFlow{Key: f.key, Waited: now - f.since, Reset: mayReset && noOtherCopy})
+	t.refusedFlows = append(t.refusedFlows, RefusedFlow{Key: f.key, Waited: now - f.since, Reset: !f.mayBeOpenElsewhere(now)})
 }
 
 // RefusedFlow is a flow that waited for a slot and was evicted or expired.
--- a/flow/work_test.go
+++ b/flow/work_test.go
@@ -140,6 +140,42 @@
 		Expect(t.IsWaiting(held.Flow)).To(BeFalse())
 	})
 
+	// Load pattern: more load than can be served, so that flows wait until their clients abort the
+	// attempt. Guards against clients that get no answer although nothing has run and nothing can
+	// run any more, and against a reset of a flow that another upstream may have opened.
+	DescribeTable("tells the client of a flow that has waited too long, if it cannot be open elsewhere",
+		func(first uint8, copies []uint8, told bool) {
+			for n := range 3 {
+				open(n)
+				receive(request(n, 1))
+			}
+			k := key(3, packet.ProtoTCP)
+			Expect(receive(numbered(k, first)).Kind).To(Equal(Wait))
+			for _, repeat := range copies {
+				Expect(receive(numbered(k, repeat)).Reason).To(Equal(ReasonWaiting))
+			}
+			r.now += 1200*time.Millisecond - synCopyDelay(first)
+			t.Step(r.now)
+			refused := t.RefusedFlows()
+			Expect(refused).To(HaveLen(1))
+			Expect(refused[0].Key).To(Equal(k))
+			Expect(refused[0].Reset).To(Equal(told))
+		},
+		Entry("all copies of the SYN have arrived here", uint8(0), []uint8{1, 2}, true),
+		Entry("the copy that may go elsewhere has not arrived here", uint8(0), []uint8{1}, false),
+		Entry("an earlier copy may have gone elsewhere", uint8(2), nil, false),
+	)
+
+	// Guards against late copies that are sent to another upstream because the balancer does not
+	// know where the flow waits.
+	It("sends the balancer a hint about a flow that waits", func() {
+		for n := range 3 {
+			open(n)
+			receive(request(n, 1))
+		}
+		Expect(open(3)).To(Equal(Action{Kind: Wait, Flow: 4, Hint: true}))
+	})
+
 	// Guards against flows that wait at an upstream which accepts none any more.
 	It("hands off waiting flows when it drains", func() {
 		r = newRig(2, TableConfig{Rebuild: rebuildTime, Gate: load.NewGate(load.Config{MaxPasses: 1})})
--- a/packet/header.go
+++ b/packet/header.go
@@ -30,6 +30,8 @@
 	// FlagTryAll marks a packet of an unknown flow that may be delivered as a probe to every
 	// upstream that may hold the flow, without the limit on Header.Tried.
 	FlagTryAll
+	// FlagWaiting marks a hint about a flow that waits at the owner for a slot and is not open.
+	FlagWaiting
 )
 
 const (
@@ -44,6 +46,7 @@
 	// shortHeaderSize is the length of the short header: the fields up to Service, which
 	// every kind has.
 	shortHeaderSize = 12
+	flagsOffset     = 3
 	hintV4          = 4 // address family of a hint's key
 	hintV6          = 6
 	hintKeyV4Size   = 14 // family, protocol, ports, addresses
@@ -75,7 +78,7 @@
 	b[0] = headerVersion
 	b[1] = uint8(h.Kind)
 	b[2] = h.Hops
-	b[3] = h.Flags
+	b[flagsOffset] = h.Flags
 	binary.BigEndian.PutUint64(b[4:], uint64(h.Service))
 	binary.BigEndian.PutUint64(b[12:], h.Customer)
 	origin := h.Origin.Addr().As16()
@@ -108,7 +111,7 @@
 	if h.Hops > MaxHops {
 		return h, nil, ErrLength
 	}
-	h.Flags = b[3]
+	h.Flags = b[flagsOffset]
 	h.Service = ServiceID(binary.BigEndian.Uint64(b[4:]))
 	if h.Kind != KindData {
 		return h, b[shortHeaderSize:], nil
@@ -148,6 +151,13 @@
 	return n + agentIDSize
 }
 
+// PutWaitingHint writes a hint like PutHint, with FlagWaiting.
+func PutWaitingHint(b []byte, service ServiceID, k *Key, owner AgentID) int {
+	n := PutHint(b, service, k, owner)
+	b[flagsOffset] |= FlagWaiting
+	return n
+}
+
 func putHintKey(b []byte, k *Key) int {
 	b[0], b[1] = hintV6, k.Proto
 	binary.BigEndian.PutUint16(b[2:], k.SrcPort)
