bench, settings, cmd: bench load compares policies under a workload in virtual time

Change: package loadsim drives package load with simulated callers (attempts, copies of the SYN, lost flows, deadlines, flows that stay open) and upstreams (slots, queue, cold start, power failure) read from a settings file, and compares the policy in use with the same without one mechanism, with simpler policies and with an estimate of the ceiling. Left out: plots and replays of slow and failing upstreams.

--- a/cmd/nutmegtrack/bench.go
+++ b/cmd/nutmegtrack/bench.go
@@ -15,6 +15,7 @@
 var benchmarks = []func() command{
 	newBenchFlows,
 	newBenchLimits,
+	newBenchLoad,
 	newBenchRequests,
 	newBenchSlopes,
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -55,3 +55,13 @@
 		Entry("an unspecified address for hints", `{"data_address": "0.0.0.0:1"}`, "data_address: must not be the unspecified address, because it is announced to agents"),
 	)
 })
+
+var _ = Describe("A workload", func() {
+	// Guards against a mistake in a workload that is found only as an odd result, or without its
+	// place in the file.
+	It("is reported with all mistakes and their lines", func() {
+		_, err := settings.LoadWorkload("testdata/workload-mistakes.json")
+		Expect(err).To(HaveOccurred())
+		spec.Golden("workload-mistakes.golden", err.Error()+"\n")
+	})
+})
