flow: silence counts only while inquiries are sent, and a reset needs all copies of the SYN

And a flow that had waited too long was reset once its third copy had arrived, although its first or second may have gone to another upstream after a change of balancers. Change: the silence of a peer begins anew after a gap of more than two retry intervals between inquiries, and does not count during one. Measured: two new specs and two new entries of the table fail without the change.

--- a/flow/admission.go
+++ b/flow/admission.go
@@ -39,17 +39,20 @@
 	since      time.Duration
 	until      time.Duration
 	copyNumber uint8 // 0 for the first SYN, n for its n-th retransmission
-	lastCopy   uint8 // the highest copy number received, copyNumber included
+	copies     uint8 // bit n is set if the copy with number n has arrived here
 }
 
+// allCopies is waitingFlow.copies of a flow whose SYN has arrived here with all its copies.
+const allCopies = 1<<0 | 1<<1 | 1<<2
+
 // mayBeOpenElsewhere reports whether a copy of the flow's SYN may have gone to another upstream
 // (firstRedirectedCopy), where the flow may be open.
 func (f *waitingFlow) mayBeOpenElsewhere(now time.Duration) bool {
 	if f.copyNumber >= firstRedirectedCopy {
 		return true
 	}
-	sent := now-f.since+synCopyDelay(f.copyNumber) >= synCopyDelay(firstRedirectedCopy)
-	return sent && f.lastCopy < firstRedirectedCopy
+	allSent := now-f.since+synCopyDelay(f.copyNumber) >= synCopyDelay(firstRedirectedCopy)
+	return allSent && f.copies != allCopies
 }
 
 // waitingFlows holds the waiting flows. While there are TableConfig.MaxWaiting of them, no flow
@@ -72,8 +75,7 @@
 	}
 	number, found := w.byKey[in.Key]
 	if found {
-		f := w.byNumber[number]
-		f.lastCopy = max(f.lastCopy, in.Repeat)
+		w.byNumber[number].copies |= 1 << min(in.Repeat, 7)
 	}
 	return found
 }
--- a/flow/lost.go
+++ b/flow/lost.go
@@ -290,7 +290,7 @@
 // upstream may still hold flows if the VM is only cut off or paused, so only flows whose requests
 // may be repeated are given up for it: their clients can retry elsewhere.
 func (t *Table) isSilent(now time.Duration, p *peer) bool {
-	return p.unansweredSince != never && now-p.unansweredSince >= t.silenceTimeout()
+	return p.unansweredSince != never && now-p.inquiredAt <= maxInquiryGap && now-p.unansweredSince >= t.silenceTimeout()
 }
 
 func (t *Table) silenceTimeout() time.Duration {
--- a/flow/peer.go
+++ b/flow/peer.go
@@ -19,9 +19,9 @@
 	listedSince   time.Duration
 	stateChanged  time.Duration // when its state last changed
 	listedState   State         // state at the last update of the list of peers
-	// unansweredSince is the time of the first inquiry sent since the peer was last heard from;
-	// never if there is none.
-	unansweredSince time.Duration
+	// unansweredSince is the time of the first of the inquiries that were sent without a gap since
+	// the peer was last heard from; never if there is none. inquiredAt is that of the last one.
+	unansweredSince, inquiredAt time.Duration
 }
 
 // loadReport is the last load report of a peer. Flows that Table.receiveFirst has handed off to the
@@ -35,7 +35,7 @@
 const never = -1 << 62 * time.Nanosecond
 
 func newPeer(now time.Duration, u Upstream) *peer {
-	p := &peer{Upstream: u, seed: seedOf(u.ID), acceptedSince: now, acceptedUntil: never, listedSince: now, stateChanged: now, unansweredSince: never}
+	p := &peer{Upstream: u, seed: seedOf(u.ID), acceptedSince: now, acceptedUntil: never, listedSince: now, stateChanged: now, unansweredSince: never, inquiredAt: never}
 	// A draining upstream may have accepted flows until just now.
 	if u.State.Accepts() || u.State == Draining {
 		p.acceptedUntil = now
@@ -44,11 +44,16 @@
 	return p
 }
 
+// maxInquiryGap is the maximum time between two inquiries without a gap. A longer one means that
+// there was nothing to ask or that this process was paused, and says nothing about the peer.
+const maxInquiryGap = 2 * inquiryRetryIntervalMax
+
 // noteInquirySent records that an inquiry was sent to the peer.
 func (p *peer) noteInquirySent(now time.Duration) {
-	if p.unansweredSince == never {
+	if p.unansweredSince == never || now-p.inquiredAt > maxInquiryGap {
 		p.unansweredSince = now
 	}
+	p.inquiredAt = now
 }
 
 // noteHeard records that a message or an answer of the peer has arrived.
--- a/flow/silent_peer_test.go
+++ b/flow/silent_peer_test.go
@@ -152,6 +152,29 @@
 		Expect(lost).To(HaveLen(1))
 	})
 
+	// Guards against an agent that was paused and acts on the time that has passed before it reads
+	// the answers that have arrived meanwhile.
+	It("are not reset by an agent that was paused itself", func() {
+		u.powerCycle(gone...)
+		suspect(true)
+		Expect(u.findLost(u.list[0].Name)).To(BeEmpty())
+		u.now += 3 * peerSilenceTimeoutAfterOutage
+		Expect(u.findLost(u.list[0].Name)).To(BeEmpty())
+	})
+
+	// Guards against a peer that counts as silent because an inquiry long ago was lost.
+	It("are not reset for one old inquiry without an answer", func() {
+		u.powerCycle(gone...)
+		t := u.agents[u.list[0].ID]
+		for _, p := range t.peers.list {
+			p.noteInquirySent(u.now)
+		}
+		u.now += 3 * peerSilenceTimeoutAfterOutage
+		suspect(true)
+		lost, _ := u.firstLoss(u.list[0].Name, peerSilenceTimeoutAfterOutage-2*suspectCheckInterval)
+		Expect(lost).To(BeEmpty())
+	})
+
 	// Guards against counting an agent as absent that does not answer one inquiry but sends
 	// digests meanwhile.
 	It("are not reset while a VM that does not answer inquiries sends messages", func() {
--- a/flow/work.go
+++ b/flow/work.go
@@ -178,7 +178,7 @@
 	case load.Wait:
 		t.refuseEvicted(now)
 		t.waiting.add(number, &waitingFlow{
-			key: in.Key, header: *h, since: now, until: noTimeLimit, copyNumber: in.Repeat, lastCopy: in.Repeat,
+			key: in.Key, header: *h, since: now, until: noTimeLimit, copyNumber: in.Repeat, copies: 1 << min(in.Repeat, 7),
 		})
 		t.counters.Held++
 		return Action{Kind: Wait, Flow: number, Hint: true}
--- a/flow/work_test.go
+++ b/flow/work_test.go
@@ -181,6 +181,8 @@
 		},
 		Entry("all copies of the SYN have arrived here", uint8(0), []uint8{1, 2}, true),
 		Entry("the copy that may go elsewhere has not arrived here", uint8(0), []uint8{1}, false),
+		Entry("the second copy went elsewhere after a change of balancers", uint8(0), []uint8{2}, false),
+		Entry("the first copy may have gone elsewhere", uint8(1), []uint8{2}, false),
 		Entry("an earlier copy may have gone elsewhere", uint8(2), nil, false),
 	)
 
