flow: an agent that was paused asks again before it declares flows lost

Cause: operators' case of a paused process that acts on time that has passed. An agent that is paused while an inquiry is open finds on waking that answerTimeout (400 ms) or failedPeerAnswerTimeout is over, and decides by the peers' last digests, while their answers lie unread in its socket. A flow that was opened just before the pause is in no digest yet: it was reset although its upstream holds it. Change: CheckSuspects, which runs every 30 ms while a flow is suspect, lets the time-outs of all inquiries begin anew when it has not run for more than two retry intervals, and asks again. Measured: the new spec "do not include a young flow when the agent was paused itself" fails without the change.

--- a/flow/inquiry.go
+++ b/flow/inquiry.go
@@ -64,6 +64,10 @@
 // suspect any more. Call it when SuspectsDue reports true.
 func (t *Table) CheckSuspects(now time.Duration) (lost []LostFlow, out []OutgoingInquiry, next time.Duration) {
 	t.suspectsDue = false
+	if now-t.suspectsChecked > maxInquiryGap {
+		t.restartInquiries(now)
+	}
+	t.suspectsChecked = now
 	lost = t.collectLost(now)
 	if len(t.suspected) == 0 {
 		t.inquiries = t.inquiries[:0]
@@ -80,6 +84,14 @@
 	return lost, out, next
 }
 
+// restartInquiries lets the time-outs of all inquiries begin anew, because this process was paused:
+// answers that have arrived meanwhile have not been read yet.
+func (t *Table) restartInquiries(now time.Duration) {
+	for _, q := range t.inquiries {
+		q.startedAt, q.retryAt, q.retryInterval = now, now, inquiryRetryInterval
+	}
+}
+
 // suspectCheckInterval is the interval between calls of CheckSuspects while answers are missing.
 const suspectCheckInterval = 30 * time.Millisecond
 
--- a/flow/silent_peer_test.go
+++ b/flow/silent_peer_test.go
@@ -162,6 +162,25 @@
 		Expect(u.findLost(u.list[0].Name)).To(BeEmpty())
 	})
 
+	// Guards against the same for a peer that has sent its complete digest, which does not list a
+	// flow that was opened just before the pause.
+	It("do not include a young flow when the agent was paused itself", func() {
+		u.run(2 * time.Second)
+		first, owner := u.list[0].Name, u.list[1].Name
+		k := u.keyRanked(packet.ProtoTCP, first, owner)
+		u.sendPacket(owner, numbered(k, 0))
+		u.silent[owner] = true
+		t := u.agents[u.list[0].ID]
+		t.markSuspect(u.now, k.Hash(), &packet.Header{}, &packet.Info{Key: k})
+		Expect(u.findLost(first)).To(BeEmpty())
+		u.now += 3 * time.Second
+		Expect(u.findLost(first)).To(BeEmpty())
+		delete(u.silent, owner)
+		u.now += inquiryRetryInterval
+		Expect(u.findLost(first)).To(BeEmpty())
+		Expect(t.HasSuspects()).To(BeFalse())
+	})
+
 	// Guards against a peer that counts as silent because an inquiry long ago was lost.
 	It("are not reset for one old inquiry without an answer", func() {
 		u.powerCycle(gone...)
--- a/flow/table.go
+++ b/flow/table.go
@@ -35,6 +35,7 @@
 	inquiries          []*inquiry    // about suspect flows
 	lastInquiry        uint32        // number of the latest inquiry
 	nextInquiryAt      time.Duration // earliest time of the next new inquiry
+	suspectsChecked    time.Duration // time of the last call of CheckSuspects
 	suspectsDue        bool          // CheckSuspects should be called at once
 	peersChecksum      uint64        // checksum of the upstreams that may hold flows, including this agent's
 	peersToProbeBuffer []*peer       // buffer of peersToProbe
