--- a/flow/doc.go
+++ b/flow/doc.go
@@ -57,5 +57,5 @@
 // Between rules 2 and 3, packets of a flow that waits for a decision are dropped, so that no
 // copy of the first packet that reaches this agent opens the flow elsewhere. Late copies of a
 // numbered SYN (firstRedirectedCopy and later) may do so: the Router sends them to another upstream
-// on purpose.
+// on purpose, unless a hint says that the flow waits for a slot at an agent (Router.LearnWaiting).
 package flow
