--- a/cmd/nutmegtrack/main.go
+++ b/cmd/nutmegtrack/main.go
@@ -30,6 +30,7 @@
 	newDrain,
 	newStatus,
 	newTrace,
+	newLosses,
 	newSettings,
 	newCustomers,
 	newPlans,
