load: flows of a higher priority are accepted beside requests of a lower one

Change: a flow is accepted although all slots are in use as long as requests of a lower priority are among those in progress, up to MaxDepth (3) requests for each slot. Waiting flows of a lower priority no longer hold back one of a higher priority. Table counts requests in progress by priority.

--- a/bench/loadsim/caller.go
+++ b/bench/loadsim/caller.go
@@ -142,8 +142,8 @@
 	s.after(s.work.RoundTripMilliseconds.Duration()/2, func() { s.attempt(a.request) })
 }
 
-// runBacklog gives requests to free slots in the order that earns the most: those that can be in
-// time first, the newest of them first, then those with the earliest deadline.
+// runBacklog gives requests to free slots in an order that earns much: those that can be in time
+// first, of these the ones that earn the most for their work, then those with the earliest deadline.
 func (s *world) runBacklog() {
 	if !s.policy.Ideal {
 		return
@@ -182,11 +182,16 @@
 		return aInTime
 	}
 	if aInTime {
-		return a.began > b.began
+		return s.worthOfWork(a) > s.worthOfWork(b)
 	}
 	return s.deadline(a) < s.deadline(b)
 }
 
+// worthOfWork returns the credit per nanosecond of work.
+func (s *world) worthOfWork(r *request) float64 {
+	return s.work.Classes[r.class].Worth / float64(max(r.work, 1))
+}
+
 func (s *world) canBeInTime(r *request, u *upstream) bool {
 	work := r.work
 	if s.now < u.coldUntil {
--- a/bench/loadsim/loadsim.go
+++ b/bench/loadsim/loadsim.go
@@ -43,6 +43,7 @@
 // its mechanisms, simpler ones, and the ceiling.
 var Policies = []Policy{
 	{Name: "current", Gate: &load.Config{}, Choices: 1},
+	{Name: "no-depth", Gate: &load.Config{MaxDepth: 1}, Choices: 1},
 	{Name: "no-passing-on", Gate: &load.Config{MaxPasses: -1}, Choices: 1},
 	{Name: "refuse-early", Gate: &load.Config{Oversubscription: 1}, Choices: 1},
 	{Name: "silent-expiry", Gate: &load.Config{}, Choices: 1, Silent: true},
--- a/bench/loadsim/loadsim_test.go
+++ b/bench/loadsim/loadsim_test.go
@@ -87,6 +87,15 @@
 		Expect(5 * current.Silent).To(BeNumerically("<=", silent.Silent))
 	})
 
+	// Load pattern: the same overload, most of it on flows that stay open. Guards against requests of
+	// the highest priority that wait behind those on open flows.
+	It("earns more by accepting flows of a higher priority beside requests on open flows", func() {
+		w := workload("saturation")
+		current, without := loadsim.Run(w, policy("current"), 1), loadsim.Run(w, policy("no-depth"), 1)
+		Expect(current.Worth).To(BeNumerically(">", without.Worth))
+		Expect(current.Late).To(BeNumerically("<", without.Late))
+	})
+
 	// Load pattern: the same power failure at upstreams of more slots. Guards against a policy that
 	// is worse than having none.
 	It("earns more than placement by hash, two choices or least load alone after a power failure", func() {
--- a/bench/loadsim/upstream.go
+++ b/bench/loadsim/upstream.go
@@ -27,7 +27,21 @@
 }
 
 func (u *upstream) load() load.Load {
-	return load.Load{Slots: u.world.work.Slots, Busy: len(u.running) + len(u.queued), Opening: u.opening}
+	l := load.Load{Slots: u.world.work.Slots, Busy: len(u.running) + len(u.queued), Opening: u.opening}
+	for _, r := range u.running {
+		u.world.countBelow(&l, r)
+	}
+	for i := range u.queued {
+		u.world.countBelow(&l, u.queued[i].request)
+	}
+	return l
+}
+
+// countBelow counts a request as one of a lower priority than those above its own.
+func (s *world) countBelow(l *load.Load, r *request) {
+	for p := range s.work.Classes[r.class].Priority {
+		l.BusyBelow[p]++
+	}
 }
 
 // stop loses all requests and waiting flows.
--- a/flow/receive.go
+++ b/flow/receive.go
@@ -19,6 +19,7 @@
 	}
 	hash := in.Key.Hash()
 	if e := t.flows.find(hash, &in.Key); e != nil {
+		e.notePriority(h.Class.Priority())
 		t.processClientPacket(now, e, in)
 		return t.deliver(now, h, e)
 	}
--- a/flow/store.go
+++ b/flow/store.go
@@ -22,6 +22,7 @@
 type entry struct {
 	key          packet.Key
 	flags        uint8
+	priority     uint8 // of the flow's requests; 0 is the highest
 	hash         uint64
 	lastSeen     uint32         // time of the last packet, seconds since process start
 	lingerEnd    uint32         // time of removal of a lingering flow, seconds since process start
--- a/flow/work.go
+++ b/flow/work.go
@@ -49,8 +49,9 @@
 // workload counts the upstream's load. The agent sees all requests and, usually, all responses.
 type workload struct {
 	slots    int
-	busy     int // flows with flagBusy
-	opening  int // flows with flagOpening
+	busy     int                  // flows with flagBusy
+	busyBy   [load.Priorities]int // the same by priority
+	opening  int                  // flows with flagOpening
 	openings []opening
 	head     int
 	time     openDelayEstimate
@@ -67,7 +68,21 @@
 
 // Load returns the current load of the upstream.
 func (t *Table) Load() load.Load {
-	return load.Load{Slots: t.work.slots, Busy: t.work.busy, Opening: t.work.opening}
+	l := load.Load{Slots: t.work.slots, Busy: t.work.busy, Opening: t.work.opening}
+	below := 0
+	for p := load.Priorities - 1; p >= 0; p-- {
+		l.BusyBelow[p] = below
+		below += t.work.busyBy[p]
+	}
+	return l
+}
+
+// notePriority records the priority of a flow's requests. It may change with the routes, but not
+// during a request, which is counted under it.
+func (e *entry) notePriority(p uint8) {
+	if e.flags&flagBusy == 0 {
+		e.priority = min(p, load.Priorities-1)
+	}
 }
 
 // markOpening records that a flow was accepted and its first request is expected, if there is a
@@ -135,6 +150,7 @@
 		e.flags |= flagBusy
 		e.began = milliseconds(now)
 		t.work.busy++
+		t.work.busyBy[e.priority]++
 	}
 }
 
@@ -155,6 +171,7 @@
 	if e.flags&flagBusy != 0 {
 		e.flags &^= flagBusy
 		t.work.busy--
+		t.work.busyBy[e.priority]--
 	}
 }
 
--- a/load/doc.go
+++ b/load/doc.go
@@ -24,6 +24,9 @@
 //   - The return of all clients when every upstream is cold: refused clients return at once and
 //     spend all of their attempts within the first second of the overload, so flows that have a
 //     fair chance of being accepted wait instead (Config.Oversubscription).
+//   - A lasting overload by requests on flows that stay open: they reach the upstream without
+//     asking, and fill its slots before a waiting flow is accepted. Flows of a higher priority
+//     are accepted beside them (Config.MaxDepth).
 //   - Short requests of clients with long round trips: the upstream is given as many flows
 //     beyond its slots as it completes within a round trip, as its slots would be idle
 //     otherwise.
--- a/load/gate.go
+++ b/load/gate.go
@@ -18,6 +18,11 @@
 	// MaxSlack is the maximum number of requests beyond its slots that the upstream is
 	// given. Default 64.
 	MaxSlack int
+	// MaxDepth is the maximum number of requests for each slot up to which flows are accepted
+	// that have a higher priority than some of the upstream's requests. Requests on open flows do
+	// not pass the gate, and without MaxDepth they would keep the slots from flows of a higher
+	// priority. Default 3: a request that joins two others for its slot takes three times the work.
+	MaxDepth int
 	// MaxPasses limits passing on: a flow whose Offer.Passed has reached it waits at a busy
 	// upstream instead. Default 2: each pass costs a packet between VMs, and with three
 	// choices little imbalance remains.
@@ -39,6 +44,7 @@
 
 func (c Config) withDefaults() Config {
 	c.Slack = cmp.Or(c.Slack, 2)
+	c.MaxDepth = cmp.Or(c.MaxDepth, 3)
 	c.MaxPasses = cmp.Or(c.MaxPasses, 2)
 	c.MaxSlack = cmp.Or(c.MaxSlack, 64)
 	c.MaxWaiting = cmp.Or(c.MaxWaiting, 1024)
@@ -52,8 +58,13 @@
 	Slots   int // requests that it can run at once
 	Busy    int // requests that it runs or queues
 	Opening int // accepted flows that have sent no request yet
+	// BusyBelow holds, for each priority, how many requests of Busy have a lower priority.
+	BusyBelow [Priorities]int
 }
 
+// Priorities is the number of priorities; 0 is the highest. Flows beyond have the lowest.
+const Priorities = 8
+
 // Offer is a new flow for which Gate.Offer returns a verdict. It has nothing to do with the offers
 // of package flow, which are first packets sent to a possible owner.
 type Offer struct {
@@ -115,8 +126,24 @@
 // Waiting returns the number of waiting flows.
 func (g *Gate) Waiting() int { return len(g.waiting) }
 
-// free returns the number of flows that the upstream can accept.
-func (g *Gate) free(l Load) int { return l.Slots + g.slack(l.Slots) - l.Busy - l.Opening }
+// free returns the number of flows of a priority that the upstream can accept: as many as it has room
+// for if it had no requests of a lower priority, up to MaxDepth requests for each slot.
+func (g *Gate) free(l Load, priority uint8) int {
+	inFlight := l.Busy + l.Opening
+	room := l.Slots + g.slack(l.Slots) - inFlight
+	below := l.BusyBelow[min(priority, Priorities-1)]
+	return max(room, min(room+below, g.cfg.MaxDepth*l.Slots-inFlight))
+}
+
+// waitingBefore returns the number of waiting flows of at least a priority.
+func (g *Gate) waitingBefore(priority uint8) (n int) {
+	for i := range g.waiting {
+		if g.waiting[i].Priority <= priority {
+			n++
+		}
+	}
+	return n
+}
 
 // slack returns the number of requests beyond its slots that the upstream is given.
 func (g *Gate) slack(slots int) int {
@@ -138,7 +165,7 @@
 
 // Offer returns the verdict on a new flow.
 func (g *Gate) Offer(now time.Duration, o Offer, l Load) Verdict {
-	if g.free(l) > len(g.waiting) {
+	if g.free(l, o.Priority) > g.waitingBefore(o.Priority) {
 		return Accept
 	}
 	if o.HasAlternative && o.Passed < g.cfg.MaxPasses {
@@ -200,7 +227,7 @@
 
 // Next removes and returns the flow to accept now, if there is one.
 func (g *Gate) Next(now time.Duration, l Load) (id uint64, found bool) {
-	if len(g.waiting) == 0 || g.free(l) <= 0 {
+	if len(g.waiting) == 0 {
 		return 0, false
 	}
 	first := 0
@@ -209,6 +236,9 @@
 			first = i
 		}
 	}
+	if g.free(l, g.waiting[first].Priority) <= 0 {
+		return 0, false
+	}
 	id = g.waiting[first].ID
 	g.waiting = slices.Delete(g.waiting, first, first+1)
 	return id, true
--- a/load/gate_test.go
+++ b/load/gate_test.go
@@ -66,6 +66,26 @@
 		Expect(order).To(Equal([]uint64{4, 3, 2, 1, 5}))
 	})
 
+	// Load pattern: more load than can be served, most of it on flows that stay open. Guards against
+	// flows of the highest priority that are answered late because requests of a lower priority,
+	// which the gate cannot hold back, fill the slots.
+	It("accepts flows of a higher priority beside requests of a lower one, up to a depth", func() {
+		g.RecordServiceTime(50 * ms)
+		below := func(busy int) load.Load {
+			return load.Load{Slots: 4, Busy: busy, BusyBelow: [load.Priorities]int{busy, busy}}
+		}
+		Expect(g.Offer(0, load.Offer{ID: 1, Priority: 2}, below(8))).To(Equal(load.Wait))
+		Expect(g.Offer(0, load.Offer{ID: 2, Priority: 1}, below(8))).To(Equal(load.Accept))
+		Expect(g.Offer(0, load.Offer{ID: 3, Priority: 1}, below(12))).To(Equal(load.Wait))
+		_, found := g.Next(0, below(12))
+		Expect(found).To(BeFalse())
+		id, found := g.Next(0, below(11))
+		Expect(found).To(BeTrue())
+		Expect(id).To(BeEquivalentTo(3))
+		_, found = g.Next(0, below(11))
+		Expect(found).To(BeFalse(), "the flow of the lower priority waits for a slot")
+	})
+
 	// Guards against flows that wait after their clients have aborted the attempt.
 	It("returns the flows that have waited for too long", func() {
 		Expect(g.Offer(0, load.Offer{ID: 1, Sent: -600 * ms}, full)).To(Equal(load.Wait))
