--- a/bench/loadsim/caller.go
+++ b/bench/loadsim/caller.go
@@ -108,9 +108,9 @@
 			a.accept(u)
 			return
 		}
-		s.attempts++
+		s.offers++
 		o := load.Offer{
-			ID: s.attempts, Sent: a.sent, Priority: uint8(c.Priority), Objective: c.ObjectiveMilliseconds.Duration(),
+			ID: s.offers, Sent: a.sent, Priority: uint8(c.Priority), Objective: c.ObjectiveMilliseconds.Duration(),
 			Passed: passed, HasAlternative: passed+1 < len(up),
 		}
 		switch u.gate.Offer(s.now, o, u.load()) {
--- a/bench/loadsim/upstream.go
+++ b/bench/loadsim/upstream.go
@@ -12,7 +12,7 @@
 	world     *world
 	gate      *load.Gate // nil if every flow is accepted
 	up        bool
-	starts    int
+	stops     int // tells events of an earlier run from those of this one
 	coldUntil time.Duration
 	running   []*request
 	queued    []queuedRequest
@@ -48,7 +48,7 @@
 func (u *upstream) stop() {
 	s := u.world
 	u.up = false
-	u.starts++
+	u.stops++
 	lost := slices.Clone(u.running)
 	for _, q := range u.queued {
 		lost = append(lost, q.request)
@@ -99,9 +99,9 @@
 		work = time.Duration(float64(work) * s.work.ColdFactor)
 	}
 	u.running = append(u.running, r)
-	run := u.starts
+	run := u.stops
 	s.after(work, func() {
-		if u.starts != run {
+		if u.stops != run {
 			return
 		}
 		u.running = slices.DeleteFunc(u.running, func(x *request) bool { return x == r })
@@ -131,7 +131,7 @@
 		}
 		u.admit()
 	}
-	if s.now < s.work.Seconds.Duration()+time.Minute && (s.events.Len() > len(s.upstreams) || s.now < s.work.Seconds.Duration()) {
+	if s.open > 0 || s.now < s.work.Seconds.Duration() {
 		s.after(gateStep, u.step)
 	}
 }
@@ -175,10 +175,10 @@
 	u.opening++
 	ghost := a.over || a.opened
 	a.opened = true
-	run := u.starts
+	run := u.stops
 	trip := s.work.RoundTripMilliseconds.Duration()
 	s.after(trip, func() {
-		if u.starts != run {
+		if u.stops != run {
 			if !ghost && !a.over {
 				a.over = true
 				s.lose(a.request, false)
--- a/bench/loadsim/world.go
+++ b/bench/loadsim/world.go
@@ -21,7 +21,8 @@
 	upstreams []*upstream
 	idle      [][]*upstream // by class: upstreams of the idle long flows
 	backlog   []*request    // of the ideal policy
-	attempts  uint64
+	open      int           // requests that have not ended
+	offers    uint64        // number of the last offer to a gate
 	totals    Result
 	windows   []credit
 }
@@ -130,6 +131,7 @@
 	r := &request{class: class, began: s.now, attempts: c.Attempts,
 		work: time.Duration(factor * float64(c.WorkMilliseconds.Duration()))}
 	s.totals.Requests++
+	s.open++
 	s.windowOf(r).owed += c.Worth
 	s.after(c.DeadlineMilliseconds.Duration(), func() { s.fail(r) })
 	if s.policy.Ideal {
@@ -148,6 +150,7 @@
 		return
 	}
 	r.ended = true
+	s.open--
 	c := &s.work.Classes[r.class]
 	if s.now-r.began <= c.ObjectiveMilliseconds.Duration() {
 		s.totals.InTime++
@@ -161,6 +164,7 @@
 func (s *world) fail(r *request) {
 	if !r.ended {
 		r.ended = true
+		s.open--
 		s.totals.Failed++
 	}
 }
@@ -183,7 +187,7 @@
 	}
 }
 
-// resetLostFlows returns the time until the caller of a lost flow receives a reset.
+// untilReset returns the time until the caller of a lost flow receives a reset.
 func (s *world) untilReset() time.Duration {
 	o := &s.work.Outage
 	at := (o.AtSeconds + o.DownSeconds + o.SpreadSeconds + o.ResetSeconds).Duration()
