flow, agent, event, bench/loadsim: logs name what decided; the delays of SYN copies stand once

Cause: read as a newcomer. 1810 showed a flow accepted at an upstream without a free slot, but not the requests of a lower priority that allowed it; 1814 did not show that silent peers were counted as absent. Package loadsim repeated the delays of the copies of a SYN. No decision changes.

--- a/agent/flowlog.go
+++ b/agent/flowlog.go
@@ -14,7 +14,8 @@
 func (a *Agent) logFirstPacket(now time.Duration, t *flow.Table, in *packet.Info, h *packet.Header, action *flow.Action, waited time.Duration) {
 	id, l := daemon.FlowID(&in.Key), t.Load()
 	pairs := []any{"flow", id, "copy", in.Repeat, "hops", h.Hops, "state", t.State(),
-		"busy", l.Busy, "opening", l.Opening, "slots", l.Slots, "waiting", t.Waiting()}
+		"busy", l.Busy, "opening", l.Opening, "slots", l.Slots, "waiting", t.Waiting(),
+		"priority", h.Class.Priority(), "below", l.BusyBelow[h.Class.Priority()]}
 	switch action.Kind {
 	case flow.Deliver:
 		a.log.LogFlow(event.FlowDelivered, append(pairs, "open", t.Open(), "waited", waited.Seconds(), "from", h.Origin)...)
@@ -52,7 +53,7 @@
 func (a *Agent) logReset(now time.Duration, t *flow.Table, k *packet.Key, reason flow.Reason) {
 	peers, changed := t.Peers()
 	a.log.LogFlow(event.FlowReset, "flow", daemon.FlowID(k), "reason", reason, "start", t.UpstreamStart(),
-		"peers", peers, "peers_age", (now - changed).Seconds())
+		"peers", peers, "peers_age", (now - changed).Seconds(), "silent", t.SilentPeers(now))
 }
 
 // logRefused logs the flows that were refused after a wait for a slot and returns those
--- a/bench/loadsim/caller.go
+++ b/bench/loadsim/caller.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/nutmegtrack/nutmegtrack/flow"
 	"github.com/nutmegtrack/nutmegtrack/load"
 )
 
@@ -18,8 +19,8 @@
 	places  int // upstreams at which the flow waits
 }
 
-// copyDelays are the times after which a caller sends its SYN again (the platform's clients).
-var copyDelays = [...]time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
+// copies is the number of times that a caller sends its SYN, the original included.
+const copies = 3
 
 // attempt sends a request on an idle flow, or opens a flow for it.
 func (s *world) attempt(r *request) {
@@ -39,8 +40,8 @@
 		return
 	}
 	a := &attempt{world: s, request: r, sent: s.now, order: s.firstChoices()}
-	for i, d := range copyDelays {
-		s.after(d+s.work.RoundTripMilliseconds.Duration()/2, func() { a.sendCopy(i) })
+	for i := range copies {
+		s.after(flow.SYNCopyDelay(uint8(i))+s.work.RoundTripMilliseconds.Duration()/2, func() { a.sendCopy(i) })
 	}
 	s.after(s.work.AttemptMilliseconds.Duration(), func() {
 		if !a.opened && !a.over && !r.ended {
@@ -80,7 +81,7 @@
 // sendCopy sends a copy of the attempt's SYN.
 func (a *attempt) sendCopy(number int) {
 	s := a.world
-	redirected := number == len(copyDelays)-1
+	redirected := number == copies-1
 	if a.over || a.opened || a.request.ended || a.places > 0 && !(redirected && s.policy.Redirect) {
 		return
 	}
--- a/flow/admission.go
+++ b/flow/admission.go
@@ -51,7 +51,7 @@
 	if f.copyNumber >= firstRedirectedCopy {
 		return true
 	}
-	allSent := now-f.since+synCopyDelay(f.copyNumber) >= synCopyDelay(firstRedirectedCopy)
+	allSent := now-f.since+SYNCopyDelay(f.copyNumber) >= SYNCopyDelay(firstRedirectedCopy)
 	return allSent && f.copies != allCopies
 }
 
--- a/flow/lost.go
+++ b/flow/lost.go
@@ -293,6 +293,16 @@
 	return p.unansweredSince != never && now-p.inquiredAt <= maxInquiryGap && now-p.unansweredSince >= t.silenceTimeout()
 }
 
+// SilentPeers returns the number of peers that count as absent because nothing has arrived from them.
+func (t *Table) SilentPeers(now time.Duration) (n int) {
+	for _, p := range t.peers.list {
+		if t.isUnresponsive(now, p) || t.isSilent(now, p) {
+			n++
+		}
+	}
+	return n
+}
+
 func (t *Table) silenceTimeout() time.Duration {
 	if t.noEarlierFlows {
 		return peerSilenceTimeoutAfterOutage
--- a/flow/silent_peer_test.go
+++ b/flow/silent_peer_test.go
@@ -100,6 +100,7 @@
 		lost, took := u.firstLoss(u.list[0].Name, 5*time.Second)
 		Expect(lost).To(HaveLen(1))
 		Expect(took).To(BeNumerically("<=", peerSilenceTimeoutAfterOutage+suspectCheckInterval))
+		Expect(u.agents[u.list[0].ID].SilentPeers(u.now)).To(Equal(len(gone)))
 	})
 
 	// Guards against the end of a request that may run only once while its upstream may be
--- a/flow/work.go
+++ b/flow/work.go
@@ -182,7 +182,7 @@
 	t.waiting.last++
 	number := t.waiting.last
 	offer := load.Offer{
-		ID: number, Sent: now - synCopyDelay(in.Repeat), Priority: h.Class.Priority(), Objective: h.Class.LatencyObjective(),
+		ID: number, Sent: now - SYNCopyDelay(in.Repeat), Priority: h.Class.Priority(), Objective: h.Class.LatencyObjective(),
 		Passed: lastVisited(h) + 1, HasAlternative: next != nil && h.Hops+1 < packet.MaxHops,
 	}
 	switch t.cfg.Gate.Offer(now, offer, t.Load()) {
@@ -209,9 +209,9 @@
 	return t.drop(ReasonRefused)
 }
 
-// synCopyDelay returns the time after the first SYN at which a client of the platform, which
+// SYNCopyDelay returns the time after the first SYN at which a client of the platform, which
 // numbers its SYNs, sends the copy with the given number: 200 and 600 ms.
-func synCopyDelay(copyNumber uint8) time.Duration {
+func SYNCopyDelay(copyNumber uint8) time.Duration {
 	switch copyNumber {
 	case 0:
 		return 0
--- a/flow/work_test.go
+++ b/flow/work_test.go
@@ -198,7 +198,7 @@
 			for _, repeat := range copies {
 				Expect(receive(numbered(k, repeat)).Reason).To(Equal(ReasonWaiting))
 			}
-			r.now += 1200*time.Millisecond - synCopyDelay(first)
+			r.now += 1200*time.Millisecond - SYNCopyDelay(first)
 			t.Step(r.now)
 			refused := t.RefusedFlows()
 			Expect(refused).To(HaveLen(1))
