--- a/flow/inquiry.go
+++ b/flow/inquiry.go
@@ -179,7 +179,7 @@
 // AnswerInquiry returns this agent's answer to a peer's inquiry.
 func (t *Table) AnswerInquiry(now time.Duration, q *packet.Inquiry) packet.InquiryAnswer {
 	if p := t.peers.get(q.From); p != nil {
-		p.noteHeard()
+		p.noteHeard(now)
 	}
 	a := packet.InquiryAnswer{From: t.self.ID, Number: q.Number, Statuses: make([]packet.FlowStatus, len(q.Flows))}
 	for i, hash := range q.Flows {
@@ -218,7 +218,7 @@
 func (t *Table) HandleInquiryAnswer(now time.Duration, a *packet.InquiryAnswer) {
 	p := t.peers.get(a.From)
 	if p != nil {
-		p.noteHeard()
+		p.noteHeard(now)
 	}
 	i := slices.IndexFunc(t.inquiries, func(q *inquiry) bool { return q.number == a.Number })
 	if i < 0 || p == nil || len(a.Statuses) != len(t.inquiries[i].flows) {
@@ -252,17 +252,8 @@
 		out[i] = true
 	}
 	for _, p := range t.peers.list {
-		statuses := q.answers[p.ID]
 		for i, hash := range q.flows {
-			mayRepeat := t.unknownFlows[hash].mayRepeat
-			switch {
-			case statuses == nil:
-				out[i] = out[i] && !t.mayHoldWithoutAnswer(now, q, p, mayRepeat)
-			case statuses[i] == packet.MaybeHeld:
-				out[i] = out[i] && t.countsAsAbsent(now, q, p, mayRepeat)
-			default:
-				out[i] = out[i] && statuses[i] == packet.NotHeld
-			}
+			out[i] = out[i] && t.exclusion(now, q, p, i, t.unknownFlows[hash].mayRepeat) != NotExcluded
 		}
 	}
 	return out
@@ -281,30 +272,56 @@
 	return false
 }
 
-// mayHoldWithoutAnswer reports whether the upstream of a peer that has not answered an inquiry may
-// hold one of its flows. mayRepeat says whether the flow's requests may be repeated.
-func (t *Table) mayHoldWithoutAnswer(now time.Duration, q *inquiry, p *peer, mayRepeat bool) bool {
-	if t.countsAsAbsent(now, q, p, mayRepeat) {
-		return false
+// exclusion returns the rule by which the upstream of a peer counts as not holding flow i of an
+// inquiry. mayRepeat says whether the flow's requests may be repeated.
+func (t *Table) exclusion(now time.Duration, q *inquiry, p *peer, i int, mayRepeat bool) Exclusion {
+	statuses := q.answers[p.ID]
+	switch {
+	case statuses == nil:
+		return t.excludedWithoutAnswer(now, q, p, mayRepeat)
+	case statuses[i] == packet.MaybeHeld:
+		return t.excludedAsAbsent(now, q, p, mayRepeat)
+	case statuses[i] == packet.NotHeld:
+		return ExcludedByAnswer
+	}
+	return NotExcluded
+}
+
+// excludedWithoutAnswer returns the rule by which the upstream of a peer that has not answered an
+// inquiry counts as holding none of its flows.
+func (t *Table) excludedWithoutAnswer(now time.Duration, q *inquiry, p *peer, mayRepeat bool) Exclusion {
+	if rule := t.excludedAsAbsent(now, q, p, mayRepeat); rule != NotExcluded {
+		return rule
 	}
 	if p.State == Failed || p.State == AgentRestarting {
-		return true
+		return NotExcluded
 	}
-	return now-q.startedAt < answerTimeout || !p.inbox.senderComplete || !p.inbox.verified
+	if now-q.startedAt >= answerTimeout && p.inbox.senderComplete && p.inbox.verified {
+		return ExcludedByDigest
+	}
+	return NotExcluded
 }
 
-// countsAsAbsent reports whether a peer that has given no conclusive answer to an inquiry counts as
-// absent together with its upstream.
-func (t *Table) countsAsAbsent(now time.Duration, q *inquiry, p *peer, mayRepeat bool) bool {
-	switch p.State {
-	case Leaving:
-		return true
-	case Failed:
-		return now-q.startedAt >= failedPeerAnswerTimeout && (mayRepeat || now-p.stateChanged >= failedPeerGracePeriod)
-	case AgentRestarting:
-		return now-p.stateChanged >= peerRestartTimeout
+// excludedAsAbsent returns the rule by which a peer that has given no conclusive answer to an
+// inquiry counts as absent together with its upstream.
+func (t *Table) excludedAsAbsent(now time.Duration, q *inquiry, p *peer, mayRepeat bool) Exclusion {
+	switch {
+	case p.State == Leaving:
+		return ExcludedLeaving
+	case p.State == Failed:
+		if now-q.startedAt >= failedPeerAnswerTimeout && (mayRepeat || now-p.stateChanged >= failedPeerGracePeriod) {
+			return ExcludedFailed
+		}
+	case p.State == AgentRestarting:
+		if now-p.stateChanged >= peerRestartTimeout {
+			return ExcludedRestarting
+		}
+	case t.isUnresponsive(now, p):
+		return ExcludedUnresponsive
+	case mayRepeat && t.isSilent(now, p):
+		return ExcludedSilent
 	}
-	return t.isUnresponsive(now, p) || mayRepeat && t.isSilent(now, p)
+	return NotExcluded
 }
 
 // computePeersChecksum returns a checksum of the IDs of the upstreams that may hold flows,
--- a/flow/lifetime.go
+++ b/flow/lifetime.go
@@ -30,15 +30,17 @@
 }
 
 // HandleReply processes a packet on its way from the upstream to the client. in.Key is that of
-// the reply, from the service to the client.
-func (t *Table) HandleReply(now time.Duration, in *packet.Info) {
+// the reply, from the service to the client. It reports whether the packet has added its flow to
+// the table.
+func (t *Table) HandleReply(now time.Duration, in *packet.Info) (adopted bool) {
 	k := in.Key.Reverse()
 	e := t.flows.find(k.Hash(), &k)
 	if e == nil {
 		e = t.adopt(now, &k, in)
+		adopted = e != nil
 	}
 	if e == nil || in.ICMPError {
-		return
+		return adopted
 	}
 	e.lastSeen = seconds(now)
 	e.flags |= flagReplies
@@ -47,6 +49,7 @@
 		e.flags |= flagServerFIN
 	}
 	t.updateLinger(now, e, in.RST)
+	return adopted
 }
 
 // updateLinger starts or extends the linger time of a flow that the client and the upstream
--- a/flow/lost.go
+++ b/flow/lost.go
@@ -42,34 +42,39 @@
 // lostFlows records, by hash, flows that no upstream holds: they ended with this agent's
 // upstream or were found to be lost.
 type lostFlows struct {
-	until map[uint64]time.Duration
-	max   int
+	byHash map[uint64]lostFlow
+	max    int
+}
+
+type lostFlow struct {
+	until time.Duration
+	cause LossCause
 }
 
 func newLostFlows(max int) lostFlows {
-	return lostFlows{until: make(map[uint64]time.Duration), max: max}
+	return lostFlows{byHash: make(map[uint64]lostFlow), max: max}
 }
 
-func (l *lostFlows) record(now time.Duration, hash uint64) {
-	if len(l.until) < l.max {
-		l.until[hash] = now + lostFlowRetention
+func (l *lostFlows) record(now time.Duration, hash uint64, cause LossCause) {
+	if len(l.byHash) < l.max {
+		l.byHash[hash] = lostFlow{until: now + lostFlowRetention, cause: cause}
 	}
 }
 
 func (l *lostFlows) has(now time.Duration, hash uint64) bool {
-	if len(l.until) == 0 {
+	if len(l.byHash) == 0 {
 		return false
 	}
-	until, found := l.until[hash]
-	return found && now < until
+	f, found := l.byHash[hash]
+	return found && now < f.until
 }
 
-func (l *lostFlows) forget(hash uint64) { delete(l.until, hash) }
+func (l *lostFlows) forget(hash uint64) { delete(l.byHash, hash) }
 
 func (l *lostFlows) expire(now time.Duration) {
-	for hash, until := range l.until {
-		if now >= until {
-			delete(l.until, hash)
+	for hash, f := range l.byHash {
+		if now >= f.until {
+			delete(l.byHash, hash)
 		}
 	}
 }
@@ -163,7 +168,8 @@
 // packets of these flows with a reset.
 func (t *Table) collectLost(now time.Duration) (out []LostFlow) {
 	canDeclare := t.canDeclareLost(now)
-	heldByNone := t.flowsHeldByNoPeer(now)
+	findings := t.inquiryFindings(now)
+	t.lossFindings = t.lossFindings[:0]
 	kept := t.suspected[:0]
 	for _, hash := range t.suspected {
 		f, known := t.unknownFlows[hash]
@@ -177,11 +183,12 @@
 			t.forwardSuspect(to, &f)
 			f.suspected = false
 			t.unknownFlows[hash] = f
-		case !canDeclare || !heldByNone[hash]:
+		case !canDeclare || !findings[hash].lost:
 			kept = append(kept, hash)
 		default:
 			delete(t.unknownFlows, hash)
-			t.lost.record(now, hash)
+			t.lost.record(now, hash, FoundLost)
+			t.lossFindings = append(t.lossFindings, findings[hash])
 			t.counters.Reset++
 			out = append(out, LostFlow{Key: f.key, Ack: f.ack})
 		}
@@ -195,13 +202,14 @@
 	return t.likelyOwner(now, hash, &packet.Header{}) != nil
 }
 
-// flowsHeldByNoPeer returns for each flow of an inquiry whether certainly no peer's upstream holds
+// inquiryFindings returns for each flow of an inquiry whether certainly no peer's upstream holds
 // it.
-func (t *Table) flowsHeldByNoPeer(now time.Duration) map[uint64]bool {
-	out := make(map[uint64]bool)
+func (t *Table) inquiryFindings(now time.Duration) map[uint64]finding {
+	out := make(map[uint64]finding)
 	for _, q := range t.inquiries {
-		for i, heldByNone := range t.heldByNoPeer(now, q) {
-			out[q.flows[i]] = heldByNone
+		for i, lost := range t.heldByNoPeer(now, q) {
+			hash := q.flows[i]
+			out[hash] = finding{inquiry: q, index: i, mayRepeat: t.unknownFlows[hash].mayRepeat, lost: lost}
 		}
 	}
 	return out
--- a/flow/peer.go
+++ b/flow/peer.go
@@ -22,6 +22,7 @@
 	// unansweredSince is the time of the first of the inquiries that were sent without a gap since
 	// the peer was last heard from; never if there is none. inquiredAt is that of the last one.
 	unansweredSince, inquiredAt time.Duration
+	heardAt                     time.Duration // when it was last heard from; never if it has not
 }
 
 // loadReport is the last load report of a peer. Flows that Table.receiveFirst has handed off to the
@@ -35,7 +36,7 @@
 const never = -1 << 62 * time.Nanosecond
 
 func newPeer(now time.Duration, u Upstream) *peer {
-	p := &peer{Upstream: u, seed: seedOf(u.ID), acceptedSince: now, acceptedUntil: never, listedSince: now, stateChanged: now, unansweredSince: never, inquiredAt: never}
+	p := &peer{Upstream: u, seed: seedOf(u.ID), acceptedSince: now, acceptedUntil: never, listedSince: now, stateChanged: now, unansweredSince: never, inquiredAt: never, heardAt: never}
 	// A draining upstream may have accepted flows until just now.
 	if u.State.Accepts() || u.State == Draining {
 		p.acceptedUntil = now
@@ -56,8 +57,8 @@
 	p.inquiredAt = now
 }
 
-// noteHeard records that a message or an answer of the peer has arrived.
-func (p *peer) noteHeard() { p.unansweredSince = never }
+// noteHeard records that a message, an inquiry or an answer of the peer has arrived.
+func (p *peer) noteHeard(now time.Duration) { p.heardAt, p.unansweredSince = now, never }
 
 // update replaces the record by a newer one of the same incarnation.
 func (p *peer) update(now time.Duration, u Upstream) {
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -63,7 +63,9 @@
 		return t.drop(ReasonWaiting), true
 	case known:
 		delete(t.unknownFlows, hash)
-		return t.deliver(now, h, t.takeOwnership(now, hash, &in.Key)), true
+		a := t.deliver(now, h, t.takeOwnership(now, hash, &in.Key))
+		a.Unreturned = true
+		return a, true
 	case len(t.unknownFlows) >= maxUnknownFlows || h.Tried >= maxTried && h.Flags&packet.FlagTryAll == 0:
 		return Action{}, false
 	}
@@ -137,21 +139,21 @@
 	if before == 0 || before == start {
 		return
 	}
-	t.endAllFlows(now)
+	t.endAllFlows(now, UpstreamRestarted)
 }
 
 // SetUpstreamStopped records that the upstream does not run: its flows are lost.
 func (t *Table) SetUpstreamStopped(now time.Duration) {
 	t.noEarlierFlows = true
 	t.rebuildUntil = now
-	t.endAllFlows(now)
+	t.endAllFlows(now, UpstreamStopped)
 }
 
 // endAllFlows ends all flows and records them as lost.
-func (t *Table) endAllFlows(now time.Duration) {
+func (t *Table) endAllFlows(now time.Duration, cause LossCause) {
 	for len(t.flows.entries) > 0 {
 		last := len(t.flows.entries) - 1
-		t.lost.record(now, t.flows.entries[last].hash)
+		t.lost.record(now, t.flows.entries[last].hash, cause)
 		t.removeAt(now, last)
 	}
 	clear(t.unknownFlows)
--- a/flow/step.go
+++ b/flow/step.go
@@ -119,7 +119,7 @@
 	}
 	p := t.peers.get(m.From)
 	if p != nil {
-		p.noteHeard()
+		p.noteHeard(now)
 	}
 	if p != nil && m.HasLoad {
 		p.load = loadReport{known: true, open: int(m.Open), limit: int(m.Limit)}
--- a/flow/table.go
+++ b/flow/table.go
@@ -33,6 +33,7 @@
 	// suspected are the hashes of suspect flows, which may be lost.
 	suspected          []uint64
 	inquiries          []*inquiry    // about suspect flows
+	lossFindings       []finding     // of the flows that the last call of CheckSuspects has returned
 	lastInquiry        uint32        // number of the latest inquiry
 	nextInquiryAt      time.Duration // earliest time of the next new inquiry
 	suspectsChecked    time.Duration // time of the last call of CheckSuspects
--- a/flow/view.go
+++ b/flow/view.go
@@ -73,6 +73,7 @@
 	Start         uint64
 	Addr          netip.AddrPort // agent's data address, to which packets for the agent are sent
 	State         State
+	StateSource   StateSource
 	FailureDomain string
 }
 
