agent, event: the line of a reset names its evidence; probes, their returns and takeovers have lines

Cause: From event 1814 nobody could tell who had answered "not held" and which peers were left out by which rule, nor a reset by inquiry from one of a flow that ended with the agent's own upstream, nor a first reset from a repeated one. In event 1815 a packet that the upstream had returned read like one that was forwarded at once, and had no line if the owner was known by then; a packet delivered because a probe was not returned within 30 ms had no line either. So nobody could count at which upstreams a flow's packets had ended. Change: 1814 has cause, recorded, complete, asked_for, denied, denied_by, excluded and excluded_as (at most four peers each); 1815 has outcomes for returned packets and takeovers, tried, known and complete; 1816 is logged when an upstream sends a packet of a flow that its agent's table, counted as complete, did not have. New metrics: probes.delivered, probes.returned, flows.lost_by.RULE. The pair `returned` of 1815 is now part of its outcome. No decision is changed.

--- a/agent/counters.go
+++ b/agent/counters.go
@@ -4,6 +4,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/nutmegtrack/nutmegtrack/daemon"
+	"github.com/nutmegtrack/nutmegtrack/flow"
 )
 
 // batchCounts holds the packet counts of one batch, so that a reader updates the shared
@@ -12,6 +13,7 @@
 	received, delivered, forwarded, replies          int
 	hints, malformed, wrongEndpoint, refusedBySystem int
 	late, returned, resets, inquiries                int // late: dropped because of their age; returned: by the upstream
+	probes, probesReturned                           int // packets of unknown flows delivered to the upstream, and those that it has returned
 	dropped                                          daemon.Drops
 	firstDelivered                                   bool // the first packet of a flow was delivered
 }
@@ -21,11 +23,14 @@
 	received, delivered, forwarded, replies          metrics.Counter
 	hints, malformed, wrongEndpoint, refusedBySystem metrics.Counter
 	late, returned, resets, inquiries                metrics.Counter
+	probes, probesReturned                           metrics.Counter
 	dropped                                          daemon.DropCounters
+	// lost counts flows that were found lost, by rule: those for which the rule has excluded a peer.
+	lost [len(flow.PeerCounts{})]metrics.Counter
 }
 
 func newCounters(r metrics.Registry) *counters {
-	return &counters{
+	c := &counters{
 		received:        metrics.NewRegisteredCounter("packets.received", r),
 		dropped:         daemon.NewDropCounters(r),
 		delivered:       metrics.NewRegisteredCounter("packets.delivered", r),
@@ -33,6 +38,8 @@
 		replies:         metrics.NewRegisteredCounter("packets.replies", r),
 		hints:           metrics.NewRegisteredCounter("hints.sent", r),
 		returned:        metrics.NewRegisteredCounter("packets.returned", r),
+		probes:          metrics.NewRegisteredCounter("probes.delivered", r),
+		probesReturned:  metrics.NewRegisteredCounter("probes.returned", r),
 		resets:          metrics.NewRegisteredCounter("resets.sent", r),
 		inquiries:       metrics.NewRegisteredCounter("inquiries.sent", r),
 		late:            metrics.NewRegisteredCounter("packets.late", r),
@@ -40,6 +47,18 @@
 		wrongEndpoint:   metrics.NewRegisteredCounter("packets.dropped.wrong_endpoint", r),
 		refusedBySystem: metrics.NewRegisteredCounter("packets.refused_by_system", r),
 	}
+	for i := range c.lost {
+		c.lost[i] = metrics.NewRegisteredCounter("flows.lost_by."+flow.Exclusion(i).String(), r)
+	}
+	return c
+}
+
+func (c *counters) addLost(e *flow.Evidence) {
+	for rule, peers := range e.ByRule {
+		if peers > 0 {
+			c.lost[rule].Inc(1)
+		}
+	}
 }
 
 func (c *counters) add(t *batchCounts) {
@@ -51,6 +70,8 @@
 	daemon.Count(c.malformed, t.malformed)
 	daemon.Count(c.late, t.late)
 	daemon.Count(c.returned, t.returned)
+	daemon.Count(c.probes, t.probes)
+	daemon.Count(c.probesReturned, t.probesReturned)
 	daemon.Count(c.resets, t.resets)
 	daemon.Count(c.inquiries, t.inquiries)
 	daemon.Count(c.wrongEndpoint, t.wrongEndpoint)
--- a/agent/flowlog.go
+++ b/agent/flowlog.go
@@ -1,6 +1,8 @@
 package agent
 
 import (
+	"fmt"
+	"strings"
 	"time"
 
 	"github.com/nutmegtrack/nutmegtrack/daemon"
@@ -38,22 +40,75 @@
 	switch {
 	case action.Kind == flow.Deliver && action.Probe:
 		outcome = "delivered as a probe"
+	case action.Kind == flow.Deliver && action.Unreturned:
+		outcome = "delivered, as no probe was returned"
+	case action.Kind == flow.Forward && in.Returned:
+		outcome = "returned by the upstream and forwarded"
 	case action.Kind == flow.Forward && !action.OwnerKnown:
 		outcome = "forwarded to another agent"
 	case action.Kind == flow.Reset:
-		a.logReset(now, t, &in.Key, action.Reason)
+		a.logRecordedReset(now, t, &in.Key)
 		return
 	case action.Kind != flow.Drop:
 		return
+	case in.Returned:
+		outcome = "returned by the upstream and dropped"
 	}
-	a.log.LogFlow(event.FlowUnknown, "flow", daemon.FlowID(&in.Key), "outcome", outcome, "to", action.Addr,
-		"reason", action.Reason, "hops", h.Hops, "state", t.State(), "returned", in.Returned)
+	a.log.LogFlow(event.FlowUnknown, "flow", daemon.FlowID(&in.Key), "outcome", outcome, "to", action.Addr, "known", action.OwnerKnown,
+		"reason", action.Reason, "hops", h.Hops, "tried", h.Tried, "state", t.State(), "complete", t.Completeness(now))
 }
 
-func (a *Agent) logReset(now time.Duration, t *flow.Table, k *packet.Key, reason flow.Reason) {
+// logAdopted logs a flow that the upstream's own packet has added to a table that counted as
+// complete. While the table is being rebuilt, this happens to all flows and is not logged.
+func (a *Agent) logAdopted(now time.Duration, t *flow.Table, reply *packet.Info) {
+	if c := t.Completeness(now); c != flow.Incomplete {
+		k := reply.Key.Reverse()
+		a.log.LogFlow(event.FlowAdopted, "flow", daemon.FlowID(&k), "complete", c, "state", t.State(), "start", t.UpstreamStart())
+	}
+}
+
+// logLost logs and counts the reset of a flow that an inquiry has found lost, with the evidence.
+func (a *Agent) logLost(now time.Duration, t *flow.Table, k *packet.Key, e *flow.Evidence) {
+	a.counters.addLost(e)
+	a.log.LogFlow(event.FlowReset, append(resetPairs(now, t, k, flow.FoundLost),
+		"silent", t.SilentPeers(now), "asked_for", e.Inquiry.Seconds(), "may_repeat", e.MayRepeat,
+		"denied", e.Denied, "denied_by", strings.Join(e.DeniedBy, " "),
+		"excluded", e.Excluded, "excluded_as", formatExcluded(e.ExcludedAs))...)
+}
+
+// logRecordedReset logs the reset that answers a packet of a flow recorded as lost.
+func (a *Agent) logRecordedReset(now time.Duration, t *flow.Table, k *packet.Key) {
+	cause, age := t.RecordedLoss(now, k)
+	a.log.LogFlow(event.FlowReset, append(resetPairs(now, t, k, cause), "recorded", age.Seconds())...)
+}
+
+func resetPairs(now time.Duration, t *flow.Table, k *packet.Key, cause flow.LossCause) []any {
 	peers, changed := t.Peers()
-	a.log.LogFlow(event.FlowReset, "flow", daemon.FlowID(k), "reason", reason, "start", t.UpstreamStart(),
-		"peers", peers, "peers_age", (now - changed).Seconds(), "silent", t.SilentPeers(now))
+	return []any{"flow", daemon.FlowID(k), "reason", flow.ReasonFlowLost, "cause", cause, "start", t.UpstreamStart(),
+		"complete", t.Completeness(now), "peers", peers, "peers_age", (now - changed).Seconds()}
+}
+
+// formatExcluded returns one text with the peers' names, each followed by what was known of it.
+func formatExcluded(peers []flow.PeerEvidence) string {
+	var b strings.Builder
+	for i := range peers {
+		p := &peers[i]
+		if i > 0 {
+			b.WriteString("; ")
+		}
+		heard := "never"
+		if p.Heard >= 0 {
+			heard = fmt.Sprintf("%.3f", p.Heard.Seconds())
+		}
+		fmt.Fprintf(&b, "%s rule=%v state=%v for=%.3f from=%v heard=%s", p.Name, p.ExcludedFor, p.State, p.InState.Seconds(), p.Source, heard)
+		if p.Inquired {
+			b.WriteString(" inquired")
+		}
+		if p.MayHold {
+			b.WriteString(" may_hold")
+		}
+	}
+	return b.String()
 }
 
 // logRefused logs the flows that were refused after a wait for a slot and returns those
--- a/agent/reader.go
+++ b/agent/reader.go
@@ -92,6 +92,9 @@
 	switch action.Kind {
 	case flow.Deliver:
 		r.deliver(&h, raw)
+		if action.Probe {
+			r.counts.probes++
+		}
 		if action.Hint {
 			r.sendHints(&h, i, action.ExtraHints)
 		}
@@ -277,7 +280,9 @@
 				r.handleReturned(now, t, i)
 				continue
 			}
-			t.HandleReply(now, &r.info)
+			if t.HandleReply(now, &r.info) && r.agent.options.Packets != nil {
+				r.agent.logAdopted(now, t, &r.info)
+			}
 			k := r.info.Key.Reverse()
 			r.agent.learnEndpoint(&k)
 			to = r.clientAddress()
@@ -317,6 +322,7 @@
 	if r.info.First {
 		r.agent.logFirstPacket(now, t, &r.info, &h, &action, 0)
 	} else {
+		r.counts.probesReturned++
 		r.agent.logUnownedPacket(now, t, &r.info, &h, &action)
 	}
 	if action.Kind != flow.Forward {
--- a/agent/suspects.go
+++ b/agent/suspects.go
@@ -66,7 +66,8 @@
 	a.flows.do(func(now time.Duration, t *flow.Table) {
 		lost, inquiries, next = t.CheckSuspects(now)
 		for i := range lost {
-			a.logReset(now, t, &lost[i].Key, flow.ReasonFlowLost)
+			e := t.LossEvidence(now, i)
+			a.logLost(now, t, &lost[i].Key, &e)
 		}
 		a.urgent.wakeDue(t)
 	})
--- a/flow/evidence.go
+++ b/flow/evidence.go
@@ -63,6 +63,9 @@
 	ExcludedFor Exclusion
 }
 
+// PeerCounts holds the number of peers that each Exclusion has excluded.
+type PeerCounts [exclusionCount]int
+
 // Evidence is what a flow was found to be lost on. Both lists hold at most maxEvidencePeers peers.
 type Evidence struct {
 	Inquiry    time.Duration // time since the inquiry began
@@ -71,6 +74,7 @@
 	DeniedBy   []string
 	Excluded   int // number of peers that were excluded without such an answer
 	ExcludedAs []PeerEvidence
+	ByRule     PeerCounts
 }
 
 // finding is the result of an inquiry about one flow.
@@ -88,6 +92,7 @@
 	out := Evidence{Inquiry: now - f.inquiry.startedAt, MayRepeat: f.mayRepeat}
 	for _, p := range t.peers.list {
 		rule := t.exclusion(now, f.inquiry, p, f.index, f.mayRepeat)
+		out.ByRule[rule]++
 		switch {
 		case rule == ExcludedByAnswer:
 			if out.Denied++; out.Denied <= maxEvidencePeers {
