balancer, trace: each reset by a balancer has a line

Cause: A balancer resets packets of any flow whose address its newest routes do not have, but logged only those that answer first packets (event 1801); a reset of an open flow was only counted in resets.sent. `nutmegtrack trace` counted a returned packet that an agent dropped under outcome "dropped", which now has an outcome of its own. Change: Event 1802 with reason, version and age of the routes and age of the view, limited like the other lines about flows. `reset` of 1801 tells whether a reset was sent, no longer whether its conditions held in a second look at the routes. Losses counts event 1802 and the new outcome. A balancer sends no other reset: reader.reset is the only place, for reason no_service while its routes are current. Measured: `go test ./trace ./balancer ./event` passes; losses_test.go fails with the former losses.go (both new lines missing), routes_test.go had no event 1802 before.

--- a/balancer/flowlog.go
+++ b/balancer/flowlog.go
@@ -7,9 +7,9 @@
 	"github.com/nutmegtrack/nutmegtrack/packet"
 )
 
-// logFirst logs the decision on the first packet of a flow, with the version and age of
-// the routes and the age of the view that it was based on.
-func (b *Balancer) logFirst(in *packet.Info, d *flow.Decision) {
+// logDecision logs the decision on the first packet of a flow, or the reset that answers a later
+// one, with the version and age of the routes and the age of the view that it was based on.
+func (b *Balancer) logDecision(in *packet.Info, d *flow.Decision, reset bool) {
 	now := b.clock()
 	id, copies := daemon.FlowID(&in.Key), in.Repeat
 	version, age, viewAge := int64(0), 0.0, 0.0
@@ -17,8 +17,12 @@
 		version, age = b.routes.Version(), b.routes.Age().Seconds()
 	}
 	viewAge = (now - b.viewChangedAt()).Seconds()
+	if !in.First {
+		b.log.LogFlow(event.FlowUnrouted, "flow", id, "reason", d.Reason,
+			"routes", version, "routes_age", age, "view_age", viewAge)
+		return
+	}
 	if !d.OK {
-		reset := d.Reason == flow.ReasonNoService && b.routesCurrent()
 		b.log.LogFlow(event.FlowNotPlaced, "flow", id, "copy", copies, "reason", d.Reason, "reset", reset,
 			"routes", version, "routes_age", age, "view_age", viewAge)
 		return
--- a/balancer/reader.go
+++ b/balancer/reader.go
@@ -21,12 +21,12 @@
 	// format parses client packets; hints do not use it. With a datagram format, client
 	// packets and hints are received on separate sockets.
 	format            packet.Format
-	datagram          packet.Datagram // nil for IP packets
-	clients           packetio.Sink   // socket for resets to clients
-	routesCurrent     func() bool     // reports whether the router's routes are known to be the newest
-	clientPacketsOnly bool            // the source receives client packets only, no hints
-	mayPlaceFlows     func() bool     // reports whether new flows may be placed
-	log               func(i int)     // logs the decision on a first packet
+	datagram          packet.Datagram         // nil for IP packets
+	clients           packetio.Sink           // socket for resets to clients
+	routesCurrent     func() bool             // reports whether the router's routes are known to be the newest
+	clientPacketsOnly bool                    // the source receives client packets only, no hints
+	mayPlaceFlows     func() bool             // reports whether new flows may be placed
+	log               func(i int, reset bool) // logs the decision on a first packet or a reset
 
 	in        *packetio.Inbox
 	out       *packetio.Outbox
@@ -54,7 +54,7 @@
 		customer:      b.customer,
 		format:        packet.IP{},
 		mayPlaceFlows: b.mayPlaceFlows,
-		log:           func(int) {},
+		log:           func(int, bool) {},
 		resets:        packetio.NewOutbox(packetio.BatchSize),
 		source:        source,
 		sink:          b.ports.data,
@@ -67,7 +67,7 @@
 	if b.ports.clients != nil && source == packetio.Source(b.ports.clients) {
 		r.format, r.datagram = b.options.Packets, b.options.Packets
 		r.clients, r.routesCurrent, r.clientPacketsOnly = b.ports.clients, b.routesCurrent, true
-		r.log = func(i int) { b.logFirst(&r.infos[i], &r.decisions[i]) }
+		r.log = func(i int, reset bool) { b.logDecision(&r.infos[i], &r.decisions[i], reset) }
 	}
 	return r
 }
@@ -218,12 +218,12 @@
 // frame adds a packet with its encapsulation header to the outbox, or drops the packet.
 func (r *reader) frame(i int) {
 	d := &r.decisions[i]
-	if r.infos[i].First {
-		r.log(i)
+	reset := !d.OK && r.reset(i)
+	if r.infos[i].First || reset {
+		r.log(i, reset)
 	}
 	if !d.OK {
 		r.counts.dropped[d.Reason]++
-		r.reset(i)
 		return
 	}
 	if d.Hinted {
@@ -243,15 +243,18 @@
 }
 
 // reset answers a dropped packet with a reset if its address is known to have no
-// service, so that the client need not wait for its deadline.
-func (r *reader) reset(i int) {
+// service, so that the client need not wait for its deadline. It reports whether it did.
+func (r *reader) reset(i int) bool {
 	if r.datagram == nil || r.decisions[i].Reason != flow.ReasonNoService || !r.routesCurrent() {
-		return
+		return false
 	}
-	if b := r.datagram.AppendReset(nil, &r.infos[i]); b != nil {
-		r.resets.Add(b, r.datagram.ClientAddress(&r.infos[i].Key))
-		r.counts.resets++
+	b := r.datagram.AppendReset(nil, &r.infos[i])
+	if b == nil {
+		return false
 	}
+	r.resets.Add(b, r.datagram.ClientAddress(&r.infos[i].Key))
+	r.counts.resets++
+	return true
 }
 
 // isEncapsulated reports whether b starts with an encapsulation header, whose first byte
--- a/balancer/routes_test.go
+++ b/balancer/routes_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"strconv"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -103,6 +104,8 @@
 		Expect(t.routes.Refresh(ctx)).To(Succeed())
 		t.refreshView()
 		Expect(send(ack(service), ack(unroutedAddr))).To(Equal(1))
+		Expect(strings.Count(t.log.String(), "event=1802")).To(Equal(1), "guards against a reset of an open flow without a line")
+		Expect(t.log.String()).To(MatchRegexp(`event=1802 .*>10\.96\.0\.9:80 reason=no_service routes=1 routes_age=0 view_age=0`))
 	})
 
 	// Guards against resets by a balancer that cannot reach the store and may not have
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -45,6 +45,7 @@
 
 	FlowPlaced    = Definition{1800, Info, "flow placed", "A balancer has sent the first packet of a flow to an agent. `copy` is 0 for the first packet that the client sent, and 1, 2 and so on for its retransmissions; `routes` and `routes_age` are the active version and the seconds since the store confirmed it, `view_age` is the seconds since the view changed."}
 	FlowNotPlaced = Definition{1801, Info, "flow not placed", "A balancer has not forwarded the first packet of a flow, for the given reason; `reset` tells whether the client was notified at once."}
+	FlowUnrouted  = Definition{1802, Info, "flow reset for lack of a route", "A balancer has answered a packet other than the first of a flow with a reset, because the active routes, which are the newest, do not have the flow's address. It resets no flow for any other reason; resets to first packets are in event 1801."}
 	FlowDelivered = Definition{1810, Info, "flow delivered", "An agent has delivered the first packet of a flow to its upstream. `busy` is the number of requests that the upstream ran or had queued, `opening` the number of accepted flows that had sent no request yet, and `slots` the number of requests that it can run at once; `below` is the number of those in `busy` with a lower priority than `priority`, that of the flow, beside which the flow is accepted although all slots are in use; `waited` is how long the packet was queued, in seconds."}
 	FlowForwarded = Definition{1811, Info, "flow forwarded", "An agent has forwarded the first packet of a flow to another agent: its upstream is busy, does not accept flows or has returned the packet."}
 	FlowHeld      = Definition{1812, Info, "flow held", "The first packet of a flow is queued until the upstream has a free slot; `waiting` is the number of flows whose first packet is queued."}
@@ -68,5 +69,5 @@
 	GrantorStarted, GrantorStopped, RecountUnfinished, LeaseExpired,
 	HTTPListening,
 	UpstreamStarted, LocalUpstreamChanged, UpstreamMalformed, UpstreamProbed,
-	FlowPlaced, FlowNotPlaced, FlowDelivered, FlowForwarded, FlowHeld, FlowRefused, FlowReset, FlowUnknown, FlowAdopted,
+	FlowPlaced, FlowNotPlaced, FlowUnrouted, FlowDelivered, FlowForwarded, FlowHeld, FlowRefused, FlowReset, FlowUnknown, FlowAdopted,
 }
--- a/trace/losses.go
+++ b/trace/losses.go
@@ -96,6 +96,8 @@
 	switch r.Event {
 	case "1801": // flow not placed
 		return "not placed: " + r.Value("reason")
+	case "1802": // flow reset for lack of a route
+		return "reset: " + r.Value("reason")
 	case "1810": // flow delivered
 		if waited, err := strconv.ParseFloat(r.Value("waited"), 64); err == nil && waited >= longWait {
 			return "waited for a slot"
@@ -108,7 +110,7 @@
 	case "1814": // flow reset
 		return "upstream lost"
 	case "1815": // packet of an unknown flow
-		if r.Value("outcome") == "dropped" {
+		if strings.HasSuffix(r.Value("outcome"), "dropped") { // also "returned by the upstream and dropped"
 			return "packet dropped: " + r.Value("reason")
 		}
 	}
--- a/trace/losses_test.go
+++ b/trace/losses_test.go
@@ -21,6 +21,7 @@
 			line("02.1", "1801", "flow=f2 reason=no_routes") + line("02.2", "1810", "flow=f2 waited=0.5 copy=1") +
 			line("02.3", "1810", "flow=f3 waited=0 copy=2") + line("02.4", "1815", "flow=f4 outcome=dropped reason=no_owner") +
 			line("02.5", "1815", "flow=f4 outcome=dropped reason=no_owner") + line("02.6", "1815", "flow=f5 outcome=forwarded") +
+			line("02.6", "1815", `flow=f7 outcome="returned by the upstream and dropped" reason=no_owner`) + line("02.6", "1802", "flow=f8 reason=no_service") +
 			line("02.7", "1814", "flow=f4") + line("03.9", "1009", "flow_lines=12") + line("04", "1813", "flow=f6")
 		records, _, err := trace.Read(strings.NewReader(log))
 		Expect(err).NotTo(HaveOccurred())
@@ -35,7 +36,7 @@
 		Expect(losses[0].Dropped).To(Equal(12))
 		Expect(losses[0].Causes).To(Equal(map[string]int{
 			"not placed: no_routes": 1, "waited for a slot": 1, "opened by a late copy": 1,
-			"packet dropped: no_owner": 1, "upstream lost": 1,
+			"packet dropped: no_owner": 2, "upstream lost": 1, "reset: no_service": 1,
 		}))
 		var out strings.Builder
 		Expect(losses[0].Write(&out)).To(Succeed())
