member, balancer, agent: logs tell a mark as failed from the agent's own word

Cause: State failed is either the arbiter's mark, a suspicion of balancers that could not call the agent, or the word of the upstream's own agent, which again is a refused connection or missing announcements. These prove different things and read alike: no line was written by the balancer that claimed or marked, and 1701 had no reason. Change: Events 1202 (claim, with observers and counted silence) and 1203 (mark, at the arbiter); 1200 of balancers has the state before; 1701 has reason and listening; 1700 has the inputs from which the agent concludes that the upstream has started with it. Rejected: a field of member.Record for the source, because records are encoded as arrays, which other builds would refuse, and hashed for anti-entropy. Measured: `go test ./member ./balancer ./agent ./event` passes with the new specs; no line named the observers before. No decision is changed.

--- a/agent/flowlog.go
+++ b/agent/flowlog.go
@@ -9,6 +9,7 @@
 	"github.com/nutmegtrack/nutmegtrack/event"
 	"github.com/nutmegtrack/nutmegtrack/flow"
 	"github.com/nutmegtrack/nutmegtrack/packet"
+	"github.com/nutmegtrack/nutmegtrack/upstream"
 )
 
 // logFirstPacket logs the action on the first packet of a flow and the load that led to
@@ -111,6 +112,23 @@
 	return b.String()
 }
 
+// stateReason returns why the tracker of the agent's own upstream reports the state.
+func stateReason(t *upstream.Tracker, s flow.State) string {
+	switch {
+	case s == flow.Leaving:
+		return "exit announced"
+	case s == flow.Failed && t.IsStopped():
+		return "connection refused"
+	case s == flow.Failed && !t.Known():
+		return "never announced"
+	case s == flow.Failed:
+		return "announcements missed"
+	case !t.Known():
+		return "not announced yet"
+	}
+	return "announced"
+}
+
 // logRefused logs the flows that were refused after a wait for a slot and returns those
 // whose clients are to receive a reset.
 func (a *Agent) logRefused(now time.Duration, t *flow.Table) (toReset []flow.LostFlow) {
--- a/agent/flowlog_test.go
+++ b/agent/flowlog_test.go
@@ -14,6 +14,7 @@
 	"github.com/nutmegtrack/nutmegtrack/flow"
 	"github.com/nutmegtrack/nutmegtrack/packet"
 	"github.com/nutmegtrack/nutmegtrack/settings"
+	"github.com/nutmegtrack/nutmegtrack/upstream"
 )
 
 var _ = Describe("The lines about a lost flow", func() {
@@ -117,3 +118,19 @@
 	Entry("a packet that the upstream has returned", flow.Action{Kind: flow.Forward, OwnerKnown: true}, true, `"returned by the upstream and forwarded" .*known=true`),
 	Entry("a returned packet without another agent", flow.Action{Kind: flow.Drop, Reason: flow.ReasonNoOwner}, true, `"returned by the upstream and dropped" .*reason=no_owner`),
 )
+
+// Guards against an upstream that its agent calls failed without a reason: if announcements are
+// missing it may still hold flows, if a connection was refused it holds none.
+var _ = DescribeTable("The agent's own word on a failed upstream has a reason", func(report func(*upstream.Tracker), want string) {
+	tracker := upstream.NewTracker(upstream.Config{Service: "portal", AnnouncementInterval: time.Second})
+	report(tracker)
+	now := 10 * time.Second
+	Expect(tracker.State(now)).To(Equal(flow.Failed))
+	Expect(stateReason(tracker, tracker.State(now))).To(Equal(want))
+},
+	Entry("no announcement", func(*upstream.Tracker) {}, "never announced"),
+	Entry("announcements that have ended", func(t *upstream.Tracker) {
+		Expect(t.HandleAnnouncement(time.Second, upstream.Announcement{ID: "i", Service: "portal"})).To(Succeed())
+	}, "announcements missed"),
+	Entry("a refused connection", func(t *upstream.Tracker) { t.MarkStopped() }, "connection refused"),
+)
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -117,7 +117,8 @@
 		return err
 	}
 	if start != before {
-		m.agent.log.Log(event.UpstreamStarted, "id", announcement.ID, "born", announcement.Born, "start", start)
+		m.agent.log.Log(event.UpstreamStarted, "id", announcement.ID, "born", announcement.Born, "start", start,
+			"number", announcement.Sequence, "warmup", announcement.Warmup.Seconds(), "agent_started", m.agent.startedAt.UnixMilli())
 	}
 	m.agent.publishUpstreamState()
 	return nil
@@ -167,7 +168,8 @@
 	c = upstreamStatus{state: m.tracker.State(m.agent.clock()), start: start, slots: last.Slots, noEarlierFlows: m.noEarlierFlows, ended: m.tracker.IsStopped()}
 	if c.state != m.loggedState {
 		m.agent.log.Log(event.LocalUpstreamChanged, "id", last.ID, "from", m.loggedState, "to", c.state,
-			"number", last.Sequence, "silent_seconds", (m.agent.clock() - m.tracker.LastAlive()).Seconds())
+			"number", last.Sequence, "silent_seconds", (m.agent.clock() - m.tracker.LastAlive()).Seconds(),
+			"reason", stateReason(m.tracker, c.state), "listening", m.listening)
 		m.loggedState = c.state
 	}
 	return c
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -229,6 +229,7 @@
 // changed.
 func (b *Balancer) step() {
 	b.members.Step(b.lifecycle.Context())
+	b.logVerdicts()
 	b.refreshView()
 	if b.routes != nil {
 		b.stepRoutes()
--- a/balancer/view.go
+++ b/balancer/view.go
@@ -1,6 +1,8 @@
 package balancer
 
 import (
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -127,7 +129,11 @@
 		for i := range after.Upstreams {
 			u := &after.Upstreams[i]
 			if old, known := states[u.Name]; !known || old != u.State {
-				b.log.Log(event.StateChanged, "upstream", u.Name, "service", after.Name, "state", u.State)
+				was := "unknown"
+				if known {
+					was = old.String()
+				}
+				b.log.Log(event.StateChanged, "upstream", u.Name, "service", after.Name, "state", u.State, "was", was)
 			}
 			delete(states, u.Name)
 		}
@@ -144,3 +150,27 @@
 func sameUpstreams(a, b []flow.Upstream) bool {
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
+
+// logVerdicts logs the claims that this balancer has made and the processes that it has marked as
+// failed since the last step.
+func (b *Balancer) logVerdicts() {
+	var verdicts []member.Verdict
+	dropped := 0
+	b.members.Do(func(_ time.Duration, n *member.Node) { verdicts, dropped = n.TakeVerdicts() })
+	for i := range verdicts {
+		v := &verdicts[i]
+		definition, peer := event.FailureClaimed, "arbiter"
+		if v.Marked {
+			definition, peer = event.MarkedFailed, "claimed_by"
+		}
+		silent := "unknown"
+		if v.Silent >= 0 {
+			silent = strconv.FormatFloat(v.Silent.Seconds(), 'f', 3, 64)
+		}
+		b.log.Log(definition, "process", v.Name, "service", v.Service, "state", v.State,
+			"observers", strings.Join(v.Observers, " "), peer, v.Peer, "silent_seconds", silent)
+	}
+	if dropped > 0 {
+		b.log.Log(event.FailureClaimed, "dropped", dropped)
+	}
+}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -19,9 +19,12 @@
 	WrongService = Definition{1100, Error, "packet for wrong service at delivery", "The check before delivery found a packet for another service and dropped it; this is a fault in the program. Report it with the dump."}
 	SendFailed   = Definition{1101, Warn, "packets not sent", "The operating system refused to send packets; `packets` is their number since the previous event of this kind. Check routes and socket buffers."}
 
-	StateChanged    = Definition{1200, Info, "upstream state changed", "The state of an upstream has changed in this process's view, which is the services, upstreams and routes that the process knows, or the upstream was added to the view or removed from it."}
+	StateChanged    = Definition{1200, Info, "upstream state changed", "The state of an upstream has changed in this process's view, which is the services, upstreams and routes that the process knows, or the upstream was added to the view or removed from it. A balancer adds `was`, the state before. A change from `failed` to another state of an upstream that has not restarted means that it had been marked, or had announced itself, as failed by mistake."}
 	PeerUnreachable = Definition{1201, Warn, "peer unreachable", "A membership call to a peer failed; it is retried. At most one event is logged per minute."}
 
+	FailureClaimed = Definition{1202, Info, "failure claimed", "This balancer has asked the `arbiter` to mark a process as failed: neither it nor the other `observers` could reach the process by a control call, and this balancer has counted its silence for `silent_seconds`. The arbiter may refuse. `dropped` is the number of further lines of events 1202 and 1203 that were left out."}
+	MarkedFailed   = Definition{1203, Warn, "process marked as failed", "This balancer has marked a process as failed, as the arbiter, on the claim of `claimed_by`; `observers` are the control addresses of the balancers that could not reach it, and `state` is its state before. The mark is a suspicion: the process or, beside it, an upstream may still run. A failed upstream without this line has been announced as failed by its own agent: see 1701 there."}
+
 	ListsActive   = Definition{1300, Info, "lists active", "The lists of the given revision are active on this process."}
 	ListsRejected = Definition{1301, Error, "lists rejected", "Lists read from the store or a peer were not activated; the previous revision stays active."}
 	StoreFailed   = Definition{1302, Warn, "store call failed", "The store did not answer; the process continues with the data that it has and retries. At most one event is logged per minute."}
@@ -38,8 +41,8 @@
 	RecountUnfinished = Definition{1502, Warn, "token recount not finished", "The grantor of `service` has not yet counted the tokens that agents hold. Until it has, it issues no additional tokens to customers whose limits were raised. Look for agents that do not answer. At most one event is logged per minute."}
 	LeaseExpired      = Definition{1503, Warn, "admission lease expired", "New flows were refused because the grantor has not renewed this agent's admission lease; open flows continue. Check the grantor of the service and the network path to it. At most one event is logged per minute."}
 
-	UpstreamStarted      = Definition{1700, Info, "upstream started", "The upstream on this VM has announced that it has started or restarted; flows of an earlier run have ended."}
-	LocalUpstreamChanged = Definition{1701, Info, "local upstream state changed", "The upstream on this VM has announced another state or that it ends, or has not announced itself for too long."}
+	UpstreamStarted      = Definition{1700, Info, "upstream started", "The upstream on this VM has announced that it has started or restarted; flows of an earlier run have ended. `born` and `agent_started` are the start times of upstream and agent by this VM's clock, in Unix milliseconds, `number` is the announcement's sequence number and `warmup` the remaining warm-up in seconds: from these the agent concludes whether the upstream has started together with it."}
+	LocalUpstreamChanged = Definition{1701, Info, "local upstream state changed", "The upstream on this VM has announced another state or that it ends, or has not announced itself for too long. For `failed`, `reason` is `connection refused` (no process listens at its address, so its flows are lost), `never announced` or `announcements missed` (it may still run and hold its flows; `silent_seconds` is the time since its last sign of life, and `listening` tells whether the last connection to it succeeded)."}
 	UpstreamMalformed    = Definition{1702, Warn, "announcement rejected", "An announcement of an upstream was ignored because it was malformed, older than the latest one or from another upstream. At most one event is logged per minute."}
 	UpstreamProbed       = Definition{1703, Info, "upstream probed", "The upstream had not answered the first packet of a flow or had not announced itself, and the agent opened a connection to it; `ended` true means that the upstream no longer runs and its flows are lost."}
 
@@ -62,7 +65,7 @@
 	Started, Draining, Stopped, BadSettings, SocketFailed, StopForced, DrainLimit,
 	Reloaded, ReloadFailed, LinesDropped,
 	WrongService, SendFailed,
-	StateChanged, PeerUnreachable,
+	StateChanged, PeerUnreachable, FailureClaimed, MarkedFailed,
 	ListsActive, ListsRejected, StoreFailed,
 	RoutesActive, RoutesRejected, RouteUnusable, RoutesUnreadable,
 	ControlFailed,
--- a/member/announcer.go
+++ b/member/announcer.go
@@ -178,6 +178,10 @@
 	a.advance(now)
 	if m.Kind == KindPush {
 		a.mergeOrRefute(m.Records)
+		// Only the push of an agent, which carries its own record, names its receiver.
+		if m.Name != "" && len(m.Records) == 1 {
+			a.table.noteOwnWord(&m.Records[0])
+		}
 	}
 	return Message{Revision: a.revision}
 }
--- a/member/group.go
+++ b/member/group.go
@@ -119,6 +119,7 @@
 	g.conflicts = nil
 	for _, e := range g.entries {
 		u := upstream(&e.record)
+		u.StateSource = e.source
 		if kept, taken := owner[u.ID]; taken {
 			g.conflicts = append(g.conflicts, Conflict{Service: name, Kept: kept, Hidden: u.Name, ID: u.ID})
 			continue
--- a/member/node.go
+++ b/member/node.go
@@ -31,6 +31,9 @@
 	nextExpiry    time.Duration // time of the next scan for records to remove
 	grantors      map[string]Grantor
 	relays        map[string]map[string]bool // by service: names of upstreams whose records are to be relayed to agents
+
+	verdicts        []Verdict // not yet taken by TakeVerdicts
+	verdictsDropped int
 }
 
 // latestVersion is the highest known version of the lists or of the routes, which all
--- a/member/suspect.go
+++ b/member/suspect.go
@@ -239,6 +239,7 @@
 func (n *Node) claim(r Record, observers []string) {
 	m := Message{Kind: KindClaim, From: n.self.Control, Records: []Record{r}, Name: r.Name, Observers: observers}
 	arbiter := n.arbiter(&r)
+	n.noteVerdict(&r, false, observers, arbiter)
 	if arbiter == n.self.Control {
 		n.decideClaim(m)
 		return
@@ -283,6 +284,7 @@
 	if !known || r.Gone() || Compare(&r, &m.Records[0]) != 0 || !n.failureAllowed(&r) {
 		return
 	}
+	n.noteVerdict(&r, true, m.Observers, m.From)
 	r.State = flow.Failed
 	r.Version++
 	n.mergeAndPush(r)
--- a/member/table.go
+++ b/member/table.go
@@ -29,6 +29,7 @@
 	nameHash uint64
 	sum      uint64        // hash of the record
 	since    time.Duration // when the current state was received
+	source   flow.StateSource
 }
 
 // NewTable returns an empty table.
@@ -88,7 +89,7 @@
 	}
 	r.Endpoints = slices.Clone(r.Endpoints)
 	t.toggleInDigest(e)
-	e.record, e.sum = r, r.sum()
+	e.record, e.sum, e.source = r, r.sum(), flow.StateFromBalancer
 	t.toggleInDigest(e)
 	t.addToGroup(e)
 }
