--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -86,6 +86,21 @@
 	return packet.AppendTCP(nil, &packet.TCPSegment{Key: key, Flags: packet.FlagSYN})
 }
 
+var _ = Describe("A balancer that is the arbiter", func() {
+	// Guards against a mark as failed by mistake that no line explains.
+	It("logs whom it marks as failed and which balancers could not reach it", func() {
+		b := newTestBalancer(upstreamRecord("u1", "127.0.0.1:7101"), upstreamRecord("u2", "127.0.0.1:7102"))
+		var u1 member.Record
+		b.members.Do(func(_ time.Duration, n *member.Node) { u1, _ = n.Table().Get("u1") })
+		b.members.Handle(member.Message{Kind: member.KindClaim, From: client, Name: "u1", Records: []member.Record{u1},
+			Observers: []string{"10.0.0.1:7900", "10.0.0.2:7900"}})
+		b.logVerdicts()
+		b.refreshView()
+		Expect(b.log.String()).To(MatchRegexp(`event=1203 .*process=u1 service=impact-portal state=ready observers="10.0.0.1:7900 10.0.0.2:7900" claimed_by=10.0.0.7:40000 silent_seconds=unknown\n`))
+		Expect(b.log.String()).To(MatchRegexp(`event=1200 .*upstream=u1 service=impact-portal state=failed was=ready\n`))
+	})
+})
+
 var _ = Describe("The packet path", func() {
 	u1, u2 := upstreamRecord("u1", "127.0.0.1:7101"), upstreamRecord("u2", "127.0.0.1:7102")
 
