flow: a verified digest is no answer to an inquiry

Cause: callers saw an open flow reset while its upstream was sound. A peer that had not answered for 400 ms was taken not to hold a flow that its last verified digest did not list. The digest lists only flows that the sender had, and whose first choice it took to be the receiver, when it sent the check: a flow that was opened later, or whose first choice changed later, is missing from it. Change: only an answer, or a peer that counts as absent, excludes a peer's upstream. Weighed and left: digests that were sent after the flow became suspect, since a peer that sends them also answers.

--- a/flow/evidence.go
+++ b/flow/evidence.go
@@ -26,14 +26,12 @@
 	ExcludedUnresponsive
 	// ExcludedSilent: nothing has arrived from the peer while inquiries were sent to it.
 	ExcludedSilent
-	// ExcludedByDigest: the peer has not answered, and its last digest was complete and verified.
-	ExcludedByDigest
 
 	exclusionCount
 )
 
 var exclusionNames = [exclusionCount]string{
-	"none", "answer", "leaving", "failed", "agent_restarting", "unresponsive", "silent", "digest",
+	"none", "answer", "leaving", "failed", "agent_restarting", "unresponsive", "silent",
 }
 
 // String returns the rule's name in logs.
--- a/flow/inquiry.go
+++ b/flow/inquiry.go
@@ -12,7 +12,8 @@
 // A digest lists flows that a peer owns, but a flow that is in no digest may still exist: it
 // may have been opened so recently that the digest is still on its way, or its owner's view
 // may have another first choice. Before an agent declares a flow lost it therefore sends an
-// inquiry to every other agent of the service, and each answers from its own table.
+// inquiry to every other agent of the service, and each answers from its own table. A digest
+// replaces no answer, not even a verified one.
 
 const (
 	// inquiryRetryInterval is the time after which an inquiry is sent again to peers that
@@ -24,10 +25,6 @@
 	// the first. This limits the load after a power failure, when all agents send inquiries to
 	// all others; flows that become suspect meanwhile share the next inquiry.
 	inquiryDelayPerPeer = 250 * time.Microsecond
-	// answerTimeout is the time after which the last verified digest of a peer that has not
-	// answered is used instead. The inquiry has been sent four times by then. An unreachable
-	// VM is marked as failed only after some seconds.
-	answerTimeout = 400 * time.Millisecond
 	// failedPeerAnswerTimeout is the time to wait for the answer of a failed peer. A peer
 	// that was marked as failed by mistake answers as fast as any other.
 	failedPeerAnswerTimeout = 50 * time.Millisecond
@@ -275,11 +272,8 @@
 // exclusion returns the rule by which the upstream of a peer counts as not holding flow i of an
 // inquiry. mayRepeat says whether the flow's requests may be repeated.
 func (t *Table) exclusion(now time.Duration, q *inquiry, p *peer, i int, mayRepeat bool) Exclusion {
-	statuses := q.answers[p.ID]
-	switch {
-	case statuses == nil:
-		return t.excludedWithoutAnswer(now, q, p, mayRepeat)
-	case statuses[i] == packet.MaybeHeld:
+	switch statuses := q.answers[p.ID]; {
+	case statuses == nil || statuses[i] == packet.MaybeHeld:
 		return t.excludedAsAbsent(now, q, p, mayRepeat)
 	case statuses[i] == packet.NotHeld:
 		return ExcludedByAnswer
@@ -287,21 +281,6 @@
 	return NotExcluded
 }
 
-// excludedWithoutAnswer returns the rule by which the upstream of a peer that has not answered an
-// inquiry counts as holding none of its flows.
-func (t *Table) excludedWithoutAnswer(now time.Duration, q *inquiry, p *peer, mayRepeat bool) Exclusion {
-	if rule := t.excludedAsAbsent(now, q, p, mayRepeat); rule != NotExcluded {
-		return rule
-	}
-	if p.State == Failed || p.State == AgentRestarting {
-		return NotExcluded
-	}
-	if now-q.startedAt >= answerTimeout && p.inbox.senderComplete && p.inbox.verified {
-		return ExcludedByDigest
-	}
-	return NotExcluded
-}
-
 // excludedAsAbsent returns the rule by which a peer that has given no conclusive answer to an
 // inquiry counts as absent together with its upstream.
 func (t *Table) excludedAsAbsent(now time.Duration, q *inquiry, p *peer, mayRepeat bool) Exclusion {
