flow: a mark as failed and a silence are suspicions, not the end of an upstream

Cause: callers saw an open flow reset while its upstream was sound. The flow's first choice counted a peer as absent together with its upstream (1) 50 ms after an inquiry if others had marked it as failed, also when its agent had announced that it restarts and was marked because that took over 3 s; (2) when no digest of its process had arrived for 1 s, although it answered that it may hold the flow; (3) after 1 s of silence for as long as the inquiring agent lived, if its upstream had started with it. Change: only a peer's own word ends its flows. A peer that has answered is not silent. The second for silence without a mark applies in the rebuilding phase only, 5 s later.

--- a/flow/inquiry.go
+++ b/flow/inquiry.go
@@ -25,9 +25,15 @@
 	// the first. This limits the load after a power failure, when all agents send inquiries to
 	// all others; flows that become suspect meanwhile share the next inquiry.
 	inquiryDelayPerPeer = 250 * time.Microsecond
-	// failedPeerAnswerTimeout is the time to wait for the answer of a failed peer. A peer
-	// that was marked as failed by mistake answers as fast as any other.
-	failedPeerAnswerTimeout = 50 * time.Millisecond
+	// suspectedPeerTimeout is how long a peer that was marked as failed must be silent before flows
+	// whose requests may be repeated are declared lost for it. The mark shows that two balancers could
+	// not reach the agent for some seconds, not that its upstream has ended. An agent that runs on a
+	// busy VM answers one of the inquiries of a second.
+	suspectedPeerTimeout = time.Second
+	// confirmedFailureTimeout replaces suspectedPeerTimeout when the peer has given no sign of life
+	// for failedPeerGracePeriod since the mark. An agent that was marked by mistake sends its load
+	// and its digests meanwhile. The inquiry has been sent twice by then.
+	confirmedFailureTimeout = 100 * time.Millisecond
 	// failedPeerGracePeriod is the time from the failure of a peer that does not answer until
 	// flows whose requests must not be repeated may be declared lost. A VM that is only paused
 	// is marked as failed after 3 s. Its upstream may still be processing the request, and the
@@ -274,7 +280,7 @@
 func (t *Table) exclusion(now time.Duration, q *inquiry, p *peer, i int, mayRepeat bool) Exclusion {
 	switch statuses := q.answers[p.ID]; {
 	case statuses == nil || statuses[i] == packet.MaybeHeld:
-		return t.excludedAsAbsent(now, q, p, mayRepeat)
+		return t.excludedAsAbsent(now, p, mayRepeat)
 	case statuses[i] == packet.NotHeld:
 		return ExcludedByAnswer
 	}
@@ -282,22 +288,25 @@
 }
 
 // excludedAsAbsent returns the rule by which a peer that has given no conclusive answer to an
-// inquiry counts as absent together with its upstream.
-func (t *Table) excludedAsAbsent(now time.Duration, q *inquiry, p *peer, mayRepeat bool) Exclusion {
+// inquiry counts as absent together with its upstream. Only the peer's own word shows that its
+// upstream has ended. A mark by others and silence are suspicions, which need time to be refuted.
+func (t *Table) excludedAsAbsent(now time.Duration, p *peer, mayRepeat bool) Exclusion {
+	silence := p.silence(now)
 	switch {
 	case p.State == Leaving:
 		return ExcludedLeaving
+	case p.restartingSince != never:
+		if now-p.restartingSince >= peerRestartTimeout {
+			return ExcludedRestarting
+		}
 	case p.State == Failed:
-		if now-q.startedAt >= failedPeerAnswerTimeout && (mayRepeat || now-p.stateChanged >= failedPeerGracePeriod) {
+		if p.failureConfirmed(now) && silence >= confirmedFailureTimeout || mayRepeat && silence >= suspectedPeerTimeout {
 			return ExcludedFailed
 		}
-	case p.State == AgentRestarting:
-		if now-p.stateChanged >= peerRestartTimeout {
-			return ExcludedRestarting
-		}
-	case t.isUnresponsive(now, p):
+	case silence < t.silenceTimeout(now):
+	case p.heardAt == never:
 		return ExcludedUnresponsive
-	case mayRepeat && t.isSilent(now, p):
+	case mayRepeat:
 		return ExcludedSilent
 	}
 	return NotExcluded
--- a/flow/lost.go
+++ b/flow/lost.go
@@ -18,11 +18,11 @@
 	// suspectTimeout is the time from unknownFlow.at after which a flow is no longer suspect.
 	// Further packets do not extend it; one that arrives later makes the flow suspect anew.
 	suspectTimeout = 5 * time.Second
-	// peerSilenceTimeout is the time after which a peer that has sent no digest, or nothing at all
-	// while it was sent inquiries, counts as absent. An agent restarts within two seconds.
+	// peerSilenceTimeout is how long a peer that nobody has marked as failed must be silent before it
+	// counts as absent. An agent restarts within two seconds.
 	peerSilenceTimeout = 5 * time.Second
-	// peerSilenceTimeoutAfterOutage replaces peerSilenceTimeout when this agent's own upstream
-	// has started together with this agent, as after a power failure: then clients of all
+	// peerSilenceTimeoutAfterOutage replaces peerSilenceTimeout in the rebuilding phase of an agent
+	// whose upstream has started together with it, as after a power failure: then clients of all
 	// upstreams wait on lost flows.
 	peerSilenceTimeoutAfterOutage = time.Second
 	// peerRestartTimeout is the time after which a restarting agent counts as absent together
@@ -234,7 +234,7 @@
 	list = t.peersToProbeBuffer[:0]
 	for _, p := range t.peers.list {
 		switch {
-		case p.allFlowsKnown(now) || t.isUnresponsive(now, p):
+		case p.allFlowsKnown(now) || p.heardAt == never && p.silence(now) >= t.silenceTimeout(now):
 		case p.State == AgentRestarting:
 			restarting = true
 		case len(list) <= maxPeersToProbe:
@@ -286,33 +286,18 @@
 	return p.State.Gone() || p.inbox.senderComplete && p.inbox.verified
 }
 
-// isUnresponsive reports whether no digest message of the peer's incarnation has arrived for
-// some time after the peer was listed. A running agent would have sent one, so the peer may be
-// a VM that was removed before this agent started.
-func (t *Table) isUnresponsive(now time.Duration, p *peer) bool {
-	return p.State != AgentRestarting && p.inbox.incarnation != p.Incarnation && now-p.listedSince >= t.silenceTimeout()
-}
-
-// isSilent reports whether nothing has arrived from the peer for some time although this agent has
-// sent it inquiries all the while, as from a VM that was removed soon after it had started. Its
-// upstream may still hold flows if the VM is only cut off or paused, so only flows whose requests
-// may be repeated are given up for it: their clients can retry elsewhere.
-func (t *Table) isSilent(now time.Duration, p *peer) bool {
-	return p.unansweredSince != never && now-p.inquiredAt <= maxInquiryGap && now-p.unansweredSince >= t.silenceTimeout()
-}
-
 // SilentPeers returns the number of peers that count as absent because nothing has arrived from them.
 func (t *Table) SilentPeers(now time.Duration) (n int) {
 	for _, p := range t.peers.list {
-		if t.isUnresponsive(now, p) || t.isSilent(now, p) {
+		if p.silence(now) >= t.silenceTimeout(now) {
 			n++
 		}
 	}
 	return n
 }
 
-func (t *Table) silenceTimeout() time.Duration {
-	if t.noEarlierFlows {
+func (t *Table) silenceTimeout(now time.Duration) time.Duration {
+	if t.noEarlierFlows && !t.rebuilt(now) {
 		return peerSilenceTimeoutAfterOutage
 	}
 	return peerSilenceTimeout
--- a/flow/peer.go
+++ b/flow/peer.go
@@ -23,6 +23,9 @@
 	// the peer was last heard from; never if there is none. inquiredAt is that of the last one.
 	unansweredSince, inquiredAt time.Duration
 	heardAt                     time.Duration // when it was last heard from; never if it has not
+	// restartingSince is the time from which its agent has been restarting; never if it is not. A
+	// mark as failed does not change it: the upstream of a restarting agent runs on.
+	restartingSince time.Duration
 }
 
 // loadReport is the last load report of a peer. Flows that Table.receiveFirst has handed off to the
@@ -36,7 +39,10 @@
 const never = -1 << 62 * time.Nanosecond
 
 func newPeer(now time.Duration, u Upstream) *peer {
-	p := &peer{Upstream: u, seed: seedOf(u.ID), acceptedSince: now, acceptedUntil: never, listedSince: now, stateChanged: now, unansweredSince: never, inquiredAt: never, heardAt: never}
+	p := &peer{Upstream: u, seed: seedOf(u.ID), acceptedSince: now, acceptedUntil: never, listedSince: now, stateChanged: now, unansweredSince: never, inquiredAt: never, heardAt: never, restartingSince: never}
+	if u.State == AgentRestarting {
+		p.restartingSince = now
+	}
 	// A draining upstream may have accepted flows until just now.
 	if u.State.Accepts() || u.State == Draining {
 		p.acceptedUntil = now
@@ -60,11 +66,33 @@
 // noteHeard records that a message, an inquiry or an answer of the peer has arrived.
 func (p *peer) noteHeard(now time.Duration) { p.heardAt, p.unansweredSince = now, never }
 
+// silence returns how long inquiries have been sent to the peer without a gap while nothing has
+// arrived from it.
+func (p *peer) silence(now time.Duration) time.Duration {
+	if p.unansweredSince == never || now-p.inquiredAt > maxInquiryGap {
+		return 0
+	}
+	return now - p.unansweredSince
+}
+
+// failureConfirmed reports whether the peer was marked as failed failedPeerGracePeriod ago and has
+// given no sign of life since.
+func (p *peer) failureConfirmed(now time.Duration) bool {
+	return p.State == Failed && now-p.stateChanged >= failedPeerGracePeriod && p.heardAt <= p.stateChanged
+}
+
 // update replaces the record by a newer one of the same incarnation.
 func (p *peer) update(now time.Duration, u Upstream) {
 	was := p.State.Accepts()
 	if u.State != p.State {
 		p.stateChanged = now
+		switch u.State {
+		case AgentRestarting:
+			p.restartingSince = now
+		case Failed:
+		default:
+			p.restartingSince = never
+		}
 	}
 	p.Upstream = u
 	if u.State.Accepts() && !was {
