flow: an unknown start of an upstream contradicts no hint of a balancer

Cause: callers' packets went to other upstreams than their flow's. A balancer kept a hint only while the owner's holder number stayed the same, which is the start ID of the upstream or, until that is announced, the incarnation of its agent. When a fleet starts, flows are accepted some 300 ms before the first announcement: with it, every balancer dropped its hints of just these flows and sent the next packet along the ranking. The same happens after each restart of an agent until its upstream's next announcement. Change: holder numbers of the two kinds differ in their lowest bit, and only numbers of the same kind contradict each other. Measured: go test ./flow -run TestHintSurvives: fails before at the first announcement, passes now. A hint that turns out to be wrong costs one probe.

--- a/flow/hints.go
+++ b/flow/hints.go
@@ -15,7 +15,7 @@
 type hint struct {
 	hash     uint64
 	owner    packet.AgentID
-	holder   uint32 // low bits of the owner's Upstream.holder when the hint was stored
+	holder   uint32 // the owner's Upstream.holder when the hint was stored
 	lastUsed uint32 // time of last use, seconds since process start
 	learned  bool   // sent by the owner; otherwise assumed
 	waiting  bool   // the flow waits at the owner for a slot, or did when the hint was sent
--- a/flow/router.go
+++ b/flow/router.go
@@ -234,7 +234,7 @@
 		return nil, nil
 	}
 	u := &s.upstreams[i]
-	if u.holder() != h.holder || u.State == Leaving {
+	if !u.mayStillHold(h.holder) || u.State == Leaving {
 		return nil, nil
 	}
 	// A SYN that this balancer sent to a failed upstream may have been lost there, and
--- a/flow/unproven_absence_test.go
+++ b/flow/unproven_absence_test.go
@@ -191,3 +191,27 @@
 	g.Expect(delivered).To(BeNumerically("<", misdeliveryLimit))
 	g.Expect(table.Open()).To(BeZero(), "without a packet of the upstream nothing shows that it holds the flow")
 }
+
+// Guards against a balancer that drops the hints of open flows when the start of their upstream becomes
+// known, while a fleet starts, or becomes unknown, when the agent restarts. Seen in soaks with seeds 472
+// and 1109: the next packet went to another agent.
+func TestHintSurvivesAnUnknownStartOfTheUpstream(t *testing.T) {
+	g := NewWithT(t)
+	r := newRig(4, TableConfig{Rebuild: rebuildTime})
+	router := NewRouter(RouterConfig{})
+	k := r.keyRanked(packet.ProtoTCP, "a", "b")
+	owner := &r.list[2]
+	show := func(start, incarnation uint64) bool {
+		owner.Start, owner.Incarnation = start, incarnation
+		router.SetView(0, testView(r.list))
+		in := data(k)
+		return router.HasHint(0, &in)
+	}
+	show(0, 1)
+	router.Learn(0, &k, owner.ID)
+	g.Expect(show(101, 1)).To(BeTrue(), "the upstream has announced its start")
+	router.Learn(0, &k, owner.ID)
+	g.Expect(show(0, 2)).To(BeTrue(), "the agent has restarted")
+	g.Expect(show(101, 2)).To(BeTrue(), "the upstream has not restarted")
+	g.Expect(show(301, 2)).To(BeFalse(), "the upstream has restarted")
+}
--- a/flow/view.go
+++ b/flow/view.go
@@ -41,14 +41,22 @@
 	return "unknown"
 }
 
-// holder returns a number that changes when the upstream loses its flows: the low bits of the
-// start ID of the upstream if it is known, otherwise of the incarnation of its agent. It has
-// nothing to do with a quota.Holder.
+// holder returns a number that identifies the process that holds the upstream's flows: an odd one from
+// the start ID of the upstream or, if that is unknown, an even one from the incarnation of its agent.
+// It has nothing to do with a quota.Holder.
 func (u *Upstream) holder() uint32 {
 	if u.Start != 0 {
-		return uint32(u.Start)
+		return uint32(u.Start) | 1
 	}
-	return uint32(u.Incarnation)
+	return uint32(u.Incarnation) << 1
+}
+
+// mayStillHold reports whether flows that were recorded under a holder may still be held. Numbers of
+// different kinds do not contradict each other: the start of an upstream becomes known some time after
+// its agent accepts flows, and is unknown for a moment after a restart of the agent.
+func (u *Upstream) mayStillHold(holder uint32) bool {
+	own := u.holder()
+	return own == holder || own&1 != holder&1
 }
 
 // Accepts reports whether an upstream in this state accepts new flows.
