flow, packet, balancer, agent: agents ask before they show a flow's packet to an upstream

Cause: callers' packets went to other upstreams than their flow's. A packet of an unknown flow was delivered as a probe to every upstream on its way whose flows were not known: probes at upstreams that had started with their agents did not count towards the limit of two, one packet could visit all peers with unknown flows, and each retransmission began anew. A probe that was not returned for 30 ms counted as proof that the upstream holds the flow, and all further packets followed it. Change: a packet is a probe only where its sender has evidence for the flow (a new header flag, set by balancers from hints and placements and by agents from digests, hints and answers), or at the flow's first choice if its upstream may hold flows from before the agent's start. Otherwise the first choice sends an inquiry first, and shows the next packet to one peer that answered that it may hold the flow. Two probes within 2 s are allowed over all agents; header and records count them. Only a packet of the upstream shows that it holds a flow. An unanswered probe leads to a check of the connection. The header keeps its layout: builds that do not know the flag ignore it, and without the flag an agent asks first.

--- a/agent/connectioncheck.go
+++ b/agent/connectioncheck.go
@@ -11,7 +11,7 @@
 )
 
 // A crashed upstream sends no notice. Its agent suspects a crash when the upstream does
-// not answer the first packet of a flow or, unless the last check connected, has not
+// not answer the first packet of a flow or a probe or, unless the last check connected, has not
 // announced itself some time after the agent's start. The agent then opens a TCP connection
 // to the upstream: on the same VM a refused connection means that no process listens
 // there. Only a refused connection ends the upstream's flows; a connection attempt that
--- a/agent/counters.go
+++ b/agent/counters.go
@@ -13,7 +13,7 @@
 	hints, malformed, wrongEndpoint, refusedBySystem int
 	late, returned, resets, inquiries                int // late: dropped because of their age; returned: by the upstream
 	dropped                                          daemon.Drops
-	firstDelivered                                   bool // the first packet of a flow was delivered
+	awaitsAnswer                                     bool // the first packet of a flow or a probe was delivered
 }
 
 // counters holds the packet metrics of the process.
--- a/agent/reader.go
+++ b/agent/reader.go
@@ -50,8 +50,8 @@
 	r.outgoing.Reset()
 	r.agent.flows.do(r.handlePackets)
 	r.counts.refusedBySystem = r.upstream.Send(r.delivery) + r.data.Send(r.outgoing)
-	if r.counts.firstDelivered && r.agent.monitor != nil {
-		r.agent.monitor.recordFirstPackets(r.agent.clock())
+	if r.counts.awaitsAnswer && r.agent.monitor != nil {
+		r.agent.monitor.recordUnanswered(r.agent.clock())
 	}
 	r.agent.counters.add(&r.counts)
 	r.counts = batchCounts{}
@@ -92,6 +92,7 @@
 	switch action.Kind {
 	case flow.Deliver:
 		r.deliver(&h, raw)
+		r.counts.awaitsAnswer = r.counts.awaitsAnswer || action.Probe
 		if action.Hint {
 			r.sendHints(&h, i, action.ExtraHints)
 		}
@@ -181,7 +182,7 @@
 	}
 	if f := r.agent.options.Packets; f != nil {
 		f.SetTag(raw, r.agent.headers.put(h))
-		r.counts.firstDelivered = r.counts.firstDelivered || r.info.First
+		r.counts.awaitsAnswer = r.counts.awaitsAnswer || r.info.First
 	}
 	r.delivery.Add(raw, r.agent.cfg.UpstreamSinkAddress)
 	r.counts.delivered++
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -55,7 +55,7 @@
 	mu                  sync.Mutex
 	tracker             *upstream.Tracker
 	loggedState         flow.State    // last logged state
-	unansweredSince     time.Duration // delivery time of the oldest unanswered first packet; 0: none
+	unansweredSince     time.Duration // delivery time of the oldest unanswered first packet or probe; 0: none
 	connectionCheckedAt time.Duration // time of the last connection check; 0: none
 	listening           bool          // the last connection check connected
 	noEarlierFlows      bool          // the agent has seen all flows since the upstream started: see startedWithAgent
@@ -142,8 +142,8 @@
 	m.mu.Unlock()
 }
 
-// recordFirstPackets records that first packets of flows were delivered to the upstream.
-func (m *upstreamMonitor) recordFirstPackets(now time.Duration) {
+// recordUnanswered records that first packets of flows or probes were delivered to the upstream.
+func (m *upstreamMonitor) recordUnanswered(now time.Duration) {
 	m.mu.Lock()
 	if m.unansweredSince == 0 {
 		m.unansweredSince = now
--- a/balancer/reader.go
+++ b/balancer/reader.go
@@ -236,6 +236,9 @@
 		Class:    d.Class,
 		Origin:   r.origin,
 	}
+	if d.Expected {
+		h.Flags = packet.FlagExpected
+	}
 	framed := r.in.WithHeadroom(i)
 	h.Put(framed)
 	r.out.Add(framed, d.Addr)
--- a/flow/action.go
+++ b/flow/action.go
@@ -33,7 +33,6 @@
 	Flow       uint64         // with Wait: number of the waiting flow
 	Waited     time.Duration  // from Table.NextWaiting: time that the packet waited
 	Probe      bool           // with Deliver: the packet is a probe, as the upstream may not hold the flow
-	Unreturned bool           // with Deliver: the flow counts as held by the upstream, because a probe was not returned
 	OwnerKnown bool           // with Forward: To is taken to be the flow's owner, by rule 3
 	Hint       bool           // send the header's origin a hint that this agent owns the flow or, with Wait, that it waits here
 	// ExtraHints lists further addresses to send the hint to. It is valid until the next call
--- a/flow/doc.go
+++ b/flow/doc.go
@@ -26,8 +26,8 @@
 //
 // The rebuilding phase is the time after the start of an agent in which its upstream may hold
 // flows that the agent does not know. A probe is the delivery of a packet of an unknown flow to
-// the upstream, to learn whether the upstream holds the flow: if not, it returns the packet.
-// Header.Tried and Counters.Tried count probes. A returned packet is one that the upstream has sent
+// the upstream, to learn whether the upstream holds the flow: if not, it returns the packet. If so,
+// its own packets show it. Header.Tried and Counters.Tried count probes. A returned packet is one that the upstream has sent
 // back, except in packet.FlagReturned, which marks a declined offer. A flow is suspect at its first
 // choice if the upstream of this agent does not hold the flow, although the client sends packets of
 // it, and the agent knows no owner. It is lost when no upstream holds it.
@@ -48,11 +48,15 @@
 //     the flow. Otherwise its flow is accepted, made to wait or refused, or handed off to the
 //     next choice.
 //   - Rule 5: The flow's owner is unknown. A packet of a flow known to be lost is answered with
-//     a reset. In the rebuilding phase one packet of the flow at a time is delivered to the
-//     upstream, as a probe. Other packets are forwarded to the peers that may own the flow:
-//     first to those whose flows this agent does not know completely, if this agent is the
-//     flow's first choice or the packet has visited the first choice, then along the flow's
-//     ranking. A packet without a hop or peer left is dropped.
+//     a reset. One packet of the flow at a time is delivered to the upstream, as a probe, if its
+//     sender expects the flow here (packet.FlagExpected), or if this agent is the flow's first choice
+//     and its upstream may hold flows from before the agent's start. Other packets make the flow
+//     suspect at its first choice, which sends an inquiry to all peers. When all have answered, it
+//     forwards the flow's next packet to a peer whose upstream may hold the flow. The others are
+//     forwarded along the flow's ranking. A packet without a hop or peer left is dropped.
+//
+// At most maxTried packets of a flow are probes within triedPeriod: an upstream should see few packets
+// of foreign flows. The agents on a packet's way count them in the header and in their records.
 //
 // Between rules 2 and 3, packets of a flow that waits for a decision are dropped, so that no
 // copy of the first packet that reaches this agent opens the flow elsewhere. Late copies of a
--- a/flow/hints.go
+++ b/flow/hints.go
@@ -20,6 +20,7 @@
 	learned  bool   // sent by the owner; otherwise assumed
 	waiting  bool   // the flow waits at the owner for a slot, or did when the hint was sent
 	opening  bool   // assumed from a SYN, and not used by another packet since
+	placed   bool   // assumed from a first packet
 }
 
 // hintTable is a set-associative cache of fixed size.
--- a/flow/inbox.go
+++ b/flow/inbox.go
@@ -28,7 +28,6 @@
 	mismatch        bool          // the sender must resend the whole digest
 	resendRequested time.Duration // time of the last resend request
 	verified        bool          // the last check has matched, and no new digest has begun since
-	senderComplete  bool          // the sender's table is complete: Message.Complete
 	keepOldUntil    time.Duration // old is kept until then even if the new digest is verified
 }
 
--- a/flow/inquiry.go
+++ b/flow/inquiry.go
@@ -200,18 +200,15 @@
 }
 
 // status returns whether this agent's upstream holds the flow, does not hold it, or may hold it,
-// as far as this agent knows. Once the table counts as complete, a flow that is not in it is
-// NotHeld, even if a probe was delivered and not returned.
+// as far as this agent knows. A probe that was not returned shows that it may.
 func (t *Table) status(now time.Duration, hash uint64) packet.FlowStatus {
 	if t.flows.hasHash(hash) {
 		return packet.Held
 	}
-	f, probed := t.unknownFlows[hash]
+	f := t.unknownFlows[hash]
 	switch {
-	case t.lost.has(now, hash), probed && f.returned, t.tableComplete(now):
+	case t.lost.has(now, hash), f.returned, t.tableComplete(now) && !f.probed:
 		return packet.NotHeld
-	case probed && now-f.at >= probeTimeout:
-		return packet.Held // delivered to the upstream and not returned
 	}
 	return packet.MaybeHeld
 }
@@ -262,17 +259,27 @@
 	return out
 }
 
-// hasDenied reports whether a peer has answered that its upstream does not hold the flow.
-func (t *Table) hasDenied(hash uint64, peer packet.AgentID) bool {
+// inquiryAbout returns the inquiry about a suspect flow and the flow's position in it, or nil.
+func (t *Table) inquiryAbout(hash uint64) (*inquiry, int) {
 	number := t.unknownFlows[hash].inquiry
 	for _, q := range t.inquiries {
-		if q.number != number {
-			continue
+		if q.number == number {
+			return q, slices.Index(q.flows, hash)
 		}
-		statuses := q.answers[peer]
-		return statuses != nil && statuses[slices.Index(q.flows, hash)] == packet.NotHeld
 	}
-	return false
+	return nil, 0
+}
+
+// askedAll reports whether each peer has answered an inquiry about the flow or counts as absent.
+func (t *Table) askedAll(now time.Duration, hash uint64) bool {
+	q, _ := t.inquiryAbout(hash)
+	if q == nil || !t.peersKnown {
+		return false
+	}
+	mayRepeat := t.unknownFlows[hash].mayRepeat
+	return !slices.ContainsFunc(t.peers.list, func(p *peer) bool {
+		return q.answers[p.ID] == nil && t.excludedAsAbsent(now, p, mayRepeat) == NotExcluded
+	})
 }
 
 // exclusion returns the rule by which the upstream of a peer counts as not holding flow i of an
--- a/flow/lost.go
+++ b/flow/lost.go
@@ -29,11 +29,6 @@
 	// with its upstream. An agent restarts within two seconds. The platform kills an agent that
 	// has not stopped 6 s after the stop request.
 	peerRestartTimeout = 8 * time.Second
-	// maxPeersToProbe is the maximum number of peers with unknown flows for which a packet is
-	// sent to all of them in turn, since one packet can visit no more. With more such peers,
-	// packets are not sent to them this way, and the agent waits until these peers know their
-	// upstreams' flows.
-	maxPeersToProbe = packet.MaxHops
 	// lostFlowRetention is how long a lost flow is recorded. Clients retransmit at least
 	// every 1.6 s and time out after some seconds.
 	lostFlowRetention = 20 * time.Second
@@ -86,27 +81,27 @@
 	Ack uint32
 }
 
-// markSuspect makes the flow of a received packet suspect, if this agent is its first choice. It
-// is called after the upstream has returned a packet of the flow or the rebuilding phase has ended,
-// and assumes that the upstream does not hold the flow even if a probe was delivered and not
-// returned.
+// markSuspect makes the flow of a received packet suspect, if this agent is its first choice and its
+// upstream is not known to hold the flow.
 func (t *Table) markSuspect(now time.Duration, hash uint64, h *packet.Header, in *packet.Info) {
-	// Only the flow's first choice receives the digest of the flow's owner.
-	if !t.isFirstChoice(hash) {
-		return
-	}
 	f, known := t.unknownFlows[hash]
-	if !known && len(t.unknownFlows) >= maxUnknownFlows {
+	// Only the flow's first choice receives the digest of the flow's owner.
+	if !t.isFirstChoice(hash) || f.probed && !f.returned || !known && len(t.unknownFlows) >= maxUnknownFlows {
 		return
 	}
-	if !known || !f.returned || now-f.at >= suspectTimeout {
-		f = unknownFlow{at: now, returned: true, key: in.Key}
-	}
+	f.suspectAgain(now, in.Key)
 	f.ack, f.mayRepeat = in.Ack, h.Class.Repeatable()
 	t.addSuspect(hash, &f)
 	t.unknownFlows[hash] = f
 }
 
+// suspectAgain restarts the time for which the flow is suspect if it has passed.
+func (f *unknownFlow) suspectAgain(now time.Duration, k packet.Key) {
+	if f.key != k || now-f.at >= suspectTimeout {
+		f.at, f.key, f.forwards = now, k, 0
+	}
+}
+
 // Suspect is the part of a Message about one flow that may be lost.
 type Suspect struct {
 	Flow   LostFlow
@@ -144,9 +139,7 @@
 	if known && f.suspected || !known && len(t.unknownFlows) >= maxUnknownFlows {
 		return
 	}
-	if !known || !f.returned || now-f.at >= suspectTimeout {
-		f = unknownFlow{at: now, returned: true, key: s.Flow.Key}
-	}
+	f.suspectAgain(now, s.Flow.Key)
 	f.ack, f.forwards, f.mayRepeat = s.Flow.Ack, s.Passed, s.MayRepeat
 	t.addSuspect(hash, &f)
 	t.unknownFlows[hash] = f
@@ -174,7 +167,7 @@
 	for _, hash := range t.suspected {
 		f, known := t.unknownFlows[hash]
 		switch {
-		case !known || !f.returned:
+		case !known:
 		case now-f.at >= suspectTimeout || t.peerOwns(now, hash):
 			f.suspected = false
 			t.unknownFlows[hash] = f
@@ -183,7 +176,7 @@
 			t.forwardSuspect(to, &f)
 			f.suspected = false
 			t.unknownFlows[hash] = f
-		case !canDeclare || !findings[hash].lost:
+		case !canDeclare || !findings[hash].lost || !f.returned && !t.tableComplete(now):
 			kept = append(kept, hash)
 		default:
 			delete(t.unknownFlows, hash)
@@ -227,63 +220,29 @@
 	return target == 0
 }
 
-// peersToProbe returns up to maxPeersToProbe+1 peers whose flows this agent does not know
-// completely, and whether there is another such peer, whose agent is restarting. The list is valid
-// until the next call.
-func (t *Table) peersToProbe(now time.Duration) (list []*peer, restarting bool) {
-	list = t.peersToProbeBuffer[:0]
-	for _, p := range t.peers.list {
-		switch {
-		case p.allFlowsKnown(now) || p.heardAt == never && p.silence(now) >= t.silenceTimeout(now):
-		case p.State == AgentRestarting:
-			restarting = true
-		case len(list) <= maxPeersToProbe:
-			list = append(list, p)
-		}
-	}
-	t.peersToProbeBuffer = list
-	return list, restarting
-}
-
-// nextPeerToProbe returns the next peer from peersToProbe to which a packet of a flow that is not
-// in this table is forwarded, or nil. It sets FlagTryAll in h if it returns a peer. A peer that
-// owns the flow sends a hint. Any other peer, while it rebuilds its table, delivers the packet to
-// its upstream as a probe. If the upstream returns it, the peer forwards it to the next peer and
-// can answer inquiries about the flow from then on. A missing hint proves nothing, because the
-// packet may have been lost.
+// nextPeerToProbe returns the peer to which a packet of a suspect flow is forwarded as a probe, or nil.
+// It is the highest-ranked of those that have answered that their upstreams may hold the flow. There
+// is none until all peers have answered, since one of them may own the flow, and none beyond
+// maxTried. It counts the probe, although the packet may be lost on its way.
 func (t *Table) nextPeerToProbe(now time.Duration, hash uint64, h *packet.Header) *peer {
 	if t.cfg.Rebuild == 0 || h.Hops >= packet.MaxHops {
 		return nil
 	}
-	// Only the flow's first choice sends inquiries about it, so visiting these peers is useful
-	// only for a packet that has reached the first choice.
-	if first, _ := t.targets(hash); first != 0 && !h.HasVisited(first) {
-		return nil
-	}
-	candidates, restarting := t.peersToProbe(now)
-	// In both cases one packet could not visit all peers with unknown flows, and it is sent to
-	// none of them this way.
-	if restarting || len(candidates) > maxPeersToProbe {
+	f := t.unknownFlows[hash]
+	h.Tried = max(h.Tried, f.recentlyTried(now))
+	if h.Tried >= maxTried || !t.askedAll(now, hash) {
 		return nil
 	}
-	for _, p := range candidates {
-		if h.HasVisited(p.ID) || t.hasDenied(hash, p.ID) {
-			continue
-		}
-		h.Flags |= packet.FlagTryAll
-		return p
-	}
-	return nil
-}
-
-// allFlowsKnown reports whether the peer's digest is known to list all flows of its upstream
-// whose first choice is this agent. An upstream that has ended holds no flows, nor does one
-// whose agent has been restarting for much longer than a restart takes.
-func (p *peer) allFlowsKnown(now time.Duration) bool {
-	if p.State == AgentRestarting {
-		return now-p.stateChanged >= peerRestartTimeout
+	q, i := t.inquiryAbout(hash)
+	p, _ := t.peers.best(hash, func(p *peer) bool {
+		statuses := q.answers[p.ID]
+		return statuses != nil && statuses[i] == packet.MaybeHeld && !h.HasVisited(p.ID)
+	})
+	if p != nil {
+		f.noteTried(now, h.Tried+1)
+		t.unknownFlows[hash] = f
 	}
-	return p.State.Gone() || p.inbox.senderComplete && p.inbox.verified
+	return p
 }
 
 // SilentPeers returns the number of peers that count as absent because nothing has arrived from them.
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -10,16 +10,29 @@
 // rebuilds its table from the upstream itself: the upstream's own packets identify flows that
 // it holds, and the upstream returns the packets of flows that it does not hold.
 
-// probeTimeout is the time after which a probe that was not returned proves that the upstream
-// holds its flow. Upstream and agent run on one VM, so a returned packet takes well under a
-// millisecond unless one of them waits for the processor.
+// probeTimeout is the minimum time between two deliveries of packets of an unknown flow. Upstream and
+// agent run on one VM, so a returned packet takes well under a millisecond unless one of them waits
+// for the processor. A probe that is not returned proves nothing; a packet of the upstream does.
 const probeTimeout = 30 * time.Millisecond
 
+const (
+	// maxTried is the value of Header.Tried from which a packet of an unknown flow is not delivered
+	// as a probe. A flow counts as misrouted when three of its packets have reached upstreams that
+	// do not hold it and none its own.
+	maxTried = 2
+	// triedPeriod is the time without a probe after which a flow's probes are counted anew. It is
+	// the period in which the users count misrouted packets, their flow-window-ms.
+	triedPeriod = 2 * time.Second
+)
+
 // unknownFlow is the state of a flow that is not in this agent's table: one of its packets was
 // delivered to the upstream, or the flow is or was suspect.
 type unknownFlow struct {
 	at       time.Duration // when the packet was delivered or returned, or the flow became suspect
-	returned bool          // the upstream does not hold the flow, or this is assumed: see markSuspect
+	probed   bool          // a packet was delivered to the upstream
+	returned bool          // the upstream has returned a packet, so it does not hold the flow
+	tried    uint8         // the highest known Header.Tried of the flow's packets
+	triedAt  time.Duration // when tried last increased
 	key      packet.Key    // of the flow
 	ack      uint32        // acknowledgement number of the client's last packet
 	// suspected says that Table.suspected contains the flow.
@@ -30,9 +43,20 @@
 	mayRepeat bool
 }
 
-// maxTried is the value of Header.Tried from which a packet of an unknown flow is not
-// delivered to another upstream as a probe, unless it has FlagTryAll.
-const maxTried = 2
+// recentlyTried returns the number of probes with packets of the flow that count at the time.
+func (f *unknownFlow) recentlyTried(now time.Duration) uint8 {
+	if now-f.triedAt >= triedPeriod {
+		return 0
+	}
+	return f.tried
+}
+
+// noteTried records the number of probes of a packet of the flow.
+func (f *unknownFlow) noteTried(now time.Duration, tried uint8) {
+	if tried > f.recentlyTried(now) {
+		f.tried, f.triedAt = tried, now
+	}
+}
 
 // maxUnknownFlows is the maximum number of records of unknown flows. Beyond it, packets of
 // unknown flows are forwarded without a probe.
@@ -44,57 +68,69 @@
 
 // tableComplete reports whether the table, and with it this agent's digests, counts as listing all
 // flows of the upstream. If the upstream started together with its agent, the agent has seen all
-// its flows. The agent still delivers packets of unknown flows to it, in case the upstream is older
-// than it seems.
+// its flows.
 func (t *Table) tableComplete(now time.Duration) bool { return t.noEarlierFlows || t.rebuilt(now) }
 
-// probeUpstream handles a packet of an unknown flow in the rebuilding phase. It probes with only
-// one packet of a flow at a time, because an upstream should see as few packets of foreign flows as
-// possible. It returns false if it has not decided on the packet.
+// probeUpstream delivers a packet of an unknown flow to the upstream as a probe if mayProbe allows it.
+// It probes with only one packet of a flow at a time, because an upstream should see as few packets
+// of foreign flows as possible. Until the upstream returns a probe or sends a packet of the flow,
+// other packets are dropped when maxTried is reached. It returns false if it has not decided on the
+// packet.
 func (t *Table) probeUpstream(now time.Duration, hash uint64, h *packet.Header, in *packet.Info) (Action, bool) {
-	if t.rebuilt(now) || in.RST {
+	if t.cfg.Rebuild == 0 || in.RST {
 		return Action{}, false
 	}
 	f, known := t.unknownFlows[hash]
+	pending := f.probed && !f.returned
 	switch {
-	case known && f.returned:
+	case f.returned || !pending && !t.mayProbe(now, hash, h) || !known && len(t.unknownFlows) >= maxUnknownFlows:
 		return Action{}, false
-	case known && now-f.at < probeTimeout:
+	case pending && now-f.at < probeTimeout:
 		return t.drop(ReasonWaiting), true
-	case known:
-		delete(t.unknownFlows, hash)
-		a := t.deliver(now, h, t.takeOwnership(now, hash, &in.Key))
-		a.Unreturned = true
-		return a, true
-	case len(t.unknownFlows) >= maxUnknownFlows || h.Tried >= maxTried && h.Flags&packet.FlagTryAll == 0:
-		return Action{}, false
 	}
-	t.unknownFlows[hash] = unknownFlow{at: now, key: in.Key, ack: in.Ack}
-	// An upstream that started together with its agent very probably holds no unknown flow, so
-	// this probe does not count towards maxTried. It is sent all the same, because the clocks by
-	// which the start times are compared are too inaccurate to rely on.
-	if !t.noEarlierFlows {
-		h.Tried++
+	h.Tried = max(h.Tried, f.recentlyTried(now))
+	if h.Tried >= maxTried {
+		return t.drop(ReasonWaiting), pending
 	}
+	h.Tried++
+	f.at, f.probed, f.key, f.ack = now, true, in.Key, in.Ack
+	f.noteTried(now, h.Tried)
+	t.unknownFlows[hash] = f
 	t.counters.Tried++
 	return Action{Kind: Deliver, Probe: true}, true
 }
 
+// mayProbe reports whether a packet of an unknown flow may be delivered to the upstream: its sender
+// expects the flow here, or the upstream may hold flows from before the start of this agent and this
+// agent is the flow's first choice, to which balancers send packets without a hint. An agent that does
+// not know whether its upstream has just started asks the others first: while a fleet starts, the
+// balancers' views differ, and each retransmission may go to another agent.
+func (t *Table) mayProbe(now time.Duration, hash uint64, h *packet.Header) bool {
+	if h.Flags&packet.FlagExpected != 0 {
+		return true
+	}
+	return !t.tableComplete(now) && t.isFirstChoice(hash) && (t.self.Start != 0 || t.askedAll(now, hash))
+}
+
 // HandleReturned decides on a packet that the upstream has sent back. h is the header under
 // which it was delivered. The upstream does not hold the flow or, if this is a first packet,
 // has not accepted it.
 func (t *Table) HandleReturned(now time.Duration, h *packet.Header, in *packet.Info) Action {
 	t.counters.Returned++
 	hash := in.Key.Hash()
-	if f, known := t.unknownFlows[hash]; known && !f.returned {
-		f.at, f.returned = now, true
-		t.unknownFlows[hash] = f
-		t.markSuspect(now, hash, h, in)
-	}
 	t.removeFlow(now, hash, &in.Key)
 	if in.First {
 		return t.handOffToNext(now, hash, h)
 	}
+	f, known := t.unknownFlows[hash]
+	if !f.probed {
+		h.Tried = min(h.Tried+1, maxTried) // it was delivered as a packet of a flow in the table
+	}
+	if known || len(t.unknownFlows) < maxUnknownFlows {
+		f.at, f.returned, f.key, f.ack = now, true, in.Key, in.Ack
+		f.noteTried(now, h.Tried)
+		t.unknownFlows[hash] = f
+	}
 	return t.forwardUnknown(now, hash, h, in)
 }
 
--- a/flow/receive.go
+++ b/flow/receive.go
@@ -49,11 +49,9 @@
 	if a, done := t.forwardToOwner(now, hash, h, in); done {
 		return a
 	}
-	if f := t.unknownFlows[hash]; t.rebuilt(now) || f.returned {
-		t.markSuspect(now, hash, h, in)
-	}
+	t.markSuspect(now, hash, h, in)
 	if p := t.nextPeerToProbe(now, hash, h); p != nil {
-		return t.forward(h, p)
+		return t.forwardExpected(h, p)
 	}
 	return t.forwardAlongRanking(now, hash, h)
 }
@@ -90,7 +88,7 @@
 		return Action{}, false
 	}
 	h.Flags &^= packet.FlagReturnIfUnknown | packet.FlagReturned
-	a := t.forward(h, p)
+	a := t.forwardExpected(h, p)
 	a.OwnerKnown = true
 	return a, true
 }
@@ -295,10 +293,18 @@
 	}
 	h.Visited[slot] = t.self.ID
 	h.Hops++
+	h.Flags &^= packet.FlagExpected
 	t.counters.Forwarded++
 	return Action{Kind: Forward, To: p.ID, Addr: p.Addr}
 }
 
+// forwardExpected forwards the packet to an agent that owns or may own its flow.
+func (t *Table) forwardExpected(h *packet.Header, p *peer) Action {
+	a := t.forward(h, p)
+	h.Flags |= packet.FlagExpected
+	return a
+}
+
 // deliver passes the packet to the upstream. If the packet took a detour, the balancer is
 // sent a hint.
 func (t *Table) deliver(now time.Duration, h *packet.Header, e *entry) Action {
--- a/flow/router.go
+++ b/flow/router.go
@@ -28,13 +28,15 @@
 
 // Decision is the result of Router.Route. If OK is false, the packet is to be dropped.
 type Decision struct {
-	OK      bool
-	Hinted  bool // chosen by the flow's hint, sent or assumed, instead of the ranking
-	Reason  Reason
-	Service packet.ServiceID
-	Agent   packet.AgentID
-	Addr    netip.AddrPort
-	Class   packet.Class // request class of the address
+	OK     bool
+	Hinted bool // chosen by the flow's hint, sent or assumed, instead of the ranking
+	// Expected says that the agent has sent the hint, or that this router has placed the flow there.
+	Expected bool
+	Reason   Reason
+	Service  packet.ServiceID
+	Agent    packet.AgentID
+	Addr     netip.AddrPort
+	Class    packet.Class // request class of the address
 }
 
 // Router is the balancer side of flow placement. It is not safe for concurrent use.
@@ -185,9 +187,12 @@
 		return Decision{Reason: ReasonNoService}
 	}
 	hash := in.Key.Hash()
-	if s, u := r.hinted(now, &d, hash, in); u != nil {
+	if s, u, h := r.hinted(now, &d, hash, in); u != nil {
 		s.traffic.count(hash, in)
-		return Decision{OK: true, Hinted: true, Service: s.id, Agent: u.ID, Addr: u.Addr, Class: d.class}
+		return Decision{
+			OK: true, Hinted: true, Expected: h.learned || h.placed,
+			Service: s.id, Agent: u.ID, Addr: u.Addr, Class: d.class,
+		}
 	}
 	i := d.choose(hash)
 	if i == noService {
@@ -200,7 +205,7 @@
 		return Decision{Reason: ReasonNoUpstream, Service: s.id}
 	}
 	if !r.cfg.LearnedOnly {
-		r.record(now, hash, u, hint{opening: opensTCP(in)})
+		r.record(now, hash, u, hint{opening: opensTCP(in), placed: in.First})
 	}
 	return Decision{OK: true, Service: s.id, Agent: u.ID, Addr: u.Addr, Class: d.class}
 }
@@ -217,34 +222,34 @@
 	if !found {
 		return false
 	}
-	_, u := r.hinted(now, &d, in.Key.Hash(), in)
+	_, u, _ := r.hinted(now, &d, in.Key.Hash(), in)
 	return u != nil
 }
 
-// hinted returns the upstream of the flow's hint if it can still hold the flow. The lookup is
+// hinted returns the flow's hint and its upstream, if that can still hold the flow. The lookup is
 // limited to the services of the packet's address, so that an old hint is never used after an
 // address has moved to another service.
-func (r *Router) hinted(now time.Duration, d *destination, hash uint64, in *packet.Info) (*routedService, *Upstream) {
+func (r *Router) hinted(now time.Duration, d *destination, hash uint64, in *packet.Info) (*routedService, *Upstream, *hint) {
 	h := r.hints.find(hash)
 	if h == nil || in.Repeat >= firstRedirectedCopy && !h.waiting {
-		return nil, nil
+		return nil, nil, nil
 	}
 	s, i := r.find(d, h.owner)
 	if s == nil {
-		return nil, nil
+		return nil, nil, nil
 	}
 	u := &s.upstreams[i]
 	if !u.mayStillHold(h.holder) || u.State == Leaving {
-		return nil, nil
+		return nil, nil, nil
 	}
 	// A SYN that this balancer sent to a failed upstream may have been lost there, and
 	// another balancer may have placed its retransmission elsewhere.
 	if u.State == Failed && (in.First || h.opening) {
-		return nil, nil
+		return nil, nil, nil
 	}
 	h.lastUsed = seconds(now)
 	h.opening = h.opening && in.First
-	return s, u
+	return s, u, h
 }
 
 // find returns the service of the destination that contains the upstream, and the upstream's
--- a/flow/step.go
+++ b/flow/step.go
@@ -133,9 +133,6 @@
 	if m.Seq != 0 {
 		t.receiveDigest(now, m.From, &m)
 	}
-	if b := t.inboxes[m.From]; b != nil {
-		b.senderComplete = m.Complete
-	}
 }
 
 func (t *Table) receiveDigest(now time.Duration, from packet.AgentID, m *Message) {
--- a/flow/table.go
+++ b/flow/table.go
@@ -31,18 +31,17 @@
 	unknownFlows    map[uint64]unknownFlow // flows that are not in the table, by hash
 	lost            lostFlows
 	// suspected are the hashes of suspect flows, which may be lost.
-	suspected          []uint64
-	inquiries          []*inquiry    // about suspect flows
-	lossFindings       []finding     // of the flows that the last call of CheckSuspects has returned
-	lastInquiry        uint32        // number of the latest inquiry
-	nextInquiryAt      time.Duration // earliest time of the next new inquiry
-	suspectsChecked    time.Duration // time of the last call of CheckSuspects
-	suspectsDue        bool          // CheckSuspects should be called at once
-	peersChecksum      uint64        // checksum of the upstreams that may hold flows, including this agent's
-	peersToProbeBuffer []*peer       // buffer of peersToProbe
-	stepDue            bool          // Step should be called at once
-	work               workload
-	refusedFlows       []RefusedFlow // not yet returned by RefusedFlows
+	suspected       []uint64
+	inquiries       []*inquiry    // about suspect flows
+	lossFindings    []finding     // of the flows that the last call of CheckSuspects has returned
+	lastInquiry     uint32        // number of the latest inquiry
+	nextInquiryAt   time.Duration // earliest time of the next new inquiry
+	suspectsChecked time.Duration // time of the last call of CheckSuspects
+	suspectsDue     bool          // CheckSuspects should be called at once
+	peersChecksum   uint64        // checksum of the upstreams that may hold flows, including this agent's
+	stepDue         bool          // Step should be called at once
+	work            workload
+	refusedFlows    []RefusedFlow // not yet returned by RefusedFlows
 
 	noEarlierFlows     bool          // the upstream started no earlier than this agent or does not run, so it holds no flows from before
 	acceptsEarly       bool          // flows are accepted although the state is Starting
--- a/packet/header.go
+++ b/packet/header.go
@@ -27,11 +27,12 @@
 	// FlagReturned marks a packet whose offer was declined: an agent has returned it because
 	// of FlagReturnIfUnknown. Info.Returned is about a return by the upstream.
 	FlagReturned
-	// FlagTryAll marks a packet of an unknown flow that may be delivered as a probe to every
-	// upstream that may hold the flow, without the limit on Header.Tried.
-	FlagTryAll
+	_ // agents of earlier builds deliver a packet with this bit as a probe without a limit
 	// FlagWaiting marks a hint about a flow that waits at the owner for a slot and is not open.
 	FlagWaiting
+	// FlagExpected marks a packet whose sender has evidence that the receiving agent owns its flow,
+	// or may own it while no other agent is known to: the agent may deliver it as a probe.
+	FlagExpected
 )
 
 const (
@@ -59,8 +60,8 @@
 	Kind  Kind
 	Hops  uint8 // number of times that an agent has forwarded the packet
 	Flags uint8
-	// Tried is the number of upstreams to which the packet was delivered as a probe, to find
-	// out whether they hold its flow, not counting those that started no earlier than their agent.
+	// Tried is the number of deliveries of the flow's packets to upstreams that do not hold the flow,
+	// or may not, in the last seconds, as far as the agents on the packet's way know.
 	Tried    uint8
 	Class    Class // class of the route's requests
 	Service  ServiceID
