--- a/agent/counters.go
+++ b/agent/counters.go
@@ -15,7 +15,7 @@
 	late, returned, resets, inquiries                int // late: dropped because of their age; returned: by the upstream
 	probes, probesReturned                           int // packets of unknown flows delivered to the upstream, and those that it has returned
 	dropped                                          daemon.Drops
-	firstDelivered                                   bool // the first packet of a flow was delivered
+	awaitsAnswer                                     bool // the first packet of a flow or a probe was delivered
 }
 
 // counters holds the packet metrics of the process.
--- a/agent/flowlog.go
+++ b/agent/flowlog.go
@@ -41,8 +41,6 @@
 	switch {
 	case action.Kind == flow.Deliver && action.Probe:
 		outcome = "delivered as a probe"
-	case action.Kind == flow.Deliver && action.Unreturned:
-		outcome = "delivered, as no probe was returned"
 	case action.Kind == flow.Forward && in.Returned:
 		outcome = "returned by the upstream and forwarded"
 	case action.Kind == flow.Forward && !action.OwnerKnown:
