flow: the first announcement of a restarted upstream ends only what the upstream returns

Cause: callers saw a flow reset that their upstream had just accepted. When an agent learned that its upstream had restarted, all flows in its table counted as lost. An upstream that crashes and is back within its announcement interval accepts flows before its first announcement, which then ended them. And a flow whose SYN was delivered to an upstream that did not run counted as lost, though a copy of the SYN had opened it elsewhere. Change: after a restart the next packet of each flow is delivered once; if the upstream returns it, the flow is lost and reset, one exchange on the VM later. Flows of which the upstream has sent no packet are not recorded as lost. When an upstream is found stopped, its flows are lost at once as before. Measured: go test ./flow -run TestFlowOpened: 2 of 2 fail before, pass now.

--- a/flow/evidence_test.go
+++ b/flow/evidence_test.go
@@ -84,6 +84,7 @@
 		u.run(3 * time.Second)
 		own, other := u.keyRanked(packet.ProtoTCP, "a"), u.keyRanked(packet.ProtoTCP, "b")
 		u.sendPacket("a", numbered(own, 0))
+		u.reply("a", own)
 		t := u.agents[u.named("a").ID]
 		t.SetUpstreamStopped(u.now)
 		u.now += time.Second
--- a/flow/inquiry.go
+++ b/flow/inquiry.go
@@ -207,7 +207,9 @@
 	}
 	f := t.unknownFlows[hash]
 	switch {
-	case t.lost.has(now, hash), f.returned, t.tableComplete(now) && !f.probed:
+	case t.lost.has(now, hash), f.returned:
+		return packet.NotHeld
+	case t.tableComplete(now) && !f.probed && !t.lost.isUnconfirmed(now, hash):
 		return packet.NotHeld
 	}
 	return packet.MaybeHeld
--- a/flow/lost.go
+++ b/flow/lost.go
@@ -44,6 +44,9 @@
 type lostFlow struct {
 	until time.Duration
 	cause LossCause
+	// unconfirmed says that the upstream's present process may hold the flow: it has started, and may
+	// have accepted flows, before this agent learned of its start.
+	unconfirmed bool
 }
 
 func newLostFlows(max int) lostFlows {
@@ -52,16 +55,43 @@
 
 func (l *lostFlows) record(now time.Duration, hash uint64, cause LossCause) {
 	if len(l.byHash) < l.max {
-		l.byHash[hash] = lostFlow{until: now + lostFlowRetention, cause: cause}
+		l.byHash[hash] = lostFlow{until: now + lostFlowRetention, cause: cause, unconfirmed: cause == UpstreamRestarted}
 	}
 }
 
+// has reports whether the flow is certainly lost.
 func (l *lostFlows) has(now time.Duration, hash uint64) bool {
+	f, found := l.find(now, hash)
+	return found && !f.unconfirmed
+}
+
+// isUnconfirmed reports whether the flow is lost unless the upstream's present process holds it.
+func (l *lostFlows) isUnconfirmed(now time.Duration, hash uint64) bool {
+	f, found := l.find(now, hash)
+	return found && f.unconfirmed
+}
+
+func (l *lostFlows) find(now time.Duration, hash uint64) (lostFlow, bool) {
 	if len(l.byHash) == 0 {
-		return false
+		return lostFlow{}, false
 	}
 	f, found := l.byHash[hash]
-	return found && now < f.until
+	return f, found && now < f.until
+}
+
+// confirm records that the upstream's present process does not hold the flow either.
+func (l *lostFlows) confirm(hash uint64) {
+	if f, found := l.byHash[hash]; found {
+		f.unconfirmed = false
+		l.byHash[hash] = f
+	}
+}
+
+// confirmAll does the same for all flows.
+func (l *lostFlows) confirmAll() {
+	for hash := range l.byHash {
+		l.confirm(hash)
+	}
 }
 
 func (l *lostFlows) forget(hash uint64) { delete(l.byHash, hash) }
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -131,6 +131,10 @@
 		f.noteTried(now, h.Tried)
 		t.unknownFlows[hash] = f
 	}
+	if t.lost.isUnconfirmed(now, hash) {
+		t.lost.confirm(hash)
+		return t.resetLost(in)
+	}
 	return t.forwardUnknown(now, hash, h, in)
 }
 
@@ -167,8 +171,10 @@
 
 // SetUpstreamStart sets the start ID of the upstream. noEarlierFlows says that the upstream
 // started no earlier than this agent, which then knows all its flows. If the ID changes, the
-// upstream has restarted and its flows are lost. When the first ID arrives, the table may already
-// contain flows adopted from packets of the upstream; they are kept.
+// upstream has restarted and its flows are lost, except those that it has accepted since. They cannot
+// be told apart, so the next packet of each is delivered, and returned if the flow is lost. When the
+// first ID arrives, the table may already contain flows adopted from packets of the upstream; they are
+// kept.
 func (t *Table) SetUpstreamStart(now time.Duration, start uint64, noEarlierFlows bool) {
 	before := t.self.Start
 	t.self.Start, t.noEarlierFlows = start, noEarlierFlows
@@ -183,13 +189,18 @@
 	t.noEarlierFlows = true
 	t.rebuildUntil = now
 	t.endAllFlows(now, UpstreamStopped)
+	t.lost.confirmAll()
 }
 
-// endAllFlows ends all flows and records them as lost.
+// endAllFlows ends all flows and records those that the upstream held as lost.
 func (t *Table) endAllFlows(now time.Duration, cause LossCause) {
 	for len(t.flows.entries) > 0 {
 		last := len(t.flows.entries) - 1
-		t.lost.record(now, t.flows.entries[last].hash, cause)
+		// Without a reply the upstream may never have held the flow, and a copy of its first packet
+		// may have opened it elsewhere.
+		if t.flows.entries[last].flags&flagReplies != 0 {
+			t.lost.record(now, t.flows.entries[last].hash, cause)
+		}
 		t.removeAt(now, last)
 	}
 	clear(t.unknownFlows)
--- a/flow/rebuild_test.go
+++ b/flow/rebuild_test.go
@@ -278,6 +278,7 @@
 	// Guards against clients that wait until their deadline on a lost flow.
 	It("are reset at once by the agent that owned them", func() {
 		u.sendPacket("a", numbered(k, 0))
+		u.reply("a", k)
 		u.restartUpstream("a")
 		_, action := u.sendPacket("a", data(k))
 		Expect(action).To(Equal(Action{Kind: Reset, Reason: ReasonFlowLost}))
--- a/flow/unproven_absence_test.go
+++ b/flow/unproven_absence_test.go
@@ -215,3 +215,47 @@
 	g.Expect(show(101, 2)).To(BeTrue(), "the upstream has not restarted")
 	g.Expect(show(301, 2)).To(BeFalse(), "the upstream has restarted")
 }
+
+// Guards against the reset of a flow that a restarted upstream has accepted before its agent learns of
+// the restart: the first announcement of the new process ended all flows in the table.
+func TestFlowOpenedBeforeTheFirstAnnouncementIsNotReset(t *testing.T) {
+	g := NewWithT(t)
+	u := newUpstreamRig(4)
+	u.run(settled)
+	earlier, open := u.keyRanked(packet.ProtoTCP, "a", "b"), u.keyRanked(packet.ProtoTCP, "a", "c")
+	u.sendPacket("a", numbered(earlier, 0))
+	u.reply("a", earlier)
+	u.held["a"] = map[packet.Key]bool{} // the upstream restarts
+	u.sendPacket("a", numbered(open, 0))
+	u.reply("a", open)
+	table := u.agents[u.named("a").ID]
+	table.SetUpstreamStart(u.now, u.named("a").Start+1000, true)
+	g.Expect(table.status(u.now, open.Hash())).To(Equal(packet.MaybeHeld))
+	path, action := u.sendPacket("a", data(open))
+	g.Expect(path).To(Equal("a"))
+	g.Expect(action.Kind).To(Equal(Deliver))
+	u.reply("a", open)
+	g.Expect(table.status(u.now, open.Hash())).To(Equal(packet.Held))
+	for _, path := range []string{"a!", "a"} { // the flow of the earlier process
+		visited, action := u.sendPacket("a", data(earlier))
+		g.Expect(visited).To(Equal(path))
+		g.Expect(action).To(Equal(Action{Kind: Reset, Reason: ReasonFlowLost}))
+	}
+}
+
+// Guards against the reset of a flow whose SYN was delivered to an upstream that did not run, and whose
+// copy opened it elsewhere: the flow counted as lost when the upstream was found stopped.
+func TestFlowOpenedElsewhereIsNotResetWhenAnUpstreamStops(t *testing.T) {
+	g := NewWithT(t)
+	u := newUpstreamRig(4)
+	u.run(settled)
+	k := u.keyRanked(packet.ProtoTCP, "a", "b")
+	u.sendPacket("a", numbered(k, 0))
+	u.held["a"] = map[packet.Key]bool{}
+	u.agents[u.named("a").ID].SetUpstreamStopped(u.now)
+	u.sendPacket("b", numbered(k, 2))
+	u.reply("b", k) // its digest is on its way to a
+	path, action := u.sendPacket("a", data(k))
+	g.Expect(path).To(Equal("ab"))
+	g.Expect(action.Kind).To(Equal(Deliver))
+}
