member: an agent that has announced its restart is not marked as failed for 8 s

Cause: an agent that announces AgentRestarting leaves a running upstream behind. If its restart took longer than SuspectAfter (3 s), balancers suspected it, and the arbiter marked it as failed about 6 s after the announcement in the test (calls time out there after 1 s; sooner where connections are refused). Its peers then count agent and upstream as absent after 50 ms without an answer and reset open flows, under planned work. Change: Config.RestartTimeout, 8 s, the value of flow.peerRestartTimeout. Until then no balancer suspects such an agent and no arbiter marks it, whatever the claim. Nothing is lost by waiting: it receives no new flows. A lost or late announcement needs no change: a mark on the earlier record has the same version as the announcement and loses to it (test).

--- a/member/suspect.go
+++ b/member/suspect.go
@@ -76,7 +76,9 @@
 			delete(n.detector.awaitedSince, name)
 			continue
 		}
-		n.suspect(&r)
+		if !n.restarting(&r) {
+			n.suspect(&r)
+		}
 	}
 }
 
@@ -98,6 +100,13 @@
 	}
 }
 
+// restarting reports whether an agent has announced that it restarts, and may still do so.
+// Its silence proves nothing: its upstream runs and holds its flows. It receives no new flows.
+func (n *Node) restarting(r *Record) bool {
+	e := n.table.byName[r.Name]
+	return e != nil && r.State == flow.AgentRestarting && n.now-e.since < n.cfg.RestartTimeout
+}
+
 func (n *Node) isHome(r *Record) bool {
 	if r.FailureDomain != n.self.FailureDomain && n.table.balancerIndex().domains[r.FailureDomain] != nil {
 		return false
@@ -270,9 +279,9 @@
 	return n.self.Control
 }
 
-// decideClaim marks a process as failed if at least two balancers could not reach it, the
-// claim is based on the record in this balancer's table and the limit of failed processes
-// allows it. Otherwise the claim is ignored and must be repeated. It does not check that
+// decideClaim marks a process as failed if at least two balancers could not reach it, it is
+// not restarting, the claim is based on the record in this balancer's table and the limit of
+// failed processes allows it. Otherwise the claim is ignored and must be repeated. It does not check that
 // this balancer is the arbiter.
 func (n *Node) decideClaim(m Message) {
 	slices.Sort(m.Observers)
@@ -280,7 +289,7 @@
 		return
 	}
 	r, known := n.table.Get(m.Name)
-	if !known || r.Gone() || Compare(&r, &m.Records[0]) != 0 || !n.failureAllowed(&r) {
+	if !known || r.Gone() || Compare(&r, &m.Records[0]) != 0 || n.restarting(&r) || !n.failureAllowed(&r) {
 		return
 	}
 	r.State = flow.Failed
--- /dev/null
+++ b/member/suspect_test.go
@@ -0,0 +1,88 @@
+package member_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/nutmegtrack/nutmegtrack/flow"
+	"github.com/nutmegtrack/nutmegtrack/member"
+)
+
+var _ = Describe("An agent that restarts beside its upstream", func() {
+	// restartTimeout is the default of member.Config.RestartTimeout.
+	const restartTimeout = 8 * time.Second
+
+	// Guards against open flows of a sound upstream that are reset during a planned restart
+	// of its agent, because the agent was marked as failed before its restart was overdue.
+	It("is not marked as failed before the restart is overdue, and is afterwards", func() {
+		for seed := range uint64(5) {
+			f := newFleet(40 + seed)
+			f.start(6, 7)
+			f.setState("u0", flow.AgentRestarting)
+			for !f.agents["u0"].Confirmed() {
+				f.net.Run(10 * time.Millisecond)
+			}
+			announced := f.net.Now()
+			f.kill("u0")
+			f.net.Run(time.Second)
+			f.every(func() {
+				Expect(f.states("u0")).To(HaveEach(flow.AgentRestarting), "after %v", f.net.Now()-announced)
+			}, restartTimeout-1200*time.Millisecond)
+			f.net.Run(10 * time.Second)
+			Expect(f.states("u0")).To(HaveEach(flow.Failed))
+		}
+	})
+
+	// Guards against a mark that was decided just before the announcement of the restart and
+	// overrides it, and against an announcement that is lost for the processes it reaches late.
+	It("overrides a concurrent mark as failed", func() {
+		f := newFleet(50)
+		f.segments["u0"] = "island"
+		f.start(6, 7)
+		f.net.Cut("island", "fd0")
+		f.net.Cut("island", "fd1")
+		f.net.Cut("island", "fd2")
+		f.net.Run(10 * time.Second)
+		Expect(f.states("u0")).To(HaveEach(flow.Failed))
+		// The agent does not know of the mark.
+		f.net.Heal()
+		f.setState("u0", flow.AgentRestarting)
+		for !f.agents["u0"].Confirmed() {
+			f.net.Run(10 * time.Millisecond)
+		}
+		f.kill("u0")
+		f.net.Run(2 * time.Second)
+		Expect(f.states("u0")).To(HaveEach(flow.AgentRestarting))
+		for name, a := range f.agents {
+			r, _ := a.Table().Get("u0")
+			Expect(r.State).To(Equal(flow.AgentRestarting), name)
+		}
+	})
+
+	// Guards against an arbiter that has learned of the restart only with the claim's
+	// record, and against claims by balancers that have not learned of it.
+	It("is not marked by a claim on its record from before the restart", func() {
+		f := newFleet(60)
+		now := time.Duration(0)
+		n := member.NewNode(member.Config{}, f.record("b1", "", "a"), f.rng())
+		ready := f.record("u1", "portal", "a")
+		ready.Incarnation = 7
+		restarting := ready
+		restarting.State, restarting.Version = flow.AgentRestarting, ready.Version+1
+		claim := func(r member.Record) flow.State {
+			n.Handle(now, member.Message{Kind: member.KindClaim, Records: []member.Record{r}, Name: r.Name,
+				Observers: []string{"10.0.0.2:1", "10.0.0.3:1"}})
+			known, _ := n.Table().Get(r.Name)
+			return known.State
+		}
+		n.Load(now, []member.Record{restarting, f.record("u2", "portal", "a")})
+		Expect(claim(ready)).To(Equal(flow.AgentRestarting))
+		now = restartTimeout - 1
+		Expect(claim(restarting)).To(Equal(flow.AgentRestarting))
+		now = restartTimeout
+		Expect(claim(ready)).To(Equal(flow.AgentRestarting))
+		Expect(claim(restarting)).To(Equal(flow.Failed))
+	})
+})
