agent, member: an agent with an earlier process beside its upstream does not deny flows

Cause: an agent whose upstream seemed to have started with it (start time within 1 s, or warm-up and announcement number up to 4) took its empty table as complete. That is wrong if an earlier agent process ran beside the same upstream: the agent crashed or was restarted within the first seconds of the upstream, or the clock of its VM was stepped back before the restart. It answered inquiries about open flows with "not held", and the flows were reset. Change: the heuristics count only once a balancer has answered and as long as no record of an earlier agent process with the same start ID of the upstream is known. Balancers return the earlier record with the first heartbeat: either it wins and is returned as before, or, new, it is returned although this heartbeat has replaced it. After a power failure the earlier record, if any is left, has another start ID, so lost flows are still denied with the first balancer's answer, before the agent's first digest. Weighed and left: to ask peers too; a refused connection as positive proof. Not covered: all balancers that knew the earlier process end together with it.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -268,6 +268,10 @@
 	if a.limitsEnabled() {
 		a.stepQuota()
 	}
+	if a.monitor != nil {
+		// Before the first messages to the peers, which say whether this agent knows all flows.
+		a.refreshNoEarlierFlows()
+	}
 	a.stepFlows()
 	if a.monitor != nil {
 		if a.monitor.connectionCheckDue() {
--- /dev/null
+++ b/agent/restart_test.go
@@ -0,0 +1,176 @@
+package agent
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/nutmegtrack/nutmegtrack/event"
+	"github.com/nutmegtrack/nutmegtrack/flow"
+	"github.com/nutmegtrack/nutmegtrack/member"
+	"github.com/nutmegtrack/nutmegtrack/packet"
+	"github.com/nutmegtrack/nutmegtrack/packetio"
+	"github.com/nutmegtrack/nutmegtrack/settings"
+	"github.com/nutmegtrack/nutmegtrack/upstream"
+)
+
+// upstreamVM is a VM with an upstream that announces itself to its agent, and a balancer
+// that is the agent's home.
+type upstreamVM struct {
+	now      time.Duration
+	balancer *member.Node
+	down     bool // the balancer does not answer
+	agent    *Agent
+}
+
+// datagrams stands for a datagram format; no packet passes it.
+type datagrams struct{ packet.Datagram }
+
+const announcementInterval = time.Second
+
+func newUpstreamVM() *upstreamVM {
+	v := &upstreamVM{}
+	v.startBalancer()
+	return v
+}
+
+// startBalancer starts a balancer without records.
+func (v *upstreamVM) startBalancer() {
+	v.balancer = member.NewNode(member.Config{}, member.Record{Name: "b1", FailureDomain: "a", State: flow.Ready, Control: seed},
+		rand.New(rand.NewPCG(1, 2)))
+}
+
+func (v *upstreamVM) Call(_ context.Context, to netip.AddrPort, _ string, args, reply any) error {
+	m, isMember := args.(*member.Message)
+	if !isMember || to != seed || v.down {
+		return errors.New("unreachable")
+	}
+	*reply.(*member.Message) = v.balancer.Handle(v.now, *m)
+	return nil
+}
+
+// wall returns the time of day of the VM at a virtual time.
+func wall(at time.Duration) time.Time { return time.UnixMilli(1_700_000_000_000).Add(at) }
+
+// startAgent starts an agent process. clockAhead is by how much the time of day is ahead.
+func (v *upstreamVM) startAgent(clockAhead time.Duration) {
+	cfg := settings.Agent{
+		Name: "u1", FailureDomain: "a", ControlAdvertise: netip.AddrPortFrom(origin.Addr(), 8001), Seeds: []netip.AddrPort{seed},
+		Service:             settings.Service{Name: "impact-portal", Connections: 1000},
+		UpstreamSinkAddress: sinkAddr, ReplyAddress: replyAddr, HeartbeatSeconds: settings.Seconds(announcementInterval.Seconds()),
+		Limits: settings.LimitsNone, SettlingSeconds: 15, RebuildSeconds: 20,
+	}
+	options := Options{Packets: datagrams{}, UpstreamAPI: func(AnnouncementHandler) http.Handler { return http.NotFoundHandler() }}
+	v.agent = newAgent(cfg, options, event.NewLogger(io.Discard), func() time.Duration { return v.now })
+	v.agent.startedAt = wall(v.now + clockAhead)
+	p := ports{data: packetio.NewPipe(1), dataAddr: netip.AddrPortFrom(origin.Addr(), 9001), upstream: packetio.NewPipe(1), replies: packetio.NewPipe(1)}
+	v.agent.assemble(p, v, func(f func()) { f() })
+	v.agent.flows.do(func(now time.Duration, t *flow.Table) { t.StartRebuild(now) })
+}
+
+// announce sends an announcement of the upstream that was started at the virtual time born.
+func (v *upstreamVM) announce(born time.Duration, sequence int64) {
+	Expect(v.agent.monitor.Announced(upstream.Announcement{ID: "i-1", Born: wall(born).UnixMilli(), Sequence: sequence,
+		Service: "impact-portal", Address: sinkAddr, Slots: 5, Warmup: time.Second})).To(Succeed())
+}
+
+func (v *upstreamVM) run(d time.Duration) {
+	for end := v.now + d; v.now < end; v.now += stepInterval {
+		v.agent.step()
+	}
+}
+
+// answer returns the agent's answer to an inquiry about a flow that it does not know.
+func (v *upstreamVM) answer() (s packet.FlowStatus) {
+	v.agent.flows.do(func(now time.Duration, t *flow.Table) {
+		s = t.AnswerInquiry(now, &packet.Inquiry{From: 9, Number: 1, Flows: []uint64{1}}).Statuses[0]
+	})
+	return s
+}
+
+var _ = Describe("An agent that starts beside its upstream", func() {
+	var v *upstreamVM
+	BeforeEach(func() { v = newUpstreamVM() })
+
+	// Guards against open flows that are reset because an agent which restarted soon after
+	// its upstream had started, or whose VM's clock was stepped back meanwhile, denies that
+	// its upstream holds them.
+	DescribeTable("does not deny unknown flows if an earlier agent ran beside the same upstream",
+		func(restart time.Duration, planned, announcedFirst bool, clockAhead time.Duration) {
+			v.startAgent(0)
+			v.run(100 * time.Millisecond)
+			v.announce(0, 1)
+			sequence := int64(1)
+			for v.now+announcementInterval < restart {
+				v.run(announcementInterval)
+				sequence++
+				v.announce(0, sequence)
+			}
+			v.run(restart - v.now)
+			Expect(v.agent.self().State).To(Equal(flow.Ready))
+			if planned {
+				v.agent.announce(flow.AgentRestarting)
+				v.run(100 * time.Millisecond)
+			}
+			v.now += 100 * time.Millisecond
+			v.startAgent(clockAhead)
+			sequence++
+			if announcedFirst {
+				v.down = true
+				v.announce(0, sequence)
+				v.run(200 * time.Millisecond)
+				Expect(v.answer()).To(Equal(packet.MaybeHeld), "no balancer has answered")
+				v.down = false
+			} else {
+				v.run(200 * time.Millisecond)
+				v.announce(0, sequence)
+			}
+			for range 10 {
+				Expect(v.answer()).To(Equal(packet.MaybeHeld))
+				v.run(stepInterval)
+			}
+		},
+		Entry("crash after 0.5 s", 500*time.Millisecond, false, false, time.Duration(0)),
+		Entry("crash after 0.5 s, announcement before the balancer's answer", 500*time.Millisecond, false, true, time.Duration(0)),
+		Entry("planned, after 0.5 s", 500*time.Millisecond, true, false, time.Duration(0)),
+		Entry("crash after 1.5 s", 1500*time.Millisecond, false, false, time.Duration(0)),
+		Entry("planned, after 1.5 s, announcement before the balancer's answer", 1500*time.Millisecond, true, true, time.Duration(0)),
+		Entry("crash after 20 s, clock stepped back by 25 s", 20*time.Second, false, false, -25*time.Second),
+		Entry("planned, after 20 s, clock stepped back by 25 s", 20*time.Second, true, true, -25*time.Second),
+	)
+
+	// Guards against clients that wait for lost flows after a power failure because the
+	// agents of upstreams without flows do not say so at once.
+	DescribeTable("denies unknown flows at once after a power failure", func(recordsLost bool, announcedFirst bool) {
+		v.startAgent(0)
+		v.run(100 * time.Millisecond)
+		v.announce(0, 1)
+		v.run(2 * time.Second)
+		v.now += time.Minute // without power
+		if recordsLost {
+			v.startBalancer()
+		}
+		v.startAgent(0)
+		born := v.now
+		if announcedFirst {
+			v.announce(born, 1)
+			v.run(stepInterval)
+		} else {
+			v.run(200 * time.Millisecond)
+			v.announce(born, 1)
+		}
+		Expect(v.answer()).To(Equal(packet.NotHeld))
+	},
+		Entry("balancers know the record from before", false, false),
+		Entry("balancers know the record from before, announcement first", false, true),
+		Entry("balancers know nothing", true, false),
+		Entry("balancers know nothing, announcement first", true, true),
+	)
+})
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -58,7 +58,8 @@
 	unansweredSince     time.Duration // delivery time of the oldest unanswered first packet; 0: none
 	connectionCheckedAt time.Duration // time of the last connection check; 0: none
 	listening           bool          // the last connection check connected
-	noEarlierFlows      bool          // the agent has seen all flows since the upstream started: see startedWithAgent
+	startedWithAgent    bool          // as far as this VM shows: see startedWithAgent
+	appliedNoEarlier    bool          // noEarlierFlows as last applied to the flow table; guarded by Agent.stateMu
 }
 
 const (
@@ -73,10 +74,10 @@
 	maxFirstSequence = 4
 )
 
-// startedWithAgent reports whether the agent has seen all flows of the upstream: the
-// upstream started at most startMargin before the agent, or it still warms up and its
-// sequence number is low. The second condition is needed because the wall clock of this
-// VM may have jumped.
+// startedWithAgent reports whether the upstream appears to have started together with the
+// agent: at most startMargin before it, or it still warms up and its sequence number is low.
+// The second condition is needed because the wall clock of this VM may have jumped. An agent
+// that restarts soon after the start of its upstream meets both: see Agent.noEarlierFlows.
 func startedWithAgent(a *upstream.Announcement, agent time.Time) bool {
 	return time.UnixMilli(a.Born).After(agent.Add(-startMargin)) || a.Warmup > 0 && a.Sequence <= maxFirstSequence
 }
@@ -109,7 +110,7 @@
 	err := m.tracker.HandleAnnouncement(m.agent.clock(), announcement)
 	_, start := m.tracker.Last()
 	if err == nil && start != before {
-		m.noEarlierFlows = before != 0 || startedWithAgent(&announcement, m.agent.startedAt)
+		m.startedWithAgent = before != 0 || startedWithAgent(&announcement, m.agent.startedAt)
 	}
 	m.mu.Unlock()
 	if err != nil {
@@ -153,18 +154,18 @@
 
 // upstreamStatus is the status of the upstream on which the agent's announcement depends.
 type upstreamStatus struct {
-	state          flow.State
-	start          uint64
-	slots          int
-	noEarlierFlows bool
-	ended          bool
+	state            flow.State
+	start            uint64
+	slots            int
+	startedWithAgent bool
+	ended            bool
 }
 
 func (m *upstreamMonitor) status() (c upstreamStatus) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	last, start := m.tracker.Last()
-	c = upstreamStatus{state: m.tracker.State(m.agent.clock()), start: start, slots: last.Slots, noEarlierFlows: m.noEarlierFlows, ended: m.tracker.IsStopped()}
+	c = upstreamStatus{state: m.tracker.State(m.agent.clock()), start: start, slots: last.Slots, startedWithAgent: m.startedWithAgent, ended: m.tracker.IsStopped()}
 	if c.state != m.loggedState {
 		m.agent.log.Log(event.LocalUpstreamChanged, "id", last.ID, "from", m.loggedState, "to", c.state,
 			"number", last.Sequence, "silent_seconds", (m.agent.clock() - m.tracker.LastAlive()).Seconds())
@@ -173,6 +174,50 @@
 	return c
 }
 
+// noEarlierFlows reports whether this agent has seen all flows of the upstream: both appear to
+// have started together, and no process knows of an earlier agent beside this run of the
+// upstream. Flows are placed only at upstreams whose start an agent has announced, so the
+// balancers that have placed one have that record and return it with their first answer.
+func (a *Agent) noEarlierFlows(c *upstreamStatus) bool {
+	if !c.startedWithAgent || a.peers.homeBalancer.Load() == nil {
+		return false
+	}
+	ranBefore := false
+	a.members.Do(func(_ time.Duration, n *member.Announcer) { ranBefore = n.RanBefore(c.start) })
+	return !ranBefore
+}
+
+// refreshNoEarlierFlows applies noEarlierFlows to the flow table again: the first answer of a
+// balancer may have changed it.
+func (a *Agent) refreshNoEarlierFlows() {
+	a.stateMu.Lock()
+	defer a.stateMu.Unlock()
+	c := a.monitor.status()
+	applied := false
+	a.flows.do(func(_ time.Duration, t *flow.Table) { applied = t.UpstreamStart() == c.start })
+	if applied && !a.stopping {
+		a.applyUpstreamStart(&c)
+	}
+}
+
+// applyUpstreamStart applies the start of the upstream to the flow table if it, or whether this
+// agent has seen all its flows, has changed. It reports whether the upstream has started anew.
+// The caller holds stateMu.
+func (a *Agent) applyUpstreamStart(c *upstreamStatus) (newStart bool) {
+	if c.start == 0 {
+		return false
+	}
+	noEarlier := a.noEarlierFlows(c)
+	a.flows.do(func(now time.Duration, t *flow.Table) {
+		newStart = t.UpstreamStart() != c.start
+		if newStart || noEarlier != a.monitor.appliedNoEarlier {
+			t.SetUpstreamStart(now, c.start, noEarlier)
+			a.monitor.appliedNoEarlier = noEarlier
+		}
+	})
+	return newStart
+}
+
 // publishUpstreamState applies the upstream's state to the flow table and announces it. A
 // ready upstream is announced as Starting until mayBecomeReady allows Ready.
 func (a *Agent) publishUpstreamState() {
@@ -182,12 +227,9 @@
 		return
 	}
 	c := a.monitor.status()
-	var newStart bool
+	newStart := a.applyUpstreamStart(&c)
 	announced := member.Upstream{StartID: c.start, Slots: c.slots}
 	a.flows.do(func(now time.Duration, t *flow.Table) {
-		if newStart = c.start != 0 && t.UpstreamStart() != c.start; newStart {
-			t.SetUpstreamStart(now, c.start, c.noEarlierFlows)
-		}
 		if c.ended {
 			t.SetUpstreamStopped(now)
 		}
--- a/member/announcer.go
+++ b/member/announcer.go
@@ -39,6 +39,7 @@
 	peerPushes       map[string]*peerPush             // by name of the receiving agent
 	revision         int64
 	grantor          Grantor
+	earlierStarts    map[uint64]bool // Record.Start in records of earlier agent processes of this name
 }
 
 // peerPush is the push of the current record to one other agent of the service.
@@ -63,6 +64,7 @@
 		confirmedSums:    make(map[netip.AddrPort]uint32),
 		nextHeartbeat:    make(map[netip.AddrPort]time.Duration),
 		peerPushes:       make(map[string]*peerPush),
+		earlierStarts:    make(map[uint64]bool),
 	}
 	a.announce(self)
 	return a
@@ -250,12 +252,20 @@
 			}
 			continue
 		}
+		if r.Incarnation != a.self.Incarnation && r.Start != 0 {
+			a.earlierStarts[r.Start] = true
+		}
 		if own, needed := refute(a.self, r); needed {
 			a.announce(own)
 		}
 	}
 }
 
+// RanBefore reports whether a balancer or peer knows a record which shows that an earlier
+// agent process ran beside the same run of the upstream. That run may hold flows which this
+// process has not seen.
+func (a *Announcer) RanBefore(startID uint64) bool { return a.earlierStarts[startID] }
+
 // SetState changes the agent's state and announces it.
 func (a *Announcer) SetState(now time.Duration, s flow.State) {
 	a.advance(now)
--- a/member/heartbeat.go
+++ b/member/heartbeat.go
@@ -7,9 +7,15 @@
 const spareHomes = 2
 
 // serveHeartbeat records that an agent is alive. It returns this balancer's version of
-// the agent's record if it differs, so that the agent can refute it, and what the agent
-// lacks: its home balancers, the members of its service and a grantor with a higher term.
+// the agent's record if it differs, so that the agent can refute it, the record of an earlier
+// process of the agent that this heartbeat replaces, and what the agent lacks: its home
+// balancers, the members of its service and a grantor with a higher term.
 func (n *Node) serveHeartbeat(m Message) Message {
+	before := n.table.byHash[m.ID]
+	var earlier Record
+	if before != nil {
+		earlier = before.record
+	}
 	n.mergeAndPushAll(m.Records)
 	e := n.table.byHash[m.ID]
 	if e == nil {
@@ -21,6 +27,9 @@
 		reply.Resend = true
 		reply.Records = append(reply.Records, e.record)
 	}
+	if earlier.Start != 0 && earlier.Incarnation != e.record.Incarnation {
+		reply.Records = append(reply.Records, earlier)
+	}
 	if n.table.membersSum(e.record.Service) != m.Members {
 		reply.Records = append(reply.Records, n.table.ServiceMembers(e.record.Service)...)
 	}
--- a/member/rejoin_test.go
+++ b/member/rejoin_test.go
@@ -42,3 +42,34 @@
 		}
 	})
 })
+
+var _ = Describe("An agent that has restarted", func() {
+	// Guards against an agent that does not learn that an earlier process ran beside its
+	// upstream, because its record is newer than that of the earlier process when it first
+	// reaches a balancer.
+	It("learns of the earlier process whatever the versions of both records are", func() {
+		for version := range uint64(4) {
+			f := newFleet(version)
+			home := f.record("b1", "", "a")
+			n := member.NewNode(member.Config{}, home, f.rng())
+			earlier := f.record("u1", "portal", "a")
+			earlier.Incarnation, earlier.Version, earlier.Start = 7, 2, 99
+			n.Load(0, []member.Record{earlier})
+			self := f.record("u1", "portal", "a")
+			self.Version = version + 1
+			a := member.NewAnnouncer(member.Config{Seeds: []netip.AddrPort{home.Control}}, self, f.rng())
+			Expect(a.RanBefore(99)).To(BeFalse())
+			now := time.Duration(0)
+			for range 5 {
+				now += 200 * time.Millisecond
+				for _, c := range a.Step(now) {
+					a.Reply(now, c, n.Handle(now, c.Request))
+				}
+			}
+			Expect(a.RanBefore(99)).To(BeTrue(), "version %d", self.Version)
+			Expect(a.RanBefore(98)).To(BeFalse())
+			r, _ := n.Table().Get("u1")
+			Expect(r).To(Equal(a.Self()))
+		}
+	})
+})
