agent: the announcement of a restart is repeated until a balancer confirms it

Cause: an agent that was stopped beside its running upstream announced AgentRestarting in one round of calls and exited. If these calls were lost, or a concurrent step had already taken them, no balancer learned of it; the arbiter then marked the agent as failed, and its peers reset the upstream's flows under planned work. Change: the agent exits once a balancer has confirmed the record or after leaveTimeout, as an agent that leaves does. Measured: go test ./agent -ginkgo.focus "is stopped beside": before (with the old call), the balancer knows the agent as ready; after, as restarting. go test ./agent passes.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -22,8 +22,9 @@
 const (
 	// stepInterval is the interval between two calls of step.
 	stepInterval = 100 * time.Millisecond
-	// leavePushInterval is the interval between two rounds in which a leaving agent pushes
-	// its record; leaveTimeout is the time after which it stops pushing.
+	// leavePushInterval is the interval between two rounds in which an agent that exits pushes
+	// its record; leaveTimeout is the time after which it stops pushing. It leaves most of the
+	// 6 s between the platform's stop request and its kill to the rest of the shutdown.
 	leavePushInterval = 250 * time.Millisecond
 	leaveTimeout      = 2 * time.Second
 )
--- a/agent/drain.go
+++ b/agent/drain.go
@@ -31,7 +31,7 @@
 	if left := a.flows.open(); left > 0 {
 		a.log.Log(event.DrainLimit, "left", left)
 	}
-	a.leave()
+	a.announceUntilConfirmed(flow.Leaving)
 }
 
 func (a *Agent) drained() (done bool) {
@@ -39,10 +39,10 @@
 	return done
 }
 
-// leave sets state Leaving and pushes the record until a balancer confirms it or
-// leaveTimeout has passed.
-func (a *Agent) leave() {
-	a.announce(flow.Leaving)
+// announceUntilConfirmed announces the last state of an agent that exits, and repeats it until
+// a balancer confirms it or leaveTimeout has passed.
+func (a *Agent) announceUntilConfirmed(s flow.State) {
+	a.announce(s)
 	for end := a.clock() + leaveTimeout; ; {
 		a.members.StepAndWait(a.lifecycle.Context())
 		if a.leaveConfirmed() || a.clock() >= end || !a.lifecycle.Sleep(leavePushInterval) {
--- a/agent/restart_test.go
+++ b/agent/restart_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/netip"
 	"time"
@@ -27,7 +28,9 @@
 	now      time.Duration
 	balancer *member.Node
 	down     bool // the balancer does not answer
+	lost     int  // number of the next calls to the balancer that are lost
 	agent    *Agent
+	address  netip.AddrPort // of the upstream
 }
 
 // datagrams stands for a datagram format; no packet passes it.
@@ -36,7 +39,7 @@
 const announcementInterval = time.Second
 
 func newUpstreamVM() *upstreamVM {
-	v := &upstreamVM{}
+	v := &upstreamVM{address: sinkAddr}
 	v.startBalancer()
 	return v
 }
@@ -52,6 +55,10 @@
 	if !isMember || to != seed || v.down {
 		return errors.New("unreachable")
 	}
+	if v.lost > 0 {
+		v.lost--
+		return errors.New("lost")
+	}
 	*reply.(*member.Message) = v.balancer.Handle(v.now, *m)
 	return nil
 }
@@ -64,7 +71,7 @@
 	cfg := settings.Agent{
 		Name: "u1", FailureDomain: "a", ControlAdvertise: netip.AddrPortFrom(origin.Addr(), 8001), Seeds: []netip.AddrPort{seed},
 		Service:             settings.Service{Name: "impact-portal", Connections: 1000},
-		UpstreamSinkAddress: sinkAddr, ReplyAddress: replyAddr, HeartbeatSeconds: settings.Seconds(announcementInterval.Seconds()),
+		UpstreamSinkAddress: v.address, ReplyAddress: replyAddr, HeartbeatSeconds: settings.Seconds(announcementInterval.Seconds()),
 		Limits: settings.LimitsNone, SettlingSeconds: 15, RebuildSeconds: 20,
 	}
 	options := Options{Packets: datagrams{}, UpstreamAPI: func(AnnouncementHandler) http.Handler { return http.NotFoundHandler() }}
@@ -78,7 +85,7 @@
 // announce sends an announcement of the upstream that was started at the virtual time born.
 func (v *upstreamVM) announce(born time.Duration, sequence int64) {
 	Expect(v.agent.monitor.Announced(upstream.Announcement{ID: "i-1", Born: wall(born).UnixMilli(), Sequence: sequence,
-		Service: "impact-portal", Address: sinkAddr, Slots: 5, Warmup: time.Second})).To(Succeed())
+		Service: "impact-portal", Address: v.address, Slots: 5, Warmup: time.Second})).To(Succeed())
 }
 
 func (v *upstreamVM) run(d time.Duration) {
@@ -174,3 +181,23 @@
 		Entry("balancers know nothing, announcement first", true, true),
 	)
 })
+
+var _ = Describe("An agent that is stopped beside its running upstream", func() {
+	// Guards against a planned restart that other processes take for a failure, after which
+	// they reset the upstream's flows, because the only message about it was lost.
+	It("announces its restart until a balancer confirms it", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(listener.Close)
+		v := newUpstreamVM()
+		v.address = listener.Addr().(*net.TCPAddr).AddrPort()
+		v.startAgent(0)
+		v.run(100 * time.Millisecond)
+		v.announce(0, 1)
+		v.run(500 * time.Millisecond)
+		v.lost = 1
+		v.agent.announceExit()
+		r, _ := v.balancer.Table().Get("u1")
+		Expect(r.State).To(Equal(flow.AgentRestarting))
+	})
+})
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -271,8 +271,9 @@
 
 // announceExit announces why an agent whose upstream announces itself exits. If the
 // upstream keeps running, only an agent on this VM can reach it, so the agent announces
-// state AgentRestarting and exits at once, to be restarted soon. If the upstream is leaving
-// or has ended, the VM is being removed and the agent announces state Leaving.
+// state AgentRestarting and exits once a balancer has confirmed it, to be restarted soon. If
+// the announcement were lost, other processes would take the agent for failed. If the upstream
+// is leaving or has ended, the VM is being removed and the agent announces state Leaving.
 func (a *Agent) announceExit() {
 	a.monitor.checkConnection()
 	c := a.monitor.status()
@@ -284,6 +285,5 @@
 	a.stateMu.Lock()
 	a.stopping = true
 	a.stateMu.Unlock()
-	a.announce(to)
-	a.members.StepAndWait(a.lifecycle.Context())
+	a.announceUntilConfirmed(to)
 }
