member: two pings of a process at the same time no longer count as two attempts

Cause: a balancer that suspected an agent and was also asked to probe it, as both homes of an agent are of each other, sent two pings at once and counted their failures together. An agent that was not scheduled for one time-out counted as unreachable by both balancers and could be marked as failed. A heartbeat that arrived between the pings did not change a prober's verdict. A request to ping the balancer's own address blocked all later checks of that process. Change: suspicion and probes of one process share a check: a series of pings, each sent after the previous one has failed. A sign of life during the check makes the verdict "alive". Whether a call was refused or timed out is not told apart: Unreachable has no reason, and the record has no field for it.

--- a/member/suspect.go
+++ b/member/suspect.go
@@ -28,14 +28,23 @@
 	// agent that has given one, until that agent has been silent for Config.SuspectAfter.
 	awaitedSince map[string]time.Duration
 	suspects     map[string]*suspicion
-	probes       map[string][]netip.AddrPort // balancers that requested a probe of the named process
-	failedPings  map[string]int              // consecutive failed pings
-	cursor       int                         // position of the sweep for unwatched agents
+	checks       map[string]*check // by name of the pinged process
+	cursor       int               // position of the sweep for unwatched agents
+}
+
+// check is a series of up to pingAttempts pings of a process, each sent after the previous one
+// has failed. Own suspicion and requests of other balancers share it: two pings at the same
+// time would fail together if the process is not scheduled for a moment.
+type check struct {
+	failed     int              // failed pings
+	heard      bool             // the process has given a sign of life since the first ping
+	requesters []netip.AddrPort // balancers that requested a probe
 }
 
 // suspicion is the state of the check whether a suspected process has failed.
 type suspicion struct {
-	unreachable bool // this balancer's own pings have failed
+	unreachable     bool // this balancer's own pings have failed
+	probesRequested bool
 	// deadline is set three times: for this balancer's own pings, then for the probers'
 	// verdicts, and after the claim for the process to be marked as failed.
 	deadline time.Duration
@@ -49,8 +58,7 @@
 	return failureDetector{
 		awaitedSince: make(map[string]time.Duration),
 		suspects:     make(map[string]*suspicion),
-		probes:       make(map[string][]netip.AddrPort),
-		failedPings:  make(map[string]int),
+		checks:       make(map[string]*check),
 	}
 }
 
@@ -61,6 +69,9 @@
 		n.detector.awaitedSince[name] = n.now
 	}
 	delete(n.detector.suspects, name)
+	if c := n.detector.checks[name]; c != nil {
+		c.heard = true
+	}
 }
 
 // checkHeartbeats suspects the watched agents whose heartbeats are overdue, and stops
@@ -132,7 +143,19 @@
 // heartbeats alone may mean that the agent has chosen other homes.
 func (n *Node) suspect(r *Record) {
 	n.detector.suspects[r.Name] = &suspicion{deadline: n.now + pingAttempts*n.cfg.VerdictTimeout}
-	n.ping(r.Name, r.Control)
+	n.startCheck(r.Name, r.Control)
+}
+
+// startCheck returns the check of a process that is in progress, or starts one. It returns nil
+// if this balancer can't send pings to the address.
+func (n *Node) startCheck(name string, target netip.AddrPort) *check {
+	c := n.detector.checks[name]
+	if c == nil && target.IsValid() && target != n.self.Control {
+		c = &check{}
+		n.detector.checks[name] = c
+		n.ping(name, target)
+	}
+	return c
 }
 
 func (n *Node) ping(name string, control netip.AddrPort) {
@@ -141,36 +164,39 @@
 
 // startProbe pings a process on behalf of another balancer.
 func (n *Node) startProbe(m Message) {
-	if len(n.detector.probes[m.Name]) == 0 {
-		n.ping(m.Name, m.Target)
+	if c := n.startCheck(m.Name, m.Target); c != nil {
+		c.requesters = append(c.requesters, m.From)
 	}
-	n.detector.probes[m.Name] = append(n.detector.probes[m.Name], m.From)
 }
 
 // handlePingResult processes the outcome of a ping.
-func (n *Node) handlePingResult(c Call, alive bool) {
+func (n *Node) handlePingResult(c Call, answered bool) {
 	name := c.Request.Name
-	s := n.detector.suspects[name]
-	if !alive {
-		n.detector.failedPings[name]++
-		if s != nil && n.detector.failedPings[name] == 1 {
+	progress, s := n.detector.checks[name], n.detector.suspects[name]
+	if progress == nil {
+		return
+	}
+	if !answered && !progress.heard {
+		progress.failed++
+		if s != nil && !s.probesRequested {
 			// The probers' pings run in parallel with this balancer's second ping.
+			s.probesRequested = true
 			n.requestProbes(name, c.To)
 		}
-		if n.detector.failedPings[name] < pingAttempts {
+		if progress.failed < pingAttempts {
 			n.ping(name, c.To)
 			return
 		}
 	}
-	delete(n.detector.failedPings, name)
-	for _, requester := range n.detector.probes[name] {
+	delete(n.detector.checks, name)
+	alive := answered || progress.heard
+	for _, requester := range progress.requesters {
 		n.enqueue(requester, Message{Kind: KindVerdict, From: n.self.Control, Name: name, Alive: alive})
 	}
-	delete(n.detector.probes, name)
 	switch {
-	case alive:
+	case answered:
 		n.markAlive(name)
-	case s != nil && !s.unreachable:
+	case !alive && s != nil && !s.unreachable:
 		s.unreachable = true
 		s.deadline = n.now + n.cfg.VerdictTimeout
 	}
--- a/member/suspect_test.go
+++ b/member/suspect_test.go
@@ -1,6 +1,8 @@
 package member_test
 
 import (
+	"math/rand/v2"
+	"net/netip"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -86,3 +88,101 @@
 		Expect(claim(restarting)).To(Equal(flow.Failed))
 	})
 })
+
+var _ = Describe("A balancer that pings a suspected agent", func() {
+	var (
+		n      *member.Node
+		now    time.Duration
+		agent  member.Record
+		prober = netip.MustParseAddrPort("10.0.0.9:7000")
+	)
+	probe := func() member.Message {
+		return member.Message{Kind: member.KindProbe, From: prober, Name: agent.Name, Target: agent.Control}
+	}
+	// step advances the time and returns the pings of the agent and the verdicts that are sent.
+	step := func() (pings []member.Call, verdicts []bool) {
+		now += 100 * time.Millisecond
+		for _, c := range n.Step(now) {
+			switch c.Request.Kind {
+			case member.KindPing:
+				pings = append(pings, c)
+			case member.KindVerdict:
+				verdicts = append(verdicts, c.Request.Alive)
+			}
+		}
+		return pings, verdicts
+	}
+	heartbeat := func() {
+		a := member.NewAnnouncer(member.Config{Seeds: []netip.AddrPort{n.Self().Control}}, agent, rand.New(rand.NewPCG(1, 1)))
+		for _, c := range a.Step(0) {
+			n.Handle(now, c.Request)
+		}
+	}
+	BeforeEach(func() {
+		f := newFleet(1)
+		now = 0
+		n = member.NewNode(member.Config{}, f.record("b1", "", "a"), f.rng())
+		agent = f.record("u1", "portal", "a")
+		agent.Incarnation = 7
+		other := f.record("b2", "", "b")
+		other.Role = member.RoleBalancer
+		n.Load(now, []member.Record{agent, other})
+	})
+	// suspect lets the silence of the agent become a suspicion, and returns its first ping.
+	suspect := func() member.Call {
+		heartbeat()
+		for range 100 {
+			if pings, _ := step(); len(pings) > 0 {
+				Expect(pings).To(HaveLen(1))
+				return pings[0]
+			}
+		}
+		Fail("the agent is never suspected")
+		return member.Call{}
+	}
+
+	// Guards against two pings at the same moment, one of the balancer itself and one for
+	// another balancer, that count as two failed attempts: an agent that was not scheduled for
+	// one time-out would count as unreachable.
+	It("counts only pings that follow each other as attempts", func() {
+		first := suspect()
+		n.Handle(now, probe())
+		pings, _ := step()
+		Expect(pings).To(BeEmpty(), "a ping is in progress")
+		n.Unreachable(now, first)
+		pings, verdicts := step()
+		Expect(pings).To(HaveLen(1))
+		Expect(verdicts).To(BeEmpty())
+		n.Handle(now, probe())
+		n.Unreachable(now, pings[0])
+		pings, verdicts = step()
+		Expect(pings).To(BeEmpty())
+		Expect(verdicts).To(Equal([]bool{false, false}), "both requests, after two attempts")
+	})
+
+	// Guards against a verdict that an agent is unreachable although its heartbeat arrived
+	// during the check, as from an agent whose processor was busy.
+	It("considers an agent alive whose heartbeat arrives during the check", func() {
+		n.Handle(now, probe())
+		pings, _ := step()
+		n.Unreachable(now, pings[0])
+		pings, _ = step()
+		heartbeat()
+		n.Unreachable(now, pings[0])
+		_, verdicts := step()
+		Expect(verdicts).To(Equal([]bool{true}))
+	})
+
+	// Guards against a check that never ends, and blocks all later ones of the same process,
+	// because the address to ping is this balancer's own or none.
+	It("ignores a request to ping itself", func() {
+		for _, target := range []netip.AddrPort{n.Self().Control, {}} {
+			m := probe()
+			m.Target = target
+			n.Handle(now, m)
+		}
+		n.Handle(now, probe())
+		pings, _ := step()
+		Expect(pings).To(HaveLen(1))
+	})
+})
