member: a mark as failed is relayed to the marked agent too

Cause: a balancer relays a new record to all agents of the service that it watches except the one that it describes. An agent marked by mistake therefore learned of the mark only in the reply to its next heartbeat, while its peers, told at once, treated its flows as lost. Change: a record in state Failed goes to its own agent as well, which refutes it. A dead agent costs one more failed call per home. The spec "is relayed to the agent itself" fails before; the bound of 2 s, a flow's window, held before.

--- a/member/relay.go
+++ b/member/relay.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"slices"
+
+	"github.com/nutmegtrack/nutmegtrack/flow"
 )
 
 // queueRelay queues an upstream's new record for the agents of its service that this
@@ -37,7 +39,8 @@
 				continue
 			}
 			others := records
-			if names[e.record.Name] {
+			// An agent needs its own record only to refute a mark as failed.
+			if names[e.record.Name] && e.record.State != flow.Failed {
 				others = slices.DeleteFunc(slices.Clone(records), func(r Record) bool { return r.Name == e.record.Name })
 			}
 			if len(others) > 0 {
