--- a/flow/inquiry.go
+++ b/flow/inquiry.go
@@ -12,7 +12,8 @@
 // A digest lists flows that a peer owns, but a flow that is in no digest may still exist: it
 // may have been opened so recently that the digest is still on its way, or its owner's view
 // may have another first choice. Before an agent declares a flow lost it therefore sends an
-// inquiry to every other agent of the service, and each answers from its own table.
+// inquiry to every other agent of the service, and each answers from its own table. A digest
+// replaces no answer, not even a verified one.
 
 const (
 	// inquiryRetryInterval is the time after which an inquiry is sent again to peers that
@@ -24,13 +25,15 @@
 	// the first. This limits the load after a power failure, when all agents send inquiries to
 	// all others; flows that become suspect meanwhile share the next inquiry.
 	inquiryDelayPerPeer = 250 * time.Microsecond
-	// answerTimeout is the time after which the last verified digest of a peer that has not
-	// answered is used instead. The inquiry has been sent four times by then. An unreachable
-	// VM is marked as failed only after some seconds.
-	answerTimeout = 400 * time.Millisecond
-	// failedPeerAnswerTimeout is the time to wait for the answer of a failed peer. A peer
-	// that was marked as failed by mistake answers as fast as any other.
-	failedPeerAnswerTimeout = 50 * time.Millisecond
+	// suspectedPeerTimeout is how long a peer that was marked as failed must be silent before flows
+	// whose requests may be repeated are declared lost for it. The mark shows that two balancers could
+	// not reach the agent for some seconds, not that its upstream has ended. An agent that runs on a
+	// busy VM answers one of the inquiries of a second.
+	suspectedPeerTimeout = time.Second
+	// confirmedFailureTimeout replaces suspectedPeerTimeout when the peer has given no sign of life
+	// for failedPeerGracePeriod since the mark. An agent that was marked by mistake sends its load
+	// and its digests meanwhile. The inquiry has been sent twice by then.
+	confirmedFailureTimeout = 100 * time.Millisecond
 	// failedPeerGracePeriod is the time from the failure of a peer that does not answer until
 	// flows whose requests must not be repeated may be declared lost. A VM that is only paused
 	// is marked as failed after 3 s. Its upstream may still be processing the request, and the
@@ -179,7 +182,7 @@
 // AnswerInquiry returns this agent's answer to a peer's inquiry.
 func (t *Table) AnswerInquiry(now time.Duration, q *packet.Inquiry) packet.InquiryAnswer {
 	if p := t.peers.get(q.From); p != nil {
-		p.noteHeard()
+		p.noteHeard(now)
 	}
 	a := packet.InquiryAnswer{From: t.self.ID, Number: q.Number, Statuses: make([]packet.FlowStatus, len(q.Flows))}
 	for i, hash := range q.Flows {
@@ -197,18 +200,17 @@
 }
 
 // status returns whether this agent's upstream holds the flow, does not hold it, or may hold it,
-// as far as this agent knows. Once the table counts as complete, a flow that is not in it is
-// NotHeld, even if a probe was delivered and not returned.
+// as far as this agent knows. A probe that was not returned shows that it may.
 func (t *Table) status(now time.Duration, hash uint64) packet.FlowStatus {
 	if t.flows.hasHash(hash) {
 		return packet.Held
 	}
-	f, probed := t.unknownFlows[hash]
+	f := t.unknownFlows[hash]
 	switch {
-	case t.lost.has(now, hash), probed && f.returned, t.tableComplete(now):
+	case t.lost.has(now, hash), f.returned:
+		return packet.NotHeld
+	case t.tableComplete(now) && !f.probed && !t.lost.isUnconfirmed(now, hash):
 		return packet.NotHeld
-	case probed && now-f.at >= probeTimeout:
-		return packet.Held // delivered to the upstream and not returned
 	}
 	return packet.MaybeHeld
 }
@@ -218,7 +220,7 @@
 func (t *Table) HandleInquiryAnswer(now time.Duration, a *packet.InquiryAnswer) {
 	p := t.peers.get(a.From)
 	if p != nil {
-		p.noteHeard()
+		p.noteHeard(now)
 	}
 	i := slices.IndexFunc(t.inquiries, func(q *inquiry) bool { return q.number == a.Number })
 	if i < 0 || p == nil || len(a.Statuses) != len(t.inquiries[i].flows) {
@@ -252,59 +254,71 @@
 		out[i] = true
 	}
 	for _, p := range t.peers.list {
-		statuses := q.answers[p.ID]
 		for i, hash := range q.flows {
-			mayRepeat := t.unknownFlows[hash].mayRepeat
-			switch {
-			case statuses == nil:
-				out[i] = out[i] && !t.mayHoldWithoutAnswer(now, q, p, mayRepeat)
-			case statuses[i] == packet.MaybeHeld:
-				out[i] = out[i] && t.countsAsAbsent(now, q, p, mayRepeat)
-			default:
-				out[i] = out[i] && statuses[i] == packet.NotHeld
-			}
+			out[i] = out[i] && t.exclusion(now, q, p, i, t.unknownFlows[hash].mayRepeat) != NotExcluded
 		}
 	}
 	return out
 }
 
-// hasDenied reports whether a peer has answered that its upstream does not hold the flow.
-func (t *Table) hasDenied(hash uint64, peer packet.AgentID) bool {
+// inquiryAbout returns the inquiry about a suspect flow and the flow's position in it, or nil.
+func (t *Table) inquiryAbout(hash uint64) (*inquiry, int) {
 	number := t.unknownFlows[hash].inquiry
 	for _, q := range t.inquiries {
-		if q.number != number {
-			continue
+		if q.number == number {
+			return q, slices.Index(q.flows, hash)
 		}
-		statuses := q.answers[peer]
-		return statuses != nil && statuses[slices.Index(q.flows, hash)] == packet.NotHeld
 	}
-	return false
+	return nil, 0
 }
 
-// mayHoldWithoutAnswer reports whether the upstream of a peer that has not answered an inquiry may
-// hold one of its flows. mayRepeat says whether the flow's requests may be repeated.
-func (t *Table) mayHoldWithoutAnswer(now time.Duration, q *inquiry, p *peer, mayRepeat bool) bool {
-	if t.countsAsAbsent(now, q, p, mayRepeat) {
+// askedAll reports whether each peer has answered an inquiry about the flow or counts as absent.
+func (t *Table) askedAll(now time.Duration, hash uint64) bool {
+	q, _ := t.inquiryAbout(hash)
+	if q == nil || !t.peersKnown {
 		return false
 	}
-	if p.State == Failed || p.State == AgentRestarting {
-		return true
+	mayRepeat := t.unknownFlows[hash].mayRepeat
+	return !slices.ContainsFunc(t.peers.list, func(p *peer) bool {
+		return q.answers[p.ID] == nil && t.excludedAsAbsent(now, p, mayRepeat) == NotExcluded
+	})
+}
+
+// exclusion returns the rule by which the upstream of a peer counts as not holding flow i of an
+// inquiry. mayRepeat says whether the flow's requests may be repeated.
+func (t *Table) exclusion(now time.Duration, q *inquiry, p *peer, i int, mayRepeat bool) Exclusion {
+	switch statuses := q.answers[p.ID]; {
+	case statuses == nil || statuses[i] == packet.MaybeHeld:
+		return t.excludedAsAbsent(now, p, mayRepeat)
+	case statuses[i] == packet.NotHeld:
+		return ExcludedByAnswer
 	}
-	return now-q.startedAt < answerTimeout || !p.inbox.senderComplete || !p.inbox.verified
+	return NotExcluded
 }
 
-// countsAsAbsent reports whether a peer that has given no conclusive answer to an inquiry counts as
-// absent together with its upstream.
-func (t *Table) countsAsAbsent(now time.Duration, q *inquiry, p *peer, mayRepeat bool) bool {
-	switch p.State {
-	case Leaving:
-		return true
-	case Failed:
-		return now-q.startedAt >= failedPeerAnswerTimeout && (mayRepeat || now-p.stateChanged >= failedPeerGracePeriod)
-	case AgentRestarting:
-		return now-p.stateChanged >= peerRestartTimeout
+// excludedAsAbsent returns the rule by which a peer that has given no conclusive answer to an
+// inquiry counts as absent together with its upstream. Only the peer's own word shows that its
+// upstream has ended. A mark by others and silence are suspicions, which need time to be refuted.
+func (t *Table) excludedAsAbsent(now time.Duration, p *peer, mayRepeat bool) Exclusion {
+	silence := p.silence(now)
+	switch {
+	case p.State == Leaving:
+		return ExcludedLeaving
+	case p.restartingSince != never:
+		if now-p.restartingSince >= peerRestartTimeout {
+			return ExcludedRestarting
+		}
+	case p.State == Failed:
+		if p.failureConfirmed(now) && silence >= confirmedFailureTimeout || mayRepeat && silence >= suspectedPeerTimeout {
+			return ExcludedFailed
+		}
+	case silence < t.silenceTimeout(now):
+	case p.heardAt == never:
+		return ExcludedUnresponsive
+	case mayRepeat:
+		return ExcludedSilent
 	}
-	return t.isUnresponsive(now, p) || mayRepeat && t.isSilent(now, p)
+	return NotExcluded
 }
 
 // computePeersChecksum returns a checksum of the IDs of the upstreams that may hold flows,
--- a/flow/lost.go
+++ b/flow/lost.go
@@ -18,22 +18,17 @@
 	// suspectTimeout is the time from unknownFlow.at after which a flow is no longer suspect.
 	// Further packets do not extend it; one that arrives later makes the flow suspect anew.
 	suspectTimeout = 5 * time.Second
-	// peerSilenceTimeout is the time after which a peer that has sent no digest, or nothing at all
-	// while it was sent inquiries, counts as absent. An agent restarts within two seconds.
+	// peerSilenceTimeout is how long a peer that nobody has marked as failed must be silent before it
+	// counts as absent. An agent restarts within two seconds.
 	peerSilenceTimeout = 5 * time.Second
-	// peerSilenceTimeoutAfterOutage replaces peerSilenceTimeout when this agent's own upstream
-	// has started together with this agent, as after a power failure: then clients of all
+	// peerSilenceTimeoutAfterOutage replaces peerSilenceTimeout in the rebuilding phase of an agent
+	// whose upstream has started together with it, as after a power failure: then clients of all
 	// upstreams wait on lost flows.
 	peerSilenceTimeoutAfterOutage = time.Second
 	// peerRestartTimeout is the time after which a restarting agent counts as absent together
 	// with its upstream. An agent restarts within two seconds. The platform kills an agent that
 	// has not stopped 6 s after the stop request.
 	peerRestartTimeout = 8 * time.Second
-	// maxPeersToProbe is the maximum number of peers with unknown flows for which a packet is
-	// sent to all of them in turn, since one packet can visit no more. With more such peers,
-	// packets are not sent to them this way, and the agent waits until these peers know their
-	// upstreams' flows.
-	maxPeersToProbe = packet.MaxHops
 	// lostFlowRetention is how long a lost flow is recorded. Clients retransmit at least
 	// every 1.6 s and time out after some seconds.
 	lostFlowRetention = 20 * time.Second
@@ -42,34 +37,69 @@
 // lostFlows records, by hash, flows that no upstream holds: they ended with this agent's
 // upstream or were found to be lost.
 type lostFlows struct {
-	until map[uint64]time.Duration
-	max   int
+	byHash map[uint64]lostFlow
+	max    int
+}
+
+type lostFlow struct {
+	until time.Duration
+	cause LossCause
+	// unconfirmed says that the upstream's present process may hold the flow: it has started, and may
+	// have accepted flows, before this agent learned of its start.
+	unconfirmed bool
 }
 
 func newLostFlows(max int) lostFlows {
-	return lostFlows{until: make(map[uint64]time.Duration), max: max}
+	return lostFlows{byHash: make(map[uint64]lostFlow), max: max}
 }
 
-func (l *lostFlows) record(now time.Duration, hash uint64) {
-	if len(l.until) < l.max {
-		l.until[hash] = now + lostFlowRetention
+func (l *lostFlows) record(now time.Duration, hash uint64, cause LossCause) {
+	if len(l.byHash) < l.max {
+		l.byHash[hash] = lostFlow{until: now + lostFlowRetention, cause: cause, unconfirmed: cause == UpstreamRestarted}
 	}
 }
 
+// has reports whether the flow is certainly lost.
 func (l *lostFlows) has(now time.Duration, hash uint64) bool {
-	if len(l.until) == 0 {
-		return false
+	f, found := l.find(now, hash)
+	return found && !f.unconfirmed
+}
+
+// isUnconfirmed reports whether the flow is lost unless the upstream's present process holds it.
+func (l *lostFlows) isUnconfirmed(now time.Duration, hash uint64) bool {
+	f, found := l.find(now, hash)
+	return found && f.unconfirmed
+}
+
+func (l *lostFlows) find(now time.Duration, hash uint64) (lostFlow, bool) {
+	if len(l.byHash) == 0 {
+		return lostFlow{}, false
 	}
-	until, found := l.until[hash]
-	return found && now < until
+	f, found := l.byHash[hash]
+	return f, found && now < f.until
 }
 
-func (l *lostFlows) forget(hash uint64) { delete(l.until, hash) }
+// confirm records that the upstream's present process does not hold the flow either.
+func (l *lostFlows) confirm(hash uint64) {
+	if f, found := l.byHash[hash]; found {
+		f.unconfirmed = false
+		l.byHash[hash] = f
+	}
+}
+
+// confirmAll does the same for all flows.
+func (l *lostFlows) confirmAll() {
+	for hash := range l.byHash {
+		l.confirm(hash)
+	}
+}
+
+func (l *lostFlows) forget(hash uint64) { delete(l.byHash, hash) }
 
 func (l *lostFlows) expire(now time.Duration) {
-	for hash, until := range l.until {
-		if now >= until {
-			delete(l.until, hash)
+	for hash, f := range l.byHash {
+		if now >= f.until {
+			delete(l.byHash, hash)
 		}
 	}
 }
@@ -81,27 +111,27 @@
 	Ack uint32
 }
 
-// markSuspect makes the flow of a received packet suspect, if this agent is its first choice. It
-// is called after the upstream has returned a packet of the flow or the rebuilding phase has ended,
-// and assumes that the upstream does not hold the flow even if a probe was delivered and not
-// returned.
+// markSuspect makes the flow of a received packet suspect, if this agent is its first choice and its
+// upstream is not known to hold the flow.
 func (t *Table) markSuspect(now time.Duration, hash uint64, h *packet.Header, in *packet.Info) {
-	// Only the flow's first choice receives the digest of the flow's owner.
-	if !t.isFirstChoice(hash) {
-		return
-	}
 	f, known := t.unknownFlows[hash]
-	if !known && len(t.unknownFlows) >= maxUnknownFlows {
+	// Only the flow's first choice receives the digest of the flow's owner.
+	if !t.isFirstChoice(hash) || f.probed && !f.returned || !known && len(t.unknownFlows) >= maxUnknownFlows {
 		return
 	}
-	if !known || !f.returned || now-f.at >= suspectTimeout {
-		f = unknownFlow{at: now, returned: true, key: in.Key}
-	}
+	f.suspectAgain(now, in.Key)
 	f.ack, f.mayRepeat = in.Ack, h.Class.Repeatable()
 	t.addSuspect(hash, &f)
 	t.unknownFlows[hash] = f
 }
 
+// suspectAgain restarts the time for which the flow is suspect if it has passed.
+func (f *unknownFlow) suspectAgain(now time.Duration, k packet.Key) {
+	if f.key != k || now-f.at >= suspectTimeout {
+		f.at, f.key, f.forwards = now, k, 0
+	}
+}
+
 // Suspect is the part of a Message about one flow that may be lost.
 type Suspect struct {
 	Flow   LostFlow
@@ -139,9 +169,7 @@
 	if known && f.suspected || !known && len(t.unknownFlows) >= maxUnknownFlows {
 		return
 	}
-	if !known || !f.returned || now-f.at >= suspectTimeout {
-		f = unknownFlow{at: now, returned: true, key: s.Flow.Key}
-	}
+	f.suspectAgain(now, s.Flow.Key)
 	f.ack, f.forwards, f.mayRepeat = s.Flow.Ack, s.Passed, s.MayRepeat
 	t.addSuspect(hash, &f)
 	t.unknownFlows[hash] = f
@@ -163,12 +191,13 @@
 // packets of these flows with a reset.
 func (t *Table) collectLost(now time.Duration) (out []LostFlow) {
 	canDeclare := t.canDeclareLost(now)
-	heldByNone := t.flowsHeldByNoPeer(now)
+	findings := t.inquiryFindings(now)
+	t.lossFindings = t.lossFindings[:0]
 	kept := t.suspected[:0]
 	for _, hash := range t.suspected {
 		f, known := t.unknownFlows[hash]
 		switch {
-		case !known || !f.returned:
+		case !known:
 		case now-f.at >= suspectTimeout || t.peerOwns(now, hash):
 			f.suspected = false
 			t.unknownFlows[hash] = f
@@ -177,11 +206,12 @@
 			t.forwardSuspect(to, &f)
 			f.suspected = false
 			t.unknownFlows[hash] = f
-		case !canDeclare || !heldByNone[hash]:
+		case !canDeclare || !findings[hash].lost || !f.returned && !t.tableComplete(now):
 			kept = append(kept, hash)
 		default:
 			delete(t.unknownFlows, hash)
-			t.lost.record(now, hash)
+			t.lost.record(now, hash, FoundLost)
+			t.lossFindings = append(t.lossFindings, findings[hash])
 			t.counters.Reset++
 			out = append(out, LostFlow{Key: f.key, Ack: f.ack})
 		}
@@ -195,13 +225,14 @@
 	return t.likelyOwner(now, hash, &packet.Header{}) != nil
 }
 
-// flowsHeldByNoPeer returns for each flow of an inquiry whether certainly no peer's upstream holds
+// inquiryFindings returns for each flow of an inquiry whether certainly no peer's upstream holds
 // it.
-func (t *Table) flowsHeldByNoPeer(now time.Duration) map[uint64]bool {
-	out := make(map[uint64]bool)
+func (t *Table) inquiryFindings(now time.Duration) map[uint64]finding {
+	out := make(map[uint64]finding)
 	for _, q := range t.inquiries {
-		for i, heldByNone := range t.heldByNoPeer(now, q) {
-			out[q.flows[i]] = heldByNone
+		for i, lost := range t.heldByNoPeer(now, q) {
+			hash := q.flows[i]
+			out[hash] = finding{inquiry: q, index: i, mayRepeat: t.unknownFlows[hash].mayRepeat, lost: lost}
 		}
 	}
 	return out
@@ -219,92 +250,43 @@
 	return target == 0
 }
 
-// peersToProbe returns up to maxPeersToProbe+1 peers whose flows this agent does not know
-// completely, and whether there is another such peer, whose agent is restarting. The list is valid
-// until the next call.
-func (t *Table) peersToProbe(now time.Duration) (list []*peer, restarting bool) {
-	list = t.peersToProbeBuffer[:0]
-	for _, p := range t.peers.list {
-		switch {
-		case p.allFlowsKnown(now) || t.isUnresponsive(now, p):
-		case p.State == AgentRestarting:
-			restarting = true
-		case len(list) <= maxPeersToProbe:
-			list = append(list, p)
-		}
-	}
-	t.peersToProbeBuffer = list
-	return list, restarting
-}
-
-// nextPeerToProbe returns the next peer from peersToProbe to which a packet of a flow that is not
-// in this table is forwarded, or nil. It sets FlagTryAll in h if it returns a peer. A peer that
-// owns the flow sends a hint. Any other peer, while it rebuilds its table, delivers the packet to
-// its upstream as a probe. If the upstream returns it, the peer forwards it to the next peer and
-// can answer inquiries about the flow from then on. A missing hint proves nothing, because the
-// packet may have been lost.
+// nextPeerToProbe returns the peer to which a packet of a suspect flow is forwarded as a probe, or nil.
+// It is the highest-ranked of those that have answered that their upstreams may hold the flow. There
+// is none until all peers have answered, since one of them may own the flow, and none beyond
+// maxTried. It counts the probe, although the packet may be lost on its way.
 func (t *Table) nextPeerToProbe(now time.Duration, hash uint64, h *packet.Header) *peer {
 	if t.cfg.Rebuild == 0 || h.Hops >= packet.MaxHops {
 		return nil
 	}
-	// Only the flow's first choice sends inquiries about it, so visiting these peers is useful
-	// only for a packet that has reached the first choice.
-	if first, _ := t.targets(hash); first != 0 && !h.HasVisited(first) {
-		return nil
-	}
-	candidates, restarting := t.peersToProbe(now)
-	// In both cases one packet could not visit all peers with unknown flows, and it is sent to
-	// none of them this way.
-	if restarting || len(candidates) > maxPeersToProbe {
+	f := t.unknownFlows[hash]
+	h.Tried = max(h.Tried, f.recentlyTried(now))
+	if h.Tried >= maxTried || !t.askedAll(now, hash) {
 		return nil
 	}
-	for _, p := range candidates {
-		if h.HasVisited(p.ID) || t.hasDenied(hash, p.ID) {
-			continue
-		}
-		h.Flags |= packet.FlagTryAll
-		return p
-	}
-	return nil
-}
-
-// allFlowsKnown reports whether the peer's digest is known to list all flows of its upstream
-// whose first choice is this agent. An upstream that has ended holds no flows, nor does one
-// whose agent has been restarting for much longer than a restart takes.
-func (p *peer) allFlowsKnown(now time.Duration) bool {
-	if p.State == AgentRestarting {
-		return now-p.stateChanged >= peerRestartTimeout
+	q, i := t.inquiryAbout(hash)
+	p, _ := t.peers.best(hash, func(p *peer) bool {
+		statuses := q.answers[p.ID]
+		return statuses != nil && statuses[i] == packet.MaybeHeld && !h.HasVisited(p.ID)
+	})
+	if p != nil {
+		f.noteTried(now, h.Tried+1)
+		t.unknownFlows[hash] = f
 	}
-	return p.State.Gone() || p.inbox.senderComplete && p.inbox.verified
-}
-
-// isUnresponsive reports whether no digest message of the peer's incarnation has arrived for
-// some time after the peer was listed. A running agent would have sent one, so the peer may be
-// a VM that was removed before this agent started.
-func (t *Table) isUnresponsive(now time.Duration, p *peer) bool {
-	return p.State != AgentRestarting && p.inbox.incarnation != p.Incarnation && now-p.listedSince >= t.silenceTimeout()
-}
-
-// isSilent reports whether nothing has arrived from the peer for some time although this agent has
-// sent it inquiries all the while, as from a VM that was removed soon after it had started. Its
-// upstream may still hold flows if the VM is only cut off or paused, so only flows whose requests
-// may be repeated are given up for it: their clients can retry elsewhere.
-func (t *Table) isSilent(now time.Duration, p *peer) bool {
-	return p.unansweredSince != never && now-p.inquiredAt <= maxInquiryGap && now-p.unansweredSince >= t.silenceTimeout()
+	return p
 }
 
 // SilentPeers returns the number of peers that count as absent because nothing has arrived from them.
 func (t *Table) SilentPeers(now time.Duration) (n int) {
 	for _, p := range t.peers.list {
-		if t.isUnresponsive(now, p) || t.isSilent(now, p) {
+		if p.silence(now) >= t.silenceTimeout(now) {
 			n++
 		}
 	}
 	return n
 }
 
-func (t *Table) silenceTimeout() time.Duration {
-	if t.noEarlierFlows {
+func (t *Table) silenceTimeout(now time.Duration) time.Duration {
+	if t.noEarlierFlows && !t.rebuilt(now) {
 		return peerSilenceTimeoutAfterOutage
 	}
 	return peerSilenceTimeout
--- a/flow/step.go
+++ b/flow/step.go
@@ -119,7 +119,7 @@
 	}
 	p := t.peers.get(m.From)
 	if p != nil {
-		p.noteHeard()
+		p.noteHeard(now)
 	}
 	if p != nil && m.HasLoad {
 		p.load = loadReport{known: true, open: int(m.Open), limit: int(m.Limit)}
@@ -133,9 +133,6 @@
 	if m.Seq != 0 {
 		t.receiveDigest(now, m.From, &m)
 	}
-	if b := t.inboxes[m.From]; b != nil {
-		b.senderComplete = m.Complete
-	}
 }
 
 func (t *Table) receiveDigest(now time.Duration, from packet.AgentID, m *Message) {
