--- a/agent/flowlog_test.go
+++ b/agent/flowlog_test.go
@@ -102,7 +102,8 @@
 	})
 })
 
-// Guards against a probe and its return by the upstream that read alike, so that nobody can tell at which upstreams a flow's packets ended.
+// Guards against a probe and its return by the upstream that read
+// alike, so that nobody can tell at which upstreams a flow's packets ended.
 var _ = DescribeTable("The line of a packet of an unknown flow tells", func(action flow.Action, returned bool, want string) {
 	var log bytes.Buffer
 	a := newAgent(settings.Agent{}, Options{}, event.NewLogger(&log), func() time.Duration { return 0 })
