daemon, balancer: only a decoded document confirms the routes

Cause: Routes.Refresh recorded a read as the confirmation of the active document even if the document that it had read could not be decoded, as after one damaged response of the store. Change: a read confirms only if its document could be decoded. The time of the read stays the base of the next one, so that a damaged document is not read more often than a good one, and of the decision that the store is unreadable.

--- a/balancer/routes_test.go
+++ b/balancer/routes_test.go
@@ -115,6 +115,18 @@
 		Expect(send(ack(unroutedAddr))).To(Equal(0))
 	})
 
+	// Guards against a reset of an open flow whose route is in a document that this balancer has
+	// read and could not decode, as after one damaged response of the store.
+	It("does not take routes as confirmed by a document that it cannot decode", func() {
+		put("1")
+		Expect(t.routes.Refresh(ctx)).To(Succeed())
+		t.refreshView()
+		t.now += maxRoutesAge
+		put("damaged")
+		Expect(t.routes.Refresh(ctx)).To(Succeed())
+		Expect(send(ack(unroutedAddr))).To(Equal(0))
+	})
+
 	// Guards against a balancer that accepts traffic although it would drop all packets.
 	It("is not ready before it has routes", func() {
 		t.now = 2 * startTimeout
--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -79,6 +79,7 @@
 	documentRevision int64         // store revision of the newest document that could be decoded
 	rejectedHash     uint64        // hash of the newest document that could not be decoded
 	readRevision     int64         // store revision at which the document was last read
+	readAt           time.Duration // start of the last successful read, even of a document that could not be decoded
 	confirmed        time.Duration // time at which the document was last confirmed to be the newest
 }
 
@@ -168,7 +169,10 @@
 	if r.Version() > 0 {
 		return false
 	}
-	return r.readFailed.Load() || r.ConfirmedAt() == 0 && !r.documentMissing.Load() && r.cfg.Clock()-r.created >= routesReadTimeout
+	r.mu.Lock()
+	neverRead := r.readAt == 0
+	r.mu.Unlock()
+	return r.readFailed.Load() || neverRead && !r.documentMissing.Load() && r.cfg.Clock()-r.created >= routesReadTimeout
 }
 
 // Active returns the active document, or nil if there is none.
@@ -268,9 +272,13 @@
 const minCheckInterval = 50 * time.Millisecond
 
 // timeUntilRead returns the time until this process reads the document again if the watch
-// reports no change. It is negative if the read is overdue.
+// reports no change. It is negative if the read is overdue. A document that could not be decoded
+// is read again no sooner than another.
 func (r *Routes) timeUntilRead() time.Duration {
-	return routesReadAge + time.Duration(r.rank.Load())*routesReadStagger - r.Age()
+	r.mu.Lock()
+	last := max(r.readAt, r.confirmed)
+	r.mu.Unlock()
+	return routesReadAge + time.Duration(r.rank.Load())*routesReadStagger - (r.cfg.Clock() - last)
 }
 
 // Refresh reads the document from the store once.
@@ -286,9 +294,11 @@
 	for _, kv := range kvs {
 		if kv.Key == r.cfg.Key {
 			r.mu.Lock()
-			r.confirmed, r.readRevision = started, revision
+			r.readAt, r.readRevision = started, revision
+			if r.install(kv) {
+				r.confirmed = max(r.confirmed, started)
+			}
 			r.mu.Unlock()
-			r.install(kv)
 			r.documentMissing.Store(false)
 			return nil
 		}
@@ -300,25 +310,27 @@
 func (r *Routes) installEvents(events []store.Event) {
 	for _, e := range events {
 		if e.KV.Key == r.cfg.Key && !e.Deleted {
+			r.mu.Lock()
 			r.install(e.KV)
+			r.mu.Unlock()
 		}
 	}
 }
 
-// install activates a document read from the store if its store revision is newer. A
-// process never returns to a lower version, and keeps its document if the new one cannot
-// be decoded.
-func (r *Routes) install(kv store.KV) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+// install activates a document read from the store if its store revision is newer, and reports
+// whether it could be decoded. A process never returns to a lower version, and keeps its document
+// if the new one cannot be decoded. The caller holds the lock.
+func (r *Routes) install(kv store.KV) bool {
 	if kv.ModRevision <= r.documentRevision {
-		return
+		return true
 	}
 	// A document that cannot be decoded may result from one damaged response of the store,
 	// so its revision is not recorded and the next read tries it again.
-	if r.activate(kv.Value, "revision", kv.ModRevision) {
-		r.documentRevision = kv.ModRevision
+	if !r.activate(kv.Value, "revision", kv.ModRevision) {
+		return false
 	}
+	r.documentRevision = kv.ModRevision
+	return true
 }
 
 // activate decodes a document, makes it active if its version is higher, and reports
