request: a grant ends for its holder before another attempt releases it

Cause: an attempt whose agent is not in the view was taken for dead, and its claim at one registrar was released at once. An agent that was marked as failed by mistake kept the grant of that claim locally. When it then met the attempt that had run meanwhile, and the agent of that one was not in its view, it released that claim likewise, got the second grant and ran the request again: a suspicion was used as proof twice. Beside it, the lifetime of a kept grant was counted anew when the attempt claimed again, did not end while another attempt was known to hold the key, and was 5 min long. Change: the grants of a round end 2 s after its first claim was sent, by the holder's monotonic clock, whatever happens meanwhile; the attempt then releases them and claims again in a new round. A claim states the time left, and a registrar says in its reply whether the holder's grant has ended, 0.1 s later by its own clock. Only then is the claim of an orphan released, and only by an attempt with an unexpired grant of the other registrar. A record that was handed over carries the time left; unknown counts as not ended, as with agents of former builds. A retry that ends before that time gets the outcome unknown. Yield names no registrar any more: it passed this process, which may be one. Weighed and left: 5 min as before, with which each retry after a failure would end as unknown. Tests: the membership changes of TestAtMostOnce draw from a wider range; nothing is narrowed.

--- a/request/claims.go
+++ b/request/claims.go
@@ -12,10 +12,9 @@
 	ResendInterval time.Duration
 	// MaxResendInterval is the longest resend interval; default 400 ms.
 	MaxResendInterval time.Duration
-	// GrantLifetime is the lifetime of a grant, counted from when the claim was sent, or
-	// from a later time at which the attempt claimed again and kept the grant (see
-	// startClaims). An attempt may not start on an expired grant. The lifetime must be well
-	// below the registrars' retention time; default 5 min.
+	// GrantLifetime is the lifetime of the grants of one round, counted from when its first
+	// claim was sent. An attempt may not start on an expired grant; it claims again in a new
+	// round. The default, which is also the maximum, is maxGrantLifetime.
 	GrantLifetime time.Duration
 	// RenewInterval is the interval at which the claims of running attempts are renewed;
 	// default 5 min.
@@ -29,6 +28,16 @@
 	SingleRegistrar Process
 }
 
+const (
+	// maxGrantLifetime is long enough for the wait in the queue, 1 s by default, and ends before
+	// peers have marked a silent agent as failed, after 3 s, so that its claims seldom hold up
+	// a retry.
+	maxGrantLifetime = 2 * time.Second
+	// grantEndMargin is the time after the end of a grant until a registrar relies on it. It
+	// allows for clocks of different VMs that differ in rate by 5%.
+	grantEndMargin = 100 * time.Millisecond
+)
+
 func (c ClaimsConfig) withDefaults() ClaimsConfig {
 	if c.ResendInterval == 0 {
 		c.ResendInterval = 25 * time.Millisecond
@@ -36,8 +45,8 @@
 	if c.MaxResendInterval == 0 {
 		c.MaxResendInterval = 400 * time.Millisecond
 	}
-	if c.GrantLifetime == 0 {
-		c.GrantLifetime = 5 * time.Minute
+	if c.GrantLifetime == 0 || c.GrantLifetime > maxGrantLifetime {
+		c.GrantLifetime = maxGrantLifetime
 	}
 	if c.RenewInterval == 0 {
 		c.RenewInterval = 5 * time.Minute
@@ -82,8 +91,10 @@
 	round         uint32
 	granted       [2]bool
 	heldByOrphan  [2]bool       // by registrar: the key is held there by an orphan
-	orphan        AttemptID     // the orphan
-	lifetimeStart time.Duration // start of the lifetime of the grants, and of the time until the attempt is stalled; reset by startClaims, which keeps the grants
+	orphanExpired [2]bool       // by registrar: the orphan cannot start by its grant there any more
+	orphan        AttemptID     // the orphan; zero if none is known to hold the key
+	lifetimeStart time.Duration // when the first claim of this round was sent; notClaimed before
+	claimingSince time.Duration // start of the time until the attempt is stalled
 	lastSent      time.Duration // when the last claim or query was sent
 	tries         int
 	refused       bool      // a registrar has refused a claim since the attempt last had both grants; kept by startClaims
@@ -92,6 +103,9 @@
 	running       bool
 }
 
+// notClaimed is the value of claim.lifetimeStart of a round in which no claim has been sent.
+const notClaimed = time.Duration(-1)
+
 // NewClaims returns an empty table.
 func NewClaims(cfg ClaimsConfig, self Process) *Claims {
 	return &Claims{cfg: cfg.withDefaults(), self: self, view: newView(nil), table: make(map[AttemptID]*claim)}
@@ -118,7 +132,7 @@
 
 // Claim starts to claim the key for an attempt.
 func (c *Claims) Claim(now time.Duration, id AttemptID, k Key) {
-	a := &claim{key: k}
+	a := &claim{key: k, lifetimeStart: notClaimed}
 	c.table[id] = a
 	c.order = append(c.order, id)
 	c.startClaims(now, id, a)
@@ -131,10 +145,10 @@
 	return c.view.pair(k)
 }
 
-// startClaims starts claiming under the current pair and a new lifetime of the grants. An
+// startClaims starts claiming under the current pair. Grants of the round keep their lifetime. An
 // attempt that has yielded sends no claim.
 func (c *Claims) startClaims(now time.Duration, id AttemptID, a *claim) {
-	a.pair, a.lifetimeStart, a.tries, a.heldByOrphan = c.pair(a.key), now, 0, [2]bool{}
+	a.pair, a.claimingSince, a.tries, a.heldByOrphan = c.pair(a.key), now, 0, [2]bool{}
 	if !a.yielded {
 		c.sendClaim(now, id, a)
 	}
@@ -144,11 +158,19 @@
 func (c *Claims) sendClaim(now time.Duration, id AttemptID, a *claim) {
 	a.lastSent = now
 	a.tries++
+	startWithin := time.Duration(0)
+	if !a.running {
+		if a.lifetimeStart == notClaimed {
+			a.lifetimeStart = now
+		}
+		startWithin = a.lifetimeStart + c.cfg.GrantLifetime - now
+	}
 	for i, to := range a.pair {
 		if a.granted[i] || to == (RegistrarID{}) || i == 1 && a.pair[0] == to {
 			continue
 		}
-		c.out = append(c.out, Message{Kind: KindClaim, From: c.self, To: to.Process, Key: a.key, Attempt: a.roundID(id), Pair: a.pair, Holding: a.running})
+		c.out = append(c.out, Message{Kind: KindClaim, From: c.self, To: to.Process, Key: a.key, Attempt: a.roundID(id), Pair: a.pair,
+			Holding: a.running, StartWithin: startWithin})
 	}
 }
 
@@ -160,7 +182,12 @@
 // Ready reports whether an attempt has both grants, unexpired, and may start.
 func (c *Claims) Ready(now time.Duration, id AttemptID) bool {
 	a := c.table[id]
-	return a != nil && a.hasBothGrants() && now-a.lifetimeStart < c.cfg.GrantLifetime
+	return a != nil && a.hasBothGrants() && !c.grantsExpired(now, a)
+}
+
+// grantsExpired reports whether the lifetime of the round's grants has ended.
+func (c *Claims) grantsExpired(now time.Duration, a *claim) bool {
+	return a.lifetimeStart != notClaimed && now-a.lifetimeStart >= c.cfg.GrantLifetime
 }
 
 // Contested reports whether another attempt, not an orphan, is known to hold the key at a
@@ -170,11 +197,17 @@
 	return a != nil && a.holder != (AttemptID{})
 }
 
+// MayRunElsewhere reports whether another attempt is known to hold the key at a registrar.
+func (c *Claims) MayRunElsewhere(id AttemptID) bool {
+	a := c.table[id]
+	return a != nil && (a.holder != (AttemptID{}) || a.orphan != (AttemptID{}))
+}
+
 // Stalled reports whether an attempt lacks a grant and a registrar has refused a claim or
 // has not answered in time.
 func (c *Claims) Stalled(now time.Duration, id AttemptID) bool {
 	a := c.table[id]
-	return a != nil && !a.hasBothGrants() && (a.refused || now-a.lifetimeStart > stallIntervals*c.cfg.ResendInterval)
+	return a != nil && !a.hasBothGrants() && (a.refused || now-a.claimingSince > stallIntervals*c.cfg.ResendInterval)
 }
 
 func (a *claim) hasBothGrants() bool { return a.granted[0] && a.granted[1] }
@@ -211,7 +244,7 @@
 	check(!a.running, "claims of attempt %v released while it runs", id)
 	c.sendRelease(a.roundID(id), a)
 	a.round++
-	a.granted = [2]bool{}
+	a.granted, a.lifetimeStart = [2]bool{}, notClaimed
 }
 
 func (c *Claims) sendRelease(roundID AttemptID, a *claim) {
@@ -243,7 +276,9 @@
 		for i, p := range a.pair {
 			a.granted[i] = a.granted[i] || p.Process == m.From
 		}
-		a.refused = a.refused && !a.hasBothGrants()
+		if a.hasBothGrants() {
+			a.refused, a.orphan = false, AttemptID{}
+		}
 		c.resolveOrphan(now, id, a)
 	case Refused:
 		a.refused = true
@@ -252,17 +287,17 @@
 			c.holderOutcomes = append(c.holderOutcomes, HolderOutcome{Attempt: id, Outcome: Done, Reason: ReasonAnswerLost})
 			return
 		}
-		c.resolveConflict(now, id, a, m.From, m.Other)
+		c.resolveConflict(now, id, a, m.Other, &m)
 	}
 }
 
 // resolveConflict resolves a conflict with another attempt that holds the key, as reported
-// by the registrar from (this process if called by Yield). If the holder is an orphan, it
+// by a registrar's reply (nil if called by Yield). If the holder is an orphan, it
 // marks the key as held at that registrar and calls resolveOrphan. Otherwise it queries the
 // holder's outcome. If the holder has the lower number, this attempt first releases its
 // claims; if not, it keeps them, and the holder yields unless it has both grants (see
 // MustYield).
-func (c *Claims) resolveConflict(now time.Duration, id AttemptID, a *claim, from Process, holder AttemptID) {
+func (c *Claims) resolveConflict(now time.Duration, id AttemptID, a *claim, holder AttemptID, reply *Message) {
 	if holder.withoutRound() == id {
 		// The holder is an earlier round of this attempt, whose release was lost.
 		c.sendRelease(holder, a)
@@ -270,7 +305,9 @@
 	}
 	if c.isOrphaned(holder) {
 		for i, p := range a.pair {
-			a.heldByOrphan[i] = a.heldByOrphan[i] || p.Process == from
+			if reply != nil && p.Process == reply.From {
+				a.heldByOrphan[i], a.orphanExpired[i] = true, reply.Expired
+			}
 		}
 		a.orphan = holder
 		c.resolveOrphan(now, id, a)
@@ -293,19 +330,23 @@
 
 // resolveOrphan resolves a conflict with an orphan. If the orphan holds the key at both
 // registrars, it may have run, and the outcome is unknown. If the orphan holds the key at
-// one registrar and this attempt has a grant of either registrar, the orphan is assumed to
-// lack a grant and not to have run: its claim is released and this attempt claims again.
-// It is not checked that the two registrars differ.
+// one registrar and this attempt has an unexpired grant of the other, the orphan lacks that
+// grant and has not run. Its process may be running, so its claim is released only after its
+// grant has expired: until then it would start as soon as it gets the other grant.
 func (c *Claims) resolveOrphan(now time.Duration, id AttemptID, a *claim) {
 	if a.heldByOrphan[0] && a.heldByOrphan[1] {
 		c.holderOutcomes = append(c.holderOutcomes, HolderOutcome{Attempt: id, Outcome: Unknown, Reason: ReasonAttemptLost})
 		return
 	}
-	if !a.heldByOrphan[0] && !a.heldByOrphan[1] || !a.granted[0] && !a.granted[1] {
+	released := false
+	for i := range a.pair {
+		released = released || a.heldByOrphan[i] && a.orphanExpired[i] && a.granted[1-i] && !c.grantsExpired(now, a)
+	}
+	if !released {
 		return
 	}
-	a.heldByOrphan = [2]bool{}
 	c.sendRelease(a.orphan, a)
+	a.heldByOrphan, a.orphan = [2]bool{}, AttemptID{}
 	c.sendClaim(now, id, a)
 }
 
@@ -339,11 +380,10 @@
 }
 
 // Yield treats winner as the holder of the key: the attempt releases its claims if the
-// winner has the lower number, and waits for the winner's outcome. A find names no
-// registrar, so resolveConflict gets this process instead.
+// winner has the lower number, and waits for the winner's outcome.
 func (c *Claims) Yield(now time.Duration, roundID, winner AttemptID) {
 	if a := c.table[roundID.withoutRound()]; a != nil {
-		c.resolveConflict(now, roundID.withoutRound(), a, c.self, winner)
+		c.resolveConflict(now, roundID.withoutRound(), a, winner, nil)
 	}
 }
 
@@ -368,7 +408,8 @@
 	c.startClaims(now, id, a)
 }
 
-// Step resends unanswered messages and renews the claims of running attempts.
+// Step resends unanswered messages, claims again in a new round when grants have expired, and renews
+// the claims of running attempts.
 func (c *Claims) Step(now time.Duration) {
 	for _, id := range c.order {
 		a := c.table[id]
@@ -378,16 +419,16 @@
 				a.pair, a.granted = c.pair(a.key), [2]bool{}
 				c.sendClaim(now, id, a)
 			}
+		case !a.yielded && c.grantsExpired(now, a):
+			c.release(id, a)
+			c.startClaims(now, id, a)
 		case now-a.lastSent < c.resendDelay(a):
 		case a.holder != (AttemptID{}):
 			if now-a.lastSent >= c.cfg.FindInterval {
 				c.queryHolder(now, id, a)
 			}
-		case a.hasBothGrants() && now-a.lifetimeStart < c.cfg.GrantLifetime:
+		case a.hasBothGrants():
 		default:
-			if now-a.lifetimeStart >= c.cfg.GrantLifetime {
-				a.granted, a.lifetimeStart = [2]bool{}, now
-			}
 			c.sendClaim(now, id, a)
 		}
 	}
--- a/request/doc.go
+++ b/request/doc.go
@@ -23,8 +23,9 @@
 //     the attempt's grant. Such an attempt may lack the other grant, run or have ended.
 //     The holder is another attempt that a registrar reports as holding the key.
 //   - release: to withdraw a claim at both registrars, which remove the record. An
-//     attempt that releases its claims begins a new round. The claims of an orphan or of a
-//     holder that ended without running are released by the attempt that found it.
+//     attempt that releases its claims begins a new round. The claims of an orphan whose
+//     grant has expired or of a holder that ended without running are released by the
+//     attempt that found it.
 //   - find: the message by which an attempt queries the holder's agent for the holder's
 //     outcome.
 //   - yield: to release the claims in favor of the holder and wait for its outcome.
--- a/request/handover.go
+++ b/request/handover.go
@@ -109,7 +109,7 @@
 	for k, held := range r.records {
 		if held.expires > now && !r.current.contains(held.firstRegistrar.ID, held.firstRegistrar.Incarnation) && r.needsRecord(m, k, held, known, completeAt) {
 			for _, a := range held.attempts {
-				reply.Records = append(reply.Records, Record{Key: k, Attempt: a, Left: held.expires - now, Done: held.done == a})
+				reply.Records = append(reply.Records, Record{Key: k, Attempt: a, Left: held.expires - now, Done: held.done == a, StartLeft: held.startLeft(now)})
 			}
 		}
 	}
--- a/request/message.go
+++ b/request/message.go
@@ -57,10 +57,15 @@
 	Pair     Pair      // the key's registrars in the view of the claim's sender (claim and its reply)
 	Verdict  Verdict
 	Holding  bool    // Attempt has a grant and has not yielded (find) or is running, so that this is a renewal (claim)
+	Expired  bool    // in a claim reply: Other cannot start any more by its grant of this registrar
 	Outcome  Outcome // in a claim reply: Done if the holder is done
 	Reason   Reason
 	Answer   *Answer
 
+	// StartWithin is the time from the sending of a claim during which the attempt may start by
+	// the grant; zero if it is running or its agent does not send it.
+	StartWithin time.Duration
+
 	View      uint64 // hash of the sender's view (pull and its reply)
 	Complete  uint64 // hash of the view in which the sender was last complete; zero if none (pull and its reply)
 	Records   []Record
@@ -74,6 +79,9 @@
 	Attempt AttemptID
 	Left    time.Duration // remaining retention time
 	Done    bool
+	// StartLeft is the time during which the attempt may start by the grant. It is positive; zero
+	// means that it is not known.
+	StartLeft time.Duration
 }
 
 // History is an earlier membership under which keys may have been granted.
@@ -107,7 +115,7 @@
 	emptyPairBytes = 18
 	keyBytes       = 20 // a zero key is sent too
 	attemptBytes   = 28
-	recordBytes    = 65
+	recordBytes    = 70
 	memberBytes    = 33
 	viewBytes      = 20 // two hashes
 )
--- a/request/node.go
+++ b/request/node.go
@@ -200,7 +200,7 @@
 // refusalOutcome returns the outcome of a request that is refused after it was queued. If
 // another attempt is known to hold its key, that attempt may run or have run.
 func (n *Node) refusalOutcome(t Ticket) Outcome {
-	if n.claims.Contested(n.requests[t].id) {
+	if n.claims.MayRunElsewhere(n.requests[t].id) {
 		return Unknown
 	}
 	return NotRun
--- a/request/node_test.go
+++ b/request/node_test.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -19,6 +20,11 @@
 	outcomes map[submittedRequest]Outcome
 	sent     map[submittedRequest]bool
 	keys     map[submittedRequest]Key
+	// failed holds the agents that are marked as failed; they may be running. rejoins counts how
+	// often each agent was marked by mistake and has rejoined.
+	failed   map[int]bool
+	rejoins  map[int]uint64
+	isolated map[int]bool // agents whose messages are lost; used by deliverAll only
 }
 
 type submittedRequest struct {
@@ -28,7 +34,8 @@
 
 func newCluster(t *rapid.T) *cluster {
 	c := &cluster{t: t, nodes: make(map[int]*Node), runs: make(map[Key]int), outcomes: make(map[submittedRequest]Outcome),
-		sent: make(map[submittedRequest]bool), keys: make(map[submittedRequest]Key)}
+		sent: make(map[submittedRequest]bool), keys: make(map[submittedRequest]Key),
+		failed: make(map[int]bool), rejoins: make(map[int]uint64)}
 	for i := range 5 {
 		c.nodes[i] = newTestNode(i, NodeConfig{Registrar: RegistrarConfig{NewService: true}}, 0, 1, 2, 3, 4)
 	}
@@ -107,28 +114,45 @@
 	c.flush()
 }
 
-// changeMembership kills an agent, or updates the membership of one agent to the
-// remaining agents.
+// changeMembership kills an agent, marks a running one as failed by mistake, lets such an agent
+// rejoin, or lets one agent adopt the present membership.
 func (c *cluster) changeMembership() {
 	i := rapid.IntRange(0, 4).Draw(c.t, "changed")
-	if rapid.IntRange(0, 7).Draw(c.t, "kill") == 0 && len(c.nodes) > 3 {
+	switch kind := rapid.IntRange(0, 11).Draw(c.t, "kind"); {
+	case kind == 0 && len(c.nodes) > 3:
 		delete(c.nodes, i)
+		c.failed[i] = true
+	case kind == 1 && len(c.failed) < 2:
+		c.failed[i] = true
+	case kind == 2 && c.failed[i] && c.nodes[i] != nil:
+		delete(c.failed, i)
+		c.rejoins[i]++
+	default:
+		c.adopt(i)
+	}
+}
+
+// adopt lets an agent adopt the present membership. An agent always counts itself as running.
+func (c *cluster) adopt(i int) {
+	n := c.nodes[i]
+	if n == nil {
 		return
 	}
-	if n := c.nodes[i]; n != nil {
-		var list []Member
-		for j := range 5 {
-			if c.nodes[j] != nil {
-				list = append(list, member(j))
-			}
+	var list []Member
+	for j := range 5 {
+		if !c.failed[j] || j == i {
+			m := member(j)
+			m.Version = c.rejoins[j]
+			list = append(list, m)
 		}
-		n.SetMembers(c.now, list)
-		c.flush()
 	}
+	n.SetMembers(c.now, list)
+	c.flush()
 }
 
 // Guards against a key that runs twice, and against "not run" for a request that ran,
-// under any order of messages, losses, duplicates, agent failures and membership changes.
+// under any order of messages, losses, duplicates, agent failures and membership changes, among
+// them marks of running agents as failed.
 func TestAtMostOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c := newCluster(t)
@@ -162,11 +186,85 @@
 	})
 }
 
-// deliverAll delivers messages in order until none is left.
+// Guards against a second run by an agent that was marked as failed by mistake: it kept a grant
+// that another attempt had released as one that its agent would never use.
+func TestAgentMarkedAsFailedDoesNotRunWithReleasedGrant(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster(nil)
+	c.runFor(time.Second)
+	key := KeyOf("s", "c", "k")
+	p := c.nodes[0].registrar.current.pair(key)
+	var others []int
+	for i := range 5 {
+		if !p.Has(process(i)) {
+			others = append(others, i)
+		}
+	}
+	marked, retry := others[0], others[1]
+	// The claim of the marked agent reaches the first registrar only.
+	c.submitKeyed(marked, "k")
+	c.inFlight = slices.DeleteFunc(c.inFlight, func(m Message) bool { return m.To == p[1].Process })
+	c.deliverAll()
+	c.failed[marked] = true
+	for i := range 5 {
+		if i != marked {
+			c.adopt(i)
+		}
+	}
+	c.isolated = map[int]bool{marked: true}
+	c.submitKeyed(retry, "k")
+	c.runFor(200 * ms)
+	// It rejoins when the agent of the other attempt is marked, which runs on.
+	c.isolated = nil
+	delete(c.failed, marked)
+	c.failed[retry] = true
+	for i := range 5 {
+		if i != retry {
+			c.adopt(i)
+		}
+	}
+	c.runFor(4 * time.Second)
+	g.Expect(c.runs[key]).To(BeNumerically("<=", 1))
+}
+
+// Guards against keys that nobody can run for the retention time because an agent died with the
+// grant of one registrar.
+func TestClaimOfDeadAgentIsReleasedAfterItsGrant(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster(nil)
+	c.runFor(time.Second)
+	key := KeyOf("s", "c", "k")
+	p := c.nodes[0].registrar.current.pair(key)
+	dead := 0
+	for p.Has(process(dead)) {
+		dead++
+	}
+	c.submitKeyed(dead, "k")
+	c.inFlight = slices.DeleteFunc(c.inFlight, func(m Message) bool { return m.To == p[1].Process })
+	c.deliverAll()
+	delete(c.nodes, dead)
+	c.failed[dead] = true
+	for i := range 5 {
+		c.adopt(i)
+	}
+	early := c.submitKeyed((dead+1)%5, "k")
+	c.runFor(1500 * ms)
+	g.Expect(c.outcomes).To(HaveKeyWithValue(early, Unknown), "the agent may be running")
+	c.runFor(maxGrantLifetime)
+	c.submitKeyed((dead+1)%5, "k")
+	c.runFor(time.Second)
+	g.Expect(c.runs[key]).To(Equal(1))
+}
+
+// deliverAll delivers messages in order until none is left. Those from and to isolated agents are
+// lost.
 func (c *cluster) deliverAll() {
 	for len(c.inFlight) > 0 {
 		m := c.inFlight[0]
 		c.inFlight = c.inFlight[1:]
+		if c.isolated[int(m.From.ID)-1] || c.isolated[int(m.To.ID)-1] {
+			continue
+		}
 		if n := c.nodes[int(m.To.ID)-1]; n != nil {
 			n.Handle(c.now, m)
 			c.flush()
--- a/request/registrar.go
+++ b/request/registrar.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -71,7 +72,10 @@
 type keyRecord struct {
 	attempts []AttemptID
 	expires  time.Duration
-	done     AttemptID // the attempt that is done; zero if none is known to be
+	// startUntil is when the last of the attempts that have not started must have started by this
+	// registrar's grant; anyTime if that is not known or one of them runs.
+	startUntil time.Duration
+	done       AttemptID // the attempt that is done; zero if none is known to be
 	// firstRegistrar, if set, is the first registrar of the pair under which the key was
 	// first granted; this registrar is the second. While firstRegistrar is a member, it
 	// hands over the record, and this registrar does not. The field is set only for a claim
@@ -84,6 +88,30 @@
 	handedOverAt int
 }
 
+// anyTime is the value of keyRecord.startUntil of an attempt that may start or have started.
+const anyTime = time.Duration(math.MaxInt64)
+
+// grantExpired reports whether no attempt can start any more by the grants of the record.
+func (r keyRecord) grantExpired(now time.Duration) bool {
+	return r.startUntil != anyTime && now >= r.startUntil+grantEndMargin
+}
+
+// startUntil returns the end of a grant of which the given time is left, zero if that is not known.
+func startUntil(now, left time.Duration) time.Duration {
+	if left == 0 {
+		return anyTime
+	}
+	return now + left
+}
+
+// startLeft returns the time left until startUntil as a Record states it.
+func (r keyRecord) startLeft(now time.Duration) time.Duration {
+	if r.startUntil == anyTime {
+		return 0
+	}
+	return max(r.startUntil-now, 1)
+}
+
 // otherHolder returns a holder other than the given attempt, or nil.
 func (r keyRecord) otherHolder(except AttemptID) *AttemptID {
 	for i := range r.attempts {
@@ -112,7 +140,7 @@
 	case found && held.expires > now && held.otherHolder(m.Attempt) != nil:
 		// A record applies in every view, so the claim's pair is not checked first: refusing
 		// the key never makes a request run twice.
-		reply.Verdict, reply.Other = Held, *held.otherHolder(m.Attempt)
+		reply.Verdict, reply.Other, reply.Expired = Held, *held.otherHolder(m.Attempt), held.grantExpired(now)
 		if held.done == reply.Other {
 			reply.Outcome = Done
 		}
@@ -132,9 +160,10 @@
 	k, a := m.Key, m.Attempt
 	held, found := r.records[k]
 	check(!found || held.expires <= now || held.otherHolder(a) == nil, "key %x granted to two attempts", k)
-	granted := keyRecord{attempts: []AttemptID{a}, expires: now + r.cfg.Retention}
+	granted := keyRecord{attempts: []AttemptID{a}, expires: now + r.cfg.Retention, startUntil: startUntil(now, m.StartWithin)}
 	switch {
 	case found && held.expires > now:
+		granted.startUntil = max(granted.startUntil, held.startUntil)
 		granted.firstRegistrar, granted.done = held.firstRegistrar, held.done
 	case m.Pair[1].Process == r.self && !m.Holding:
 		granted.firstRegistrar = m.Pair[0].Process
@@ -163,6 +192,7 @@
 		held.attempts = append(slices.Clone(held.attempts), a)
 	}
 	held.expires = max(held.expires, expires)
+	held.startUntil = max(held.startUntil, startUntil(now, rec.StartLeft))
 	held.firstRegistrar, held.handedOverAt = Process{}, r.adoptedCount
 	r.store(k, held)
 }
--- a/request/registrar_test.go
+++ b/request/registrar_test.go
@@ -85,6 +85,30 @@
 		Expect(claim(0, r, 2)).To(Equal(Granted))
 	})
 
+	ginkgo.It("says that a holder cannot start any more only after the end of its grant and a margin", func() {
+		// Guards against a release of a claim by which an agent with a late or slow clock may start.
+		r := registrarOf(p[0])
+		send := func(now, within time.Duration, number uint64, holding bool) Message {
+			a := AttemptID{Number: number, Agent: 9, Incarnation: 1}
+			return r.Claim(now, Message{Key: key, Attempt: a, Pair: p, StartWithin: within, Holding: holding})
+		}
+		send(0, 2*time.Second, 1, false)
+		Expect(send(2*time.Second+grantEndMargin-1, 0, 2, false).Expired).To(BeFalse())
+		Expect(send(2*time.Second+grantEndMargin, 0, 2, false).Expired).To(BeTrue())
+		send(3*time.Second, 0, 1, true)
+		Expect(send(time.Minute, 0, 2, false).Expired).To(BeFalse(), "it runs")
+		// The first registrar sends its record when it stays a member.
+		left := removeMembers(time.Minute, p[1])
+		completePulls(time.Minute, left...)
+		for _, other := range left {
+			if q := other.current.pair(key); other != r && q.Has(other.self) {
+				m := other.Claim(2*time.Minute, Message{Key: key, Attempt: AttemptID{Number: 2, Agent: 9, Incarnation: 1}, Pair: q})
+				Expect(m.Verdict).To(Equal(Held))
+				Expect(m.Expired).To(BeFalse(), "it runs by a record that was handed over")
+			}
+		}
+	})
+
 	ginkgo.It("refuses claims as a new registrar until it has the records", func() {
 		// Guards against a second run granted by a registrar that has no record of the first
 		// attempt.
