soak: runs take free networks, and failed starts and own ends of daemons are reported

Cause: A run took its addresses from the seed modulo 200, so that seeds such as 9001 and 9401 collided: "address already in use". A daemon that could not be started ended its restarts without a word, and one that ended by itself, by a failed assertion say, was restarted in silence. A fault that ended re-enabled restarts that an overlapping one still disabled. The checks of drains and of recovery had no test that makes them fail. Change: The store's listener claims the first free network from the seed's on, which the result names. A process that can't be started or finds its address in use is an error of the run with its name and last log line; other ends that no signal explains are violations. Daemons are stopped as the platform does, with one SIGTERM and a SIGKILL after 6 s, and all are started at once. Tests make the checks of drains, recovery, failed starts and own ends fail.

--- a/cmd/nutmegtrack/soak.go
+++ b/cmd/nutmegtrack/soak.go
@@ -68,11 +68,7 @@
 		defer null.Close()
 		cfg.Progress = null
 	}
-	result, err := soak.Run(ctx, cfg)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "nutmegtrack soak:", err)
-		return exitFailure
-	}
+	result, failed := soak.Run(ctx, cfg)
 	text, err := json.Marshal(&result)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "nutmegtrack soak:", err)
@@ -82,12 +78,15 @@
 	for _, v := range result.Violations {
 		fmt.Fprintln(os.Stderr, "violation:", v)
 	}
-	if len(result.Violations) > 0 || keep {
+	if failed != nil {
+		fmt.Fprintln(os.Stderr, "nutmegtrack soak: the run failed:", failed)
+	}
+	if len(result.Violations) > 0 || failed != nil || keep {
 		fmt.Fprintln(os.Stderr, "settings and logs are in", dir)
 	} else if err := os.RemoveAll(dir); err != nil {
 		fmt.Fprintln(os.Stderr, "nutmegtrack soak:", err)
 	}
-	if len(result.Violations) > 0 {
+	if len(result.Violations) > 0 || failed != nil {
 		return exitFailure
 	}
 	return exitOK
--- a/soak/config.go
+++ b/soak/config.go
@@ -18,6 +18,8 @@
 	Dir       string
 	Program   string // executable with the subcommands balancer and agent
 	Progress  io.Writer
+
+	network byte // second byte of the run's addresses
 }
 
 func (c Config) withDefaults() Config {
@@ -55,10 +57,18 @@
 	netStore
 )
 
-// address returns an address of the run in 127.0.0.0/8. The seed modulo 200 selects the
-// second byte, so that runs with different seeds can run at the same time.
+// Runs have the networks 127.10.0.0/16 to 127.209.0.0/16, so that as many can run at the same time.
+const (
+	firstNetwork = 10
+	networks     = 200
+)
+
+// networkName returns the network of the run.
+func (c *Config) networkName() string { return fmt.Sprintf("127.%d.0.0/16", c.network) }
+
+// address returns an address in the network of the run.
 func (c *Config) address(kind, n, port int) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(10 + c.Seed%200), byte(kind), byte(1 + n)}), uint16(port))
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, c.network, byte(kind), byte(1 + n)}), uint16(port))
 }
 
 // Bounds with which the oracle checks the guarantees. The platform's sites specify the
@@ -79,6 +89,7 @@
 // Result is the outcome of a run.
 type Result struct {
 	Seed       uint64   `json:"seed"`
+	Network    string   `json:"network"` // of all addresses of the run
 	Faults     int      `json:"faults"`
 	Requests   int      `json:"requests"`
 	Answered   int      `json:"answered"`
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -7,6 +7,8 @@
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/nutmegtrack/nutmegtrack/platform/standin"
 )
 
@@ -41,11 +43,11 @@
 			}
 		}
 	}},
-	{"restart a balancer", func(f *fleet, rng *rand.Rand) { pick(rng, f.balancers).process.signal(syscall.SIGTERM) }},
-	{"restart an agent", func(f *fleet, rng *rand.Rand) { pick(rng, f.agents).process.signal(syscall.SIGTERM) }},
+	{"restart a balancer", func(f *fleet, rng *rand.Rand) { pick(rng, f.balancers).process.terminate() }},
+	{"restart an agent", func(f *fleet, rng *rand.Rand) { pick(rng, f.agents).process.terminate() }},
 	{"restart all agents in turn", func(f *fleet, rng *rand.Rand) {
 		for _, v := range f.agents {
-			v.process.signal(syscall.SIGTERM)
+			v.process.terminate()
 			time.Sleep(randomDuration(rng, 600*time.Millisecond, 1200*time.Millisecond))
 		}
 	}},
@@ -163,11 +165,11 @@
 func (f *fleet) powerOff(rng *rand.Rand, v *vm) {
 	d := randomDuration(rng, 500*time.Millisecond, 2500*time.Millisecond)
 	f.oracle.exempt(v.addr, d+2*restartPause)
-	v.process.setRestartDisabled(true)
+	v.process.hold()
 	v.kill()
 	f.endServer(v, (*standin.Server).Crash)
 	time.Sleep(d)
-	v.process.setRestartDisabled(false)
+	v.process.release()
 	if v.service != "" {
 		f.restartServer(v)
 	}
@@ -175,13 +177,14 @@
 
 // restartServer starts a new server. It retries, as the port may still be in use for a moment.
 func (f *fleet) restartServer(v *vm) {
+	var err error
 	for range 20 {
-		if f.startServer(v) == nil {
+		if err = f.startServer(v); err == nil {
 			return
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
-	f.oracle.Violation("the soak could not start a server beside " + v.name)
+	f.oracle.Failed(errors.Wrapf(err, "soak: start a server beside %s", v.name))
 }
 
 func (f *fleet) storeFault(rng *rand.Rand, faults standin.Faults) {
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -29,7 +29,8 @@
 type vm struct {
 	name    string
 	addr    netip.Addr
-	service string // agents only
+	service string   // agents only
+	args    []string // of the daemon
 	process *process
 	tcp     *tcpProxy
 	udp     *udpProxy // agents only
@@ -72,53 +73,83 @@
 	f = &fleet{cfg: cfg, oracle: o, routes: map[netip.AddrPort]string{}, rng: &lockedRand{rng: rand.New(rand.NewPCG(cfg.Seed, 1))}}
 	defer func() {
 		if err != nil {
-			f.stop(false)
+			f.stop()
 		}
 	}()
 	if err := f.startStore(); err != nil {
 		return f, err
 	}
 	for i, s := range services {
-		f.routes[cfg.address(netRoute, i, 8443)] = s
+		f.routes[f.cfg.address(netRoute, i, 8443)] = s
 	}
 	f.putRoutes()
 	for i := range cfg.Balancers {
-		if err := f.startBalancer(i); err != nil {
+		if err := f.addBalancer(i); err != nil {
 			return f, err
 		}
 	}
 	for i := range cfg.Upstreams * len(services) {
-		if err := f.startAgent(i); err != nil {
+		if err := f.addAgent(i); err != nil {
 			return f, err
 		}
 	}
-	if f.fabric, err = startFabric(&cfg, f.balancers); err != nil {
+	if f.fabric, err = startFabric(&f.cfg, f.balancers); err != nil {
 		return f, err
 	}
 	for i := range cfg.Clients {
-		c, err := standin.StartClient(cfg.address(netClient, i, clientPort), f.fabric.send, o)
+		c, err := standin.StartClient(f.cfg.address(netClient, i, clientPort), f.fabric.send, o)
 		if err != nil {
 			return f, err
 		}
 		f.clients = append(f.clients, c)
 	}
-	return f, nil
+	return f, f.startProcesses()
 }
 
+// startProcesses starts all daemons and servers at once.
+func (f *fleet) startProcesses() error {
+	for _, v := range f.all() {
+		v.process = startProcess(f.cfg.Dir, v.name, f.oracle, f.cfg.Program, v.args...)
+	}
+	errs := make([]error, len(f.agents))
+	var wait sync.WaitGroup
+	for i, v := range f.agents {
+		wait.Go(func() { errs[i] = f.startServer(v) })
+	}
+	wait.Wait()
+	return errors.Join(errs...)
+}
+
+// all returns the VMs of all balancers and agents.
+func (f *fleet) all() []*vm { return append(append([]*vm{}, f.balancers...), f.agents...) }
+
 func (f *fleet) startStore() error {
 	begun := time.Now()
 	f.store = standin.NewStore(func() time.Duration { return time.Since(begun) })
-	at := f.cfg.address(netStore, 0, storePort)
-	l, err := net.Listen("tcp", at.String())
+	l, err := f.claimNetwork()
 	if err != nil {
 		return errors.Wrap(err, "soak: store")
 	}
 	f.storeHTTP = &http.Server{Handler: f.store, ReadHeaderTimeout: time.Second}
 	go func() { _ = f.storeHTTP.Serve(l) }() // returns on Close
-	f.storeProxy, err = newTCPProxy(f.cfg.address(netStore, 0, proxyPort), at)
+	f.storeProxy, err = newTCPProxy(f.cfg.address(netStore, 0, proxyPort), f.cfg.address(netStore, 0, storePort))
 	return err
 }
 
+// claimNetwork listens at the address of the store in the first network, from that of the seed
+// on, that no other run uses. The listener claims the network for this run.
+func (f *fleet) claimNetwork() (net.Listener, error) {
+	first := f.cfg.Seed % networks
+	for i := range uint64(networks) {
+		f.cfg.network = byte(firstNetwork + (first+i)%networks)
+		l, err := net.Listen("tcp", f.cfg.address(netStore, 0, storePort).String())
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			return l, err
+		}
+	}
+	return nil, errors.Newf("all %d networks are in use", networks)
+}
+
 // putRoutes writes the routes to the store, as the platform's operator does.
 func (f *fleet) putRoutes() {
 	f.version++
@@ -148,7 +179,7 @@
 	return file, os.WriteFile(file, []byte(text), 0o600)
 }
 
-func (f *fleet) startBalancer(i int) error {
+func (f *fleet) addBalancer(i int) error {
 	at := func(port int) netip.AddrPort { return f.cfg.address(netBalancer, i, port) }
 	v := &vm{name: fmt.Sprintf("balancer-%d", i), addr: at(0).Addr()}
 	var err error
@@ -166,12 +197,12 @@
 	if err != nil {
 		return err
 	}
-	v.process = startProcess(f.cfg.Dir, v.name, f.cfg.Program, "balancer", "--settings", file)
+	v.args = []string{"balancer", "--settings", file}
 	f.balancers = append(f.balancers, v)
 	return nil
 }
 
-func (f *fleet) startAgent(i int) error {
+func (f *fleet) addAgent(i int) error {
 	at := func(port int) netip.AddrPort { return f.cfg.address(netAgent, i, port) }
 	v := &vm{name: fmt.Sprintf("agent-%d", i), addr: at(0).Addr(), service: services[i%len(services)]}
 	var err error
@@ -192,9 +223,9 @@
 	if err != nil {
 		return err
 	}
+	v.args = []string{"agent", "--settings", file}
 	f.agents = append(f.agents, v)
-	v.process = startProcess(f.cfg.Dir, v.name, f.cfg.Program, "agent", "--settings", file)
-	return f.startServer(v)
+	return nil
 }
 
 // startServer starts a new server on an agent's VM, unless one is running.
@@ -235,12 +266,12 @@
 	}
 }
 
-func (f *fleet) stop(graceful bool) {
+func (f *fleet) stop() {
 	var wait sync.WaitGroup
-	for _, v := range append(append([]*vm{}, f.balancers...), f.agents...) {
+	for _, v := range f.all() {
 		wait.Go(func() {
 			if v.process != nil {
-				v.process.stop(graceful)
+				v.process.stop()
 			}
 			f.endServer(v, (*standin.Server).Crash)
 			if v.tcp != nil {
@@ -328,9 +359,10 @@
 
 func (fb *fabric) send(b []byte, k packet.Key) {
 	ready := *fb.ready.Load()
+	to := ready[k.Hash()%uint64(len(ready))]
 	// Write errors are ignored: the kernel sometimes refuses a datagram to a port without a
 	// listener. The packet is lost as on a real network, and the client retransmits it.
-	_, _ = fb.conn.WriteToUDPAddrPort(b, ready[k.Hash()%uint64(len(ready))])
+	_, _ = fb.conn.WriteToUDPAddrPort(b, to)
 }
 
 func (fb *fabric) close() {
--- a/soak/oracle.go
+++ b/soak/oracle.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/nutmegtrack/nutmegtrack/packet"
 	"github.com/nutmegtrack/nutmegtrack/platform/standin"
 )
@@ -19,6 +21,7 @@
 	alive             map[*standin.Server]bool
 	routes            map[netip.AddrPort]routeRecord
 	routesExemptUntil time.Time // time until which a store fault can delay route changes
+	failures          []error
 	result            *Result
 	clock             func() time.Time
 }
@@ -168,6 +171,25 @@
 	}
 }
 
+// Failed implements processObserver.
+func (o *oracle) Failed(err error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.failures = append(o.failures, err)
+}
+
+// finish checks the requests of the final check. It returns the failures of the run, which say
+// nothing on the guarantees.
+func (o *oracle) finish() error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	r := o.result
+	if float64(r.CalmOK) < minAnsweredShare*float64(r.CalmSent) || r.CalmSent == 0 {
+		o.violation("after %s without faults %d of %d requests were answered", faultFreeTime, r.CalmOK, r.CalmSent)
+	}
+	return errors.Join(o.failures...)
+}
+
 // Reset implements standin.ClientObserver.
 func (o *oracle) Reset(k packet.Key, from netip.Addr) {
 	o.mu.Lock()
--- a/soak/oracle_test.go
+++ b/soak/oracle_test.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"testing"
 	"time"
@@ -18,8 +20,7 @@
 }
 
 // A bug in the oracle would hide violations of the guarantees. So its checks are tested with
-// a violation and with the cases that they have to excuse, except for the checks of drains and
-// of recovery.
+// a violation and with the cases that they have to excuse.
 var _ = Describe("The oracle", func() {
 	var (
 		now    time.Time
@@ -109,6 +110,40 @@
 		Expect(result.Violations).To(HaveLen(1))
 	})
 
+	It("reports a new flow that a drained server gets after the bound", func() {
+		control := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+		defer control.Close()
+		drained := standin.NewServer(standin.ServerConfig{ID: "c", App: netip.MustParseAddrPort("127.9.2.3:1"),
+			Control: netip.MustParseAddrPort(control.Listener.Addr().String())})
+		drained.Drain()
+		since, acknowledged := drained.DrainedSince()
+		Expect(acknowledged).To(BeTrue())
+		now = since.Add(drainBound)
+		o.FirstPacket(drained, k)
+		Expect(result.Violations).To(BeEmpty())
+		now = now.Add(1)
+		o.FirstPacket(drained, k)
+		Expect(result.Violations).To(HaveLen(1))
+	})
+
+	It("reports that too few requests of the final check are answered, or that none was sent", func() {
+		check := func(answered, lost int) []string {
+			result = Result{}
+			for range answered {
+				o.count(nil, true)
+			}
+			for range lost {
+				o.count(standin.ErrTimeout, true)
+			}
+			o.count(standin.ErrTimeout, false)
+			Expect(o.finish()).To(Succeed())
+			return result.Violations
+		}
+		Expect(check(9, 1)).To(BeEmpty())
+		Expect(check(8, 1)).To(HaveLen(1))
+		Expect(check(0, 0)).To(HaveLen(1))
+	})
+
 	It("excuses route changes during a fault of the store", func() {
 		o.setRoute(to, false)
 		o.exemptRouteChanges(2 * routeRemovalBound)
@@ -131,3 +166,50 @@
 		Expect(draw()).To(Equal(draw()))
 	})
 })
+
+// recorder keeps what a process reports.
+type recorder struct {
+	failed     chan error
+	violations chan string
+}
+
+func newRecorder() recorder { return recorder{make(chan error, 9), make(chan string, 9)} }
+
+func (r recorder) Failed(err error)      { r.failed <- err }
+func (r recorder) Violation(text string) { r.violations <- text }
+
+// An unnoticed end of a daemon would let a run pass in which a daemon never ran, or ended by a
+// failed assertion each time.
+var _ = Describe("A process", func() {
+	It("that can't be started fails the run", func() {
+		r := newRecorder()
+		p := startProcess(GinkgoT().TempDir(), "agent-0", r, "/nonexistent")
+		<-p.ended
+		Expect(<-r.failed).To(MatchError(ContainSubstring("start agent-0")))
+	})
+
+	It("that ends by itself is a violation, and one without an address fails the run", func() {
+		r := newRecorder()
+		p := startProcess(GinkgoT().TempDir(), "agent-0", r, "/bin/sh", "-c", "echo assertion failed; exit 2")
+		Expect(<-r.violations).To(And(ContainSubstring("agent-0"), ContainSubstring("exit status 2"), ContainSubstring("assertion failed")))
+		p.stop()
+		p = startProcess(GinkgoT().TempDir(), "agent-0", r, "/bin/sh", "-c", "echo listen: address already in use; exit 1")
+		Expect(<-r.failed).To(MatchError(ContainSubstring("address already in use")))
+		p.stop()
+		Expect(r.violations).To(BeEmpty())
+	})
+})
+
+var _ = Describe("Runs side by side", func() {
+	It("have different networks with equal seeds", func() {
+		var names []string
+		for range 2 {
+			f := &fleet{cfg: Config{Seed: 9001}}
+			l, err := f.claimNetwork()
+			Expect(err).NotTo(HaveOccurred())
+			defer l.Close()
+			names = append(names, f.cfg.networkName())
+		}
+		Expect(names[0]).NotTo(Equal(names[1]))
+	})
+})
--- a/soak/process.go
+++ b/soak/process.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"bytes"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -14,26 +16,39 @@
 const (
 	// restartPause is the delay before a process that has ended is restarted.
 	restartPause = 300 * time.Millisecond
-	// stopGrace is how long a process may take to end after SIGTERM before it is killed.
+	// stopGrace is how long a process may take to end after SIGTERM before it is killed, the
+	// platform's grace-s.
 	stopGrace = 6 * time.Second
 )
 
+// processObserver receives what a process does that no fault explains.
+type processObserver interface {
+	// Failed reports that the run can't go on: a process was not started or has no address.
+	Failed(error)
+	// Violation reports that a process ended by itself.
+	Violation(text string)
+}
+
 // process is a daemon process that is restarted whenever it ends, until stop is called.
 type process struct {
 	name, program string
 	args          []string
 	log           string
+	observer      processObserver
+	ended         chan struct{} // closed when run returns
 
-	mu              sync.Mutex
-	cmd             *exec.Cmd
-	stopped         bool
-	restartDisabled bool
-	starts          int
-	ended           chan struct{} // closed when run returns
+	mu      sync.Mutex
+	changed *sync.Cond // running, holds or stopped has changed
+	cmd     *exec.Cmd
+	running bool
+	stopped bool
+	holds   int                     // number of faults that keep the process from being restarted
+	sent    map[syscall.Signal]bool // signals sent to the current process
 }
 
-func startProcess(dir, name, program string, args ...string) *process {
-	p := &process{name: name, program: program, args: args, log: filepath.Join(dir, name+".log"), ended: make(chan struct{})}
+func startProcess(dir, name string, observer processObserver, program string, args ...string) *process {
+	p := &process{name: name, program: program, args: args, log: filepath.Join(dir, name+".log"), observer: observer, ended: make(chan struct{})}
+	p.changed = sync.NewCond(&p.mu)
 	go p.run()
 	return p
 }
@@ -43,23 +58,25 @@
 	for {
 		cmd, err := p.start()
 		if err != nil {
+			p.observer.Failed(errors.Wrapf(err, "soak: start %s", p.name))
 			return
 		}
-		if cmd != nil {
-			_ = cmd.Wait() // the exit status does not matter: the process is restarted
+		if cmd == nil {
+			return
 		}
+		p.handleEnd(cmd, cmd.Wait())
 		time.Sleep(restartPause)
 	}
 }
 
-// start starts the process. It returns nil while restarts are disabled; an error ends run.
+// start waits until no fault holds the process, and starts it. It returns nil once stop was called.
 func (p *process) start() (*exec.Cmd, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.stopped {
-		return nil, errors.New("stopped")
+	for p.holds > 0 && !p.stopped {
+		p.changed.Wait()
 	}
-	if p.restartDisabled {
+	if p.stopped {
 		return nil, nil
 	}
 	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
@@ -75,42 +92,89 @@
 	if err := cmd.Start(); err != nil {
 		return nil, err
 	}
-	p.cmd = cmd
-	p.starts++
+	p.cmd, p.running, p.sent = cmd, true, map[syscall.Signal]bool{}
 	return cmd, nil
 }
 
+// handleEnd records that the process has ended, and reports an end that no signal explains.
+func (p *process) handleEnd(cmd *exec.Cmd, exit error) {
+	p.mu.Lock()
+	p.running = false
+	sent := p.sent
+	p.changed.Broadcast()
+	p.mu.Unlock()
+	status, _ := cmd.ProcessState.Sys().(syscall.WaitStatus)
+	if status.Signaled() && sent[status.Signal()] || sent[syscall.SIGTERM] && exit == nil {
+		return
+	}
+	last := p.lastLine()
+	if bytes.Contains(last, []byte(syscall.EADDRINUSE.Error())) {
+		p.observer.Failed(errors.Newf("soak: %s: %s", p.name, last))
+		return
+	}
+	p.observer.Violation(fmt.Sprintf("%s ended by itself, %s: %.200s", p.name, cmd.ProcessState, last))
+}
+
+// lastLine returns the last line of the log.
+func (p *process) lastLine() []byte {
+	text, err := os.ReadFile(p.log)
+	if err != nil {
+		return []byte(err.Error())
+	}
+	text = bytes.TrimSpace(text)
+	return text[bytes.LastIndexByte(text, '\n')+1:]
+}
+
 // signal sends a signal to the current process.
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.cmd != nil && p.cmd.Process != nil {
+	if p.running {
+		p.sent[s] = true
 		_ = p.cmd.Process.Signal(s) // it may have ended already
 	}
 }
 
-// setRestartDisabled disables restarts of the process, or enables them again.
-func (p *process) setRestartDisabled(disabled bool) {
+// terminate stops the current process as the platform does: one SIGTERM, and SIGKILL if it has
+// not ended after stopGrace. Faults that overlap stop it once.
+func (p *process) terminate() {
+	p.mu.Lock()
+	cmd, begun := p.cmd, !p.running || p.sent[syscall.SIGTERM]
+	p.mu.Unlock()
+	if begun {
+		return
+	}
+	p.signal(syscall.SIGTERM)
+	time.AfterFunc(stopGrace, func() {
+		p.mu.Lock()
+		late := p.running && p.cmd == cmd
+		p.mu.Unlock()
+		if late {
+			p.signal(syscall.SIGKILL)
+		}
+	})
+}
+
+// hold keeps the process from being restarted until release is called as often as hold.
+func (p *process) hold() {
 	p.mu.Lock()
-	p.restartDisabled = disabled
+	p.holds++
 	p.mu.Unlock()
 }
 
-// stop ends the process without a restart. If graceful, it sends SIGTERM and waits for up to
-// stopGrace before it sends SIGKILL.
-func (p *process) stop(graceful bool) {
+func (p *process) release() {
+	p.mu.Lock()
+	p.holds--
+	p.changed.Broadcast()
+	p.mu.Unlock()
+}
+
+// stop kills the process and ends its restarts.
+func (p *process) stop() {
 	p.mu.Lock()
 	p.stopped = true
+	p.changed.Broadcast()
 	p.mu.Unlock()
-	p.signal(syscall.SIGCONT)
-	if graceful {
-		p.signal(syscall.SIGTERM)
-		select {
-		case <-p.ended:
-			return
-		case <-time.After(stopGrace):
-		}
-	}
 	p.signal(syscall.SIGKILL)
 	<-p.ended
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/nutmegtrack/nutmegtrack/platform/standin"
 )
 
@@ -34,7 +36,8 @@
 	if err != nil {
 		return result, err
 	}
-	defer f.stop(false)
+	defer f.stop()
+	result.Network = f.cfg.networkName()
 	var finalCheck atomic.Bool
 	load, endLoad := context.WithCancel(ctx)
 	defer endLoad()
@@ -48,12 +51,7 @@
 	finalCheck.Store(false)
 	endLoad()
 	users.Wait()
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if float64(result.CalmOK) < minAnsweredShare*float64(result.CalmSent) || result.CalmSent == 0 {
-		o.violation("after %s without faults %d of %d requests were answered", faultFreeTime, result.CalmOK, result.CalmSent)
-	}
-	return result, ctx.Err()
+	return result, errors.Join(o.finish(), ctx.Err())
 }
 
 // sleep waits for a duration, or until the context ends.
