soak: busy processes beside a run

Cause: No run of the soak overloaded the processors, so that daemons never waited for their turn as on a VM that is short of processor time; users saw flows break there. Change: `--busy N` starts N processes (a hidden subcommand) that compute all the time and end with the run, also if the soak itself is killed, since they end with their standard input. Without the option the seed decides: a third of the seeds is beside 2 or 3 busy processes for each processor. Goroutines of the soak were weighed and left: they would slow its clients and servers rather than the daemons. `go test ./soak` passes.

--- a/cmd/nutmegtrack/main.go
+++ b/cmd/nutmegtrack/main.go
@@ -38,6 +38,7 @@
 	newStandin,
 	newDemo,
 	newSoak,
+	newBusy,
 	newBenchCommand,
 }
 
--- a/cmd/nutmegtrack/soak.go
+++ b/cmd/nutmegtrack/soak.go
@@ -16,7 +16,7 @@
 func newSoak() command {
 	sub := flaggy.NewSubcommand("soak")
 	sub.Description = "runs the daemons under faults and checks the guarantees (docs/soak.md)"
-	cfg := soak.Config{Seconds: 20, Seed: 1}
+	cfg := soak.Config{Seconds: 20, Seed: 1, Busy: soak.RandomBusy}
 	runs := 1
 	sub.Float64(&cfg.Pause, "", "pause", "maximum pause between the starts of two faults, seconds (default: random)")
 	sub.Float64(&cfg.Seconds, "", "seconds", "duration of fault injection in each run")
@@ -25,6 +25,7 @@
 	sub.Int(&cfg.Balancers, "", "balancers", "number of balancers (default 3)")
 	sub.Int(&cfg.Upstreams, "", "upstreams", "number of upstreams of each of two services (default 3)")
 	sub.Int(&cfg.Clients, "", "clients", "number of client machines (default 6)")
+	sub.Int(&cfg.Busy, "", "busy", "number of processes that compute all the time beside the run (default: random, for a third of the seeds)")
 	var quiet, keep bool
 	sub.Bool(&quiet, "", "quiet", "do not print the faults")
 	sub.Bool(&keep, "", "keep", "keep settings and logs, which are always kept after a violation")
@@ -91,3 +92,17 @@
 	}
 	return exitOK
 }
+
+// newBusy returns the subcommand of the busy processes that a soak starts.
+func newBusy() command {
+	sub := flaggy.NewSubcommand("busy")
+	sub.Description = "computes all the time, until its standard input ends"
+	sub.Hidden = true
+	return command{sub: sub, run: func() int {
+		if err := soak.Spin(os.Stdin); err != nil {
+			fmt.Fprintln(os.Stderr, "nutmegtrack busy:", err)
+			return exitFailure
+		}
+		return exitOK
+	}}
+}
--- a/soak/config.go
+++ b/soak/config.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"runtime"
 	"time"
 )
 
@@ -15,8 +16,9 @@
 	Balancers int     // default 3
 	Upstreams int     // of each of two services; default 3
 	Clients   int     // default 6
+	Busy      int     // processes that compute beside the run; RandomBusy: the seed decides
 	Dir       string
-	Program   string // executable with the subcommands balancer and agent
+	Program   string // executable with the subcommands balancer, agent and busy
 	Progress  io.Writer
 
 	network byte // second byte of the run's addresses
@@ -26,6 +28,9 @@
 	setDefault(&c.Balancers, 3)
 	setDefault(&c.Upstreams, 3)
 	setDefault(&c.Clients, 6)
+	if c.Busy == RandomBusy {
+		c.Busy = randomBusy(c.Seed, runtime.NumCPU())
+	}
 	return c
 }
 
@@ -90,6 +95,7 @@
 type Result struct {
 	Seed       uint64   `json:"seed"`
 	Network    string   `json:"network"` // of all addresses of the run
+	Busy       int      `json:"busy"`    // processes that computed beside the run
 	Faults     int      `json:"faults"`
 	Requests   int      `json:"requests"`
 	Answered   int      `json:"answered"`
--- a/soak/oracle_test.go
+++ b/soak/oracle_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -213,3 +214,22 @@
 		Expect(names[0]).NotTo(Equal(names[1]))
 	})
 })
+
+var _ = Describe("Busy processes", func() {
+	It("run beside a third of the runs, the same for the same seed", func() {
+		busy := 0
+		for seed := range uint64(300) {
+			n := randomBusy(seed, 8)
+			Expect(n).To(Equal(randomBusy(seed, 8)))
+			if n > 0 {
+				Expect(n).To(BeNumerically("~", 20, 4))
+				busy++
+			}
+		}
+		Expect(busy).To(BeNumerically("~", 100, 30))
+	})
+
+	It("end with the soak", func() {
+		Expect(Spin(strings.NewReader(""))).To(Succeed())
+	})
+})
--- a/soak/run.go
+++ b/soak/run.go
@@ -30,8 +30,13 @@
 // the guarantees are in the result.
 func Run(ctx context.Context, cfg Config) (Result, error) {
 	cfg = cfg.withDefaults()
-	result := Result{Seed: cfg.Seed}
+	result := Result{Seed: cfg.Seed, Busy: cfg.Busy}
 	o := newOracle(&result)
+	stopBusy, err := startBusy(cfg.Program, cfg.Busy)
+	if err != nil {
+		return result, err
+	}
+	defer stopBusy()
 	f, err := startFleet(cfg, o)
 	if err != nil {
 		return result, err
