--- a/flow/evidence_test.go
+++ b/flow/evidence_test.go
@@ -75,7 +75,7 @@
 		Expect(e.DeniedBy).To(HaveLen(maxEvidencePeers))
 		Expect(e.Excluded).To(Equal(7))
 		Expect(e.ExcludedAs).To(HaveLen(maxEvidencePeers))
-		Expect(e.ByRule).To(Equal(PeerCounts{ExcludedByAnswer: 6, ExcludedByDigest: 7}))
+		Expect(e.ByRule).To(Equal(PeerCounts{ExcludedByAnswer: 6, ExcludedSilent: 7}))
 	})
 
 	// Guards against a reset at the flow's own agent that the log does not tell apart from one after
