flow: a packet is not probed again behind its flow's first choice

Cause: a packet that the first choice had probed was probed again by an agent further on that took itself for the first choice, and the retransmission by a third: the agent that counts the flow's probes did not learn of the second. Change: without evidence for the flow at its own upstream an agent probes only packets that have not been probed. Measured: go test ./flow -run TestPacketIsNotProbedAgain: fails before, passes now.

--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -102,14 +102,15 @@
 
 // mayProbe reports whether a packet of an unknown flow may be delivered to the upstream: its sender
 // expects the flow here, or the upstream may hold flows from before the start of this agent and this
-// agent is the flow's first choice, to which balancers send packets without a hint. An agent that does
+// agent is the flow's first choice, to which balancers send packets without a hint. A packet is not
+// probed a second time behind such an agent, which would not learn of it. An agent that does
 // not know whether its upstream has just started asks the others first: while a fleet starts, the
 // balancers' views differ, and each retransmission may go to another agent.
 func (t *Table) mayProbe(now time.Duration, hash uint64, h *packet.Header) bool {
 	if h.Flags&packet.FlagExpected != 0 {
 		return true
 	}
-	return !t.tableComplete(now) && t.isFirstChoice(hash) && (t.self.Start != 0 || t.askedAll(now, hash))
+	return h.Tried == 0 && !t.tableComplete(now) && t.isFirstChoice(hash) && (t.self.Start != 0 || t.askedAll(now, hash))
 }
 
 // HandleReturned decides on a packet that the upstream has sent back. h is the header under
--- a/flow/unproven_absence_test.go
+++ b/flow/unproven_absence_test.go
@@ -259,3 +259,18 @@
 	g.Expect(path).To(Equal("ab"))
 	g.Expect(action.Kind).To(Equal(Deliver))
 }
+
+// Guards against a second probe behind the first choice, by an agent that takes itself for the first
+// choice too: the agent that counts the flow's probes does not learn of it. Seen in a soak that restarts
+// the fleet, seed 3001.
+func TestPacketIsNotProbedAgainBehindTheFirstChoice(t *testing.T) {
+	for tried, want := range map[uint8]ActionKind{0: Deliver, 1: Forward} {
+		g := NewWithT(t)
+		u := newUpstreamRig(4)
+		k := u.keyRanked(packet.ProtoTCP, "a", "b")
+		u.restartAgent("a")
+		u.reportStart("a")
+		h, in := packet.Header{Kind: packet.KindData, Service: testService, Tried: tried}, data(k)
+		g.Expect(u.agents[u.named("a").ID].Receive(u.now, &h, &in).Kind).To(Equal(want), "tried %d", tried)
+	}
+}
