member, agent: an earlier agent without an announcement may have run beside the same upstream

Change: a record of an earlier process without a start ID counts as one beside the same upstream, and balancers return it too. If power fails again before the first announcement, lost flows of that agent are reset only after the rebuilding phase. Measured: go test ./agent -ginkgo.focus "before the first announcement": fails before, passes now.

--- a/agent/restart_test.go
+++ b/agent/restart_test.go
@@ -153,6 +153,18 @@
 		Entry("planned, after 20 s, clock stepped back by 25 s", 20*time.Second, true, true, -25*time.Second),
 	)
 
+	// Guards against open flows that are reset because the earlier agent, which accepted them
+	// while the whole fleet started, ended before the upstream's first announcement.
+	It("does not deny unknown flows if an earlier agent ended before the first announcement", func() {
+		v.startAgent(0)
+		v.run(200 * time.Millisecond)
+		v.startAgent(0)
+		v.run(100 * time.Millisecond)
+		v.announce(0, 1)
+		v.run(stepInterval)
+		Expect(v.answer()).To(Equal(packet.MaybeHeld))
+	})
+
 	// Guards against clients that wait for lost flows after a power failure because the
 	// agents of upstreams without flows do not say so at once.
 	DescribeTable("denies unknown flows at once after a power failure", func(recordsLost bool, announcedFirst bool) {
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -176,8 +176,8 @@
 
 // noEarlierFlows reports whether this agent has seen all flows of the upstream: both appear to
 // have started together, and no process knows of an earlier agent beside this run of the
-// upstream. Flows are placed only at upstreams whose start an agent has announced, so the
-// balancers that have placed one have that record and return it with their first answer.
+// upstream. Flows are placed only at agents whose record the balancers have, and balancers
+// return the record of an earlier process with their first answer.
 func (a *Agent) noEarlierFlows(c *upstreamStatus) bool {
 	if !c.startedWithAgent || a.peers.homeBalancer.Load() == nil {
 		return false
--- a/member/announcer.go
+++ b/member/announcer.go
@@ -252,7 +252,7 @@
 			}
 			continue
 		}
-		if r.Incarnation != a.self.Incarnation && r.Start != 0 {
+		if r.Incarnation != a.self.Incarnation {
 			a.earlierStarts[r.Start] = true
 		}
 		if own, needed := refute(a.self, r); needed {
@@ -261,10 +261,13 @@
 	}
 }
 
-// RanBefore reports whether a balancer or peer knows a record which shows that an earlier
-// agent process ran beside the same run of the upstream. That run may hold flows which this
-// process has not seen.
-func (a *Announcer) RanBefore(startID uint64) bool { return a.earlierStarts[startID] }
+// RanBefore reports whether a record of an earlier agent process is known that may have run
+// beside the same run of the upstream, which then may hold flows that this process has not seen.
+// An earlier process that had received no announcement may have run beside any: while the whole
+// fleet starts, agents accept flows before the first announcement.
+func (a *Announcer) RanBefore(startID uint64) bool {
+	return a.earlierStarts[startID] || a.earlierStarts[0]
+}
 
 // SetState changes the agent's state and announces it.
 func (a *Announcer) SetState(now time.Duration, s flow.State) {
--- a/member/heartbeat.go
+++ b/member/heartbeat.go
@@ -27,7 +27,7 @@
 		reply.Resend = true
 		reply.Records = append(reply.Records, e.record)
 	}
-	if earlier.Start != 0 && earlier.Incarnation != e.record.Incarnation {
+	if before != nil && earlier.Incarnation != e.record.Incarnation {
 		reply.Records = append(reply.Records, earlier)
 	}
 	if n.table.membersSum(e.record.Service) != m.Members {
