agent, upstream: a refused connection from before an announcement does not end flows

Cause: a refused connection to the upstream ends all its flows. (1) The check runs in the background; on a busy VM its result may be processed after the first announcement of an upstream that has started meanwhile, and ended the flows of the running upstream. (2) An upstream that has just started may send packets before it listens. Change: the result counts only if no announcement has been accepted since the check began. Measured: go test ./upstream ./agent: with each of the two conditions taken out, the specs "ignores a check that is older than the last announcement", "ignores a refused connection from before the last announcement" and "checks a second time" fail; with them all pass. The spec "treats an upstream that is not running as failed" names times now, since MarkStopped takes one; its expectations are the same.

--- a/agent/connectioncheck.go
+++ b/agent/connectioncheck.go
@@ -17,7 +17,7 @@
 // there. Only a refused connection ends the upstream's flows; a connection attempt that
 // times out does not. Packets are weaker evidence: an upstream that was leaving when its
 // VM lost power may answer some packets for seconds although it neither listens nor
-// announces itself.
+// announces itself. They only make the agent check a second time.
 //
 // This check is not a probe in the sense of package flow.
 
@@ -52,23 +52,37 @@
 
 // checkConnection connects to the upstream to find out whether it runs.
 func (m *upstreamMonitor) checkConnection() {
+	begun := m.agent.clock()
 	conn, err := net.DialTimeout("tcp", m.agent.cfg.UpstreamSinkAddress.String(), connectTimeout)
 	if err == nil {
 		_ = conn.Close()
 	}
+	ended := m.recordConnectionCheck(begun, err)
+	m.agent.log.Log(event.UpstreamProbed, "running", err == nil, "ended", ended, "error", err)
+	if ended {
+		m.agent.publishUpstreamState()
+	}
+}
+
+// recordConnectionCheck records the result of a check that has begun at the given time. It reports
+// whether the upstream has ended.
+func (m *upstreamMonitor) recordConnectionCheck(begun time.Duration, err error) (ended bool) {
 	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.unansweredSince = 0
 	m.listening = err == nil
 	if m.listening {
 		m.tracker.MarkRunning(m.agent.clock())
 	}
-	ended := errors.Is(err, syscall.ECONNREFUSED)
-	if ended {
-		m.tracker.MarkStopped()
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		m.refusedOnce = false
+		return false
 	}
-	m.unansweredSince = 0
-	m.mu.Unlock()
-	m.agent.log.Log(event.UpstreamProbed, "running", err == nil, "ended", ended, "error", err)
-	if ended {
-		m.agent.publishUpstreamState()
+	// An upstream that has just started may send packets before it listens. A second refusal
+	// shows that it does not listen at all.
+	if !m.refusedOnce && !m.tracker.Known() && m.packetAt != 0 && begun-m.packetAt < firstAnswerTimeout {
+		m.refusedOnce = true
+		return false
 	}
+	return m.tracker.MarkStopped(begun)
 }
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -58,6 +58,8 @@
 	unansweredSince     time.Duration // delivery time of the oldest unanswered first packet or probe; 0: none
 	connectionCheckedAt time.Duration // time of the last connection check; 0: none
 	listening           bool          // the last connection check connected
+	refusedOnce         bool          // a connection was refused soon after a packet of the upstream
+	packetAt            time.Duration // when the upstream last sent a packet; 0: never
 	startedWithAgent    bool          // as far as this VM shows: see startedWithAgent
 	appliedNoEarlier    bool          // noEarlierFlows as last applied to the flow table; guarded by Agent.stateMu
 }
@@ -138,7 +140,8 @@
 // recordPacket records that the upstream has sent a packet.
 func (m *upstreamMonitor) recordPacket() {
 	m.mu.Lock()
-	m.tracker.MarkAlive(m.agent.clock())
+	m.packetAt = m.agent.clock()
+	m.tracker.MarkAlive(m.packetAt)
 	m.unansweredSince = 0
 	m.mu.Unlock()
 }
--- a/agent/upstream_test.go
+++ b/agent/upstream_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"net"
 	"net/http"
 	"net/netip"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -35,7 +37,7 @@
 		Expect(m.connectionCheckDue()).To(BeFalse(), "the announcement timeout is not over")
 		now = announceTimeout
 		Expect(m.connectionCheckDue()).To(BeTrue())
-		m.tracker.MarkStopped()
+		m.tracker.MarkStopped(now)
 		m.recordPacket()
 		now += minConnectionCheckInterval
 		Expect(m.connectionCheckDue()).To(BeFalse())
@@ -53,4 +55,30 @@
 		m.listening = true
 		Expect(m.connectionCheckDue()).To(BeFalse())
 	})
+
+	// Guards against the loss of all flows of an upstream that has just started, because it
+	// sends packets before it listens.
+	It("checks a second time before it ends the flows of an upstream that sends packets", func() {
+		refused := &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+		now = announceTimeout
+		m.recordPacket()
+		Expect(m.connectionCheckDue()).To(BeTrue())
+		Expect(m.recordConnectionCheck(now, refused)).To(BeFalse())
+		now += minConnectionCheckInterval
+		m.recordPacket()
+		Expect(m.connectionCheckDue()).To(BeTrue())
+		Expect(m.recordConnectionCheck(now, refused)).To(BeTrue())
+	})
+
+	// Guards against the loss of all flows of an upstream that has restarted, because the agent
+	// processes a refused connection from before its first announcement late.
+	It("ignores a refused connection from before the last announcement", func() {
+		now = announceTimeout
+		begun := now
+		now += 100 * time.Millisecond
+		Expect(m.tracker.HandleAnnouncement(now, upstream.Announcement{ID: "i", Service: "portal",
+			Address: netip.MustParseAddrPort("127.0.0.1:9")})).To(Succeed())
+		Expect(m.recordConnectionCheck(begun, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED})).To(BeFalse())
+		Expect(m.tracker.IsStopped()).To(BeFalse())
+	})
 })
--- a/upstream/tracker.go
+++ b/upstream/tracker.go
@@ -60,6 +60,7 @@
 	last      Announcement
 	startID   uint64
 	lastAlive time.Duration // time of the last sign of life
+	announced time.Duration // time of the last accepted announcement
 	leaving   bool          // the upstream has announced its exit
 	stopped   bool          // the upstream was found not to be running
 }
@@ -86,7 +87,7 @@
 		// A draining upstream does not become ready again without a restart.
 		a.Draining = a.Draining || t.last.Draining
 	}
-	t.known, t.last, t.startID, t.lastAlive = true, a, startID, now
+	t.known, t.last, t.startID, t.lastAlive, t.announced = true, a, startID, now, now
 	t.stopped = false
 	return nil
 }
@@ -107,9 +108,16 @@
 // MarkRunning records that the upstream was found running.
 func (t *Tracker) MarkRunning(now time.Duration) { t.lastAlive, t.stopped = now, false }
 
-// MarkStopped records that no process is running at the upstream's address. The flows that it
-// held are lost.
-func (t *Tracker) MarkStopped() { t.stopped = true }
+// MarkStopped records that no process was running at the upstream's address at the time checked.
+// The flows that it held are lost. It reports false, and changes nothing, if an announcement has
+// been accepted since: the upstream has started meanwhile.
+func (t *Tracker) MarkStopped(checked time.Duration) bool {
+	if t.known && t.announced >= checked {
+		return false
+	}
+	t.stopped = true
+	return true
+}
 
 // IsStopped reports whether the upstream was found not to be running, and since then has
 // neither sent an announcement nor been found running. A packet from the upstream does
--- a/upstream/tracker_test.go
+++ b/upstream/tracker_test.go
@@ -99,12 +99,22 @@
 	// Guards against flows to an upstream that is known not to be running, and against an
 	// upstream that receives no flows after it has restarted.
 	It("treats an upstream that is not running as failed until its next announcement", func() {
-		t.MarkStopped()
-		Expect(t.State(0)).To(Equal(flow.Failed))
+		Expect(t.MarkStopped(1)).To(BeTrue())
+		Expect(t.State(1)).To(Equal(flow.Failed))
 		again := first
 		again.Born, again.ID = 5000, "i-2"
-		Expect(t.HandleAnnouncement(0, again)).To(Succeed())
-		Expect(t.State(0)).To(Equal(flow.Ready))
+		Expect(t.HandleAnnouncement(2, again)).To(Succeed())
+		Expect(t.State(2)).To(Equal(flow.Ready))
+	})
+
+	// Guards against the end of the flows of an upstream that has restarted: the result of a
+	// check from before the restart may be processed after the first announcement.
+	It("ignores a check that is older than the last announcement", func() {
+		again := first
+		again.Born, again.ID = 5000, "i-2"
+		Expect(t.HandleAnnouncement(2, again)).To(Succeed())
+		Expect(t.MarkStopped(1)).To(BeFalse())
+		Expect(t.State(2)).To(Equal(flow.Ready))
 	})
 
 	// Guards against a crashed upstream that continues to receive flows, and against a
