--- a/agent/reader.go
+++ b/agent/reader.go
@@ -92,7 +92,10 @@
 	switch action.Kind {
 	case flow.Deliver:
 		r.deliver(&h, raw)
-		r.counts.awaitsAnswer = r.counts.awaitsAnswer || action.Probe
+		if action.Probe {
+			r.counts.probes++
+			r.counts.awaitsAnswer = true
+		}
 		if action.Hint {
 			r.sendHints(&h, i, action.ExtraHints)
 		}
@@ -278,7 +281,9 @@
 				r.handleReturned(now, t, i)
 				continue
 			}
-			t.HandleReply(now, &r.info)
+			if t.HandleReply(now, &r.info) && r.agent.options.Packets != nil {
+				r.agent.logAdopted(now, t, &r.info)
+			}
 			k := r.info.Key.Reverse()
 			r.agent.learnEndpoint(&k)
 			to = r.clientAddress()
@@ -318,6 +323,7 @@
 	if r.info.First {
 		r.agent.logFirstPacket(now, t, &r.info, &h, &action, 0)
 	} else {
+		r.counts.probesReturned++
 		r.agent.logUnownedPacket(now, t, &r.info, &h, &action)
 	}
 	if action.Kind != flow.Forward {
