--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -58,6 +58,8 @@
 	unansweredSince     time.Duration // delivery time of the oldest unanswered first packet or probe; 0: none
 	connectionCheckedAt time.Duration // time of the last connection check; 0: none
 	listening           bool          // the last connection check connected
+	refusedOnce         bool          // a connection was refused soon after a packet of the upstream
+	packetAt            time.Duration // when the upstream last sent a packet; 0: never
 	startedWithAgent    bool          // as far as this VM shows: see startedWithAgent
 	appliedNoEarlier    bool          // noEarlierFlows as last applied to the flow table; guarded by Agent.stateMu
 }
@@ -139,7 +141,8 @@
 // recordPacket records that the upstream has sent a packet.
 func (m *upstreamMonitor) recordPacket() {
 	m.mu.Lock()
-	m.tracker.MarkAlive(m.agent.clock())
+	m.packetAt = m.agent.clock()
+	m.tracker.MarkAlive(m.packetAt)
 	m.unansweredSince = 0
 	m.mu.Unlock()
 }
@@ -178,8 +181,8 @@
 
 // noEarlierFlows reports whether this agent has seen all flows of the upstream: both appear to
 // have started together, and no process knows of an earlier agent beside this run of the
-// upstream. Flows are placed only at upstreams whose start an agent has announced, so the
-// balancers that have placed one have that record and return it with their first answer.
+// upstream. Flows are placed only at agents whose record the balancers have, and balancers
+// return the record of an earlier process with their first answer.
 func (a *Agent) noEarlierFlows(c *upstreamStatus) bool {
 	if !c.startedWithAgent || a.peers.homeBalancer.Load() == nil {
 		return false
