route, platform, balancer: no resets by a document with an unusable route

Cause: a route of the operator's document that this version cannot use, for example one whose traffic split has no valid share, was left out of the router's table. The balancer then answered the packets of the route's open flows with a reset, as if the operator had removed the route. Change: a document says that it is incomplete, and by such a document no packet is reset. Weighed and left: an entry without targets for each such route, which is impossible where the address is missing.

--- a/balancer/routes_test.go
+++ b/balancer/routes_test.go
@@ -35,15 +35,17 @@
 func (datagrams) ClientAddress(k *packet.Key) netip.AddrPort { return k.Source() }
 
 // portalRoute returns a document with one route to impact-portal. The text is the
-// document's version.
+// document's version. The document is incomplete from incompleteVersion on.
 func portalRoute(text []byte) (*route.Document, finding.List, error) {
 	version, err := strconv.ParseInt(string(text), 10, 64)
-	return &route.Document{Version: version, Routes: []route.Route{{
+	return &route.Document{Version: version, Incomplete: version >= incompleteVersion, Routes: []route.Route{{
 		Name: "r1", Endpoint: flow.Endpoint{Addr: service, Proto: packet.ProtoTCP},
 		Targets: []route.Target{{Service: "impact-portal", Weight: 1}},
 	}}}, nil, err
 }
 
+const incompleteVersion = 100
+
 var _ = Describe("A balancer with operators' routes", func() {
 	const key = "routes"
 	var (
@@ -150,6 +152,18 @@
 		Expect(t.reader.resets.Len()).To(BeZero())
 	})
 
+	// Guards against a reset of open flows whose route is in the document in a form that this
+	// version cannot use.
+	It("sends no resets by a document with an unusable route", func() {
+		put(strconv.Itoa(incompleteVersion))
+		Expect(t.routes.Refresh(ctx)).To(Succeed())
+		t.refreshView()
+		Expect(send(ack(unroutedAddr), synTo(unroutedAddr))).To(Equal(0))
+		t.now += peerConfirmationDelay + time.Millisecond
+		Expect(t.routes.Refresh(ctx)).To(Succeed())
+		Expect(send(ack(unroutedAddr))).To(Equal(0))
+	})
+
 	// Guards against a reset of open flows while their service has no known upstream.
 	It("sends no resets for a route without upstreams", func() {
 		put("1")
--- a/balancer/unrouted.go
+++ b/balancer/unrouted.go
@@ -70,11 +70,11 @@
 
 // mayReset reports whether a packet without a route may be answered with a reset, so that its
 // client need not wait for its deadline. routes are the routes by which the packet was found to
-// have none. They must be the newest that this process knows, and recently confirmed. A packet
+// have none. They must be complete, the newest that this process knows, and recently confirmed. A packet
 // of a flow that may be open, which is any but the original SYN, must also have arrived before
 // the confirmation.
 func (b *Balancer) mayReset(routes *route.Document, in *packet.Info) bool {
-	if routes == nil || b.routes.Active() != routes || b.routes.Age() >= maxRoutesAge {
+	if routes == nil || routes.Incomplete || b.routes.Active() != routes || b.routes.Age() >= maxRoutesAge {
 		return false
 	}
 	if in.First && in.Key.Proto == packet.ProtoTCP && in.Repeat == 0 {
--- a/route/document.go
+++ b/route/document.go
@@ -31,6 +31,9 @@
 	Routes      []Route
 	Services    []Service
 	IdleTimeout time.Duration // time after which an idle flow may be discarded; 0 if not set
+	// Incomplete says that the document has a route that cannot be used, so that an address
+	// without a usable route may have one.
+	Incomplete bool
 }
 
 // Route defines the services that receive the flows to one address.
