--- a/agent/flowlog_test.go
+++ b/agent/flowlog_test.go
@@ -131,5 +131,5 @@
 	Entry("announcements that have ended", func(t *upstream.Tracker) {
 		Expect(t.HandleAnnouncement(time.Second, upstream.Announcement{ID: "i", Service: "portal"})).To(Succeed())
 	}, "announcements missed"),
-	Entry("a refused connection", func(t *upstream.Tracker) { t.MarkStopped() }, "connection refused"),
+	Entry("a refused connection", func(t *upstream.Tracker) { t.MarkStopped(0) }, "connection refused"),
 )
