flow: a flow that has become suspect again is decided by a new inquiry

Cause: a flow that was suspect, then known at a peer, then suspect again could be declared lost by the answers of its former inquiry, which goes on while another of its flows is undecided. A flow that was opened meanwhile would be reset. Change: an inquiry decides only the flows that became suspect before it. Measured: go test ./flow -run TestFlowSuspectedAgain: fails before, passes now. Found by reading; not seen in a run.

--- a/flow/lost.go
+++ b/flow/lost.go
@@ -232,7 +232,10 @@
 	for _, q := range t.inquiries {
 		for i, lost := range t.heldByNoPeer(now, q) {
 			hash := q.flows[i]
-			out[hash] = finding{inquiry: q, index: i, mayRepeat: t.unknownFlows[hash].mayRepeat, lost: lost}
+			// A flow that has become suspect again is decided by a new inquiry only.
+			if f := t.unknownFlows[hash]; f.inquiry == q.number {
+				out[hash] = finding{inquiry: q, index: i, mayRepeat: f.mayRepeat, lost: lost}
+			}
 		}
 	}
 	return out
--- a/flow/unproven_absence_test.go
+++ b/flow/unproven_absence_test.go
@@ -274,3 +274,29 @@
 		g.Expect(u.agents[u.named("a").ID].Receive(u.now, &h, &in).Kind).To(Equal(want), "tried %d", tried)
 	}
 }
+
+// Guards against the reset of a flow that has become suspect again, by answers that were given before it
+// was opened: the former inquiry goes on for another flow.
+func TestFlowSuspectedAgainIsNotResetByFormerAnswers(t *testing.T) {
+	g := NewWithT(t)
+	u := newUpstreamRig(4)
+	u.run(settled)
+	u.class = packet.NewClass(1, 300*time.Millisecond, true)
+	table := u.agents[u.named("a").ID]
+	k, other := u.keyRanked(packet.ProtoTCP, "a", "b"), u.keyRanked(packet.ProtoTCP, "a", "c")
+	u.silent["d"] = true
+	for _, f := range []packet.Key{k, other} {
+		table.markSuspect(u.now, f.Hash(), &packet.Header{Class: u.class}, &packet.Info{Key: f})
+	}
+	g.Expect(u.findLost("a")).To(BeEmpty())
+	table.ownerRecords.record(u.now, k.Hash(), u.named("b").ID)
+	g.Expect(u.findLost("a")).To(BeEmpty(), "a hint names an owner")
+	table.ownerRecords.forget(k.Hash())
+	q := table.inquiries[0]
+	table.HandleInquiryAnswer(u.now, &packet.InquiryAnswer{From: u.named("d").ID, Number: q.number,
+		Statuses: []packet.FlowStatus{packet.NotHeld, packet.MaybeHeld}})
+	u.sendPacket("b", numbered(k, 2)) // its digest is on its way
+	table.markSuspect(u.now, k.Hash(), &packet.Header{Class: u.class}, &packet.Info{Key: k})
+	lost, _, _ := table.CheckSuspects(u.now)
+	g.Expect(lost).To(BeEmpty())
+}
