flow: the list of peers settles for 500 ms before a flow is declared lost

Change: the list counts as complete after 500 ms without an added or removed peer. Conclusion: kept; it narrows the fault and does not exclude it: a balancer's answer does not say whether it knows all upstreams.

--- a/flow/lost.go
+++ b/flow/lost.go
@@ -13,8 +13,9 @@
 
 const (
 	// peerListSettleTime is the time without an added or removed peer after which the list of
-	// peers counts as complete. Balancers push changes of the membership every 200 ms.
-	peerListSettleTime = 250 * time.Millisecond
+	// peers counts as complete. Balancers push changes of the membership every 200 ms, and one that
+	// has restarted may answer an agent before it knows all upstreams.
+	peerListSettleTime = 500 * time.Millisecond
 	// suspectTimeout is the time from unknownFlow.at after which a flow is no longer suspect.
 	// Further packets do not extend it; one that arrives later makes the flow suspect anew.
 	suspectTimeout = 5 * time.Second
