member: a test that brief pauses of VMs lead to no mark as failed

Cause: it was not shown that agents which are out of reach for 50 to 900 ms again and again are not marked as failed, and with concurrent pings some were. Change: a spec with 7 agents in two segments that are cut from the balancers for such times.

--- a/member/suspect_test.go
+++ b/member/suspect_test.go
@@ -1,6 +1,7 @@
 package member_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"time"
@@ -186,3 +187,30 @@
 		Expect(pings).To(HaveLen(1))
 	})
 })
+
+var _ = Describe("Agents whose VMs pause for moments", func() {
+	// Guards against marks of live agents: a mark needs silence for Config.SuspectAfter and two
+	// balancers whose consecutive pings have failed, which pauses of 50 to 900 ms do not give.
+	It("are not marked as failed", func() {
+		for seed := range uint64(10) {
+			f := newFleet(70 + seed)
+			for i := range 7 {
+				f.segments[fmt.Sprintf("u%d", i)] = fmt.Sprintf("pausing%d", i%2)
+			}
+			f.start(6, 7)
+			rng := f.rng()
+			for end := f.net.Now() + 2*time.Minute; f.net.Now() < end; {
+				segment := fmt.Sprintf("pausing%d", rng.IntN(2))
+				for domain := range 3 {
+					f.net.Cut(segment, fmt.Sprintf("fd%d", domain))
+				}
+				f.net.Run(time.Duration(50+rng.IntN(851)) * time.Millisecond)
+				f.net.Heal()
+				f.net.Run(time.Duration(rng.IntN(1000)) * time.Millisecond)
+				for name := range f.agents {
+					Expect(f.states(name)).NotTo(ContainElement(flow.Failed), "%s, seed %d, %v", name, 70+seed, f.net.Now())
+				}
+			}
+		}
+	})
+})
