--- a/balancer/reader.go
+++ b/balancer/reader.go
@@ -28,7 +28,7 @@
 	mayReset          func(*route.Document, *packet.Info) bool
 	clientPacketsOnly bool                    // the source receives client packets only, no hints
 	mayPlaceFlows     func() bool             // reports whether new flows may be placed
-	log               func(i int, reset bool) // logs the decision on a first packet
+	log               func(i int, reset bool) // logs the decision on a first packet or a reset
 
 	in        *packetio.Inbox
 	out       *packetio.Outbox
@@ -71,7 +71,7 @@
 		r.format, r.datagram = b.options.Packets, b.options.Packets
 		r.clients, r.clientPacketsOnly = b.ports.clients, true
 		r.installedRoutes, r.mayReset = b.installedRoutes.Load, b.mayReset
-		r.log = func(i int, reset bool) { b.logFirst(&r.infos[i], &r.decisions[i], reset) }
+		r.log = func(i int, reset bool) { b.logDecision(&r.infos[i], &r.decisions[i], reset) }
 	}
 	return r
 }
@@ -210,15 +210,12 @@
 // frame adds a packet with its encapsulation header to the outbox, or drops the packet.
 func (r *reader) frame(i int) {
 	d := &r.decisions[i]
-	reset := !d.OK && r.resetDue(i)
-	if r.infos[i].First {
+	reset := !d.OK && r.reset(i)
+	if r.infos[i].First || reset {
 		r.log(i, reset)
 	}
 	if !d.OK {
 		r.counts.dropped[d.Reason]++
-		if reset {
-			r.reset(i)
-		}
 		return
 	}
 	if d.Hinted {
@@ -231,24 +228,28 @@
 		Class:    d.Class,
 		Origin:   r.origin,
 	}
+	if d.Expected {
+		h.Flags = packet.FlagExpected
+	}
 	framed := r.in.WithHeadroom(i)
 	h.Put(framed)
 	r.out.Add(framed, d.Addr)
 	r.counts.sent++
 }
 
-// resetDue reports whether a dropped packet is to be answered with a reset: its address is known
-// to have no service.
-func (r *reader) resetDue(i int) bool {
-	return r.datagram != nil && r.decisions[i].Reason == flow.ReasonNoService && r.mayReset(r.routes, &r.infos[i])
-}
-
-// reset answers a dropped packet with a reset.
-func (r *reader) reset(i int) {
-	if b := r.datagram.AppendReset(nil, &r.infos[i]); b != nil {
-		r.resets.Add(b, r.datagram.ClientAddress(&r.infos[i].Key))
-		r.counts.resets++
+// reset answers a dropped packet with a reset if its address is known to have no
+// service, so that the client need not wait for its deadline. It reports whether it did.
+func (r *reader) reset(i int) bool {
+	if r.datagram == nil || r.decisions[i].Reason != flow.ReasonNoService || !r.mayReset(r.routes, &r.infos[i]) {
+		return false
+	}
+	b := r.datagram.AppendReset(nil, &r.infos[i])
+	if b == nil {
+		return false
 	}
+	r.resets.Add(b, r.datagram.ClientAddress(&r.infos[i].Key))
+	r.counts.resets++
+	return true
 }
 
 // isEncapsulated reports whether b starts with an encapsulation header, whose first byte
--- a/balancer/routes_test.go
+++ b/balancer/routes_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"strconv"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -114,6 +115,8 @@
 		t.now += peerConfirmationDelay + time.Millisecond
 		Expect(t.routes.Refresh(ctx)).To(Succeed())
 		Expect(send(ack(service), ack(unroutedAddr))).To(Equal(1))
+		Expect(strings.Count(t.log.String(), "event=1802")).To(Equal(1), "guards against a reset of an open flow without a line")
+		Expect(t.log.String()).To(MatchRegexp(`event=1802 .*>10\.96\.0\.9:80 reason=no_service routes=1 routes_age=0 view_age=1.001`))
 	})
 
 	// Guards against a reset of an open flow by a balancer that has not read the routes by which
