request: tests share the claim that reaches one registrar

Cause: two tests repeated the set-up of an attempt whose claim reaches only the first registrar. Measured: go test ./request passes.

--- a/request/node_test.go
+++ b/request/node_test.go
@@ -186,6 +186,13 @@
 	})
 }
 
+// claimAtFirstRegistrar submits a keyed request whose claim reaches only the first registrar.
+func (c *cluster) claimAtFirstRegistrar(i int, name string, p Pair) {
+	c.submitKeyed(i, name)
+	c.inFlight = slices.DeleteFunc(c.inFlight, func(m Message) bool { return m.To == p[1].Process })
+	c.deliverAll()
+}
+
 // Guards against a second run by an agent that was marked as failed by mistake: it kept a grant
 // that another attempt had released as one that its agent would never use.
 func TestAgentMarkedAsFailedDoesNotRunWithReleasedGrant(t *testing.T) {
@@ -201,10 +208,7 @@
 		}
 	}
 	marked, retry := others[0], others[1]
-	// The claim of the marked agent reaches the first registrar only.
-	c.submitKeyed(marked, "k")
-	c.inFlight = slices.DeleteFunc(c.inFlight, func(m Message) bool { return m.To == p[1].Process })
-	c.deliverAll()
+	c.claimAtFirstRegistrar(marked, "k", p)
 	c.failed[marked] = true
 	for i := range 5 {
 		if i != marked {
@@ -239,9 +243,7 @@
 	for p.Has(process(dead)) {
 		dead++
 	}
-	c.submitKeyed(dead, "k")
-	c.inFlight = slices.DeleteFunc(c.inFlight, func(m Message) bool { return m.To == p[1].Process })
-	c.deliverAll()
+	c.claimAtFirstRegistrar(dead, "k", p)
 	delete(c.nodes, dead)
 	c.failed[dead] = true
 	for i := range 5 {
