request: an attempt without a key leaves no entry in the expiry list

Callers saw nothing. Change: such an attempt is discarded at its end instead of being stored and forgotten. Measured: go test ./request: "keeps nothing of an attempt without a key" fails before (10 entries after 10 requests), passes now.

--- a/request/attempts.go
+++ b/request/attempts.go
@@ -90,12 +90,27 @@
 		t.KeyMismatches++
 		return false
 	}
-	check(o != NotRun || !a.sent, "attempt %v reported as not run after its request may have reached the upstream", id)
+	a.checkOutcome(id, o)
 	a.ended, a.outcome, a.reason, a.answer = true, o, reason, t.limitBody(answer)
 	t.expiry = append(t.expiry, expiringAttempt{id, now + t.cfg.Retention})
 	return true
 }
 
+func (a *attempt) checkOutcome(id AttemptID, o Outcome) {
+	check(o != NotRun || !a.sent, "attempt %v reported as not run after its request may have reached the upstream", id)
+}
+
+// Discard ends and removes an attempt that no retry will query.
+func (t *Attempts) Discard(id AttemptID, o Outcome) {
+	a := t.table[id]
+	if a == nil {
+		t.LateOutcomes++
+		return
+	}
+	a.checkOutcome(id, o)
+	delete(t.table, id)
+}
+
 // limitBody returns the answer as it is stored: only its status if the body exceeds
 // MaxBodyBytes or the sum of the stored bodies would exceed MaxTotalBytes.
 func (t *Attempts) limitBody(a *Answer) *Answer {
@@ -130,13 +145,13 @@
 func (t *Attempts) Step(now time.Duration) {
 	i := 0
 	for ; i < len(t.expiry) && t.expiry[i].at <= now; i++ {
-		t.Forget(t.expiry[i].id)
+		t.forget(t.expiry[i].id)
 	}
 	t.expiry = t.expiry[i:]
 }
 
-// Forget removes an attempt that no retry will query.
-func (t *Attempts) Forget(id AttemptID) {
+// forget removes an attempt and its answer.
+func (t *Attempts) forget(id AttemptID) {
 	if a := t.table[id]; a != nil && a.answer != nil {
 		t.bodyBytes -= len(a.answer.Body)
 	}
--- a/request/attempts_test.go
+++ b/request/attempts_test.go
@@ -37,6 +37,20 @@
 		Expect(find(t).Outcome).To(Equal(Unknown))
 	})
 
+	ginkgo.It("keeps nothing of an attempt without a key", func() {
+		// Guards against memory use that grows with the rate of requests without a key, which no
+		// retry queries.
+		n := newTestNode(0, NodeConfig{}, 0)
+		for range 10 {
+			ticket := n.Submit(0, request("", time.Minute))
+			n.Finish(0, ticket, Done, ReasonNone, &Answer{Status: 200, Body: []byte("a")})
+			n.Free(0, ticket)
+		}
+		Expect(n.attempts.table).To(BeEmpty())
+		Expect(n.attempts.expiry).To(BeEmpty())
+		Expect(n.attempts.bodyBytes).To(BeZero())
+	})
+
 	ginkgo.It("limits the total size of all stored bodies", func() {
 		// Guards against memory use that grows with the rate of keyed requests.
 		t := NewAttempts(AttemptsConfig{MaxTotalBytes: 3, Retention: time.Minute})
--- a/request/node.go
+++ b/request/node.go
@@ -212,9 +212,10 @@
 	if !r.started && o != NotRun {
 		ownAnswer = nil // the answer is the holder's
 	}
-	n.attempts.End(now, r.id, r.Key, n.ownOutcome(r, o), reason, ownAnswer)
-	if !r.Keyed {
-		n.attempts.Forget(r.id) // only retries with the same key query attempts
+	if r.Keyed {
+		n.attempts.End(now, r.id, r.Key, n.ownOutcome(r, o), reason, ownAnswer)
+	} else {
+		n.attempts.Discard(r.id, n.ownOutcome(r, o)) // only retries with the same key query attempts
 	}
 	r.ended, r.notRun = true, o == NotRun
 	n.claims.End(r.id, n.ownOutcome(r, o))
