flow: a randomized simulation of a fleet checks rule FLOW in virtual time

Change: test files that drive the real Table of 3 to 12 agents and the real Router of 2 to 4 balancers through starts, rolls, kills, mistaken failure marks, crashes, replacements and power failures, with late views, lost and late messages and processes that are not scheduled for up to 300 ms. Simulated upstreams return packets of flows that they do not hold. The oracle knows no exemption but the rule's for unplanned disruptions: a killed agent and a power failure, until 4 s after. A violation is printed with a trace of the flow's decisions. The run counts served packets and clients told of a lost flow, so that a change that only falls silent is seen. What packages agent and member decide is modelled, not run: the state of the upstream, its start, the check of its connection, the spread of records.

--- /dev/null
+++ b/flow/fleet_scenario_test.go
@@ -0,0 +1,531 @@
+package flow
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/packet"
+)
+
+// clientFlow is one flow of a client, and what the oracle knows of it.
+type clientFlow struct {
+	f       *fleet
+	key     packet.Key
+	hash    uint64
+	cookie  uint32 // of the upstream that has accepted the flow; 0 before
+	closed  bool   // the client does not use the flow any more
+	next    uint32 // number of the next packet
+	left    int    // requests left
+	unacked []*sentPacket
+	done    func() // opens the client's next flow
+
+	upstream    *fleetUpstream // holds the open flow; nil otherwise
+	start       uint64         // start of that upstream
+	misdelivery *misdelivery
+	lost        bool          // the upstream has ended while the flow was open
+	askedAt     time.Duration // when the client first sent a packet after that; 0: it has not
+}
+
+// sentPacket is a packet without an answer.
+type sentPacket struct {
+	in      packet.Info
+	retry   time.Duration // interval until the next retransmission
+	expires time.Duration
+}
+
+// misdelivery counts the deliveries of a flow's packets during fleetFlowWindow, from the first one at
+// another upstream than its own.
+type misdelivery struct {
+	elsewhere int
+	own       bool
+	exempt    bool
+}
+
+// client opens one flow after another.
+func (f *fleet) client(n int) {
+	port := uint16(1024)
+	var open func()
+	open = func() {
+		port++
+		to := fleetRepeatable
+		if f.chance(0.5) {
+			to = fleetOnce
+		}
+		from := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(n >> 8), byte(n)}), port)
+		c := &clientFlow{f: f, key: packet.KeyOf(from, to, packet.ProtoTCP), left: 1 + f.rng.IntN(20), next: 1}
+		c.hash = c.key.Hash()
+		c.done = func() { f.after(f.between(10*time.Millisecond, 300*time.Millisecond), open) }
+		f.flows[c.key] = c
+		for i := range 3 {
+			f.after(SYNCopyDelay(uint8(i)), func() {
+				if c.cookie == 0 && !c.closed {
+					c.transmit(packet.Info{Key: c.key, First: true, Flags: packet.FlagSYN, Numbered: true, Repeat: uint8(i)})
+				}
+			})
+		}
+		f.after(fleetSYNTimeout, func() {
+			if c.cookie == 0 && !c.closed {
+				f.oracle.counts.unopened++
+				c.close()
+			}
+		})
+	}
+	f.after(f.between(0, 2*time.Second), open)
+}
+
+func (c *clientFlow) close() {
+	if !c.closed {
+		c.closed, c.unacked = true, nil
+		c.done()
+	}
+}
+
+func (c *clientFlow) transmit(in packet.Info) {
+	f := c.f
+	if c.lost && c.askedAt == 0 {
+		c.askedAt = f.now
+	}
+	f.after(f.packetDelay(), func() { f.pickBalancer(c.hash).receive(c, in) })
+}
+
+// request sends the packets of the next request or, after the last one, a FIN.
+func (c *clientFlow) request() {
+	if c.closed {
+		return
+	}
+	n := 1 + c.f.rng.IntN(3)
+	if c.left == 0 {
+		n = 1
+	}
+	for range n {
+		in := packet.Info{Key: c.key, Flags: packet.FlagACK, Seq: c.next, Ack: c.cookie, Payload: fleetPayload, FIN: c.left == 0}
+		c.next++
+		s := &sentPacket{in: in, retry: 200 * time.Millisecond, expires: c.f.now + fleetDeadline}
+		c.unacked = append(c.unacked, s)
+		c.send(s)
+	}
+	c.left--
+}
+
+// send sends a packet, and again until it is answered.
+func (c *clientFlow) send(s *sentPacket) {
+	if c.closed || !slices.Contains(c.unacked, s) {
+		return
+	}
+	if c.f.now >= s.expires {
+		c.f.trace(c, "the client gives up")
+		c.f.oracle.abandoned(c)
+		c.close()
+		return
+	}
+	c.transmit(s.in)
+	c.f.after(s.retry, func() { c.send(s) })
+	s.retry = min(2*s.retry, fleetMaxRetry)
+}
+
+// receive handles a packet from a upstream.
+func (c *clientFlow) receive(in *packet.Info) {
+	switch {
+	case c.closed:
+	case in.RST:
+		c.close()
+	case in.Flags&packet.FlagSYN != 0:
+		if c.cookie == 0 {
+			c.f.trace(c, "the client accepts SYN+ACK %d", in.Seq)
+			c.cookie = in.Seq
+			pause := time.Duration(0)
+			if c.f.chance(0.3) {
+				pause = c.f.between(0, 300*time.Millisecond)
+			}
+			c.f.after(pause, c.request)
+		}
+	case in.FIN:
+		c.f.oracle.counts.answered += len(c.unacked)
+		c.close()
+	default:
+		before := len(c.unacked)
+		c.unacked = slices.DeleteFunc(c.unacked, func(s *sentPacket) bool { return s.in.Seq == in.Ack })
+		c.f.oracle.counts.answered += before - len(c.unacked)
+		if before > 0 && len(c.unacked) == 0 {
+			c.f.after(c.f.between(10*time.Millisecond, 800*time.Millisecond), c.request)
+		}
+	}
+}
+
+func (c *clientFlow) receiveReset(from *fleetAgent, reason string) {
+	if c.closed {
+		return
+	}
+	c.f.trace(c, "the client receives a reset of %s", from.name)
+	c.f.oracle.reset(c, from, reason)
+	c.upstream = nil
+	c.close()
+}
+
+// violation is a broken part of rule FLOW.
+type violation struct {
+	seed uint64
+	at   time.Duration
+	rule string
+	flow packet.Key
+	what string
+}
+
+func (v violation) String() string {
+	return fmt.Sprintf("seed %d, %.3f s, %s, flow %v>%v: %s", v.seed, v.at.Seconds(), v.rule, v.flow.Source(), v.flow.Destination(), v.what)
+}
+
+const (
+	ruleReset        = "reset"
+	ruleMisdelivered = "misdelivered"
+)
+
+// fleetCounts are the outcomes of the clients' packets and flows.
+type fleetCounts struct {
+	answered   int // packets answered by the flow's upstream
+	timedOut   int // flows given up by their client after fleetDeadline without an answer
+	unopened   int // flows that no upstream accepted within fleetSYNTimeout
+	judged     int // resets and deliveries at other upstreams that were judged
+	exempt     int // the same at exempt VMs
+	lost       int // flows whose upstream ended
+	toldInTime int // of these, flows whose client received a reset within 1 s of its next packet
+	toldLater  int // of these, flows whose client received a reset later
+	neverTold  int // of these, flows that their client gave up after fleetDeadline
+}
+
+// fleetOracle judges rule FLOW.
+type fleetOracle struct {
+	f          *fleet
+	violations []violation
+	counts     fleetCounts
+}
+
+// exempt exempts the VM of an agent for the length of an unplanned disruption and fleetStableWindow.
+func (o *fleetOracle) exempt(a *fleetAgent, d time.Duration) {
+	a.exemptUntil = max(a.exemptUntil, o.f.now+d+fleetStableWindow)
+}
+
+// judge reports whether an event at the VMs counts.
+func (o *fleetOracle) judge(vms ...*fleetAgent) bool {
+	for _, a := range vms {
+		if o.f.now < a.exemptUntil {
+			o.counts.exempt++
+			return false
+		}
+	}
+	o.counts.judged++
+	return true
+}
+
+func (o *fleetOracle) isOpen(c *clientFlow) bool {
+	return c != nil && c.upstream != nil && c.upstream.up && c.upstream.start == c.start
+}
+
+func (o *fleetOracle) opened(c *clientFlow, s *fleetUpstream) {
+	if !c.closed {
+		o.f.trace(c, "    the flow is open at %s", s.name)
+		c.upstream, c.start = s, s.start
+	}
+}
+
+func (o *fleetOracle) closed(c *clientFlow) { c.upstream = nil }
+
+// abandoned ends a flow that its client has given up.
+func (o *fleetOracle) abandoned(c *clientFlow) {
+	o.counts.timedOut++
+	if c.lost {
+		o.counts.neverTold++
+	}
+	c.upstream = nil
+}
+
+func (o *fleetOracle) delivered(c *clientFlow, s *fleetUpstream) {
+	if c.upstream == s && c.misdelivery != nil {
+		c.misdelivery.own = true
+	}
+}
+
+func (o *fleetOracle) misdelivered(c *clientFlow, at *fleetUpstream) {
+	if !o.isOpen(c) || c.upstream == at {
+		return
+	}
+	m := c.misdelivery
+	if m == nil {
+		m = &misdelivery{}
+		c.misdelivery = m
+		upstream, start := c.upstream, c.start
+		o.f.after(fleetFlowWindow, func() {
+			c.misdelivery = nil
+			if !o.isOpen(c) || c.upstream != upstream || c.start != start || m.own || m.exempt || m.elsewhere < fleetMisdeliveries || o.f.now < upstream.agent.exemptUntil {
+				return
+			}
+			o.violate(ruleMisdelivered, c, fmt.Sprintf("%d packets reached other upstreams, and none its own %s", m.elsewhere, upstream.name))
+		})
+	}
+	m.elsewhere++
+	m.exempt = !o.judge(at.agent, c.upstream.agent) || m.exempt
+}
+
+func (o *fleetOracle) violate(rule string, c *clientFlow, what string) {
+	o.f.trace(c, "VIOLATION %s: %s", rule, what)
+	o.f.traceEnded = o.f.traceEnded || c.key == o.f.traced
+	o.violations = append(o.violations, violation{seed: o.f.seed, at: o.f.now, rule: rule, flow: c.key, what: what})
+}
+
+func (o *fleetOracle) reset(c *clientFlow, from *fleetAgent, reason string) {
+	switch {
+	case !c.lost:
+	case o.f.now-c.askedAt <= time.Second:
+		o.counts.toldInTime++
+	default:
+		o.counts.toldLater++
+	}
+	if o.isOpen(c) && o.judge(c.upstream.agent, from) {
+		o.violate(ruleReset, c, fmt.Sprintf("reset by %s, reason %s, while its upstream %s lives, since %.3f s", from.name, reason, c.upstream.name, c.upstream.startedAt.Seconds()))
+	}
+}
+
+// upstreamEnded counts the flows that end with a upstream.
+func (o *fleetOracle) upstreamEnded(s *fleetUpstream) {
+	for k, fl := range s.flows {
+		c := o.f.flows[k]
+		if !fl.open || c.closed || c.upstream != s {
+			continue
+		}
+		c.lost = true
+		o.counts.lost++
+		o.f.trace(c, "its upstream %s ends", s.name)
+	}
+}
+
+// schedule plans the processes' starts and disturbances, and the clients.
+func (f *fleet) schedule() {
+	for _, b := range f.balancers {
+		f.after(f.between(0, 300*time.Millisecond), b.start)
+		f.stalls(&b.fleetProcess)
+	}
+	for _, a := range f.agents {
+		f.startVM(a, 1500*time.Millisecond)
+		f.stallVM(a)
+	}
+	for i := range 20 + f.rng.IntN(30) {
+		f.client(i)
+	}
+	for at := f.between(2*time.Second, 6*time.Second); at < f.end-4*time.Second; at += f.between(200*time.Millisecond, 5*time.Second) {
+		f.after(at, f.disturb)
+	}
+}
+
+// startVM starts an agent and, up to a limit later or earlier, its upstream.
+func (f *fleet) startVM(a *fleetAgent, limit time.Duration) {
+	f.after(f.between(0, limit), func() {
+		if !a.up {
+			a.start()
+		}
+	})
+	f.after(f.between(0, limit), func() {
+		if !a.upstream.up {
+			a.upstream.launch()
+		}
+	})
+}
+
+func (f *fleet) stallVM(a *fleetAgent) {
+	f.stalls(&a.fleetProcess)
+	f.stalls(&a.upstream.fleetProcess)
+}
+
+// stalls leaves a process without a processor now and then.
+func (f *fleet) stalls(p *fleetProcess) {
+	gap := 4 * time.Second
+	if f.busy {
+		gap = 700 * time.Millisecond
+	}
+	f.after(f.between(50*time.Millisecond, gap), func() {
+		p.stall(f.between(10*time.Millisecond, fleetStallMax))
+		f.stalls(p)
+	})
+}
+
+func (f *fleet) randomAgent() *fleetAgent { return f.agents[f.rng.IntN(len(f.agents))] }
+
+// disturb causes one change or fault.
+func (f *fleet) disturb() {
+	a := f.randomAgent()
+	switch r := f.rng.Float64(); {
+	case r < 0.20:
+		f.roll()
+	case r < 0.35:
+		f.restartAgent(a, f.between(200*time.Millisecond, 4*time.Second))
+	case r < 0.45:
+		f.killAgent(a)
+	case r < 0.62:
+		f.mark(a, f.between(500*time.Millisecond, fleetMarkMax))
+	case r < 0.74:
+		f.restartAgent(a, f.between(2*time.Second, 4*time.Second))
+		f.after(f.between(300*time.Millisecond, 2*time.Second), func() { f.mark(a, fleetMarkMax) })
+	case r < 0.84:
+		f.crashUpstream(a)
+	case r < 0.92:
+		f.replace(a)
+	case r < 0.97:
+		f.restartBalancer()
+	default:
+		f.powerFailure()
+	}
+}
+
+func (f *fleet) roll() {
+	gap := f.between(0, 1500*time.Millisecond)
+	for i, a := range slices.Clone(f.agents) {
+		f.after(time.Duration(i)*gap, func() { f.restartAgent(a, f.between(200*time.Millisecond, 4*time.Second)) })
+	}
+}
+
+// restartAgent is a planned restart of an agent, whose upstream runs on.
+func (f *fleet) restartAgent(a *fleetAgent, away time.Duration) {
+	if !a.up || a.stopping {
+		return
+	}
+	f.note("%s restarts, away %v", a.name, away)
+	a.stop()
+	f.after(away+500*time.Millisecond, func() {
+		if !a.up && !a.upstream.leaving {
+			f.note("%s is back", a.name)
+			a.start()
+		}
+	})
+}
+
+// killAgent ends an agent without notice. If it is not back soon, others mark it as failed.
+func (f *fleet) killAgent(a *fleetAgent) {
+	if !a.up {
+		return
+	}
+	away := f.between(300*time.Millisecond, 3*time.Second)
+	f.note("%s is killed for %v", a.name, away)
+	f.oracle.exempt(a, away)
+	a.finish()
+	f.after(f.between(800*time.Millisecond, 3500*time.Millisecond), func() {
+		if !a.up {
+			f.mark(a, fleetMarkMax)
+		}
+	})
+	f.after(away, func() {
+		if !a.up {
+			a.start()
+		}
+	})
+}
+
+// mark lets the other processes see an agent as failed for some time, or until it refutes that.
+func (f *fleet) mark(a *fleetAgent, d time.Duration) {
+	if a.version == 0 {
+		return
+	}
+	f.note("%s is marked as failed, up %v", a.name, a.up)
+	marked := a.announced
+	marked.State = Failed
+	mark := memberRecord{u: marked, version: a.version + 1 - a.version%2}
+	for _, b := range f.balancers {
+		f.after(f.viewDelay(), func() { b.receiveRecord(mark) })
+	}
+	for _, other := range f.agents {
+		delay := f.viewDelay()
+		if other == a {
+			delay = d // until the agent hears of the mark
+		}
+		f.after(delay, func() { other.input(queueControl, 0, func() { other.receiveRecord(mark) }) })
+	}
+}
+
+func (f *fleet) crashUpstream(a *fleetAgent) {
+	if !a.upstream.up {
+		return
+	}
+	f.note("%s crashes", a.upstream.name)
+	a.upstream.exit()
+	f.after(f.between(300*time.Millisecond, 2*time.Second), func() {
+		if !a.upstream.up && !a.upstream.leaving {
+			a.upstream.launch()
+		}
+	})
+}
+
+// replace drains a upstream, and starts another one on its VM or, after a stop of the VM, on a new VM.
+func (f *fleet) replace(a *fleetAgent) {
+	if !a.upstream.up || a.upstream.draining {
+		return
+	}
+	f.note("%s is replaced", a.upstream.name)
+	a.upstream.draining = true
+	sameVM := f.chance(0.5)
+	f.after(f.between(2*time.Second, 5*time.Second), func() {
+		if !a.upstream.up || !a.upstream.draining {
+			return
+		}
+		a.upstream.leaving = true
+		a.input(queueControl, 0, func() {
+			a.upstreamLeaving = true
+			a.publishState()
+		})
+		f.after(f.between(0, 50*time.Millisecond), a.upstream.exit)
+		if sameVM {
+			f.after(f.between(200*time.Millisecond, time.Second), func() {
+				if !a.upstream.up {
+					a.upstream.launch()
+				}
+			})
+			return
+		}
+		f.after(f.between(200*time.Millisecond, time.Second), func() {
+			if a.up && !a.stopping {
+				a.stop()
+			}
+		})
+	})
+	if !sameVM {
+		f.after(f.between(0, 5*time.Second), func() {
+			n := f.addAgent()
+			f.startVM(n, 1500*time.Millisecond)
+			f.stallVM(n)
+		})
+	}
+}
+
+func (f *fleet) restartBalancer() {
+	b := f.balancers[f.rng.IntN(len(f.balancers))]
+	if !b.up {
+		return
+	}
+	f.note("%s restarts", b.name)
+	b.leaving = true
+	f.after(f.between(500*time.Millisecond, time.Second), func() {
+		b.finish()
+		f.after(f.between(300*time.Millisecond, 1500*time.Millisecond), b.start)
+	})
+}
+
+func (f *fleet) powerFailure() {
+	f.note("power failure")
+	for _, a := range f.agents {
+		if a.upstream.leaving {
+			continue
+		}
+		f.oracle.exempt(a, 3*time.Second)
+		if a.up {
+			a.finish()
+		}
+		a.upstream.exit()
+		f.after(200*time.Millisecond, func() { f.startVM(a, 1500*time.Millisecond) })
+	}
+}
+
+// note adds an event of the scenario to a trace.
+func (f *fleet) note(format string, args ...any) {
+	if f.traced != (packet.Key{}) && !f.traceEnded {
+		f.traceLines = append(f.traceLines, fmt.Sprintf("%8.3f == ", f.now.Seconds())+fmt.Sprintf(format, args...))
+	}
+}
