flow, member, agent: the time for which an agent may restart stands once

Cause: package member repeated the 8 s of package flow, and a comment on grants was no longer true. Change: flow.AgentRestartTimeout is exported and is the default of member.Config.RestartTimeout. No decision changes. Measured: go test ./member ./flow ./request passes.

--- a/agent/requests.go
+++ b/agent/requests.go
@@ -70,8 +70,8 @@
 	a.control.Dump.AddSource("requests", func() any { return a.requests.front.State() })
 }
 
-// renewalsPerRetention is the number of renewals of a claim per retention time: a claim is
-// granted for, and renewed after, 1/renewalsPerRetention of the retention time.
+// renewalsPerRetention is the minimum number of renewals of a claim per retention time: a claim is
+// granted for at most 1/renewalsPerRetention of the retention time.
 const renewalsPerRetention = 3
 
 // sendRequestMessage sends a message in the background. It drops messages to unknown
--- a/flow/evidence.go
+++ b/flow/evidence.go
@@ -20,7 +20,7 @@
 	ExcludedLeaving
 	// ExcludedFailed: the peer's record is in state Failed, and it has not answered.
 	ExcludedFailed
-	// ExcludedRestarting: the peer's agent has been restarting for peerRestartTimeout.
+	// ExcludedRestarting: the peer's agent has been restarting for AgentRestartTimeout.
 	ExcludedRestarting
 	// ExcludedUnresponsive: no digest message of the listed process has arrived.
 	ExcludedUnresponsive
--- a/flow/inquiry.go
+++ b/flow/inquiry.go
@@ -305,7 +305,7 @@
 	case p.State == Leaving:
 		return ExcludedLeaving
 	case p.restartingSince != never:
-		if now-p.restartingSince >= peerRestartTimeout {
+		if now-p.restartingSince >= AgentRestartTimeout {
 			return ExcludedRestarting
 		}
 	case p.State == Failed:
--- a/flow/lost.go
+++ b/flow/lost.go
@@ -26,10 +26,10 @@
 	// whose upstream has started together with it, as after a power failure: then clients of all
 	// upstreams wait on lost flows.
 	peerSilenceTimeoutAfterOutage = time.Second
-	// peerRestartTimeout is the time after which a restarting agent counts as absent together
+	// AgentRestartTimeout is the time after which a restarting agent counts as absent together
 	// with its upstream. An agent restarts within two seconds. The platform kills an agent that
 	// has not stopped 6 s after the stop request.
-	peerRestartTimeout = 8 * time.Second
+	AgentRestartTimeout = 8 * time.Second
 	// lostFlowRetention is how long a lost flow is recorded. Clients retransmit at least
 	// every 1.6 s and time out after some seconds.
 	lostFlowRetention = 20 * time.Second
--- a/flow/rebuild_test.go
+++ b/flow/rebuild_test.go
@@ -476,7 +476,7 @@
 		for range 4 {
 			u.sendPacket("a", data(k))
 			Expect(u.findLost("a")).To(BeEmpty())
-			u.now += peerRestartTimeout / 4
+			u.now += AgentRestartTimeout / 4
 		}
 		u.sendPacket("a", data(k))
 		Expect(u.findLost("a")).To(HaveLen(1))
--- a/member/config.go
+++ b/member/config.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/nutmegtrack/nutmegtrack/flow"
 )
 
 // Config holds the parameters of the protocol. Zero fields take the default.
@@ -23,7 +25,7 @@
 	// both, have twice as long. Default 3 s.
 	VerdictTimeout time.Duration
 	// RestartTimeout is the time from the announcement of an agent's restart during which
-	// the agent is not suspected or marked as failed; default 8 s.
+	// the agent is not suspected or marked as failed; default flow.AgentRestartTimeout.
 	RestartTimeout time.Duration
 	RemoveAfter    time.Duration // time a record stays after its process failed or left; default 2 h
 	SweepInterval  time.Duration // period in which a balancer checks all records for agents that it should watch but does not; default 5 s
@@ -40,9 +42,7 @@
 	setDuration(&c.PushInterval, 200*time.Millisecond)
 	// A prober sends its verdict after two pings of up to 1 s each.
 	setDuration(&c.VerdictTimeout, 3*time.Second)
-	// The same as the time after which agents count a restarting peer as absent: the platform
-	// kills an agent 6 s after the stop request, and an agent starts within 2 s.
-	setDuration(&c.RestartTimeout, 8*time.Second)
+	setDuration(&c.RestartTimeout, flow.AgentRestartTimeout)
 	// Longer than the one hour that a partition between regions may last, so that
 	// one side does not remove a record that the other side still lists as live.
 	setDuration(&c.RemoveAfter, 2*time.Hour)
