--- a/flow/unproven_absence_test.go
+++ b/flow/unproven_absence_test.go
@@ -300,3 +300,24 @@
 	lost, _, _ := table.CheckSuspects(u.now)
 	g.Expect(lost).To(BeEmpty())
 }
+
+// Guards against retransmissions that an agent forwards to one first choice after the other while its
+// view grows: each of them probed, and the agent where the packets enter did not count. Seen in a soak
+// that restarts the fleet, seed 3004.
+func TestEntryAgentCountsAProbeBehindIt(t *testing.T) {
+	g := NewWithT(t)
+	u := newUpstreamRig(6)
+	u.run(settled)
+	k := u.keyRanked(packet.ProtoTCP, "a", "b", "c")
+	entry := u.agents[u.named("f").ID]
+	tried := func() uint8 {
+		h, in := packet.Header{Kind: packet.KindData, Service: testService}, data(k)
+		g.Expect(entry.Receive(u.now, &h, &in).Kind).To(Equal(Forward))
+		return h.Tried
+	}
+	g.Expect(tried()).To(BeEquivalentTo(0), "the first choice may probe this packet")
+	u.now += 200 * time.Millisecond
+	g.Expect(tried()).To(BeEquivalentTo(1))
+	u.now += triedPeriod
+	g.Expect(tried()).To(BeEquivalentTo(0))
+}
