--- a/flow/inquiry.go
+++ b/flow/inquiry.go
@@ -312,7 +312,7 @@
 		if p.failureConfirmed(now) && silence >= confirmedFailureTimeout || mayRepeat && silence >= suspectedPeerTimeout {
 			return ExcludedFailed
 		}
-	case silence < t.silenceTimeout(now):
+	case silence < t.silenceTimeout(now, p):
 	case p.heardAt == never:
 		return ExcludedUnresponsive
 	case mayRepeat:
--- a/flow/lost.go
+++ b/flow/lost.go
@@ -24,7 +24,7 @@
 	peerSilenceTimeout = 5 * time.Second
 	// peerSilenceTimeoutAfterOutage replaces peerSilenceTimeout in the rebuilding phase of an agent
 	// whose upstream has started together with it, as after a power failure: then clients of all
-	// upstreams wait on lost flows.
+	// upstreams wait on lost flows. It does not apply to an agent that has restarted since.
 	peerSilenceTimeoutAfterOutage = time.Second
 	// AgentRestartTimeout is the time after which a restarting agent counts as absent together
 	// with its upstream. An agent restarts within two seconds. The platform kills an agent that
@@ -282,15 +282,15 @@
 // SilentPeers returns the number of peers that count as absent because nothing has arrived from them.
 func (t *Table) SilentPeers(now time.Duration) (n int) {
 	for _, p := range t.peers.list {
-		if p.silence(now) >= t.silenceTimeout(now) {
+		if p.silence(now) >= t.silenceTimeout(now, p) {
 			n++
 		}
 	}
 	return n
 }
 
-func (t *Table) silenceTimeout(now time.Duration) time.Duration {
-	if t.noEarlierFlows && !t.rebuilt(now) {
+func (t *Table) silenceTimeout(now time.Duration, p *peer) time.Duration {
+	if t.noEarlierFlows && !t.rebuilt(now) && !p.restarted {
 		return peerSilenceTimeoutAfterOutage
 	}
 	return peerSilenceTimeout
--- a/flow/peer.go
+++ b/flow/peer.go
@@ -23,6 +23,9 @@
 	// the peer was last heard from; never if there is none. inquiredAt is that of the last one.
 	unansweredSince, inquiredAt time.Duration
 	heardAt                     time.Duration // when it was last heard from; never if it has not
+	// restarted says that an earlier process of its agent was heard from, so that it is not a VM that was
+	// removed before this agent started.
+	restarted bool
 	// restartingSince is the time from which its agent has been restarting; never if it is not. A
 	// mark as failed does not change it: the upstream of a restarting agent runs on.
 	restartingSince time.Duration
--- a/flow/table.go
+++ b/flow/table.go
@@ -202,6 +202,7 @@
 	if old == nil || old.Incarnation != u.Incarnation {
 		p := newPeer(now, u)
 		p.inbox = t.inbox(u.ID)
+		p.restarted = old != nil && (old.restarted || old.heardAt != never)
 		if old != nil && t.cfg.Rebuild > 0 && (u.Start == 0 || u.Start == old.Start) {
 			p.acceptedUntil = max(p.acceptedUntil, old.lastAccepted(now))
 		}
--- a/flow/unproven_absence_test.go
+++ b/flow/unproven_absence_test.go
@@ -321,3 +321,17 @@
 	u.now += triedPeriod
 	g.Expect(tried()).To(BeEquivalentTo(0))
 }
+
+// Guards against the reset of a flow whose agent has restarted and does not answer for a second, by an
+// agent that has itself started shortly before. Seen in the fleet simulation, seeds 5186 and 6078.
+func TestFlowOfRestartedAgentIsNotResetSoonAfterAnOutage(t *testing.T) {
+	g := NewWithT(t)
+	u := newUpstreamRig(4)
+	u.run(time.Second)
+	u.powerCycle()
+	u.class = packet.NewClass(1, 300*time.Millisecond, true)
+	k := u.openDisplaced()
+	u.restartAgent("b")
+	u.silent["b"] = true
+	g.Expect(u.suspectAt("a", k, 3*time.Second)).To(BeEmpty())
+}
