flow: an agent that answers is not absent while it is listed as restarting

Cause: an agent that had restarted and answered that its upstream may hold a flow still counted as absent 8 s after the notice of its restart, if the notice of its new process was late; an open flow would be reset under planned work. Change: after the 8 s it must have been silent to inquiries for 100 ms too. The spec of an agent that does not come back waits these 100 ms more. Measured: go test ./flow -run TestFlowOfAnsweringAgentListed: fails before, passes now.

--- a/flow/inquiry.go
+++ b/flow/inquiry.go
@@ -31,8 +31,9 @@
 	// busy VM answers one of the inquiries of a second.
 	suspectedPeerTimeout = time.Second
 	// confirmedFailureTimeout replaces suspectedPeerTimeout when the peer has given no sign of life
-	// for failedPeerGracePeriod since the mark. An agent that was marked by mistake sends its load
-	// and its digests meanwhile. The inquiry has been sent twice by then.
+	// for failedPeerGracePeriod since the mark, or has been restarting for AgentRestartTimeout. An
+	// agent that was marked by mistake sends its load and its digests meanwhile. The inquiry has been
+	// sent twice by then.
 	confirmedFailureTimeout = 100 * time.Millisecond
 	// failedPeerGracePeriod is the time from the failure of a peer that does not answer until
 	// flows whose requests must not be repeated may be declared lost. A VM that is only paused
@@ -305,7 +306,8 @@
 	case p.State == Leaving:
 		return ExcludedLeaving
 	case p.restartingSince != never:
-		if now-p.restartingSince >= AgentRestartTimeout {
+		// A peer that answers is back, although the notice of its new process is late.
+		if now-p.restartingSince >= AgentRestartTimeout && silence >= confirmedFailureTimeout {
 			return ExcludedRestarting
 		}
 	case p.State == Failed:
