flow: the rule for probes and the state of unknown flows read as a list

Cause: read as a newcomer, and by the review: one line joined five conditions, an agent set on its own header a flag that says what a sender knows, and the states of an unknown flow were not written down. Change: mayProbe is a switch, a flow that was held before a restart is one of its cases, comments. No decision changes.

--- a/flow/inquiry.go
+++ b/flow/inquiry.go
@@ -298,8 +298,9 @@
 }
 
 // excludedAsAbsent returns the rule by which a peer that has given no conclusive answer to an
-// inquiry counts as absent together with its upstream. Only the peer's own word shows that its
-// upstream has ended. A mark by others and silence are suspicions, which need time to be refuted.
+// inquiry counts as absent together with its upstream. The peer's own word is proof that its upstream
+// has ended. A mark by others and silence are suspicions: they count only after a time in which a peer
+// that runs would have refuted them.
 func (t *Table) excludedAsAbsent(now time.Duration, p *peer, mayRepeat bool) Exclusion {
 	silence := p.silence(now)
 	switch {
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -26,12 +26,17 @@
 )
 
 // unknownFlow is the state of a flow that is not in this agent's table: one of its packets was
-// delivered to the upstream, or the flow is or was suspect.
+// delivered to the upstream, or forwarded to agents that may probe it, or the flow is or was suspect.
+//
+//	probed  returned  the upstream
+//	no      no        has seen no packet of the flow
+//	yes     no        may hold the flow: it has not returned the probe and has sent no packet of the flow
+//	any     yes       does not hold the flow
 type unknownFlow struct {
 	at       time.Duration // when the packet was delivered or returned, or the flow became suspect
 	probed   bool          // a packet was delivered to the upstream
 	returned bool          // the upstream has returned a packet, so it does not hold the flow
-	tried    uint8         // the highest known Header.Tried of the flow's packets
+	tried    uint8         // the highest known Header.Tried of the flow's packets; probes that were lost on their way count
 	triedAt  time.Duration // when tried last increased
 	key      packet.Key    // of the flow
 	ack      uint32        // acknowledgement number of the client's last packet
@@ -115,16 +120,20 @@
 }
 
 // mayProbe reports whether a packet of an unknown flow may be delivered to the upstream: its sender
-// expects the flow here, or the upstream may hold flows from before the start of this agent and this
-// agent is the flow's first choice, to which balancers send packets without a hint. A packet is not
-// probed a second time behind such an agent, which would not learn of it. An agent that does
-// not know whether its upstream has just started asks the others first: while a fleet starts, the
-// balancers' views differ, and each retransmission may go to another agent.
+// expects the flow here, the upstream held it before a restart, or the packet may be the first probe of
+// its flow at the first choice, to which balancers send packets without a hint. Behind the first
+// choice no packet is probed without evidence, since the first choice would not learn of it.
 func (t *Table) mayProbe(now time.Duration, hash uint64, h *packet.Header) bool {
-	if h.Flags&packet.FlagExpected != 0 {
+	switch {
+	case h.Flags&packet.FlagExpected != 0 || t.lost.isUnconfirmed(now, hash):
 		return true
+	case h.Tried > 0 || t.tableComplete(now) || !t.isFirstChoice(hash):
+		return false
 	}
-	return h.Tried == 0 && !t.tableComplete(now) && t.isFirstChoice(hash) && (t.self.Start != 0 || t.askedAll(now, hash))
+	// An agent whose upstream has not announced its start asks the others first: while a fleet starts,
+	// the balancers' views differ, and each retransmission may go to another agent.
+	startKnown := t.self.Start != 0
+	return startKnown || t.askedAll(now, hash)
 }
 
 // HandleReturned decides on a packet that the upstream has sent back. h is the header under
--- a/flow/receive.go
+++ b/flow/receive.go
@@ -37,9 +37,6 @@
 	if t.lost.has(now, hash) {
 		return t.resetLost(in)
 	}
-	if t.lost.isUnconfirmed(now, hash) {
-		h.Flags |= packet.FlagExpected
-	}
 	if a, done := t.probeUpstream(now, hash, h, in); done {
 		return a
 	}
