flow: reverts the count of a probe behind an agent that forwards

An agent that forwarded packets to it while it was away counted a probe that nobody made; when the owner was back, it took the packets for probed, passed them on, and other upstreams were shown them instead.

--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -86,7 +86,6 @@
 		return Action{}, false
 	}
 	f, known := t.unknownFlows[hash]
-	h.Tried = max(h.Tried, f.recentlyTried(now))
 	pending := f.probed && !f.returned
 	switch {
 	case f.returned || !pending && !t.mayProbe(now, hash, h) || !known && len(t.unknownFlows) >= maxUnknownFlows:
@@ -94,6 +93,7 @@
 	case pending && now-f.at < probeTimeout:
 		return t.drop(ReasonWaiting), true
 	}
+	h.Tried = max(h.Tried, f.recentlyTried(now))
 	if h.Tried >= maxTried {
 		return t.drop(ReasonWaiting), pending
 	}
@@ -105,20 +105,6 @@
 	return Action{Kind: Deliver, Probe: true}, true
 }
 
-// noteProbeBehind counts a probe for a packet that is forwarded without evidence and that no agent has
-// probed: an agent behind this one may take itself for the first choice, and does not tell.
-func (t *Table) noteProbeBehind(now time.Duration, hash uint64, in *packet.Info) {
-	f, known := t.unknownFlows[hash]
-	if t.cfg.Rebuild == 0 || !known && len(t.unknownFlows) >= maxUnknownFlows {
-		return
-	}
-	if !known {
-		f.at, f.key, f.ack = now, in.Key, in.Ack
-	}
-	f.noteTried(now, 1)
-	t.unknownFlows[hash] = f
-}
-
 // mayProbe reports whether a packet of an unknown flow may be delivered to the upstream: its sender
 // expects the flow here, the upstream held it before a restart, or the packet may be the first probe of
 // its flow at the first choice, to which balancers send packets without a hint. Behind the first
--- a/flow/receive.go
+++ b/flow/receive.go
@@ -53,11 +53,7 @@
 	if p := t.nextPeerToProbe(now, hash, h); p != nil {
 		return t.forwardExpected(h, p)
 	}
-	a := t.forwardAlongRanking(now, hash, h)
-	if a.Kind == Forward && h.Tried == 0 {
-		t.noteProbeBehind(now, hash, in)
-	}
-	return a
+	return t.forwardAlongRanking(now, hash, h)
 }
 
 // validPath reports whether agents can have written the header's path: distinct entries
