--- a/flow/doc.go
+++ b/flow/doc.go
@@ -27,10 +27,10 @@
 // The rebuilding phase is the time after the start of an agent in which its upstream may hold
 // flows that the agent does not know. A probe is the delivery of a packet of an unknown flow to
 // the upstream, to learn whether the upstream holds the flow: if not, it returns the packet. If so,
-// its own packets show it. Header.Tried and Counters.Tried count probes. A returned packet is one that the upstream has sent
-// back, except in packet.FlagReturned, which marks a declined offer. A flow is suspect at its first
-// choice if the upstream of this agent does not hold the flow, although the client sends packets of
-// it, and the agent knows no owner. It is lost when no upstream holds it.
+// its own packets show it. Header.Tried and Counters.Tried count probes. A returned packet is one that
+// the upstream has sent back, except in packet.FlagReturned, which marks a declined offer. A flow is
+// suspect at its first choice if the client sends packets of it, the upstream of this agent is not
+// known to hold it, and the agent knows no owner. It is lost when no upstream holds it.
 //
 // # Rules
 //
--- a/flow/message.go
+++ b/flow/message.go
@@ -9,7 +9,8 @@
 	Incarnation uint64 // of the sender
 	Start       uint64 // of the sender's upstream; 0 when unknown
 
-	// Complete says that the sender's table is complete: see Table.tableComplete.
+	// Complete says that the sender's table is complete: see Table.tableComplete. Only agents of
+	// earlier builds read it.
 	Complete bool
 
 	// HasLoad says that Open and Limit are set.
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -20,8 +20,9 @@
 	// as a probe. A flow counts as misrouted when three of its packets have reached upstreams that
 	// do not hold it and none its own.
 	maxTried = 2
-	// triedPeriod is the time without a probe after which a flow's probes are counted anew. It is
-	// the period in which the users count misrouted packets, their flow-window-ms.
+	// triedPeriod is the time without a probe after which a flow's probes are counted anew, so that
+	// its owner is found in the end. It is the minimum time for which a flow must be misrouted to
+	// count, the users' flow-window-ms.
 	triedPeriod = 2 * time.Second
 )
 
