agent: a refused connection from before a packet of the upstream is checked again

Cause: an agent ended the flows that a restarted upstream had just accepted, if the check that found the former process stopped was processed after packets of the new one. The second check applied only to upstreams that had never announced themselves, a special case of the same state. Change: for every upstream, a packet in the 100 ms before the check began, or since, makes the agent check again after 400 ms; a second refusal ends the flows. An upstream that sends nothing for 100 ms before a refusal ends at once, as before.

--- a/agent/connectioncheck.go
+++ b/agent/connectioncheck.go
@@ -44,10 +44,11 @@
 	}
 	unanswered := m.unansweredSince != 0 && now-m.unansweredSince >= firstAnswerTimeout
 	unannounced := !m.tracker.Known() && !m.listening && now-m.agent.started >= announceTimeout
-	if unanswered || unannounced {
+	due := unanswered || unannounced || m.refusedOnce
+	if due {
 		m.connectionCheckedAt = now
 	}
-	return unanswered || unannounced
+	return due
 }
 
 // checkConnection connects to the upstream to find out whether it runs.
@@ -78,11 +79,12 @@
 		m.refusedOnce = false
 		return false
 	}
-	// An upstream that has just started may send packets before it listens. A second refusal
-	// shows that it does not listen at all.
-	if !m.refusedOnce && !m.tracker.Known() && m.packetAt != 0 && begun-m.packetAt < firstAnswerTimeout {
+	// An upstream that has just started may send packets before it listens, or may have started after
+	// the check began. A second refusal shows that it does not listen at all.
+	if !m.refusedOnce && m.packetAt != 0 && begun-m.packetAt < firstAnswerTimeout {
 		m.refusedOnce = true
 		return false
 	}
+	m.refusedOnce = false
 	return m.tracker.MarkStopped(begun)
 }
--- a/agent/unproven_stop_test.go
+++ b/agent/unproven_stop_test.go
@@ -19,7 +19,7 @@
 // Guards against the loss of the flows that a restarted upstream has accepted before its first
 // announcement: the check that found the earlier process stopped is processed late. The agent knows
 // announcements of the earlier process only.
-func TestRefusedConnectionBeforeAPacketOfAKnownUpstreamEndsNoFlows(t *testing.T) {
+func TestRefusedConnectionBeforeAPacketEndsNoFlows(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Second
 	cfg := settings.Agent{Name: "u1", HeartbeatSeconds: 1, UpstreamSinkAddress: netip.MustParseAddrPort("127.0.0.1:9")}
@@ -32,5 +32,9 @@
 	begun := now
 	now += 100 * time.Millisecond
 	m.recordPacket() // of the new process
-	g.Expect(m.recordConnectionCheck(begun, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED})).To(BeFalse())
+	refused := &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	g.Expect(m.recordConnectionCheck(begun, refused)).To(BeFalse())
+	now += minConnectionCheckInterval
+	g.Expect(m.connectionCheckDue()).To(BeTrue(), "the refusal is checked")
+	g.Expect(m.recordConnectionCheck(now, refused)).To(BeTrue(), "nothing listens")
 }
