flow: the end of the rebuilding phase proves nothing about a flow that was asked for

Cause: after a roll of many agents, a flow in use was reset 20 s later: none of its packets had visited its owner, whose table counted as complete once the rebuilding phase was over. Elapsed time was used as proof that an upstream does not hold a flow. Change: a flow that a packet or an inquiry has needed while it was not known whether the upstream holds it stays undecided until a packet of it is returned. The first choice judges its own upstream by the same rule as it answers others. An upstream that started with its agent holds no such flows, as before.

--- a/flow/inquiry.go
+++ b/flow/inquiry.go
@@ -188,6 +188,9 @@
 	a := packet.InquiryAnswer{From: t.self.ID, Number: q.Number, Statuses: make([]packet.FlowStatus, len(q.Flows))}
 	for i, hash := range q.Flows {
 		a.Statuses[i] = t.status(now, hash)
+		if a.Statuses[i] == packet.MaybeHeld {
+			t.noteAsked(now, hash)
+		}
 	}
 	if q.Peers != t.peersChecksum {
 		a.Peers = append(a.Peers, t.self.ID)
@@ -201,7 +204,9 @@
 }
 
 // status returns whether this agent's upstream holds the flow, does not hold it, or may hold it,
-// as far as this agent knows. A probe that was not returned shows that it may.
+// as far as this agent knows. A probe that was not returned shows that it may. The end of the rebuilding
+// phase shows nothing about a flow that peers have asked for meanwhile: its client is active, and none
+// of its packets may have come here.
 func (t *Table) status(now time.Duration, hash uint64) packet.FlowStatus {
 	if t.flows.hasHash(hash) {
 		return packet.Held
@@ -210,12 +215,27 @@
 	switch {
 	case t.lost.has(now, hash), f.returned:
 		return packet.NotHeld
-	case t.tableComplete(now) && !f.probed && !t.lost.isUnconfirmed(now, hash):
+	case f.probed || t.lost.isUnconfirmed(now, hash):
+		return packet.MaybeHeld
+	case t.noEarlierFlows || t.rebuilt(now) && !f.asked:
 		return packet.NotHeld
 	}
 	return packet.MaybeHeld
 }
 
+// noteAsked records that a peer has asked for a flow that the upstream may hold.
+func (t *Table) noteAsked(now time.Duration, hash uint64) {
+	f, known := t.unknownFlows[hash]
+	if !known && len(t.unknownFlows) >= maxUnknownFlows {
+		return
+	}
+	if !f.probed && !f.suspected {
+		f.at = now
+	}
+	f.asked = true
+	t.unknownFlows[hash] = f
+}
+
 // HandleInquiryAnswer processes a peer's answer to an inquiry. Answers of unknown agents and to
 // inquiries that have ended are ignored.
 func (t *Table) HandleInquiryAnswer(now time.Duration, a *packet.InquiryAnswer) {
--- a/flow/lost.go
+++ b/flow/lost.go
@@ -121,6 +121,7 @@
 		return
 	}
 	f.suspectAgain(now, in.Key)
+	f.asked = f.asked || !t.tableComplete(now)
 	f.ack, f.mayRepeat = in.Ack, h.Class.Repeatable()
 	t.addSuspect(hash, &f)
 	t.unknownFlows[hash] = f
@@ -207,7 +208,7 @@
 			t.forwardSuspect(to, &f)
 			f.suspected = false
 			t.unknownFlows[hash] = f
-		case !canDeclare || !findings[hash].lost || !f.returned && !t.tableComplete(now):
+		case !canDeclare || !findings[hash].lost || t.status(now, hash) != packet.NotHeld:
 			kept = append(kept, hash)
 		default:
 			delete(t.unknownFlows, hash)
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -37,6 +37,7 @@
 	at       time.Duration // when the packet was delivered or returned, or the flow became suspect
 	probed   bool          // a packet was delivered to the upstream
 	returned bool          // the upstream has returned a packet, so it does not hold the flow
+	asked    bool          // it was needed, by a packet or an inquiry, while the upstream might hold it
 	tried    uint8         // the highest known Header.Tried of the flow's packets; probes that were lost on their way count
 	triedAt  time.Duration // when tried last increased
 	key      packet.Key    // of the flow
@@ -114,7 +115,7 @@
 	switch {
 	case h.Flags&packet.FlagExpected != 0 || t.lost.isUnconfirmed(now, hash):
 		return true
-	case h.Tried > 0 || t.tableComplete(now) || !t.isFirstChoice(hash):
+	case h.Tried > 0 || t.status(now, hash) == packet.NotHeld || !t.isFirstChoice(hash):
 		return false
 	}
 	// An agent whose upstream has not announced its start asks the others first: while a fleet starts,
