flow: silence ends early only where the fleet is seen to start

Cause: an agent whose upstream had started with it took a second of silence of a peer that nobody had marked as proof that its upstream was gone, also for requests that must not be repeated. The second is meant for a power failure of all; every new VM met its condition. Change: the agent must have seen at least half of its peers start. The specs of a fleet that has lost power put the agent into that state.

--- a/flow/evidence_test.go
+++ b/flow/evidence_test.go
@@ -42,7 +42,7 @@
 		u.list[1].StateSource = StateFromAgent
 		u.announce()
 		u.now += time.Second
-		u.agents[u.named("a").ID].StartRebuild(u.now)
+		u.startTogether("a")
 		u.silent["b"], u.silent["c"] = true, true
 		u.sendPacket("a", data(u.keyRanked(packet.ProtoTCP, "a")))
 		began := u.now
@@ -65,7 +65,7 @@
 		u := newUpstreamRig(14)
 		u.run(3 * time.Second)
 		u.class = packet.NewClass(1, 200*time.Millisecond, true)
-		u.agents[u.named("a").ID].StartRebuild(u.now)
+		u.startTogether("a")
 		for _, p := range u.list[7:] {
 			u.silent[p.Name] = true
 		}
--- a/flow/lost.go
+++ b/flow/lost.go
@@ -22,9 +22,9 @@
 	// peerSilenceTimeout is how long a peer that nobody has marked as failed must be silent before it
 	// counts as absent. An agent restarts within two seconds.
 	peerSilenceTimeout = 5 * time.Second
-	// peerSilenceTimeoutAfterOutage replaces peerSilenceTimeout in the rebuilding phase of an agent
-	// whose upstream has started together with it, as after a power failure: then clients of all
-	// upstreams wait on lost flows. It does not apply to an agent that has restarted since.
+	// peerSilenceTimeoutAfterOutage replaces peerSilenceTimeout while the fleet starts together, as after
+	// a power failure: then clients of all upstreams wait on lost flows. It does not apply to an agent
+	// that has restarted since.
 	peerSilenceTimeoutAfterOutage = time.Second
 	// AgentRestartTimeout is the time after which a restarting agent counts as absent together
 	// with its upstream. An agent restarts within two seconds. The platform kills an agent that
@@ -291,7 +291,7 @@
 }
 
 func (t *Table) silenceTimeout(now time.Duration, p *peer) time.Duration {
-	if t.noEarlierFlows && !t.rebuilt(now) && !p.restarted {
+	if t.startedWithFleet(now) && !p.restarted {
 		return peerSilenceTimeoutAfterOutage
 	}
 	return peerSilenceTimeout
--- a/flow/rebuild_test.go
+++ b/flow/rebuild_test.go
@@ -90,6 +90,17 @@
 	return append(lost, more...)
 }
 
+// startTogether puts an agent into the state in which it has just started together with the fleet.
+func (u *upstreamRig) startTogether(name string) {
+	starting := slices.Clone(u.list)
+	for i := range starting {
+		starting[i].State = Starting
+	}
+	t := u.agents[u.named(name).ID]
+	t.noteStarting(starting)
+	t.StartRebuild(u.now)
+}
+
 // deliverMessages delivers the due messages of one agent to another.
 func (u *upstreamRig) deliverMessages(from, to string) {
 	for _, m := range u.agents[u.named(from).ID].Step(u.now) {
@@ -458,7 +469,7 @@
 				k.SrcPort++
 			}
 		}
-		t.StartRebuild(u.now)
+		u.startTogether("a")
 		in := data(k)
 		t.markSuspect(u.now, k.Hash(), &packet.Header{}, &in)
 		lost, took := u.firstLoss("a", 2*time.Second)
--- a/flow/starting.go
+++ b/flow/starting.go
@@ -1,6 +1,9 @@
 package flow
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // After a power failure the whole fleet starts at once. Its upstreams become ready one by
 // one, and the first ones would receive and keep the flows of all clients. Therefore starting
@@ -32,6 +35,31 @@
 	return out
 }
 
+// noteStarting records the peers that are in state Starting.
+func (t *Table) noteStarting(list []Upstream) {
+	for i := range list {
+		if list[i].State == Starting && list[i].ID != t.self.ID {
+			t.startedPeers[list[i].ID] = true
+		}
+	}
+}
+
+// forgetStarted removes the records of peers that are not listed any more.
+func (t *Table) forgetStarted() {
+	for id := range t.startedPeers {
+		if t.peers.get(id) == nil {
+			delete(t.startedPeers, id)
+		}
+	}
+}
+
+// startedWithFleet reports whether the fleet has started together with this agent, as after a power
+// failure: the upstream holds no earlier flows, this agent is in its rebuilding phase, and it has seen
+// at least half of its peers start. A single new VM sees its peers ready.
+func (t *Table) startedWithFleet(now time.Duration) bool {
+	return t.noEarlierFlows && !t.rebuilt(now) && 2*len(t.startedPeers) >= len(t.peers.list)
+}
+
 // runsWhileStarting reports whether the upstream itself has reported its start while its
 // agent is still in state Starting.
 func (u *Upstream) runsWhileStarting() bool { return u.State == Starting && u.Start != 0 }
--- a/flow/table.go
+++ b/flow/table.go
@@ -32,14 +32,15 @@
 	lost            lostFlows
 	// suspected are the hashes of suspect flows, which may be lost.
 	suspected       []uint64
-	inquiries       []*inquiry    // about suspect flows
-	lossFindings    []finding     // of the flows that the last call of CheckSuspects has returned
-	lastInquiry     uint32        // number of the latest inquiry
-	nextInquiryAt   time.Duration // earliest time of the next new inquiry
-	suspectsChecked time.Duration // time of the last call of CheckSuspects
-	suspectsDue     bool          // CheckSuspects should be called at once
-	peersChecksum   uint64        // checksum of the upstreams that may hold flows, including this agent's
-	stepDue         bool          // Step should be called at once
+	inquiries       []*inquiry              // about suspect flows
+	lossFindings    []finding               // of the flows that the last call of CheckSuspects has returned
+	lastInquiry     uint32                  // number of the latest inquiry
+	nextInquiryAt   time.Duration           // earliest time of the next new inquiry
+	suspectsChecked time.Duration           // time of the last call of CheckSuspects
+	suspectsDue     bool                    // CheckSuspects should be called at once
+	peersChecksum   uint64                  // checksum of the upstreams that may hold flows, including this agent's
+	startedPeers    map[packet.AgentID]bool // peers that this agent has seen in state Starting
+	stepDue         bool                    // Step should be called at once
 	work            workload
 	refusedFlows    []RefusedFlow // not yet returned by RefusedFlows
 
@@ -94,6 +95,7 @@
 		inboxes:           make(map[packet.AgentID]*inbox),
 		unknownFlows:      make(map[uint64]unknownFlow),
 		lost:              newLostFlows(cfg.MaxFlows),
+		startedPeers:      make(map[packet.AgentID]bool),
 		loadSent:          never,
 		stateSince:        never,
 		acceptanceChanged: never,
@@ -152,6 +154,7 @@
 	next := peerSet{byID: make(map[packet.AgentID]*peer, len(upstreams))}
 	accepted := t.accepts()
 	t.acceptsEarly = false
+	t.noteStarting(upstreams)
 	for _, u := range withStarting(upstreams) {
 		if u.ID == t.self.ID {
 			t.acceptsEarly = u.State.Accepts()
@@ -180,6 +183,7 @@
 		}
 	}
 	t.peers = next
+	t.forgetStarted()
 	t.peersChecksum = t.computePeersChecksum()
 	for _, p := range next.list {
 		p.listedState = p.State
