--- a/flow/evidence.go
+++ b/flow/evidence.go
@@ -18,11 +18,11 @@
 	ExcludedByAnswer
 	// ExcludedLeaving: the peer has announced that its upstream has ended its flows.
 	ExcludedLeaving
-	// ExcludedFailed: the peer's record is in state Failed, and it has not answered.
+	// ExcludedFailed: the peer's record is in state Failed, and nothing arrives from it.
 	ExcludedFailed
-	// ExcludedRestarting: the peer's agent has been restarting for AgentRestartTimeout.
+	// ExcludedRestarting: the peer's agent has been restarting for AgentRestartTimeout and does not answer.
 	ExcludedRestarting
-	// ExcludedUnresponsive: no digest message of the listed process has arrived.
+	// ExcludedUnresponsive: nothing has ever arrived from the listed process.
 	ExcludedUnresponsive
 	// ExcludedSilent: nothing has arrived from the peer while inquiries were sent to it.
 	ExcludedSilent
--- a/flow/unproven_absence_test.go
+++ b/flow/unproven_absence_test.go
@@ -26,6 +26,15 @@
 	return k
 }
 
+// displacedFlow returns a settled service with a flow that b owns without a's knowledge. Its requests
+// may be repeated or not.
+func displacedFlow(repeatable bool) (*upstreamRig, packet.Key) {
+	u := newUpstreamRig(4)
+	u.run(settled)
+	u.class = packet.NewClass(1, 300*time.Millisecond, repeatable)
+	return u, u.openDisplaced()
+}
+
 // suspectAt lets a packet of the flow arrive at an agent that does not know its owner, and returns the
 // flows that this agent declares lost within the time limit, checking at each suspectCheckInterval.
 func (u *upstreamRig) suspectAt(name string, k packet.Key, limit time.Duration) []LostFlow {
@@ -34,21 +43,24 @@
 	return lost
 }
 
+// expectKeptWhileSilent expects that a does not declare the flow lost while its owner b does not answer for
+// a while, nor when it answers again.
+func (u *upstreamRig) expectKeptWhileSilent(g *WithT, k packet.Key, d time.Duration) {
+	u.silent["b"] = true
+	g.Expect(u.suspectAt("a", k, d)).To(BeEmpty())
+	delete(u.silent, "b")
+	lost, _ := u.firstLoss("a", 2*time.Second)
+	g.Expect(lost).To(BeEmpty())
+}
+
 // Guards against the reset of a flow at an upstream whose agent was marked as failed by mistake and is
 // not scheduled for some tenths of a second.
 func TestFlowOfAgentMarkedAsFailedIsNotReset(t *testing.T) {
 	g := NewWithT(t)
-	u := newUpstreamRig(4)
-	u.run(settled)
-	u.class = packet.NewClass(1, 300*time.Millisecond, true)
-	k := u.openDisplaced()
+	u, k := displacedFlow(true)
 	u.setState("b", Failed)
 	u.announce()
-	u.silent["b"] = true
-	g.Expect(u.suspectAt("a", k, 500*time.Millisecond)).To(BeEmpty())
-	delete(u.silent, "b")
-	lost, _ := u.firstLoss("a", 2*time.Second)
-	g.Expect(lost).To(BeEmpty())
+	u.expectKeptWhileSilent(g, k, 500*time.Millisecond)
 }
 
 // Guards against the reset of a flow whose agent restarts as planned and takes longer than the time
@@ -75,25 +87,15 @@
 // and the owner answers late.
 func TestYoungFlowIsNotResetForAVerifiedDigest(t *testing.T) {
 	g := NewWithT(t)
-	u := newUpstreamRig(4)
-	u.run(settled)
-	u.class = packet.NewClass(1, 300*time.Millisecond, true)
-	k := u.openDisplaced()
-	u.silent["b"] = true
-	g.Expect(u.suspectAt("a", k, 800*time.Millisecond)).To(BeEmpty())
-	delete(u.silent, "b")
-	lost, _ := u.firstLoss("a", 2*time.Second)
-	g.Expect(lost).To(BeEmpty())
+	u, k := displacedFlow(true)
+	u.expectKeptWhileSilent(g, k, 800*time.Millisecond)
 }
 
 // Guards against the reset of a flow whose owner answers that it may hold it, while its digests do not
 // arrive, as when its control connections fail and its datagrams arrive.
 func TestFlowOfAnsweringAgentWithoutDigestIsNotReset(t *testing.T) {
 	g := NewWithT(t)
-	u := newUpstreamRig(4)
-	u.run(settled)
-	u.class = packet.NewClass(1, 300*time.Millisecond, true)
-	k := u.openDisplaced()
+	u, k := displacedFlow(true)
 	u.restartAgent("b")
 	g.Expect(u.suspectAt("a", k, suspectTimeout)).To(BeEmpty())
 }
@@ -145,7 +147,7 @@
 }
 
 // Guards against one packet of an open flow that is delivered to many upstreams in turn, because probes
-// at upstreams that started with their agents were not counted. Seen in soaks with seeds 472 and 1109.
+// at upstreams that started with their agents were not counted.
 func TestPacketVisitsFewForeignUpstreams(t *testing.T) {
 	for _, n := range []int{6, 7, 12} {
 		g := NewWithT(t)
@@ -193,8 +195,8 @@
 }
 
 // Guards against a balancer that drops the hints of open flows when the start of their upstream becomes
-// known, while a fleet starts, or becomes unknown, when the agent restarts. Seen in soaks with seeds 472
-// and 1109: the next packet went to another agent.
+// known, while a fleet starts, or becomes unknown, when the agent restarts. The next
+// packet went to another agent.
 func TestHintSurvivesAnUnknownStartOfTheUpstream(t *testing.T) {
 	g := NewWithT(t)
 	r := newRig(4, TableConfig{Rebuild: rebuildTime})
@@ -261,8 +263,7 @@
 }
 
 // Guards against a second probe behind the first choice, by an agent that takes itself for the first
-// choice too: the agent that counts the flow's probes does not learn of it. Seen in a soak that restarts
-// the fleet, seed 3001.
+// choice too: the agent that counts the flow's probes does not learn of it.
 func TestPacketIsNotProbedAgainBehindTheFirstChoice(t *testing.T) {
 	for tried, want := range map[uint8]ActionKind{0: Deliver, 1: Forward} {
 		g := NewWithT(t)
@@ -302,7 +303,7 @@
 }
 
 // Guards against the reset of a flow whose agent has restarted and does not answer for a second, by an
-// agent that has itself started shortly before. Seen in the fleet simulation, seeds 5186 and 6078.
+// agent that has itself started shortly before.
 func TestFlowOfRestartedAgentIsNotResetSoonAfterAnOutage(t *testing.T) {
 	g := NewWithT(t)
 	u := newUpstreamRig(4)
@@ -316,8 +317,7 @@
 }
 
 // Guards against an owner that never sees its flow's packets after a restart of its agent, because the
-// agent that forwards them counted probes that nobody made while the owner was away. Seen on the day
-// both-roll-twice, seed 197136193221, on b9f666c.
+// agent that forwards them counted probes that nobody made while the owner was away.
 func TestRestartedOwnerProbesForwardedPackets(t *testing.T) {
 	g := NewWithT(t)
 	u := newUpstreamRig(4)
--- a/flow/unproven_age_test.go
+++ b/flow/unproven_age_test.go
@@ -13,10 +13,7 @@
 // the notice that its restart has ended is late: a period without that notice is used as proof.
 func TestFlowOfAnsweringAgentListedAsRestartingIsNotReset(t *testing.T) {
 	g := NewWithT(t)
-	u := newUpstreamRig(4)
-	u.run(settled)
-	u.class = packet.NewClass(1, 300*time.Millisecond, true)
-	k := u.openDisplaced()
+	u, k := displacedFlow(true)
 	u.setState("b", AgentRestarting)
 	u.announce()
 	u.now += AgentRestartTimeout
@@ -48,10 +45,7 @@
 // does not answer before it has learned of the new agent.
 func TestFlowIsNotResetByOneNewVMForASilentSecond(t *testing.T) {
 	g := NewWithT(t)
-	u := newUpstreamRig(4)
-	u.run(settled)
-	u.class = packet.NewClass(1, 300*time.Millisecond, false)
-	k := u.openDisplaced()
+	u, k := displacedFlow(false)
 	u.restartAgent("a") // a new VM: agent and upstream have started together
 	for i := range u.list {
 		if u.list[i].Name == "a" {
--- a/member/suspect_test.go
+++ b/member/suspect_test.go
@@ -14,9 +14,6 @@
 )
 
 var _ = Describe("An agent that restarts beside its upstream", func() {
-	// restartTimeout is the default of member.Config.RestartTimeout.
-	const restartTimeout = 8 * time.Second
-
 	// Guards against open flows of a sound upstream that are reset during a planned restart
 	// of its agent, because the agent was marked as failed before its restart was overdue.
 	It("is not marked as failed before the restart is overdue, and is afterwards", func() {
@@ -32,7 +29,7 @@
 			f.net.Run(time.Second)
 			f.every(func() {
 				Expect(f.states("u0")).To(HaveEach(flow.AgentRestarting), "after %v", f.net.Now()-announced)
-			}, restartTimeout-1200*time.Millisecond)
+			}, flow.AgentRestartTimeout-1200*time.Millisecond)
 			f.net.Run(10 * time.Second)
 			Expect(f.states("u0")).To(HaveEach(flow.Failed))
 		}
@@ -82,9 +79,9 @@
 		}
 		n.Load(now, []member.Record{restarting, f.record("u2", "portal", "a")})
 		Expect(claim(ready)).To(Equal(flow.AgentRestarting))
-		now = restartTimeout - 1
+		now = flow.AgentRestartTimeout - 1
 		Expect(claim(restarting)).To(Equal(flow.AgentRestarting))
-		now = restartTimeout
+		now = flow.AgentRestartTimeout
 		Expect(claim(ready)).To(Equal(flow.AgentRestarting))
 		Expect(claim(restarting)).To(Equal(flow.Failed))
 	})
