flow, agent, member: a planned stop hands the list of flows to peers, which return it

Cause: nothing of a flow table outlived its agent. Change: after announcing its restart an agent sends the list of its upstream's flows to three peers, each in another failure domain where there are as many, and waits up to 1 s for them to confirm it; a keeper that stops passes the list on; the keepers return it to the agent's next process, whose table is then complete at once if the list is that of its predecessor, as balancers know it, and of the same run of the upstream. New events 1704 and 1705. Weighed and left: balancers as keepers, the store (write rates), a list that is renewed while the agent runs for agents that are killed. Agents that are killed come back without a table, as before.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -27,6 +27,11 @@
 	// 6 s between the platform's stop request and its kill to the rest of the shutdown.
 	leavePushInterval = 250 * time.Millisecond
 	leaveTimeout      = 2 * time.Second
+	// handoverTimeout is the time for which an agent that exits waits for its peers to confirm the list
+	// of its flows, and handoverPollInterval that between two looks. Two attempts at two sets of peers
+	// fit in.
+	handoverTimeout      = time.Second
+	handoverPollInterval = 10 * time.Millisecond
 )
 
 // Agent is one agent process.
@@ -286,7 +291,17 @@
 }
 
 func (a *Agent) receiveMessage(m flow.Message) {
-	a.flows.do(func(now time.Duration, t *flow.Table) { t.Handle(now, m) })
+	var restored uint64
+	var complete flow.Completeness
+	a.flows.do(func(now time.Duration, t *flow.Table) {
+		before := t.Counters().Restored
+		t.Handle(now, m)
+		restored, complete = t.Counters().Restored-before, t.Completeness(now)
+		a.urgent.wakeDue(t)
+	})
+	if len(m.Return) > 0 {
+		a.log.Log(event.FlowsRestored, "from", m.From, "flows", restored, "complete", complete)
+	}
 }
 
 func (a *Agent) messageUndelivered(m flow.Message) {
--- a/agent/drain.go
+++ b/agent/drain.go
@@ -31,7 +31,8 @@
 	if left := a.flows.open(); left > 0 {
 		a.log.Log(event.DrainLimit, "left", left)
 	}
-	a.announceUntilConfirmed(flow.Leaving)
+	a.announce(flow.Leaving)
+	a.pushUntilConfirmed()
 }
 
 func (a *Agent) drained() (done bool) {
@@ -39,10 +40,9 @@
 	return done
 }
 
-// announceUntilConfirmed announces the last state of an agent that exits, and repeats it until
-// a balancer confirms it or leaveTimeout has passed.
-func (a *Agent) announceUntilConfirmed(s flow.State) {
-	a.announce(s)
+// pushUntilConfirmed repeats the announcement of the last state of an agent that exits until a balancer
+// confirms it or leaveTimeout has passed.
+func (a *Agent) pushUntilConfirmed() {
 	for end := a.clock() + leaveTimeout; ; {
 		a.members.StepAndWait(a.lifecycle.Context())
 		if a.leaveConfirmed() || a.clock() >= end || !a.lifecycle.Sleep(leavePushInterval) {
@@ -51,6 +51,29 @@
 	}
 }
 
+// beginHandover begins to hand the list of the upstream's flows to peers, which return it to the
+// agent's next process.
+func (a *Agent) beginHandover() {
+	a.flows.do(func(now time.Duration, t *flow.Table) { t.BeginHandover(now) })
+	a.stepFlows()
+}
+
+// finishHandover waits until peers have the list of flows or handoverTimeout has passed.
+func (a *Agent) finishHandover() {
+	done, flows, keepers := false, 0, 0
+	for end := a.clock() + handoverTimeout; ; {
+		a.stepFlows()
+		a.flows.do(func(_ time.Duration, t *flow.Table) {
+			done = t.HandoverDone()
+			flows, keepers = t.HandedOver()
+		})
+		if done || a.clock() >= end || !a.lifecycle.Sleep(handoverPollInterval) {
+			break
+		}
+	}
+	a.log.Log(event.FlowsHandedOver, "flows", flows, "keepers", keepers, "complete", done)
+}
+
 func (a *Agent) leaveConfirmed() (done bool) {
 	a.members.Do(func(_ time.Duration, n *member.Announcer) { done = n.Confirmed() })
 	return done
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -192,11 +192,14 @@
 	return !ranBefore
 }
 
-// refreshNoEarlierFlows applies noEarlierFlows to the flow table again: the first answer of a
-// balancer may have changed it.
+// refreshNoEarlierFlows applies noEarlierFlows and the predecessor to the flow table again: the first
+// answer of a balancer may have changed them.
 func (a *Agent) refreshNoEarlierFlows() {
 	a.stateMu.Lock()
 	defer a.stateMu.Unlock()
+	predecessor := uint64(0)
+	a.members.Do(func(_ time.Duration, n *member.Announcer) { predecessor = n.Predecessor() })
+	a.flows.do(func(_ time.Duration, t *flow.Table) { t.SetPredecessor(predecessor) })
 	c := a.monitor.status()
 	applied := false
 	a.flows.do(func(_ time.Duration, t *flow.Table) { applied = t.UpstreamStart() == c.start })
@@ -276,7 +279,7 @@
 
 // announceExit announces why an agent whose upstream announces itself exits. If the
 // upstream keeps running, only an agent on this VM can reach it, so the agent announces
-// state AgentRestarting and exits once a balancer has confirmed it, to be restarted soon. If
+// state AgentRestarting, hands over the list of flows and exits once a balancer and peers have confirmed both, to be restarted soon. If
 // the announcement were lost, other processes would take the agent for failed. If the upstream
 // is leaving or has ended, the VM is being removed and the agent announces state Leaving.
 func (a *Agent) announceExit() {
@@ -290,5 +293,12 @@
 	a.stateMu.Lock()
 	a.stopping = true
 	a.stateMu.Unlock()
-	a.announceUntilConfirmed(to)
+	a.announce(to)
+	if to == flow.AgentRestarting {
+		a.beginHandover()
+	}
+	a.pushUntilConfirmed()
+	if to == flow.AgentRestarting {
+		a.finishHandover()
+	}
 }
--- a/flow/evidence.go
+++ b/flow/evidence.go
@@ -160,9 +160,11 @@
 	StartedWithAgent
 	// Rebuilt: the rebuilding phase is over.
 	Rebuilt
+	// RestoredFromPeers: peers have returned the list of the agent's earlier process.
+	RestoredFromPeers
 )
 
-var completenessNames = [...]string{"no", "started_with_agent", "rebuilt"}
+var completenessNames = [...]string{"no", "started_with_agent", "rebuilt", "restored"}
 
 // String returns the reason's name in logs.
 func (c Completeness) String() string {
@@ -179,6 +181,8 @@
 		return Rebuilt
 	case t.noEarlierFlows:
 		return StartedWithAgent
+	case t.knowsAllFlows():
+		return RestoredFromPeers
 	}
 	return Incomplete
 }
--- a/flow/fleet_harness_test.go
+++ b/flow/fleet_harness_test.go
@@ -21,24 +21,25 @@
 
 // Delays of the simulated network and machines.
 const (
-	fleetStepInterval  = 100 * time.Millisecond // agent.stepInterval
-	fleetHeartbeat     = time.Second            // default of settings.Agent.HeartbeatSeconds
-	fleetDigestWait    = 500 * time.Millisecond // agent.digestWaitTimeout
-	fleetDialTimeout   = 400 * time.Millisecond // of a control call to a VM that does not answer
-	fleetMaxPacketAge  = 200 * time.Millisecond // packetio.MaxAge
-	fleetMaxQueued     = 32                     // agent.maxQueuedPerAgent
-	fleetReportGap     = time.Second            // agent.undeliveredReportInterval
-	fleetWarmup        = 3 * time.Second        // "a upstream that has just started is slow for some seconds"
-	fleetSYNTimeout    = 1400 * time.Millisecond
-	fleetHalfOpen      = 5 * time.Second // until a upstream drops a flow that its client does not open
-	fleetDeadline      = 6 * time.Second // of a request; then the client gives the flow up
-	fleetStableWindow  = 4 * time.Second // stable-window-ms: VMs are exempt for so long after an unplanned disruption
-	fleetFlowWindow    = 2 * time.Second // flow-window-ms
-	fleetMisdeliveries = 3               // deliveries to other upstreams within fleetFlowWindow that break the rule
-	fleetStallMax      = 300 * time.Millisecond
-	fleetMarkMax       = 4 * time.Second // duration of a mistaken failure mark
-	fleetMaxRetry      = 1600 * time.Millisecond
-	fleetSlots         = 16
+	fleetStepInterval    = 100 * time.Millisecond // agent.stepInterval
+	fleetHeartbeat       = time.Second            // default of settings.Agent.HeartbeatSeconds
+	fleetDigestWait      = 500 * time.Millisecond // agent.digestWaitTimeout
+	fleetDialTimeout     = 400 * time.Millisecond // of a control call to a VM that does not answer
+	fleetMaxPacketAge    = 200 * time.Millisecond // packetio.MaxAge
+	fleetMaxQueued       = 32                     // agent.maxQueuedPerAgent
+	fleetReportGap       = time.Second            // agent.undeliveredReportInterval
+	fleetHandoverTimeout = time.Second            // agent.handoverTimeout
+	fleetWarmup          = 3 * time.Second        // "a upstream that has just started is slow for some seconds"
+	fleetSYNTimeout      = 1400 * time.Millisecond
+	fleetHalfOpen        = 5 * time.Second // until a upstream drops a flow that its client does not open
+	fleetDeadline        = 6 * time.Second // of a request; then the client gives the flow up
+	fleetStableWindow    = 4 * time.Second // stable-window-ms: VMs are exempt for so long after an unplanned disruption
+	fleetFlowWindow      = 2 * time.Second // flow-window-ms
+	fleetMisdeliveries   = 3               // deliveries to other upstreams within fleetFlowWindow that break the rule
+	fleetStallMax        = 300 * time.Millisecond
+	fleetMarkMax         = 4 * time.Second // duration of a mistaken failure mark
+	fleetMaxRetry        = 1600 * time.Millisecond
+	fleetSlots           = 16
 )
 
 // fleetQueue names the goroutine that handles an input.
@@ -291,10 +292,10 @@
 	addr       netip.AddrPort
 	router     *Router
 	view       map[packet.AgentID]memberRecord
-	earlier    map[packet.AgentID]uint64 // start of the upstream in the record of an agent's earlier process
-	viewChange time.Duration             // global time of the last change of the view
-	readyOnce  bool                      // the view has been complete since the start
-	leaving    bool                      // out of rotation, before a planned restart
+	earlier    map[packet.AgentID]memberRecord // record of an agent's earlier process
+	viewChange time.Duration                   // global time of the last change of the view
+	readyOnce  bool                            // the view has been complete since the start
+	leaving    bool                            // out of rotation, before a planned restart
 }
 
 var (
@@ -307,7 +308,7 @@
 	b.router, b.leaving = NewRouter(RouterConfig{Hints: 4096}), false
 	b.readyOnce = false
 	clear(b.view)
-	b.earlier = map[packet.AgentID]uint64{}
+	b.earlier = map[packet.AgentID]memberRecord{}
 	b.viewChange = b.f.now
 	b.later(b.f.between(20*time.Millisecond, 300*time.Millisecond), queueControl, b.sync)
 }
@@ -338,8 +339,8 @@
 	if !b.up || r.version <= b.view[r.u.ID].version {
 		return
 	}
-	if old := b.view[r.u.ID].u; old.Start != 0 && old.Incarnation != r.u.Incarnation {
-		b.earlier[r.u.ID] = old.Start
+	if old := b.view[r.u.ID]; old.u.ID != 0 && old.u.Incarnation != r.u.Incarnation {
+		b.earlier[r.u.ID] = old
 	}
 	b.view[r.u.ID] = r
 	b.viewChange = b.f.now
@@ -462,6 +463,7 @@
 	upstreamStart, upstreamSeq                                           uint64
 	startedWithAgent, appliedNoEarlier                                   bool
 	earlierStarts                                                        map[uint64]bool
+	predecessor                                                          memberRecord // of the latest earlier process
 	lastAlive, unansweredSince, checkedAt                                time.Duration
 }
 
@@ -480,7 +482,7 @@
 	a.buffered, a.queues = map[uint64]fleetPacket{}, map[packet.AgentID]*sendQueue{}
 	a.known, a.upstreamDraining, a.upstreamLeaving, a.upstreamStopped, a.listening = false, false, false, false, false
 	a.upstreamStart, a.upstreamSeq, a.startedWithAgent, a.appliedNoEarlier = 0, 0, false, false
-	a.earlierStarts = map[uint64]bool{}
+	a.earlierStarts, a.predecessor = map[uint64]bool{}, memberRecord{}
 	a.lastAlive, a.unansweredSince, a.checkedAt = 0, 0, 0
 	self := Upstream{ID: a.id, Name: a.name, Incarnation: a.incarnation, Addr: a.addr, State: Starting}
 	a.table = NewTable(TableConfig{
@@ -510,8 +512,8 @@
 				a.receiveRecord(r)
 			}
 		}
-		if start := b.earlier[a.id]; start != 0 {
-			a.earlierStarts[start] = true
+		if r, known := b.earlier[a.id]; known {
+			a.noteEarlier(r)
 		}
 		if !a.homeKnown {
 			a.homeKnown = true
@@ -523,8 +525,8 @@
 
 func (a *fleetAgent) receiveRecord(r memberRecord) {
 	if r.u.ID == a.id {
-		if r.u.Incarnation != a.incarnation && r.u.Start != 0 {
-			a.earlierStarts[r.u.Start] = true
+		if r.u.Incarnation != a.incarnation {
+			a.noteEarlier(r)
 		}
 		if r.version > a.version { // a mistaken failure mark: refute it
 			a.version = r.version + 1
@@ -537,6 +539,17 @@
 	}
 }
 
+// noteEarlier records the record of an earlier process of this agent.
+func (a *fleetAgent) noteEarlier(r memberRecord) {
+	if r.u.Start != 0 {
+		a.earlierStarts[r.u.Start] = true
+	}
+	if r.version > a.predecessor.version {
+		a.predecessor = r
+		a.table.SetPredecessor(r.u.Incarnation)
+	}
+}
+
 // announce publishes the own record.
 func (a *fleetAgent) announce() {
 	a.version += 2 - a.version%2
@@ -912,10 +925,23 @@
 		a.table.SetState(a.clock(), s)
 		a.announced.State = s
 		a.announce()
-		a.later(a.f.between(5*time.Millisecond, 200*time.Millisecond), queueControl, a.finish)
+		if s == AgentRestarting {
+			a.table.BeginHandover(a.clock())
+			a.stepFlows()
+		}
+		a.later(a.f.between(5*time.Millisecond, 200*time.Millisecond), queueControl, func() { a.finishStop(a.clock() + fleetHandoverTimeout) })
 	})
 }
 
+// finishStop ends the process when its flows are handed over, at the latest at the given time.
+func (a *fleetAgent) finishStop(limit time.Duration) {
+	if a.clock() >= limit || a.table.HandoverDone() {
+		a.finish()
+		return
+	}
+	a.later(20*time.Millisecond, queueControl, func() { a.finishStop(limit) })
+}
+
 // fleetUpstream is an upstream process.
 type fleetUpstream struct {
 	fleetProcess
--- a/flow/inquiry.go
+++ b/flow/inquiry.go
@@ -217,7 +217,7 @@
 		return packet.NotHeld
 	case f.probed || t.lost.isUnconfirmed(now, hash):
 		return packet.MaybeHeld
-	case t.noEarlierFlows || t.rebuilt(now) && !f.asked:
+	case t.knowsAllFlows() || t.rebuilt(now) && !f.asked:
 		return packet.NotHeld
 	}
 	return packet.MaybeHeld
--- a/flow/message.go
+++ b/flow/message.go
@@ -35,6 +35,12 @@
 	// receiver is their first choice in the sender's view.
 	Suspects []Suspect
 
+	// Keep are lists of flows that the receiver is to keep for their owners, and Kept those that the
+	// sender keeps for the receiver. Return are lists of the receiver's own earlier process, and Restored
+	// those that the sender has received back. See BeginHandover.
+	Keep, Return   []FlowList
+	Kept, Restored []ListID
+
 	// Resync asks the receiver to send the sender its whole digest again.
 	Resync bool
 }
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -76,7 +76,7 @@
 // tableComplete reports whether the table, and with it this agent's digests, counts as listing all
 // flows of the upstream. If the upstream started together with its agent, the agent has seen all
 // its flows.
-func (t *Table) tableComplete(now time.Duration) bool { return t.noEarlierFlows || t.rebuilt(now) }
+func (t *Table) tableComplete(now time.Duration) bool { return t.knowsAllFlows() || t.rebuilt(now) }
 
 // probeUpstream delivers a packet of an unknown flow to the upstream as a probe if mayProbe allows it.
 // It probes with only one packet of a flow at a time, because an upstream should see as few packets
@@ -190,7 +190,7 @@
 func (t *Table) SetUpstreamStart(now time.Duration, start uint64, noEarlierFlows bool) {
 	before := t.self.Start
 	t.self.Start, t.noEarlierFlows = start, noEarlierFlows
-	if before == 0 || before == start {
+	if before == start || before == 0 && (t.restored.start == 0 || t.restored.start == start) {
 		return
 	}
 	t.endAllFlows(now, UpstreamRestarted)
--- a/flow/step.go
+++ b/flow/step.go
@@ -26,6 +26,8 @@
 	t.addLoads(now)
 	t.addDigests(now)
 	t.addResendRequests(now)
+	t.addHandover(now)
+	t.addKeptLists(now)
 	return t.collect()
 }
 
@@ -127,6 +129,13 @@
 	if p != nil && m.Resync {
 		t.queueWholeDigest(now, p)
 	}
+	if p != nil {
+		t.noteSuccessor(m.From, m.Incarnation)
+		t.handleKept(m.From, m.Kept)
+		t.handleRestored(m.From, m.Restored)
+		t.keepLists(now, p, m.Keep)
+		t.restoreLists(now, p, m.Return)
+	}
 	for i := range m.Suspects {
 		t.receiveSuspect(now, &m.Suspects[i])
 	}
--- a/flow/table.go
+++ b/flow/table.go
@@ -42,6 +42,11 @@
 	startedPeers    map[packet.AgentID]bool // peers that this agent has seen in state Starting
 	stepDue         bool                    // Step should be called at once
 	work            workload
+	kept            []*keptList     // lists of flows kept for agents that restart
+	outgoing        []*outgoingList // lists that this agent hands to its keepers; its own is the first
+	handingOver     bool            // this agent stops, see BeginHandover
+	restored        restoredList
+	predecessor     uint64        // see SetPredecessor
 	refusedFlows    []RefusedFlow // not yet returned by RefusedFlows
 
 	noEarlierFlows     bool          // the upstream started no earlier than this agent or does not run, so it holds no flows from before
@@ -74,6 +79,7 @@
 	Tried                                           uint64 // probes: packets of unknown flows delivered to the upstream
 	Returned                                        uint64 // packets that the upstream sent back
 	Adopted                                         uint64 // flows adopted from the upstream's own packets
+	Restored                                        uint64 // flows of an earlier process of this agent, as listed by its keepers
 	Asked                                           uint64 // inquiries sent, counted per peer
 	Found                                           uint64 // flows that a peer owns according to its answer
 	Dropped                                         [reasonCount]uint64
@@ -207,6 +213,7 @@
 		p := newPeer(now, u)
 		p.inbox = t.inbox(u.ID)
 		p.restarted = old != nil && (old.restarted || old.heardAt != never)
+		t.noteSuccessor(u.ID, u.Incarnation)
 		if old != nil && t.cfg.Rebuild > 0 && (u.Start == 0 || u.Start == old.Start) {
 			p.acceptedUntil = max(p.acceptedUntil, old.lastAccepted(now))
 		}
--- a/member/announcer.go
+++ b/member/announcer.go
@@ -40,6 +40,7 @@
 	revision         int64
 	grantor          Grantor
 	earlierStarts    map[uint64]bool // Record.Start in records of earlier agent processes of this name
+	predecessor      Record          // newest record of an earlier agent process of this name; zero if none is known
 }
 
 // peerPush is the push of the current record to one other agent of the service.
@@ -258,6 +259,9 @@
 		}
 		if r.Incarnation != a.self.Incarnation {
 			a.earlierStarts[r.Start] = true
+			if r.valid() && (a.predecessor.Name == "" || Compare(r, &a.predecessor) > 0) {
+				a.predecessor = *r
+			}
 		}
 		if own, needed := refute(a.self, r); needed {
 			a.announce(own)
@@ -273,6 +277,9 @@
 	return a.earlierStarts[startID] || a.earlierStarts[0]
 }
 
+// Predecessor returns the incarnation of the latest earlier process of this agent that is known, or 0.
+func (a *Announcer) Predecessor() uint64 { return a.predecessor.Incarnation }
+
 // SetState changes the agent's state and announces it.
 func (a *Announcer) SetState(now time.Duration, s flow.State) {
 	a.advance(now)
