flow, agent: a refused connection ends only the flows from before its check

Cause: what callers saw: the reset of a flow that had just been opened. An agent checks the connection to an upstream that is silent or not announced. If the check was refused and the process waited for the processor, an upstream that started meanwhile accepted flows before the refusal was recorded; all flows were then ended, again at each step until the upstream's first announcement, and recorded as certainly lost for 20 s. Change: each check has a number; a flow remembers the number of the last check that had begun when its SYN was passed on or the upstream's first packet of it arrived, and a refusal ends only flows from before its check. Measured: TestFlowOpenedDuringARefusedCheckIsNotReset: reset with the flows of the check's time ended as well, as before this commit; delivered now.

--- a/agent/connectioncheck.go
+++ b/agent/connectioncheck.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/nutmegtrack/nutmegtrack/event"
+	"github.com/nutmegtrack/nutmegtrack/flow"
 )
 
 // A crashed upstream sends no notice. Its agent suspects a crash when the upstream does
@@ -53,21 +54,22 @@
 
 // checkConnection connects to the upstream to find out whether it runs.
 func (m *upstreamMonitor) checkConnection() {
-	begun := m.agent.clock()
+	begun, number := m.agent.clock(), uint8(0)
+	m.agent.flows.do(func(_ time.Duration, t *flow.Table) { number = t.BeginUpstreamCheck() })
 	conn, err := net.DialTimeout("tcp", m.agent.cfg.UpstreamSinkAddress.String(), connectTimeout)
 	if err == nil {
 		_ = conn.Close()
 	}
-	ended := m.recordConnectionCheck(begun, err)
+	ended := m.recordConnectionCheck(begun, number, err)
 	m.agent.log.Log(event.UpstreamProbed, "running", err == nil, "ended", ended, "error", err)
 	if ended {
 		m.agent.publishUpstreamState()
 	}
 }
 
-// recordConnectionCheck records the result of a check that has begun at the given time. It reports
-// whether the upstream has ended.
-func (m *upstreamMonitor) recordConnectionCheck(begun time.Duration, err error) (ended bool) {
+// recordConnectionCheck records the result of the check with the given number, which has begun at the
+// given time. It reports whether the upstream has ended.
+func (m *upstreamMonitor) recordConnectionCheck(begun time.Duration, number uint8, err error) (ended bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.unansweredSince = 0
@@ -86,5 +88,8 @@
 		return false
 	}
 	m.refusedOnce = false
-	return m.tracker.MarkStopped(begun)
+	if ended = m.tracker.MarkStopped(begun); ended {
+		m.endedCheck = number
+	}
+	return ended
 }
--- a/agent/unproven_stop_test.go
+++ b/agent/unproven_stop_test.go
@@ -33,8 +33,8 @@
 	now += 100 * time.Millisecond
 	m.recordPacket() // of the new process
 	refused := &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
-	g.Expect(m.recordConnectionCheck(begun, refused)).To(BeFalse())
+	g.Expect(m.recordConnectionCheck(begun, 1, refused)).To(BeFalse())
 	now += minConnectionCheckInterval
 	g.Expect(m.connectionCheckDue()).To(BeTrue(), "the refusal is checked")
-	g.Expect(m.recordConnectionCheck(now, refused)).To(BeTrue(), "nothing listens")
+	g.Expect(m.recordConnectionCheck(now, 1, refused)).To(BeTrue(), "nothing listens")
 }
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -61,6 +61,7 @@
 	refusedOnce         bool          // a connection was refused soon after a packet of the upstream
 	packetAt            time.Duration // when the upstream last sent a packet; 0: never
 	startedWithAgent    bool          // as far as this VM shows: see startedWithAgent
+	endedCheck          uint8         // number of the check that has found the upstream ended
 	appliedNoEarlier    bool          // noEarlierFlows as last applied to the flow table; guarded by Agent.stateMu
 }
 
@@ -163,13 +164,14 @@
 	slots            int
 	startedWithAgent bool
 	ended            bool
+	endedCheck       uint8 // the check that has found it ended
 }
 
 func (m *upstreamMonitor) status() (c upstreamStatus) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	last, start := m.tracker.Last()
-	c = upstreamStatus{state: m.tracker.State(m.agent.clock()), start: start, slots: last.Slots, startedWithAgent: m.startedWithAgent, ended: m.tracker.IsStopped()}
+	c = upstreamStatus{state: m.tracker.State(m.agent.clock()), start: start, slots: last.Slots, startedWithAgent: m.startedWithAgent, ended: m.tracker.IsStopped(), endedCheck: m.endedCheck}
 	if c.state != m.loggedState {
 		m.agent.log.Log(event.LocalUpstreamChanged, "id", last.ID, "from", m.loggedState, "to", c.state,
 			"number", last.Sequence, "silent_seconds", (m.agent.clock() - m.tracker.LastAlive()).Seconds(),
@@ -239,7 +241,7 @@
 	announced := member.Upstream{StartID: c.start, Slots: c.slots}
 	a.flows.do(func(now time.Duration, t *flow.Table) {
 		if c.ended {
-			t.SetUpstreamStopped(now)
+			t.SetUpstreamStopped(now, c.endedCheck)
 		}
 		if c.state == flow.Ready && t.State() != flow.Ready && !a.mayBecomeReady(now, t) {
 			c.state = flow.Starting
--- a/agent/upstream_test.go
+++ b/agent/upstream_test.go
@@ -63,11 +63,11 @@
 		now = announceTimeout
 		m.recordPacket()
 		Expect(m.connectionCheckDue()).To(BeTrue())
-		Expect(m.recordConnectionCheck(now, refused)).To(BeFalse())
+		Expect(m.recordConnectionCheck(now, 1, refused)).To(BeFalse())
 		now += minConnectionCheckInterval
 		m.recordPacket()
 		Expect(m.connectionCheckDue()).To(BeTrue())
-		Expect(m.recordConnectionCheck(now, refused)).To(BeTrue())
+		Expect(m.recordConnectionCheck(now, 1, refused)).To(BeTrue())
 	})
 
 	// Guards against the loss of all flows of an upstream that has restarted, because the agent
@@ -78,7 +78,7 @@
 		now += 100 * time.Millisecond
 		Expect(m.tracker.HandleAnnouncement(now, upstream.Announcement{ID: "i", Service: "portal",
 			Address: netip.MustParseAddrPort("127.0.0.1:9")})).To(Succeed())
-		Expect(m.recordConnectionCheck(begun, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED})).To(BeFalse())
+		Expect(m.recordConnectionCheck(begun, 1, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED})).To(BeFalse())
 		Expect(m.tracker.IsStopped()).To(BeFalse())
 	})
 })
--- a/flow/accept.go
+++ b/flow/accept.go
@@ -83,6 +83,7 @@
 // takeOwnership makes this agent the owner of a flow and returns the flow's entry.
 func (t *Table) takeOwnership(now time.Duration, hash uint64, k *packet.Key) *entry {
 	e := t.flows.insert(now, hash, k)
+	e.check = t.check
 	t.ownerRecords.forget(hash)
 	t.lost.forget(hash)
 	delete(t.unknownFlows, hash)
--- a/flow/evidence_test.go
+++ b/flow/evidence_test.go
@@ -87,7 +87,7 @@
 		u.sendPacket("a", numbered(own, 0))
 		u.reply("a", own)
 		t := u.agents[u.named("a").ID]
-		t.SetUpstreamStopped(u.now)
+		t.SetUpstreamStopped(u.now, t.BeginUpstreamCheck())
 		u.now += time.Second
 		cause, age := t.RecordedLoss(u.now, &own)
 		Expect(cause).To(Equal(UpstreamStopped))
--- a/flow/fleet_harness_test.go
+++ b/flow/fleet_harness_test.go
@@ -576,6 +576,7 @@
 	upstreamStart, upstreamSeq                                           uint64
 	startedWithAgent, appliedNoEarlier                                   bool
 	earlierStarts                                                        map[uint64]bool
+	stoppedCheck                                                         uint8        // number of the check that has found the upstream stopped
 	predecessor                                                          memberRecord // of the latest earlier process
 	lastAlive, unansweredSince, checkedAt                                time.Duration
 	startWall, upstreamBorn                                              time.Duration // times of day
@@ -973,7 +974,7 @@
 	now, s := a.clock(), a.state()
 	a.applyStart()
 	if a.upstreamStopped {
-		a.table.SetUpstreamStopped(now)
+		a.table.SetUpstreamStopped(now, a.stoppedCheck)
 	}
 	if s == Ready && a.table.State() != Ready && !a.mayBecomeReady(now) {
 		s = Starting
@@ -1037,13 +1038,13 @@
 		a.connect(now)
 		return
 	}
-	listening := a.upstream.up
+	listening, number := a.upstream.up, a.table.BeginUpstreamCheck()
 	a.later(a.f.between(100*time.Microsecond, 2*time.Millisecond), queueControl, func() {
 		a.listening = listening
 		if listening {
 			a.lastAlive, a.upstreamStopped = a.clock(), false
 		} else {
-			a.upstreamStopped = true
+			a.upstreamStopped, a.stoppedCheck = true, number
 		}
 		a.unansweredSince = 0
 		if !listening {
@@ -1054,7 +1055,7 @@
 
 // connect is upstreamMonitor.checkConnection and recordConnectionCheck, for an upstream that may lie.
 func (a *fleetAgent) connect(begun time.Duration) {
-	s := a.upstream
+	s, number := a.upstream, a.table.BeginUpstreamCheck()
 	connected, refused := s.up, !s.up
 	if s.up && a.f.now < s.lyingUntil && a.f.chance(0.5) {
 		connected, refused = false, s.refuses
@@ -1084,7 +1085,7 @@
 		if a.known && a.announcedAt >= begun {
 			return
 		}
-		a.upstreamStopped = true
+		a.upstreamStopped, a.stoppedCheck = true, number
 		a.publishState()
 	})
 }
--- a/flow/lifetime.go
+++ b/flow/lifetime.go
@@ -19,6 +19,7 @@
 		return
 	}
 	if in.First {
+		e.check = t.check
 		t.reopen(e)
 		return
 	}
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -193,27 +193,39 @@
 	if before == start || before == 0 && (t.restored.start == 0 || t.restored.start == start) {
 		return
 	}
-	t.endAllFlows(now, UpstreamRestarted)
+	t.endFlows(now, UpstreamRestarted, func(*entry) bool { return true })
 }
 
-// SetUpstreamStopped records that the upstream does not run: its flows are lost.
-func (t *Table) SetUpstreamStopped(now time.Duration) {
+// BeginUpstreamCheck returns the number of a check of the upstream that begins now. The number wraps
+// around after 256 checks.
+func (t *Table) BeginUpstreamCheck() uint8 {
+	t.check++
+	return t.check
+}
+
+// SetUpstreamStopped records that the upstream did not run at the time of the check with the given
+// number: the flows that it held then are lost. Flows that began later are kept: a process that has
+// started meanwhile may hold them.
+func (t *Table) SetUpstreamStopped(now time.Duration, check uint8) {
 	t.noEarlierFlows = true
 	t.rebuildUntil = now
-	t.endAllFlows(now, UpstreamStopped)
+	t.endFlows(now, UpstreamStopped, func(e *entry) bool { return e.check != check })
 	t.lost.confirmAll()
 }
 
-// endAllFlows ends all flows and records those that the upstream held as lost.
-func (t *Table) endAllFlows(now time.Duration, cause LossCause) {
-	for len(t.flows.entries) > 0 {
-		last := len(t.flows.entries) - 1
+// endFlows ends the flows for which ended is true and records those that the upstream held as lost.
+func (t *Table) endFlows(now time.Duration, cause LossCause, ended func(*entry) bool) {
+	for i := len(t.flows.entries) - 1; i >= 0; i-- {
+		e := &t.flows.entries[i]
+		if !ended(e) {
+			continue
+		}
 		// Without a reply the upstream may never have held the flow, and a copy of its first packet
 		// may have opened it elsewhere.
-		if t.flows.entries[last].flags&flagReplies != 0 {
-			t.lost.record(now, t.flows.entries[last].hash, cause)
+		if e.flags&flagReplies != 0 {
+			t.lost.record(now, e.hash, cause)
 		}
-		t.removeAt(now, last)
+		t.removeAt(now, i)
 	}
 	clear(t.unknownFlows)
 	t.suspected, t.inquiries = t.suspected[:0], t.inquiries[:0]
--- a/flow/store.go
+++ b/flow/store.go
@@ -23,6 +23,7 @@
 	key          packet.Key
 	flags        uint8
 	priority     uint8 // of the flow's requests; 0 is the highest
+	check        uint8 // Table.check when the agent last passed a SYN, or the upstream the flow's first known packet
 	hash         uint64
 	lastSeen     uint32         // time of the last packet, seconds since process start
 	lingerEnd    uint32         // time of removal of a lingering flow, seconds since process start
--- a/flow/table.go
+++ b/flow/table.go
@@ -46,6 +46,7 @@
 	outgoing        []*outgoingList // lists that this agent hands to its keepers; its own is the first
 	handingOver     bool            // this agent stops, see BeginHandover
 	restored        restoredList
+	check           uint8         // number of the last check of the upstream, see BeginUpstreamCheck
 	predecessor     uint64        // see SetPredecessor
 	refusedFlows    []RefusedFlow // not yet returned by RefusedFlows
 
--- a/flow/unproven_absence_test.go
+++ b/flow/unproven_absence_test.go
@@ -254,7 +254,8 @@
 	k := u.keyRanked(packet.ProtoTCP, "a", "b")
 	u.sendPacket("a", numbered(k, 0))
 	u.held["a"] = map[packet.Key]bool{}
-	u.agents[u.named("a").ID].SetUpstreamStopped(u.now)
+	a := u.agents[u.named("a").ID]
+	a.SetUpstreamStopped(u.now, a.BeginUpstreamCheck())
 	u.sendPacket("b", numbered(k, 2))
 	u.reply("b", k) // its digest is on its way to a
 	path, action := u.sendPacket("a", data(k))
@@ -339,3 +340,26 @@
 	g.Expect(path).To(Equal("ba"))
 	g.Expect(action).To(Equal(Action{Kind: Deliver, Probe: true}))
 }
+
+// Guards against the reset of a flow that an upstream has accepted after a check of its connection had
+// begun: the check was refused before the upstream started, and its result was processed late.
+func TestFlowOpenedDuringARefusedCheckIsNotReset(t *testing.T) {
+	g := NewWithT(t)
+	u := newUpstreamRig(4)
+	u.run(settled)
+	before, during := u.keyRanked(packet.ProtoTCP, "a", "b"), u.keyRanked(packet.ProtoTCP, "a", "c")
+	u.sendPacket("a", numbered(before, 0))
+	u.reply("a", before)
+	a := u.agents[u.named("a").ID]
+	check := a.BeginUpstreamCheck()
+	u.sendPacket("a", numbered(during, 0))
+	u.reply("a", during)
+	for range 3 {
+		u.now += 100 * time.Millisecond
+		a.SetUpstreamStopped(u.now, check) // at each step until the upstream announces itself
+	}
+	_, action := u.sendPacket("a", data(during))
+	g.Expect(action.Kind).To(Equal(Deliver))
+	_, action = u.sendPacket("a", data(before))
+	g.Expect(action.Kind).To(Equal(Reset))
+}
