member, flow, agent, balancer: the list of a balancer that has just started proves nothing

Cause: what callers saw: resets of open flows after balancers had been restarted or added. A balancer that has just started answers an agent's heartbeat before it knows the agents; an agent without an earlier list (a new VM, a restarted agent) took this list, empty or short, for that of all upstreams, itself for the first choice of all flows, and 0.5 s later declared flows lost whose owner it had never heard of. The checksum of peers in an inquiry does not help where nobody who answers knows the owner. Change: a balancer says in its replies and exchanges whether it may lack records of live processes: until a balancer that does not has sent it its whole table, or one heartbeat interval after it has read the records in the store, or for 3 s. An agent declares no flow lost, and orders no probe, before it has had a list of a balancer that is complete. Old balancers are taken for complete, as before.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -269,7 +269,12 @@
 	a.members.Step(a.lifecycle.Context())
 	a.refreshPeers()
 	if balancerKnown {
-		a.flows.do(func(now time.Duration, t *flow.Table) { t.SetPeersKnown(now) })
+		complete := false
+		a.members.Do(func(_ time.Duration, n *member.Announcer) { complete = n.ListComplete() })
+		a.flows.do(func(now time.Duration, t *flow.Table) {
+			t.SetPeersKnown(now)
+			t.SetPeersIncomplete(now, !complete)
+		})
 	}
 	if a.limitsEnabled() {
 		a.stepQuota()
--- a/balancer/collector.go
+++ b/balancer/collector.go
@@ -110,6 +110,7 @@
 		}
 		c.members.Do(func(now time.Duration, n *member.Node) { n.Load(now, records) })
 	}
+	c.members.Do(func(_ time.Duration, n *member.Node) { n.SetLoaded() })
 	c.wake.Wake()
 	return nil
 }
--- a/flow/fleet_harness_test.go
+++ b/flow/fleet_harness_test.go
@@ -388,6 +388,7 @@
 	viewChange time.Duration                   // global time of the last change of the view
 	readyOnce  bool                            // the view has been complete since the start
 	leaving    bool                            // out of rotation, before a planned restart
+	synced     bool                            // a balancer that was complete has sent its view
 	inRotation bool                            // as the platform's probes have found last; see probeBalancer
 	misses     int
 }
@@ -400,7 +401,7 @@
 func (b *fleetBalancer) start() {
 	b.begin()
 	b.router, b.leaving = NewRouter(RouterConfig{Hints: 4096}), false
-	b.readyOnce = false
+	b.readyOnce, b.synced = false, false
 	clear(b.view)
 	b.earlier = map[packet.AgentID]memberRecord{}
 	b.viewChange = b.f.now
@@ -414,6 +415,7 @@
 	_, connected := b.f.connects(b.vm, other.vm)
 	if other != b && other.up && len(other.view) > 0 && connected {
 		next = time.Second
+		b.synced = b.synced || other.complete()
 		for _, a := range b.f.agents {
 			r, known := other.view[a.id]
 			if !known || r.version <= b.view[a.id].version {
@@ -430,6 +432,9 @@
 	b.later(next, queueControl, b.sync)
 }
 
+// complete is member.Node.complete, without a store.
+func (b *fleetBalancer) complete() bool { return b.synced || b.clock() >= 3*time.Second }
+
 func (b *fleetBalancer) receiveRecord(r memberRecord) {
 	if !b.up || r.version <= b.view[r.u.ID].version {
 		return
@@ -553,23 +558,24 @@
 // fleetAgent is an agent process with its Table, and what its upstreamMonitor knows of the upstream.
 type fleetAgent struct {
 	fleetProcess
-	id          packet.AgentID
-	addr        netip.AddrPort
-	incarnation uint64
-	table       *Table
-	upstream    *fleetUpstream
-	view        map[packet.AgentID]memberRecord
-	viewChanged bool
-	version     uint64 // of the own record
-	announced   Upstream
-	homeKnown   bool // a balancer has answered
-	homeSince   time.Duration
-	stopping    bool
-	buffered    map[uint64]fleetPacket
-	queues      map[packet.AgentID]*sendQueue
-	timerSet    bool
-	gone        bool // its VM has been removed
-	reused      bool // an agent of another service has got its address
+	id           packet.AgentID
+	addr         netip.AddrPort
+	incarnation  uint64
+	table        *Table
+	upstream     *fleetUpstream
+	view         map[packet.AgentID]memberRecord
+	viewChanged  bool
+	version      uint64 // of the own record
+	announced    Upstream
+	homeKnown    bool // a balancer has answered
+	listComplete bool // a complete one has
+	homeSince    time.Duration
+	stopping     bool
+	buffered     map[uint64]fleetPacket
+	queues       map[packet.AgentID]*sendQueue
+	timerSet     bool
+	gone         bool // its VM has been removed
+	reused       bool // an agent of another service has got its address
 
 	// State of upstream.Tracker and agent.upstreamMonitor.
 	known, upstreamDraining, upstreamLeaving, upstreamStopped, listening bool
@@ -595,7 +601,7 @@
 	a.incarnation = uint64(a.f.now)<<8 | uint64(a.runs)
 	a.view, a.viewChanged = map[packet.AgentID]memberRecord{}, true
 	a.version = uint64(a.runs) * versionsPerRun
-	a.homeKnown, a.stopping, a.timerSet = false, false, false
+	a.homeKnown, a.listComplete, a.stopping, a.timerSet = false, false, false, false
 	a.buffered, a.queues = map[uint64]fleetPacket{}, map[packet.AgentID]*sendQueue{}
 	a.known, a.upstreamDraining, a.upstreamLeaving, a.upstreamStopped, a.listening = false, false, false, false, false
 	a.upstreamStart, a.upstreamSeq, a.startedWithAgent, a.appliedNoEarlier = 0, 0, false, false
@@ -638,6 +644,7 @@
 		if r, known := b.earlier[a.id]; known {
 			a.noteEarlier(r)
 		}
+		a.listComplete = a.listComplete || b.complete()
 		if !a.homeKnown {
 			a.homeKnown = true
 			a.later(time.Millisecond, queueStep, a.stepOnce)
@@ -693,6 +700,7 @@
 	}
 	if homeKnown {
 		a.table.SetPeersKnown(now)
+		a.table.SetPeersIncomplete(now, !a.listComplete)
 	}
 	if !a.stopping && a.table.UpstreamStart() == a.upstreamStart {
 		a.applyStart()
--- a/flow/inquiry.go
+++ b/flow/inquiry.go
@@ -296,7 +296,7 @@
 // askedAll reports whether each peer has answered an inquiry about the flow or counts as absent.
 func (t *Table) askedAll(now time.Duration, hash uint64) bool {
 	q, _ := t.inquiryAbout(hash)
-	if q == nil || !t.peersKnown {
+	if q == nil || !t.peersKnown || t.peersIncomplete {
 		return false
 	}
 	mayRepeat := t.unknownFlows[hash].mayRepeat
--- a/flow/lost.go
+++ b/flow/lost.go
@@ -246,7 +246,7 @@
 // canDeclareLost reports whether this agent has enough information on its upstream and its
 // peers to declare a flow lost.
 func (t *Table) canDeclareLost(now time.Duration) bool {
-	return t.cfg.Rebuild != 0 && t.self.Start != 0 && t.peersKnown && now-t.peerListChanged >= peerListSettleTime
+	return t.cfg.Rebuild != 0 && t.self.Start != 0 && t.peersKnown && !t.peersIncomplete && now-t.peerListChanged >= peerListSettleTime
 }
 
 // isFirstChoice reports whether this agent is the flow's first choice.
--- a/flow/table.go
+++ b/flow/table.go
@@ -53,6 +53,7 @@
 	noEarlierFlows     bool          // the upstream started no earlier than this agent or does not run, so it holds no flows from before
 	acceptsEarly       bool          // flows are accepted although the state is Starting
 	rebuildUntil       time.Duration // end of the rebuilding phase, in which flows of the upstream may be unknown
+	peersIncomplete    bool          // see SetPeersIncomplete
 	peersKnown         bool          // a balancer has sent the list of peers
 	peerStatesChanged  time.Duration // time of the last change of a peer's state or incarnation, or of the list
 	peerListChanged    time.Duration // time at which a peer was last added or removed
@@ -207,6 +208,14 @@
 	}
 }
 
+// SetPeersIncomplete records whether the list of peers comes from balancers that may lack live upstreams.
+// Such a list proves nothing about a flow: the peer that owns it may be missing.
+func (t *Table) SetPeersIncomplete(now time.Duration, incomplete bool) {
+	if t.peersIncomplete != incomplete {
+		t.peersIncomplete, t.peerListChanged = incomplete, now
+	}
+}
+
 // mergePeer returns the new or updated record of an upstream.
 func (t *Table) mergePeer(now time.Duration, u Upstream) *peer {
 	old := t.peers.get(u.ID)
--- a/flow/unproven_absence_test.go
+++ b/flow/unproven_absence_test.go
@@ -363,3 +363,16 @@
 	_, action = u.sendPacket("a", data(before))
 	g.Expect(action.Kind).To(Equal(Reset))
 }
+
+// Guards against the reset of an open flow by an agent whose list of peers comes from a balancer that has
+// just started and does not know the flow's owner.
+func TestFlowIsNotResetForAListOfAnIncompleteBalancer(t *testing.T) {
+	g := NewWithT(t)
+	for incomplete, lost := range map[bool]int{true: 0, false: 1} {
+		u := newUpstreamRig(1)
+		a := u.agents[u.named("a").ID]
+		a.SetPeersIncomplete(u.now, incomplete)
+		u.run(settled)
+		g.Expect(u.suspectAt("a", key(1, packet.ProtoTCP), 3*time.Second)).To(HaveLen(lost))
+	}
+}
--- a/member/announcer.go
+++ b/member/announcer.go
@@ -40,6 +40,7 @@
 	revision         int64
 	grantor          Grantor
 	earlierStarts    map[uint64]bool // Record.Start in records of earlier agent processes of this name
+	listComplete     bool            // a balancer that knew all live processes has answered
 	predecessor      Record          // newest record of an earlier agent process of this name; zero if none is known
 }
 
@@ -214,6 +215,7 @@
 	} else if c.Request.Sum == a.sum {
 		a.nextHeartbeat[c.To] = a.now + a.cfg.HeartbeatInterval
 	}
+	a.listComplete = a.listComplete || !m.Incomplete
 	if len(m.Homes) > 0 {
 		a.homeCandidates = m.Homes
 		a.forgetFormerHomes()
@@ -277,6 +279,9 @@
 	return a.earlierStarts[startID] || a.earlierStarts[0]
 }
 
+// ListComplete reports whether a balancer that knew all live processes has answered a heartbeat.
+func (a *Announcer) ListComplete() bool { return a.listComplete }
+
 // Predecessor returns the incarnation of the latest earlier process of this agent that is known, or 0.
 func (a *Announcer) Predecessor() uint64 { return a.predecessor.Incarnation }
 
--- a/member/heartbeat.go
+++ b/member/heartbeat.go
@@ -19,10 +19,10 @@
 	n.mergeAndPushAll(m.Records)
 	e := n.table.byHash[m.ID]
 	if e == nil {
-		return Message{Resend: true, Records: n.removedRecords(m.Records)}
+		return Message{Resend: true, Records: n.removedRecords(m.Records), Incomplete: true}
 	}
 	n.markAlive(e.record.Name)
-	reply := Message{Grantor: n.newerGrantor(e.record.Service, m.Term)}
+	reply := Message{Grantor: n.newerGrantor(e.record.Service, m.Term), Incomplete: !n.complete()}
 	if uint32(e.sum) != m.Sum {
 		reply.Resend = true
 		reply.Records = append(reply.Records, e.record)
--- a/member/message.go
+++ b/member/message.go
@@ -60,6 +60,10 @@
 	Term    int64            `cbor:"18,keyasint,omitempty"` // term of the service's grantor that the agent knows; not a collector's term
 	Grantor *Grantor         `cbor:"19,keyasint,omitempty"` // grantor with a higher term
 
+	// Incomplete says that the sender, a balancer, may lack the records of live processes: see
+	// Node.complete. It is set in replies to heartbeats and in exchanges.
+	Incomplete bool `cbor:"22,keyasint,omitempty"`
+
 	// Anti-entropy.
 	Digests []Digest `cbor:"11,keyasint,omitempty"`
 	Want    []uint32 `cbor:"12,keyasint,omitempty"` // parts whose newer records the sender requests
--- a/member/node.go
+++ b/member/node.go
@@ -28,6 +28,8 @@
 	detector      failureDetector
 	nextExchange  time.Duration // time of the next anti-entropy exchange
 	behind        bool          // the last exchange reply had maxRecords records, so more may be missing; only shortens the exchange interval
+	synced        bool          // a complete balancer has sent its whole table
+	loaded        bool          // the records in the store have been read
 	nextExpiry    time.Duration // time of the next scan for records to remove
 	grantors      map[string]Grantor
 	relays        map[string]map[string]bool // by service: names of upstreams whose records are to be relayed to agents
@@ -160,6 +162,16 @@
 	}
 }
 
+// SetLoaded records that the records of all failure domains have been read from the store.
+func (n *Node) SetLoaded() { n.loaded = true }
+
+// complete reports whether this balancer knows the records of all live processes: a balancer that did has
+// sent it its table, or processes that the store did not list have had the time to announce themselves.
+// An agent takes the list of a balancer that is not complete for no proof that a flow has no owner.
+func (n *Node) complete() bool {
+	return n.synced || n.loaded && n.now >= n.cfg.HeartbeatInterval || n.now >= n.cfg.SuspectAfter
+}
+
 // SetState changes the balancer's state and announces it.
 func (n *Node) SetState(now time.Duration, s flow.State) {
 	n.advance(now)
