flow, agent: an upstream that was falsely taken for stopped is believed again

Cause: what callers saw: resets of open flows whose upstream ran. One refused connection (the upstream lies, or is checked in the moment in which it does not listen) ended its flows for 20 s, and for the rest of the agent's life the agent answered every inquiry with "not held", also after the upstream had announced itself with the same start: SetUpstreamStopped ends the rebuilding phase, and nothing reopened it. So a suspicion of one agent became the proof of all. Change: an announcement with the same start, or a first one, takes the belief back: the rebuilding phase begins anew unless the upstream started with its agent, and the recorded losses are unconfirmed: the next packet of each flow is delivered, and reset if the upstream returns it. Measured: TestFlowsOfAnUpstreamFalselyTakenForStoppedAreNotReset: flow lost without reviveUpstream, kept now.

--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -211,7 +211,7 @@
 }
 
 // applyUpstreamStart applies the start of the upstream to the flow table if it, or whether this
-// agent has seen all its flows, has changed. It reports whether the upstream has started anew.
+// agent has seen all its flows, has changed, or if the upstream was falsely taken for stopped. It reports whether the upstream has started anew.
 // The caller holds stateMu.
 func (a *Agent) applyUpstreamStart(c *upstreamStatus) (newStart bool) {
 	if c.start == 0 {
@@ -220,7 +220,7 @@
 	noEarlier := a.noEarlierFlows(c)
 	a.flows.do(func(now time.Duration, t *flow.Table) {
 		newStart = t.UpstreamStart() != c.start
-		if newStart || noEarlier != a.monitor.appliedNoEarlier {
+		if newStart || noEarlier != a.monitor.appliedNoEarlier || t.UpstreamStopped() && !c.ended {
 			t.SetUpstreamStart(now, c.start, noEarlier)
 			a.monitor.appliedNoEarlier = noEarlier
 		}
--- a/flow/lost.go
+++ b/flow/lost.go
@@ -95,6 +95,16 @@
 	}
 }
 
+// unconfirm records that the upstream may hold the flows that were recorded as lost for the cause.
+func (l *lostFlows) unconfirm(cause LossCause) {
+	for hash, f := range l.byHash {
+		if f.cause == cause {
+			f.unconfirmed = true
+			l.byHash[hash] = f
+		}
+	}
+}
+
 func (l *lostFlows) forget(hash uint64) { delete(l.byHash, hash) }
 
 func (l *lostFlows) expire(now time.Duration) {
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -181,7 +181,7 @@
 	return t.takeOwnership(now, hash, k)
 }
 
-// SetUpstreamStart sets the start ID of the upstream. noEarlierFlows says that the upstream
+// SetUpstreamStart sets the start ID of the upstream, which runs. noEarlierFlows says that the upstream
 // started no earlier than this agent, which then knows all its flows. If the ID changes, the
 // upstream has restarted and its flows are lost, except those that it has accepted since. They cannot
 // be told apart, so the next packet of each is delivered, and returned if the flow is lost. When the
@@ -190,6 +190,10 @@
 func (t *Table) SetUpstreamStart(now time.Duration, start uint64, noEarlierFlows bool) {
 	before := t.self.Start
 	t.self.Start, t.noEarlierFlows = start, noEarlierFlows
+	if t.upstreamStopped && (before == 0 || before == start) {
+		t.reviveUpstream(now)
+	}
+	t.upstreamStopped = false
 	if before == start || before == 0 && (t.restored.start == 0 || t.restored.start == start) {
 		return
 	}
@@ -203,11 +207,22 @@
 	return t.check
 }
 
+// reviveUpstream undoes SetUpstreamStopped: the upstream runs, and may hold the flows that it held then.
+func (t *Table) reviveUpstream(now time.Duration) {
+	if !t.noEarlierFlows {
+		t.StartRebuild(now)
+	}
+	t.lost.unconfirm(UpstreamStopped)
+}
+
+// UpstreamStopped reports whether the upstream was found stopped and SetUpstreamStart has not been called since.
+func (t *Table) UpstreamStopped() bool { return t.upstreamStopped }
+
 // SetUpstreamStopped records that the upstream did not run at the time of the check with the given
 // number: the flows that it held then are lost. Flows that began later are kept: a process that has
 // started meanwhile may hold them.
 func (t *Table) SetUpstreamStopped(now time.Duration, check uint8) {
-	t.noEarlierFlows = true
+	t.noEarlierFlows, t.upstreamStopped = true, true
 	t.rebuildUntil = now
 	t.endFlows(now, UpstreamStopped, func(e *entry) bool { return e.check != check })
 	t.lost.confirmAll()
--- a/flow/table.go
+++ b/flow/table.go
@@ -51,6 +51,7 @@
 	refusedFlows    []RefusedFlow // not yet returned by RefusedFlows
 
 	noEarlierFlows     bool          // the upstream started no earlier than this agent or does not run, so it holds no flows from before
+	upstreamStopped    bool          // see SetUpstreamStopped
 	acceptsEarly       bool          // flows are accepted although the state is Starting
 	rebuildUntil       time.Duration // end of the rebuilding phase, in which flows of the upstream may be unknown
 	peersIncomplete    bool          // see SetPeersIncomplete
--- a/flow/unproven_absence_test.go
+++ b/flow/unproven_absence_test.go
@@ -376,3 +376,30 @@
 		g.Expect(u.suspectAt("a", key(1, packet.ProtoTCP), 3*time.Second)).To(HaveLen(lost))
 	}
 }
+
+// Guards against flows that are reset, by their own agent or by others that ask it, because their upstream
+// has refused a connection although it runs.
+func TestFlowsOfAnUpstreamFalselyTakenForStoppedAreNotReset(t *testing.T) {
+	g := NewWithT(t)
+	u := newUpstreamRig(4)
+	u.run(settled)
+	known, unknown := u.keyRanked(packet.ProtoTCP, "a", "b"), u.keyRanked(packet.ProtoTCP, "a", "c")
+	u.sendPacket("a", numbered(known, 0))
+	u.reply("a", known)
+	u.restartAgent("b")
+	u.reportStart("b")
+	u.held["b"][unknown] = true
+	for _, name := range []string{"a", "b"} {
+		agent, start := u.agents[u.named(name).ID], u.named(name).Start
+		agent.SetUpstreamStopped(u.now, agent.BeginUpstreamCheck())
+		agent.SetUpstreamStart(u.now, start, false) // its next announcement
+	}
+	u.announce()
+	u.run(time.Second)
+	g.Expect(u.suspectAt("a", unknown, 3*time.Second)).To(BeEmpty())
+	_, action := u.sendPacket("a", data(known))
+	g.Expect(action.Kind).To(Equal(Deliver))
+	u.reply("a", known)
+	_, action = u.sendPacket("a", data(known))
+	g.Expect(action).To(Equal(Action{Kind: Deliver}))
+}
