agent: an upstream younger than the record of an earlier agent may hold flows

Cause: what callers saw: the reset of an open flow after its agent's restart. An upstream that had restarted and not announced itself yet accepted flows from its agent, which was then stopped. The next agent process took the upstream, which still warmed up, for started together with it; the record of the earlier process named the run before, so that nothing contradicted, and the agent denied all flows. Change: where balancers know an earlier process of the agent, both signs are needed, the time of birth and the warm-up with a low number, before the upstream counts as started with this process. Measured: package agent, "does not deny unknown flows if the upstream restarted before the earlier agent ended": not held before, may be held now. A clock that steps back by the right amount between both still deceives it.

--- a/agent/restart_test.go
+++ b/agent/restart_test.go
@@ -168,6 +168,23 @@
 		Expect(v.answer()).To(Equal(packet.MaybeHeld))
 	})
 
+	// Guards against open flows that are reset because their upstream had restarted just before its
+	// agent was stopped: the earlier agent passed SYNs to the new run before it was announced.
+	It("does not deny unknown flows if the upstream restarted before the earlier agent ended", func() {
+		v.startAgent(0)
+		v.run(100 * time.Millisecond)
+		v.announce(0, 1)
+		v.run(10 * time.Second)
+		born := v.now
+		v.run(300 * time.Millisecond)
+		v.now += 1200 * time.Millisecond
+		v.startAgent(0)
+		v.run(200 * time.Millisecond)
+		v.announce(born, 3)
+		v.run(stepInterval)
+		Expect(v.answer()).To(Equal(packet.MaybeHeld))
+	})
+
 	// Guards against clients that wait for lost flows after a power failure because the
 	// agents of upstreams without flows do not say so at once.
 	DescribeTable("denies unknown flows at once after a power failure", func(recordsLost bool, announcedFirst bool) {
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -52,17 +52,18 @@
 	rejectedLog *daemon.LogLimiter // logs malformed and rejected announcements
 	api         *http.Server
 
-	mu                  sync.Mutex
-	tracker             *upstream.Tracker
-	loggedState         flow.State    // last logged state
-	unansweredSince     time.Duration // delivery time of the oldest unanswered first packet or probe; 0: none
-	connectionCheckedAt time.Duration // time of the last connection check; 0: none
-	listening           bool          // the last connection check connected
-	refusedOnce         bool          // a connection was refused soon after a packet of the upstream
-	packetAt            time.Duration // when the upstream last sent a packet; 0: never
-	startedWithAgent    bool          // as far as this VM shows: see startedWithAgent
-	endedCheck          uint8         // number of the check that has found the upstream ended
-	appliedNoEarlier    bool          // noEarlierFlows as last applied to the flow table; guarded by Agent.stateMu
+	mu                     sync.Mutex
+	tracker                *upstream.Tracker
+	loggedState            flow.State    // last logged state
+	unansweredSince        time.Duration // delivery time of the oldest unanswered first packet or probe; 0: none
+	connectionCheckedAt    time.Duration // time of the last connection check; 0: none
+	listening              bool          // the last connection check connected
+	refusedOnce            bool          // a connection was refused soon after a packet of the upstream
+	packetAt               time.Duration // when the upstream last sent a packet; 0: never
+	startedWithAgent       bool          // as far as this VM shows: see startedWithAgent
+	surelyStartedWithAgent bool
+	endedCheck             uint8 // number of the check that has found the upstream ended
+	appliedNoEarlier       bool  // noEarlierFlows as last applied to the flow table; guarded by Agent.stateMu
 }
 
 const (
@@ -79,10 +80,13 @@
 
 // startedWithAgent reports whether the upstream appears to have started together with the
 // agent: at most startMargin before it, or it still warms up and its sequence number is low.
-// The second condition is needed because the wall clock of this VM may have jumped. An agent
-// that restarts soon after the start of its upstream meets both: see Agent.noEarlierFlows.
-func startedWithAgent(a *upstream.Announcement, agent time.Time) bool {
-	return time.UnixMilli(a.Born).After(agent.Add(-startMargin)) || a.Warmup > 0 && a.Sequence <= maxFirstSequence
+// The second condition is needed because the wall clock of this VM may have jumped. surely says
+// that both hold. An agent that restarts soon after the start of its upstream meets one or both:
+// see Agent.noEarlierFlows.
+func startedWithAgent(a *upstream.Announcement, agent time.Time) (appears, surely bool) {
+	young := time.UnixMilli(a.Born).After(agent.Add(-startMargin))
+	warming := a.Warmup > 0 && a.Sequence <= maxFirstSequence
+	return young || warming, young && warming
 }
 
 func newUpstreamMonitor(a *Agent) *upstreamMonitor {
@@ -113,7 +117,10 @@
 	err := m.tracker.HandleAnnouncement(m.agent.clock(), announcement)
 	_, start := m.tracker.Last()
 	if err == nil && start != before {
-		m.startedWithAgent = before != 0 || startedWithAgent(&announcement, m.agent.startedAt)
+		m.startedWithAgent, m.surelyStartedWithAgent = startedWithAgent(&announcement, m.agent.startedAt)
+		if before != 0 { // this agent has seen the run before
+			m.startedWithAgent, m.surelyStartedWithAgent = true, true
+		}
 	}
 	m.mu.Unlock()
 	if err != nil {
@@ -159,19 +166,20 @@
 
 // upstreamStatus is the status of the upstream on which the agent's announcement depends.
 type upstreamStatus struct {
-	state            flow.State
-	start            uint64
-	slots            int
-	startedWithAgent bool
-	ended            bool
-	endedCheck       uint8 // the check that has found it ended
+	state                  flow.State
+	start                  uint64
+	slots                  int
+	startedWithAgent       bool
+	surelyStartedWithAgent bool
+	ended                  bool
+	endedCheck             uint8 // the check that has found it ended
 }
 
 func (m *upstreamMonitor) status() (c upstreamStatus) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	last, start := m.tracker.Last()
-	c = upstreamStatus{state: m.tracker.State(m.agent.clock()), start: start, slots: last.Slots, startedWithAgent: m.startedWithAgent, ended: m.tracker.IsStopped(), endedCheck: m.endedCheck}
+	c = upstreamStatus{state: m.tracker.State(m.agent.clock()), start: start, slots: last.Slots, startedWithAgent: m.startedWithAgent, surelyStartedWithAgent: m.surelyStartedWithAgent, ended: m.tracker.IsStopped(), endedCheck: m.endedCheck}
 	if c.state != m.loggedState {
 		m.agent.log.Log(event.LocalUpstreamChanged, "id", last.ID, "from", m.loggedState, "to", c.state,
 			"number", last.Sequence, "silent_seconds", (m.agent.clock() - m.tracker.LastAlive()).Seconds(),
@@ -189,9 +197,13 @@
 	if !c.startedWithAgent || a.peers.homeBalancer.Load() == nil {
 		return false
 	}
-	ranBefore := false
-	a.members.Do(func(_ time.Duration, n *member.Announcer) { ranBefore = n.RanBefore(c.start) })
-	return !ranBefore
+	ranBefore, predecessor := false, uint64(0)
+	a.members.Do(func(_ time.Duration, n *member.Announcer) {
+		ranBefore, predecessor = n.RanBefore(c.start), n.Predecessor()
+	})
+	// The record of an earlier agent names the run of the upstream that it last knew. The run that it ran
+	// beside may have begun after that.
+	return !ranBefore && (predecessor == 0 || c.surelyStartedWithAgent)
 }
 
 // refreshNoEarlierFlows applies noEarlierFlows and the predecessor to the flow table again: the first
--- a/flow/fleet_harness_test.go
+++ b/flow/fleet_harness_test.go
@@ -580,6 +580,7 @@
 	// State of upstream.Tracker and agent.upstreamMonitor.
 	known, upstreamDraining, upstreamLeaving, upstreamStopped, listening bool
 	upstreamStart, upstreamSeq                                           uint64
+	surelyStartedWithAgent                                               bool
 	startedWithAgent, appliedNoEarlier                                   bool
 	earlierStarts                                                        map[uint64]bool
 	stoppedCheck                                                         uint8        // number of the check that has found the upstream stopped
@@ -604,6 +605,7 @@
 	a.homeKnown, a.listComplete, a.stopping, a.timerSet = false, false, false, false
 	a.buffered, a.queues = map[uint64]fleetPacket{}, map[packet.AgentID]*sendQueue{}
 	a.known, a.upstreamDraining, a.upstreamLeaving, a.upstreamStopped, a.listening = false, false, false, false, false
+	a.surelyStartedWithAgent = false
 	a.upstreamStart, a.upstreamSeq, a.startedWithAgent, a.appliedNoEarlier = 0, 0, false, false
 	a.earlierStarts, a.predecessor = map[uint64]bool{}, memberRecord{}
 	a.lastAlive, a.unansweredSince, a.checkedAt = 0, 0, 0
@@ -999,7 +1001,7 @@
 func (a *fleetAgent) applyStart() {
 	// An earlier process without an announcement may have run beside any upstream: see member.RanBefore.
 	ranBefore := a.earlierStarts[a.upstreamStart] || a.f.shape.trouble && a.earlierStarts[0]
-	noEarlier := a.startedWithAgent && a.homeKnown && !ranBefore
+	noEarlier := a.startedWithAgent && a.homeKnown && !ranBefore && (a.predecessor.u.ID == 0 || a.surelyStartedWithAgent)
 	if a.upstreamStart != 0 && (a.table.UpstreamStart() != a.upstreamStart || noEarlier != a.appliedNoEarlier || a.table.UpstreamStopped() && !a.upstreamStopped) {
 		a.table.SetUpstreamStart(a.clock(), a.upstreamStart, noEarlier)
 		a.appliedNoEarlier = noEarlier
@@ -1022,7 +1024,8 @@
 		return
 	}
 	if start != a.upstreamStart {
-		a.startedWithAgent = a.upstreamStart != 0 || born > a.startWall-time.Second || a.f.now-a.upstream.startedAt < fleetWarmup && seq <= 4
+		young, warming := born > a.startWall-time.Second, a.f.now-a.upstream.startedAt < fleetWarmup && seq <= 4
+		a.startedWithAgent, a.surelyStartedWithAgent = a.upstreamStart != 0 || young || warming, a.upstreamStart != 0 || young && warming
 		a.upstreamLeaving, a.upstreamBorn = false, born
 	} else {
 		draining = draining || a.upstreamDraining
