flow: a flow's probes are not counted anew after two seconds

Cause: packets of an open flow whose owner had lost its table were shown to two other upstreams, and after triedPeriod (2 s) to the next two. The users count from the flow's last packet at its own upstream on, however long ago. The count was also a maximum over what single agents knew: an agent that had probed and heard of one probe elsewhere counted one. Change: a record counts the agent's own probes and those of others, by the agents that it has sent packets to and by the header, and is kept while the client sends (RecordRetention after its last packet). Beyond two, packets are dropped until the owner shows itself. Identities of the probing agents taken from the header's path were tried and left: the path names forwarders too, and a false one blocks the owner. The test in rebuild_test.go that waited for triedPeriod waits for the same 2 s under the name misdeliveryWindow.

--- a/flow/doc.go
+++ b/flow/doc.go
@@ -55,8 +55,9 @@
 //     forwards the flow's next packet to a peer whose upstream may hold the flow. The others are
 //     forwarded along the flow's ranking. A packet without a hop or peer left is dropped.
 //
-// At most maxTried packets of a flow are probes within triedPeriod: an upstream should see few packets
-// of foreign flows. The agents on a packet's way count them in the header and in their records.
+// At most maxTried packets of a flow are probes: upstreams should see few packets of foreign flows. The
+// agents on a packet's way count them in the header and in their records, which last while the client
+// sends. Beyond the limit the packets of the flow are dropped until its owner shows itself.
 //
 // Between rules 2 and 3, packets of a flow that waits for a decision are dropped, so that no
 // copy of the first packet that reaches this agent opens the flow elsewhere. Late copies of a
--- a/flow/lost.go
+++ b/flow/lost.go
@@ -264,8 +264,7 @@
 		return nil
 	}
 	f := t.unknownFlows[hash]
-	h.Tried = max(h.Tried, f.recentlyTried(now))
-	if h.Tried >= maxTried || !t.askedAll(now, hash) {
+	if max(h.Tried, f.tried()) >= maxTried || !t.askedAll(now, hash) {
 		return nil
 	}
 	q, i := t.inquiryAbout(hash)
@@ -274,7 +273,7 @@
 		return statuses != nil && statuses[i] == packet.MaybeHeld && !h.HasVisited(p.ID)
 	})
 	if p != nil {
-		f.noteTried(now, h.Tried+1)
+		f.noteProbeBy(p.ID)
 		t.unknownFlows[hash] = f
 	}
 	return p
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -16,14 +16,10 @@
 const probeTimeout = 30 * time.Millisecond
 
 const (
-	// maxTried is the value of Header.Tried from which a packet of an unknown flow is not delivered
-	// as a probe. A flow counts as misrouted when three of its packets have reached upstreams that
-	// do not hold it and none its own.
+	// maxTried is the number of probes with packets of one flow. A flow counts as misrouted when three
+	// of its packets have reached upstreams that do not hold it since the last one that has reached its
+	// own, however long ago that was.
 	maxTried = 2
-	// triedPeriod is the time without a probe after which a flow's probes are counted anew, so that
-	// its owner is found in the end. It is the minimum time for which a flow must be misrouted to
-	// count, the users' flow-window-ms.
-	triedPeriod = 2 * time.Second
 )
 
 // unknownFlow is the state of a flow that is not in this agent's table: one of its packets was
@@ -38,10 +34,14 @@
 	probed   bool          // a packet was delivered to the upstream
 	returned bool          // the upstream has returned a packet, so it does not hold the flow
 	asked    bool          // it was needed, by a packet or an inquiry, while the upstream might hold it
-	tried    uint8         // the highest known Header.Tried of the flow's packets; probes that were lost on their way count
-	triedAt  time.Duration // when tried last increased
-	key      packet.Key    // of the flow
-	ack      uint32        // acknowledgement number of the client's last packet
+	seen     time.Duration // when a packet of the flow last arrived
+	here     uint8         // number of probes at the upstream
+	// elsewhere is the highest Header.Tried of the packets that have arrived, and probedBy the agents
+	// that are known to have probed, or were sent a packet to probe, which may be lost on its way.
+	elsewhere uint8
+	probedBy  [maxTried]packet.AgentID
+	key       packet.Key // of the flow
+	ack       uint32     // acknowledgement number of the client's last packet
 	// suspected says that Table.suspected contains the flow.
 	suspected bool
 	forwards  uint8  // number of agents that have forwarded the suspect
@@ -50,21 +50,47 @@
 	mayRepeat bool
 }
 
-// recentlyTried returns the number of probes with packets of the flow that count at the time.
-func (f *unknownFlow) recentlyTried(now time.Duration) uint8 {
-	if now-f.triedAt >= triedPeriod {
-		return 0
+// tried returns the number of probes with packets of the flow that this agent knows of.
+func (f *unknownFlow) tried() uint8 { return f.triedExcept(0) }
+
+// triedExcept returns the same without the probes of one agent, which counts them itself.
+func (f *unknownFlow) triedExcept(id packet.AgentID) uint8 {
+	n := uint8(0)
+	for _, by := range f.probedBy {
+		if by != 0 && by != id {
+			n++
+		}
 	}
-	return f.tried
+	return min(f.here+max(n, f.elsewhere), maxTried)
 }
 
-// noteTried records the number of probes of a packet of the flow.
-func (f *unknownFlow) noteTried(now time.Duration, tried uint8) {
-	if tried > f.recentlyTried(now) {
-		f.tried, f.triedAt = tried, now
+// noteProbeBy records that another agent has probed. Beyond maxTried agents there is nothing to record.
+func (f *unknownFlow) noteProbeBy(id packet.AgentID) {
+	for i, by := range f.probedBy {
+		if by == id {
+			return
+		}
+		if by == 0 {
+			f.probedBy[i] = id
+			return
+		}
 	}
 }
 
+// noteArrival records that a packet of an unknown flow has arrived, and the probes that its header counts.
+func (t *Table) noteArrival(now time.Duration, hash uint64, h *packet.Header, in *packet.Info) {
+	f, known := t.unknownFlows[hash]
+	if !known && (h.Tried == 0 || t.cfg.Rebuild == 0 || len(t.unknownFlows) >= maxUnknownFlows) {
+		return
+	}
+	if !known {
+		f.at, f.key, f.ack = now, in.Key, in.Ack
+	}
+	f.seen = now
+	f.elsewhere = max(f.elsewhere, min(h.Tried, maxTried))
+	t.unknownFlows[hash] = f
+}
+
 // maxUnknownFlows is the maximum number of records of unknown flows. Beyond it, packets of
 // unknown flows are forwarded without a probe.
 const maxUnknownFlows = 1 << 14
@@ -95,13 +121,12 @@
 	case pending && now-f.at < probeTimeout:
 		return t.drop(ReasonWaiting), true
 	}
-	h.Tried = max(h.Tried, f.recentlyTried(now))
-	if h.Tried >= maxTried {
+	if max(h.Tried, f.tried()) >= maxTried {
 		return t.drop(ReasonWaiting), pending
 	}
-	h.Tried++
 	f.at, f.probed, f.key, f.ack = now, true, in.Key, in.Ack
-	f.noteTried(now, h.Tried)
+	f.here++
+	h.Tried = max(h.Tried, f.tried())
 	t.unknownFlows[hash] = f
 	t.counters.Tried++
 	return Action{Kind: Deliver, Probe: true}, true
@@ -135,12 +160,12 @@
 		return t.handOffToNext(now, hash, h)
 	}
 	f, known := t.unknownFlows[hash]
-	if !f.probed {
-		h.Tried = min(h.Tried+1, maxTried) // it was delivered as a packet of a flow in the table
+	if !f.probed { // it was delivered as a packet of a flow in the table
+		f.here = min(f.here+1, maxTried)
+		h.Tried = min(h.Tried+1, maxTried)
 	}
 	if known || len(t.unknownFlows) < maxUnknownFlows {
 		f.at, f.returned, f.key, f.ack = now, true, in.Key, in.Ack
-		f.noteTried(now, h.Tried)
 		t.unknownFlows[hash] = f
 	}
 	if t.lost.isUnconfirmed(now, hash) {
@@ -225,7 +250,7 @@
 		return
 	}
 	for hash, f := range t.unknownFlows {
-		if now-f.at >= t.cfg.RecordRetention {
+		if now-max(f.at, f.seen) >= t.cfg.RecordRetention {
 			delete(t.unknownFlows, hash)
 		}
 	}
--- a/flow/rebuild_test.go
+++ b/flow/rebuild_test.go
@@ -366,7 +366,7 @@
 		Expect(u.findLost("a")).To(BeEmpty())
 		h := packet.Header{Service: testService}
 		Expect(t.Receive(u.now, &h, &in).To).To(Equal(u.named("c").ID)) // lost
-		for lostAt := u.now; u.now-lostAt < triedPeriod; u.now += inquiryRetryIntervalMax {
+		for lostAt := u.now; u.now-lostAt < misdeliveryWindow; u.now += inquiryRetryIntervalMax {
 			Expect(u.findLost("a")).To(BeEmpty())
 		}
 		for _, path := range []string{"ac!", "ad!"} {
--- a/flow/receive.go
+++ b/flow/receive.go
@@ -37,6 +37,7 @@
 	if t.lost.has(now, hash) {
 		return t.resetLost(in)
 	}
+	t.noteArrival(now, hash, h, in)
 	if a, done := t.probeUpstream(now, hash, h, in); done {
 		return a
 	}
@@ -50,10 +51,16 @@
 		return a
 	}
 	t.markSuspect(now, hash, h, in)
-	if p := t.nextPeerToProbe(now, hash, h); p != nil {
-		return t.forwardExpected(h, p)
-	}
-	return t.forwardAlongRanking(now, hash, h)
+	p := t.nextPeerToProbe(now, hash, h)
+	var a Action
+	if p != nil {
+		a = t.forwardExpected(h, p)
+	} else {
+		a = t.forwardAlongRanking(now, hash, h)
+	}
+	f := t.unknownFlows[hash]
+	h.Tried = max(h.Tried, f.triedExcept(a.To))
+	return a
 }
 
 // validPath reports whether agents can have written the header's path: distinct entries
