flow, packet: agents tell each other of probes, and ask before they probe

Cause: each agent that took itself for a flow's first choice probed its own upstream, and counted only what packets had told it. Change: an answer to an inquiry tells of the agent's probe (Returned, Probed; earlier versions read both as MaybeHeld, which delays a reset and lets them send a packet that is not probed). A first choice probes its own upstream at once, as before, unless other agents may have probed: it has forwarded packets of the flow along the ranking, was asked for the flow, knows of a probe, or the packet carries FlagAskFirst, which agents set that have forwarded the flow's packets to different agents or look for it themselves. Then it asks first. Agents that do not run are not waited for, as they probe nothing. Of two that look for a flow the lower-ranked one waits while the other one asks. Asking always when views have changed lately would slow all first choices down during a roll.

--- a/flow/doc.go
+++ b/flow/doc.go
@@ -59,6 +59,10 @@
 // agents on a packet's way count them in the header and in their records, which last while the client
 // sends. Beyond the limit the packets of the flow are dropped until its owner shows itself.
 //
+// Agents with different views may each take themselves for the first choice. If other agents may have
+// probed or look for the flow, an agent asks its peers before it probes or lets a peer probe. Their answers
+// tell of their probes. Of two agents that look for a flow only the higher-ranked one goes on.
+//
 // Between rules 2 and 3, packets of a flow that waits for a decision are dropped, so that no
 // copy of the first packet that reaches this agent opens the flow elsewhere. Late copies of a
 // numbered SYN (firstRedirectedCopy and later) may do so: the Router sends them to another upstream
--- a/flow/inquiry.go
+++ b/flow/inquiry.go
@@ -189,8 +189,9 @@
 	for i, hash := range q.Flows {
 		a.Statuses[i] = t.status(now, hash)
 		if a.Statuses[i] == packet.MaybeHeld {
-			t.noteAsked(now, hash)
+			t.noteAsked(now, hash, q.From)
 		}
+		a.Statuses[i] = t.unknownFlows[hash].withProbe(a.Statuses[i])
 	}
 	if q.Peers != t.peersChecksum {
 		a.Peers = append(a.Peers, t.self.ID)
@@ -223,8 +224,20 @@
 	return packet.MaybeHeld
 }
 
-// noteAsked records that a peer has asked for a flow that the upstream may hold.
-func (t *Table) noteAsked(now time.Duration, hash uint64) {
+// withProbe returns the status that also tells whether the upstream was shown a packet of the flow.
+func (f unknownFlow) withProbe(s packet.FlowStatus) packet.FlowStatus {
+	switch {
+	case s == packet.NotHeld && f.returned:
+		return packet.Returned
+	case s == packet.MaybeHeld && f.probed:
+		return packet.Probed
+	}
+	return s
+}
+
+// noteAsked records that a peer has asked for a flow that the upstream may hold. If both look for it,
+// only the one that ranks higher goes on.
+func (t *Table) noteAsked(now time.Duration, hash uint64, from packet.AgentID) {
 	f, known := t.unknownFlows[hash]
 	if !known && len(t.unknownFlows) >= maxUnknownFlows {
 		return
@@ -232,7 +245,10 @@
 	if !f.probed && !f.suspected {
 		f.at = now
 	}
-	f.asked = true
+	f.asked, f.mustAsk = true, true
+	if score(hash, seedOf(from)) > score(hash, t.seed) {
+		f.yieldUntil = now + maxInquiryGap
+	}
 	t.unknownFlows[hash] = f
 }
 
@@ -249,6 +265,7 @@
 	}
 	q := t.inquiries[i]
 	q.answers[a.From] = a.Statuses
+	t.noteProbes(q, a)
 	for j, s := range a.Statuses {
 		if s == packet.Held && !t.flows.hasHash(q.flows[j]) {
 			t.ownerRecords.record(now, q.flows[j], a.From)
@@ -265,6 +282,25 @@
 	})
 }
 
+// noteProbes records the probes that a peer's answer tells of, and replaces its statuses by those that
+// tell only whether the flows are held.
+func (t *Table) noteProbes(q *inquiry, a *packet.InquiryAnswer) {
+	for i, s := range a.Statuses {
+		switch s {
+		case packet.Returned:
+			a.Statuses[i] = packet.NotHeld
+		case packet.Probed:
+			a.Statuses[i] = packet.MaybeHeld
+		default:
+			continue
+		}
+		if f, known := t.unknownFlows[q.flows[i]]; known {
+			f.noteProbeBy(a.From)
+			t.unknownFlows[q.flows[i]] = f
+		}
+	}
+}
+
 // heldByNoPeer returns, for each flow of an inquiry, whether no peer's upstream can hold it any more.
 func (t *Table) heldByNoPeer(now time.Duration, q *inquiry) []bool {
 	out := make([]bool, len(q.flows))
@@ -305,6 +341,19 @@
 	})
 }
 
+// askedRunning is askedAll for probes that have been made: an agent that does not run makes none.
+func (t *Table) askedRunning(now time.Duration, hash uint64) bool {
+	q, _ := t.inquiryAbout(hash)
+	if q == nil || !t.peersKnown {
+		return false
+	}
+	mayRepeat := t.unknownFlows[hash].mayRepeat
+	return !slices.ContainsFunc(t.peers.list, func(p *peer) bool {
+		return q.answers[p.ID] == nil && p.State != AgentRestarting && !p.State.Gone() &&
+			t.excludedAsAbsent(now, p, mayRepeat) == NotExcluded
+	})
+}
+
 // exclusion returns the rule by which the upstream of a peer counts as not holding flow i of an
 // inquiry. mayRepeat says whether the flow's requests may be repeated.
 func (t *Table) exclusion(now time.Duration, q *inquiry, p *peer, i int, mayRepeat bool) Exclusion {
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -40,8 +40,13 @@
 	// that are known to have probed, or were sent a packet to probe, which may be lost on its way.
 	elsewhere uint8
 	probedBy  [maxTried]packet.AgentID
-	key       packet.Key // of the flow
-	ack       uint32     // acknowledgement number of the client's last packet
+	// mustAsk says that other agents may have probed or look for the flow.
+	mustAsk     bool
+	forwardedTo packet.AgentID // the agent to which its packets were last forwarded along the ranking
+	rerouted    bool           // they were forwarded along the ranking to different agents
+	yieldUntil  time.Duration  // until then a higher-ranked agent looks for the flow
+	key         packet.Key     // of the flow
+	ack         uint32         // acknowledgement number of the client's last packet
 	// suspected says that Table.suspected contains the flow.
 	suspected bool
 	forwards  uint8  // number of agents that have forwarded the suspect
@@ -133,20 +138,44 @@
 }
 
 // mayProbe reports whether a packet of an unknown flow may be delivered to the upstream: its sender
-// expects the flow here, the upstream held it before a restart, or the packet may be the first probe of
-// its flow at the first choice, to which balancers send packets without a hint. Behind the first
-// choice no packet is probed without evidence, since the first choice would not learn of it.
+// expects the flow here, the upstream held it before a restart, or this agent is the flow's first
+// choice, to which balancers send packets without a hint, and its upstream may hold the flow. If other
+// agents may have probed, the first choice asks them first.
 func (t *Table) mayProbe(now time.Duration, hash uint64, h *packet.Header) bool {
+	f := t.unknownFlows[hash]
 	switch {
 	case h.Flags&packet.FlagExpected != 0 || t.lost.isUnconfirmed(now, hash):
 		return true
-	case h.Tried > 0 || t.status(now, hash) == packet.NotHeld || !t.isFirstChoice(hash):
+	case t.status(now, hash) == packet.NotHeld || !t.isFirstChoice(hash) || now < f.yieldUntil:
 		return false
+	case t.self.Start == 0:
+		// An agent whose upstream has not announced its start asks the others first: while a fleet
+		// starts, the balancers' views differ, and each retransmission may go to another agent.
+		return t.askedAll(now, hash)
 	}
-	// An agent whose upstream has not announced its start asks the others first: while a fleet starts,
-	// the balancers' views differ, and each retransmission may go to another agent.
-	startKnown := t.self.Start != 0
-	return startKnown || t.askedAll(now, hash)
+	mustAsk := f.mustAsk || h.Flags&packet.FlagAskFirst != 0 || h.Tried > 0 || f.tried() > 0
+	return !mustAsk || t.askedRunning(now, hash)
+}
+
+// noteForwarded records that a packet of a flow without a known owner was forwarded along the ranking.
+// Its receiver may take itself for the first choice and probe, or may be restarting and probe nothing.
+func (t *Table) noteForwarded(now time.Duration, hash uint64, h *packet.Header, in *packet.Info, to packet.AgentID) {
+	f, known := t.unknownFlows[hash]
+	if t.cfg.Rebuild == 0 || !known && len(t.unknownFlows) >= maxUnknownFlows {
+		return
+	}
+	if !known {
+		f.at, f.key, f.ack = now, in.Key, in.Ack
+	}
+	f.seen = now
+	if p := t.peers.get(to); p.State != AgentRestarting {
+		f.rerouted = f.rerouted || f.forwardedTo != 0 && f.forwardedTo != to
+		f.forwardedTo, f.mustAsk = to, true
+	}
+	if f.rerouted || t.isFirstChoice(hash) {
+		h.Flags |= packet.FlagAskFirst
+	}
+	t.unknownFlows[hash] = f
 }
 
 // HandleReturned decides on a packet that the upstream has sent back. h is the header under
--- a/flow/receive.go
+++ b/flow/receive.go
@@ -56,7 +56,9 @@
 	if p != nil {
 		a = t.forwardExpected(h, p)
 	} else {
-		a = t.forwardAlongRanking(now, hash, h)
+		if a = t.forwardAlongRanking(now, hash, h); a.Kind == Forward {
+			t.noteForwarded(now, hash, h, in, a.To)
+		}
 	}
 	f := t.unknownFlows[hash]
 	h.Tried = max(h.Tried, f.triedExcept(a.To))
--- a/packet/header.go
+++ b/packet/header.go
@@ -33,6 +33,9 @@
 	// FlagExpected marks a packet whose sender has evidence that the receiving agent owns its flow,
 	// or may own it while no other agent is known to: the agent may deliver it as a probe.
 	FlagExpected
+	// FlagAskFirst marks a packet of a flow that other agents, which its sender does not know, may have
+	// probed or look for: no agent probes it as the first choice before it has asked its peers.
+	FlagAskFirst
 )
 
 const (
@@ -61,7 +64,7 @@
 	Hops  uint8 // number of times that an agent has forwarded the packet
 	Flags uint8
 	// Tried is the number of deliveries of the flow's packets to upstreams that do not hold the flow,
-	// or may not, in the last seconds, as far as the agents on the packet's way know.
+	// or may not, as far as the agents on the packet's way know.
 	Tried    uint8
 	Class    Class // class of the route's requests
 	Service  ServiceID
--- a/packet/inquiry.go
+++ b/packet/inquiry.go
@@ -15,6 +15,14 @@
 	// MaybeHeld means that the upstream may hold the flow: the agent does not know all of
 	// its upstream's flows yet.
 	MaybeHeld
+	// Returned is NotHeld for a flow of which the upstream has returned a packet. Earlier versions read
+	// it, and Probed, as MaybeHeld.
+	Returned
+	// Probed is MaybeHeld for a flow of which a packet was delivered to the upstream, which has not
+	// returned it.
+	Probed
+
+	flowStatusCount
 )
 
 const (
@@ -136,7 +144,10 @@
 	}
 	a.Statuses = make([]FlowStatus, flows)
 	for i := range a.Statuses {
-		a.Statuses[i] = min(FlowStatus(b[i]), MaybeHeld)
+		a.Statuses[i] = FlowStatus(b[i])
+		if a.Statuses[i] >= flowStatusCount {
+			a.Statuses[i] = MaybeHeld
+		}
 	}
 	b = b[flows:]
 	for i := range peers {
--- a/packet/packet_test.go
+++ b/packet/packet_test.go
@@ -270,7 +270,7 @@
 			}
 			a := packet.InquiryAnswer{From: q.From, Number: q.Number}
 			for range q.Flows {
-				a.Statuses = append(a.Statuses, packet.FlowStatus(rapid.IntRange(0, 2).Draw(t, "standing")))
+				a.Statuses = append(a.Statuses, packet.FlowStatus(rapid.IntRange(0, 4).Draw(t, "standing")))
 			}
 			for range rapid.IntRange(0, 200).Draw(t, "named") {
 				a.Peers = append(a.Peers, packet.AgentID(rapid.Uint32().Draw(t, "peer")))
