flow: a half-open flow is not held by its upstream

Cause: two upstreams accept copies of a SYN, since a balancer sends the copy of 600 ms to another agent than the first choice on purpose. The client opens the flow at one, but the agent of the other kept it as its own for good: it told its first choice and answered inquiries that it held it. Change: the table records the sequence number of the upstream's SYN+ACK. Until a packet of the client acknowledges the SYN+ACK, or the upstream sends another packet, the agent answers MaybeHeld, and after 3 s the flow is removed. All packets of other flows pass as before. An entry takes 88 bytes instead of 80. Weighed: delivering one packet at a time until the upstream answers would cost each new flow whose request has several packets a retransmission. A balancer that remembers where a SYN went does not help, since it redirects the copy in case the first choice does not run; without that its flows would not open.

--- a/flow/doc.go
+++ b/flow/doc.go
@@ -37,8 +37,9 @@
 // Table.Receive decides on a packet by the first rule that applies:
 //
 //   - Rule 1: A packet of another service or with an invalid path is dropped.
-//   - Rule 2: A packet of a flow in this agent's table is delivered to the upstream. After a
-//     detour the balancer is sent a hint.
+//   - Rule 2: A packet of a flow in this agent's table is delivered to the upstream, unless it
+//     acknowledges another SYN+ACK than the upstream's: the flow is then open elsewhere and leaves the
+//     table. After a detour the balancer is sent a hint.
 //   - Rule 3: If a peer is known to own the flow, by its digest, by a hand-off or declined
 //     offer, by a hint or by an answer to an inquiry, the packet is forwarded to this peer. A
 //     SYN is not forwarded to a failed peer. This knowledge is not certain: two flows can have
--- /dev/null
+++ b/flow/half_open_test.go
@@ -0,0 +1,87 @@
+package flow
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/nutmegtrack/nutmegtrack/packet"
+)
+
+// These tests are about flows whose SYN was accepted by several upstreams, since its copies went to
+// different agents: the client acknowledges one SYN+ACK, and the flow is open there only.
+
+// synAck passes the SYN+ACK of an upstream to its agent.
+func (u *upstreamRig) synAck(name string, k packet.Key, seq uint32) {
+	in := packet.Info{Key: k.Reverse(), Flags: packet.FlagSYN | packet.FlagACK, Seq: seq}
+	u.agents[u.named(name).ID].HandleReply(u.now, &in)
+}
+
+// acknowledging returns a packet of the client that acknowledges a SYN+ACK.
+func acknowledging(k packet.Key, seq uint32) packet.Info {
+	in := data(k)
+	in.Ack = seq + 1
+	return in
+}
+
+// acceptedTwice returns a service with a flow that is open at a and half-open at b, which believes to
+// own it.
+func acceptedTwice() (*upstreamRig, packet.Key, packet.Info) {
+	u := newUpstreamRig(4)
+	u.run(settled)
+	k := u.keyRanked(packet.ProtoTCP, "a", "b", "c", "d")
+	for i, name := range []string{"a", "b"} {
+		u.sendPacket(name, numbered(k, uint8(2*i)))
+		u.synAck(name, k, uint32(1000*i+1000))
+	}
+	u.held["b"] = map[packet.Key]bool{} // it returns the packets of the open flow
+	return u, k, acknowledging(k, 1000)
+}
+
+// Guards against three packets in flight that are delivered to an upstream of which the client has not
+// acknowledged the SYN+ACK, before the first is returned.
+func TestFlowOpenElsewhereIsShownToAHalfOpenUpstreamOnce(t *testing.T) {
+	g := NewWithT(t)
+	u, _, in := acceptedTwice()
+	b, delivered := u.agents[u.named("b").ID], 0
+	for range 3 {
+		h := packet.Header{Kind: packet.KindData, Service: testService, Flags: packet.FlagExpected}
+		if b.Receive(u.now, &h, &in).Kind == Deliver {
+			delivered++
+		}
+	}
+	g.Expect(delivered).To(BeNumerically("<=", 1))
+}
+
+// Guards against packets of an open flow that go to an agent whose upstream was left half-open by a copy of
+// the SYN, seconds after the client has opened the flow at another one.
+func TestHalfOpenFlowIsNotHeld(t *testing.T) {
+	g := NewWithT(t)
+	u, k, in := acceptedTwice()
+	u.run(halfOpenTimeout + 2*time.Second)
+	u.restartAgent("a")
+	u.reportStart("a")
+	path, action := u.sendHinted("a", in)
+	g.Expect(path).To(Equal("a"))
+	g.Expect(action.Kind).To(Equal(Deliver))
+	g.Expect(u.agents[u.named("b").ID].Open()).To(BeZero())
+	g.Expect(u.agents[u.named("b").ID].status(u.now, k.Hash())).To(Equal(packet.NotHeld))
+}
+
+// Guards against a flow that is opened and then idle, and counts as half-open.
+func TestAcknowledgedFlowIsNotHalfOpen(t *testing.T) {
+	g := NewWithT(t)
+	u, _, in := acceptedTwice()
+	for range 3 { // in flight before the upstream answers
+		path, action := u.sendPacket("a", in)
+		g.Expect(path).To(Equal("a"))
+		g.Expect(action.Probe).To(BeFalse())
+	}
+	u.synAck("a", in.Key, 1000) // of a late copy of the SYN
+	u.run(2 * halfOpenTimeout)
+	g.Expect(u.agents[u.named("a").ID].Open()).To(Equal(1))
+	in.Ack += 5000
+	path, _ := u.sendPacket("a", in)
+	g.Expect(path).To(Equal("a"))
+}
--- a/flow/inquiry.go
+++ b/flow/inquiry.go
@@ -188,7 +188,7 @@
 	a := packet.InquiryAnswer{From: t.self.ID, Number: q.Number, Statuses: make([]packet.FlowStatus, len(q.Flows))}
 	for i, hash := range q.Flows {
 		a.Statuses[i] = t.status(now, hash)
-		if a.Statuses[i] == packet.MaybeHeld {
+		if a.Statuses[i] == packet.MaybeHeld && !t.flows.hasHash(hash) {
 			t.noteAsked(now, hash, q.From)
 		}
 		a.Statuses[i] = t.unknownFlows[hash].withProbe(a.Statuses[i])
@@ -209,8 +209,10 @@
 // phase shows nothing about a flow that peers have asked for meanwhile: its client is active, and none
 // of its packets may have come here.
 func (t *Table) status(now time.Duration, hash uint64) packet.FlowStatus {
-	if t.flows.hasHash(hash) {
+	if e := t.flows.findHash(hash); e != nil && e.handshake != handshakeHalf {
 		return packet.Held
+	} else if e != nil {
+		return packet.MaybeHeld
 	}
 	f := t.unknownFlows[hash]
 	switch {
--- a/flow/lifetime.go
+++ b/flow/lifetime.go
@@ -9,6 +9,10 @@
 // sweepCalls is the number of calls of sweep that cover the whole table.
 const sweepCalls = 16
 
+// halfOpenTimeout is the time after which a flow of which the client has acknowledged no SYN+ACK is removed.
+// A client gives its SYN up after 1.4 s and sends its first packet as soon as the SYN+ACK has arrived.
+const halfOpenTimeout = 3 * time.Second
+
 // processClientPacket processes a client packet of a flow in this agent's table.
 func (t *Table) processClientPacket(now time.Duration, e *entry, in *packet.Info) {
 	if in.ICMPError {
@@ -22,6 +26,9 @@
 		t.reopen(e)
 		return
 	}
+	if e.handshake == handshakeHalf && in.Flags&packet.FlagACK != 0 && e.acknowledgesSYN(in) {
+		e.handshake = handshakeDone
+	}
 	t.noteRequest(now, e, in)
 	if in.FIN {
 		e.flags |= flagClientFIN
@@ -44,6 +51,7 @@
 	}
 	e.lastSeen = seconds(now)
 	e.flags |= flagReplies
+	e.noteHandshakeReply(in)
 	t.noteResponse(now, e, in)
 	if in.FIN {
 		e.flags |= flagServerFIN
@@ -52,6 +60,31 @@
 	return adopted
 }
 
+// noteHandshakeReply records what a packet of the upstream shows of the handshake. The SYN+ACK of a late
+// copy of the SYN says nothing new.
+func (e *entry) noteHandshakeReply(in *packet.Info) {
+	switch {
+	case in.Flags&packet.FlagSYN == 0:
+		e.handshake = handshakeDone
+	case e.handshake == handshakeUnseen || e.synAckSeq != 0 && e.synAckSeq != in.Seq:
+		e.handshake = handshakeHalf
+		fallthrough
+	default:
+		e.synAckSeq = in.Seq
+	}
+}
+
+// isOpenElsewhere reports whether a packet of the client acknowledges another SYN+ACK than this
+// upstream's: copies of the SYN were accepted by several upstreams, and the flow is open at one of them.
+func (t *Table) isOpenElsewhere(e *entry, in *packet.Info) bool {
+	return t.cfg.Rebuild > 0 && e.handshake == handshakeHalf && !in.First && !in.RST &&
+		in.Flags&packet.FlagACK != 0 && !e.acknowledgesSYN(in)
+}
+
+// acknowledgesSYN reports whether a packet of the client acknowledges the SYN+ACK of the upstream, which has
+// sent no data yet.
+func (e *entry) acknowledgesSYN(in *packet.Info) bool { return in.Ack-e.synAckSeq <= 1 }
+
 // updateLinger starts or extends the linger time of a flow that the client and the upstream
 // have closed. If replies don't pass this agent, the client's FIN alone closes the flow. Each
 // later packet extends the linger time, so that a half-closed flow lives as long as it is in
@@ -104,6 +137,9 @@
 		return true
 	}
 	idle := t.cfg.IdleTCP
+	if t.cfg.Rebuild > 0 && e.handshake == handshakeHalf {
+		idle = halfOpenTimeout
+	}
 	if e.key.Proto == packet.ProtoUDP {
 		idle = t.cfg.IdleUDP
 	}
--- a/flow/store.go
+++ b/flow/store.go
@@ -18,11 +18,21 @@
 	flagNoRequestYet // accepted, and no request has arrived yet
 )
 
-// entry is one flow of the agent's upstream; 80 bytes.
+// handshake is the part of a TCP handshake that has passed this agent.
+type handshake uint8
+
+const (
+	handshakeUnseen handshake = iota // no SYN+ACK, and no other packet of the upstream
+	handshakeHalf                    // a SYN+ACK, which no packet of the client has acknowledged
+	handshakeDone
+)
+
+// entry is one flow of the agent's upstream; 88 bytes.
 type entry struct {
 	key          packet.Key
 	flags        uint8
 	priority     uint8 // of the flow's requests; 0 is the highest
+	handshake    handshake
 	hash         uint64
 	lastSeen     uint32         // time of the last packet, seconds since process start
 	lingerEnd    uint32         // time of removal of a lingering flow, seconds since process start
@@ -30,6 +40,7 @@
 	futureTarget packet.AgentID // first choice once starting upstreams are ready; 0: see Table.targets
 	next         uint32         // sequence number after the client's last byte
 	began        uint32         // start of the request, or with flagNoRequestYet the time of acceptance; milliseconds since process start
+	synAckSeq    uint32         // sequence number of the upstream's last SYN+ACK
 	// customer is the customer for which the flow was admitted.
 	customer uint64
 }
@@ -74,16 +85,19 @@
 	return 0, false
 }
 
-// hasHash reports whether the store contains a flow with the hash.
-func (s *flowStore) hasHash(hash uint64) bool {
+// findHash returns the entry of a flow with the hash, or nil.
+func (s *flowStore) findHash(hash uint64) *entry {
 	for i := s.slot(hash); s.index[i] != 0; i = s.next(i) {
-		if s.entries[s.index[i]-1].hash == hash {
-			return true
+		if e := &s.entries[s.index[i]-1]; e.hash == hash {
+			return e
 		}
 	}
-	return false
+	return nil
 }
 
+// hasHash reports whether the store contains a flow with the hash.
+func (s *flowStore) hasHash(hash uint64) bool { return s.findHash(hash) != nil }
+
 // insert adds a flow that the store does not contain.
 func (s *flowStore) insert(now time.Duration, hash uint64, k *packet.Key) *entry {
 	if 2*(len(s.entries)+1) > len(s.index) {
