flow: a half-open flow is not lost with its upstream

Cause: when an upstream stops or restarts, its agent records the flows of which the upstream had sent a packet as lost. A SYN+ACK counted as one, also where the client had acknowledged that of another upstream: the agent, if it was the flow's first choice, reset the open flow. Change: a flow of which only a SYN+ACK has passed is not recorded as lost. Measured: go test ./flow -run TestHalfOpenFlowIsNotLostWithItsUpstream: on the packet is answered with a reset, now it is not.

--- a/flow/half_open_test.go
+++ b/flow/half_open_test.go
@@ -85,3 +85,20 @@
 	path, _ := u.sendPacket("a", in)
 	g.Expect(path).To(Equal("a"))
 }
+
+// Guards against the reset of a flow by an agent whose upstream has stopped and had only sent a SYN+ACK,
+// while the flow is open at another upstream.
+func TestHalfOpenFlowIsNotLostWithItsUpstream(t *testing.T) {
+	g := NewWithT(t)
+	u := newUpstreamRig(4)
+	u.run(settled)
+	k := u.keyRanked(packet.ProtoTCP, "a", "b")
+	for i, name := range []string{"a", "b"} {
+		u.sendPacket(name, numbered(k, uint8(2*i)))
+		u.synAck(name, k, uint32(1000*i+1000))
+	}
+	u.held["a"] = map[packet.Key]bool{}
+	u.agents[u.named("a").ID].SetUpstreamStopped(u.now)
+	_, action := u.sendPacket("a", acknowledging(k, 2000))
+	g.Expect(action.Kind).NotTo(Equal(Reset))
+}
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -262,10 +262,10 @@
 func (t *Table) endAllFlows(now time.Duration, cause LossCause) {
 	for len(t.flows.entries) > 0 {
 		last := len(t.flows.entries) - 1
-		// Without a reply the upstream may never have held the flow, and a copy of its first packet
-		// may have opened it elsewhere.
-		if t.flows.entries[last].flags&flagReplies != 0 {
-			t.lost.record(now, t.flows.entries[last].hash, cause)
+		// Without a reply, or with a SYN+ACK only, the upstream may never have held the flow, and a copy
+		// of its first packet may have opened it elsewhere.
+		if e := &t.flows.entries[last]; e.flags&flagReplies != 0 && e.handshake != handshakeHalf {
+			t.lost.record(now, e.hash, cause)
 		}
 		t.removeAt(now, last)
 	}
