--- a/flow/doc.go
+++ b/flow/doc.go
@@ -37,8 +37,9 @@
 // Table.Receive decides on a packet by the first rule that applies:
 //
 //   - Rule 1: A packet of another service or with an invalid path is dropped.
-//   - Rule 2: A packet of a flow in this agent's table is delivered to the upstream. After a
-//     detour the balancer is sent a hint.
+//   - Rule 2: A packet of a flow in this agent's table is delivered to the upstream, unless it
+//     acknowledges another SYN+ACK than the upstream's: the flow is then open elsewhere and leaves the
+//     table. After a detour the balancer is sent a hint.
 //   - Rule 3: If a peer is known to own the flow, by its digest, by a hand-off or declined
 //     offer, by a hint or by an answer to an inquiry, the packet is forwarded to this peer. A
 //     SYN is not forwarded to a failed peer. This knowledge is not certain: two flows can have
@@ -55,8 +56,13 @@
 //     forwards the flow's next packet to a peer whose upstream may hold the flow. The others are
 //     forwarded along the flow's ranking. A packet without a hop or peer left is dropped.
 //
-// At most maxTried packets of a flow are probes within triedPeriod: an upstream should see few packets
-// of foreign flows. The agents on a packet's way count them in the header and in their records.
+// At most maxTried packets of a flow are probes: upstreams should see few packets of foreign flows. The
+// agents on a packet's way count them in the header and in their records, which last while the client
+// sends. Beyond the limit the packets of the flow are dropped until its owner shows itself.
+//
+// Agents with different views may each take themselves for the first choice. If other agents may have
+// probed or look for the flow, an agent asks its peers before it probes or lets a peer probe. Their answers
+// tell of their probes. Of two agents that look for a flow only the higher-ranked one goes on.
 //
 // Between rules 2 and 3, packets of a flow that waits for a decision are dropped, so that no
 // copy of the first packet that reaches this agent opens the flow elsewhere. Late copies of a
--- a/flow/handover.go
+++ b/flow/handover.go
@@ -38,8 +38,18 @@
 	// agent can pass it new ones.
 	Complete bool
 	Flows    []packet.Key
+	HalfOpen []HalfOpenFlow
 }
 
+// HalfOpenFlow is a flow of which only the upstream's SYN+ACK has passed its agent: the client may open
+// it at another upstream.
+type HalfOpenFlow struct {
+	Flow packet.Key
+	Seq  uint32 // of the SYN+ACK
+}
+
+func (l *FlowList) len() int { return len(l.Flows) + len(l.HalfOpen) }
+
 // ListID identifies a FlowList.
 type ListID struct {
 	Owner       packet.AgentID
@@ -80,7 +90,11 @@
 	t.handingOver, t.stepDue = true, true
 	own := FlowList{Owner: t.self.ID, Incarnation: t.self.Incarnation, Start: t.self.Start, Complete: t.knowsAllFlows()}
 	for i := range t.flows.entries {
-		own.Flows = append(own.Flows, t.flows.entries[i].key)
+		if e := &t.flows.entries[i]; e.handshake == handshakeHalf {
+			own.HalfOpen = append(own.HalfOpen, HalfOpenFlow{e.key, e.synAckSeq})
+		} else {
+			own.Flows = append(own.Flows, e.key)
+		}
 	}
 	t.addOutgoing(own)
 	for _, k := range t.kept {
@@ -105,7 +119,7 @@
 	if len(t.outgoing) == 0 {
 		return 0, 0
 	}
-	return len(t.outgoing[0].Flows), t.outgoing[0].confirmed
+	return t.outgoing[0].len(), t.outgoing[0].confirmed
 }
 
 // possibleKeepers returns the peers that run and are not about to stop, in the owner's order of
@@ -178,14 +192,14 @@
 	}
 	room := maxKeptFlows
 	for _, k := range t.kept {
-		room -= len(k.Flows)
+		room -= k.len()
 	}
 	for _, l := range lists {
-		if l.Owner == t.self.ID || l.Owner == 0 || len(l.Flows) > room {
+		if l.Owner == t.self.ID || l.Owner == 0 || l.len() > room {
 			continue
 		}
 		if !slices.ContainsFunc(t.kept, func(k *keptList) bool { return k.id() == l.id() }) {
-			room -= len(l.Flows)
+			room -= l.len()
 			t.kept = append(t.kept, &keptList{FlowList: l, until: now + keptListRetention, sentAt: never})
 			if p := t.peers.get(l.Owner); p != nil {
 				t.noteSuccessor(p.ID, p.Incarnation)
@@ -253,19 +267,31 @@
 		t.restored = restoredList{incarnation: l.Incarnation, start: l.Start, complete: l.Complete}
 	}
 	for i := range l.Flows {
-		k := &l.Flows[i]
-		hash := k.Hash()
-		if t.unknownFlows[hash].returned || t.lost.has(now, hash) || len(t.flows.entries) >= t.cfg.MaxFlows || t.flows.find(hash, k) != nil {
-			continue
-		}
-		e := t.takeOwnership(now, hash, k)
 		// The upstream held the flow: if it ends, the flow is lost.
-		e.flags |= flagReplies
-		t.counters.Restored++
+		if e := t.restoreFlow(now, &l.Flows[i]); e != nil {
+			e.flags |= flagReplies
+		}
+	}
+	for i := range l.HalfOpen {
+		if e := t.restoreFlow(now, &l.HalfOpen[i].Flow); e != nil {
+			e.flags |= flagReplies
+			e.handshake, e.synAckSeq = handshakeHalf, l.HalfOpen[i].Seq
+		}
 	}
 	t.suspectsDue = true
 }
 
+// restoreFlow adds a flow to the table unless the upstream is known not to hold it. It returns nil if the
+// flow is not added.
+func (t *Table) restoreFlow(now time.Duration, k *packet.Key) *entry {
+	hash := k.Hash()
+	if t.unknownFlows[hash].returned || t.lost.has(now, hash) || len(t.flows.entries) >= t.cfg.MaxFlows || t.flows.find(hash, k) != nil {
+		return nil
+	}
+	t.counters.Restored++
+	return t.takeOwnership(now, hash, k)
+}
+
 // SetPredecessor sets the incarnation of the process of this agent before this one, as balancers know
 // it; 0 when unknown. A list of another process does not name the flows that this process has passed to
 // the upstream.
--- a/flow/receive.go
+++ b/flow/receive.go
@@ -18,7 +18,9 @@
 		return t.drop(ReasonBadPath)
 	}
 	hash := in.Key.Hash()
-	if e := t.flows.find(hash, &in.Key); e != nil {
+	if e := t.flows.find(hash, &in.Key); e != nil && t.isOpenElsewhere(e, in) {
+		t.removeFlow(now, hash, &in.Key)
+	} else if e != nil {
 		e.notePriority(h.Class.Priority())
 		t.processClientPacket(now, e, in)
 		return t.deliver(now, h, e)
@@ -37,6 +39,7 @@
 	if t.lost.has(now, hash) {
 		return t.resetLost(in)
 	}
+	t.noteArrival(now, hash, h, in)
 	if a, done := t.probeUpstream(now, hash, h, in); done {
 		return a
 	}
@@ -50,10 +53,18 @@
 		return a
 	}
 	t.markSuspect(now, hash, h, in)
-	if p := t.nextPeerToProbe(now, hash, h); p != nil {
-		return t.forwardExpected(h, p)
+	p := t.nextPeerToProbe(now, hash, h)
+	var a Action
+	if p != nil {
+		a = t.forwardExpected(h, p)
+	} else {
+		if a = t.forwardAlongRanking(now, hash, h); a.Kind == Forward {
+			t.noteForwarded(now, hash, h, in, a.To)
+		}
 	}
-	return t.forwardAlongRanking(now, hash, h)
+	f := t.unknownFlows[hash]
+	h.Tried = max(h.Tried, f.triedExcept(a.To))
+	return a
 }
 
 // validPath reports whether agents can have written the header's path: distinct entries
