--- a/flow/fleet_harness_test.go
+++ b/flow/fleet_harness_test.go
@@ -858,6 +858,9 @@
 		a.f.trace(p.flow, "  %s (%v) %s %s: %s%s, reason %v, probe %v, owner known %v, hops %d", a.name, a.table.State(), verb, describe(&p.in),
 			[...]string{"drop", "deliver", "forward", "reset", "wait"}[act.Kind], to, act.Reason, act.Probe, act.OwnerKnown, p.h.Hops)
 	}
+	if act.Kind != Deliver {
+		a.f.oracle.passedOn(p.flow, a)
+	}
 	switch act.Kind {
 	case Deliver:
 		a.deliver(p, act)
@@ -1168,7 +1171,7 @@
 	}
 	if fl == nil || !fl.ended && fl.cookie != p.in.Ack {
 		s.f.trace(p.flow, "    %s returns it", s.name)
-		s.f.oracle.misdelivered(p.flow, s, p.taker)
+		s.f.oracle.misdelivered(p.flow, s, &p)
 		s.toAgent(true, func(a *fleetAgent) { a.returned(p) })
 		return
 	}
--- a/flow/fleet_scenario_test.go
+++ b/flow/fleet_scenario_test.go
@@ -44,6 +44,7 @@
 // own.
 type misdelivery struct {
 	counted, all deliveries // those at VMs without an unplanned disruption, and all
+	passedOn     int        // packets that the flow's own agent has not delivered
 }
 
 type deliveries struct {
@@ -52,12 +53,12 @@
 	list  []string
 }
 
-func (d *deliveries) add(now time.Duration, at *fleetUpstream) {
+func (d *deliveries) add(now time.Duration, at *fleetUpstream, expected bool) {
 	if d.n == 0 {
 		d.first = now
 	}
 	d.n++
-	d.list = append(d.list, fmt.Sprintf("%s %.3f s", at.name, now.Seconds()))
+	d.list = append(d.list, fmt.Sprintf("%s %.3f s expected %v", at.name, now.Seconds(), expected))
 }
 
 // breaksRule reports whether the deliveries break rule FLOW.
@@ -315,19 +316,27 @@
 	}
 }
 
-func (o *fleetOracle) misdelivered(c *clientFlow, at *fleetUpstream, taker *fleetVM) {
+// passedOn records that an agent has not delivered a packet of a flow.
+func (o *fleetOracle) passedOn(c *clientFlow, a *fleetAgent) {
+	if o.isOpen(c) && c.upstream.agent == a {
+		c.misdelivery.passedOn++
+	}
+}
+
+func (o *fleetOracle) misdelivered(c *clientFlow, at *fleetUpstream, p *fleetPacket) {
 	if !o.isOpen(c) || c.upstream == at {
 		return
 	}
-	j := o.judge(c.upstream.vm, at.vm, taker)
+	j := o.judge(c.upstream.vm, at.vm, p.taker)
 	if j == exempt {
 		c.misdelivery = misdelivery{}
 		return
 	}
 	m := &c.misdelivery
-	m.all.add(o.f.now, at)
+	expected := p.h.Flags&packet.FlagExpected != 0
+	m.all.add(o.f.now, at, expected)
 	if j == counted {
-		m.counted.add(o.f.now, at)
+		m.counted.add(o.f.now, at, expected)
 	}
 	o.judgeDeliveries(c)
 	o.f.after(fleetFlowWindow, func() { o.judgeDeliveries(c) })
@@ -344,8 +353,8 @@
 	}
 	counts := m.counted.breaksRule(o.f.now)
 	if counts || !c.reported {
-		o.violate(ruleMisdelivered, c, !counts, fmt.Sprintf("packets reached %v, %d of them without an unplanned disruption, and none its own %s, whose agent runs %v since %.3f s",
-			m.all.list, m.counted.n, c.upstream.name, c.upstream.agent.up, c.upstream.agent.startedAt.Seconds()))
+		o.violate(ruleMisdelivered, c, !counts, fmt.Sprintf("packets reached %v, %d of them without an unplanned disruption, and none its own %s, whose agent has passed on or dropped %d and runs %v since %.3f s",
+			m.all.list, m.counted.n, c.upstream.name, m.passedOn, c.upstream.agent.up, c.upstream.agent.startedAt.Seconds()))
 	}
 	c.reported = true
 	if counts {
--- a/flow/fleet_trouble_test.go
+++ b/flow/fleet_trouble_test.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -30,6 +31,13 @@
 	if f.chance(0.3) {
 		f.after(f.end-f.between(6*time.Second, 9*time.Second), func() { f.powerLoss(1) })
 	}
+	// A generator of its own: the other seeds keep their meaning.
+	if rng := rand.New(rand.NewPCG(f.seed, 35)); rng.Float64() < 0.25 {
+		f.after(10*time.Second+time.Duration(rng.Int64N(int64(18*time.Second))), func() {
+			f.killAgents(1)
+			f.killBalancers(1)
+		})
+	}
 }
 
 func (f *fleet) troubleKinds() []func() {
@@ -134,11 +142,11 @@
 // watch lets the balancers mark an agent as failed if it cannot be reached for some time, unless it
 // restarts.
 func (f *fleet) watch(a *fleetAgent) {
-	since := f.now
+	since, run := f.now, a.runs
 	f.after(f.between(2*time.Second, 4500*time.Millisecond), func() {
 		unreachable := max(a.vm.cutUntil, a.vm.frozenUntil) - f.now
-		if a.up && unreachable <= 0 {
-			return
+		if (a.up || a.runs != run) && unreachable <= 0 {
+			return // it runs, or has run meanwhile
 		}
 		if a.announced.State == AgentRestarting && f.now-since < AgentRestartTimeout {
 			f.watch(a)
