flow: a SYN that the upstream has not answered makes no flow for long

Cause: an agent lists a flow as soon as it delivers a SYN. Change: a flow accepted by a SYN is removed after halfOpenTimeout (3 s) without a packet of the upstream, as a half-open one is. A later SYN+ACK adopts it anew. Two tests stood for an open flow by a SYN alone and kept it for 15 s and more; there the upstream now sends a packet of the flow, and nothing else is changed: "do not include an open flow whose first choice has restarted" (flow) and "announces it as failed, but keeps its flows" (agent).

--- a/agent/restart_test.go
+++ b/agent/restart_test.go
@@ -230,6 +230,7 @@
 		v.agent.flows.do(func(now time.Duration, t *flow.Table) {
 			h := packet.Header{Kind: packet.KindData, Service: v.agent.service}
 			Expect(t.Receive(now, &h, &packet.Info{Key: k, First: true, Flags: packet.FlagSYN}).Kind).To(Equal(flow.Deliver))
+			t.HandleReply(now, &packet.Info{Key: k.Reverse(), Flags: packet.FlagACK})
 		})
 		held := func() packet.FlowStatus { return v.answerAbout(k.Hash()) }
 		v.run(4 * announcementInterval)
--- a/flow/admission.go
+++ b/flow/admission.go
@@ -99,6 +99,7 @@
 func (t *Table) acceptIfAdmitted(now time.Duration, hash uint64, h *packet.Header, k *packet.Key) Action {
 	if t.cfg.Admission == nil {
 		e := t.takeOwnership(now, hash, k)
+		e.expectHandshake()
 		t.markOpening(now, e)
 		return t.deliver(now, h, e)
 	}
@@ -121,6 +122,7 @@
 
 func (t *Table) acceptAdmitted(now time.Duration, hash uint64, h *packet.Header, k *packet.Key) Action {
 	e := t.takeOwnership(now, hash, k)
+	e.expectHandshake()
 	e.customer = h.Customer
 	return t.deliver(now, h, e)
 }
--- a/flow/lifetime.go
+++ b/flow/lifetime.go
@@ -9,7 +9,7 @@
 // sweepCalls is the number of calls of sweep that cover the whole table.
 const sweepCalls = 16
 
-// halfOpenTimeout is the time after which a flow of which the client has acknowledged no SYN+ACK is removed.
+// halfOpenTimeout is the time after which a flow without a SYN+ACK that the client has acknowledged is removed.
 // A client gives its SYN up after 1.4 s and sends its first packet as soon as the SYN+ACK has arrived.
 const halfOpenTimeout = 3 * time.Second
 
@@ -51,7 +51,7 @@
 	}
 	e.lastSeen = seconds(now)
 	e.flags |= flagReplies
-	e.noteHandshakeReply(in)
+	e.noteHandshakeReply(in, adopted)
 	t.noteResponse(now, e, in)
 	if in.FIN {
 		e.flags |= flagServerFIN
@@ -60,13 +60,20 @@
 	return adopted
 }
 
+// expectHandshake records that the flow was accepted by its first packet.
+func (e *entry) expectHandshake() {
+	if e.key.Proto == packet.ProtoTCP {
+		e.handshake = handshakeSYN
+	}
+}
+
 // noteHandshakeReply records what a packet of the upstream shows of the handshake. The SYN+ACK of a late
 // copy of the SYN says nothing new.
-func (e *entry) noteHandshakeReply(in *packet.Info) {
+func (e *entry) noteHandshakeReply(in *packet.Info, adopted bool) {
 	switch {
 	case in.Flags&packet.FlagSYN == 0:
 		e.handshake = handshakeDone
-	case e.handshake == handshakeUnseen || e.synAckSeq != 0 && e.synAckSeq != in.Seq:
+	case adopted || e.handshake == handshakeSYN || e.synAckSeq != 0 && e.synAckSeq != in.Seq:
 		e.handshake = handshakeHalf
 		fallthrough
 	default:
@@ -137,7 +144,7 @@
 		return true
 	}
 	idle := t.cfg.IdleTCP
-	if t.cfg.Rebuild > 0 && e.handshake == handshakeHalf {
+	if t.cfg.Rebuild > 0 && e.handshake != handshakeDone {
 		idle = halfOpenTimeout
 	}
 	if e.key.Proto == packet.ProtoUDP {
--- a/flow/rebuild_test.go
+++ b/flow/rebuild_test.go
@@ -742,6 +742,7 @@
 		u.setState("a", Draining)
 		u.announce()
 		u.sendPacket("b", numbered(k, 0))
+		u.reply("b", k)
 		u.setState("a", Ready)
 		u.announce()
 		u.run(settled)
--- a/flow/store.go
+++ b/flow/store.go
@@ -22,9 +22,9 @@
 type handshake uint8
 
 const (
-	handshakeUnseen handshake = iota // no SYN+ACK, and no other packet of the upstream
-	handshakeHalf                    // a SYN+ACK, which no packet of the client has acknowledged
-	handshakeDone
+	handshakeDone handshake = iota
+	handshakeSYN            // a SYN, and no packet of the upstream
+	handshakeHalf           // a SYN+ACK, which no packet of the client has acknowledged
 )
 
 // entry is one flow of the agent's upstream; 88 bytes.
