flow: a handshake may end after the list of flows was written

Cause: an agent that stops passes packets until it exits. Change: flows whose handshake has not been seen to end are listed with the number of the SYN+ACK, and their next process takes them for possibly open until a packet shows more, without a time limit of their own.

--- a/flow/handover.go
+++ b/flow/handover.go
@@ -41,11 +41,11 @@
 	HalfOpen []HalfOpenFlow
 }
 
-// HalfOpenFlow is a flow of which only the upstream's SYN+ACK has passed its agent: the client may open
-// it at another upstream.
+// HalfOpenFlow is a flow of which no packet has passed its agent that acknowledges the upstream's SYN+ACK:
+// the client may open it at another upstream.
 type HalfOpenFlow struct {
 	Flow packet.Key
-	Seq  uint32 // of the SYN+ACK
+	Seq  uint32 // of the SYN+ACK; 0 if it has not passed
 }
 
 func (l *FlowList) len() int { return len(l.Flows) + len(l.HalfOpen) }
@@ -90,7 +90,7 @@
 	t.handingOver, t.stepDue = true, true
 	own := FlowList{Owner: t.self.ID, Incarnation: t.self.Incarnation, Start: t.self.Start, Complete: t.knowsAllFlows()}
 	for i := range t.flows.entries {
-		if e := &t.flows.entries[i]; e.handshake == handshakeHalf {
+		if e := &t.flows.entries[i]; e.handshake != handshakeDone {
 			own.HalfOpen = append(own.HalfOpen, HalfOpenFlow{e.key, e.synAckSeq})
 		} else {
 			own.Flows = append(own.Flows, e.key)
@@ -275,7 +275,7 @@
 	for i := range l.HalfOpen {
 		if e := t.restoreFlow(now, &l.HalfOpen[i].Flow); e != nil {
 			e.flags |= flagReplies
-			e.handshake, e.synAckSeq = handshakeHalf, l.HalfOpen[i].Seq
+			e.handshake, e.synAckSeq = handshakeRestored, l.HalfOpen[i].Seq
 		}
 	}
 	t.suspectsDue = true
--- a/flow/handover_test.go
+++ b/flow/handover_test.go
@@ -46,6 +46,7 @@
 	u.run(settled)
 	k := u.keyRanked(packet.ProtoTCP, "a", "b", "c", "d", "e", "f")
 	u.sendPacket("f", numbered(k, 0))
+	u.reply("f", k)
 	u.run(time.Second)
 	return u, k
 }
@@ -142,3 +143,23 @@
 	a.BeginHandover(0)
 	g.Expect(a.HandoverDone()).To(BeTrue())
 }
+
+// Guards against an agent that denies a flow whose handshake ended after the list was written: it forgot
+// the flow as half-open, and counted its table as complete.
+func TestFlowOpenedWhileItsAgentStopsIsNotDenied(t *testing.T) {
+	g := NewWithT(t)
+	u, _ := rollingFleet()
+	k := u.keyRanked(packet.ProtoTCP, "f", "a")
+	f := u.named("f")
+	u.sendPacket("f", numbered(k, 0))
+	u.synAck("f", k, 1000)
+	u.stopAgent("f")
+	u.returnAgent("f")
+	table := u.agents[f.ID]
+	table.SetPredecessor(f.Incarnation)
+	u.run(4 * halfOpenTimeout)
+	q := packet.Inquiry{From: u.named("a").ID, Flows: []uint64{k.Hash()}}
+	g.Expect(table.AnswerInquiry(u.now, &q).Statuses[0]).To(Equal(packet.MaybeHeld))
+	_, action := u.sendPacket("f", acknowledging(k, 1300)) // the upstream has answered meanwhile
+	g.Expect(action.Kind).To(Equal(Deliver))
+}
--- a/flow/inquiry.go
+++ b/flow/inquiry.go
@@ -209,7 +209,7 @@
 // phase shows nothing about a flow that peers have asked for meanwhile: its client is active, and none
 // of its packets may have come here.
 func (t *Table) status(now time.Duration, hash uint64) packet.FlowStatus {
-	if e := t.flows.findHash(hash); e != nil && e.handshake != handshakeHalf {
+	if e := t.flows.findHash(hash); e != nil && !e.handshake.unproven() {
 		return packet.Held
 	} else if e != nil {
 		return packet.MaybeHeld
--- a/flow/lifetime.go
+++ b/flow/lifetime.go
@@ -85,10 +85,22 @@
 // isOpenElsewhere reports whether a packet of the client acknowledges another SYN+ACK than this
 // upstream's: copies of the SYN were accepted by several upstreams, and the flow is open at one of them.
 func (t *Table) isOpenElsewhere(e *entry, in *packet.Info) bool {
-	return t.cfg.Rebuild > 0 && e.handshake == handshakeHalf && !in.First && !in.RST &&
-		in.Flags&packet.FlagACK != 0 && !e.acknowledgesSYN(in)
+	if t.cfg.Rebuild == 0 || in.First || in.RST || in.Flags&packet.FlagACK == 0 {
+		return false
+	}
+	switch e.handshake {
+	case handshakeHalf:
+		return !e.acknowledgesSYN(in)
+	case handshakeRestored:
+		return e.synAckSeq != 0 && in.Ack-e.synAckSeq > maxUnseenReply
+	}
+	return false
 }
 
+// maxUnseenReply is the number of bytes that an upstream may have sent on a flow between the list of flows
+// and the end of the process that wrote it.
+const maxUnseenReply = 1 << 20
+
 // acknowledgesSYN reports whether a packet of the client acknowledges the SYN+ACK of the upstream, which has
 // sent no data yet.
 func (e *entry) acknowledgesSYN(in *packet.Info) bool { return in.Ack-e.synAckSeq <= 1 }
@@ -145,7 +157,7 @@
 		return true
 	}
 	idle := t.cfg.IdleTCP
-	if t.cfg.Rebuild > 0 && e.handshake != handshakeDone {
+	if t.cfg.Rebuild > 0 && e.handshake != handshakeDone && e.handshake != handshakeRestored {
 		idle = halfOpenTimeout
 	}
 	if e.key.Proto == packet.ProtoUDP {
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -291,7 +291,7 @@
 		}
 		// Without a reply, or with a SYN+ACK only, the upstream may never have held the flow, and a copy
 		// of its first packet may have opened it elsewhere.
-		if e.flags&flagReplies != 0 && e.handshake != handshakeHalf {
+		if e.flags&flagReplies != 0 && !e.handshake.unproven() {
 			t.lost.record(now, e.hash, cause)
 		}
 		t.removeAt(now, i)
--- a/flow/store.go
+++ b/flow/store.go
@@ -25,8 +25,14 @@
 	handshakeDone handshake = iota
 	handshakeSYN            // a SYN, and no packet of the upstream
 	handshakeHalf           // a SYN+ACK, which no packet of the client has acknowledged
+	// handshakeRestored: unfinished when an earlier process of this agent wrote its list of flows; it may
+	// have passed the rest afterwards.
+	handshakeRestored
 )
 
+// unproven reports whether the client may have opened the flow at another upstream.
+func (h handshake) unproven() bool { return h == handshakeHalf || h == handshakeRestored }
+
 // entry is one flow of the agent's upstream; 88 bytes.
 type entry struct {
 	key          packet.Key
