daemon: the newest routes are found by their version, not by the store's revision

Cause: install skipped a document whose store revision was not higher than that of the active one. Change: a document is ordered by its own version, which outlives the store, and identified by its content; the revision only starts the watch. A document of a lower version, and another one of the active version, are not activated and are logged once. Weighed and left: activating another document of the same version if the store has it. Peers compare versions only, so two documents would be in force under one version; the operator writes it again under a higher one. A document that only is encoded anew counts as the same. Measured: go test ./daemon -ginkgo.focus "returned from an older copy": before, "include a document whose revision was assigned before" and "are not replaced by another document of the same version" fail (2 of 3); after, 3 of 3 pass.

--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -1,9 +1,11 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -73,14 +75,13 @@
 	documentMissing atomic.Bool   // the last successful read found no document
 	rank            atomic.Int64  // rank among the processes that read the store, or nonReaderRank
 
-	mu               sync.Mutex
-	text             []byte        // encoded active document, for peers
-	lastPeerFetch    time.Duration // time of the last fetch from a peer
-	documentRevision int64         // store revision of the newest document that could be decoded
-	rejectedHash     uint64        // hash of the newest document that could not be decoded
-	readRevision     int64         // store revision at which the document was last read
-	readAt           time.Duration // start of the last successful read, even of a document that could not be decoded
-	confirmed        time.Duration // time at which the document was last confirmed to be the newest
+	mu            sync.Mutex
+	text          []byte        // encoded active document, for peers
+	lastPeerFetch time.Duration // time of the last fetch from a peer
+	rejectedHash  uint64        // hash of the last document that was not activated
+	readRevision  int64         // store revision at which the document was last read
+	readAt        time.Duration // start of the last successful read, even of a document that was not activated
+	confirmed     time.Duration // time at which the document was last confirmed to be the newest
 }
 
 // NewRoutes returns a Routes without a document.
@@ -317,41 +318,40 @@
 	}
 }
 
-// install activates a document read from the store if its store revision is newer, and reports
-// whether it could be decoded. A process never returns to a lower version, and keeps its document
-// if the new one cannot be decoded. The caller holds the lock.
+// install processes the document that the store holds and reports whether it could be decoded.
+// The store's revisions are not compared: after the store has returned from an older copy, it
+// assigns them again. The caller holds the lock.
 func (r *Routes) install(kv store.KV) bool {
-	if kv.ModRevision <= r.documentRevision {
-		return true
-	}
-	// A document that cannot be decoded may result from one damaged response of the store,
-	// so its revision is not recorded and the next read tries it again.
-	if !r.activate(kv.Value, "revision", kv.ModRevision) {
-		return false
-	}
-	r.documentRevision = kv.ModRevision
-	return true
+	return r.activate(kv.Value, "revision", kv.ModRevision)
 }
 
-// activate decodes a document, makes it active if its version is higher, and reports
-// whether it could be decoded. logKey and logValue are a pair for the log that says where
-// the document came from. The caller holds the lock.
+// activate decodes a document, makes it active if its version is higher, and reports whether
+// it could be decoded. A process never
+// returns to a lower version, and keeps its document if the new one cannot be decoded. logKey and
+// logValue are a pair for the log that says where the document came from. The caller holds the
+// lock.
 func (r *Routes) activate(text []byte, logKey string, logValue any) bool {
+	active := r.active.Load()
+	if active != nil && bytes.Equal(text, r.text) {
+		return true
+	}
 	hash := xxhash.Sum64(text)
 	if hash == r.rejectedHash {
 		return false
 	}
 	doc, found, err := r.cfg.Decode(text)
+	if err == nil && reflect.DeepEqual(doc, active) {
+		r.text = text
+		return true
+	}
+	decoded := err == nil
+	if decoded {
+		err = r.checkVersion(doc.Version)
+	}
 	if err != nil {
 		r.rejectedHash = hash
 		r.cfg.Log.Log(event.RoutesRejected, logKey, logValue, "error", err)
-		return false
-	}
-	if doc.Version <= r.Version() {
-		if doc.Version < r.Version() {
-			r.cfg.Log.Log(event.RoutesRejected, logKey, logValue, "error", errors.Newf("version %d is lower than the active version %d", doc.Version, r.Version()))
-		}
-		return true
+		return decoded
 	}
 	for _, f := range found {
 		r.cfg.Log.Log(event.RouteUnusable, "version", doc.Version, "finding", f.String())
@@ -365,6 +365,19 @@
 	return true
 }
 
+// checkVersion returns an error unless the version is higher than that of the active document.
+// Another document with the same version is not activated either, because peers compare only
+// versions, so that not all processes would get it.
+func (r *Routes) checkVersion(version int64) error {
+	switch active := r.Version(); {
+	case version < active:
+		return errors.Newf("version %d is lower than the active version %d", version, active)
+	case version == active:
+		return errors.Newf("another document with version %d is active", version)
+	}
+	return nil
+}
+
 // jitter returns a random duration within 25% of d.
 func (r *Routes) jitter(d time.Duration) time.Duration {
 	r.mu.Lock()
--- /dev/null
+++ b/daemon/routes_return_test.go
@@ -0,0 +1,110 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/nutmegtrack/nutmegtrack/event"
+	"github.com/nutmegtrack/nutmegtrack/fake"
+	"github.com/nutmegtrack/nutmegtrack/finding"
+	"github.com/nutmegtrack/nutmegtrack/route"
+	"github.com/nutmegtrack/nutmegtrack/store"
+)
+
+// decodeLetters decodes a document whose version is its length and whose only route is named
+// like it, in capitals. It rejects a document that contains a question mark.
+func decodeLetters(text []byte) (*route.Document, finding.List, error) {
+	if bytes.ContainsRune(text, '?') {
+		return nil, nil, errors.New("damaged")
+	}
+	return &route.Document{Version: int64(len(text)), Routes: []route.Route{{Name: strings.ToUpper(string(text))}}}, nil, nil
+}
+
+var _ = Describe("The routes after the store has returned from an older copy", func() {
+	const key = "routes"
+	var (
+		now time.Duration
+		log bytes.Buffer
+		s   *fake.Store
+		r   *Routes
+		ctx = context.Background()
+	)
+	newRoutes := func(w io.Writer) *Routes {
+		return NewRoutes(RoutesConfig{
+			Log: event.NewLogger(w), Clock: func() time.Duration { return now }, Store: s, Key: key, Decode: decodeLetters,
+		})
+	}
+	put := func(to *fake.Store, documents ...string) {
+		for _, d := range documents {
+			_, err := to.Txn(ctx, nil, []store.Op{{Key: key, Value: []byte(d)}})
+			Expect(err).NotTo(HaveOccurred())
+		}
+	}
+	// returns replaces the store by one that has only the given documents, with revisions that
+	// have been assigned before.
+	returns := func(documents ...string) {
+		s = fake.NewStore(func() time.Duration { return now })
+		put(s, documents...)
+		r.cfg.Store = s
+	}
+	refresh := func() string {
+		now += time.Second
+		Expect(r.Refresh(ctx)).To(Succeed())
+		return string(r.text)
+	}
+	confirmed := func() bool { return r.ConfirmedAt() == now }
+
+	BeforeEach(func() {
+		now = 0
+		log.Reset()
+		s = fake.NewStore(func() time.Duration { return now })
+		r = newRoutes(&log)
+		put(s, "a", "aa", "aaa", "aaaa")
+		Expect(refresh()).To(Equal("aaaa"))
+		Expect(confirmed()).To(BeTrue())
+	})
+
+	// Guards against an acknowledged document that is never in force because its revision was
+	// assigned before, lower than and equal to that of the active document.
+	It("include a document whose revision was assigned before", func() {
+		returns("a", "aaaaa")
+		Expect(refresh()).To(Equal("aaaaa"))
+		returns("a", "aaaaaa")
+		Expect(refresh()).To(Equal("aaaaaa"))
+		Expect(confirmed()).To(BeTrue())
+	})
+
+	// Guards against two documents in force under one version.
+	It("are not replaced by another document of the same version", func() {
+		returns("a", "bbbb")
+		for range 3 {
+			Expect(refresh()).To(Equal("aaaa"))
+		}
+		Expect(strings.Count(log.String(), "event=1311")).To(Equal(1))
+		Expect(log.String()).To(ContainSubstring("another document with version 4 is active"))
+		put(s, "bbbbb")
+		Expect(refresh()).To(Equal("bbbbb"))
+	})
+
+	// Guards against a process that starts beside newer ones and keeps the older document.
+	It("are fetched from a peer by a process that has read an older document", func() {
+		peer := NewRoutesRPC(r)
+		returns("a", "aa")
+		starting := newRoutes(io.Discard)
+		Expect(starting.Refresh(ctx)).To(Succeed())
+		Expect(starting.Version()).To(BeEquivalentTo(2))
+		var reply RoutesReply
+		Expect(peer.Fetch(&RoutesArgs{Above: starting.Version()}, &reply)).To(Succeed())
+		starting.activate(reply.Text, "peer", "b1")
+		Expect(starting.Refresh(ctx)).To(Succeed())
+		Expect(starting.Version()).To(BeEquivalentTo(4), "no step back")
+	})
+})
