daemon: routes are confirmed only by a store that holds them

Cause: a read confirmed the active routes as the newest whenever the document read could be decoded. After a return from an older copy the store holds an older document, which says nothing about one that was acknowledged and lost; the balancer then could reset a flow whose route is in the lost document. Change: a read confirms the routes only if the store holds the active document. Measured: go test ./daemon -ginkgo.focus "returned from an older copy": before, "are not confirmed by an older document" and "are neither replaced nor confirmed by another document of the same version" fail (2 of 6); after, 6 of 6 pass.

--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -318,40 +318,39 @@
 	}
 }
 
-// install processes the document that the store holds and reports whether it could be decoded.
+// install processes the document that the store holds and reports whether it is the active one.
 // The store's revisions are not compared: after the store has returned from an older copy, it
 // assigns them again. The caller holds the lock.
 func (r *Routes) install(kv store.KV) bool {
-	return r.activate(kv.Value, "revision", kv.ModRevision)
+	r.activate(kv.Value, "revision", kv.ModRevision)
+	return r.Version() > 0 && bytes.Equal(kv.Value, r.text)
 }
 
-// activate decodes a document, makes it active if its version is higher, and reports whether
-// it could be decoded. A process never
+// activate decodes a document and makes it active if its version is higher. A process never
 // returns to a lower version, and keeps its document if the new one cannot be decoded. logKey and
 // logValue are a pair for the log that says where the document came from. The caller holds the
 // lock.
-func (r *Routes) activate(text []byte, logKey string, logValue any) bool {
+func (r *Routes) activate(text []byte, logKey string, logValue any) {
 	active := r.active.Load()
 	if active != nil && bytes.Equal(text, r.text) {
-		return true
+		return
 	}
 	hash := xxhash.Sum64(text)
 	if hash == r.rejectedHash {
-		return false
+		return
 	}
 	doc, found, err := r.cfg.Decode(text)
 	if err == nil && reflect.DeepEqual(doc, active) {
 		r.text = text
-		return true
+		return
 	}
-	decoded := err == nil
-	if decoded {
+	if err == nil {
 		err = r.checkVersion(doc.Version)
 	}
 	if err != nil {
 		r.rejectedHash = hash
 		r.cfg.Log.Log(event.RoutesRejected, logKey, logValue, "error", err)
-		return decoded
+		return
 	}
 	for _, f := range found {
 		r.cfg.Log.Log(event.RouteUnusable, "version", doc.Version, "finding", f.String())
@@ -362,7 +361,6 @@
 	if r.cfg.Activated != nil {
 		r.cfg.Activated(doc)
 	}
-	return true
 }
 
 // checkVersion returns an error unless the version is higher than that of the active document.
--- a/daemon/routes_return_test.go
+++ b/daemon/routes_return_test.go
@@ -82,11 +82,28 @@
 		Expect(confirmed()).To(BeTrue())
 	})
 
-	// Guards against two documents in force under one version.
-	It("are not replaced by another document of the same version", func() {
+	// Guards against a reset of a flow by routes that count as the newest although the store may
+	// have lost newer ones, against a step back, and against a line for each read.
+	It("are not confirmed by an older document, which is logged once", func() {
+		returns("a", "aa")
+		for range 3 {
+			Expect(refresh()).To(Equal("aaaa"))
+			Expect(confirmed()).To(BeFalse())
+		}
+		Expect(strings.Count(log.String(), "event=1311")).To(Equal(1))
+		Expect(log.String()).To(ContainSubstring("version 2 is lower than the active version 4"))
+		put(s, "aaaa")
+		Expect(refresh()).To(Equal("aaaa"))
+		Expect(confirmed()).To(BeTrue(), "written again")
+	})
+
+	// Guards against two documents in force under one version, and against a reset by the one
+	// that the store no longer has.
+	It("are neither replaced nor confirmed by another document of the same version", func() {
 		returns("a", "bbbb")
 		for range 3 {
 			Expect(refresh()).To(Equal("aaaa"))
+			Expect(confirmed()).To(BeFalse())
 		}
 		Expect(strings.Count(log.String(), "event=1311")).To(Equal(1))
 		Expect(log.String()).To(ContainSubstring("another document with version 4 is active"))
@@ -94,6 +111,27 @@
 		Expect(refresh()).To(Equal("bbbbb"))
 	})
 
+	// Guards against a document that counts as another one because it was encoded anew.
+	It("are confirmed by the same document in another form", func() {
+		returns("AAAA")
+		refresh()
+		Expect(confirmed()).To(BeTrue())
+		Expect(log.String()).NotTo(ContainSubstring("event=1311"))
+	})
+
+	// Guards against routes that count as the newest although a newer document was read and
+	// could not be decoded.
+	It("are not confirmed by a document that cannot be decoded", func() {
+		returns("a", "aaaa?")
+		for range 3 {
+			Expect(refresh()).To(Equal("aaaa"))
+			Expect(confirmed()).To(BeFalse())
+		}
+		put(s, "aaaaa")
+		Expect(refresh()).To(Equal("aaaaa"))
+		Expect(confirmed()).To(BeTrue())
+	})
+
 	// Guards against a process that starts beside newer ones and keeps the older document.
 	It("are fetched from a peer by a process that has read an older document", func() {
 		peer := NewRoutesRPC(r)
