daemon, member: routes that are not the newest known are not confirmed

Cause: a balancer that starts while the store holds an older copy reads an older document, which the store confirms, though its peers have a newer one. It took the older one as the newest until it had fetched the other, and then kept the time of that confirmation for the newer one, of which the store says nothing; so did the membership, which passes the time on to other balancers. Within one life of the store that time is right for a later version too. Change: while a higher version is known the active document is not confirmed, and a time of confirmation belongs to one version in the membership. A version that arrives by the watch keeps the time, as it follows in the same store.

--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -81,6 +81,7 @@
 	rejectedHash  uint64        // hash of the last document that was not activated
 	readRevision  int64         // store revision at which the document was last read
 	readAt        time.Duration // start of the last successful read, even of a document that was not activated
+	known         int64         // highest version known to exist
 	confirmed     time.Duration // time at which the document was last confirmed to be the newest
 }
 
@@ -101,19 +102,27 @@
 // document from the peer.
 func (r *Routes) Step(ctx context.Context, rank int, known int64, peer netip.AddrPort) {
 	r.rank.Store(int64(max(rank, nonReaderRank)))
-	if known <= r.Version() || !peer.IsValid() {
-		return
+	if r.noteKnown(known) && peer.IsValid() {
+		r.cfg.Spawn(func() { r.fetch(ctx, peer) })
 	}
+}
+
+// noteKnown records the highest version known to exist and reports whether a fetch of it is due.
+// While this process has a lower version, the store cannot confirm its document: a store that has
+// returned from an older copy may hold the same one.
+func (r *Routes) noteKnown(known int64) (fetchDue bool) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.known = max(r.known, known)
+	if r.known <= r.Version() {
+		return false
+	}
+	r.confirmed = 0
 	now := r.cfg.Clock()
-	due := now-r.lastPeerFetch >= routesRetryInterval
-	if due {
+	if fetchDue = now-r.lastPeerFetch >= routesRetryInterval; fetchDue {
 		r.lastPeerFetch = now
 	}
-	r.mu.Unlock()
-	if due {
-		r.cfg.Spawn(func() { r.fetch(ctx, peer) })
-	}
+	return fetchDue
 }
 
 // fetch requests the document from a peer and activates it.
@@ -296,7 +305,7 @@
 		if kv.Key == r.cfg.Key {
 			r.mu.Lock()
 			r.readAt, r.readRevision = started, revision
-			if r.install(kv) {
+			if r.install(kv) && r.Version() >= r.known {
 				r.confirmed = max(r.confirmed, started)
 			}
 			r.mu.Unlock()
--- a/daemon/routes_return_test.go
+++ b/daemon/routes_return_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net/netip"
 	"strings"
 	"time"
 
@@ -132,17 +133,24 @@
 		Expect(confirmed()).To(BeTrue())
 	})
 
-	// Guards against a process that starts beside newer ones and keeps the older document.
+	// Guards against a process that starts beside newer ones, keeps the older document and resets
+	// flows by it.
 	It("are fetched from a peer by a process that has read an older document", func() {
 		peer := NewRoutesRPC(r)
 		returns("a", "aa")
 		starting := newRoutes(io.Discard)
+		now += time.Second
 		Expect(starting.Refresh(ctx)).To(Succeed())
 		Expect(starting.Version()).To(BeEquivalentTo(2))
+		starting.Step(ctx, 0, 4, netip.AddrPort{})
+		Expect(starting.ConfirmedAt()).To(BeZero(), "a newer document exists")
+		Expect(starting.Refresh(ctx)).To(Succeed())
+		Expect(starting.ConfirmedAt()).To(BeZero(), "the store has lost the newer document")
 		var reply RoutesReply
 		Expect(peer.Fetch(&RoutesArgs{Above: starting.Version()}, &reply)).To(Succeed())
 		starting.activate(reply.Text, "peer", "b1")
 		Expect(starting.Refresh(ctx)).To(Succeed())
 		Expect(starting.Version()).To(BeEquivalentTo(4), "no step back")
+		Expect(starting.ConfirmedAt()).To(BeZero(), "by the older document")
 	})
 })
--- a/member/node.go
+++ b/member/node.go
@@ -180,10 +180,20 @@
 // SetRoutes announces that this balancer has the given version of the routes. The
 // store confirmed at the time checked that this version was the newest.
 func (n *Node) SetRoutes(version int64, checked time.Duration) {
-	n.routes.note(version, n.self.Control, n.cfg.PushRounds)
-	if version == n.routes.version {
+	n.noteRoutes(version, checked, n.self.Control)
+}
+
+// noteRoutes records that the process at source has a version of the routes and when the store
+// confirmed it. The time of an earlier version is not kept: a store that has returned from an
+// older copy confirms that version although a later one exists.
+func (n *Node) noteRoutes(version int64, checked time.Duration, source netip.AddrPort) {
+	switch {
+	case version > n.routes.version:
+		n.routesChecked = checked
+	case version > 0 && version == n.routes.version:
 		n.routesChecked = max(n.routesChecked, checked)
 	}
+	n.routes.note(version, source, n.cfg.PushRounds)
 }
 
 // RoutesChecked returns the last known time at which the store confirmed to any process
@@ -208,11 +218,8 @@
 const maxRoutesAge = 60_000
 
 func (n *Node) noteVersions(m *Message, source netip.AddrPort) {
-	if m.Routes > 0 && m.Routes >= n.routes.version {
-		n.routesChecked = max(n.routesChecked, n.now-time.Duration(m.RoutesAge)*time.Millisecond)
-	}
 	n.lists.note(m.Revision, source, n.cfg.PushRounds)
-	n.routes.note(m.Routes, source, n.cfg.PushRounds)
+	n.noteRoutes(m.Routes, n.now-time.Duration(m.RoutesAge)*time.Millisecond, source)
 }
 
 // Revision returns the highest known revision of the lists and the control address
