member: a collector does not end itself when the store's revisions go back

Cause: ShardWriter asserted that terms and the revisions of the shard grow. Both come from the store, which assigns them again after a return from an older copy, and the assertion ends the process. Change: a lower term is taken as it is, since the store checks the conditions of every write; after a write with a revision that has not grown the shard is read again. Measured: go test ./member -ginkgo.focus "a shard": before, "is written on after the store's revisions have gone back" panics ("shard revision went from 12 back to 1"); after, 7 of 7 pass.

--- a/member/shard.go
+++ b/member/shard.go
@@ -112,8 +112,10 @@
 	return holds
 }
 
+// startTerm starts a term, also one that is lower than an earlier one, as a store that has
+// returned from an older copy may assign it: the conditions of each write are checked by the
+// store.
 func (s *ShardWriter) startTerm(term int64) {
-	invariant(term > s.term, "collector term went from %d back to %d", s.term, term)
 	s.term = term
 	s.loaded = false
 	s.pendingHash = 0
@@ -177,7 +179,8 @@
 }
 
 // Written processes the outcome of a write. After an error other than
-// store.ErrUnavailable the outcome is unknown, and the stored shard must be read again. A
+// store.ErrUnavailable the outcome is unknown, and the stored shard must be read again, as after
+// a revision that is not higher than the one before. A
 // rejected write also ends the term until HandleLease confirms that the lease key is still
 // held; the shard must then be read again too.
 func (s *ShardWriter) Written(result store.TxnResult, err error) {
@@ -185,8 +188,9 @@
 	s.pendingHash = 0
 	switch {
 	case s.term == 0:
+	case err == nil && result.Succeeded && result.Revision <= s.modRevision:
+		s.loaded = false // the store has returned from an older copy
 	case err == nil && result.Succeeded:
-		invariant(result.Revision > s.modRevision, "shard revision went from %d back to %d", s.modRevision, result.Revision)
 		s.modRevision, s.storedHash = result.Revision, hash
 	case err == nil:
 		s.term, s.loaded = 0, false
--- a/member/shard_test.go
+++ b/member/shard_test.go
@@ -158,6 +158,36 @@
 		Expect(r.txn(delayed, old).Succeeded).To(BeFalse())
 	})
 
+	// Guards against a collector that ends itself because a store that has returned from an older
+	// copy assigns revisions and leases again.
+	It("is written on after the store's revisions have gone back", func() {
+		first.node.Load(first.now, []member.Record{newFleet(1).record("u3", "portal", "fd0")})
+		delete(r.keys, member.LeaseKey("fd0"))
+		r.last = 10
+		first.elect(r, 11)
+		term := first.Term()
+		first.load(r)
+		first.mustWrite(r)
+		first.node.Load(first.now, []member.Record{newFleet(1).record("u4", "portal", "fd0")})
+		_, _, due := first.write()
+		Expect(due).To(BeTrue())
+		first.Written(store.TxnResult{Succeeded: true, Revision: 1}, nil)
+
+		r.keys, r.last = map[string]store.KV{member.LeaseKey("fd0"): {
+			Value: []byte("b1"), Lease: 11, CreateRevision: term - 1, ModRevision: term - 1}}, term-1
+		Expect(first.HandleLease(r.keys[member.LeaseKey("fd0")])).To(BeTrue())
+		Expect(first.Term()).To(Equal(term - 1))
+		first.load(r)
+		first.mustWrite(r)
+		delete(r.keys, member.LeaseKey("fd0"))
+		r.last = 0
+		first.elect(r, 11)
+		Expect(first.Term()).To(BeEquivalentTo(1))
+		first.load(r)
+		first.mustWrite(r)
+		Expect(r.names()).To(Equal([]string{"b1", "u1", "u2", "u3", "u4"}))
+	})
+
 	It("lets a balancer detect its own election as collector after the response was lost", func() {
 		delete(r.keys, member.LeaseKey("fd0"))
 		second := newCollector("b2")
