store, platform: revisions and leases carry the era of the store

Cause: after the store has returned from an older copy of itself, it gives out revisions and lease numbers again. The interface handed them on as bare numbers, so a newer document counted as one already seen, a condition on a revision of before could hold by chance, and the lease of another process could be renewed. Weighed: a lease number that is unique within the process, which cannot be compared with the lease of a key that is read back.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -39,7 +39,7 @@
 	Packets packet.Datagram
 	// OpenStore returns a store that replaces the store named in the settings. It
 	// reports each call to the store to observe.
-	OpenStore func(observe StoreObserver) store.Store
+	OpenStore func(log *event.Logger, observe StoreObserver) store.Store
 	// RoutesKey is the store key of the operators' routes, and DecodeRoutes decodes its
 	// value. If the key is empty, the agents announce the addresses of their services.
 	RoutesKey    string
--- a/balancer/collector.go
+++ b/balancer/collector.go
@@ -40,7 +40,7 @@
 
 	mu         sync.Mutex    // locked during a step, including its store calls
 	shardsRead bool          // the shards of all domains have been read
-	lease      store.LeaseID // 0 if there is none; a candidate keeps it also without the lease key
+	lease      store.LeaseID // zero if there is none; a candidate keeps it also without the lease key
 	renewedAt  time.Duration
 	polledAt   time.Duration // when another balancer's lease key was last read
 	stopped    bool
@@ -127,7 +127,7 @@
 		return nil
 	}
 	getCtx := ctx
-	if c.lease == 0 {
+	if c.lease.IsZero() {
 		// A stale read is safe, because the campaign's transaction requires that the key
 		// does not exist.
 		getCtx = store.AllowStale(ctx)
@@ -148,7 +148,7 @@
 // renew renews the lease when that is due. If no renewal has succeeded within leaseTTL
 // by this process's own clock, the lease counts as lost.
 func (c *collector) renew(ctx context.Context) error {
-	if c.lease == 0 || c.clock()-c.renewedAt < renewInterval {
+	if c.lease.IsZero() || c.clock()-c.renewedAt < renewInterval {
 		return nil
 	}
 	sentAt := c.clock()
@@ -165,11 +165,11 @@
 
 func (c *collector) dropLease() {
 	c.shard.LeaseLost()
-	c.lease = 0
+	c.lease = store.LeaseID{}
 }
 
 func (c *collector) campaign(ctx context.Context) error {
-	if c.lease == 0 {
+	if c.lease.IsZero() {
 		sentAt := c.clock()
 		lease, err := c.store.Grant(ctx, leaseTTL)
 		if err != nil {
@@ -219,7 +219,7 @@
 
 // revokeLease revokes the lease, so that the next collector need not wait until it expires.
 func (c *collector) revokeLease(ctx context.Context) error {
-	if c.lease == 0 {
+	if c.lease.IsZero() {
 		return nil
 	}
 	lease := c.lease
--- a/balancer/lists.go
+++ b/balancer/lists.go
@@ -20,7 +20,7 @@
 func (b *Balancer) openStore() (store.Store, func(), error) {
 	cfg := b.cfg.Store
 	if b.options.OpenStore != nil {
-		return b.options.OpenStore(newStoreMetrics(b.registry).observe), func() {}, nil
+		return b.options.OpenStore(b.log, newStoreMetrics(b.registry).observe), func() {}, nil
 	}
 	if len(cfg.Endpoints) == 0 {
 		return nil, func() {}, nil
--- a/bench/slopes_collector.go
+++ b/bench/slopes_collector.go
@@ -44,7 +44,7 @@
 		w.records[i].FailureDomain = shardDomain
 		w.table.Merge(w.records[i])
 	}
-	w.shard.CampaignTxn(1)
+	w.shard.CampaignTxn(store.LeaseID{Number: 1})
 	w.shard.Campaigned(w.commit(), nil)
 	if _, err := w.shard.HandleShard(store.KV{}); err != nil {
 		panic(fmt.Sprintf("bench: an empty shard is malformed: %v", err))
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -29,6 +29,10 @@
 	ListsRejected = Definition{1301, Error, "lists rejected", "Lists read from the store or a peer were not activated; the previous revision stays active."}
 	StoreFailed   = Definition{1302, Warn, "store call failed", "The store did not answer; the process continues with the data that it has and retries. At most one event is logged per minute."}
 
+	StoreReturned   = Definition{1303, Warn, "store returned from an older copy", "The store reports a later era than before: it has lost its latest writes and gives out their revisions again. `era` and `was` are the eras. The process discards its leases and revisions of the earlier era, reads again and writes again what it had written. After a return, check that operators' latest changes are still in force."}
+	StoreEraRefused = Definition{1304, Warn, "store answer of an earlier era refused", "An answer of the store carries an earlier `era` than one already `seen`. It is treated as no answer. One such event after event 1303 is a delayed answer; repeated events mean that the store, or a part of it, reports an earlier era than before. At most one event is logged per minute."}
+	StoreEraInvalid = Definition{1305, Warn, "store answer without a valid era", "The era that an answer of the store carries is missing or invalid (`era`). The answer is used as one of the era `seen` last; a return of the store from an older copy cannot be noticed by it. At most one event is logged per minute."}
+
 	RoutesActive     = Definition{1310, Info, "routes active", "The routes of the given version are active on this process."}
 	RoutesRejected   = Definition{1311, Error, "routes rejected", "A document of routes was not activated; the previous one stays active."}
 	RoutesUnreadable = Definition{1313, Warn, "routes unreadable", "`active` true: this balancer has no routes, cannot read them from the store and knows no other process that has them, so it places new flows by the addresses of the flows that upstreams hold. `active` false: this state has ended, because the balancer has routes, can read the store again or knows a process that has routes."}
@@ -66,7 +70,7 @@
 	Reloaded, ReloadFailed, LinesDropped,
 	WrongService, SendFailed,
 	StateChanged, PeerUnreachable, FailureClaimed, MarkedFailed,
-	ListsActive, ListsRejected, StoreFailed,
+	ListsActive, ListsRejected, StoreFailed, StoreReturned, StoreEraRefused, StoreEraInvalid,
 	RoutesActive, RoutesRejected, RouteUnusable, RoutesUnreadable,
 	ControlFailed,
 	GrantorStarted, GrantorStopped, RecountUnfinished, LeaseExpired,
--- a/fake/store.go
+++ b/fake/store.go
@@ -127,7 +127,7 @@
 		return nil
 	})
 	if err != nil {
-		return 0, err
+		return store.LeaseID{}, err
 	}
 	return id, nil
 }
--- a/fake/store_test.go
+++ b/fake/store_test.go
@@ -46,12 +46,12 @@
 	// Other tests rely on injected faults that have the effects of the real store's faults.
 	It("simulates the faults of the real store", func() {
 		s.LoseResponses = 1
-		_, err := write("lost", 0)
+		_, err := write("lost", store.LeaseID{})
 		Expect(err).To(MatchError(store.ErrUnknown))
 		_, err = s.Get(ctx, "lost")
 		Expect(err).NotTo(HaveOccurred())
 		s.Outage = true
-		_, err = write("refused", 0)
+		_, err = write("refused", store.LeaseID{})
 		Expect(err).To(MatchError(store.ErrUnavailable))
 		s.Outage = false
 		_, err = s.Get(ctx, "refused")
@@ -59,7 +59,7 @@
 	})
 
 	It("ends a watch whose start revision was compacted", func() {
-		result, _ := write("k", 0)
+		result, _ := write("k", store.LeaseID{})
 		s.Compact(result.Revision)
 		events, err := s.Watch(ctx, "k", result.Revision)
 		Expect(err).NotTo(HaveOccurred())
--- a/member/shard.go
+++ b/member/shard.go
@@ -50,7 +50,7 @@
 type ShardWriter struct {
 	domain      string
 	self        string
-	lease       store.LeaseID // store lease of the last campaign, even if it failed; 0 after LeaseLost
+	lease       store.LeaseID // store lease of the last campaign, even if it failed; zero after LeaseLost
 	term        int64         // the collector's term: create revision of the lease key; 0 if not the collector
 	loaded      bool          // the stored shard was read in this term
 	modRevision int64         // mod revision of the stored shard
@@ -105,7 +105,7 @@
 // HandleLease processes the lease key as read from the store. It reports whether this
 // balancer holds the key with the lease that it campaigned with.
 func (s *ShardWriter) HandleLease(kv store.KV) bool {
-	holds := kv.Lease == s.lease && s.lease != 0 && string(kv.Value) == s.self
+	holds := kv.Lease == s.lease && !s.lease.IsZero() && string(kv.Value) == s.self
 	if holds && s.term != kv.CreateRevision {
 		s.startTerm(kv.CreateRevision)
 	}
@@ -120,7 +120,9 @@
 }
 
 // LeaseLost ends the term after the store lease has expired, was revoked or is about to be.
-func (s *ShardWriter) LeaseLost() { s.term, s.lease, s.loaded, s.pendingHash = 0, 0, false, 0 }
+func (s *ShardWriter) LeaseLost() {
+	s.term, s.lease, s.loaded, s.pendingHash = 0, store.LeaseID{}, false, 0
+}
 
 // Term returns the collector's term, which is the create revision of the lease key, or 0
 // if this balancer is not the collector.
--- a/member/shard_test.go
+++ b/member/shard_test.go
@@ -103,7 +103,7 @@
 	BeforeEach(func() {
 		r = &fakeStore{keys: make(map[string]store.KV)}
 		first = newCollector("b1", "u1", "u2")
-		first.elect(r, 11)
+		first.elect(r, store.LeaseID{Number: 11})
 		_, _, due := first.write()
 		Expect(due).To(BeFalse(), "write before the stored shard was read")
 		first.load(r)
@@ -115,7 +115,7 @@
 	successor := func() *collector {
 		delete(r.keys, member.LeaseKey("fd0"))
 		second := newCollector("b2")
-		second.elect(r, 22)
+		second.elect(r, store.LeaseID{Number: 22})
 		return second
 	}
 
@@ -161,7 +161,7 @@
 	It("lets a balancer detect its own election as collector after the response was lost", func() {
 		delete(r.keys, member.LeaseKey("fd0"))
 		second := newCollector("b2")
-		r.txn(second.CampaignTxn(22))
+		r.txn(second.CampaignTxn(store.LeaseID{Number: 22}))
 		second.Campaigned(store.TxnResult{}, store.ErrUnknown)
 		Expect(second.Term()).To(BeZero())
 		Expect(second.HandleLease(r.keys[member.LeaseKey("fd0")])).To(BeTrue())
--- a/standin/store_calls.go
+++ b/standin/store_calls.go
@@ -152,21 +152,21 @@
 	}
 	id := s.engine.Grant(s.now(), time.Duration(r.TTL)*time.Second)
 	header := s.header()
-	return wire.Lease{Header: &header, ID: wire.Int64(id), TTL: r.TTL}, nil
+	return wire.Lease{Header: &header, ID: wire.Int64(id.Number), TTL: r.TTL}, nil
 }
 
 func (s *StoreServer) keepAlive(r wire.Lease) (wire.Stream[wire.Lease], *callError) {
 	header := s.header()
 	result := &wire.Lease{Header: &header, ID: r.ID}
 	// The response for an expired lease has no TTL.
-	if ttl, err := s.engine.KeepAlive(s.now(), store.LeaseID(r.ID)); err == nil {
+	if ttl, err := s.engine.KeepAlive(s.now(), store.LeaseID{Number: int64(r.ID)}); err == nil {
 		result.TTL = wire.Int64(ttl / time.Second)
 	}
 	return wire.Stream[wire.Lease]{Result: result}, nil
 }
 
 func (s *StoreServer) revoke(r wire.Lease) (wire.Lease, *callError) {
-	err := s.engine.Revoke(store.LeaseID(r.ID))
+	err := s.engine.Revoke(store.LeaseID{Number: int64(r.ID)})
 	header := s.header()
 	return wire.Lease{Header: &header}, toCallError(err)
 }
@@ -189,12 +189,12 @@
 		Value:          kv.Value,
 		CreateRevision: wire.Int64(kv.CreateRevision),
 		ModRevision:    wire.Int64(kv.ModRevision),
-		Lease:          wire.Int64(kv.Lease),
+		Lease:          wire.Int64(kv.Lease.Number),
 	}
 }
 
 func putOp(r wire.PutRequest) store.Op {
-	return store.Op{Key: string(r.Key), Value: r.Value, Lease: store.LeaseID(r.Lease)}
+	return store.Op{Key: string(r.Key), Value: r.Value, Lease: store.LeaseID{Number: int64(r.Lease)}}
 }
 
 func parseOps(requests []wire.RequestOp) []store.Op {
--- a/store/etcd/agree_test.go
+++ b/store/etcd/agree_test.go
@@ -30,7 +30,7 @@
 		writes = append(writes, store.Op{
 			Key:    key.Draw(t, "key"),
 			Value:  rapid.SliceOfN(rapid.Byte(), 1, 4).Draw(t, "value"),
-			Lease:  store.LeaseID(rapid.IntRange(0, 2).Draw(t, "lease")),
+			Lease:  store.LeaseID{Number: rapid.Int64Range(0, 2).Draw(t, "lease")},
 			Delete: rapid.Bool().Draw(t, "delete"),
 		})
 	}
--- a/store/etcd/kv.go
+++ b/store/etcd/kv.go
@@ -59,18 +59,18 @@
 	seconds := int64((ttl + time.Second - 1) / time.Second)
 	var resp wire.Lease
 	err := c.call(ctx, write, wire.PathGrant, wire.Lease{TTL: wire.Int64(seconds)}, &resp)
-	return store.LeaseID(resp.ID), err
+	return store.LeaseID{Number: int64(resp.ID)}, err
 }
 
 // KeepAlive implements store.Store. After ErrUnknown the owner of the lease must assume
 // that it was not renewed.
 func (c *Client) KeepAlive(ctx context.Context, id store.LeaseID) (time.Duration, error) {
 	var resp wire.Stream[wire.Lease]
-	if err := c.call(ctx, renew, wire.PathKeepAlive, wire.Lease{ID: wire.Int64(id)}, &resp); err != nil {
+	if err := c.call(ctx, renew, wire.PathKeepAlive, wire.Lease{ID: wire.Int64(id.Number)}, &resp); err != nil {
 		return 0, err
 	}
 	if resp.Result == nil || resp.Result.TTL <= 0 {
-		return 0, fmt.Errorf("%w: lease %d", store.ErrNotFound, id)
+		return 0, fmt.Errorf("%w: lease %d", store.ErrNotFound, id.Number)
 	}
 	return time.Duration(resp.Result.TTL) * time.Second, nil
 }
@@ -78,7 +78,7 @@
 // Revoke implements store.Store.
 func (c *Client) Revoke(ctx context.Context, id store.LeaseID) error {
 	var resp wire.Lease
-	return c.call(ctx, write, wire.PathRevoke, wire.Lease{ID: wire.Int64(id)}, &resp)
+	return c.call(ctx, write, wire.PathRevoke, wire.Lease{ID: wire.Int64(id.Number)}, &resp)
 }
 
 // prefixRange returns the range of all keys with the prefix. The smallest key is
@@ -96,7 +96,7 @@
 		Value:          kv.Value,
 		CreateRevision: int64(kv.CreateRevision),
 		ModRevision:    int64(kv.ModRevision),
-		Lease:          store.LeaseID(kv.Lease),
+		Lease:          store.LeaseID{Number: int64(kv.Lease)},
 	}
 }
 
@@ -115,6 +115,6 @@
 	if op.Delete {
 		return wire.RequestOp{Delete: &wire.DeleteRangeRequest{Key: []byte(op.Key)}}
 	}
-	put := &wire.PutRequest{Key: []byte(op.Key), Value: op.Value, Lease: wire.Int64(op.Lease)}
+	put := &wire.PutRequest{Key: []byte(op.Key), Value: op.Value, Lease: wire.Int64(op.Lease.Number)}
 	return wire.RequestOp{Put: put}
 }
--- a/store/etcd/protocol_test.go
+++ b/store/etcd/protocol_test.go
@@ -42,13 +42,13 @@
 
 		kv, err := c.Get(ctx, "foo")
 		Expect(err).NotTo(HaveOccurred())
-		Expect(kv).To(Equal(store.KV{Key: "foo", Value: []byte("bar"), CreateRevision: 2, ModRevision: 1<<53 + 1, Lease: 7}))
+		Expect(kv).To(Equal(store.KV{Key: "foo", Value: []byte("bar"), CreateRevision: 2, ModRevision: 1<<53 + 1, Lease: store.LeaseID{Number: 7}}))
 		_, revision, err := c.List(ctx, "members/")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(revision).To(Equal(int64(1<<53 + 1)))
 		result, err := c.Txn(ctx,
 			[]store.Compare{{Key: "a", Revision: 3}, {Key: "b", Target: store.CompareCreate}},
-			[]store.Op{{Key: "a", Value: []byte("x"), Lease: 7}, {Key: "b", Delete: true}})
+			[]store.Op{{Key: "a", Value: []byte("x"), Lease: store.LeaseID{Number: 7}}, {Key: "b", Delete: true}})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(result).To(Equal(store.TxnResult{Succeeded: true, Revision: 4}))
 		id, err := c.Grant(ctx, 9500*time.Millisecond)
--- a/store/mem/engine.go
+++ b/store/mem/engine.go
@@ -1,9 +1,12 @@
 // Package mem is an in-memory key-value engine with revisions, leases and a bounded
 // history. It has no clock, lock or goroutine of its own: the stand-in server and the
-// fake store pass in the time and serialise the calls.
+// fake store pass in the time and serialise the calls. Its revisions and leases are those of
+// one life of a store: they are not qualified with an era.
 package mem
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 
@@ -24,7 +27,7 @@
 	compacted  int64 // changes up to and including this revision are no longer kept
 	keys       map[string]store.KV
 	leases     map[store.LeaseID]*lease
-	lastLease  store.LeaseID
+	lastLease  int64
 	history    []store.WatchBatch
 	maxHistory int
 }
@@ -39,6 +42,20 @@
 	}
 }
 
+// Copy returns an independent copy, from which a store can return after an outage. Its next
+// revisions and lease numbers are those that the original gives out next.
+func (e *Engine) Copy() *Engine {
+	c := *e
+	c.keys = maps.Clone(e.keys)
+	c.history = slices.Clone(e.history)
+	c.leases = make(map[store.LeaseID]*lease, len(e.leases))
+	for id, l := range e.leases {
+		copied := *l
+		c.leases[id] = &copied
+	}
+	return &c
+}
+
 // Revision returns the current revision.
 func (e *Engine) Revision() int64 { return e.revision }
 
@@ -124,8 +141,8 @@
 
 func (e *Engine) checkLeases(writes []store.Op) error {
 	for _, w := range writes {
-		if !w.Delete && w.Lease != 0 && e.leases[w.Lease] == nil {
-			return errors.Wrapf(store.ErrNotFound, "lease %d", w.Lease)
+		if !w.Delete && !w.Lease.IsZero() && e.leases[w.Lease] == nil {
+			return errors.Wrapf(store.ErrNotFound, "lease %d", w.Lease.Number)
 		}
 	}
 	return nil
--- a/store/mem/lease.go
+++ b/store/mem/lease.go
@@ -1,6 +1,7 @@
 package mem
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -18,8 +19,9 @@
 // Grant creates a lease that expires ttl after now unless it is renewed.
 func (e *Engine) Grant(now, ttl time.Duration) store.LeaseID {
 	e.lastLease++
-	e.leases[e.lastLease] = &lease{ttl: ttl, deadline: now + ttl}
-	return e.lastLease
+	id := store.LeaseID{Number: e.lastLease}
+	e.leases[id] = &lease{ttl: ttl, deadline: now + ttl}
+	return id
 }
 
 // KeepAlive renews a lease and returns its time to live, or store.ErrNotFound.
@@ -54,7 +56,8 @@
 
 // Expire revokes the leases whose time to live has passed, in order of their IDs.
 func (e *Engine) Expire(now time.Duration) {
-	for _, id := range slices.Sorted(maps.Keys(e.leases)) {
+	byNumber := func(a, b store.LeaseID) int { return cmp.Compare(a.Number, b.Number) }
+	for _, id := range slices.SortedFunc(maps.Keys(e.leases), byNumber) {
 		if e.leases[id].deadline <= now {
 			_ = e.Revoke(id) // the lease exists
 		}
--- a/store/store.go
+++ b/store/store.go
@@ -20,14 +20,31 @@
 	// effect or may still do so. The caller must read the keys back.
 	ErrUnknown = errors.New("store: outcome of the write is unknown")
 	// ErrCompacted reports that the store no longer keeps the start revision of a
-	// watch; the caller must list the keys again.
-	ErrCompacted = errors.New("store: watch revision was compacted")
+	// watch, or that the era of this revision is over; the caller must list the keys again.
+	ErrCompacted = errors.New("store: watch revision is not available")
 )
 
-// LeaseID identifies a lease. Zero means no lease.
-type LeaseID int64
+// LeaseID identifies a lease. Numbers are given out again after the store has returned from
+// an older copy, so a lease exists only in the era in which it was granted. The zero LeaseID
+// means no lease.
+type LeaseID struct {
+	Era    Era
+	Number int64
+}
+
+// IsZero reports whether the ID means no lease.
+func (id LeaseID) IsZero() bool { return id == LeaseID{} }
+
+// QualifyLease returns the ID of the lease with a number in an era, or the zero LeaseID for
+// the number 0.
+func QualifyLease(era Era, number int64) LeaseID {
+	if number == 0 {
+		return LeaseID{}
+	}
+	return LeaseID{Era: era, Number: number}
+}
 
-// KV is one key with its value and revisions.
+// KV is one key with its value and era-qualified revisions.
 type KV struct {
 	Key            string
 	Value          []byte
@@ -49,7 +66,8 @@
 )
 
 // Compare is one condition of a transaction: it holds if the selected revision of the
-// key equals Revision.
+// key equals Revision. A condition on a revision of an older era never holds; revision 0 has
+// no era.
 type Compare struct {
 	Key      string
 	Target   CompareTarget
@@ -67,7 +85,7 @@
 // TxnResult is the outcome of a transaction.
 type TxnResult struct {
 	Succeeded bool  // all conditions held and the writes took effect
-	Revision  int64 // the store's revision after the transaction
+	Revision  int64 // the store's revision after the transaction; 0 if the store was not asked
 }
 
 // Event is the change of one key that a watch reports.
@@ -100,23 +118,34 @@
 // Store is the platform's key-value service. Every call returns ErrUnavailable,
 // ErrUnknown or the context's error when the store does not answer. Calls are billed;
 // reads that may be stale and lease renewals cost a tenth of the price.
+//
+// The store may return from an older copy of itself (see Era). Every revision that a call
+// takes or returns is qualified with its era, and so is every lease. An answer of an older
+// era than one that was already seen is refused: a read fails with ErrUnavailable and a write
+// with ErrUnknown. The exception is a read that may be stale, whose revisions then carry the
+// older era.
 type Store interface {
 	// Get returns the key's value, or ErrNotFound.
 	Get(ctx context.Context, key string) (KV, error)
 	// List returns all keys with the prefix, in key order, and a revision such that a
 	// watch from the next revision misses no change.
 	List(ctx context.Context, prefix string) ([]KV, int64, error)
-	// Txn applies all writes when all conditions hold, else none.
+	// Txn applies all writes when all conditions hold, else none. It returns ErrNotFound if
+	// a write names a lease that does not exist, such as one of an older era. If the store
+	// answers in another era than that of the conditions and leases, they may have held by
+	// chance, and Txn returns ErrUnknown.
 	Txn(ctx context.Context, conditions []Compare, writes []Op) (TxnResult, error)
 	// Grant creates a lease with the given time to live, in whole seconds.
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
 	// KeepAlive renews a lease and returns its new time to live, or ErrNotFound
-	// when it has expired.
+	// when it has expired or its era is over.
 	KeepAlive(ctx context.Context, id LeaseID) (time.Duration, error)
-	// Revoke ends a lease and deletes its keys.
+	// Revoke ends a lease and deletes its keys. It returns ErrNotFound when the lease has
+	// expired or its era is over.
 	Revoke(ctx context.Context, id LeaseID) error
 	// Watch delivers the changes of all keys with the prefix, starting at revision
 	// from, until the context ends or an error is delivered. It may stop delivering
-	// changes without an error, so its user also reads the keys from time to time.
+	// changes without an error, so its user also reads the keys from time to time. It ends
+	// with ErrCompacted when the era of from is over.
 	Watch(ctx context.Context, prefix string, from int64) (<-chan WatchBatch, error)
 }
