fake: the store can return from an older copy of itself

Cause: the fake store had one life, so no test of its users could play a return. Change: Copy and Restore, with the names of platform/standin: writes since the copy are lost, revisions and lease numbers are assigned again and are qualified with an era that rises by one, watches end.

--- a/fake/store.go
+++ b/fake/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -47,6 +48,7 @@
 	mu       sync.Mutex
 	now      func() time.Duration
 	engine   *mem.Engine
+	era      store.Era // rises with each return from a copy
 	watchers map[*watcher]bool
 }
 
@@ -61,7 +63,34 @@
 func (s *Store) Compact(revision int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.engine.Compact(revision)
+	s.engine.Compact(store.NumberOf(revision))
+}
+
+// Copy returns a copy of the store's state.
+func (s *Store) Copy() *mem.Engine {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.engine.Copy()
+}
+
+// Restore returns the store to a copy: what was written since is lost, revisions and lease
+// numbers are assigned again, the era rises by one and all watches end.
+func (s *Store) Restore(copied *mem.Engine) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.engine = copied.Copy()
+	s.era++
+	for w := range s.watchers {
+		s.endWatch(w, fmt.Errorf("%w: a new era has begun", store.ErrCompacted))
+	}
+}
+
+// qualify returns the key with its revisions and lease qualified with the era.
+func (s *Store) qualify(kv store.KV) store.KV {
+	kv.CreateRevision = store.QualifyRevision(s.era, kv.CreateRevision)
+	kv.ModRevision = store.QualifyRevision(s.era, kv.ModRevision)
+	kv.Lease = store.QualifyLease(s.era, kv.Lease.Number)
+	return kv
 }
 
 // run performs one call with the active faults injected.
@@ -93,7 +122,7 @@
 		if !ok {
 			return fmt.Errorf("%w: key %q", store.ErrNotFound, key)
 		}
-		kv = found
+		kv = s.qualify(found)
 		return nil
 	})
 	return kv, err
@@ -102,7 +131,10 @@
 // List implements store.Store.
 func (s *Store) List(_ context.Context, prefix string) (kvs []store.KV, revision int64, err error) {
 	err = s.run(CallList, false, func() error {
-		kvs, revision = s.engine.List(prefix), s.engine.Revision()
+		for _, kv := range s.engine.List(prefix) {
+			kvs = append(kvs, s.qualify(kv))
+		}
+		revision = store.QualifyRevision(s.era, s.engine.Revision())
 		return nil
 	})
 	return kvs, revision, err
@@ -111,7 +143,7 @@
 // Txn implements store.Store.
 func (s *Store) Txn(_ context.Context, conditions []store.Compare, writes []store.Op) (result store.TxnResult, err error) {
 	err = s.run(CallTxn, true, func() error {
-		result, err = s.engine.Txn(conditions, writes)
+		result, err = s.txn(conditions, writes)
 		return err
 	})
 	if err != nil {
@@ -120,10 +152,40 @@
 	return result, nil
 }
 
+// txn runs a transaction of the current era. One of an older era has no effect.
+func (s *Store) txn(conditions []store.Compare, writes []store.Op) (store.TxnResult, error) {
+	conditions, writes = slices.Clone(conditions), slices.Clone(writes)
+	for i := range conditions {
+		c := &conditions[i]
+		if c.Revision != 0 && store.EraOf(c.Revision) != s.era {
+			return store.TxnResult{}, nil
+		}
+		c.Revision = store.NumberOf(c.Revision)
+	}
+	for i := range writes {
+		w := &writes[i]
+		if !w.Lease.IsZero() && w.Lease.Era != s.era {
+			return store.TxnResult{}, fmt.Errorf("%w: the era of lease %d is over", store.ErrNotFound, w.Lease.Number)
+		}
+		w.Lease = store.LeaseID{Number: w.Lease.Number}
+	}
+	result, err := s.engine.Txn(conditions, writes)
+	result.Revision = store.QualifyRevision(s.era, result.Revision)
+	return result, err
+}
+
+// leaseNumber returns the lease as the engine numbers it, or ErrNotFound if its era is over.
+func (s *Store) leaseNumber(id store.LeaseID) (store.LeaseID, error) {
+	if id.Era != s.era {
+		return store.LeaseID{}, fmt.Errorf("%w: the era of lease %d is over", store.ErrNotFound, id.Number)
+	}
+	return store.LeaseID{Number: id.Number}, nil
+}
+
 // Grant implements store.Store.
 func (s *Store) Grant(_ context.Context, ttl time.Duration) (id store.LeaseID, err error) {
 	err = s.run(CallGrant, true, func() error {
-		id = s.engine.Grant(s.now(), ttl)
+		id = store.QualifyLease(s.era, s.engine.Grant(s.now(), ttl).Number)
 		return nil
 	})
 	if err != nil {
@@ -135,7 +197,10 @@
 // KeepAlive implements store.Store.
 func (s *Store) KeepAlive(_ context.Context, id store.LeaseID) (ttl time.Duration, err error) {
 	err = s.run(CallKeepAlive, true, func() error {
-		ttl, err = s.engine.KeepAlive(s.now(), id)
+		number, err := s.leaseNumber(id)
+		if err == nil {
+			ttl, err = s.engine.KeepAlive(s.now(), number)
+		}
 		return err
 	})
 	return ttl, err
@@ -143,7 +208,13 @@
 
 // Revoke implements store.Store.
 func (s *Store) Revoke(_ context.Context, id store.LeaseID) error {
-	return s.run(CallRevoke, true, func() error { return s.engine.Revoke(id) })
+	return s.run(CallRevoke, true, func() error {
+		number, err := s.leaseNumber(id)
+		if err != nil {
+			return err
+		}
+		return s.engine.Revoke(number)
+	})
 }
 
 // watcher is the state of one watch. Its channel is buffered, so that no goroutine is
@@ -159,12 +230,16 @@
 func (s *Store) Watch(ctx context.Context, prefix string, from int64) (<-chan store.WatchBatch, error) {
 	w := &watcher{
 		match:  func(key string) bool { return strings.HasPrefix(key, prefix) },
-		next:   from,
+		next:   store.NumberOf(from),
 		events: make(chan store.WatchBatch, watchBufferSize),
 	}
 	err := s.run(CallWatch, false, func() error {
 		if from == 0 {
 			w.next = s.engine.Revision() + 1
+		} else if store.EraOf(from) != s.era {
+			w.events <- store.WatchBatch{Err: fmt.Errorf("%w: the era of revision %d is over", store.ErrCompacted, from)}
+			close(w.events)
+			return nil
 		}
 		s.watchers[w] = true
 		return nil
@@ -180,6 +255,15 @@
 	return w.events, nil
 }
 
+func (s *Store) qualifyBatch(b store.WatchBatch) store.WatchBatch {
+	b.Revision = store.QualifyRevision(s.era, b.Revision)
+	b.Events = slices.Clone(b.Events)
+	for i := range b.Events {
+		b.Events[i].KV = s.qualify(b.Events[i].KV)
+	}
+	return b
+}
+
 // BreakWatches ends all watches with store.ErrUnavailable, as an outage of the real store
 // does. Setting Outage does not end watches.
 func (s *Store) BreakWatches() {
@@ -202,7 +286,7 @@
 			continue
 		}
 		for _, change := range changes {
-			w.events <- change
+			w.events <- s.qualifyBatch(change)
 		}
 		w.next = max(w.next, s.engine.Revision()+1)
 	}
