balancer: a test of the collector after the store has returned from a copy

Cause: nothing showed that a failure domain has one collector, and that its shard is written, after a return. Change: a test with copies from before the lease, before the shard and after both, two returns in a row each.

--- a/balancer/collector_test.go
+++ b/balancer/collector_test.go
@@ -10,6 +10,7 @@
 	"github.com/nutmegtrack/nutmegtrack/fake"
 	"github.com/nutmegtrack/nutmegtrack/flow"
 	"github.com/nutmegtrack/nutmegtrack/member"
+	"github.com/nutmegtrack/nutmegtrack/store/mem"
 )
 
 var _ = Describe("The collector", func() {
@@ -101,6 +102,34 @@
 		Expect(stored()).To(ContainElement("u2"))
 	})
 
+	// Guards against a shard that is no longer written, or by two collectors at once, after the
+	// store has returned from a copy that is older than the term, the lease or both.
+	DescribeTable("is one balancer again after the store has returned from a copy", func(before int) {
+		b2 := newStoreBalancer("b2", s)
+		copies := []*mem.Engine{s.Copy()}
+		for range 6 {
+			steps(1, b1, b2)
+			copies = append(copies, s.Copy())
+		}
+		load(b1, upstreamRecord("u2", "127.0.0.1:7102"))
+		load(b2, upstreamRecord("u3", "127.0.0.1:7103"))
+		steps(6, b1, b2)
+		term := max(b1.collector.shard.Term(), b2.collector.shard.Term())
+		Expect(term).NotTo(BeZero())
+		for range 2 {
+			s.Restore(copies[before])
+			steps(25, b1, b2)
+			Expect(min(b1.collector.shard.Term(), b2.collector.shard.Term())).To(BeZero())
+			Expect(max(b1.collector.shard.Term(), b2.collector.shard.Term())).To(BeNumerically(">", term))
+			// Each of the two has a record that the other does not know.
+			Expect(stored()).To(And(ContainElement("u1"), Or(ContainElement("u2"), ContainElement("u3"))))
+		}
+	},
+		Entry("without a lease", 0),
+		Entry("without a shard", 1),
+		Entry("with both", 6),
+	)
+
 	// Guards against a collector that no longer writes after a write that took effect
 	// although its response was lost.
 	It("continues after lost responses", func() {
