balancer: a test of the grantors after the store has returned from a copy

Cause: a grantor's term is the revision of its record, which a store that has returned from an older copy assigns again: the new grantor's term was lower than, or equal to, one that holders and balancers had seen. Change: a test with a copy in which another balancer is the grantor, and one in which none is: one grantor remains, with a higher term than all before, the old term is not served, and both balancers announce the new one. No code changes: terms are qualified since, and syncTerms ends a term whose record it does not find.

--- a/balancer/grantors_test.go
+++ b/balancer/grantors_test.go
@@ -134,6 +134,45 @@
 		Expect(term(b1)).To(BeNumerically(">", old), "the store still contained the old term")
 	})
 
+	// Guards against two grantors, or one that no holder accepts, after the store has returned from a
+	// copy in which another balancer is the grantor, or none is, and in which the revision of its term
+	// is assigned again.
+	DescribeTable("has a higher term than all before after the store has returned from a copy", func(electedInCopy bool) {
+		if electedInCopy {
+			elect(b1)
+		}
+		copied := s.Copy()
+		elect(b1)
+		b1.setState(flow.Draining)
+		sendRecords(b2, b1)
+		elect(b2, b1)
+		old := term(b2)
+		Expect(old).NotTo(BeZero())
+		Expect(term(b1)).To(BeZero())
+		b1.setState(flow.Ready)
+		sendRecords(b2, b1)
+		sendRecords(b1, b2)
+
+		s.Restore(copied)
+		for range 2 {
+			elect(b1, b2)
+		}
+		current := max(term(b1), term(b2))
+		Expect(min(term(b1), term(b2))).To(BeZero(), "two grantors")
+		Expect(current).To(BeNumerically(">", old))
+		Expect(renew(b2, old, old)).To(BeZero(), "a permission of a term that has ended")
+		for _, b := range []*testBalancer{b1, b2} {
+			b.members.Do(func(_ time.Duration, n *member.Node) {
+				known, _ := n.Table().Get("u1")
+				a := member.NewAnnouncer(member.Config{Seeds: []netip.AddrPort{dataAddr}}, known, daemon.NewRand(b.rng))
+				Expect(n.Handle(b.now, a.Step(b.now)[0].Request).Grantor).To(HaveValue(HaveField("Term", current)))
+			})
+		}
+	},
+		Entry("with a grantor", true),
+		Entry("without one", false),
+	)
+
 	// Guards against a service without a grantor during an outage of the store.
 	It("continues while the store is unavailable", func() {
 		elect(b1)
