balancer, member: a collector takes back its lease key from a lease of another

Cause: a campaign that reaches the store after its return, sent by a balancer that has not noticed the return yet, attaches the lease key to whoever was given the same lease number. The client reports the write as unknown and the balancer finds a key with its own name and another lease. It waited until that lease ended, which another balancer kept alive: the failure domain had no collector, and its shard was not written. Change: a balancer deletes a lease key that names it under a lease that it does not hold, if the key has not changed, and campaigns in the next step. Measured: go test ./balancer: before, "takes back a lease key that it has written under the lease of another" fails after 20 s of virtual time; after, it passes.

--- a/balancer/collector.go
+++ b/balancer/collector.go
@@ -133,16 +133,20 @@
 		getCtx = store.AllowStale(ctx)
 	}
 	kv, err := c.store.Get(getCtx, member.LeaseKey(c.domain))
-	if err == nil {
-		if !c.shard.HandleLease(kv) {
-			c.polledAt = c.clock()
-		}
+	switch {
+	case errors.Is(err, store.ErrNotFound):
+		return c.campaign(ctx)
+	case err != nil:
+		return err
+	case c.shard.HandleLease(kv):
 		return nil
 	}
-	if !errors.Is(err, store.ErrNotFound) {
+	if conditions, writes, due := c.shard.ReleaseTxn(kv); due {
+		_, err := c.store.Txn(ctx, conditions, writes)
 		return err
 	}
-	return c.campaign(ctx)
+	c.polledAt = c.clock()
+	return nil
 }
 
 // renew renews the lease when that is due. If no renewal has succeeded within leaseTTL
--- a/balancer/collector_test.go
+++ b/balancer/collector_test.go
@@ -10,6 +10,7 @@
 	"github.com/nutmegtrack/nutmegtrack/fake"
 	"github.com/nutmegtrack/nutmegtrack/flow"
 	"github.com/nutmegtrack/nutmegtrack/member"
+	"github.com/nutmegtrack/nutmegtrack/store"
 	"github.com/nutmegtrack/nutmegtrack/store/mem"
 )
 
@@ -130,6 +131,22 @@
 		Entry("with both", 6),
 	)
 
+	// Guards against a failure domain without a collector for as long as another balancer renews the
+	// lease to which a store that has returned from an older copy has attached this balancer's key.
+	It("takes back a lease key that it has written under the lease of another", func() {
+		other, err := s.Grant(ctx, leaseTTL)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = s.Txn(ctx, nil, []store.Op{{Key: member.LeaseKey("a"), Value: []byte("b1"), Lease: other}})
+		Expect(err).NotTo(HaveOccurred())
+		for range 20 {
+			_, err = s.KeepAlive(ctx, other)
+			Expect(err).NotTo(HaveOccurred())
+			steps(1, b1)
+		}
+		Expect(b1.collector.shard.Term()).NotTo(BeZero())
+		Expect(stored()).To(ContainElement("u1"))
+	})
+
 	// Guards against a collector that no longer writes after a write that took effect
 	// although its response was lost.
 	It("continues after lost responses", func() {
--- a/member/shard.go
+++ b/member/shard.go
@@ -112,6 +112,18 @@
 	return holds
 }
 
+// ReleaseTxn returns the transaction that deletes the lease key as read from the store, if it
+// names this balancer although HandleLease has not accepted it. The lease of such a key is not
+// renewed by this balancer, but may be by another one: a store that has returned from an older
+// copy assigns the numbers of leases again. No other balancer campaigns while the key exists.
+func (s *ShardWriter) ReleaseTxn(kv store.KV) ([]store.Compare, []store.Op, bool) {
+	if string(kv.Value) != s.self || s.term != 0 {
+		return nil, nil, false
+	}
+	unchanged := store.Compare{Key: LeaseKey(s.domain), Target: store.CompareCreate, Revision: kv.CreateRevision}
+	return []store.Compare{unchanged}, []store.Op{{Key: LeaseKey(s.domain), Delete: true}}, true
+}
+
 // startTerm starts a term, also one that is lower than an earlier one, as a store that has
 // returned from an older copy may assign it: the conditions of each write are checked by the
 // store.
