plan: of two edits under one revision, that of the later era is in force

Cause: the revision of a head is the product's own number, which the store keeps. After a return from an older copy an accepted edit may be gone and its number, or a lower one, be given to another edit. Processes with the lost edit ignored the other one (ErrOlder, ErrConflict, or not even noticed) until the numbers had passed it, while processes that had started since followed it. Change: an edit carries the era of the store that accepted it, which the editor takes from its read of the head (List, as Get tells no era without a head). Processes order heads, and what they announce, by era and then revision; texts and keys for operators keep the plain revision. A lost edit stays in force until the store accepts the next one. Weighed: qualified numbers as the revisions themselves (keys, history and KeptRevisions count in steps of one, and operators type them), an epoch that daemons raise (they do not write heads). An edit of before this change counts as of era 0. The test of two operators now also interleaves List, which the editor uses instead of Get; the cluster's checks compare qualified revisions, which are the same without a return.

--- a/daemon/lists.go
+++ b/daemon/lists.go
@@ -28,7 +28,7 @@
 	Transport Transport
 	Store     store.Store          // nil if the process never reads the store
 	Spawn     func(func())         // runs a fetch or a watch in the background
-	Activated func(revision int64) // called after a revision has become active; may be nil
+	Activated func(revision int64) // called after a qualified revision has become active; may be nil
 }
 
 // Lists drives a plan.Reader: it executes the fetches that the reader requests and
@@ -60,7 +60,7 @@
 }
 
 // Step advances the reader. readsStore says whether this process may read the store, known
-// is the highest revision that is known to exist, and peers are the processes that may
+// is the highest qualified revision that is known to exist, and peers are the processes that may
 // have it, in any order. Invalid addresses are ignored.
 func (l *Lists) Step(ctx context.Context, readsStore bool, known int64, peers ...netip.AddrPort) {
 	l.update(ctx, func(now time.Duration, r *plan.Reader) {
@@ -88,8 +88,8 @@
 	l.logRejection()
 	l.mu.Unlock()
 	if activated != nil {
-		l.cfg.Log.Log(event.ListsActive, "revision", activated.Revision, "edit", activated.ID, "author", activated.Author)
-		l.cfg.Activated(activated.Revision)
+		l.cfg.Log.Log(event.ListsActive, "revision", activated.Revision, "era", activated.Era, "edit", activated.ID, "author", activated.Author)
+		l.cfg.Activated(activated.Qualified())
 	}
 	for _, f := range fetches {
 		l.execute(ctx, f)
@@ -115,14 +115,14 @@
 	}
 	l.loggedRejectedRevision = s.Rejected
 	for _, line := range strings.Split(s.Rejection, "\n") {
-		l.cfg.Log.Log(event.ListsRejected, "revision", s.Rejected, "finding", line)
+		l.cfg.Log.Log(event.ListsRejected, "revision", plan.RevisionText(s.Rejected), "finding", line)
 	}
 }
 
-// Revision returns the active revision, or 0 if there is none.
+// Revision returns the active qualified revision, or 0 if there is none.
 func (l *Lists) Revision() int64 {
 	if a := l.active.Load(); a != nil {
-		return a.Head.Revision
+		return a.Head.Qualified()
 	}
 	return 0
 }
--- a/daemon/state.go
+++ b/daemon/state.go
@@ -23,8 +23,8 @@
 	State         string  `json:"state"`
 	Incarnation   uint64  `json:"incarnation"`
 	UptimeSeconds float64 `json:"uptime_seconds"`
-	Revision      int64   `json:"revision"`       // of the active lists
-	KnownRevision int64   `json:"known_revision"` // highest revision that this process knows to exist
+	Revision      int64   `json:"revision"`       // of the active lists, qualified with its era
+	KnownRevision int64   `json:"known_revision"` // highest qualified revision that this process knows to exist
 	OpenFlows     int     `json:"open_flows"`
 }
 
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -17,6 +17,7 @@
 
 	"github.com/nutmegtrack/nutmegtrack/control"
 	"github.com/nutmegtrack/nutmegtrack/flow"
+	"github.com/nutmegtrack/nutmegtrack/plan"
 )
 
 // maxStatusCalls is the maximum number of concurrent calls for a deployment status.
@@ -44,7 +45,7 @@
 
 // DeploymentStatus is the status of all processes of a deployment.
 type DeploymentStatus struct {
-	Revision  int64 // highest revision that any process knows
+	Revision  int64 // highest qualified revision that any process knows
 	Processes []ProcessStatus
 }
 
@@ -162,14 +163,14 @@
 	fmt.Fprintln(table, "ROLE\tNAME\tSERVICE\tFAILURE DOMAIN\tSTATE\tOPEN FLOWS\tREVISION\tCONTROL\tNOTE")
 	for i := range s.Processes {
 		p := &s.Processes[i]
-		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%s\t%s\n",
-			p.Role, p.Name, p.Service, p.FailureDomain, p.State, p.OpenFlows, p.Revision, p.Control, p.note(s.Revision))
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%d\t%s\t%s\t%s\n",
+			p.Role, p.Name, p.Service, p.FailureDomain, p.State, p.OpenFlows, plan.RevisionText(p.Revision), p.Control, p.note(s.Revision))
 	}
 	if err := table.Flush(); err != nil {
 		return err
 	}
-	_, err := fmt.Fprintf(w, "revision %d; %d of %d processes lag or did not answer\n",
-		s.Revision, s.LaggingOrUnanswered(), len(s.Processes))
+	_, err := fmt.Fprintf(w, "revision %s; %d of %d processes lag or did not answer\n",
+		plan.RevisionText(s.Revision), s.LaggingOrUnanswered(), len(s.Processes))
 	return err
 }
 
--- a/member/message.go
+++ b/member/message.go
@@ -40,8 +40,8 @@
 	// From is the sender's control address: the target of verdicts, and the source of the
 	// versions in Revision and Routes.
 	From netip.AddrPort `cbor:"2,keyasint,omitzero"`
-	// Revision is the highest revision of the lists (see package plan) that the sender knows
-	// to be active in any process.
+	// Revision is the highest qualified revision of the lists (see package plan) that the
+	// sender knows to be active in any process.
 	Revision int64 `cbor:"3,keyasint,omitempty"`
 	Routes   int64 `cbor:"20,keyasint,omitempty"` // highest version of the routes that the sender knows
 	// RoutesAge is the time in milliseconds since the store confirmed that Routes is
--- a/plan/edit/apply.go
+++ b/plan/edit/apply.go
@@ -72,7 +72,7 @@
 }
 
 func (e *Editor) write(ctx context.Context, base *Snapshot, docs plan.Documents, outcome Outcome) (Outcome, error) {
-	edit := plan.Edit{ID: outcome.ID, Author: e.cfg.Author, Time: e.cfg.Now().UTC().Round(0)}
+	edit := plan.Edit{Era: base.era, ID: outcome.ID, Author: e.cfg.Author, Time: e.cfg.Now().UTC().Round(0)}
 	head, pages := base.Head.Next(edit, docs)
 	for _, hash := range base.Head.Hashes() {
 		delete(pages, hash) // the store has it while the head is unchanged
--- a/plan/edit/interleave_test.go
+++ b/plan/edit/interleave_test.go
@@ -28,6 +28,11 @@
 	return s.Store.Get(ctx, key)
 }
 
+func (s scheduledStore) List(ctx context.Context, prefix string) ([]store.KV, int64, error) {
+	s.awaitTurn()
+	return s.Store.List(ctx, prefix)
+}
+
 func (s scheduledStore) Txn(ctx context.Context, conditions []store.Compare, writes []store.Op) (store.TxnResult, error) {
 	s.awaitTurn()
 	return s.Store.Txn(ctx, conditions, writes)
--- a/plan/edit/read.go
+++ b/plan/edit/read.go
@@ -13,7 +13,8 @@
 type Snapshot struct {
 	Head        plan.Head // Revision 0 before the first edit
 	Docs        plan.Documents
-	modRevision int64 // store revision of the head's key; 0 if there is none
+	modRevision int64     // store revision of the head's key; 0 if there is none
+	era         store.Era // of the store, when it was read
 }
 
 // Lists decodes the lists of the snapshot.
@@ -39,11 +40,11 @@
 }
 
 func (e *Editor) readOnce(ctx context.Context) (*Snapshot, error) {
-	head, modRevision, err := e.readHead(ctx)
+	s, err := e.readHead(ctx)
 	if err != nil {
 		return nil, err
 	}
-	return e.readDocuments(ctx, &Snapshot{Head: head, modRevision: modRevision})
+	return e.readDocuments(ctx, s)
 }
 
 func (e *Editor) readDocuments(ctx context.Context, s *Snapshot) (*Snapshot, error) {
@@ -82,17 +83,21 @@
 	return e.readDocuments(ctx, &Snapshot{Head: head})
 }
 
-// readHead returns the head and its store revision, or zero values if there is no head.
-func (e *Editor) readHead(ctx context.Context) (plan.Head, int64, error) {
-	kv, err := e.cfg.Store.Get(ctx, plan.HeadKey)
-	if errors.Is(err, store.ErrNotFound) {
-		return plan.Head{}, 0, nil
-	}
+// readHead returns the snapshot of the current head without its documents. The head is zero if
+// there is none. List, unlike Get, then returns the store's era nevertheless.
+func (e *Editor) readHead(ctx context.Context) (*Snapshot, error) {
+	kvs, revision, err := e.cfg.Store.List(ctx, plan.HeadKey)
 	if err != nil {
-		return plan.Head{}, 0, err
+		return nil, err
 	}
-	head, err := plan.DecodeHead(kv.Value)
-	return head, kv.ModRevision, err
+	s := &Snapshot{era: store.EraOf(revision)}
+	for _, kv := range kvs {
+		if kv.Key == plan.HeadKey {
+			s.modRevision = kv.ModRevision
+			s.Head, err = plan.DecodeHead(kv.Value)
+		}
+	}
+	return s, err
 }
 
 func (e *Editor) readPages(ctx context.Context, hashes []plan.Hash) (plan.Pages, error) {
--- a/plan/edit/status.go
+++ b/plan/edit/status.go
@@ -12,11 +12,11 @@
 	if err != nil {
 		return Outcome{}, err
 	}
-	head, _, err := e.readHead(ctx)
+	current, err := e.readHead(ctx)
 	if err != nil {
 		return Outcome{}, err
 	}
-	return statusOf(head, base, id), nil
+	return statusOf(current.Head, base, id), nil
 }
 
 // statusOf returns the outcome of the edit with the ID. An edit that is not in the history
--- a/plan/head.go
+++ b/plan/head.go
@@ -2,11 +2,14 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"slices"
 	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/nutmegtrack/nutmegtrack/store"
 )
 
 // Store keys and key prefixes of the lists.
@@ -34,11 +37,26 @@
 // Edit is one accepted edit.
 type Edit struct {
 	Revision int64     `json:"revision"`
+	Era      store.Era `json:"era,omitempty"` // of the store, when it accepted the edit
 	ID       string    `json:"edit_id"`
 	Author   string    `json:"author"`
 	Time     time.Time `json:"time"`
 }
 
+// Qualified returns the revision qualified with its era. A store that has returned from an older
+// copy accepts other edits under revisions that it has lost; of two edits, the one of the higher
+// qualified revision is in force.
+func (e Edit) Qualified() int64 { return store.QualifyRevision(e.Era, e.Revision) }
+
+// RevisionText formats a qualified revision for an operator.
+func RevisionText(qualified int64) string {
+	text := strconv.FormatInt(store.NumberOf(qualified), 10)
+	if era := store.EraOf(qualified); era != 0 {
+		text += fmt.Sprintf(" (era %d)", era)
+	}
+	return text
+}
+
 // Retired is a page that is not used from Revision on.
 type Retired struct {
 	Hash     Hash  `json:"hash"`
@@ -62,8 +80,11 @@
 	if err := json.Unmarshal(value, &h); err != nil {
 		return Head{}, errors.Wrap(err, "plan: malformed head")
 	}
-	if h.Revision <= 0 || h.ID == "" {
-		return Head{}, errors.New("plan: malformed head: no revision or edit ID")
+	if h.Revision <= 0 || h.Revision > store.MaxRevisionNumber || h.ID == "" {
+		return Head{}, errors.New("plan: malformed head: no valid revision or no edit ID")
+	}
+	if h.Era < 0 || h.Era > store.MaxEra {
+		return Head{}, errors.Newf("plan: malformed head: era %d", h.Era)
 	}
 	return h, nil
 }
--- a/plan/installer.go
+++ b/plan/installer.go
@@ -9,8 +9,8 @@
 	// ErrOlder is returned for a revision that is lower than one that was passed to
 	// Install before, with all its pages.
 	ErrOlder = errors.New("plan: revision is lower than one received before")
-	// ErrConflict is returned if another edit has the same revision, which happens only
-	// after the store has lost accepted edits.
+	// ErrConflict is returned if another edit has the same revision in the same era, which
+	// happens only if the store has lost accepted edits without starting a new era.
 	ErrConflict = errors.New("plan: another edit has the same revision")
 )
 
@@ -22,22 +22,22 @@
 	Table *Table
 }
 
-// Installer holds the active lists. It never returns to a lower revision and never
+// Installer holds the active lists. It never returns to a lower qualified revision and never
 // installs lists that fail validation.
 type Installer struct {
 	active  *Installed
-	highest int64 // highest revision passed to Install with all its pages, valid or not
+	highest int64 // highest qualified revision passed to Install with all its pages, valid or not
 }
 
 // Active returns the active lists, or nil if none are installed.
 func (i *Installer) Active() *Installed { return i.active }
 
-// Revision returns the active revision; 0 means none.
+// Revision returns the active qualified revision; 0 means none.
 func (i *Installer) Revision() int64 {
 	if i.active == nil {
 		return 0
 	}
-	return i.active.Head.Revision
+	return i.active.Head.Qualified()
 }
 
 // Install makes the revision active. After an error the previous revision stays active;
@@ -48,13 +48,14 @@
 	if err != nil {
 		return err
 	}
-	if head.Revision == i.Revision() {
+	revision := head.Qualified()
+	if revision == i.Revision() {
 		return i.checkSameEdit(head)
 	}
-	if head.Revision < i.highest {
-		return errors.Wrapf(ErrOlder, "revision %d, highest received %d", head.Revision, i.highest)
+	if revision < i.highest {
+		return errors.Wrapf(ErrOlder, "revision %s, highest received %s", RevisionText(revision), RevisionText(i.highest))
 	}
-	i.highest = head.Revision
+	i.highest = revision
 	lists, findings := Parse(docs, DefaultFiles, nil)
 	if len(findings) > 0 {
 		return findings
@@ -65,7 +66,7 @@
 
 func (i *Installer) checkSameEdit(head Head) error {
 	if head.ID != i.active.Head.ID {
-		return errors.Wrapf(ErrConflict, "revision %d: edits %s and %s", head.Revision, i.active.Head.ID, head.ID)
+		return errors.Wrapf(ErrConflict, "revision %s: edits %s and %s", RevisionText(head.Qualified()), i.active.Head.ID, head.ID)
 	}
 	return nil
 }
--- a/plan/reader.go
+++ b/plan/reader.go
@@ -85,7 +85,7 @@
 	transfer   *transfer
 	cache      Pages // pages of the active revision, and those already fetched of the next one
 	previous   Pages // pages of the revision before the active one
-	rejected   int64 // highest revision that could not be installed
+	rejected   int64 // highest qualified revision that could not be installed
 	rejection  error
 	out        []Fetch
 }
@@ -110,7 +110,7 @@
 	return out
 }
 
-// SetPeerRevision records the revision that a peer has announced by gossip.
+// SetPeerRevision records the qualified revision that a peer has announced by gossip.
 func (r *Reader) SetPeerRevision(now time.Duration, peer netip.AddrPort, revision int64) {
 	r.peers.setRevision(peer, revision)
 }
@@ -177,7 +177,7 @@
 	return found
 }
 
-// ReaderStatus is the reader's state in a dump.
+// ReaderStatus is the reader's state in a dump. Revisions are qualified with their eras.
 type ReaderStatus struct {
 	Revision    int64  `json:"revision"`
 	EditID      string `json:"edit_id"`
--- a/plan/reader_cluster_test.go
+++ b/plan/reader_cluster_test.go
@@ -24,8 +24,8 @@
 	store       *fake.Store
 	editor      *edit.Editor
 	processes   []*process
-	partitioned bool // processes reach only those whose index has the same parity
-	texts       map[int64]plan.Documents
+	partitioned bool                     // processes reach only those whose index has the same parity
+	texts       map[int64]plan.Documents // by qualified revision
 }
 
 // process is one balancer: a reader, and the daemon's side that performs its fetches.
@@ -71,11 +71,20 @@
 	}
 	outcome, err := c.editor.Apply(context.Background(), base, func(plan.Documents) (plan.Documents, error) { return docs, nil })
 	if err == nil && outcome.Status == edit.Accepted {
-		c.texts[outcome.Revision] = docs
+		c.texts[c.storedRevision()] = docs
 	}
 	return err
 }
 
+// storedRevision returns the qualified revision of the head in the store.
+func (c *cluster) storedRevision() int64 {
+	current, err := c.editor.Read(context.Background())
+	if err != nil {
+		panic(err)
+	}
+	return current.Head.Qualified()
+}
+
 func (c *cluster) outage(down bool) {
 	c.store.Outage = down
 	if down {
@@ -118,10 +127,11 @@
 	if active == nil {
 		return
 	}
-	if active.Head.Revision < p.highest {
-		panic(fmt.Sprintf("process %d went from revision %d to %d", p.index, p.highest, active.Head.Revision))
+	revision := active.Head.Qualified()
+	if revision < p.highest {
+		panic(fmt.Sprintf("process %d went from revision %d to %d", p.index, p.highest, revision))
 	}
-	p.highest = active.Head.Revision
+	p.highest = revision
 	want := p.cluster.texts[p.highest]
 	if string(active.Docs.Customers) != string(want.Customers) || string(active.Docs.Plans) != string(want.Plans) {
 		panic(fmt.Sprintf("process %d has lists that differ from revision %d", p.index, p.highest))
--- a/plan/reader_peers.go
+++ b/plan/reader_peers.go
@@ -13,7 +13,7 @@
 
 // peerState is what a reader has recorded about one peer.
 type peerState struct {
-	revision int64
+	revision int64         // qualified
 	retryAt  time.Duration // time before which no fetch is sent to it
 }
 
--- a/plan/reader_store.go
+++ b/plan/reader_store.go
@@ -21,14 +21,14 @@
 	retryAt   time.Duration // time before which its pages are not fetched again
 }
 
-// setHead records the head if its revision is higher than that of all earlier ones. It
+// setHead records the head if its qualified revision is higher than that of all earlier ones. It
 // ignores a value that cannot be decoded: the active lists stay in force.
 func (s *storeState) setHead(value []byte) {
 	if len(value) == 0 {
 		return
 	}
 	head, err := DecodeHead(value)
-	if err == nil && head.Revision > s.head.Revision {
+	if err == nil && head.Qualified() > s.head.Qualified() {
 		s.head, s.retryAt = head.Short(), 0
 	}
 }
--- a/plan/reader_test.go
+++ b/plan/reader_test.go
@@ -174,13 +174,37 @@
 		Expect(r.Status().Rejection).To(BeEmpty())
 	})
 
+	// Guards against processes that stay with an edit that the store has lost while others follow the
+	// one that it has accepted under the same number, or a lower one, after its return.
+	It("installs the edit that the store accepts after it has returned from an older copy", func() {
+		c := newCluster(9, 2, 4)
+		Expect(c.edit(listsOf(1))).To(Succeed())
+		copied := c.store.Copy()
+		for n := 2; n <= 4; n++ {
+			Expect(c.edit(listsOf(n))).To(Succeed())
+		}
+		c.run(3 * time.Second)
+		expectRevision(c, 4)
+
+		c.store.Restore(copied)
+		c.restart(1, true)
+		c.restart(5, false)
+		c.run(3 * time.Second)
+		expectRevision(c, 4)
+		Expect(c.edit(listsOf(5))).To(Succeed())
+		c.run(3 * time.Second)
+		Expect(c.processes[0].reader.Active().Head.Revision).To(BeEquivalentTo(2))
+		expectRevision(c, c.storedRevision())
+	})
+
 	// Guards, under random faults, against a process that returns to a lower revision or
 	// installs a partial edit (both checked each tick), or never installs the last edit.
 	It("converges after any faults", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			c := newCluster(rapid.Uint64().Draw(t, "seed"), 2, 4)
+			copied := c.store.Copy()
 			for i := range rapid.IntRange(1, 15).Draw(t, "steps") {
-				switch rapid.SampledFrom([]string{"edit", "outage", "cut", "restart", "lose", "takeover"}).Draw(t, "fault") {
+				switch rapid.SampledFrom([]string{"edit", "outage", "cut", "restart", "lose", "takeover", "copy", "return"}).Draw(t, "fault") {
 				case "edit":
 					_ = c.edit(listsOf(5*i + 1)) // fails during an outage
 				case "outage":
@@ -192,6 +216,10 @@
 					c.restart(j, j < 2)
 				case "lose":
 					c.store.BreakWatches()
+				case "copy":
+					copied = c.store.Copy()
+				case "return":
+					c.store.Restore(copied)
 				case "takeover":
 					j := rapid.IntRange(2, 5).Draw(t, "process")
 					c.processes[j].reader.SetReadsStore(rapid.Bool().Draw(t, "reads"))
@@ -204,7 +232,7 @@
 				t.Fatal(err)
 			}
 			c.run(18 * time.Second) // the maximum backoff of the store, and gossip
-			last := int64(len(c.texts))
+			last := c.storedRevision()
 			for i, revision := range revisions(c) {
 				if revision != last {
 					t.Fatalf("process %d has revision %d of %d", i, revision, last)
--- a/plan/reader_transfer.go
+++ b/plan/reader_transfer.go
@@ -18,7 +18,7 @@
 	head     *Head // nil while it is being fetched from a peer
 }
 
-// handledRevision returns the highest revision that was installed or rejected. Only higher ones
+// handledRevision returns the highest qualified revision that was installed or rejected. Only higher ones
 // are fetched.
 func (r *Reader) handledRevision() int64 { return max(r.installer.Revision(), r.rejected) }
 
@@ -31,7 +31,7 @@
 	if r.transfer != nil {
 		return
 	}
-	if r.store.head.Revision > r.handledRevision() && now >= r.store.retryAt {
+	if r.store.head.Qualified() > r.handledRevision() && now >= r.store.retryAt {
 		r.startTransfer(now, netip.AddrPort{}, r.store.head)
 		return
 	}
@@ -91,8 +91,8 @@
 		r.transferFailed(now)
 		return
 	}
-	r.peers.setRevision(peer, head.Revision)
-	if head.Revision <= r.handledRevision() {
+	r.peers.setRevision(peer, head.Qualified())
+	if head.Qualified() <= r.handledRevision() {
 		r.transfer = nil
 		return
 	}
@@ -136,7 +136,7 @@
 	r.transfer = nil
 	before := r.Active()
 	if err := r.installer.Install(head, r.cache); err != nil {
-		r.rejected, r.rejection = head.Revision, err
+		r.rejected, r.rejection = head.Qualified(), err
 		r.cache = r.pagesOf(before)
 		return
 	}
