plan: a reader forgets a head that the store has lost

Cause: a reader kept the highest head that it had read. If the store returned from an older copy before the reader had fetched all pages, it read the lost pages from the store about once a second until the next edit. Change: the first read of a later era replaces the recorded head. The active lists do not change, since only higher ones are installed. Measured: go test ./plan -ginkgo.focus "does not fetch the pages": before (trial with the replacement disabled), it fails; after, it passes.

--- a/plan/reader.go
+++ b/plan/reader.go
@@ -121,7 +121,7 @@
 // WatchEvent handles a new value of the head from the watch; it is empty after a deletion.
 func (r *Reader) WatchEvent(now time.Duration, id uint64, value []byte) {
 	if id == r.store.watch {
-		r.store.setHead(value)
+		r.store.setHead(value, r.store.era)
 	}
 }
 
--- a/plan/reader_store.go
+++ b/plan/reader_store.go
@@ -17,13 +17,18 @@
 	nextRead  time.Duration // time of the next read
 	failures  int           // consecutive failures
 	responded bool
-	head      Head          // head with the highest revision seen in the store
+	era       store.Era     // highest era of a read of the head
+	head      Head          // head with the highest revision seen in the store in this era
 	retryAt   time.Duration // time before which its pages are not fetched again
 }
 
-// setHead records the head if its qualified revision is higher than that of all earlier ones. It
-// ignores a value that cannot be decoded: the active lists stay in force.
-func (s *storeState) setHead(value []byte) {
+// setHead records the head if its qualified revision is higher than that of all earlier ones of
+// the era, because a store that has returned from an older copy may have lost those of an earlier
+// one. It ignores a value that cannot be decoded: the active lists stay in force.
+func (s *storeState) setHead(value []byte, era store.Era) {
+	if era > s.era {
+		s.era, s.head = era, Head{}
+	}
 	if len(value) == 0 {
 		return
 	}
@@ -66,7 +71,7 @@
 	}
 	s.failures, s.responded = 0, true
 	s.nextRead = now + r.jitter(r.cfg.SafetyPoll)
-	s.setHead(result.Head)
+	s.setHead(result.Head, store.EraOf(result.StoreRevision))
 	if s.watch == 0 {
 		s.watch = r.emit(Fetch{Kind: WatchHead, From: result.StoreRevision + 1})
 	}
--- a/plan/reader_test.go
+++ b/plan/reader_test.go
@@ -197,6 +197,34 @@
 		expectRevision(c, c.storedRevision())
 	})
 
+	// Guards against a read per second of pages that the store has lost with their head.
+	It("does not fetch the pages of a head that the store has lost", func() {
+		r := plan.NewReader(plan.ReaderConfig{}, newCluster(10, 0, 0).rng)
+		r.SetReadsStore(true)
+		head, _ := next(plan.Head{}, "0-a", listsOf(1))
+		read := func(now time.Duration, result plan.Result) (others []plan.Fetch) {
+			for fetches := r.Step(now); len(fetches) > 0; fetches = r.Step(now) {
+				for _, f := range fetches {
+					if f.Kind == plan.FetchHead {
+						r.FetchDone(now, f.ID, result)
+					} else {
+						others = append(others, f)
+					}
+				}
+			}
+			return others
+		}
+		fetches := read(0, plan.Result{Head: head.Encode(), StoreRevision: 9})
+		Expect(fetches).To(ContainElement(HaveField("Kind", plan.FetchPages)))
+		for _, f := range fetches {
+			r.FetchDone(0, f.ID, plan.Result{Err: store.ErrCompacted})
+		}
+		returned := store.QualifyRevision(1, 5)
+		for now := time.Duration(0); now < 10*time.Second; now += tick {
+			Expect(read(now, plan.Result{StoreRevision: returned})).NotTo(ContainElement(HaveField("Kind", plan.FetchPages)))
+		}
+	})
+
 	// Guards, under random faults, against a process that returns to a lower revision or
 	// installs a partial edit (both checked each tick), or never installs the last edit.
 	It("converges after any faults", func() {
