fake, store: the fake store can return from an older copy

Cause: no test in virtual time could play a return of the store, so nothing showed what users of revisions and leases do then.

--- a/fake/store_test.go
+++ b/fake/store_test.go
@@ -66,4 +66,45 @@
 		Expect((<-events).Err).To(MatchError(store.ErrCompacted))
 		Expect(events).To(BeClosed())
 	})
+
+	// Other tests rely on a return that loses what was written since the copy and gives out
+	// its revisions and leases again.
+	It("simulates a return from an older copy", func() {
+		other := s.NewClient()
+		first, _ := write("k", store.LeaseID{})
+		copied := s.Copy()
+		lease, _ := s.Grant(ctx, time.Hour)
+		lost, _ := write("k", store.LeaseID{})
+		write("lost", lease)
+		changes, _ := s.Watch(ctx, "k", lost.Revision+1)
+		under := func(c store.Store, revision int64, lease store.LeaseID) (store.TxnResult, error) {
+			return c.Txn(ctx, []store.Compare{{Key: "k", Revision: revision}}, []store.Op{{Key: "k", Lease: lease}})
+		}
+		s.Restore(copied)
+		Expect((<-changes).Err).To(MatchError(store.ErrUnavailable))
+
+		_, err := under(other, first.Revision, store.LeaseID{})
+		Expect(err).To(MatchError(store.ErrUnknown), "the condition holds by chance")
+		_, err = s.Get(ctx, "lost")
+		Expect(err).To(MatchError(store.ErrNotFound))
+		result, err := under(s, lost.Revision, store.LeaseID{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result.Succeeded).To(BeFalse())
+		again, _ := s.Grant(ctx, time.Hour)
+		Expect(again.Number).To(Equal(lease.Number))
+		_, err = s.KeepAlive(ctx, lease)
+		Expect(err).To(MatchError(store.ErrNotFound))
+		kv, _ := s.Get(ctx, "k")
+		Expect(kv.ModRevision).To(BeNumerically(">", lost.Revision))
+		Expect(store.NumberOf(kv.ModRevision)).To(Equal(store.NumberOf(lost.Revision)))
+		result, err = under(s, kv.ModRevision, again)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result.Succeeded).To(BeTrue())
+		for _, from := range []int64{first.Revision, lost.Revision + 1, result.Revision + 2} {
+			changes, _ = s.Watch(ctx, "k", from)
+			Expect((<-changes).Err).To(MatchError(store.ErrCompacted))
+		}
+		changes, _ = s.Watch(ctx, "k", result.Revision)
+		Expect((<-changes).Events[0].KV.Lease).To(Equal(again))
+	})
 })
--- a/store/era.go
+++ b/store/era.go
@@ -37,3 +37,40 @@
 
 // NumberOf returns the number of a qualified revision within its era.
 func NumberOf(revision int64) int64 { return revision & MaxRevisionNumber }
+
+// ErrEraOver reports that a condition of a transaction is on a revision of an older era.
+var ErrEraOver = errors.New("store: the era of a condition is over")
+
+// TxnEra returns the era in which a transaction must be executed, because its conditions and
+// leases are of this era, or false if it may be executed in any. known is the latest era seen.
+// A condition of an older era gives ErrEraOver, a lease of an older one ErrNotFound: the
+// transaction must then not be sent, because a store compares numbers without their era.
+func TxnEra(known Era, conditions []Compare, writes []Op) (era Era, bound bool, err error) {
+	for _, c := range conditions {
+		if c.Revision != 0 {
+			era, bound = max(era, EraOf(c.Revision)), true
+		}
+	}
+	for _, w := range writes {
+		if !w.Delete && !w.Lease.IsZero() {
+			era, bound = max(era, w.Lease.Era), true
+		}
+	}
+	known = max(known, era)
+	for _, c := range conditions {
+		if c.Revision != 0 && EraOf(c.Revision) < known {
+			return era, bound, errors.Wrapf(ErrEraOver, "key %q at revision %d of era %d", c.Key, NumberOf(c.Revision), EraOf(c.Revision))
+		}
+	}
+	for _, w := range writes {
+		if !w.Delete && !w.Lease.IsZero() && w.Lease.Era < known {
+			return era, bound, LeaseOver(w.Lease)
+		}
+	}
+	return era, bound, nil
+}
+
+// LeaseOver returns the ErrNotFound of a lease whose era is over.
+func LeaseOver(id LeaseID) error {
+	return errors.Wrapf(ErrNotFound, "the era %d of lease %d is over", id.Era, id.Number)
+}
