balancer: the tests of a return give each balancer a client of its own

Cause: all balancers of the collector's and grantor's tests shared one client of the store, so each learned of a return from the calls of the others. Change: each has its own.

--- a/balancer/collector_test.go
+++ b/balancer/collector_test.go
@@ -25,7 +25,7 @@
 	BeforeEach(func() {
 		now = 0
 		s = fake.NewStore(func() time.Duration { return now })
-		b1 = newStoreBalancer("b1", s, u1)
+		b1 = newStoreBalancer("b1", s.NewClient(), u1)
 	})
 
 	// steps runs the balancers' collectors once per second of simulated time.
@@ -57,7 +57,7 @@
 	It("stores the fleet for starting balancers to read", func() {
 		steps(5, b1)
 		Expect(stored()).To(Equal([]string{"b1", "u1"}))
-		b2 := newStoreBalancer("b2", s)
+		b2 := newStoreBalancer("b2", s.NewClient())
 		Expect(b2.wake).NotTo(Receive())
 		steps(1, b2)
 		Expect(b2.wake).To(Receive(), "the view must be installed without delay")
@@ -71,7 +71,7 @@
 		steps(5, b1)
 		term := b1.collector.shard.Term()
 		Expect(term).NotTo(BeZero())
-		b2 := newStoreBalancer("b2", s)
+		b2 := newStoreBalancer("b2", s.NewClient())
 		steps(3, b2)
 		Expect(b2.collector.shard.Term()).To(BeZero(), "b1 holds the lease")
 		end()
@@ -106,7 +106,7 @@
 	// Guards against a shard that is no longer written, or by two collectors at once, after the
 	// store has returned from a copy that is older than the term, the lease or both.
 	DescribeTable("is one balancer again after the store has returned from a copy", func(before int) {
-		b2 := newStoreBalancer("b2", s)
+		b2 := newStoreBalancer("b2", s.NewClient())
 		copies := []*mem.Engine{s.Copy()}
 		for range 6 {
 			steps(1, b1, b2)
--- a/balancer/grantors_test.go
+++ b/balancer/grantors_test.go
@@ -36,7 +36,7 @@
 		}
 	}
 	addBalancer := func(name string) *testBalancer {
-		b := newStoreBalancer(name, s, upstreamRecord("u1", "127.0.0.1:7101"))
+		b := newStoreBalancer(name, s.NewClient(), upstreamRecord("u1", "127.0.0.1:7101"))
 		b.now = startTimeout
 		b.grantors.active = func() *plan.Installed { return lists }
 		return b
