plan, daemon: an edit that the store has lost is logged

Cause: after a return of the store from an older copy an edit that an operator saw accepted may be gone; it stayed in force in the processes that had it and then disappeared with the next edit, without a line. Change: a process that reads the store logs event 1306 once for its active edit if the store, in a later era, has a lower revision or a head whose history lacks the edit. The dump source lists shows it as lost_edit. Weighed and left: daemons that write the edit back: they hold the lists, but not what the operators wanted after others have edited the older copy.

--- a/daemon/lists.go
+++ b/daemon/lists.go
@@ -43,6 +43,7 @@
 	reader                 *plan.Reader
 	nextPeerReport         time.Duration                 // earliest time of the next calls of SetPeerRevision
 	loggedRejectedRevision int64                         // highest revision logged as rejected
+	loggedLostEdit         string                        // ID of the last edit logged as lost
 	watches                map[uint64]context.CancelFunc // open watches of the store
 }
 
@@ -86,6 +87,7 @@
 	fetches := l.reader.Step(now)
 	activated := l.publish()
 	l.logRejection()
+	l.logLost()
 	l.mu.Unlock()
 	if activated != nil {
 		l.cfg.Log.Log(event.ListsActive, "revision", activated.Revision, "era", activated.Era, "edit", activated.ID, "author", activated.Author)
@@ -119,6 +121,16 @@
 	}
 }
 
+// logLost logs once that the store has lost an edit.
+func (l *Lists) logLost() {
+	lost := l.reader.Status().Lost
+	if lost == nil || lost.ID == l.loggedLostEdit {
+		return
+	}
+	l.loggedLostEdit = lost.ID
+	l.cfg.Log.Log(event.ListsLost, "revision", lost.Revision, "era", lost.Era, "edit", lost.ID, "author", lost.Author, "stored", plan.RevisionText(lost.Stored))
+}
+
 // Revision returns the active qualified revision, or 0 if there is none.
 func (l *Lists) Revision() int64 {
 	if a := l.active.Load(); a != nil {
--- a/daemon/lists_test.go
+++ b/daemon/lists_test.go
@@ -84,6 +84,7 @@
 	*daemon.Lists
 	log       bytes.Buffer
 	activated chan int64
+	running   sync.WaitGroup // of a process that follow has started
 }
 
 func newProcess(now *time.Duration, t daemon.Transport, s store.Store, spawn func(func())) *process {
@@ -108,9 +109,9 @@
 	// follow starts a process that watches the store until the spec ends.
 	follow := func(s store.Store, net peers) *process {
 		watch, cancel := context.WithCancel(ctx)
-		var running sync.WaitGroup
-		p := newProcess(&now, net, s, running.Go)
-		DeferCleanup(func() { cancel(); running.Wait() })
+		var p *process
+		p = newProcess(&now, net, s, func(f func()) { p.running.Go(f) })
+		DeferCleanup(func() { cancel(); p.running.Wait() })
 		p.Step(watch, true, 0)
 		return p
 	}
@@ -179,6 +180,37 @@
 		Expect(strings.Count(p.log.String(), "event=1301")).To(Equal(2), "two findings, each logged once: %s", p.log.String())
 	})
 
+	// Guards against an accepted edit that the store loses without a line, or with one for each read,
+	// both if the store still has an earlier revision and if it has accepted another edit since.
+	DescribeTable("log an edit that the store has lost once", func(edits int, stored string) {
+		s := newStore()
+		writeLists(s, documents(1))
+		copied := s.Copy()
+		writeLists(s, documents(2))
+		p := follow(s, nil)
+		Expect(<-p.activated).To(BeEquivalentTo(2))
+		run, cancel := context.WithCancel(ctx)
+		DeferCleanup(cancel)
+		p.Step(run, false, 0)
+		s.Restore(copied)
+		for i := range edits {
+			writeLists(s, documents(3+i))
+		}
+		for range 2 {
+			p.Step(run, true, 0)
+			Eventually(func() bool { return p.State().Watching }).Should(BeTrue())
+			p.Step(run, false, 0)
+		}
+		p.running.Wait()
+		Expect(p.State().Lost).To(HaveValue(HaveField("Revision", BeEquivalentTo(2))))
+		Expect(strings.Count(p.log.String(), "event=1306")).To(Equal(1))
+		Expect(p.log.String()).To(MatchRegexp(`event=1306 .*revision=2 era=0 edit=\S+ author=operator stored="?` + stored))
+	},
+		Entry("for an earlier one", 0, "1"),
+		Entry("for another one under its revision", 1, `2 \(era 1\)`),
+		Entry("for later ones", 2, `3 \(era 1\)`),
+	)
+
 	// Guards against a process that queries a peer in every step while that peer has
 	// no newer revision.
 	It("pause between queries to a peer that has no newer revision", func() {
--- a/plan/reader.go
+++ b/plan/reader.go
@@ -87,6 +87,7 @@
 	previous   Pages // pages of the revision before the active one
 	rejected   int64 // highest qualified revision that could not be installed
 	rejection  error
+	lost       *LostEdit // last edit found to be lost by the store; nil if there is none
 	out        []Fetch
 }
 
@@ -121,7 +122,7 @@
 // WatchEvent handles a new value of the head from the watch; it is empty after a deletion.
 func (r *Reader) WatchEvent(now time.Duration, id uint64, value []byte) {
 	if id == r.store.watch {
-		r.store.setHead(value, r.store.era)
+		r.setHead(value, r.store.era)
 	}
 }
 
@@ -186,6 +187,8 @@
 	Watching    bool   `json:"watching"`
 	Rejected    int64  `json:"rejected_revision"` // highest revision that could not be installed; 0: none
 	Rejection   string `json:"rejection"`
+
+	Lost *LostEdit `json:"lost_edit,omitempty"`
 }
 
 // Status returns the reader's state.
@@ -196,6 +199,7 @@
 		StoreAnswer: r.store.responded && r.store.failures == 0,
 		Watching:    r.store.watch != 0,
 		Rejected:    r.rejected,
+		Lost:        r.lost,
 	}
 	if r.Active() != nil {
 		s.EditID = r.Active().Head.ID
--- a/plan/reader_store.go
+++ b/plan/reader_store.go
@@ -22,18 +22,43 @@
 	retryAt   time.Duration // time before which its pages are not fetched again
 }
 
+// LostEdit is an edit that is or was active here, although the store no longer has it.
+type LostEdit struct {
+	Edit
+	Stored int64 `json:"stored"` // qualified revision that the store had instead; 0 if it had none
+}
+
+// noteLost records the active edit as lost if the store has returned from a copy without it: the
+// store then has an earlier revision, or edits of a later era that do not follow it.
+func (r *Reader) noteLost(head Head) {
+	active := r.Active()
+	if active == nil || r.store.era <= active.Head.Era || r.lost != nil && r.lost.ID == active.Head.ID {
+		return
+	}
+	_, found := head.FindEdit(active.Head.ID)
+	replaced := head.Qualified() > active.Head.Qualified() && !found && head.HistoryCovers(active.Head.Revision-1)
+	if replaced || head.Qualified() < active.Head.Qualified() {
+		r.lost = &LostEdit{Edit: active.Head.Edit, Stored: head.Qualified()}
+	}
+}
+
 // setHead records the head if its qualified revision is higher than that of all earlier ones of
 // the era, because a store that has returned from an older copy may have lost those of an earlier
 // one. It ignores a value that cannot be decoded: the active lists stay in force.
-func (s *storeState) setHead(value []byte, era store.Era) {
+func (r *Reader) setHead(value []byte, era store.Era) {
+	s := &r.store
 	if era > s.era {
 		s.era, s.head = era, Head{}
 	}
-	if len(value) == 0 {
-		return
+	var head Head
+	if len(value) > 0 {
+		var err error
+		if head, err = DecodeHead(value); err != nil {
+			return
+		}
 	}
-	head, err := DecodeHead(value)
-	if err == nil && head.Qualified() > s.head.Qualified() {
+	r.noteLost(head)
+	if head.Qualified() > s.head.Qualified() {
 		s.head, s.retryAt = head.Short(), 0
 	}
 }
@@ -71,7 +96,7 @@
 	}
 	s.failures, s.responded = 0, true
 	s.nextRead = now + r.jitter(r.cfg.SafetyPoll)
-	s.setHead(result.Head, store.EraOf(result.StoreRevision))
+	r.setHead(result.Head, store.EraOf(result.StoreRevision))
 	if s.watch == 0 {
 		s.watch = r.emit(Fetch{Kind: WatchHead, From: result.StoreRevision + 1})
 	}
--- a/plan/reader_test.go
+++ b/plan/reader_test.go
@@ -191,6 +191,8 @@
 		c.restart(5, false)
 		c.run(3 * time.Second)
 		expectRevision(c, 4)
+		lost := c.processes[0].reader.Status()
+		Expect(lost.Lost).To(HaveValue(And(HaveField("ID", lost.EditID), HaveField("Stored", store.QualifyRevision(0, 1)))))
 		Expect(c.edit(listsOf(5))).To(Succeed())
 		c.run(3 * time.Second)
 		Expect(c.processes[0].reader.Active().Head.Revision).To(BeEquivalentTo(2))
