plan/edit: the head is replaced only while the store has the edit's pages

Cause: an edit writes its pages first and then the head. If the store returned in between from an older copy that has the same head, the first call of an editor that had not noticed it replaced the head, which then named pages that the store had lost: nobody could read or edit the lists. The client reports such a write as unknown, but it takes effect. Seen in a test of the outcome ("plan: page is missing"). Change: the transaction also requires the store revision of a page of the last batch. If that has changed while the head has not, as when another editor writes the same pages, the pages are written again. Weighed: a condition for each page (the store limits the entries of a transaction), a key for each edit (stays behind if the editor ends).

--- a/plan/edit/apply.go
+++ b/plan/edit/apply.go
@@ -77,22 +77,37 @@
 	for _, hash := range base.Head.Hashes() {
 		delete(pages, hash) // the store has it while the head is unchanged
 	}
-	if err := e.writePages(ctx, pages); err != nil {
-		return outcome, errors.Wrap(err, "writing the pages; nothing was changed")
+	var uncertain bool
+	for range e.cfg.Attempts {
+		written, err := e.writePages(ctx, pages)
+		if err != nil && !uncertain {
+			return outcome, errors.Wrap(err, "writing the pages; nothing was changed")
+		}
+		if err != nil {
+			outcome.Status, outcome.Cause = Unknown, err
+			return outcome, nil
+		}
+		conditions := append(written, store.Compare{Key: plan.HeadKey, Target: store.CompareMod, Revision: base.modRevision})
+		var again bool
+		if outcome, again, err = e.replaceHead(ctx, base, newSwap(conditions, head), outcome, &uncertain); !again {
+			return outcome, err
+		}
 	}
-	swap := newSwap(base.modRevision, head)
-	return e.replaceHead(ctx, base, swap, outcome)
+	outcome.Status, outcome.Cause = Unknown, errPagesChange
+	return outcome, nil
 }
 
 // writePages writes the pages in batches. A batch whose outcome is unknown is written
-// again, which is safe because a page's key is the hash of its content.
-func (e *Editor) writePages(ctx context.Context, pages plan.Pages) error {
+// again, which is safe because a page's key is the hash of its content. The condition that it
+// returns holds as long as the store has the last batch, and therefore all of them: a store that
+// has returned from an older copy may have lost them. There is none if there are no pages.
+func (e *Editor) writePages(ctx context.Context, pages plan.Pages) ([]store.Compare, error) {
 	var batch []store.Op
 	size := 0
 	for hash, page := range pages {
 		if len(batch) == batchOps || (size > 0 && size+len(page) > batchBytes) {
-			if err := e.putPages(ctx, batch); err != nil {
-				return err
+			if _, err := e.putPages(ctx, batch); err != nil {
+				return nil, err
 			}
 			batch, size = nil, 0
 		}
@@ -100,26 +115,30 @@
 		size += len(page)
 	}
 	if len(batch) == 0 {
-		return nil
+		return nil, nil
 	}
-	return e.putPages(ctx, batch)
+	revision, err := e.putPages(ctx, batch)
+	return []store.Compare{{Key: batch[0].Key, Target: store.CompareMod, Revision: revision}}, err
 }
 
-func (e *Editor) putPages(ctx context.Context, batch []store.Op) error {
+// putPages writes one batch and returns its store revision.
+func (e *Editor) putPages(ctx context.Context, batch []store.Op) (int64, error) {
+	var result store.TxnResult
 	var err error
 	for attempt := range e.cfg.Attempts {
 		if attempt > 0 {
 			e.cfg.Wait(ctx)
 		}
-		if _, err = e.cfg.Store.Txn(ctx, nil, batch); !errors.Is(err, store.ErrUnknown) || ctx.Err() != nil {
-			return err
+		if result, err = e.cfg.Store.Txn(ctx, nil, batch); !errors.Is(err, store.ErrUnknown) || ctx.Err() != nil {
+			break
 		}
 	}
-	return err
+	return result.Revision, err
 }
 
 // swap is the transaction that replaces the head. It is conditional on the head's store
-// revision that was read, so it takes effect at most once, even if it is sent repeatedly.
+// revision that was read, so it takes effect at most once, even if it is sent repeatedly, and on
+// that of a page written last.
 type swap struct {
 	conditions []store.Compare
 	writes     []store.Op
@@ -129,10 +148,10 @@
 // No other transaction deletes pages. If it deletes a page that another edit in progress
 // has just written, that edit is stale, because the head has changed: no accepted edit
 // loses a page.
-func newSwap(modRevision int64, head plan.Head) swap {
+func newSwap(conditions []store.Compare, head plan.Head) swap {
 	expired := head.RemoveExpired(expireLimit)
 	s := swap{
-		conditions: []store.Compare{{Key: plan.HeadKey, Target: store.CompareMod, Revision: modRevision}},
+		conditions: conditions,
 		writes: []store.Op{
 			{Key: plan.HeadKey, Value: head.Encode()},
 			{Key: plan.RevisionKey(head.Revision), Value: head.Short().Encode()},
@@ -147,9 +166,9 @@
 
 // replaceHead sends the swap until its outcome is known or the attempts are exhausted. It
 // returns an error only if the swap certainly had no effect: an attempt failed, and no
-// earlier attempt had an unknown outcome.
-func (e *Editor) replaceHead(ctx context.Context, base *Snapshot, s swap, outcome Outcome) (Outcome, error) {
-	uncertain := false
+// earlier attempt had an unknown outcome, which it records in uncertain. It returns true if the
+// head is still the base, and the pages must be written again.
+func (e *Editor) replaceHead(ctx context.Context, base *Snapshot, s swap, outcome Outcome, uncertain *bool) (Outcome, bool, error) {
 	for attempt := range e.cfg.Attempts {
 		if attempt > 0 {
 			e.cfg.Wait(ctx)
@@ -157,19 +176,19 @@
 		result, err := e.cfg.Store.Txn(ctx, s.conditions, s.writes)
 		switch {
 		case err == nil && result.Succeeded:
-			return acceptedOutcome(outcome, base.Head.Revision+1), nil
+			return acceptedOutcome(outcome, base.Head.Revision+1), false, nil
 		case err == nil:
-			return e.headChanged(ctx, base, outcome, uncertain)
-		case !uncertain && !errors.Is(err, store.ErrUnknown):
-			return outcome, errors.Wrap(err, "replacing the head; nothing was changed")
+			return e.conditionFailed(ctx, base, outcome, *uncertain)
+		case !*uncertain && !errors.Is(err, store.ErrUnknown):
+			return outcome, false, errors.Wrap(err, "replacing the head; nothing was changed")
 		}
-		uncertain, outcome.Cause = true, err
+		*uncertain, outcome.Cause = true, err
 		if ctx.Err() != nil {
 			break
 		}
 	}
 	outcome.Status = Unknown
-	return outcome, nil
+	return outcome, false, nil
 }
 
 func acceptedOutcome(o Outcome, revision int64) Outcome {
@@ -177,10 +196,9 @@
 	return o
 }
 
-// headChanged returns the outcome if the head is no longer the base: either an earlier
-// attempt of this edit has replaced it, and the edit is in the history, or another edit was
-// accepted.
-func (e *Editor) headChanged(ctx context.Context, base *Snapshot, outcome Outcome, uncertain bool) (Outcome, error) {
+// conditionFailed returns the outcome after a condition of the swap did not hold, or true if the
+// head is still the base, because another editor has written the same pages.
+func (e *Editor) conditionFailed(ctx context.Context, base *Snapshot, outcome Outcome, uncertain bool) (Outcome, bool, error) {
 	current, err := e.readWithRetries(ctx)
 	if err != nil {
 		outcome.Cause = err
@@ -188,16 +206,26 @@
 		if !uncertain {
 			outcome.Status = Stale
 		}
-		return outcome, nil
+		return outcome, false, nil
 	}
+	if current.modRevision == base.modRevision && current.era == base.era {
+		return outcome, true, nil
+	}
+	return headChanged(base, current, outcome, uncertain), false, nil
+}
+
+// headChanged returns the outcome if the head is no longer the base: either an earlier
+// attempt of this edit has replaced it, and the edit is in the history, or another edit was
+// accepted.
+func headChanged(base, current *Snapshot, outcome Outcome, uncertain bool) Outcome {
 	if edit, found := current.Head.FindEdit(outcome.ID); found {
-		return acceptedOutcome(outcome, edit.Revision), nil
+		return acceptedOutcome(outcome, edit.Revision)
 	}
 	if uncertain && !current.Head.HistoryCovers(base.Head.Revision) {
 		outcome.Status = Unknown
-		return outcome, nil
+		return outcome
 	}
-	return staleOutcome(base, current, outcome), nil
+	return staleOutcome(base, current, outcome)
 }
 
 func (e *Editor) readWithRetries(ctx context.Context) (*Snapshot, error) {
--- a/plan/edit/faults_test.go
+++ b/plan/edit/faults_test.go
@@ -136,6 +136,55 @@
 		Expect(err).To(MatchError(edit.ErrBadID))
 	})
 
+	// Guards against a head that names pages which the store has lost, so that nobody can read the
+	// lists: the store returns from an older copy with the same head after the pages were written,
+	// and the editor has not noticed it.
+	DescribeTable("does not replace the head after the store has lost its pages", func(lose int) {
+		copied := s.Copy()
+		calls := 0
+		s.Before = func(call fake.Call) error {
+			if call == fake.CallTxn {
+				calls++
+			}
+			if calls == 2 {
+				s.LoseResponses = lose
+			}
+			if calls == 2+lose {
+				s.Before = nil
+				s.Restore(copied)
+			}
+			return nil
+		}
+		outcome, err := do(newEditor(s.NewClient(), "eve"), setWeight("gold", 2))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(outcome.Status).NotTo(Equal(edit.Accepted))
+		Expect(mustRead(e).Head.Author).To(Equal("amy"))
+		mustAccept(e, setWeight("gold", 3))
+	},
+		Entry("before the first write of the head", 0),
+		Entry("after a write of the head without a response", 1),
+	)
+
+	// Guards against an edit that is refused because another one writes the same pages.
+	It("is accepted if another editor writes the same pages meanwhile", func() {
+		calls := 0
+		s.Before = func(call fake.Call) error {
+			if call != fake.CallTxn {
+				return nil
+			}
+			if calls++; calls == 2 {
+				s.Before = nil
+				for _, kv := range mustList(s, plan.PagePrefix) {
+					_, err := s.Txn(ctx, nil, []store.Op{{Key: kv.Key, Value: kv.Value}})
+					Expect(err).NotTo(HaveOccurred())
+				}
+			}
+			return nil
+		}
+		mustAccept(newEditor(s, "eve"), setWeight("gold", 2))
+		Expect(mustRead(e).Head.Author).To(Equal("eve"))
+	})
+
 	// Guards against invalid lists in the store.
 	It("rejects invalid lists with all findings and writes nothing", func() {
 		_, err := do(e, func(d plan.Documents) (plan.Documents, error) {
--- a/plan/edit/outcome.go
+++ b/plan/edit/outcome.go
@@ -74,5 +74,6 @@
 // Reasons why the status of an edit is unknown.
 var (
 	errBaseIsCurrent   = errors.New("the edit is not in the history, but there is no later edit, so its write may still arrive; repeat the edit or check again later")
+	errPagesChange     = errors.New("other editors keep writing the same pages")
 	errHistoryTooShort = errors.New("the history no longer contains every edit after the base revision of this one; compare the lists")
 )
--- a/plan/edit/suite_test.go
+++ b/plan/edit/suite_test.go
@@ -88,3 +88,10 @@
 		return d, nil
 	}
 }
+
+func mustList(s store.Store, prefix string) []store.KV {
+	GinkgoHelper()
+	kvs, _, err := s.List(ctx, prefix)
+	Expect(err).NotTo(HaveOccurred())
+	return kvs
+}
