plan/edit: an edit that the store may have lost is unknown, not refused

Cause: an edit whose write was not answered is looked up in the history. A store that has returned from an older copy has lost the history too, so an edit that had been accepted was reported as refused ("nothing was changed"), by the editor and by edit-status. An edit of a base that is gone was refused with "made from revision 2, but the current one is 2". The text of a refused edit tells of the return if the current revision is not higher than the base. Weighed: the era in the edit's ID, which would decide a few more cases and change what operators type.

--- a/plan/edit/apply.go
+++ b/plan/edit/apply.go
@@ -221,6 +221,10 @@
 	if edit, found := current.Head.FindEdit(outcome.ID); found {
 		return acceptedOutcome(outcome, edit.Revision)
 	}
+	if uncertain && current.era > base.era {
+		outcome.Status, outcome.Cause = Unknown, errStoreReturned
+		return outcome
+	}
 	if uncertain && !current.Head.HistoryCovers(base.Head.Revision) {
 		outcome.Status = Unknown
 		return outcome
--- a/plan/edit/faults_test.go
+++ b/plan/edit/faults_test.go
@@ -185,6 +185,71 @@
 		Expect(mustRead(e).Head.Author).To(Equal("eve"))
 	})
 
+	// Guards against "refused, nothing was changed" for an edit that was accepted and then lost by a
+	// store that has returned from an older copy, as seen by the operator who sent it and later.
+	DescribeTable("is unknown after the store has lost it", func(others int) {
+		copied := s.Copy()
+		txns := 0
+		s.Before = func(call fake.Call) error {
+			if call == fake.CallTxn {
+				txns++
+			}
+			switch txns {
+			case 2:
+				s.LoseResponses = 1 // of the write of the head
+			case 3:
+				s.Before = nil
+				s.Restore(copied)
+				for i := range others {
+					mustAccept(newEditor(s.NewClient(), "ben"), setWeight("silver", i+1))
+				}
+			}
+			return nil
+		}
+		client := s.NewClient()
+		outcome, err := do(newEditor(client, "eve"), setWeight("gold", 2))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(txns).To(Equal(3))
+		Expect(outcome.Status).To(Equal(edit.Unknown), outcome.String())
+		Expect(outcome.String()).To(ContainSubstring("returned from an older copy"))
+		status, err := e.Status(ctx, outcome.ID)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status.Status).To(Equal(edit.Unknown), status.String())
+		Expect(status.String()).To(ContainSubstring("returned from an older copy"))
+	},
+		Entry("and has no later edit", 0),
+		Entry("and has given its number to another edit", 1),
+		Entry("and has several others", 3),
+	)
+
+	// Guards against "unknown" for edits that were refused beyond doubt, long after a return.
+	It("is refused after a return if the edit that follows its base has survived", func() {
+		delayed := &delayedStore{Store: s, delay: true}
+		outcome, _ := do(newEditor(delayed, "lea"), setWeight("gold", 9))
+		mustAccept(e, setWeight("gold", 3))
+		s.Restore(s.Copy())
+		Expect(e.Status(ctx, outcome.ID)).To(HaveField("Status", edit.Stale))
+		mustAccept(e, setWeight("gold", 4))
+		Expect(e.Status(ctx, outcome.ID)).To(HaveField("Status", edit.Stale))
+		delayed.deliver()
+		Expect(mustRead(e).Head.Revision).To(Equal(int64(3)))
+	})
+
+	// Guards against an edit that is made from lists which the store has lost.
+	It("is refused if the store has returned from an older copy since its base was read", func() {
+		copied := s.Copy()
+		mustAccept(e, setWeight("gold", 2))
+		base := mustRead(e)
+		s.Restore(copied)
+		mustAccept(newEditor(s.NewClient(), "ben"), setWeight("silver", 1))
+		mustRead(e)
+		outcome, err := e.Apply(ctx, base, setWeight("gold", 3))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(outcome.Status).To(Equal(edit.Stale))
+		Expect(outcome.String()).To(ContainSubstring("returned from an older copy"))
+		Expect(mustRead(e).Head.Author).To(Equal("ben"))
+	})
+
 	// Guards against invalid lists in the store.
 	It("rejects invalid lists with all findings and writes nothing", func() {
 		_, err := do(e, func(d plan.Documents) (plan.Documents, error) {
--- a/plan/edit/outcome.go
+++ b/plan/edit/outcome.go
@@ -54,6 +54,9 @@
 			"the other edit cannot be read: %v", o.Base, o.Cause)
 	}
 	text := fmt.Sprintf("refused: made from revision %d, but the current one is %d; nothing was changed", o.Base, o.Revision)
+	if o.Revision <= o.Base {
+		text += "\nthe store has returned from an older copy and may have lost edits; read the list again"
+	}
 	for _, other := range o.Others {
 		text += fmt.Sprintf("\nrevision %d by %s at %s, edit %s", other.Revision, other.Author, other.Time.UTC().Format("2006-01-02 15:04:05Z"), other.ID)
 	}
@@ -75,5 +78,6 @@
 var (
 	errBaseIsCurrent   = errors.New("the edit is not in the history, but there is no later edit, so its write may still arrive; repeat the edit or check again later")
 	errPagesChange     = errors.New("other editors keep writing the same pages")
+	errStoreReturned   = errors.New("the store has returned from an older copy, so the edit may have been accepted and lost; compare the lists and repeat the edit if it is missing")
 	errHistoryTooShort = errors.New("the history no longer contains every edit after the base revision of this one; compare the lists")
 )
