plan/edit: a file names the edit that it was made from, not only its revision

Cause: the first line of a list in a file holds the revision that it was made from, and apply accepts the file if that is the current one. After a return of the store from an older copy the number may have been given to another edit, which such a file silently undid. Change: the line also holds the edit's ID, and apply refuses the file if the current revision is another edit. Files without an ID are accepted as before. Measured: go test ./cmd/nutmegtrack: before, "refuse a file that is based on another edit of the current revision" fails; after, it passes. The return itself is not played, as the stand-in of this command has no Restore.

--- a/cmd/nutmegtrack/lists_apply.go
+++ b/cmd/nutmegtrack/lists_apply.go
@@ -33,38 +33,38 @@
 	if err != nil {
 		return c.fail(err)
 	}
-	revision, err := baseRevision(text, base, current.Head.Revision)
+	madeFrom, err := baseOf(text, base, current.Head.Revision)
 	if err != nil {
 		return c.fail(err)
 	}
-	if revision != current.Head.Revision {
-		return c.report(editor.StaleOutcome(ctx, revision, current))
+	if !madeFrom.Is(current.Head) {
+		return c.report(editor.StaleOutcome(ctx, madeFrom.Revision, current))
 	}
 	return c.apply(ctx, editor, current, func(d plan.Documents) (plan.Documents, error) {
 		return c.replace(d, text), nil
 	})
 }
 
-// baseRevision returns the revision on which a file is based. Without a marker the operator
+// baseOf returns the revision on which a file is based. Without a marker the operator
 // has to give the revision, because applying an old file would undo edits of others.
-func baseRevision(text []byte, option string, headRevision int64) (int64, error) {
+func baseOf(text []byte, option string, headRevision int64) (edit.Base, error) {
 	if option == "latest" {
-		return headRevision, nil
+		return edit.Base{Revision: headRevision}, nil
 	}
 	if option != "" {
 		revision, err := strconv.ParseInt(option, 10, 64)
 		if err != nil || revision < 0 {
-			return 0, badInput("--base %q is neither a revision nor \"latest\"", option)
+			return edit.Base{}, badInput("--base %q is neither a revision nor \"latest\"", option)
 		}
-		return revision, nil
+		return edit.Base{Revision: revision}, nil
 	}
-	if revision, ok := edit.Marker(text); ok {
-		return revision, nil
+	if base, ok := edit.Marker(text); ok {
+		return base, nil
 	}
 	if headRevision == 0 {
-		return 0, nil
+		return edit.Base{}, nil
 	}
-	return 0, badInput("the file has no marker of the revision on which it is based; use a file that \"get\" printed, or give --base REVISION or --base latest")
+	return edit.Base{}, badInput("the file has no marker of the revision on which it is based; use a file that \"get\" printed, or give --base REVISION or --base latest")
 }
 
 // newValidate returns `validate`, which checks a file without changing the store.
--- a/cmd/nutmegtrack/lists_edit.go
+++ b/cmd/nutmegtrack/lists_edit.go
@@ -50,7 +50,7 @@
 		if editor, base, err = c.read(ctx, c.files(name)); err != nil {
 			return c.fail(err)
 		}
-		text := edit.AddMarker(c.list, base.Head.Revision, c.document(base.Docs))
+		text := edit.AddMarker(c.list, base.Head, c.document(base.Docs))
 		if err := os.WriteFile(name, text, 0o600); err != nil {
 			return c.fail(err)
 		}
--- a/cmd/nutmegtrack/lists_show.go
+++ b/cmd/nutmegtrack/lists_show.go
@@ -31,7 +31,7 @@
 		if c.asJSON {
 			return c.printList(snapshot)
 		}
-		c.out.Write(edit.AddMarker(c.list, snapshot.Head.Revision, c.document(snapshot.Docs)))
+		c.out.Write(edit.AddMarker(c.list, snapshot.Head, c.document(snapshot.Docs)))
 		return exitOK
 	})}
 }
--- a/cmd/nutmegtrack/lists_test.go
+++ b/cmd/nutmegtrack/lists_test.go
@@ -5,6 +5,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -74,6 +75,17 @@
 		expectStatus(exitUsage, plan.CustomersList, newApply, file("bare.json", `{"customers": []}`), url)
 	})
 
+	// Guards against applying a file that was made from an edit which the store has lost, onto
+	// another edit that it has accepted under the same revision after its return.
+	It("refuse a file that is based on another edit of the current revision", func() {
+		_, text := invoke(plan.CustomersList, newGet, url)
+		lost := regexp.MustCompile(`edit \S+`).ReplaceAllString(text, "edit 1-lost")
+		status, out := invoke(plan.CustomersList, newApply, file("lost.json", strings.Replace(lost, "10.0.0.0/16", "10.9.0.0/16", 1)), url)
+		Expect(status).To(Equal(exitFailure))
+		Expect(out).To(ContainSubstring("refused: made from revision 2, but the current one is 2; nothing was changed\nthe store has returned from an older copy"))
+		expectStatus(exitOK, plan.CustomersList, newApply, file("old.json", regexp.MustCompile(`, edit \S+`).ReplaceAllString(text, "")), url)
+	})
+
 	// Guards against wrong exit statuses, on which scripts rely.
 	It("report findings with the operator's file and line, and change nothing", func() {
 		bad := file("bad.json", "// nutmegtrack customers, revision 2\n{\"customers\": [\n{\"name\": \"a\", \"plan\": \"x\", \"sources\": [\"10.0.0.1/8\"]}]}")
