--- a/balancer/lists.go
+++ b/balancer/lists.go
@@ -25,7 +25,7 @@
 	if len(cfg.Endpoints) == 0 {
 		return nil, func() {}, nil
 	}
-	c, err := etcd.New(etcd.Config{Endpoints: cfg.Endpoints, Timeout: cfg.TimeoutSeconds.Duration()})
+	c, err := etcd.New(etcd.Config{Endpoints: cfg.Endpoints, Timeout: cfg.TimeoutSeconds.Duration(), Log: b.log})
 	if err != nil {
 		return nil, nil, err
 	}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -29,9 +29,10 @@
 	ListsRejected = Definition{1301, Error, "lists rejected", "Lists read from the store or a peer were not activated; the previous revision stays active."}
 	StoreFailed   = Definition{1302, Warn, "store call failed", "The store did not answer; the process continues with the data that it has and retries. At most one event is logged per minute."}
 
-	StoreReturned   = Definition{1303, Warn, "store returned from an older copy", "The store reports a later era than before: it has lost its latest writes and gives out their revisions again. `era` and `was` are the eras. The process discards its leases and revisions of the earlier era, reads again and writes again what it had written. After a return, check that operators' latest changes are still in force."}
-	StoreEraRefused = Definition{1304, Warn, "store answer of an earlier era refused", "An answer of the store carries an earlier `era` than one already `seen`. It is treated as no answer. One such event after event 1303 is a delayed answer; repeated events mean that the store, or a part of it, reports an earlier era than before. At most one event is logged per minute."}
-	StoreEraInvalid = Definition{1305, Warn, "store answer without a valid era", "The era that an answer of the store carries is missing or invalid (`era`). The answer is used as one of the era `seen` last; a return of the store from an older copy cannot be noticed by it. At most one event is logged per minute."}
+	StoreReturned    = Definition{1303, Warn, "store returned from an older copy", "The store reports a later era than before: it has lost its latest writes and gives out their revisions again. `era` and `was` are the eras. The process discards its leases and revisions of the earlier era, reads again and writes again what it had written. After a return, check that operators' latest changes are still in force."}
+	StoreEraRefused  = Definition{1304, Warn, "store answer of an earlier era refused", "An answer of the store carries an earlier `era` than one already `seen`. It is treated as no answer. One such event after event 1303 is a delayed answer; repeated events mean that the store, or a part of it, reports an earlier era than before. At most one event is logged per minute."}
+	StoreEraInvalid  = Definition{1305, Warn, "store answer without a valid era", "The era that an answer of the store carries is missing or invalid (`era`). The answer is used as one of the era `seen` last; a return of the store from an older copy cannot be noticed by it. At most one event is logged per minute."}
+	StoreHistoryLost = Definition{1306, Error, "store does not continue its history", "The revision of the store has gone back or its cluster ID has changed, as after a restore from a snapshot, and the protocol does not say in which order the store's states follow. The process makes no further store calls and continues with the data that it has. Restart all balancers and agents, and check that operators' latest changes are still in force."}
 
 	RoutesActive     = Definition{1310, Info, "routes active", "The routes of the given version are active on this process."}
 	RoutesRejected   = Definition{1311, Error, "routes rejected", "A document of routes was not activated; the previous one stays active."}
@@ -70,7 +71,7 @@
 	Reloaded, ReloadFailed, LinesDropped,
 	WrongService, SendFailed,
 	StateChanged, PeerUnreachable, FailureClaimed, MarkedFailed,
-	ListsActive, ListsRejected, StoreFailed, StoreReturned, StoreEraRefused, StoreEraInvalid,
+	ListsActive, ListsRejected, StoreFailed, StoreReturned, StoreEraRefused, StoreEraInvalid, StoreHistoryLost,
 	RoutesActive, RoutesRejected, RouteUnusable, RoutesUnreadable,
 	ControlFailed,
 	GrantorStarted, GrantorStopped, RecountUnfinished, LeaseExpired,
--- a/standin/store.go
+++ b/standin/store.go
@@ -77,6 +77,23 @@
 	s.mux.ServeHTTP(w, r)
 }
 
+// Copy returns a copy of the store's state.
+func (s *StoreServer) Copy() *mem.Engine {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.engine.Copy()
+}
+
+// Restore returns the store to a copy, as a restore from a snapshot does: what was written since
+// is lost, and revisions and lease numbers are given out again.
+func (s *StoreServer) Restore(copied *mem.Engine) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.engine = copied.Copy()
+	s.expireLeases()
+	s.notifyWatches()
+}
+
 // Close stops the lease timer and ends all watches.
 func (s *StoreServer) Close() {
 	s.mu.Lock()
--- a/store/etcd/call.go
+++ b/store/etcd/call.go
@@ -31,6 +31,19 @@
 	final bool // the store rejected the call, and another endpoint would too
 }
 
+// callChecked makes a call and checks that its response, with the given header, continues the
+// history of the store. A stale response may be of an older revision.
+func (c *Client) callChecked(ctx context.Context, kind callKind, path string, request, response any, header *wire.Header, stale bool) error {
+	floor, _ := c.history.begin() // call returns the error
+	if err := c.call(ctx, kind, path, request, response); err != nil {
+		return err
+	}
+	if err := c.history.check(*header, floor, stale); err != nil {
+		return outcome(kind, true, path, err)
+	}
+	return nil
+}
+
 // call sends the request to the endpoints in turn, starting with the one that answered
 // most recently, and decodes the first response.
 func (c *Client) call(ctx context.Context, kind callKind, path string, request, response any) error {
@@ -38,6 +51,9 @@
 	if err != nil {
 		return err
 	}
+	if _, err := c.history.begin(); err != nil {
+		return outcome(kind, false, path, err)
+	}
 	first := c.preferred.Load()
 	sent := false
 	var last error
--- a/store/etcd/client.go
+++ b/store/etcd/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/nutmegtrack/nutmegtrack/event"
 	"github.com/nutmegtrack/nutmegtrack/store"
 )
 
@@ -21,6 +22,7 @@
 	Endpoints   []string      // URLs such as "http://10.0.0.5:2379"; at least one
 	Timeout     time.Duration // limit for one attempt at one endpoint, including the response
 	DialTimeout time.Duration // limit for one connection attempt
+	Log         *event.Logger // receives the event about a lost history; may be nil
 }
 
 const (
@@ -45,6 +47,7 @@
 	http      *http.Client
 	transport *http.Transport
 	preferred atomic.Uint32 // index of the endpoint that answered most recently
+	history   *history
 }
 
 var _ store.Store = (*Client)(nil)
@@ -60,7 +63,7 @@
 		IdleConnTimeout: idleConnTimeout,
 	}
 	client := &http.Client{Transport: transport, CheckRedirect: noRedirect}
-	return &Client{cfg: cfg, http: client, transport: transport}, nil
+	return &Client{cfg: cfg, http: client, transport: transport, history: &history{log: cfg.Log}}, nil
 }
 
 // noRedirect disables redirects, so that a write is not sent a second time to another
--- a/store/etcd/kv.go
+++ b/store/etcd/kv.go
@@ -12,8 +12,9 @@
 // Get implements store.Store.
 func (c *Client) Get(ctx context.Context, key string) (store.KV, error) {
 	var resp wire.RangeResponse
-	req := wire.RangeRequest{Key: []byte(key), Serializable: store.StaleAllowed(ctx)}
-	if err := c.call(ctx, read, wire.PathRange, req, &resp); err != nil {
+	stale := store.StaleAllowed(ctx)
+	req := wire.RangeRequest{Key: []byte(key), Serializable: stale}
+	if err := c.callChecked(ctx, read, wire.PathRange, req, &resp, &resp.Header, stale); err != nil {
 		return store.KV{}, err
 	}
 	if len(resp.KVs) == 0 {
@@ -26,8 +27,9 @@
 func (c *Client) List(ctx context.Context, prefix string) ([]store.KV, int64, error) {
 	var resp wire.RangeResponse
 	from, end := prefixRange(prefix)
-	req := wire.RangeRequest{Key: from, RangeEnd: end, Serializable: store.StaleAllowed(ctx)}
-	if err := c.call(ctx, read, wire.PathRange, req, &resp); err != nil {
+	stale := store.StaleAllowed(ctx)
+	req := wire.RangeRequest{Key: from, RangeEnd: end, Serializable: stale}
+	if err := c.callChecked(ctx, read, wire.PathRange, req, &resp, &resp.Header, stale); err != nil {
 		return nil, 0, err
 	}
 	kvs := make([]store.KV, len(resp.KVs))
@@ -47,7 +49,7 @@
 		req.Success = append(req.Success, requestOp(op))
 	}
 	var resp wire.TxnResponse
-	if err := c.call(ctx, write, wire.PathTxn, req, &resp); err != nil {
+	if err := c.callChecked(ctx, write, wire.PathTxn, req, &resp, &resp.Header, false); err != nil {
 		return store.TxnResult{}, err
 	}
 	return store.TxnResult{Succeeded: resp.Succeeded, Revision: int64(resp.Header.Revision)}, nil
--- a/store/etcd/watch.go
+++ b/store/etcd/watch.go
@@ -21,6 +21,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if _, err := c.history.begin(); err != nil {
+		return nil, outcome(read, false, wire.PathWatch, err)
+	}
 	first := c.preferred.Load()
 	var last error
 	for i := range c.cfg.Endpoints {
@@ -42,6 +45,7 @@
 	body    io.ReadCloser
 	decoder *json.Decoder
 	cancel  context.CancelFunc
+	history *history
 }
 
 // openWatch opens the stream and waits for its confirmation for at most the client's
@@ -67,7 +71,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &watch{body: resp.Body, decoder: json.NewDecoder(resp.Body)}
+	w := &watch{body: resp.Body, decoder: json.NewDecoder(resp.Body), history: c.history}
 	if err := w.confirm(resp); err != nil {
 		resp.Body.Close()
 		return nil, err
@@ -134,6 +138,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: watch: %w", store.ErrUnavailable, err)
 	}
+	if _, err := w.history.begin(); err != nil {
+		return nil, outcome(read, true, wire.PathWatch, err)
+	}
 	if message.CompactRevision > 0 {
 		return nil, fmt.Errorf("%w: up to revision %d", store.ErrCompacted, message.CompactRevision)
 	}
--- a/store/etcd/wire/wire.go
+++ b/store/etcd/wire/wire.go
@@ -55,7 +55,18 @@
 
 // Header is part of every response.
 type Header struct {
-	Revision Int64 `json:"revision,omitempty"`
+	ClusterID ID    `json:"cluster_id,omitempty"`
+	Revision  Int64 `json:"revision,omitempty"`
+}
+
+// ID is the decimal text of an unsigned 64-bit number that is only compared. It is decoded
+// from a string or a number.
+type ID string
+
+// UnmarshalJSON decodes a string or a number.
+func (id *ID) UnmarshalJSON(b []byte) error {
+	*id = ID(bytes.Trim(b, `"`))
+	return nil
 }
 
 // KeyValue is one key with its value and revisions.
