--- a/daemon/lists_test.go
+++ b/daemon/lists_test.go
@@ -203,8 +203,8 @@
 		}
 		p.running.Wait()
 		Expect(p.State().Lost).To(HaveValue(HaveField("Revision", BeEquivalentTo(2))))
-		Expect(strings.Count(p.log.String(), "event=1306")).To(Equal(1))
-		Expect(p.log.String()).To(MatchRegexp(`event=1306 .*revision=2 era=0 edit=\S+ author=operator stored="?` + stored))
+		Expect(strings.Count(p.log.String(), "event=1307")).To(Equal(1))
+		Expect(p.log.String()).To(MatchRegexp(`event=1307 .*revision=2 era=0 edit=\S+ author=operator stored="?` + stored))
 	},
 		Entry("for an earlier one", 0, "1"),
 		Entry("for another one under its revision", 1, `2 \(era 1\)`),
