docs: what operators see after the store came back older

Cause: the pages did not lead from event 1303 to what was lost. Measured: go test ./event: the generated page equals the catalogue.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -36,7 +36,7 @@
 	ListsLost        = Definition{1307, Error, "edit of the lists lost by the store", "The store has returned from a copy without the edit `edit` of `author`, which was accepted as `revision` and is active here; it has the revision `stored` instead (0: none). The edit stays in force until the store accepts another one, which will not contain it: make it again. Earlier edits may be lost too. Logged once for each edit by the processes that read the store."}
 
 	RoutesActive     = Definition{1310, Info, "routes active", "The routes of the given version are active on this process."}
-	RoutesRejected   = Definition{1311, Error, "routes rejected", "A document of routes was not activated; the previous one stays active."}
+	RoutesRejected   = Definition{1311, Error, "routes rejected", "A document of routes was not activated, for the reason in `error`; the previous one stays active. Each such document is logged once. If its version is lower than the active one, or equal with other content, the store has returned from an older copy (1303) or an operator has given out a version again: write the newest document again under a higher version."}
 	RoutesUnreadable = Definition{1313, Warn, "routes unreadable", "`active` true: this balancer has no routes, cannot read them from the store and knows no other process that has them, so it places new flows by the addresses of the flows that upstreams hold. `active` false: this state has ended, because the balancer has routes, can read the store again or knows a process that has routes."}
 	RouteUnusable    = Definition{1312, Warn, "route unusable", "One route of a document cannot be used, for the reason in `finding`; the others are active."}
 
