--- a/balancer/collector.go
+++ b/balancer/collector.go
@@ -40,7 +40,7 @@
 
 	mu         sync.Mutex    // locked during a step, including its store calls
 	shardsRead bool          // the shards of all domains have been read
-	lease      store.LeaseID // 0 if there is none; a candidate keeps it also without the lease key
+	lease      store.LeaseID // zero if there is none; a candidate keeps it also without the lease key
 	renewedAt  time.Duration
 	polledAt   time.Duration // when another balancer's lease key was last read
 	stopped    bool
@@ -128,28 +128,32 @@
 		return nil
 	}
 	getCtx := ctx
-	if c.lease == 0 {
+	if c.lease.IsZero() {
 		// A stale read is safe, because the campaign's transaction requires that the key
 		// does not exist.
 		getCtx = store.AllowStale(ctx)
 	}
 	kv, err := c.store.Get(getCtx, member.LeaseKey(c.domain))
-	if err == nil {
-		if !c.shard.HandleLease(kv) {
-			c.polledAt = c.clock()
-		}
+	switch {
+	case errors.Is(err, store.ErrNotFound):
+		return c.campaign(ctx)
+	case err != nil:
+		return err
+	case c.shard.HandleLease(kv):
 		return nil
 	}
-	if !errors.Is(err, store.ErrNotFound) {
+	if conditions, writes, due := c.shard.ReleaseTxn(kv); due {
+		_, err := c.store.Txn(ctx, conditions, writes)
 		return err
 	}
-	return c.campaign(ctx)
+	c.polledAt = c.clock()
+	return nil
 }
 
 // renew renews the lease when that is due. If no renewal has succeeded within leaseTTL
 // by this process's own clock, the lease counts as lost.
 func (c *collector) renew(ctx context.Context) error {
-	if c.lease == 0 || c.clock()-c.renewedAt < renewInterval {
+	if c.lease.IsZero() || c.clock()-c.renewedAt < renewInterval {
 		return nil
 	}
 	sentAt := c.clock()
@@ -166,11 +170,11 @@
 
 func (c *collector) dropLease() {
 	c.shard.LeaseLost()
-	c.lease = 0
+	c.lease = store.LeaseID{}
 }
 
 func (c *collector) campaign(ctx context.Context) error {
-	if c.lease == 0 {
+	if c.lease.IsZero() {
 		sentAt := c.clock()
 		lease, err := c.store.Grant(ctx, leaseTTL)
 		if err != nil {
@@ -220,7 +224,7 @@
 
 // revokeLease revokes the lease, so that the next collector need not wait until it expires.
 func (c *collector) revokeLease(ctx context.Context) error {
-	if c.lease == 0 {
+	if c.lease.IsZero() {
 		return nil
 	}
 	lease := c.lease
--- a/balancer/lists.go
+++ b/balancer/lists.go
@@ -20,12 +20,12 @@
 func (b *Balancer) openStore() (store.Store, func(), error) {
 	cfg := b.cfg.Store
 	if b.options.OpenStore != nil {
-		return b.options.OpenStore(newStoreMetrics(b.registry).observe), func() {}, nil
+		return b.options.OpenStore(b.log, newStoreMetrics(b.registry).observe), func() {}, nil
 	}
 	if len(cfg.Endpoints) == 0 {
 		return nil, func() {}, nil
 	}
-	c, err := etcd.New(etcd.Config{Endpoints: cfg.Endpoints, Timeout: cfg.TimeoutSeconds.Duration()})
+	c, err := etcd.New(etcd.Config{Endpoints: cfg.Endpoints, Timeout: cfg.TimeoutSeconds.Duration(), Log: b.log})
 	if err != nil {
 		return nil, nil, err
 	}
--- a/member/shard.go
+++ b/member/shard.go
@@ -50,7 +50,7 @@
 type ShardWriter struct {
 	domain      string
 	self        string
-	lease       store.LeaseID // store lease of the last campaign, even if it failed; 0 after LeaseLost
+	lease       store.LeaseID // store lease of the last campaign, even if it failed; zero after LeaseLost
 	term        int64         // the collector's term: create revision of the lease key; 0 if not the collector
 	loaded      bool          // the stored shard was read in this term
 	modRevision int64         // mod revision of the stored shard
@@ -105,22 +105,38 @@
 // HandleLease processes the lease key as read from the store. It reports whether this
 // balancer holds the key with the lease that it campaigned with.
 func (s *ShardWriter) HandleLease(kv store.KV) bool {
-	holds := kv.Lease == s.lease && s.lease != 0 && string(kv.Value) == s.self
+	holds := kv.Lease == s.lease && !s.lease.IsZero() && string(kv.Value) == s.self
 	if holds && s.term != kv.CreateRevision {
 		s.startTerm(kv.CreateRevision)
 	}
 	return holds
 }
 
+// ReleaseTxn returns the transaction that deletes the lease key as read from the store, if it
+// names this balancer although HandleLease has not accepted it. The lease of such a key is not
+// renewed by this balancer, but may be by another one: a store that has returned from an older
+// copy assigns the numbers of leases again. No other balancer campaigns while the key exists.
+func (s *ShardWriter) ReleaseTxn(kv store.KV) ([]store.Compare, []store.Op, bool) {
+	if string(kv.Value) != s.self || s.term != 0 {
+		return nil, nil, false
+	}
+	unchanged := store.Compare{Key: LeaseKey(s.domain), Target: store.CompareCreate, Revision: kv.CreateRevision}
+	return []store.Compare{unchanged}, []store.Op{{Key: LeaseKey(s.domain), Delete: true}}, true
+}
+
+// startTerm starts a term, also one that is lower than an earlier one, as a store that has
+// returned from an older copy may assign it: the conditions of each write are checked by the
+// store.
 func (s *ShardWriter) startTerm(term int64) {
-	invariant(term > s.term, "collector term went from %d back to %d", s.term, term)
 	s.term = term
 	s.loaded = false
 	s.pendingHash = 0
 }
 
 // LeaseLost ends the term after the store lease has expired, was revoked or is about to be.
-func (s *ShardWriter) LeaseLost() { s.term, s.lease, s.loaded, s.pendingHash = 0, 0, false, 0 }
+func (s *ShardWriter) LeaseLost() {
+	s.term, s.lease, s.loaded, s.pendingHash = 0, store.LeaseID{}, false, 0
+}
 
 // Term returns the collector's term, which is the create revision of the lease key, or 0
 // if this balancer is not the collector.
@@ -177,7 +193,8 @@
 }
 
 // Written processes the outcome of a write. After an error other than
-// store.ErrUnavailable the outcome is unknown, and the stored shard must be read again. A
+// store.ErrUnavailable the outcome is unknown, and the stored shard must be read again, as after
+// a revision that is not higher than the one before. A
 // rejected write also ends the term until HandleLease confirms that the lease key is still
 // held; the shard must then be read again too.
 func (s *ShardWriter) Written(result store.TxnResult, err error) {
@@ -185,8 +202,9 @@
 	s.pendingHash = 0
 	switch {
 	case s.term == 0:
+	case err == nil && result.Succeeded && result.Revision <= s.modRevision:
+		s.loaded = false // the store has returned from an older copy
 	case err == nil && result.Succeeded:
-		invariant(result.Revision > s.modRevision, "shard revision went from %d back to %d", s.modRevision, result.Revision)
 		s.modRevision, s.storedHash = result.Revision, hash
 	case err == nil:
 		s.term, s.loaded = 0, false
