member: an odd record costs neither its shard nor the writes of it

Cause: one record that could not be decoded cost all records of its shard, and a malformed shard stopped the domain's collector for good: no collector overwrote it, so that starting balancers read nothing of that domain. Records with a state, role or counter out of range or without a data address were returned. Change: records are decoded one by one; the others are returned with an error that counts the malformed ones. A collector replaces a malformed value with its next write: members announce themselves. Weighed and left: waiting for an operator; and decode limits of our own: the codec's (32 levels, 131,072 elements) hold what the fuzz seeds and 1,000,000 levels try. Measured: go test ./member -ginkgo.focus 'odd record|malformed shard': 29 of 30 fail before, pass now.

--- a/member/shard.go
+++ b/member/shard.go
@@ -131,22 +131,17 @@
 
 // HandleShard processes the shard as read from the store. A zero KV means that the
 // shard does not exist. It returns the records to pass to Node.Load, so that a collector
-// that has just started does not write fewer records than its predecessor had. It
-// returns an error if the value is malformed. Such a value is not overwritten: NeedsLoad
-// stays true, and no collector writes the shard until the value has been replaced or the
-// key deleted by other means.
+// that has just started does not write fewer records than its predecessor had. If the value
+// or some of its records are malformed, it returns the other records and an error. The next
+// write replaces such a value: the processes that it named announce themselves.
 func (s *ShardWriter) HandleShard(kv store.KV) ([]Record, error) {
-	var records []Record
-	if kv.ModRevision != 0 {
-		var err error
-		if records, err = DecodeShard(kv.Value); err != nil {
-			return nil, err
-		}
-	}
 	s.loaded = true
 	s.modRevision = kv.ModRevision
 	s.storedHash = xxhash.Sum64(kv.Value)
-	return records, nil
+	if kv.ModRevision == 0 {
+		return nil, nil
+	}
+	return DecodeShard(kv.Value)
 }
 
 // WriteTxn returns the transaction that stores the domain's records, and whether a
@@ -213,11 +208,44 @@
 	return b
 }
 
-// DecodeShard decodes the value of a shard and returns its records.
+// DecodeShard decodes the value of a shard and returns its records. If some of them are
+// malformed, it returns the others and an error.
 func DecodeShard(value []byte) ([]Record, error) {
-	var v shardValue
+	var v struct {
+		Records []cbor.RawMessage `cbor:"2,keyasint"`
+	}
 	if err := cbor.Unmarshal(value, &v); err != nil {
 		return nil, errors.Wrap(err, "member: malformed shard")
 	}
-	return v.Records, nil
+	records := make([]Record, 0, len(v.Records))
+	var first error
+	for _, raw := range v.Records {
+		var r Record
+		err := r.UnmarshalCBOR(raw)
+		if err == nil {
+			err = r.checkStored()
+		}
+		if err == nil {
+			records = append(records, r)
+		} else if first == nil {
+			first = err
+		}
+	}
+	if first != nil {
+		return records, errors.Wrapf(first, "member: %d of %d records of a shard are malformed, the first", len(v.Records)-len(records), len(v.Records))
+	}
+	return records, nil
+}
+
+// checkStored returns an error for a record that no process writes to a shard.
+func (r *Record) checkStored() error {
+	switch {
+	case !r.valid():
+		return errors.Newf("%q has state %d, role %d, epoch %d, version %d", r.Name, r.State, r.Role, r.Epoch, r.Version)
+	case r.Role == RoleUpstream && r.Data.Port() == 0:
+		return errors.Newf("upstream %q has no data address", r.Name)
+	case r.Slots < 0 || r.Connections < 0:
+		return errors.Newf("%q has %d slots, %d connections", r.Name, r.Slots, r.Connections)
+	}
+	return nil
 }
