balancer: unreadable entries of the store are logged once and cost no others

Cause: a starting balancer skipped a whole shard for one odd record; the line was a store failure, at most one a minute for all keys, so that it was lost beside another; a collector stopped its step at it. Measured: go test ./balancer -ginkgo.focus 'beside odd': fails before (no service in the view), passes now.

--- a/balancer/collector.go
+++ b/balancer/collector.go
@@ -35,6 +35,7 @@
 	clock        daemon.Clock
 	domain       string
 	failureLog   *daemon.LogLimiter
+	unreadable   *daemon.UnreadableLog
 	wake         daemon.Waker  // triggers a step of the balancer once the shards have been read
 	pollInterval time.Duration // minimum interval between reads of a lease key held by another balancer
 
@@ -55,6 +56,7 @@
 		domain:       b.cfg.FailureDomain,
 		pollInterval: b.options.CollectorPollInterval,
 		failureLog:   daemon.NewLogLimiter(b.log, b.clock, event.StoreFailed),
+		unreadable:   daemon.NewUnreadableLog(b.log),
 		wake:         b.wake,
 	}
 }
@@ -104,10 +106,7 @@
 	c.shardsRead = true
 	for _, kv := range shards {
 		records, err := member.DecodeShard(kv.Value)
-		if err != nil {
-			c.failureLog.Log("key", kv.Key, "error", err)
-			continue
-		}
+		c.unreadable.Log(kv, err)
 		c.members.Do(func(now time.Duration, n *member.Node) { n.Load(now, records) })
 	}
 	c.wake.Wake()
@@ -195,8 +194,9 @@
 		return err
 	}
 	records, err := c.shard.HandleShard(kv)
+	c.unreadable.Log(kv, err)
 	c.members.Do(func(now time.Duration, n *member.Node) { n.Load(now, records) })
-	return err
+	return nil
 }
 
 func (c *collector) write(ctx context.Context) error {
--- a/balancer/collector_test.go
+++ b/balancer/collector_test.go
@@ -1,17 +1,26 @@
 package balancer
 
 import (
+	"bytes"
 	"context"
+	"regexp"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/nutmegtrack/nutmegtrack/fake"
 	"github.com/nutmegtrack/nutmegtrack/flow"
 	"github.com/nutmegtrack/nutmegtrack/member"
+	"github.com/nutmegtrack/nutmegtrack/store"
 )
 
+// unreadable returns how many lines the balancer has logged about an unreadable value of the key.
+func unreadable(b *testBalancer, key string) int {
+	return len(regexp.MustCompile(`event=1303 .*key=`+regexp.QuoteMeta(key)+` `).FindAllString(b.log.String(), -1))
+}
+
 var _ = Describe("The collector", func() {
 	var (
 		ctx = context.Background()
@@ -46,6 +55,10 @@
 		}
 		return names
 	}
+	put := func(key string, value []byte) {
+		_, err := s.Txn(ctx, nil, []store.Op{{Key: key, Value: value}})
+		Expect(err).NotTo(HaveOccurred())
+	}
 	load := func(b *testBalancer, records ...member.Record) {
 		b.members.Do(func(now time.Duration, n *member.Node) { n.Load(now, records) })
 	}
@@ -90,6 +103,39 @@
 		Entry("is paused beyond the expiry of its lease", func() {}, 12),
 	)
 
+	// Guards against a balancer that loses a domain, or ends, or no longer writes its shard, for one
+	// odd entry of another writer, and against a line in the log at each read of it.
+	It("starts and continues beside odd entries", func() {
+		steps(5, b1)
+		kv, err := s.Get(ctx, member.ShardKey("a"))
+		Expect(err).NotTo(HaveOccurred())
+		var records []cbor.RawMessage
+		var shard struct {
+			Records []cbor.RawMessage `cbor:"2,keyasint"`
+		}
+		Expect(cbor.Unmarshal(kv.Value, &shard)).To(Succeed())
+		odd, _ := cbor.Marshal(map[string]int{"port": 65536})
+		records = append([]cbor.RawMessage{odd}, shard.Records...)
+		value, _ := cbor.Marshal(map[int]any{1: 1, 2: records})
+		put(member.ShardKey("a"), value)
+		put(member.ShardPrefix, bytes.Repeat([]byte{0x81}, 1_000_000))
+		put(member.ShardPrefix+"b/c", nil)
+
+		b2 := newStoreBalancer("b2", s)
+		steps(1, b2)
+		b2.refreshView()
+		Expect(b2.view().Services).To(HaveLen(1))
+		for _, key := range []string{"members/", "members/a", "members/b/c"} {
+			Expect(unreadable(b2, key)).To(Equal(1))
+		}
+		Expect(b2.log.String()).NotTo(ContainSubstring("event=1302"))
+
+		load(b1, upstreamRecord("u2", "127.0.0.1:7102"))
+		steps(15, b1)
+		Expect(stored()).To(Equal([]string{"b1", "u1", "u2"}))
+		Expect(unreadable(b1, "members/a")).To(Equal(1))
+	})
+
 	// Guards against a collector that does not resume after an outage of the store.
 	It("resumes after an outage of the store", func() {
 		steps(5, b1)
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -25,9 +25,10 @@
 	FailureClaimed = Definition{1202, Info, "failure claimed", "This balancer has asked the `arbiter` to mark a process as failed: neither it nor the other `observers` could reach the process by a control call, and this balancer has counted its silence for `silent_seconds`. The arbiter may refuse. `dropped` is the number of further lines of events 1202 and 1203 that were left out."}
 	MarkedFailed   = Definition{1203, Warn, "process marked as failed", "This balancer has marked a process as failed, as the arbiter, on the claim of `claimed_by`; `observers` are the control addresses of the balancers that could not reach it, and `state` is its state before. The mark is a suspicion: the process or, beside it, an upstream may still run. A failed upstream without this line has been announced as failed by its own agent: see 1701 there."}
 
-	ListsActive   = Definition{1300, Info, "lists active", "The lists of the given revision are active on this process."}
-	ListsRejected = Definition{1301, Error, "lists rejected", "Lists read from the store or a peer were not activated; the previous revision stays active."}
-	StoreFailed   = Definition{1302, Warn, "store call failed", "The store did not answer; the process continues with the data that it has and retries. At most one event is logged per minute."}
+	ListsActive     = Definition{1300, Info, "lists active", "The lists of the given revision are active on this process."}
+	ListsRejected   = Definition{1301, Error, "lists rejected", "Lists read from the store or a peer were not activated; the previous revision stays active."}
+	StoreFailed     = Definition{1302, Warn, "store call failed", "The store did not answer; the process continues with the data that it has and retries. At most one event is logged per minute."}
+	EntryUnreadable = Definition{1303, Warn, "store entry unreadable", "The value of `key` in the store, or a part of it, could not be decoded and is ignored; the rest of it and the other keys are used. A shard or the record of a grantor is replaced by the process that writes it. One line is logged for each content of a key. Find out what else writes to the store."}
 
 	RoutesActive     = Definition{1310, Info, "routes active", "The routes of the given version are active on this process."}
 	RoutesRejected   = Definition{1311, Error, "routes rejected", "A document of routes was not activated; the previous one stays active."}
@@ -66,7 +67,7 @@
 	Reloaded, ReloadFailed, LinesDropped,
 	WrongService, SendFailed,
 	StateChanged, PeerUnreachable, FailureClaimed, MarkedFailed,
-	ListsActive, ListsRejected, StoreFailed,
+	ListsActive, ListsRejected, StoreFailed, EntryUnreadable,
 	RoutesActive, RoutesRejected, RouteUnusable, RoutesUnreadable,
 	ControlFailed,
 	GrantorStarted, GrantorStopped, RecountUnfinished, LeaseExpired,
