member: a record with an extreme counter under a process's name does not end the process

Cause: a process raised its version from the one of a record under its name. Where this reached the limit, the next change of state was no valid record and an invariant ended the process; where the record itself was at the limit, it was not refuted, and others took the process for failed for good. Change: when the versions of an epoch are used up, the next epoch begins; the last two epochs are not entered. Shards, the one place where others could write records, are read with a limit of 2^48. Left: a record in the last epochs that arrives by gossip cannot be refuted; only our own processes speak there.

--- a/member/announcer.go
+++ b/member/announcer.go
@@ -281,7 +281,7 @@
 	}
 	self := a.self
 	self.State = s
-	self.Version++
+	self.raiseVersion()
 	a.announce(self)
 }
 
@@ -301,7 +301,7 @@
 	if self.sum() == a.self.sum() {
 		return
 	}
-	self.Version++
+	self.raiseVersion()
 	a.announce(self)
 }
 
--- a/member/node.go
+++ b/member/node.go
@@ -168,7 +168,7 @@
 	}
 	self := n.self
 	self.State = s
-	self.Version++
+	self.raiseVersion()
 	n.announce(self)
 }
 
--- a/member/odd_entry_test.go
+++ b/member/odd_entry_test.go
@@ -71,6 +71,8 @@
 		Entry("half an epoch", func() cbor.RawMessage { return withField(fieldEpoch, 0.5) }),
 		Entry("an epoch of 1e400", func() cbor.RawMessage { return withField(fieldEpoch, math.Inf(1)) }),
 		Entry("an epoch of 2^63", func() cbor.RawMessage { return withField(fieldEpoch, uint64(1)<<63) }),
+		Entry("an epoch that leaves no room for later ones", func() cbor.RawMessage { return withField(fieldEpoch, uint64(1)<<62-1) }),
+		Entry("a version that leaves no room for later ones", func() cbor.RawMessage { return withField(fieldVersion, uint64(1)<<62-1) }),
 		Entry("a version of 2^64-1", func() cbor.RawMessage { return withField(fieldVersion, uint64(math.MaxUint64)) }),
 		Entry("negative slots", func() cbor.RawMessage { return withField(fieldSlots, -1) }),
 		Entry("no data address", func() cbor.RawMessage { return withField(fieldData, []byte{}) }),
@@ -121,6 +123,63 @@
 	)
 })
 
+var _ = Describe("A record of this process with an extreme counter", func() {
+	const limit = 1 << 62
+	// Guards against a process that ends at its next change of state, and against one that others
+	// take for failed for good because it cannot raise the counter.
+	DescribeTable("is refuted, and the process continues", func(epoch, version uint64, earlier bool) {
+		f := newFleet(1)
+		for _, p := range []protocol{
+			member.NewNode(member.Config{}, f.record("p", "", "fd0"), f.rng()),
+			member.NewAnnouncer(member.Config{}, f.record("p", "portal", "fd0"), f.rng()),
+		} {
+			odd := p.Self()
+			odd.Epoch, odd.Version, odd.State = epoch, version, flow.Failed
+			if earlier {
+				odd.Incarnation++
+			}
+			p.Handle(0, member.Message{Kind: member.KindPush, Records: []member.Record{odd}})
+			for range 3 {
+				p.SetState(0, flow.Draining)
+				p.SetState(0, flow.Ready)
+			}
+			self := p.Self()
+			Expect(self.State).To(Equal(flow.Ready))
+			Expect(member.Compare(&self, &odd)).To(BeNumerically(">", 0))
+			peer := member.NewTable()
+			peer.Merge(odd)
+			Expect(peer.Merge(self)).To(BeTrue())
+		}
+	},
+		Entry("the last version of this run", uint64(1), uint64(limit-1), false),
+		Entry("the last version but one of this run", uint64(1), uint64(limit-2), false),
+		Entry("the last versions of an earlier run", uint64(1), uint64(limit-1), true),
+		Entry("a high epoch of this run", uint64(limit-3), uint64(limit-1), false),
+		Entry("a high epoch of an earlier run", uint64(limit-3), uint64(7), true),
+	)
+
+	// Guards against a process that ends where no counter is left to raise.
+	DescribeTable("does not end the process", func(epoch, version uint64, earlier bool) {
+		f := newFleet(1)
+		n := member.NewNode(member.Config{}, f.record("p", "", "fd0"), f.rng())
+		odd := n.Self()
+		odd.Epoch, odd.Version = epoch, version
+		if earlier {
+			odd.Incarnation++
+		}
+		n.Load(0, []member.Record{odd})
+		n.SetState(0, flow.Draining)
+		n.SetState(0, flow.Ready)
+		Expect(n.Self().State).To(Equal(flow.Ready))
+	},
+		Entry("last epoch", uint64(limit-1), uint64(1), true),
+		Entry("last epoch but one", uint64(limit-2), uint64(1), true),
+		Entry("last epoch and version of this run", uint64(limit-1), uint64(limit-1), false),
+		Entry("last epoch, last version but one of this run", uint64(limit-1), uint64(limit-2), false),
+		Entry("beyond the limit", uint64(limit), uint64(limit), true),
+	)
+})
+
 // FuzzDecode guards against an entry or a message that makes a process panic.
 func FuzzDecode(f *testing.F) {
 	shard, _ := cbor.Marshal(map[int]any{1: 7, 2: []member.Record{newFleet(1).record("u1", "portal", "fd0")}})
--- a/member/record.go
+++ b/member/record.go
@@ -75,10 +75,17 @@
 // nameHash returns the hash that identifies a record in digests and heartbeats.
 func nameHash(name string) uint64 { return xxhash.Sum64String(name) }
 
+// raiseVersion makes r newer than it was. If no version is left in its epoch, it starts a new one.
+func (r *Record) raiseVersion() {
+	if r.Version++; r.Version >= maxCounter {
+		r.Epoch, r.Version = r.Epoch+1, 0
+	}
+}
+
 // refute returns the version of self that overrides the record seen, which has the same
 // name, and whether a new version is needed: seen is of another incarnation whose epoch
 // is not lower, or it is this incarnation's record and newer than self, such as a mark as
-// failed.
+// failed. A record whose epoch leaves no room for a newer one is not refuted; no process writes one.
 func refute(self Record, seen *Record) (Record, bool) {
 	next := self
 	switch {
@@ -87,11 +94,13 @@
 	case seen.Incarnation != self.Incarnation && seen.Epoch >= self.Epoch:
 		next.Epoch = seen.Epoch + 1
 	case seen.Incarnation == self.Incarnation && Compare(seen, &self) > 0:
-		next.Epoch, next.Version = seen.Epoch, seen.Version+1
+		next.Epoch, next.Version = seen.Epoch, seen.Version
+		next.raiseVersion()
 	default:
 		return self, false
 	}
-	return next, next.valid()
+	// The epoch after it remains for when the versions of this one are used up.
+	return next, next.Epoch+1 < maxCounter
 }
 
 // invariant panics if an invariant of the protocol is violated. Continuing would
--- a/member/shard.go
+++ b/member/shard.go
@@ -237,10 +237,14 @@
 	return records, nil
 }
 
+// maxStoredCounter limits the epochs and versions in a shard. Processes raise them once a start
+// or a change of state, and a record near maxCounter could not be replaced.
+const maxStoredCounter = 1 << 48
+
 // checkStored returns an error for a record that no process writes to a shard.
 func (r *Record) checkStored() error {
 	switch {
-	case !r.valid():
+	case !r.valid() || r.Epoch >= maxStoredCounter || r.Version >= maxStoredCounter:
 		return errors.Newf("%q has state %d, role %d, epoch %d, version %d", r.Name, r.State, r.Role, r.Epoch, r.Version)
 	case r.Role == RoleUpstream && r.Data.Port() == 0:
 		return errors.Newf("upstream %q has no data address", r.Name)
--- a/member/suspect.go
+++ b/member/suspect.go
@@ -321,7 +321,7 @@
 	}
 	n.noteVerdict(&r, true, m.Observers, m.From)
 	r.State = flow.Failed
-	r.Version++
+	r.raiseVersion()
 	n.mergeAndPush(r)
 }
 
