balancer: an unusable grantor record is replaced and logged once

Cause: a record that names a live balancer without an address, or with port 0, was taken for its term: no agent learned of a grantor, and no election replaced it. A record that could not be decoded was replaced without a line that says so. Change: a record needs a name, an incarnation and an address with a port; another is replaced by the next election and logged, event 1303, once for each content.

--- a/balancer/election.go
+++ b/balancer/election.go
@@ -144,17 +144,27 @@
 	}
 	out := make(map[string]*grantorRecord, len(kvs))
 	for _, kv := range kvs {
-		r := &grantorRecord{term: kv.ModRevision}
-		// A malformed value is treated as a record of no live balancer, so that an election
-		// replaces it.
-		if json.Unmarshal(kv.Value, r) != nil {
-			*r = grantorRecord{term: kv.ModRevision}
-		}
-		out[kv.Key[len(quotaPrefix):]] = r
+		r, err := decodeGrantorRecord(kv.Value)
+		g.unreadable.Log(kv, err)
+		r.term = kv.ModRevision
+		out[kv.Key[len(quotaPrefix):]] = &r
 	}
 	return out, nil
 }
 
+// decodeGrantorRecord decodes the value of a grantor record. With an error it returns a record
+// of no balancer, which an election replaces.
+func decodeGrantorRecord(value []byte) (grantorRecord, error) {
+	var r grantorRecord
+	if err := json.Unmarshal(value, &r); err != nil {
+		return grantorRecord{}, errors.Wrap(err, "balancer: decode grantor record")
+	}
+	if r.Name == "" || r.Incarnation == 0 || r.Control.Port() == 0 {
+		return grantorRecord{}, errors.Newf("balancer: grantor record of %q, incarnation %d, at %s", r.Name, r.Incarnation, r.Control)
+	}
+	return r, nil
+}
+
 // campaign replaces the record old by one of this balancer unless the record has
 // changed since it was read, and starts a term if the write succeeds. If the outcome is
 // unknown, the next election reads whether the write took effect.
--- a/balancer/grantors.go
+++ b/balancer/grantors.go
@@ -44,6 +44,7 @@
 	log             *event.Logger
 	storeFailureLog *daemon.LogLimiter
 	recountLog      *daemon.LogLimiter
+	unreadable      *daemon.UnreadableLog
 	quota           *daemon.QuotaExchange
 
 	electionMu   sync.Mutex    // locked during an election, including its store calls
@@ -70,6 +71,7 @@
 		store: s, members: b.members, active: b.lists.Active, clock: b.clock, rng: daemon.NewRand(b.rng), log: b.log,
 		storeFailureLog: daemon.NewLogLimiter(b.log, b.clock, event.StoreFailed),
 		recountLog:      daemon.NewLogLimiter(b.log, b.clock, event.RecountUnfinished),
+		unreadable:      daemon.NewUnreadableLog(b.log),
 		terms:           make(map[string]*grantorTerm),
 		endedTerms:      make(map[string]int64),
 	}
--- a/balancer/grantors_test.go
+++ b/balancer/grantors_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/netip"
+	"strconv"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -15,6 +17,7 @@
 	"github.com/nutmegtrack/nutmegtrack/packet"
 	"github.com/nutmegtrack/nutmegtrack/plan"
 	"github.com/nutmegtrack/nutmegtrack/quota"
+	"github.com/nutmegtrack/nutmegtrack/store"
 )
 
 var _ = Describe("The grantor of a service", func() {
@@ -163,6 +166,53 @@
 		Expect(reply.Grantor).To(HaveValue(HaveField("Term", term(b1))))
 	})
 
+	// Guards against a service without a grantor, against agents that are sent to an address that
+	// does not exist, and against a line in the log at each election.
+	DescribeTable("replaces an odd record", func(value string) {
+		elect(b1)
+		number := term(b1)
+		self := b1.self()
+		value = strings.NewReplacer("NAME", self.Name, "INCARNATION", strconv.FormatUint(self.Incarnation, 10)).Replace(value)
+		for _, key := range []string{quotaPrefix, quotaPrefix + service, quotaPrefix + "no such service/x"} {
+			_, err := s.Txn(ctx, nil, []store.Op{{Key: key, Value: []byte(value)}})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		sendRecords(b2, b1)
+		for range 5 {
+			elect(b1, b2)
+		}
+		Expect(max(term(b1), term(b2))).To(BeNumerically(">", number))
+		Expect(min(term(b1), term(b2))).To(BeZero())
+		kv, err := s.Get(ctx, quotaPrefix+service)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(kv.Value)).To(ContainSubstring(`"control":"127.0.0.1:79`))
+		Expect(unreadable(b1, quotaPrefix+service)).To(Equal(1))
+		Expect(strings.Count(b1.log.String(), "event=1303")).To(Equal(3))
+		records, err := b1.grantors.readRecords(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		b1.grantors.publish(records)
+	},
+		Entry("empty", ``),
+		Entry("null", `null`),
+		Entry("a list", `[]`),
+		Entry("not UTF-8", "\xff\xfe"),
+		Entry("truncated", `{"name":"NAME","incarnation":INCARNATION,"control":"127.0.0.1:7`),
+		Entry("10,000 arrays", strings.Repeat("[", 10_000)+strings.Repeat("]", 10_000)),
+		Entry("1,000,000 objects", strings.Repeat(`{"name":`, 1_000_000)+"1"+strings.Repeat("}", 1_000_000)),
+		Entry("no name", `{"incarnation":INCARNATION,"control":"127.0.0.1:7949"}`),
+		Entry("no incarnation", `{"name":"NAME","control":"127.0.0.1:7949"}`),
+		Entry("an incarnation of 2^64", `{"name":"NAME","incarnation":18446744073709551616,"control":"127.0.0.1:7949"}`),
+		Entry("an incarnation of 1e400", `{"name":"NAME","incarnation":1e400,"control":"127.0.0.1:7949"}`),
+		Entry("a negative incarnation", `{"name":"NAME","incarnation":-1,"control":"127.0.0.1:7949"}`),
+		Entry("half an incarnation", `{"name":"NAME","incarnation":0.5,"control":"127.0.0.1:7949"}`),
+		Entry("no address", `{"name":"NAME","incarnation":INCARNATION}`),
+		Entry("port 0", `{"name":"NAME","incarnation":INCARNATION,"control":"127.0.0.1:0"}`),
+		Entry("port 65536", `{"name":"NAME","incarnation":INCARNATION,"control":"127.0.0.1:65536"}`),
+		Entry("a negative port", `{"name":"NAME","incarnation":INCARNATION,"control":"127.0.0.1:-1"}`),
+		Entry("an address of another type", `{"name":"NAME","incarnation":INCARNATION,"control":{"port":1}}`),
+		Entry("a name given twice", `{"name":"NAME","name":"","incarnation":INCARNATION,"control":"127.0.0.1:7949"}`),
+	)
+
 	// Guards against limits of the plan for which no tokens are issued.
 	It("issues the tokens of the active lists", func() {
 		elect(b1)
