balancer: a lease key without a lease is removed

Cause: a collector's key that another writer had put without a lease never ended. No balancer campaigned for it, and the domain's shard was not written again. Measured: go test ./balancer -ginkgo.focus 'has no lease': fails before (term 0 after 30 s), passes now.

--- a/balancer/collector.go
+++ b/balancer/collector.go
@@ -133,6 +133,9 @@
 	}
 	kv, err := c.store.Get(getCtx, member.LeaseKey(c.domain))
 	if err == nil {
+		if kv.Lease == 0 {
+			return c.removeUnleased(ctx, kv)
+		}
 		if !c.shard.HandleLease(kv) {
 			c.polledAt = c.clock()
 		}
@@ -144,6 +147,15 @@
 	return c.campaign(ctx)
 }
 
+// removeUnleased removes a lease key that is attached to no lease. No balancer writes one, and it
+// would keep the domain without a collector.
+func (c *collector) removeUnleased(ctx context.Context, kv store.KV) error {
+	c.unreadable.Log(kv, errors.New("balancer: lease key of a collector without a lease"))
+	unchanged := store.Compare{Key: kv.Key, Target: store.CompareMod, Revision: kv.ModRevision}
+	_, err := c.store.Txn(ctx, []store.Compare{unchanged}, []store.Op{{Key: kv.Key, Delete: true}})
+	return err
+}
+
 // renew renews the lease when that is due. If no renewal has succeeded within leaseTTL
 // by this process's own clock, the lease counts as lost.
 func (c *collector) renew(ctx context.Context) error {
--- a/balancer/collector_test.go
+++ b/balancer/collector_test.go
@@ -136,6 +136,17 @@
 		Expect(unreadable(b1, "members/a")).To(Equal(1))
 	})
 
+	// Guards against a domain that never has a collector again: a lease key without a lease, which
+	// another writer has left, is never removed.
+	It("removes a lease key that has no lease", func() {
+		put(member.LeaseKey("a"), []byte("no balancer"))
+		put(member.LeaseKey("a")+"/x", []byte("no lease key"))
+		steps(30, b1)
+		Expect(b1.collector.shard.Term()).NotTo(BeZero())
+		Expect(stored()).To(Equal([]string{"b1", "u1"}))
+		Expect(unreadable(b1, member.LeaseKey("a"))).To(Equal(1))
+	})
+
 	// Guards against a collector that does not resume after an outage of the store.
 	It("resumes after an outage of the store", func() {
 		steps(5, b1)
