plan, settings: a deeply nested text no longer ends the process

Cause: the parser of JSON with comments recurses once per level. A list of 1 MB, or a settings file at a reload, nested 1,000,000 deep exceeds the maximum stack of 1 GB: 'fatal error: stack overflow', which nothing recovers. Each process that read the list would have ended, again after each start. Change: package internal/jwcc counts the levels before it parses and rejects more than 64, with the position.

--- a/plan/parsed_text.go
+++ b/plan/parsed_text.go
@@ -10,6 +10,7 @@
 	"github.com/tailscale/hujson"
 
 	"github.com/nutmegtrack/nutmegtrack/finding"
+	"github.com/nutmegtrack/nutmegtrack/internal/jwcc"
 )
 
 // parsedText is the parsed text of one list. Only the first finding of a field is reported,
@@ -29,7 +30,7 @@
 // returns false; the text cannot be checked further.
 func parseListText(file string, text []byte, findings *finding.List) (*parsedText, bool) {
 	d := &parsedText{file: file, text: text, findings: findings, reported: map[string]bool{}}
-	root, err := hujson.Parse(text)
+	root, err := jwcc.Parse(text)
 	if err != nil {
 		findings.Add(syntaxFinding(file, err))
 		return d, false
--- a/plan/text.go
+++ b/plan/text.go
@@ -5,6 +5,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/tailscale/hujson"
+
+	"github.com/nutmegtrack/nutmegtrack/internal/jwcc"
 )
 
 // Text is the text of a list that can be edited entry by entry. The comments and layout of
@@ -20,7 +22,7 @@
 
 // NewText parses a list; list is CustomersList or PlansList.
 func NewText(list string, text []byte) (*Text, error) {
-	root, err := hujson.Parse(text)
+	root, err := jwcc.Parse(text)
 	if err != nil {
 		return nil, errors.Wrapf(err, "%s", list)
 	}
--- a/settings/load.go
+++ b/settings/load.go
@@ -7,9 +7,8 @@
 	"regexp"
 	"strconv"
 
-	"github.com/tailscale/hujson"
-
 	"github.com/nutmegtrack/nutmegtrack/finding"
+	"github.com/nutmegtrack/nutmegtrack/internal/jwcc"
 )
 
 // checker is implemented by settings structs to check fields that depend on each other.
@@ -28,7 +27,7 @@
 // parse decodes src into a settings struct and returns all findings, or nil.
 func parse(file string, src []byte, into checker) error {
 	var found finding.List
-	root, err := hujson.Parse(src)
+	root, err := jwcc.Parse(src)
 	if err != nil {
 		found.Add(syntaxFinding(file, err))
 		return found
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -50,6 +51,12 @@
 		Entry("a duplicate field", `{"name": "a", "name": "b"}`, "name: duplicate field"),
 		Entry("a value out of range", `{"drain_seconds": -1}`, "expected a number from 0 to 600, got -1"),
 		Entry("a fraction for an integer", `{"readers": 1.5}`, "expected an integer, got 1.5"),
+		Entry("1,000,000 arrays", strings.Repeat("[", 1_000_000), "b.json:1:65: value is nested deeper than 64 levels"),
+		Entry("1,000,000 objects", `{"seeds": `+strings.Repeat(`{"a":`, 1_000_000), "value is nested deeper than 64 levels"),
+		Entry("a number beyond the range of a double", `{"drain_seconds": 1e400}`, "drain_seconds: "),
+		Entry("an integer beyond its range", `{"readers": 9223372036854775808}`, "readers: "),
+		Entry("a port out of range", `{"health_address": "127.0.0.1:65536"}`, "health_address: "),
+		Entry("text that is not UTF-8", "{\"name\": \"\xff\"}", "b.json:1:"),
 		Entry("a name in another case", `{"Name": "a"}`, "Name: unknown field"),
 		Entry("a TUN device without a name", `{"packet_io": {"mode": "tun"}}`, "packet_io.device: is required"),
 		Entry("an unspecified address for hints", `{"data_address": "0.0.0.0:1"}`, "data_address: must not be the unspecified address, because it is announced to agents"),
