plan: the findings of one text are limited to 100

Cause: each finding costs a pass over the text for its position, and each member of an object a comparison with all before it. A text of 200 KB with 20,000 unknown fields took 9.8 s, four times as much for twice the size; a process that reads such a list is busy for minutes and answers nothing that needs its lists. Change: after 100 findings one says that more are left out. Objects with more than 16 members are checked for repeated ones with a map; smaller ones as before, without allocation.

--- a/plan/decode.go
+++ b/plan/decode.go
@@ -16,7 +16,9 @@
 }
 
 func (n node) report(format string, args ...any) {
-	n.d.report(n.value, n.d.path(n.value.StartOffset), format, args...)
+	if !n.d.full() {
+		n.d.report(n.value, n.d.path(n.value.StartOffset), format, args...)
+	}
 }
 
 // members calls visit for the members of an object in order. It reports repeated members,
@@ -27,19 +29,30 @@
 		n.report("must be an object")
 		return
 	}
+	var seen map[string]bool
+	if len(object.Members) > maxScanned {
+		seen = make(map[string]bool, len(object.Members))
+	}
 	for i := range object.Members {
 		m := &object.Members[i]
 		name := literalString(&m.Name)
 		key := node{n.d, &m.Name}
 		switch {
-		case repeated(object.Members[:i], name):
+		case seen[name] || seen == nil && repeated(object.Members[:i], name):
 			n.d.report(&m.Name, n.d.path(m.Name.StartOffset)+" (repeated)", "the field is given twice")
 		case !visit(name, node{n.d, &m.Value}):
 			key.report("unknown field")
 		}
+		if seen != nil {
+			seen[name] = true
+		}
 	}
 }
 
+// maxScanned is the number of members up to which an object is scanned for repeated ones. A map
+// for each of 10,000 customers would cost more.
+const maxScanned = 16
+
 func repeated(before []hujson.ObjectMember, name string) bool {
 	for i := range before {
 		if literalIs(&before[i].Name, name) {
@@ -118,6 +131,9 @@
 // reportField reports a finding about a field of the object, at the position of the field,
 // or of the object if the field is missing.
 func (n node) reportField(name, format string, args ...any) {
+	if n.d.full() {
+		return
+	}
 	at := n.value
 	if value := member(n.value, name); value != nil {
 		at = value
--- a/plan/nesting_test.go
+++ b/plan/odd_text_test.go
@@ -1,6 +1,7 @@
 package plan_test
 
 import (
+	"strconv"
 	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -36,3 +37,25 @@
 		Entry("1,000,000 objects", `{"a":`, 1_000_000),
 	)
 })
+
+var _ = Describe("A list of another writer", func() {
+	// Guards against a process that is busy for minutes with one odd text of 1 MB: each finding
+	// costs a pass over the text.
+	DescribeTable("has a limited number of findings", func(text string) {
+		_, findings := plan.Parse(plan.Documents{Customers: []byte(text), Plans: []byte(plansText)}, plan.DefaultFiles, nil)
+		Expect(findings).To(HaveLen(101))
+		Expect(findings.Error()).To(ContainSubstring("further findings are left out"))
+	},
+		Entry("of another type", `{"customers":[`+strings.Repeat("1,", 400_000)+`]}`),
+		Entry("with unknown fields", `{"customers":[{`+manyFields(20_000)+`}]}`),
+	)
+})
+
+// manyFields returns the members of an object with n different fields.
+func manyFields(n int) string {
+	var b strings.Builder
+	for i := range n {
+		b.WriteString(`"f` + strconv.Itoa(i) + `":1,`)
+	}
+	return b.String()
+}
--- a/plan/parsed_text.go
+++ b/plan/parsed_text.go
@@ -21,8 +21,16 @@
 	root     hujson.Value
 	findings *finding.List
 	reported map[string]bool
+	added    int // findings of this text
 }
 
+// maxFindings limits the findings of one text. A finding costs a pass over the text, and no
+// operator reads more.
+const maxFindings = 100
+
+// full reports whether the text has maxFindings findings, so that no other is reported.
+func (d *parsedText) full() bool { return d.added >= maxFindings }
+
 // syntaxError matches hujson's error messages, to extract the position.
 var syntaxError = regexp.MustCompile(`^hujson: line (\d+), column (\d+): (.*)$`)
 
@@ -51,11 +59,14 @@
 
 // report adds a finding at the position of the value; field is its path.
 func (d *parsedText) report(at *hujson.Value, field, format string, args ...any) {
-	if d.reported[field] {
+	if d.reported[field] || d.full() {
 		return
 	}
 	d.reported[field] = true
 	line, column := position(d.text, at.StartOffset)
+	if d.added++; d.full() {
+		defer d.findings.Add(finding.Finding{File: d.file, Line: line, Column: column, Message: "further findings are left out"})
+	}
 	d.findings.Add(finding.Finding{
 		File: d.file, Line: line, Column: column, Field: field,
 		Message: fmt.Sprintf(format, args...),
