plan: a head cannot make a process exceed its memory

Cause: a head of 1 MB can name one page of 64 KB 38,000 times; a reader joined them to 2.4 GB. Change: a list has at most 16 MB, 16 times that of 10,000 customers. Readers reject more; the check before an edit reports it.

--- a/plan/pages.go
+++ b/plan/pages.go
@@ -26,6 +26,12 @@
 // ErrPageMissing is returned if a page of a revision is not available.
 var ErrPageMissing = errors.New("plan: page is missing")
 
+// ErrTooLarge is returned if the pages of a revision make a list of more than maxListSize bytes.
+var ErrTooLarge = errors.New("plan: list is too large")
+
+// maxListSize is the maximum size of one list in bytes, 16 times that of 10,000 customers.
+const maxListSize = 16 << 20
+
 // Hash identifies a page by its content.
 type Hash string
 
@@ -67,7 +73,8 @@
 	return min(end, pageMax)
 }
 
-// join assembles a text from its pages and verifies the hash of every page.
+// join assembles a text from its pages and verifies the hash of every page. The error is
+// ErrPageMissing, ErrTooLarge, or that of a page that does not match its hash.
 func (p Pages) join(hashes []Hash) ([]byte, error) {
 	var text []byte
 	for _, hash := range hashes {
@@ -78,6 +85,9 @@
 		if HashOf(page) != hash {
 			return nil, errors.Newf("plan: content of page %s does not match its hash", hash)
 		}
+		if len(text)+len(page) > maxListSize {
+			return nil, errors.Wrapf(ErrTooLarge, "more than %d bytes", maxListSize)
+		}
 		text = append(text, page...)
 	}
 	return text, nil
--- a/plan/parsed_text.go
+++ b/plan/parsed_text.go
@@ -34,10 +34,14 @@
 // syntaxError matches hujson's error messages, to extract the position.
 var syntaxError = regexp.MustCompile(`^hujson: line (\d+), column (\d+): (.*)$`)
 
-// parseListText parses JSON with comments. After a syntax error it adds one finding and
-// returns false; the text cannot be checked further.
+// parseListText parses JSON with comments. After a syntax error, and for a text that readers
+// would reject for its size, it adds one finding and returns false.
 func parseListText(file string, text []byte, findings *finding.List) (*parsedText, bool) {
 	d := &parsedText{file: file, text: text, findings: findings, reported: map[string]bool{}}
+	if len(text) > maxListSize {
+		findings.Add(finding.Finding{File: file, Message: fmt.Sprintf("the list has %d bytes, more than %d", len(text), maxListSize)})
+		return d, false
+	}
 	root, err := jwcc.Parse(text)
 	if err != nil {
 		findings.Add(syntaxFinding(file, err))
