quota, daemon: a message with tokens out of range does not end the process

Cause: a negative number of tokens, or a sum beyond 32 bits, made an account inconsistent, and its check ended the process. An unknown kind of tokens was taken as an account. Change: a batch with negative tokens or an unknown kind is rejected when decoded; tokens beyond the range of a count are lost. The check stays. Left: the ledger's check that no more tokens return than were issued. Measured: go test ./daemon -ginkgo.focus 'malformed batch': 3 of 7 fail before; go test ./quota -ginkgo.focus 'extreme numbers': the account's check panics before. All pass now.

--- a/daemon/quota_test.go
+++ b/daemon/quota_test.go
@@ -1,6 +1,7 @@
 package daemon_test
 
 import (
+	"bytes"
 	"context"
 	"net/netip"
 
@@ -36,6 +37,13 @@
 	return nil
 }
 
+func encodeBatch(a quota.Amount) []byte {
+	GinkgoHelper()
+	b, err := daemon.QuotaBatch{Messages: []quota.Message{{Kind: quota.MessageTransfer, Seq: 1, Amounts: []quota.Amount{a}}}}.MarshalBinary()
+	Expect(err).NotTo(HaveOccurred())
+	return b
+}
+
 var _ = Describe("The exchange of quota messages", func() {
 	var (
 		transport *recordingTransport
@@ -83,6 +91,27 @@
 		Expect(handled).To(Equal([]quota.Message{answer}))
 	})
 
+	// Guards against a process that ends because an account holds a negative number of tokens.
+	DescribeTable("rejects a malformed batch", func(data func() []byte) {
+		var got daemon.QuotaBatch
+		Expect(got.UnmarshalBinary(data())).NotTo(Succeed())
+		Expect(got.Messages).To(BeEmpty())
+	},
+		Entry("with negative tokens", func() []byte { return encodeBatch(quota.Amount{Tokens: -1}) }),
+		Entry("with an unknown kind of tokens", func() []byte { return encodeBatch(quota.Amount{Account: quota.Account{Kind: 9}, Tokens: 1}) }),
+		Entry("with negative tokens in a channel", func() []byte {
+			b, err := daemon.QuotaBatch{Messages: []quota.Message{{Channels: []quota.ChannelReport{{Outstanding: []quota.Amount{{Tokens: -1}}}}}}}.MarshalBinary()
+			Expect(err).NotTo(HaveOccurred())
+			return b
+		}),
+		Entry("with tokens beyond 32 bits", func() []byte {
+			return bytes.Replace(encodeBatch(quota.Amount{Tokens: 1<<31 - 1}), []byte{0x1a, 0x7f, 0xff, 0xff, 0xff}, []byte{0x1a, 0xff, 0xff, 0xff, 0xff}, 1)
+		}),
+		Entry("of 1,000,000 arrays", func() []byte { return bytes.Repeat([]byte{0x81}, 1_000_000) }),
+		Entry("of 2^32 elements", func() []byte { return []byte{0x9a, 0xff, 0xff, 0xff, 0xff} }),
+		Entry("that is truncated", func() []byte { b := encodeBatch(quota.Amount{Tokens: 1}); return b[:len(b)-1] }),
+	)
+
 	// Guards against losing messages to processes other than the caller.
 	It("replies to the caller and sends the other messages in their own calls", func() {
 		q = daemon.NewQuotaExchange(daemon.QuotaConfig{
--- a/daemon/quotawire.go
+++ b/daemon/quotawire.go
@@ -86,13 +86,17 @@
 	if err := cbor.Unmarshal(data, &w); err != nil {
 		return errors.Wrap(err, "daemon: decode quota messages")
 	}
-	b.Control = w.Control
 	for i := range w.Messages {
-		m := decodeQuota(&w.Messages[i])
+		m, err := decodeQuota(&w.Messages[i])
+		if err != nil {
+			*b = QuotaBatch{}
+			return err
+		}
 		m.Service = w.Service
 		m.From, m.To = quota.Party{ID: w.From.ID, Incarnation: w.From.Incarnation}, quota.Party{ID: w.To.ID, Incarnation: w.To.Incarnation}
 		b.Messages = append(b.Messages, m)
 	}
+	b.Control = w.Control
 	return nil
 }
 
@@ -107,15 +111,22 @@
 	return w
 }
 
-func decodeQuota(w *wireQuotaMessage) quota.Message {
-	m := quota.Message{Kind: w.Kind, Term: w.Term, Seq: w.Seq, Groups: w.Groups, Amounts: decodeAmounts(w.Amounts)}
+func decodeQuota(w *wireQuotaMessage) (m quota.Message, err error) {
+	m = quota.Message{Kind: w.Kind, Term: w.Term, Seq: w.Seq, Groups: w.Groups}
+	if m.Amounts, err = decodeAmounts(w.Amounts); err != nil {
+		return m, err
+	}
 	for _, c := range w.Channels {
+		outstanding, err := decodeAmounts(c.Outstanding)
+		if err != nil {
+			return m, err
+		}
 		m.Channels = append(m.Channels, quota.ChannelReport{
 			Peer:           quota.Party{ID: c.Peer.ID, Incarnation: c.Peer.Incarnation},
-			OutstandingSeq: c.OutstandingSeq, ReceivedSeq: c.ReceivedSeq, Outstanding: decodeAmounts(c.Outstanding),
+			OutstandingSeq: c.OutstandingSeq, ReceivedSeq: c.ReceivedSeq, Outstanding: outstanding,
 		})
 	}
-	return m
+	return m, nil
 }
 
 func encodeAmounts(list []quota.Amount) (out []wireAmount) {
@@ -125,9 +136,14 @@
 	return out
 }
 
-func decodeAmounts(list []wireAmount) (out []quota.Amount) {
+// decodeAmounts returns an error for an amount that no process sends: package quota panics if an
+// account holds a negative number of tokens.
+func decodeAmounts(list []wireAmount) (out []quota.Amount, err error) {
 	for _, a := range list {
+		if a.Tokens < 0 || !a.Kind.Valid() {
+			return nil, errors.Newf("daemon: quota message with %d tokens of kind %d", a.Tokens, uint8(a.Kind))
+		}
 		out = append(out, quota.Amount{Account: quota.Account{Customer: a.Customer, Kind: a.Kind}, Tokens: a.Tokens})
 	}
-	return out
+	return out, nil
 }
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -230,6 +231,21 @@
 	})
 })
 
+var _ = Describe("A message with extreme numbers", func() {
+	// Guards against a process that ends for tokens that exceed a count.
+	It("does not end the holder", func() {
+		s := newService(2)
+		h := s.holders[0]
+		for seq := range uint64(3) {
+			h.Handle(0, Message{Kind: MessageTransfer, Service: testService, From: s.holders[1].self, To: h.self, Seq: seq + 1,
+				Amounts: []Amount{{connections, math.MaxInt32}, {rate, 0}}})
+			h.Step(time.Duration(seq) * testTick)
+		}
+		held, _ := h.Held(connections)
+		Expect(held).To(BeEquivalentTo(math.MaxInt32))
+	})
+})
+
 var _ = Describe("Grantor", func() {
 	It("issues exactly the limit", func() {
 		s := newService(5)
--- a/quota/step.go
+++ b/quota/step.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"time"
 )
 
@@ -187,7 +188,8 @@
 func (h *Holder) add(now time.Duration, amounts []Amount) {
 	for _, amount := range amounts {
 		a := h.account(amount.Account)
-		a.held += amount.Tokens
+		// Tokens beyond the range of a count, which no limit allows, are lost.
+		a.held += min(amount.Tokens, math.MaxInt32-a.held)
 		a.check()
 		if a.recalled {
 			h.returnFreeTokens(a)
--- a/quota/types.go
+++ b/quota/types.go
@@ -23,6 +23,9 @@
 
 var kindNames = [kinds]string{"connections", "new_connections_per_second", "requests"}
 
+// Valid reports whether k is a known kind.
+func (k Kind) Valid() bool { return k < kinds }
+
 // String returns the name of the limit in the plan list.
 func (k Kind) String() string {
 	if k < kinds {
