control: tests of calls that cannot be decoded

Cause: open: what one malformed call does to the process and to the connection. Change: tests only. Nested, truncated and out-of-range messages, another type and an unknown method get an error on a connection that then answers the next call; bytes that are no RPC close their connection only. Measured: go test ./control: 12 new entries pass on the code as it was. Not covered: a peer that really sends a message of up to 1 GB, the limit of gob.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"net/netip"
+	"net/rpc"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -38,6 +42,11 @@
 
 func echo(m member.Message) member.Message { return m }
 
+// rawMessage is encoded by gob as a message with these bytes.
+type rawMessage string
+
+func (m rawMessage) MarshalBinary() ([]byte, error) { return []byte(m), nil }
+
 func ping(c *control.Client, to netip.AddrPort) error {
 	var reply member.Message
 	return c.Call(context.Background(), to, control.MemberCall, &member.Message{Kind: member.KindPing}, &reply)
@@ -127,6 +136,51 @@
 		Expect(ping(c, second)).To(MatchError(control.ErrClosed))
 	})
 
+	// Guards against a process that ends, or a connection that fails for the calls of others, after
+	// a call that cannot be decoded.
+	DescribeTable("answers the next call after a malformed one", func(method string, args any) {
+		s, addr := serve(echo, "127.0.0.1:0")
+		client, err := rpc.Dial("tcp", addr.String())
+		Expect(err).NotTo(HaveOccurred())
+		var reply member.Message
+		Expect(client.Call(method, args, &reply)).NotTo(Succeed())
+		Expect(client.Call(control.MemberCall, &member.Message{Kind: member.KindPing}, &reply)).To(Succeed())
+		Expect(reply.Kind).To(Equal(member.KindPing))
+		Expect(client.Close()).To(Succeed())
+		Expect(s.Close(context.Background())).To(Succeed())
+	},
+		Entry("of 1,000,000 nested arrays", control.MemberCall, rawMessage(strings.Repeat("\x81", 1_000_000))),
+		Entry("of an array of 2^32 elements", control.MemberCall, rawMessage("\x9a\xff\xff\xff\xff")),
+		Entry("with a number beyond its range", control.MemberCall, rawMessage("\xa1\x03\x1b\xff\xff\xff\xff\xff\xff\xff\xff")),
+		Entry("that is truncated", control.MemberCall, rawMessage("\xa1")),
+		Entry("that is empty", control.MemberCall, rawMessage("")),
+		Entry("with text that is not UTF-8", control.MemberCall, rawMessage("\xa1\x0d\x61\xff")),
+		Entry("of another type", control.MemberCall, struct{ Kind string }{"ping"}),
+		Entry("of an unknown method", "Member.Other", &member.Message{}),
+	)
+
+	// Guards against a process that ends or allocates what a length claims.
+	DescribeTable("closes a connection that is no RPC and serves others", func(bytes string) {
+		s, addr := serve(echo, "127.0.0.1:0")
+		conn, err := net.Dial("tcp", addr.String())
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.WriteString(conn, bytes)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(conn.(*net.TCPConn).CloseWrite()).To(Succeed())
+		_, err = io.ReadAll(conn)
+		Expect(err).To(Or(BeNil(), MatchError(syscall.ECONNRESET)))
+		_ = conn.Close()
+		c := control.NewClient(control.ClientConfig{}, control.NewCounts(nil))
+		Expect(ping(c, addr)).To(Succeed())
+		c.Close()
+		Expect(s.Close(context.Background())).To(Succeed())
+	},
+		Entry("HTTP", "GET / HTTP/1.1\r\n\r\n"),
+		Entry("a message of 2^30-1 bytes", "\xfc\x3f\xff\xff\xff\x01"),
+		Entry("a message of 2^64-1 bytes", "\xf8\xff\xff\xff\xff\xff\xff\xff\xff\x01"),
+		Entry("zeros", strings.Repeat("\x00", 1000)),
+	)
+
 	It("dumps the named sources and rejects unknown ones", func() {
 		d := control.NewDump()
 		r := metrics.NewRegistry()
