daemon: an unreadable head of the lists is logged

Cause: a head that could not be decoded was ignored without a line, so that lists that no longer followed the operators had no explanation in the log. Change: event 1303, once for each content, whether read or watched. The reader ignores the head as before. Measured: go test ./daemon -ginkgo.focus 'odd one': 6 of 6 fail before for the missing line only (the next head was followed), pass now; go test -race ./daemon ./balancer ./control passes. Left: nutmegtrack cannot edit the lists while the head is unreadable.

--- a/daemon/listfetch.go
+++ b/daemon/listfetch.go
@@ -8,6 +8,7 @@
 
 	"github.com/nutmegtrack/nutmegtrack/plan"
 	"github.com/nutmegtrack/nutmegtrack/plan/fetch"
+	"github.com/nutmegtrack/nutmegtrack/store"
 )
 
 // execute carries out one request of the reader: it starts or ends the watch of the head,
@@ -40,7 +41,20 @@
 		err := l.cfg.Transport.Call(ctx, f.Peer, listsPages, &PagesArgs{Hashes: f.Hashes}, &reply)
 		return plan.Result{Pages: reply.Pages, Err: err}
 	}
-	return fetch.FromStore(ctx, l.cfg.Store, f)
+	result := fetch.FromStore(ctx, l.cfg.Store, f)
+	if f.Kind == plan.FetchHead && result.Err == nil {
+		l.logUnreadableHead(result.Head, result.StoreRevision)
+	}
+	return result
+}
+
+// logUnreadableHead logs a head in the store that the reader ignores because it cannot be decoded.
+func (l *Lists) logUnreadableHead(value []byte, revision int64) {
+	if len(value) == 0 {
+		return
+	}
+	_, err := plan.DecodeHead(value)
+	l.unreadable.Log(store.KV{Key: plan.HeadKey, Value: value, ModRevision: revision}, err)
 }
 
 // startWatch watches the head in the store and passes its changes to the reader until the
@@ -71,6 +85,7 @@
 		}
 		for _, e := range change.Events {
 			if e.KV.Key == plan.HeadKey && !e.Deleted {
+				l.logUnreadableHead(e.KV.Value, e.KV.ModRevision)
 				l.update(ctx, func(now time.Duration, r *plan.Reader) { r.WatchEvent(now, f.ID, e.KV.Value) })
 			}
 		}
--- a/daemon/lists.go
+++ b/daemon/lists.go
@@ -37,6 +37,7 @@
 type Lists struct {
 	cfg         ListsConfig
 	storeFailed *LogLimiter
+	unreadable  *UnreadableLog
 	active      atomic.Pointer[plan.Installed]
 
 	mu                     sync.Mutex
@@ -54,6 +55,7 @@
 	return &Lists{
 		cfg:         cfg,
 		storeFailed: NewLogLimiter(cfg.Log, cfg.Clock, event.StoreFailed),
+		unreadable:  NewUnreadableLog(cfg.Log),
 		reader:      plan.NewReader(plan.ReaderConfig{}, cfg.Rand),
 		watches:     make(map[uint64]context.CancelFunc),
 	}
--- a/daemon/lists_test.go
+++ b/daemon/lists_test.go
@@ -179,6 +179,40 @@
 		Expect(strings.Count(p.log.String(), "event=1301")).To(Equal(2), "two findings, each logged once: %s", p.log.String())
 	})
 
+	// Guards against a process that no longer follows the lists after an odd head, and against a
+	// head that is ignored without a line or with one at each read.
+	DescribeTable("follow the next head after an odd one", func(odd string) {
+		s := newStore()
+		writeLists(s, documents(1))
+		kv, err := s.Get(ctx, plan.HeadKey)
+		Expect(err).NotTo(HaveOccurred())
+		head, err := plan.DecodeHead(kv.Value)
+		Expect(err).NotTo(HaveOccurred())
+		p := follow(s, nil)
+		Expect(<-p.activated).To(BeEquivalentTo(1))
+		put := func(writes ...store.Op) {
+			_, err := s.Txn(ctx, nil, writes)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		put(store.Op{Key: plan.HeadKey, Value: []byte(odd)}, store.Op{Key: plan.HeadKey + "/x", Value: []byte(odd)})
+		put(store.Op{Key: plan.HeadKey, Value: []byte(odd)})
+		next, pages := head.Next(plan.Edit{ID: "b", Author: "x"}, documents(2))
+		for hash, page := range pages {
+			put(store.Op{Key: plan.PageKey(hash), Value: page})
+		}
+		put(store.Op{Key: plan.HeadKey, Value: next.Encode()})
+		Expect(<-p.activated).To(BeEquivalentTo(2))
+		Expect(strings.Count(p.log.String(), "event=1303")).To(Equal(1))
+		Expect(p.log.String()).To(ContainSubstring("key=" + plan.HeadKey + " "))
+	},
+		Entry("null", "null"),
+		Entry("not UTF-8", "\xff"),
+		Entry("truncated", `{"revision":2`),
+		Entry("1,000,000 objects", strings.Repeat(`{"edit_id":`, 1_000_000)),
+		Entry("a revision of 1e400", `{"revision":1e400,"edit_id":"x"}`),
+		Entry("a negative revision", `{"revision":-1,"edit_id":"x"}`),
+	)
+
 	// Guards against a process that queries a peer in every step while that peer has
 	// no newer revision.
 	It("pause between queries to a peer that has no newer revision", func() {
