member: a stored record without a control address is ignored

Cause: a record in a shard with control port 0 was loaded. A process that cannot be pinged is never found to have failed, so an upstream that does not exist would receive flows for good. Change: a record in a shard needs a control address. The balancers' test records now have one, as every process's record has. Measured: go test ./member -ginkgo.focus 'odd record': the entry with port 0 fails before, passes now; go test ./member ./balancer passes.

--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -36,6 +36,7 @@
 	return member.Record{
 		Name: name, Service: "impact-portal", FailureDomain: "a", Incarnation: 1, State: flow.Ready,
 		Data:      netip.MustParseAddrPort(data),
+		Control:   netip.MustParseAddrPort(data),
 		Endpoints: []flow.Endpoint{{Addr: service, Proto: packet.ProtoTCP}},
 	}
 }
--- a/member/odd_entry_test.go
+++ b/member/odd_entry_test.go
@@ -41,7 +41,7 @@
 // Positions of fields in an encoded record.
 const (
 	fieldName, fieldRole, fieldEpoch, fieldVersion, fieldState = 0, 3, 5, 6, 7
-	fieldData, fieldSlots                                      = 8, 11
+	fieldData, fieldControl, fieldSlots                        = 8, 9, 11
 )
 
 // nested returns depth CBOR arrays of one element each.
@@ -77,6 +77,8 @@
 		Entry("negative slots", func() cbor.RawMessage { return withField(fieldSlots, -1) }),
 		Entry("no data address", func() cbor.RawMessage { return withField(fieldData, []byte{}) }),
 		Entry("a data address with port 0", func() cbor.RawMessage { return withField(fieldData, []byte{10, 0, 0, 1, 0, 0}) }),
+		Entry("no control address", func() cbor.RawMessage { return withField(fieldControl, []byte{}) }),
+		Entry("a control address with port 0", func() cbor.RawMessage { return withField(fieldControl, []byte{10, 0, 0, 1, 0, 0}) }),
 		Entry("a data address that is text", func() cbor.RawMessage { return withField(fieldData, "10.0.0.1:65536") }),
 	)
 
--- a/member/shard.go
+++ b/member/shard.go
@@ -248,6 +248,9 @@
 		return errors.Newf("%q has state %d, role %d, epoch %d, version %d", r.Name, r.State, r.Role, r.Epoch, r.Version)
 	case r.Role == RoleUpstream && r.Data.Port() == 0:
 		return errors.Newf("upstream %q has no data address", r.Name)
+	case r.Control.Port() == 0:
+		// A process that cannot be pinged is never found to have failed.
+		return errors.Newf("%q has no control address", r.Name)
 	case r.Slots < 0 || r.Connections < 0:
 		return errors.Newf("%q has %d slots, %d connections", r.Name, r.Slots, r.Connections)
 	}
