daemon: a line about an unreadable entry is short

Cause: the error of a malformed record quotes its name, which can be as long as the entry, 1 MB. The bound on remembered keys was below the number of services at the target size. Change: 300 bytes of the error; 8,192 keys. Measured: go test ./daemon -ginkgo.focus 'unreadable entries': fails without the limit, passes with it.

--- a/daemon/unreadable.go
+++ b/daemon/unreadable.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"strings"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -9,9 +10,13 @@
 	"github.com/nutmegtrack/nutmegtrack/store"
 )
 
-// maxUnreadable bounds the keys whose unreadable value is remembered. The processes of a region
-// read a few hundred keys at most.
-const maxUnreadable = 1024
+const (
+	// maxUnreadable bounds the keys whose unreadable value is remembered. It is about twice the
+	// 4,300 addresses at the target scale, whose services have one key each at most.
+	maxUnreadable = 8192
+	// maxErrorBytes limits the text of an error, which may quote the value.
+	maxErrorBytes = 300
+)
 
 // UnreadableLog logs each content of a key that could not be decoded once, however often it is
 // read. It is safe for concurrent use.
@@ -43,5 +48,9 @@
 		clear(u.hashes)
 	}
 	u.hashes[kv.Key] = hash
-	u.log.Log(event.EntryUnreadable, "key", kv.Key, "revision", kv.ModRevision, "error", err)
+	text := err.Error()
+	if len(text) > maxErrorBytes {
+		text = strings.ToValidUTF8(text[:maxErrorBytes], "") + "..."
+	}
+	u.log.Log(event.EntryUnreadable, "key", kv.Key, "revision", kv.ModRevision, "error", text)
 }
