--- a/balancer/collector.go
+++ b/balancer/collector.go
@@ -35,6 +35,7 @@
 	clock        daemon.Clock
 	domain       string
 	failureLog   *daemon.LogLimiter
+	unreadable   *daemon.UnreadableLog
 	wake         daemon.Waker  // triggers a step of the balancer once the shards have been read
 	pollInterval time.Duration // minimum interval between reads of a lease key held by another balancer
 
@@ -55,6 +56,7 @@
 		domain:       b.cfg.FailureDomain,
 		pollInterval: b.options.CollectorPollInterval,
 		failureLog:   daemon.NewLogLimiter(b.log, b.clock, event.StoreFailed),
+		unreadable:   daemon.NewUnreadableLog(b.log),
 		wake:         b.wake,
 	}
 }
@@ -104,10 +106,7 @@
 	c.shardsRead = true
 	for _, kv := range shards {
 		records, err := member.DecodeShard(kv.Value)
-		if err != nil {
-			c.failureLog.Log("key", kv.Key, "error", err)
-			continue
-		}
+		c.unreadable.Log(kv, err)
 		c.members.Do(func(now time.Duration, n *member.Node) { n.Load(now, records) })
 	}
 	c.members.Do(func(_ time.Duration, n *member.Node) { n.SetLoaded() })
@@ -139,6 +138,8 @@
 		return c.campaign(ctx)
 	case err != nil:
 		return err
+	case kv.Lease == store.LeaseID{}:
+		return c.removeUnleased(ctx, kv)
 	case c.shard.HandleLease(kv):
 		return nil
 	}
@@ -150,6 +151,15 @@
 	return nil
 }
 
+// removeUnleased removes a lease key that is attached to no lease. No balancer writes one, and it
+// would keep the domain without a collector.
+func (c *collector) removeUnleased(ctx context.Context, kv store.KV) error {
+	c.unreadable.Log(kv, errors.New("balancer: lease key of a collector without a lease"))
+	unchanged := store.Compare{Key: kv.Key, Target: store.CompareMod, Revision: kv.ModRevision}
+	_, err := c.store.Txn(ctx, []store.Compare{unchanged}, []store.Op{{Key: kv.Key, Delete: true}})
+	return err
+}
+
 // renew renews the lease when that is due. If no renewal has succeeded within leaseTTL
 // by this process's own clock, the lease counts as lost.
 func (c *collector) renew(ctx context.Context) error {
@@ -200,8 +210,9 @@
 		return err
 	}
 	records, err := c.shard.HandleShard(kv)
+	c.unreadable.Log(kv, err)
 	c.members.Do(func(now time.Duration, n *member.Node) { n.Load(now, records) })
-	return err
+	return nil
 }
 
 func (c *collector) write(ctx context.Context) error {
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -34,6 +34,7 @@
 	StoreEraInvalid  = Definition{1305, Warn, "store answer without a valid era", "The era that an answer of the store carries is missing or invalid (`era`). The answer is used as one of the era `seen` last; a return of the store from an older copy cannot be noticed by it. At most one event is logged per minute."}
 	StoreHistoryLost = Definition{1306, Error, "store does not continue its history", "The revision of the store has gone back or its cluster ID has changed, as after a restore from a snapshot, and the protocol does not say in which order the store's states follow. The process makes no further store calls and continues with the data that it has. Restart all balancers and agents, and check that operators' latest changes are still in force."}
 	ListsLost        = Definition{1307, Error, "edit of the lists lost by the store", "The store has returned from a copy without the edit `edit` of `author`, which was accepted as `revision` and is active here; it has the revision `stored` instead (0: none). The edit stays in force until the store accepts another one, which will not contain it: make it again. Earlier edits may be lost too. Logged once for each edit by the processes that read the store."}
+	EntryUnreadable  = Definition{1308, Warn, "store entry unreadable", "The value of `key` in the store, or a part of it, could not be decoded and is ignored; the rest of it and the other keys are used. A shard or the record of a grantor is replaced by the process that writes it. One line is logged for each content of a key. Find out what else writes to the store."}
 
 	RoutesActive     = Definition{1310, Info, "routes active", "The routes of the given version are active on this process."}
 	RoutesRejected   = Definition{1311, Error, "routes rejected", "A document of routes was not activated, for the reason in `error`; the previous one stays active. Each such document is logged once. If its version is lower than the active one, or equal with other content, the store has returned from an older copy (1303) or an operator has given out a version again: write the newest document again under a higher version."}
@@ -75,7 +76,7 @@
 	Reloaded, ReloadFailed, LinesDropped,
 	WrongService, SendFailed,
 	StateChanged, PeerUnreachable, FailureClaimed, MarkedFailed,
-	ListsActive, ListsRejected, StoreFailed, StoreReturned, StoreEraRefused, StoreEraInvalid, StoreHistoryLost, ListsLost,
+	ListsActive, ListsRejected, StoreFailed, StoreReturned, StoreEraRefused, StoreEraInvalid, StoreHistoryLost, ListsLost, EntryUnreadable,
 	RoutesActive, RoutesRejected, RouteUnusable, RoutesUnreadable,
 	ControlFailed,
 	GrantorStarted, GrantorStopped, RecountUnfinished, LeaseExpired,
--- a/plan/parsed_text.go
+++ b/plan/parsed_text.go
@@ -10,6 +10,7 @@
 	"github.com/tailscale/hujson"
 
 	"github.com/nutmegtrack/nutmegtrack/finding"
+	"github.com/nutmegtrack/nutmegtrack/internal/jwcc"
 )
 
 // parsedText is the parsed text of one list. Only the first finding of a field is reported,
@@ -20,16 +21,28 @@
 	root     hujson.Value
 	findings *finding.List
 	reported map[string]bool
+	added    int // findings of this text
 }
 
+// maxFindings limits the findings of one text. A finding costs a pass over the text, and no
+// operator reads more.
+const maxFindings = 100
+
+// full reports whether the text has maxFindings findings, so that no other is reported.
+func (d *parsedText) full() bool { return d.added >= maxFindings }
+
 // syntaxError matches hujson's error messages, to extract the position.
 var syntaxError = regexp.MustCompile(`^hujson: line (\d+), column (\d+): (.*)$`)
 
-// parseListText parses JSON with comments. After a syntax error it adds one finding and
-// returns false; the text cannot be checked further.
+// parseListText parses JSON with comments. After a syntax error, and for a text that readers
+// would reject for its size, it adds one finding and returns false.
 func parseListText(file string, text []byte, findings *finding.List) (*parsedText, bool) {
 	d := &parsedText{file: file, text: text, findings: findings, reported: map[string]bool{}}
-	root, err := hujson.Parse(text)
+	if len(text) > maxListSize {
+		findings.Add(finding.Finding{File: file, Message: fmt.Sprintf("the list has %d bytes, more than %d", len(text), maxListSize)})
+		return d, false
+	}
+	root, err := jwcc.Parse(text)
 	if err != nil {
 		findings.Add(syntaxFinding(file, err))
 		return d, false
@@ -50,11 +63,14 @@
 
 // report adds a finding at the position of the value; field is its path.
 func (d *parsedText) report(at *hujson.Value, field, format string, args ...any) {
-	if d.reported[field] {
+	if d.reported[field] || d.full() {
 		return
 	}
 	d.reported[field] = true
 	line, column := position(d.text, at.StartOffset)
+	if d.added++; d.full() {
+		defer d.findings.Add(finding.Finding{File: d.file, Line: line, Column: column, Message: "further findings are left out"})
+	}
 	d.findings.Add(finding.Finding{
 		File: d.file, Line: line, Column: column, Field: field,
 		Message: fmt.Sprintf(format, args...),
