flow, packet: an answer tells how many packets an upstream was shown

Cause: an upstream that is slow to return a probe is shown a second one after 30 ms. Earlier versions read a status with probes as MaybeHeld, as before. Weighed: no second probe until the first is returned would leave an owner unfound whose first probe was lost.

--- a/flow/inquiry.go
+++ b/flow/inquiry.go
@@ -191,7 +191,9 @@
 		if a.Statuses[i] == packet.MaybeHeld && !t.flows.hasHash(hash) {
 			t.noteAsked(now, hash, q.From)
 		}
-		a.Statuses[i] = t.unknownFlows[hash].withProbe(a.Statuses[i])
+		if a.Statuses[i] != packet.Held {
+			a.Statuses[i] = a.Statuses[i].WithProbes(t.unknownFlows[hash].here)
+		}
 	}
 	if q.Peers != t.peersChecksum {
 		a.Peers = append(a.Peers, t.self.ID)
@@ -226,17 +228,6 @@
 	return packet.MaybeHeld
 }
 
-// withProbe returns the status that also tells whether the upstream was shown a packet of the flow.
-func (f unknownFlow) withProbe(s packet.FlowStatus) packet.FlowStatus {
-	switch {
-	case s == packet.NotHeld && f.returned:
-		return packet.Returned
-	case s == packet.MaybeHeld && f.probed:
-		return packet.Probed
-	}
-	return s
-}
-
 // noteAsked records that a peer has asked for a flow that the upstream may hold. If both look for it,
 // only the one that ranks higher goes on.
 func (t *Table) noteAsked(now time.Duration, hash uint64, from packet.AgentID) {
@@ -288,16 +279,11 @@
 // tell only whether the flows are held.
 func (t *Table) noteProbes(q *inquiry, a *packet.InquiryAnswer) {
 	for i, s := range a.Statuses {
-		switch s {
-		case packet.Returned:
-			a.Statuses[i] = packet.NotHeld
-		case packet.Probed:
-			a.Statuses[i] = packet.MaybeHeld
-		default:
-			continue
-		}
-		if f, known := t.unknownFlows[q.flows[i]]; known {
+		base, probes := s.Split()
+		a.Statuses[i] = base
+		if f, known := t.unknownFlows[q.flows[i]]; known && probes > 0 {
 			f.noteProbeBy(a.From)
+			f.elsewhere = max(f.elsewhere, min(probes, maxTried))
 			t.unknownFlows[q.flows[i]] = f
 		}
 	}
--- a/flow/probe_limit_test.go
+++ b/flow/probe_limit_test.go
@@ -128,3 +128,27 @@
 	u.retransmit(k, "babababa")
 	g.Expect(u.misdelivered()).To(BeNumerically("<", misdeliveryLimit))
 }
+
+// Guards against a first choice that counts one probe of an agent whose upstream was slow to return a packet
+// and was shown two.
+func TestFirstChoiceCountsEachProbeOfAnotherAgent(t *testing.T) {
+	g := NewWithT(t)
+	u, k := restartedFleet("a", "b", "c", "d", "e", "f")
+	d := u.agents[u.named("d").ID]
+	var returned []packet.Header
+	for range 2 {
+		h, in := packet.Header{Kind: packet.KindData, Service: testService, Flags: packet.FlagExpected}, data(k)
+		g.Expect(d.Receive(u.now, &h, &in).Kind).To(Equal(Deliver))
+		u.returned["d"]++
+		returned = append(returned, h)
+		u.now += probeTimeout
+	}
+	for i := range returned { // what d forwards is lost
+		in := data(k)
+		d.HandleReturned(u.now, &returned[i], &in)
+	}
+	u.sendWithFlags("a", data(k), packet.FlagAskFirst)
+	u.findLost("a")
+	u.retransmit(k, "aaaa")
+	g.Expect(u.misdelivered()).To(BeNumerically("<", misdeliveryLimit))
+}
--- a/packet/inquiry.go
+++ b/packet/inquiry.go
@@ -15,16 +15,30 @@
 	// MaybeHeld means that the upstream may hold the flow: the agent does not know all of
 	// its upstream's flows yet.
 	MaybeHeld
-	// Returned is NotHeld for a flow of which the upstream has returned a packet. Earlier versions read
-	// it, and Probed, as MaybeHeld.
-	Returned
-	// Probed is MaybeHeld for a flow of which a packet was delivered to the upstream, which has not
-	// returned it.
-	Probed
-
-	flowStatusCount
 )
 
+// A FlowStatus also holds the number of packets of the flow that the upstream was shown as probes, in the
+// bits from probesShift on; Held has none. Earlier versions read a status with probes as MaybeHeld.
+const (
+	probesShift = 2
+	maxProbes   = 3
+)
+
+// WithProbes returns the status, which must be without probes, with a number of probes, at most 3.
+func (s FlowStatus) WithProbes(n uint8) FlowStatus {
+	return s | FlowStatus(min(n, maxProbes)<<probesShift)
+}
+
+// Split returns the status without its number of probes, and the number.
+func (s FlowStatus) Split() (FlowStatus, uint8) {
+	return s & (1<<probesShift - 1), uint8(s >> probesShift)
+}
+
+func (s FlowStatus) defined() bool {
+	base, probes := s.Split()
+	return base <= MaybeHeld && probes <= maxProbes && (base != Held || probes == 0)
+}
+
 const (
 	// MaxInquiryFlows is the maximum number of flows in an inquiry. An inquiry of that many
 	// flows fits into one Ethernet frame.
@@ -145,7 +159,7 @@
 	a.Statuses = make([]FlowStatus, flows)
 	for i := range a.Statuses {
 		a.Statuses[i] = FlowStatus(b[i])
-		if a.Statuses[i] >= flowStatusCount {
+		if !a.Statuses[i].defined() {
 			a.Statuses[i] = MaybeHeld
 		}
 	}
--- a/packet/packet_test.go
+++ b/packet/packet_test.go
@@ -270,7 +270,11 @@
 			}
 			a := packet.InquiryAnswer{From: q.From, Number: q.Number}
 			for range q.Flows {
-				a.Statuses = append(a.Statuses, packet.FlowStatus(rapid.IntRange(0, 4).Draw(t, "standing")))
+				s := packet.FlowStatus(rapid.IntRange(0, 2).Draw(t, "standing"))
+				if s != packet.Held {
+					s = s.WithProbes(uint8(rapid.IntRange(0, 3).Draw(t, "probes")))
+				}
+				a.Statuses = append(a.Statuses, s)
 			}
 			for range rapid.IntRange(0, 200).Draw(t, "named") {
 				a.Peers = append(a.Peers, packet.AgentID(rapid.Uint32().Draw(t, "peer")))
