--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -52,16 +52,18 @@
 	rejectedLog *daemon.LogLimiter // logs malformed and rejected announcements
 	api         *http.Server
 
-	mu                  sync.Mutex
-	tracker             *upstream.Tracker
-	loggedState         flow.State    // last logged state
-	unansweredSince     time.Duration // delivery time of the oldest unanswered first packet or probe; 0: none
-	connectionCheckedAt time.Duration // time of the last connection check; 0: none
-	listening           bool          // the last connection check connected
-	refusedOnce         bool          // a connection was refused soon after a packet of the upstream
-	packetAt            time.Duration // when the upstream last sent a packet; 0: never
-	startedWithAgent    bool          // as far as this VM shows: see startedWithAgent
-	appliedNoEarlier    bool          // noEarlierFlows as last applied to the flow table; guarded by Agent.stateMu
+	mu                     sync.Mutex
+	tracker                *upstream.Tracker
+	loggedState            flow.State    // last logged state
+	unansweredSince        time.Duration // delivery time of the oldest unanswered first packet or probe; 0: none
+	connectionCheckedAt    time.Duration // time of the last connection check; 0: none
+	listening              bool          // the last connection check connected
+	refusedOnce            bool          // a connection was refused soon after a packet of the upstream
+	packetAt               time.Duration // when the upstream last sent a packet; 0: never
+	startedWithAgent       bool          // as far as this VM shows: see startedWithAgent
+	surelyStartedWithAgent bool
+	endedCheck             uint8 // number of the check that has found the upstream ended
+	appliedNoEarlier       bool  // noEarlierFlows as last applied to the flow table; guarded by Agent.stateMu
 }
 
 const (
@@ -78,10 +80,13 @@
 
 // startedWithAgent reports whether the upstream appears to have started together with the
 // agent: at most startMargin before it, or it still warms up and its sequence number is low.
-// The second condition is needed because the wall clock of this VM may have jumped. An agent
-// that restarts soon after the start of its upstream meets both: see Agent.noEarlierFlows.
-func startedWithAgent(a *upstream.Announcement, agent time.Time) bool {
-	return time.UnixMilli(a.Born).After(agent.Add(-startMargin)) || a.Warmup > 0 && a.Sequence <= maxFirstSequence
+// The second condition is needed because the wall clock of this VM may have jumped. surely says
+// that both hold. An agent that restarts soon after the start of its upstream meets one or both:
+// see Agent.noEarlierFlows.
+func startedWithAgent(a *upstream.Announcement, agent time.Time) (appears, surely bool) {
+	young := time.UnixMilli(a.Born).After(agent.Add(-startMargin))
+	warming := a.Warmup > 0 && a.Sequence <= maxFirstSequence
+	return young || warming, young && warming
 }
 
 func newUpstreamMonitor(a *Agent) *upstreamMonitor {
@@ -112,7 +117,10 @@
 	err := m.tracker.HandleAnnouncement(m.agent.clock(), announcement)
 	_, start := m.tracker.Last()
 	if err == nil && start != before {
-		m.startedWithAgent = before != 0 || startedWithAgent(&announcement, m.agent.startedAt)
+		m.startedWithAgent, m.surelyStartedWithAgent = startedWithAgent(&announcement, m.agent.startedAt)
+		if before != 0 { // this agent has seen the run before
+			m.startedWithAgent, m.surelyStartedWithAgent = true, true
+		}
 	}
 	m.mu.Unlock()
 	if err != nil {
@@ -158,18 +166,20 @@
 
 // upstreamStatus is the status of the upstream on which the agent's announcement depends.
 type upstreamStatus struct {
-	state            flow.State
-	start            uint64
-	slots            int
-	startedWithAgent bool
-	ended            bool
+	state                  flow.State
+	start                  uint64
+	slots                  int
+	startedWithAgent       bool
+	surelyStartedWithAgent bool
+	ended                  bool
+	endedCheck             uint8 // the check that has found it ended
 }
 
 func (m *upstreamMonitor) status() (c upstreamStatus) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	last, start := m.tracker.Last()
-	c = upstreamStatus{state: m.tracker.State(m.agent.clock()), start: start, slots: last.Slots, startedWithAgent: m.startedWithAgent, ended: m.tracker.IsStopped()}
+	c = upstreamStatus{state: m.tracker.State(m.agent.clock()), start: start, slots: last.Slots, startedWithAgent: m.startedWithAgent, surelyStartedWithAgent: m.surelyStartedWithAgent, ended: m.tracker.IsStopped(), endedCheck: m.endedCheck}
 	if c.state != m.loggedState {
 		m.agent.log.Log(event.LocalUpstreamChanged, "id", last.ID, "from", m.loggedState, "to", c.state,
 			"number", last.Sequence, "silent_seconds", (m.agent.clock() - m.tracker.LastAlive()).Seconds(),
@@ -187,16 +197,23 @@
 	if !c.startedWithAgent || a.peers.homeBalancer.Load() == nil {
 		return false
 	}
-	ranBefore := false
-	a.members.Do(func(_ time.Duration, n *member.Announcer) { ranBefore = n.RanBefore(c.start) })
-	return !ranBefore
+	ranBefore, predecessor := false, uint64(0)
+	a.members.Do(func(_ time.Duration, n *member.Announcer) {
+		ranBefore, predecessor = n.RanBefore(c.start), n.Predecessor()
+	})
+	// The record of an earlier agent names the run of the upstream that it last knew. The run that it ran
+	// beside may have begun after that.
+	return !ranBefore && (predecessor == 0 || c.surelyStartedWithAgent)
 }
 
-// refreshNoEarlierFlows applies noEarlierFlows to the flow table again: the first answer of a
-// balancer may have changed it.
+// refreshNoEarlierFlows applies noEarlierFlows and the predecessor to the flow table again: the first
+// answer of a balancer may have changed them.
 func (a *Agent) refreshNoEarlierFlows() {
 	a.stateMu.Lock()
 	defer a.stateMu.Unlock()
+	predecessor := uint64(0)
+	a.members.Do(func(_ time.Duration, n *member.Announcer) { predecessor = n.Predecessor() })
+	a.flows.do(func(_ time.Duration, t *flow.Table) { t.SetPredecessor(predecessor) })
 	c := a.monitor.status()
 	applied := false
 	a.flows.do(func(_ time.Duration, t *flow.Table) { applied = t.UpstreamStart() == c.start })
@@ -206,7 +223,7 @@
 }
 
 // applyUpstreamStart applies the start of the upstream to the flow table if it, or whether this
-// agent has seen all its flows, has changed. It reports whether the upstream has started anew.
+// agent has seen all its flows, has changed, or if the upstream was falsely taken for stopped. It reports whether the upstream has started anew.
 // The caller holds stateMu.
 func (a *Agent) applyUpstreamStart(c *upstreamStatus) (newStart bool) {
 	if c.start == 0 {
@@ -215,7 +232,7 @@
 	noEarlier := a.noEarlierFlows(c)
 	a.flows.do(func(now time.Duration, t *flow.Table) {
 		newStart = t.UpstreamStart() != c.start
-		if newStart || noEarlier != a.monitor.appliedNoEarlier {
+		if newStart || noEarlier != a.monitor.appliedNoEarlier || t.UpstreamStopped() && !c.ended {
 			t.SetUpstreamStart(now, c.start, noEarlier)
 			a.monitor.appliedNoEarlier = noEarlier
 		}
@@ -236,7 +253,7 @@
 	announced := member.Upstream{StartID: c.start, Slots: c.slots}
 	a.flows.do(func(now time.Duration, t *flow.Table) {
 		if c.ended {
-			t.SetUpstreamStopped(now)
+			t.SetUpstreamStopped(now, c.endedCheck)
 		}
 		if c.state == flow.Ready && t.State() != flow.Ready && !a.mayBecomeReady(now, t) {
 			c.state = flow.Starting
@@ -276,7 +293,7 @@
 
 // announceExit announces why an agent whose upstream announces itself exits. If the
 // upstream keeps running, only an agent on this VM can reach it, so the agent announces
-// state AgentRestarting and exits once a balancer has confirmed it, to be restarted soon. If
+// state AgentRestarting, hands over the list of flows and exits once a balancer and peers have confirmed both, to be restarted soon. If
 // the announcement were lost, other processes would take the agent for failed. If the upstream
 // is leaving or has ended, the VM is being removed and the agent announces state Leaving.
 func (a *Agent) announceExit() {
@@ -290,5 +307,12 @@
 	a.stateMu.Lock()
 	a.stopping = true
 	a.stateMu.Unlock()
-	a.announceUntilConfirmed(to)
+	a.announce(to)
+	if to == flow.AgentRestarting {
+		a.beginHandover()
+	}
+	a.pushUntilConfirmed()
+	if to == flow.AgentRestarting {
+		a.finishHandover()
+	}
 }
--- a/flow/half_open_test.go
+++ b/flow/half_open_test.go
@@ -104,7 +104,8 @@
 		u.synAck(name, k, uint32(1000*i+1000))
 	}
 	u.held["a"] = map[packet.Key]bool{}
-	u.agents[u.named("a").ID].SetUpstreamStopped(u.now)
+	a := u.agents[u.named("a").ID]
+	a.SetUpstreamStopped(u.now, a.BeginUpstreamCheck())
 	_, action := u.sendPacket("a", acknowledging(k, 2000))
 	g.Expect(action.Kind).NotTo(Equal(Reset))
 }
--- a/flow/inquiry.go
+++ b/flow/inquiry.go
@@ -211,7 +211,7 @@
 // phase shows nothing about a flow that peers have asked for meanwhile: its client is active, and none
 // of its packets may have come here.
 func (t *Table) status(now time.Duration, hash uint64) packet.FlowStatus {
-	if e := t.flows.findHash(hash); e != nil && e.handshake != handshakeHalf {
+	if e := t.flows.findHash(hash); e != nil && !e.handshake.unproven() {
 		return packet.Held
 	} else if e != nil {
 		return packet.MaybeHeld
@@ -222,7 +222,7 @@
 		return packet.NotHeld
 	case f.probed || t.lost.isUnconfirmed(now, hash):
 		return packet.MaybeHeld
-	case t.noEarlierFlows || t.rebuilt(now) && !f.asked:
+	case t.knowsAllFlows() || t.rebuilt(now) && !f.asked:
 		return packet.NotHeld
 	}
 	return packet.MaybeHeld
@@ -320,7 +320,7 @@
 // askedAll reports whether each peer has answered an inquiry about the flow or counts as absent.
 func (t *Table) askedAll(now time.Duration, hash uint64) bool {
 	q, _ := t.inquiryAbout(hash)
-	if q == nil || !t.peersKnown {
+	if q == nil || !t.peersKnown || t.peersIncomplete {
 		return false
 	}
 	mayRepeat := t.unknownFlows[hash].mayRepeat
--- a/flow/lost.go
+++ b/flow/lost.go
@@ -95,6 +95,16 @@
 	}
 }
 
+// unconfirm records that the upstream may hold the flows that were recorded as lost for the cause.
+func (l *lostFlows) unconfirm(cause LossCause) {
+	for hash, f := range l.byHash {
+		if f.cause == cause {
+			f.unconfirmed = true
+			l.byHash[hash] = f
+		}
+	}
+}
+
 func (l *lostFlows) forget(hash uint64) { delete(l.byHash, hash) }
 
 func (l *lostFlows) expire(now time.Duration) {
@@ -246,7 +256,7 @@
 // canDeclareLost reports whether this agent has enough information on its upstream and its
 // peers to declare a flow lost.
 func (t *Table) canDeclareLost(now time.Duration) bool {
-	return t.cfg.Rebuild != 0 && t.self.Start != 0 && t.peersKnown && now-t.peerListChanged >= peerListSettleTime
+	return t.cfg.Rebuild != 0 && t.self.Start != 0 && t.peersKnown && !t.peersIncomplete && now-t.peerListChanged >= peerListSettleTime
 }
 
 // isFirstChoice reports whether this agent is the flow's first choice.
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -107,7 +107,7 @@
 // tableComplete reports whether the table, and with it this agent's digests, counts as listing all
 // flows of the upstream. If the upstream started together with its agent, the agent has seen all
 // its flows.
-func (t *Table) tableComplete(now time.Duration) bool { return t.noEarlierFlows || t.rebuilt(now) }
+func (t *Table) tableComplete(now time.Duration) bool { return t.knowsAllFlows() || t.rebuilt(now) }
 
 // probeUpstream delivers a packet of an unknown flow to the upstream as a probe if mayProbe allows it.
 // It probes with only one packet of a flow at a time, because an upstream should see as few packets
@@ -235,7 +235,7 @@
 	return t.takeOwnership(now, hash, k)
 }
 
-// SetUpstreamStart sets the start ID of the upstream. noEarlierFlows says that the upstream
+// SetUpstreamStart sets the start ID of the upstream, which runs. noEarlierFlows says that the upstream
 // started no earlier than this agent, which then knows all its flows. If the ID changes, the
 // upstream has restarted and its flows are lost, except those that it has accepted since. They cannot
 // be told apart, so the next packet of each is delivered, and returned if the flow is lost. When the
@@ -244,30 +244,57 @@
 func (t *Table) SetUpstreamStart(now time.Duration, start uint64, noEarlierFlows bool) {
 	before := t.self.Start
 	t.self.Start, t.noEarlierFlows = start, noEarlierFlows
-	if before == 0 || before == start {
+	if t.upstreamStopped && (before == 0 || before == start) {
+		t.reviveUpstream(now)
+	}
+	t.upstreamStopped = false
+	if before == start || before == 0 && (t.restored.start == 0 || t.restored.start == start) {
 		return
 	}
-	t.endAllFlows(now, UpstreamRestarted)
+	t.endFlows(now, UpstreamRestarted, func(*entry) bool { return true })
+}
+
+// BeginUpstreamCheck returns the number of a check of the upstream that begins now. The number wraps
+// around after 256 checks.
+func (t *Table) BeginUpstreamCheck() uint8 {
+	t.check++
+	return t.check
+}
+
+// reviveUpstream undoes SetUpstreamStopped: the upstream runs, and may hold the flows that it held then.
+func (t *Table) reviveUpstream(now time.Duration) {
+	if !t.noEarlierFlows {
+		t.StartRebuild(now)
+	}
+	t.lost.unconfirm(UpstreamStopped)
 }
 
-// SetUpstreamStopped records that the upstream does not run: its flows are lost.
-func (t *Table) SetUpstreamStopped(now time.Duration) {
-	t.noEarlierFlows = true
+// UpstreamStopped reports whether the upstream was found stopped and SetUpstreamStart has not been called since.
+func (t *Table) UpstreamStopped() bool { return t.upstreamStopped }
+
+// SetUpstreamStopped records that the upstream did not run at the time of the check with the given
+// number: the flows that it held then are lost. Flows that began later are kept: a process that has
+// started meanwhile may hold them.
+func (t *Table) SetUpstreamStopped(now time.Duration, check uint8) {
+	t.noEarlierFlows, t.upstreamStopped = true, true
 	t.rebuildUntil = now
-	t.endAllFlows(now, UpstreamStopped)
+	t.endFlows(now, UpstreamStopped, func(e *entry) bool { return e.check != check })
 	t.lost.confirmAll()
 }
 
-// endAllFlows ends all flows and records those that the upstream held as lost.
-func (t *Table) endAllFlows(now time.Duration, cause LossCause) {
-	for len(t.flows.entries) > 0 {
-		last := len(t.flows.entries) - 1
+// endFlows ends the flows for which ended is true and records those that the upstream held as lost.
+func (t *Table) endFlows(now time.Duration, cause LossCause, ended func(*entry) bool) {
+	for i := len(t.flows.entries) - 1; i >= 0; i-- {
+		e := &t.flows.entries[i]
+		if !ended(e) {
+			continue
+		}
 		// Without a reply, or with a SYN+ACK only, the upstream may never have held the flow, and a copy
 		// of its first packet may have opened it elsewhere.
-		if e := &t.flows.entries[last]; e.flags&flagReplies != 0 && e.handshake != handshakeHalf {
+		if e.flags&flagReplies != 0 && !e.handshake.unproven() {
 			t.lost.record(now, e.hash, cause)
 		}
-		t.removeAt(now, last)
+		t.removeAt(now, i)
 	}
 	clear(t.unknownFlows)
 	t.suspected, t.inquiries = t.suspected[:0], t.inquiries[:0]
--- a/flow/store.go
+++ b/flow/store.go
@@ -25,14 +25,19 @@
 	handshakeDone handshake = iota
 	handshakeSYN            // a SYN, and no packet of the upstream
 	handshakeHalf           // a SYN+ACK, which no packet of the client has acknowledged
+	// handshakeRestored: unfinished when an earlier process of this agent wrote its list of flows; it may
+	// have passed the rest afterwards.
+	handshakeRestored
 )
 
+// unproven reports whether the client may have opened the flow at another upstream.
+func (h handshake) unproven() bool { return h == handshakeHalf || h == handshakeRestored }
+
 // entry is one flow of the agent's upstream; 88 bytes.
 type entry struct {
 	key          packet.Key
 	flags        uint8
 	priority     uint8 // of the flow's requests; 0 is the highest
-	handshake    handshake
 	hash         uint64
 	lastSeen     uint32         // time of the last packet, seconds since process start
 	lingerEnd    uint32         // time of removal of a lingering flow, seconds since process start
@@ -41,6 +46,8 @@
 	next         uint32         // sequence number after the client's last byte
 	began        uint32         // start of the request, or with flagNoRequestYet the time of acceptance; milliseconds since process start
 	synAckSeq    uint32         // sequence number of the upstream's last SYN+ACK
+	check        uint8          // Table.check when the agent last passed a SYN, or the upstream the flow's first known packet
+	handshake    handshake
 	// customer is the customer for which the flow was admitted.
 	customer uint64
 }
--- a/flow/table.go
+++ b/flow/table.go
@@ -42,11 +42,19 @@
 	startedPeers    map[packet.AgentID]bool // peers that this agent has seen in state Starting
 	stepDue         bool                    // Step should be called at once
 	work            workload
+	kept            []*keptList     // lists of flows kept for agents that restart
+	outgoing        []*outgoingList // lists that this agent hands to its keepers; its own is the first
+	handingOver     bool            // this agent stops, see BeginHandover
+	restored        restoredList
+	check           uint8         // number of the last check of the upstream, see BeginUpstreamCheck
+	predecessor     uint64        // see SetPredecessor
 	refusedFlows    []RefusedFlow // not yet returned by RefusedFlows
 
 	noEarlierFlows     bool          // the upstream started no earlier than this agent or does not run, so it holds no flows from before
+	upstreamStopped    bool          // see SetUpstreamStopped
 	acceptsEarly       bool          // flows are accepted although the state is Starting
 	rebuildUntil       time.Duration // end of the rebuilding phase, in which flows of the upstream may be unknown
+	peersIncomplete    bool          // see SetPeersIncomplete
 	peersKnown         bool          // a balancer has sent the list of peers
 	peerStatesChanged  time.Duration // time of the last change of a peer's state or incarnation, or of the list
 	peerListChanged    time.Duration // time at which a peer was last added or removed
@@ -74,6 +82,7 @@
 	Tried                                           uint64 // probes: packets of unknown flows delivered to the upstream
 	Returned                                        uint64 // packets that the upstream sent back
 	Adopted                                         uint64 // flows adopted from the upstream's own packets
+	Restored                                        uint64 // flows of an earlier process of this agent, as listed by its keepers
 	Asked                                           uint64 // inquiries sent, counted per peer
 	Found                                           uint64 // flows that a peer owns according to its answer
 	Dropped                                         [reasonCount]uint64
@@ -200,6 +209,14 @@
 	}
 }
 
+// SetPeersIncomplete records whether the list of peers comes from balancers that may lack live upstreams.
+// Such a list proves nothing about a flow: the peer that owns it may be missing.
+func (t *Table) SetPeersIncomplete(now time.Duration, incomplete bool) {
+	if t.peersIncomplete != incomplete {
+		t.peersIncomplete, t.peerListChanged = incomplete, now
+	}
+}
+
 // mergePeer returns the new or updated record of an upstream.
 func (t *Table) mergePeer(now time.Duration, u Upstream) *peer {
 	old := t.peers.get(u.ID)
@@ -207,6 +224,7 @@
 		p := newPeer(now, u)
 		p.inbox = t.inbox(u.ID)
 		p.restarted = old != nil && (old.restarted || old.heardAt != never)
+		t.noteSuccessor(u.ID, u.Incarnation)
 		if old != nil && t.cfg.Rebuild > 0 && (u.Start == 0 || u.Start == old.Start) {
 			p.acceptedUntil = max(p.acceptedUntil, old.lastAccepted(now))
 		}
--- a/flow/unproven_absence_test.go
+++ b/flow/unproven_absence_test.go
@@ -254,7 +254,8 @@
 	k := u.keyRanked(packet.ProtoTCP, "a", "b")
 	u.sendPacket("a", numbered(k, 0))
 	u.held["a"] = map[packet.Key]bool{}
-	u.agents[u.named("a").ID].SetUpstreamStopped(u.now)
+	a := u.agents[u.named("a").ID]
+	a.SetUpstreamStopped(u.now, a.BeginUpstreamCheck())
 	u.sendPacket("b", numbered(k, 2))
 	u.reply("b", k) // its digest is on its way to a
 	path, action := u.sendPacket("a", data(k))
@@ -339,3 +340,66 @@
 	g.Expect(path).To(Equal("ba"))
 	g.Expect(action).To(Equal(Action{Kind: Deliver, Probe: true}))
 }
+
+// Guards against the reset of a flow that an upstream has accepted after a check of its connection had
+// begun: the check was refused before the upstream started, and its result was processed late.
+func TestFlowOpenedDuringARefusedCheckIsNotReset(t *testing.T) {
+	g := NewWithT(t)
+	u := newUpstreamRig(4)
+	u.run(settled)
+	before, during := u.keyRanked(packet.ProtoTCP, "a", "b"), u.keyRanked(packet.ProtoTCP, "a", "c")
+	u.sendPacket("a", numbered(before, 0))
+	u.reply("a", before)
+	a := u.agents[u.named("a").ID]
+	check := a.BeginUpstreamCheck()
+	u.sendPacket("a", numbered(during, 0))
+	u.reply("a", during)
+	for range 3 {
+		u.now += 100 * time.Millisecond
+		a.SetUpstreamStopped(u.now, check) // at each step until the upstream announces itself
+	}
+	_, action := u.sendPacket("a", data(during))
+	g.Expect(action.Kind).To(Equal(Deliver))
+	_, action = u.sendPacket("a", data(before))
+	g.Expect(action.Kind).To(Equal(Reset))
+}
+
+// Guards against the reset of an open flow by an agent whose list of peers comes from a balancer that has
+// just started and does not know the flow's owner.
+func TestFlowIsNotResetForAListOfAnIncompleteBalancer(t *testing.T) {
+	g := NewWithT(t)
+	for incomplete, lost := range map[bool]int{true: 0, false: 1} {
+		u := newUpstreamRig(1)
+		a := u.agents[u.named("a").ID]
+		a.SetPeersIncomplete(u.now, incomplete)
+		u.run(settled)
+		g.Expect(u.suspectAt("a", key(1, packet.ProtoTCP), 3*time.Second)).To(HaveLen(lost))
+	}
+}
+
+// Guards against flows that are reset, by their own agent or by others that ask it, because their upstream
+// has refused a connection although it runs.
+func TestFlowsOfAnUpstreamFalselyTakenForStoppedAreNotReset(t *testing.T) {
+	g := NewWithT(t)
+	u := newUpstreamRig(4)
+	u.run(settled)
+	known, unknown := u.keyRanked(packet.ProtoTCP, "a", "b"), u.keyRanked(packet.ProtoTCP, "a", "c")
+	u.sendPacket("a", numbered(known, 0))
+	u.reply("a", known)
+	u.restartAgent("b")
+	u.reportStart("b")
+	u.held["b"][unknown] = true
+	for _, name := range []string{"a", "b"} {
+		agent, start := u.agents[u.named(name).ID], u.named(name).Start
+		agent.SetUpstreamStopped(u.now, agent.BeginUpstreamCheck())
+		agent.SetUpstreamStart(u.now, start, false) // its next announcement
+	}
+	u.announce()
+	u.run(time.Second)
+	g.Expect(u.suspectAt("a", unknown, 3*time.Second)).To(BeEmpty())
+	_, action := u.sendPacket("a", data(known))
+	g.Expect(action.Kind).To(Equal(Deliver))
+	u.reply("a", known)
+	_, action = u.sendPacket("a", data(known))
+	g.Expect(action).To(Equal(Action{Kind: Deliver}))
+}
