flow: a list of flows is complete only if the upstream can hold no others

Cause: an agent that was stopped soon after its upstream's restart listed its flows as complete, although flows of the earlier run were only lost unless the new run had accepted them, and although a probe during the stop showed that one was held. Change: the list is not complete while a lost flow is unconfirmed, and a flow that is adopted after the list was written is added to it in a new version, which the keepers confirm anew and which is not complete. Measured: TestListIsNotCompleteIfTheUpstreamMayHoldMore: "not held" where either half of the change is taken away; may be held now. An agent that ends before its keepers have the new version leaves the older one.

--- a/flow/handover.go
+++ b/flow/handover.go
@@ -33,6 +33,7 @@
 type FlowList struct {
 	Owner       packet.AgentID // the agent beside the upstream
 	Incarnation uint64         // of the agent process that wrote the list
+	Version     uint32         // increases with each change of the list
 	Start       uint64         // of the upstream; 0 when unknown
 	// Complete says that the upstream held no other flows, and accepted none later, because only its
 	// agent can pass it new ones.
@@ -54,9 +55,10 @@
 type ListID struct {
 	Owner       packet.AgentID
 	Incarnation uint64
+	Version     uint32
 }
 
-func (l *FlowList) id() ListID { return ListID{l.Owner, l.Incarnation} }
+func (l *FlowList) id() ListID { return ListID{l.Owner, l.Incarnation, l.Version} }
 
 // keptList is a list that this agent keeps for a peer.
 type keptList struct {
@@ -77,6 +79,7 @@
 // restoredList describes the list that a keeper has returned to this agent.
 type restoredList struct {
 	incarnation, start uint64
+	version            uint32
 	complete           bool
 }
 
@@ -88,7 +91,7 @@
 		return
 	}
 	t.handingOver, t.stepDue = true, true
-	own := FlowList{Owner: t.self.ID, Incarnation: t.self.Incarnation, Start: t.self.Start, Complete: t.knowsAllFlows()}
+	own := FlowList{Owner: t.self.ID, Incarnation: t.self.Incarnation, Start: t.self.Start, Complete: t.knowsAllFlows() && !t.lost.anyUnconfirmed(now)}
 	for i := range t.flows.entries {
 		if e := &t.flows.entries[i]; e.handshake != handshakeDone {
 			own.HalfOpen = append(own.HalfOpen, HalfOpenFlow{e.key, e.synAckSeq})
@@ -107,6 +110,20 @@
 	t.outgoing = append(t.outgoing, &outgoingList{FlowList: l, sent: map[packet.AgentID]int{}, sentAt: never})
 }
 
+// amendHandover adds a flow to the list that is being handed over: the upstream holds it although the agent
+// did not know it, so that it may hold others too.
+func (t *Table) amendHandover(k *packet.Key) {
+	if !t.handingOver {
+		return
+	}
+	l := t.outgoing[0]
+	l.Flows = append(l.Flows, *k)
+	l.Version++
+	l.Complete = false
+	l.sent, l.sentAt, l.confirmed = map[packet.AgentID]int{}, never, 0
+	t.stepDue = true
+}
+
 // HandoverDone reports whether this agent need not wait for its handover any longer: each list has as
 // many keepers as there are peers to keep it, at most handoverKeepers.
 func (t *Table) HandoverDone() bool {
@@ -198,7 +215,12 @@
 		if l.Owner == t.self.ID || l.Owner == 0 || l.len() > room {
 			continue
 		}
-		if !slices.ContainsFunc(t.kept, func(k *keptList) bool { return k.id() == l.id() }) {
+		known := slices.IndexFunc(t.kept, func(k *keptList) bool { return k.Owner == l.Owner && k.Incarnation == l.Incarnation })
+		if known >= 0 && t.kept[known].Version < l.Version {
+			t.kept = slices.Delete(t.kept, known, known+1)
+			known = -1
+		}
+		if known < 0 {
 			room -= l.len()
 			t.kept = append(t.kept, &keptList{FlowList: l, until: now + keptListRetention, sentAt: never})
 			if p := t.peers.get(l.Owner); p != nil {
@@ -260,11 +282,12 @@
 }
 
 func (t *Table) restore(now time.Duration, l *FlowList) {
-	if t.cfg.Rebuild == 0 || t.restored.incarnation == l.Incarnation || t.self.Start != 0 && l.Start != 0 && t.self.Start != l.Start {
+	known := t.restored.incarnation == l.Incarnation && t.restored.version >= l.Version
+	if t.cfg.Rebuild == 0 || known || t.self.Start != 0 && l.Start != 0 && t.self.Start != l.Start {
 		return
 	}
-	if !t.restored.complete || t.restored.incarnation != t.predecessor {
-		t.restored = restoredList{incarnation: l.Incarnation, start: l.Start, complete: l.Complete}
+	if !t.restored.complete || t.restored.incarnation == l.Incarnation || t.restored.incarnation != t.predecessor {
+		t.restored = restoredList{incarnation: l.Incarnation, version: l.Version, start: l.Start, complete: l.Complete}
 	}
 	for i := range l.Flows {
 		// The upstream held the flow: if it ends, the flow is lost.
--- a/flow/handover_test.go
+++ b/flow/handover_test.go
@@ -163,3 +163,37 @@
 	_, action := u.sendPacket("f", acknowledging(k, 1300)) // the upstream has answered meanwhile
 	g.Expect(action.Kind).To(Equal(Deliver))
 }
+
+// Guards against an agent that denies flows which its predecessor learned of only after it had written its
+// list, or did not know whether the upstream's new run held them.
+func TestListIsNotCompleteIfTheUpstreamMayHoldMore(t *testing.T) {
+	g := NewWithT(t)
+	status := func(u *upstreamRig, k packet.Key) packet.FlowStatus {
+		q := packet.Inquiry{From: u.named("a").ID, Flows: []uint64{k.Hash()}}
+		return u.agents[u.named("f").ID].AnswerInquiry(u.now, &q).Statuses[0]
+	}
+	for _, learned := range []bool{true, false} {
+		u, k := rollingFleet()
+		f, adopted := u.named("f"), key(4711, packet.ProtoTCP)
+		if !learned {
+			u.restartUpstream("f") // k is lost unless the new run has accepted it
+		}
+		u.stopAgent("f")
+		if learned {
+			u.reply("f", adopted)
+			u.exchange()
+		}
+		u.restartAgent("f")
+		u.agents[f.ID].SetPredecessor(f.Incarnation)
+		u.agents[f.ID].SetUpstreamStart(u.now, map[bool]uint64{true: f.Start, false: f.Start + 1000}[learned], false)
+		u.setState("f", Starting)
+		u.announce()
+		u.exchange()
+		g.Expect(status(u, key(4712, packet.ProtoTCP))).To(Equal(packet.MaybeHeld))
+		if learned {
+			g.Expect(status(u, adopted)).To(Equal(packet.Held))
+		} else {
+			g.Expect(status(u, k)).To(Equal(packet.MaybeHeld))
+		}
+	}
+}
--- a/flow/lost.go
+++ b/flow/lost.go
@@ -80,6 +80,16 @@
 	return f, found && now < f.until
 }
 
+// anyUnconfirmed reports whether the upstream's present process may hold a flow that is recorded as lost.
+func (l *lostFlows) anyUnconfirmed(now time.Duration) bool {
+	for _, f := range l.byHash {
+		if f.unconfirmed && now < f.until {
+			return true
+		}
+	}
+	return false
+}
+
 // confirm records that the upstream's present process does not hold the flow either.
 func (l *lostFlows) confirm(hash uint64) {
 	if f, found := l.byHash[hash]; found {
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -232,6 +232,7 @@
 	hash := k.Hash()
 	delete(t.unknownFlows, hash)
 	t.counters.Adopted++
+	t.amendHandover(k)
 	return t.takeOwnership(now, hash, k)
 }
 
