flow: a restarted agent goes on counting its probes

Change: the list that a stopping agent hands to its keepers also holds the flows with probes and their numbers. That the upstream has returned a packet is kept only if the upstream is known not to have started since.

--- a/flow/handover.go
+++ b/flow/handover.go
@@ -39,6 +39,7 @@
 	Complete bool
 	Flows    []packet.Key
 	HalfOpen []HalfOpenFlow
+	Probed   []ProbedFlow
 }
 
 // HalfOpenFlow is a flow of which no packet has passed its agent that acknowledges the upstream's SYN+ACK:
@@ -48,7 +49,7 @@
 	Seq  uint32 // of the SYN+ACK; 0 if it has not passed
 }
 
-func (l *FlowList) len() int { return len(l.Flows) + len(l.HalfOpen) }
+func (l *FlowList) len() int { return len(l.Flows) + len(l.HalfOpen) + len(l.Probed) }
 
 // ListID identifies a FlowList.
 type ListID struct {
@@ -96,6 +97,7 @@
 			own.Flows = append(own.Flows, e.key)
 		}
 	}
+	own.Probed = t.probedFlows()
 	t.addOutgoing(own)
 	for _, k := range t.kept {
 		t.addOutgoing(k.FlowList)
@@ -278,6 +280,9 @@
 			e.handshake, e.synAckSeq = handshakeRestored, l.HalfOpen[i].Seq
 		}
 	}
+	for i := range l.Probed {
+		t.restoreProbed(now, &l.Probed[i], l.Start != 0 && l.Start == t.self.Start)
+	}
 	t.suspectsDue = true
 }
 
--- a/flow/probe_limit_test.go
+++ b/flow/probe_limit_test.go
@@ -152,3 +152,18 @@
 	u.retransmit(k, "aaaa")
 	g.Expect(u.misdelivered()).To(BeNumerically("<", misdeliveryLimit))
 }
+
+// Guards against a first choice that forgets its probes in a planned restart and shows its upstream and others
+// more packets.
+func TestRestartedAgentGoesOnCountingProbes(t *testing.T) {
+	g := NewWithT(t)
+	u, k := restartedFleet("a", "b", "c", "d", "e", "f")
+	u.retransmit(k, "aaa")
+	g.Expect(u.misdelivered()).To(Equal(maxTried))
+	u.stopAgent("a")
+	u.returnAgent("a")
+	u.setState("a", Ready)
+	u.announce()
+	u.retransmit(k, "aaaaaa")
+	g.Expect(u.misdelivered()).To(BeNumerically("<", misdeliveryLimit))
+}
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -1,6 +1,8 @@
 package flow
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/nutmegtrack/nutmegtrack/packet"
@@ -96,6 +98,43 @@
 	t.unknownFlows[hash] = f
 }
 
+// ProbedFlow is a flow that the agent does not own and of which upstreams were shown packets as probes. The
+// next process of the agent goes on counting them.
+type ProbedFlow struct {
+	Hash            uint64 // of the flow's key
+	Here, Elsewhere uint8  // number of probes at this agent's upstream and, as far as it knows, at others
+	Returned        bool   // the upstream has returned a packet
+}
+
+// probedFlows returns the flows with probes, in order of their hashes.
+func (t *Table) probedFlows() []ProbedFlow {
+	var out []ProbedFlow
+	for hash, f := range t.unknownFlows {
+		if f.tried() > 0 {
+			out = append(out, ProbedFlow{Hash: hash, Here: f.here, Elsewhere: f.tried() - min(f.here, f.tried()), Returned: f.returned})
+		}
+	}
+	slices.SortFunc(out, func(a, b ProbedFlow) int { return cmp.Compare(a.Hash, b.Hash) })
+	return out
+}
+
+// restoreProbed adds the probes that this agent's earlier process knew of. sameUpstream says that the
+// upstream is known not to have started since.
+func (t *Table) restoreProbed(now time.Duration, p *ProbedFlow, sameUpstream bool) {
+	f, known := t.unknownFlows[p.Hash]
+	if t.flows.hasHash(p.Hash) || !known && len(t.unknownFlows) >= maxUnknownFlows {
+		return
+	}
+	if !known {
+		f.at = now
+	}
+	f.seen = now
+	f.here = min(f.here+min(p.Here, maxTried), maxTried)
+	f.elsewhere = min(max(f.elsewhere, p.Elsewhere), maxTried)
+	f.returned = f.returned || p.Returned && sameUpstream
+	t.unknownFlows[p.Hash] = f
+}
+
 // maxUnknownFlows is the maximum number of records of unknown flows. Beyond it, packets of
 // unknown flows are forwarded without a probe.
 const maxUnknownFlows = 1 << 14
