daemon: a change of the routes does not end their confirmation

Cause: dropped the time of confirmation as soon as a higher version was known. Within one life of the store that time stays right for the next version, so after each change packets without a route were dropped in silence until the next read, up to 1.5 s, instead of being reset. Change: the time does not count while a higher version is known, and is dropped only if that version comes from a peer instead of the store. Measured: go test ./daemon -ginkgo.focus "several processes|returned from an older": before, "keep their confirmation through a change by the same store" fails; after, all pass, and the random test with -rapid.checks=5000.

--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -108,8 +108,6 @@
 }
 
 // noteKnown records the highest version known to exist and reports whether a fetch of it is due.
-// While this process has a lower version, the store cannot confirm its document: a store that has
-// returned from an older copy may hold the same one.
 func (r *Routes) noteKnown(known int64) (fetchDue bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -117,7 +115,6 @@
 	if r.known <= r.Version() {
 		return false
 	}
-	r.confirmed = 0
 	now := r.cfg.Clock()
 	if fetchDue = now-r.lastPeerFetch >= routesRetryInterval; fetchDue {
 		r.lastPeerFetch = now
@@ -135,7 +132,17 @@
 	if len(reply.Text) > 0 {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		r.activate(reply.Text, "peer", peer)
+		r.activateFromPeer(reply.Text, peer)
+	}
+}
+
+// activateFromPeer activates a document received from a peer. The caller holds the lock.
+func (r *Routes) activateFromPeer(text []byte, peer netip.AddrPort) {
+	version := r.Version()
+	r.activate(text, "peer", peer)
+	if r.Version() > version {
+		// A store that has returned from an older copy has confirmed only the earlier version.
+		r.confirmed = 0
 	}
 }
 
@@ -193,10 +200,14 @@
 func (r *Routes) Age() time.Duration { return r.cfg.Clock() - r.ConfirmedAt() }
 
 // ConfirmedAt returns the time at which the document was last confirmed to be the newest,
-// by a read of the store or by Confirm. It returns 0 if the document was never confirmed.
+// by a read of the store or by Confirm. It returns 0 if the document was never confirmed, or if
+// a higher version is known to exist.
 func (r *Routes) ConfirmedAt() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.Version() < r.known {
+		return 0
+	}
 	return r.confirmed
 }
 
--- a/daemon/routes_random_test.go
+++ b/daemon/routes_random_test.go
@@ -72,7 +72,7 @@
 	var reply RoutesReply
 	_ = NewRoutesRPC(f.processes[from]).Fetch(&RoutesArgs{Above: r.Version()}, &reply) // returns no error
 	if len(reply.Text) > 0 {
-		r.activate(reply.Text, "peer", from)
+		r.activateFromPeer(reply.Text, netip.AddrPort{})
 	}
 }
 
--- a/daemon/routes_return_test.go
+++ b/daemon/routes_return_test.go
@@ -98,6 +98,15 @@
 		Expect(confirmed()).To(BeTrue(), "written again")
 	})
 
+	// Guards against packets without a route that are dropped in silence after each change of the
+	// routes, until the next read.
+	It("keep their confirmation through a change by the same store", func() {
+		r.Step(ctx, 0, 5, netip.AddrPort{})
+		Expect(r.ConfirmedAt()).To(BeZero(), "a newer document exists")
+		r.installEvents([]store.Event{{KV: store.KV{Key: key, Value: []byte("aaaaa")}}})
+		Expect(r.ConfirmedAt()).To(Equal(now))
+	})
+
 	// Guards against two documents in force under one version, and against a reset by the one
 	// that the store no longer has.
 	It("are neither replaced nor confirmed by another document of the same version", func() {
@@ -148,7 +157,7 @@
 		Expect(starting.ConfirmedAt()).To(BeZero(), "the store has lost the newer document")
 		var reply RoutesReply
 		Expect(peer.Fetch(&RoutesArgs{Above: starting.Version()}, &reply)).To(Succeed())
-		starting.activate(reply.Text, "peer", "b1")
+		starting.activateFromPeer(reply.Text, netip.AddrPort{})
 		Expect(starting.Refresh(ctx)).To(Succeed())
 		Expect(starting.Version()).To(BeEquivalentTo(4), "no step back")
 		Expect(starting.ConfirmedAt()).To(BeZero(), "by the older document")
