daemon: a peer does not confirm routes of an ambiguous version

Cause: a process that refuses another document of its active version took the confirmation of a process that has that document, since the membership names versions only, and could then reset flows whose route is in the other one. Change: Confirm has no effect for a version of which this process knows two documents; its own read of the active text still confirms. Left: a process that does not read the store does not learn of the second document (needs a hash beside the version in the membership). Measured: go test ./daemon: before, "are neither replaced nor confirmed by another document of the same version" fails at the new assertion; after, all pass, under the race detector too.

--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -75,14 +75,15 @@
 	documentMissing atomic.Bool   // the last successful read found no document
 	rank            atomic.Int64  // rank among the processes that read the store, or nonReaderRank
 
-	mu            sync.Mutex
-	text          []byte        // encoded active document, for peers
-	lastPeerFetch time.Duration // time of the last fetch from a peer
-	rejectedHash  uint64        // hash of the last document that was not activated
-	readRevision  int64         // store revision at which the document was last read
-	readAt        time.Duration // start of the last successful read, even of a document that was not activated
-	known         int64         // highest version known to exist
-	confirmed     time.Duration // time at which the document was last confirmed to be the newest
+	mu               sync.Mutex
+	text             []byte        // encoded active document, for peers
+	lastPeerFetch    time.Duration // time of the last fetch from a peer
+	rejectedHash     uint64        // hash of the last document that was not activated
+	ambiguousVersion int64         // version of which two documents are known; 0 if there is none
+	readRevision     int64         // store revision at which the document was last read
+	readAt           time.Duration // start of the last successful read, even of a document that was not activated
+	known            int64         // highest version known to exist
+	confirmed        time.Duration // time at which the document was last confirmed to be the newest
 }
 
 // NewRoutes returns a Routes without a document.
@@ -212,11 +213,14 @@
 }
 
 // Confirm records that at the given time the active document was the newest that any
-// process knew.
+// process knew. It has no effect if another document with the active version is known, because
+// processes compare only versions and may mean the other one.
 func (r *Routes) Confirm(at time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.confirmed = max(r.confirmed, at)
+	if r.ambiguousVersion == 0 || r.ambiguousVersion != r.Version() {
+		r.confirmed = max(r.confirmed, at)
+	}
 }
 
 // Run reads and watches the document until the context ends. A process that is not a reader
@@ -391,6 +395,7 @@
 	case version < active:
 		return errors.Newf("version %d is lower than the active version %d", version, active)
 	case version == active:
+		r.ambiguousVersion = version
 		return errors.Newf("another document with version %d is active", version)
 	}
 	return nil
--- a/daemon/routes_return_test.go
+++ b/daemon/routes_return_test.go
@@ -117,8 +117,13 @@
 		}
 		Expect(strings.Count(log.String(), "event=1311")).To(Equal(1))
 		Expect(log.String()).To(ContainSubstring("another document with version 4 is active"))
+		r.Confirm(now)
+		Expect(confirmed()).To(BeFalse(), "by a process that has the other document")
 		put(s, "bbbbb")
 		Expect(refresh()).To(Equal("bbbbb"))
+		now += time.Second
+		r.Confirm(now)
+		Expect(confirmed()).To(BeTrue())
 	})
 
 	// Guards against a document that counts as another one because it was encoded anew.
