soak: the store returns from an older copy

Cause: the soak had no such fault, so it could not show that a change which the operator had written again was not in force. Change: a fault that copies the store, changes routes after it, just before the outage and just after the return, returns to the copy after 0.3 to 3 s once or twice and writes the operator's document again. Not checked yet: that no process steps back to an older document meanwhile.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/nutmegtrack/nutmegtrack/platform"
 	"github.com/nutmegtrack/nutmegtrack/platform/standin"
 )
 
@@ -134,6 +135,7 @@
 	{"an agent receives packets late", func(f *fleet, rng *rand.Rand) {
 		delay(rng, &pick(rng, f.agents).udp.link)
 	}},
+	{"store returns from an older copy", func(f *fleet, rng *rand.Rand) { f.restoreStore(rng) }},
 	{"a route is added and removed", func(f *fleet, rng *rand.Rand) { f.changeRoute(rng) }},
 }
 
@@ -304,16 +306,69 @@
 func (f *fleet) changeRoute(rng *rand.Rand) {
 	f.routeLock.Lock()
 	defer f.routeLock.Unlock()
+	a := f.addRoute(rng)
+	f.openFlows(rng, a, 5*time.Second)
+	f.removeRoute(a)
+	f.openFlows(rng, a, 7*time.Second)
+}
+
+// addRoute adds a route at a random address.
+func (f *fleet) addRoute(rng *rand.Rand) netip.AddrPort {
 	n := len(services)*(2+rng.IntN(20)) + rng.IntN(len(services))
 	a := f.cfg.address(netRoute, n, 9443)
 	f.routes[a] = f.serviceOf(a)
 	f.putRoutes()
 	f.oracle.setRoute(a, true)
-	f.openFlows(rng, a, 5*time.Second)
+	return a
+}
+
+func (f *fleet) removeRoute(a netip.AddrPort) {
 	delete(f.routes, a)
 	f.putRoutes()
 	f.oracle.setRoute(a, false)
-	f.openFlows(rng, a, 7*time.Second)
+}
+
+// restoreStore returns the store to an older copy once or twice. Routes are changed after the
+// copy, just before the outage and just after the return; the operator writes again what was
+// lost. It opens flows on the routes that are then in force or removed.
+func (f *fleet) restoreStore(rng *rand.Rand) {
+	f.routeLock.Lock()
+	defer f.routeLock.Unlock()
+	removed := f.addRoute(rng)
+	copied := f.store.Copy()
+	age := randomDuration(rng, 3*time.Second, 14*time.Second)
+	time.Sleep(age / 2)
+	kept := f.addRoute(rng)
+	time.Sleep(age / 2)
+	if removed != kept {
+		f.removeRoute(removed)
+	}
+	for range 1 + rng.IntN(2) {
+		away := randomDuration(rng, 300*time.Millisecond, 3*time.Second)
+		f.oracle.exemptRouteChanges(away)
+		f.store.SetFaults(standin.Faults{Status: http.StatusServiceUnavailable})
+		f.store.Restore(copied)
+		time.Sleep(away)
+		f.store.SetFaults(standin.Faults{})
+		// The store shows the older document for a while.
+		time.Sleep(randomDuration(rng, 0, 300*time.Millisecond))
+		f.store.Put(platform.ConfigKey, f.document)
+		f.oracle.setRoute(kept, true)
+		if removed != kept {
+			f.oracle.setRoute(removed, false)
+		}
+	}
+	after := f.addRoute(rng)
+	own := rand.New(rand.NewPCG(rng.Uint64(), 1))
+	var wait sync.WaitGroup
+	wait.Go(func() { f.openFlows(own, kept, 7*time.Second) })
+	f.openFlows(rng, after, 7*time.Second)
+	wait.Wait()
+	f.openFlows(rng, removed, time.Second)
+	f.removeRoute(after)
+	if kept != after {
+		f.removeRoute(kept)
+	}
 }
 
 // openFlows opens a flow to an address every 300 ms and reports resets to the oracle.
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -54,6 +54,7 @@
 	routeLock  sync.Mutex
 	version    int64
 	routes     map[netip.AddrPort]string // service by address
+	document   []byte                    // the operator's latest
 	rng        *lockedRand
 }
 
@@ -163,6 +164,7 @@
 	if err != nil {
 		panic(err)
 	}
+	f.document = text
 	f.store.Put(platform.ConfigKey, text)
 }
 
