--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -75,14 +75,15 @@
 	documentMissing atomic.Bool   // the last successful read found no document
 	rank            atomic.Int64  // rank among the processes that read the store, or nonReaderRank
 
-	mu            sync.Mutex
-	text          []byte        // encoded active document, for peers
-	lastPeerFetch time.Duration // time of the last fetch from a peer
-	rejectedHash  uint64        // hash of the last document that was not activated
-	readRevision  int64         // store revision at which the document was last read
-	readAt        time.Duration // start of the last successful read, even of a document that was not activated
-	known         int64         // highest version known to exist
-	confirmed     time.Duration // time at which the document was last confirmed to be the newest
+	mu               sync.Mutex
+	text             []byte        // encoded active document, for peers
+	lastPeerFetch    time.Duration // time of the last fetch from a peer
+	rejectedHash     uint64        // hash of the last document that was not activated
+	ambiguousVersion int64         // version of which two documents are known; 0 if there is none
+	readRevision     int64         // store revision at which the document was last read
+	readAt           time.Duration // start of the last successful read, even of a document that was not activated
+	known            int64         // highest version known to exist
+	confirmed        time.Duration // time at which the document was last confirmed to be the newest
 }
 
 // NewRoutes returns a Routes without a document.
@@ -108,8 +109,6 @@
 }
 
 // noteKnown records the highest version known to exist and reports whether a fetch of it is due.
-// While this process has a lower version, the store cannot confirm its document: a store that has
-// returned from an older copy may hold the same one.
 func (r *Routes) noteKnown(known int64) (fetchDue bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -117,7 +116,6 @@
 	if r.known <= r.Version() {
 		return false
 	}
-	r.confirmed = 0
 	now := r.cfg.Clock()
 	if fetchDue = now-r.lastPeerFetch >= routesRetryInterval; fetchDue {
 		r.lastPeerFetch = now
@@ -135,7 +133,17 @@
 	if len(reply.Text) > 0 {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		r.activate(reply.Text, "peer", peer)
+		r.activateFromPeer(reply.Text, peer)
+	}
+}
+
+// activateFromPeer activates a document received from a peer. The caller holds the lock.
+func (r *Routes) activateFromPeer(text []byte, peer netip.AddrPort) {
+	version := r.Version()
+	r.activate(text, "peer", peer)
+	if r.Version() > version {
+		// A store that has returned from an older copy has confirmed only the earlier version.
+		r.confirmed = 0
 	}
 }
 
@@ -193,19 +201,26 @@
 func (r *Routes) Age() time.Duration { return r.cfg.Clock() - r.ConfirmedAt() }
 
 // ConfirmedAt returns the time at which the document was last confirmed to be the newest,
-// by a read of the store or by Confirm. It returns 0 if the document was never confirmed.
+// by a read of the store or by Confirm. It returns 0 if the document was never confirmed, or if
+// a higher version is known to exist.
 func (r *Routes) ConfirmedAt() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.Version() < r.known {
+		return 0
+	}
 	return r.confirmed
 }
 
 // Confirm records that at the given time the active document was the newest that any
-// process knew.
+// process knew. It has no effect if another document with the active version is known, because
+// processes compare only versions and may mean the other one.
 func (r *Routes) Confirm(at time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.confirmed = max(r.confirmed, at)
+	if r.ambiguousVersion == 0 || r.ambiguousVersion != r.Version() {
+		r.confirmed = max(r.confirmed, at)
+	}
 }
 
 // Run reads and watches the document until the context ends. A process that is not a reader
@@ -380,6 +395,7 @@
 	case version < active:
 		return errors.Newf("version %d is lower than the active version %d", version, active)
 	case version == active:
+		r.ambiguousVersion = version
 		return errors.Newf("another document with version %d is active", version)
 	}
 	return nil
