flow: the figures of the simulated troubles are named

Cause: the shares of refused connection checks and ignored packets were bare numbers, and some constants had no source. Change: named constants; a balancer is added without a needless event.

--- a/flow/fleet_harness_test.go
+++ b/flow/fleet_harness_test.go
@@ -247,7 +247,7 @@
 }
 
 const (
-	fleetLossRate      = 0.025
+	fleetLossRate      = 0.025 // kind "lossy" of tkl-ub-schools-grown, x
 	fleetLossyDelayMax = 60 * time.Millisecond
 )
 
@@ -1046,7 +1046,7 @@
 func (a *fleetAgent) connect(begun time.Duration) {
 	s := a.upstream
 	connected, refused := s.up, !s.up
-	if s.up && a.f.now < s.lyingUntil && a.f.chance(0.5) {
+	if s.up && a.f.now < s.lyingUntil && a.f.chance(fleetLieRate) {
 		connected, refused = false, s.refuses
 		a.f.note("%s lies to a connection check, refuses %v", s.name, refused)
 	}
@@ -1151,7 +1151,7 @@
 }
 
 func (s *fleetUpstream) receive(p fleetPacket) {
-	if s.f.now < s.muteUntil && s.f.chance(0.45) {
+	if s.f.now < s.muteUntil && s.f.chance(fleetMuteRate) {
 		return
 	}
 	fl := s.flows[p.in.Key]
--- a/flow/fleet_trouble_test.go
+++ b/flow/fleet_trouble_test.go
@@ -12,11 +12,13 @@
 	fleetGrace        = 6 * time.Second        // from SIGTERM to SIGKILL
 	fleetProbe        = 500 * time.Millisecond // interval of the platform's probes of a balancer
 	fleetProbeMisses  = 2                      // until it is out of rotation
-	fleetSlowStartMin = 300 * time.Millisecond
+	fleetSlowStartMin = 300 * time.Millisecond // start of a process with a fifth of its processor
 	fleetSlowStartMax = 1500 * time.Millisecond
-	fleetFlapPeriod   = 1300 * time.Millisecond
-	fleetFlapTime     = 6 * time.Second
-	fleetLieTime      = 6 * time.Second
+	fleetFlapPeriod   = 1300 * time.Millisecond // srv_flap, gap_s
+	fleetFlapTime     = 6 * time.Second         // srv_flap, for_s
+	fleetLieTime      = 6 * time.Second         // srv_lying_health and srv_grey, for_s
+	fleetLieRate      = 0.5                     // share of the connection checks that such an upstream refuses or ignores
+	fleetMuteRate     = 0.45                    // srv_grey "mute", x: share of the packets that it ignores
 )
 
 // troubles plans some kinds of trouble, which may overlap, and at times a loss of power.
@@ -31,7 +33,7 @@
 	if f.chance(0.3) {
 		f.after(f.end-f.between(6*time.Second, 9*time.Second), func() { f.powerLoss(1) })
 	}
-	// A generator of its own: the other seeds keep their meaning.
+	// All daemons end at once. The draws have a generator of their own, so that they change no other seed.
 	if rng := rand.New(rand.NewPCG(f.seed, 35)); rng.Float64() < 0.25 {
 		f.after(10*time.Second+time.Duration(rng.Int64N(int64(18*time.Second))), func() {
 			f.killAgents(1)
@@ -51,7 +53,7 @@
 		func() { f.killBalancers(0.3) },
 		func() { f.killBalancers(1) },
 		f.rollBalancers,
-		func() { f.after(0, func() { f.startBalancer(f.addBalancer()) }) },
+		func() { f.startBalancer(f.addBalancer()) },
 		f.shift,
 		f.freeze,
 		func() { f.freeze(); f.rollAgents(0.4, 300*time.Millisecond) },
