flow: a restarted agent waits for its list before it probes

Change: for 2 s after its start an agent that has a predecessor and not its list probes only for packets whose sender expects the flow there. An agent without a known predecessor, as after a start of the whole fleet, does not wait. Measured: go test ./flow -run TestRestartedAgentWaits: without the condition the packet is delivered, now it is forwarded.

--- a/flow/handover.go
+++ b/flow/handover.go
@@ -25,6 +25,9 @@
 	// keptListRetention is how long a keeper keeps a list. The platform kills an agent 6 s after the stop
 	// request, and a client's flow lives for at most a minute without being discarded.
 	keptListRetention = time.Minute
+	// listWait is how long after its start an agent waits for the list of its predecessor before it probes
+	// its upstream as a first choice. Keepers that are restarted meanwhile are back within two seconds.
+	listWait = 2 * time.Second
 	// maxKeptFlows limits the flows in all lists that an agent keeps for others.
 	maxKeptFlows = 1 << 16
 )
@@ -302,6 +305,11 @@
 // the upstream.
 func (t *Table) SetPredecessor(incarnation uint64) { t.predecessor = incarnation }
 
+// awaitsList reports whether the list of this agent's predecessor may still arrive.
+func (t *Table) awaitsList(now time.Duration) bool {
+	return t.predecessor != 0 && t.restored.incarnation != t.predecessor && now < t.rebuildUntil-t.cfg.Rebuild+listWait
+}
+
 // knowsAllFlows reports whether this agent has seen all flows of its upstream, or the list of its
 // predecessor has named them.
 func (t *Table) knowsAllFlows() bool {
--- a/flow/probe_limit_test.go
+++ b/flow/probe_limit_test.go
@@ -167,3 +167,23 @@
 	u.retransmit(k, "aaaaaa")
 	g.Expect(u.misdelivered()).To(BeNumerically("<", misdeliveryLimit))
 }
+
+// Guards against a first choice that shows its upstream a packet before the list of its earlier process is
+// back, which names the flows that the upstream holds, and those that it has returned.
+func TestRestartedAgentWaitsForItsListBeforeItProbes(t *testing.T) {
+	g := NewWithT(t)
+	u, k := restartedFleet("a", "b", "c", "d", "e", "f")
+	earlier := u.named("a").Incarnation
+	u.restartAgent("a")
+	a := u.agents[u.named("a").ID]
+	a.SetPredecessor(earlier)
+	u.reportStart("a")
+	receive := func() ActionKind {
+		h, in := packet.Header{Kind: packet.KindData, Service: testService}, data(k)
+		return a.Receive(u.now, &h, &in).Kind
+	}
+	g.Expect(receive()).To(Equal(Forward))
+	u.now += listWait
+	u.findLost("a")
+	g.Expect(receive()).To(Equal(Deliver), "no list has come")
+}
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -185,7 +185,7 @@
 	switch {
 	case h.Flags&packet.FlagExpected != 0 || t.lost.isUnconfirmed(now, hash):
 		return true
-	case t.status(now, hash) == packet.NotHeld || !t.isFirstChoice(hash) || now < f.yieldUntil:
+	case t.status(now, hash) == packet.NotHeld || !t.isFirstChoice(hash) || now < f.yieldUntil || t.awaitsList(now):
 		return false
 	case t.self.Start == 0:
 		// An agent whose upstream has not announced its start asks the others first: while a fleet
