flow: an agent that knows no peers does not probe as the first choice

Change: before the peers are known only packets whose sender expects the flow here are probes. Measured: go test ./flow -run TestAgentWithoutPeersDoesNotProbe: before, the packet is delivered; now it is dropped.

--- a/flow/probe_limit_test.go
+++ b/flow/probe_limit_test.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -187,3 +188,19 @@
 	u.findLost("a")
 	g.Expect(receive()).To(Equal(Deliver), "no list has come")
 }
+
+// Guards against an agent that takes itself for the first choice of all flows, since no balancer has answered
+// yet, and probes.
+func TestAgentWithoutPeersDoesNotProbe(t *testing.T) {
+	g := NewWithT(t)
+	u, k := restartedFleet("a", "b", "c", "d", "e", "f")
+	self := u.named("b")
+	table := NewTable(u.agents[self.ID].cfg, self, testService, rand.New(rand.NewPCG(1, 1)))
+	table.StartRebuild(u.now)
+	receive := func(flags uint8) ActionKind {
+		h, in := packet.Header{Kind: packet.KindData, Service: testService, Flags: flags}, data(k)
+		return table.Receive(u.now, &h, &in).Kind
+	}
+	g.Expect(receive(0)).To(Equal(Drop))
+	g.Expect(receive(packet.FlagExpected)).To(Equal(Deliver))
+}
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -185,7 +185,10 @@
 	switch {
 	case h.Flags&packet.FlagExpected != 0 || t.lost.isUnconfirmed(now, hash):
 		return true
-	case t.status(now, hash) == packet.NotHeld || !t.isFirstChoice(hash) || now < f.yieldUntil || t.awaitsList(now):
+	case t.status(now, hash) == packet.NotHeld || now < f.yieldUntil || t.awaitsList(now):
+		return false
+	case !t.peersKnown || !t.isFirstChoice(hash):
+		// Without peers it would take itself for the first choice of all flows.
 		return false
 	case t.self.Start == 0:
 		// An agent whose upstream has not announced its start asks the others first: while a fleet
