soak: no daemon may go back to an older version of the routes

Cause: the soak did not notice a process that takes the older document of a store that has returned from a copy. Change: after the load has ended, the oracle reads the daemons' logs: within one process, the versions of event 1310 never fall. Lines that a slow log drops (event 1009) are not seen.

--- a/soak/doc.go
+++ b/soak/doc.go
@@ -14,5 +14,6 @@
 //   - A client gets only answers to its own requests.
 //   - A server gets no new flows after its drain has taken effect.
 //   - A route change takes effect for new flows.
+//   - No process goes back to an older version of the routes.
 //   - After the last fault, requests are answered again.
 package soak
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -168,6 +168,18 @@
 	f.store.Put(platform.ConfigKey, text)
 }
 
+// checkLogs passes the logs of the daemons to the oracle.
+func (f *fleet) checkLogs() {
+	for _, v := range f.all() {
+		text, err := os.ReadFile(v.process.log)
+		if err != nil {
+			f.oracle.Failed(errors.Wrap(err, "soak: read a log"))
+			continue
+		}
+		f.oracle.checkVersions(v.name, string(text))
+	}
+}
+
 func (f *fleet) seeds() string {
 	out := ""
 	for i := range min(3, f.cfg.Balancers) {
--- a/soak/oracle.go
+++ b/soak/oracle.go
@@ -3,12 +3,15 @@
 import (
 	"fmt"
 	"net/netip"
+	"regexp"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/nutmegtrack/nutmegtrack/event"
 	"github.com/nutmegtrack/nutmegtrack/packet"
 	"github.com/nutmegtrack/nutmegtrack/platform/standin"
 )
@@ -275,6 +278,34 @@
 	}
 }
 
+var activatedVersion = regexp.MustCompile(fmt.Sprintf(`event=%d .*version=(\d+)`, event.RoutesActive.Number))
+
+// checkVersions checks that no process of a daemon, whose log is given, has gone back to a lower
+// version of the routes.
+func (o *oracle) checkVersions(daemon, log string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	started, last := fmt.Sprintf("event=%d ", event.Started.Number), int64(0)
+	for line := range strings.Lines(log) {
+		if strings.Contains(line, started) {
+			last = 0
+		}
+		found := activatedVersion.FindStringSubmatch(line)
+		if found == nil {
+			continue
+		}
+		version, err := strconv.ParseInt(found[1], 10, 64)
+		if err != nil {
+			o.failures = append(o.failures, errors.Wrapf(err, "soak: log of %s", daemon))
+			continue
+		}
+		if version < last {
+			o.violation("%s went back from version %d of the routes to %d", daemon, last, version)
+		}
+		last = version
+	}
+}
+
 // count counts a request's outcome. finalCheck marks a request sent in the final check.
 func (o *oracle) count(err error, finalCheck bool) {
 	o.mu.Lock()
--- a/soak/oracle_test.go
+++ b/soak/oracle_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -50,6 +51,17 @@
 		Expect(result.Violations).To(HaveLen(1))
 	})
 
+	It("reports a process that goes back to a lower version of the routes, but no new process", func() {
+		active := func(version int) string {
+			return fmt.Sprintf("level=info name=balancer-0 event=1310 msg=\"routes active\" version=%d revision=3 routes=2\n", version)
+		}
+		start := "level=info name=balancer-0 event=1000 msg=started\n"
+		o.checkVersions("balancer-0", start+active(3)+active(3)+active(5)+start+active(4))
+		Expect(result.Violations).To(BeEmpty())
+		o.checkVersions("balancer-0", start+active(3)+active(5)+active(4))
+		Expect(result.Violations).To(HaveLen(1))
+	})
+
 	It("reports a reset of a flow whose server is alive", func() {
 		o.Reset(k, b.Host())
 		Expect(result.Violations).To(HaveLen(1))
--- a/soak/run.go
+++ b/soak/run.go
@@ -62,6 +62,7 @@
 	finalCheck.Store(false)
 	endLoad()
 	users.Wait()
+	f.checkLogs()
 	return result, errors.Join(o.finish(), ctx.Err())
 }
 
