flow: a false stop of an upstream leaves the losses of its restart unconfirmed

Cause: SetUpstreamStopped confirmed all losses, and the upstream's next announcement took back only those that the stop itself had recorded. A flow that the present run may hold, since it was accepted before the agent learned of the restart, stayed certainly lost: the next packet was answered with a reset. Change: a loss that the stop confirms has the stop as its cause, so that reviveUpstream takes it back too. Losses that were confirmed by a returned packet stay confirmed. Measured: go test ./flow -run TestFlowOfARestartedUpstreamFalselyTakenForStoppedIsNotReset: on not held (0), now may be held (2), and the packet is delivered.

--- a/flow/lost.go
+++ b/flow/lost.go
@@ -99,10 +99,14 @@
 	}
 }
 
-// confirmAll does the same for all flows.
-func (l *lostFlows) confirmAll() {
-	for hash := range l.byHash {
-		l.confirm(hash)
+// confirmStopped does the same for all flows, because the upstream has stopped. unconfirm(UpstreamStopped)
+// undoes it.
+func (l *lostFlows) confirmStopped() {
+	for hash, f := range l.byHash {
+		if f.unconfirmed {
+			f.unconfirmed, f.cause = false, UpstreamStopped
+			l.byHash[hash] = f
+		}
 	}
 }
 
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -319,7 +319,7 @@
 	t.noEarlierFlows, t.upstreamStopped = true, true
 	t.rebuildUntil = now
 	t.endFlows(now, UpstreamStopped, func(e *entry) bool { return e.check != check })
-	t.lost.confirmAll()
+	t.lost.confirmStopped()
 }
 
 // endFlows ends the flows for which ended is true and records those that the upstream held as lost.
