flow: a flow that the upstream's new run may hold is not forgotten after 20 s

Cause: flows that were accepted before the agent learned of the upstream's restart are recorded as lost unless the upstream holds them. The record ended after 20 s, and since an agent that has seen the restart counts its table as complete, it then denied the flow: one that had been idle for so long was reset. Change: such a record is kept for a minute, as lists of flows are: by then a client's flow may be discarded. A loss that is confirmed is kept for 20 s from then on. Weighed and left: until IdleTCP (24 h), for which the table would not count as complete after each restart of an upstream. Measured: go test ./flow -run TestIdleFlowOfARestartedUpstreamIsNotResetLater: on not held (0), now may be held (2), no loss found and the packet delivered. The minute is the platform's limit of a flow's age, not a proof.

--- a/flow/evidence.go
+++ b/flow/evidence.go
@@ -147,7 +147,7 @@
 	if !found {
 		return LossUnknown, 0
 	}
-	return r.cause, now - (r.until - lostFlowRetention)
+	return r.cause, now - r.at
 }
 
 // Completeness is the reason why a table counts as listing all flows of its upstream.
--- a/flow/forgotten_loss_test.go
+++ b/flow/forgotten_loss_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -33,3 +34,15 @@
 	_, action := u.sendPacket("a", data(k))
 	g.Expect(action.Kind).To(Equal(Deliver))
 }
+
+// Guards against the reset of an idle flow that the upstream's present run may hold: after lostFlowRetention its
+// agent had forgotten that, and denied the flow.
+func TestIdleFlowOfARestartedUpstreamIsNotResetLater(t *testing.T) {
+	g := NewWithT(t)
+	u, k := unconfirmedLoss()
+	u.run(lostFlowRetention + 5*time.Second)
+	g.Expect(u.agents[u.named("a").ID].status(u.now, k.Hash())).To(Equal(packet.MaybeHeld))
+	g.Expect(u.suspectAt("a", k, 3*time.Second)).To(BeEmpty())
+	_, action := u.sendPacket("a", data(k))
+	g.Expect(action.Kind).To(Equal(Deliver))
+}
--- a/flow/lost.go
+++ b/flow/lost.go
@@ -34,6 +34,9 @@
 	// lostFlowRetention is how long a lost flow is recorded. Clients retransmit at least
 	// every 1.6 s and time out after some seconds.
 	lostFlowRetention = 20 * time.Second
+	// unconfirmedLossRetention replaces lostFlowRetention for a flow that the upstream may hold. A
+	// client's flow lives for at most a minute without being discarded.
+	unconfirmedLossRetention = time.Minute
 )
 
 // lostFlows records, by hash, flows that no upstream holds: they ended with this agent's
@@ -44,6 +47,7 @@
 }
 
 type lostFlow struct {
+	at    time.Duration // when it was recorded
 	until time.Duration
 	cause LossCause
 	// unconfirmed says that the upstream's present process may hold the flow: it has started, and may
@@ -57,7 +61,11 @@
 
 func (l *lostFlows) record(now time.Duration, hash uint64, cause LossCause) {
 	if len(l.byHash) < l.max {
-		l.byHash[hash] = lostFlow{until: now + lostFlowRetention, cause: cause, unconfirmed: cause == UpstreamRestarted}
+		f := lostFlow{at: now, until: now + lostFlowRetention, cause: cause}
+		if cause == UpstreamRestarted {
+			f.unconfirmed, f.until = true, now+unconfirmedLossRetention
+		}
+		l.byHash[hash] = f
 	}
 }
 
@@ -92,19 +100,19 @@
 }
 
 // confirm records that the upstream's present process does not hold the flow either.
-func (l *lostFlows) confirm(hash uint64) {
+func (l *lostFlows) confirm(now time.Duration, hash uint64) {
 	if f, found := l.byHash[hash]; found {
-		f.unconfirmed = false
+		f.unconfirmed, f.until = false, now+lostFlowRetention
 		l.byHash[hash] = f
 	}
 }
 
 // confirmStopped does the same for all flows, because the upstream has stopped. unconfirm(UpstreamStopped)
 // undoes it.
-func (l *lostFlows) confirmStopped() {
+func (l *lostFlows) confirmStopped(now time.Duration) {
 	for hash, f := range l.byHash {
 		if f.unconfirmed {
-			f.unconfirmed, f.cause = false, UpstreamStopped
+			f.unconfirmed, f.cause, f.until = false, UpstreamStopped, now+lostFlowRetention
 			l.byHash[hash] = f
 		}
 	}
@@ -114,7 +122,7 @@
 func (l *lostFlows) unconfirm(cause LossCause) {
 	for hash, f := range l.byHash {
 		if f.cause == cause {
-			f.unconfirmed = true
+			f.unconfirmed, f.until = true, f.at+unconfirmedLossRetention
 			l.byHash[hash] = f
 		}
 	}
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -237,7 +237,7 @@
 		t.unknownFlows[hash] = f
 	}
 	if t.lost.isUnconfirmed(now, hash) {
-		t.lost.confirm(hash)
+		t.lost.confirm(now, hash)
 		return t.resetLost(in)
 	}
 	return t.forwardUnknown(now, hash, h, in)
@@ -319,7 +319,7 @@
 	t.noEarlierFlows, t.upstreamStopped = true, true
 	t.rebuildUntil = now
 	t.endFlows(now, UpstreamStopped, func(e *entry) bool { return e.check != check })
-	t.lost.confirmStopped()
+	t.lost.confirmStopped(now)
 }
 
 // endFlows ends the flows for which ended is true and records those that the upstream held as lost.
