flow: a table that had no room for a flow does not count as complete

Cause: a flow of the predecessor's list, or one that a packet of the upstream showed, was left out of a full table without a trace. The agent still counted as knowing all flows, denied this one, and it was reset. The limit is the service's number of connections, which a reload or a list with flows that have ended meanwhile can exceed. Change: the agent notes that the upstream has held more flows than the table could; until the upstream's next start the table proves nothing by itself, and after the last such packet the rebuilding phase runs anew. A stopping agent adds the flow to its list, which is not complete. The end of the rebuilding phase remains the time-out that it was.

--- a/flow/evidence.go
+++ b/flow/evidence.go
@@ -179,12 +179,12 @@
 	switch {
 	case t.rebuilt(now):
 		return Rebuilt
+	case !t.knowsAllFlows():
+		return Incomplete
 	case t.noEarlierFlows:
 		return StartedWithAgent
-	case t.knowsAllFlows():
-		return RestoredFromPeers
 	}
-	return Incomplete
+	return RestoredFromPeers
 }
 
 // StateSource is how this process has learned of an upstream's state.
--- a/flow/handover.go
+++ b/flow/handover.go
@@ -313,7 +313,11 @@
 // flow is not added.
 func (t *Table) restoreFlow(now time.Duration, k *packet.Key) *entry {
 	hash := k.Hash()
-	if t.unknownFlows[hash].returned || t.lost.has(now, hash) || len(t.flows.entries) >= t.cfg.MaxFlows || t.flows.find(hash, k) != nil {
+	if t.unknownFlows[hash].returned || t.lost.has(now, hash) || t.flows.find(hash, k) != nil {
+		return nil
+	}
+	if len(t.flows.entries) >= t.cfg.MaxFlows {
+		t.noteOverfull(now)
 		return nil
 	}
 	t.counters.Restored++
@@ -329,5 +333,5 @@
 // predecessor has named them.
 func (t *Table) knowsAllFlows() bool {
 	r := &t.restored
-	return t.noEarlierFlows || r.complete && r.start != 0 && r.start == t.self.Start && r.incarnation == t.predecessor
+	return !t.overfull && (t.noEarlierFlows || r.complete && r.start != 0 && r.start == t.self.Start && r.incarnation == t.predecessor)
 }
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -262,10 +262,24 @@
 	}
 }
 
+// noteOverfull records that the upstream holds a flow for which the table has no room. The table then proves
+// nothing about other flows, as in the rebuilding phase.
+func (t *Table) noteOverfull(now time.Duration) {
+	t.overfull = true
+	t.StartRebuild(now)
+}
+
 // adopt adds a flow to the table because a packet of the upstream shows that the upstream
 // holds it.
 func (t *Table) adopt(now time.Duration, k *packet.Key, in *packet.Info) *entry {
-	if t.cfg.Rebuild == 0 || in.RST || in.ICMPError || len(t.flows.entries) >= t.cfg.MaxFlows {
+	if t.cfg.Rebuild == 0 || in.RST || in.ICMPError {
+		return nil
+	}
+	if len(t.flows.entries) >= t.cfg.MaxFlows {
+		if !t.overfull {
+			t.amendHandover(k)
+		}
+		t.noteOverfull(now)
 		return nil
 	}
 	hash := k.Hash()
@@ -291,6 +305,7 @@
 	if before == start || before == 0 && (t.restored.start == 0 || t.restored.start == start) {
 		return
 	}
+	t.overfull = false
 	t.endFlows(now, UpstreamRestarted, func(*entry) bool { return true })
 }
 
--- a/flow/table.go
+++ b/flow/table.go
@@ -45,6 +45,7 @@
 	kept            []*keptList     // lists of flows kept for agents that restart
 	outgoing        []*outgoingList // lists that this agent hands to its keepers; its own is the first
 	handingOver     bool            // this agent stops, see BeginHandover
+	overfull        bool            // the upstream has held flows for which the table had no room
 	restored        restoredList
 	check           uint8         // number of the last check of the upstream, see BeginUpstreamCheck
 	predecessor     uint64        // see SetPredecessor
