flow: an agent whose list of peers may lack the owner probes no flow

Cause: an agent that knows only balancers which have just started takes itself for the first choice of flows whose owner and first choice it does not know, and showed its upstream their packets. Several such agents, each with a list of its own, exceed the limit of two packets, since each counts the probes that its packets or its peers tell of. Change: such an agent counts as one whose upstream has not announced its start: it probes only after all peers have been asked, which an incomplete list never satisfies. Packets that another agent expects here are still delivered. Callers may wait until a balancer is complete: not measured.

--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -187,9 +187,10 @@
 		return true
 	case t.status(now, hash) == packet.NotHeld || !t.isFirstChoice(hash) || now < f.yieldUntil:
 		return false
-	case t.self.Start == 0:
-		// An agent whose upstream has not announced its start asks the others first: while a fleet
-		// starts, the balancers' views differ, and each retransmission may go to another agent.
+	case t.self.Start == 0 || t.peersIncomplete:
+		// An agent whose upstream has not announced its start, or whose list of peers may lack the owner,
+		// asks the others first: while a fleet starts, the balancers' views differ, and each
+		// retransmission may go to another agent.
 		return t.askedAll(now, hash)
 	}
 	mustAsk := f.mustAsk || h.Flags&packet.FlagAskFirst != 0 || h.Tried > 0 || f.tried() > 0
