agent: a balancer that has just started does not show that the upstream started with its agent

Cause: an agent that takes its upstream for started together with it asks whether balancers know an earlier agent process. A balancer that has just started knows none, and its answer counted as such: the agent denied all flows that its predecessor had passed to the upstream's new run, and they were reset. Change: the agent waits for the answer of a balancer that knows all live processes, as it does before it declares a flow lost. The fleet simulation's copy of the rule changes with it.

--- a/agent/restart_test.go
+++ b/agent/restart_test.go
@@ -185,6 +185,18 @@
 		Expect(v.answer()).To(Equal(packet.MaybeHeld))
 	})
 
+	// Guards against open flows that are reset because the balancer that answers first has just started and
+	// does not know the earlier agent, which passed flows to the upstream's new run.
+	It("does not deny unknown flows because a balancer that has just started knows no earlier agent", func() {
+		born := v.now // the earlier agent, which ran until now, is not known to the balancer
+		v.now += 300 * time.Millisecond
+		v.startAgent(0)
+		v.run(200 * time.Millisecond)
+		v.announce(born, 3)
+		v.run(stepInterval)
+		Expect(v.answer()).To(Equal(packet.MaybeHeld))
+	})
+
 	// Guards against clients that wait for lost flows after a power failure because the
 	// agents of upstreams without flows do not say so at once.
 	DescribeTable("denies unknown flows at once after a power failure", func(recordsLost bool, announcedFirst bool) {
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -192,18 +192,18 @@
 // noEarlierFlows reports whether this agent has seen all flows of the upstream: both appear to
 // have started together, and no process knows of an earlier agent beside this run of the
 // upstream. Flows are placed only at agents whose record the balancers have, and balancers
-// return the record of an earlier process with their first answer.
+// return the record of an earlier process with their first answer, except those that have just started.
 func (a *Agent) noEarlierFlows(c *upstreamStatus) bool {
 	if !c.startedWithAgent || a.peers.homeBalancer.Load() == nil {
 		return false
 	}
-	ranBefore, predecessor := false, uint64(0)
+	ranBefore, predecessor, complete := false, uint64(0), false
 	a.members.Do(func(_ time.Duration, n *member.Announcer) {
-		ranBefore, predecessor = n.RanBefore(c.start), n.Predecessor()
+		ranBefore, predecessor, complete = n.RanBefore(c.start), n.Predecessor(), n.ListComplete()
 	})
 	// The record of an earlier agent names the run of the upstream that it last knew. The run that it ran
 	// beside may have begun after that.
-	return !ranBefore && (predecessor == 0 || c.surelyStartedWithAgent)
+	return complete && !ranBefore && (predecessor == 0 || c.surelyStartedWithAgent)
 }
 
 // refreshNoEarlierFlows applies noEarlierFlows and the predecessor to the flow table again: the first
--- a/flow/fleet_harness_test.go
+++ b/flow/fleet_harness_test.go
@@ -1004,7 +1004,7 @@
 func (a *fleetAgent) applyStart() {
 	// An earlier process without an announcement may have run beside any upstream: see member.RanBefore.
 	ranBefore := a.earlierStarts[a.upstreamStart] || a.f.shape.trouble && a.earlierStarts[0]
-	noEarlier := a.startedWithAgent && a.homeKnown && !ranBefore && (a.predecessor.u.ID == 0 || a.surelyStartedWithAgent)
+	noEarlier := a.startedWithAgent && a.listComplete && !ranBefore && (a.predecessor.u.ID == 0 || a.surelyStartedWithAgent)
 	if a.upstreamStart != 0 && (a.table.UpstreamStart() != a.upstreamStart || noEarlier != a.appliedNoEarlier || a.table.UpstreamStopped() && !a.upstreamStopped) {
 		a.table.SetUpstreamStart(a.clock(), a.upstreamStart, noEarlier)
 		a.appliedNoEarlier = noEarlier
