--- a/flow/evidence.go
+++ b/flow/evidence.go
@@ -147,7 +147,7 @@
 	if !found {
 		return LossUnknown, 0
 	}
-	return r.cause, now - (r.until - lostFlowRetention)
+	return r.cause, now - r.at
 }
 
 // Completeness is the reason why a table counts as listing all flows of its upstream.
@@ -179,12 +179,12 @@
 	switch {
 	case t.rebuilt(now):
 		return Rebuilt
+	case !t.knowsAllFlows():
+		return Incomplete
 	case t.noEarlierFlows:
 		return StartedWithAgent
-	case t.knowsAllFlows():
-		return RestoredFromPeers
 	}
-	return Incomplete
+	return RestoredFromPeers
 }
 
 // StateSource is how this process has learned of an upstream's state.
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -190,9 +190,10 @@
 	case !t.peersKnown || !t.isFirstChoice(hash):
 		// Without peers it would take itself for the first choice of all flows.
 		return false
-	case t.self.Start == 0:
-		// An agent whose upstream has not announced its start asks the others first: while a fleet
-		// starts, the balancers' views differ, and each retransmission may go to another agent.
+	case t.self.Start == 0 || t.peersIncomplete:
+		// An agent whose upstream has not announced its start, or whose list of peers may lack the owner,
+		// asks the others first: while a fleet starts, the balancers' views differ, and each
+		// retransmission may go to another agent.
 		return t.askedAll(now, hash)
 	}
 	mustAsk := f.mustAsk || h.Flags&packet.FlagAskFirst != 0 || h.Tried > 0 || f.tried() > 0
@@ -240,7 +241,7 @@
 		t.unknownFlows[hash] = f
 	}
 	if t.lost.isUnconfirmed(now, hash) {
-		t.lost.confirm(hash)
+		t.lost.confirm(now, hash)
 		return t.resetLost(in)
 	}
 	return t.forwardUnknown(now, hash, h, in)
@@ -265,10 +266,24 @@
 	}
 }
 
+// noteOverfull records that the upstream holds a flow for which the table has no room. The table then proves
+// nothing about other flows, as in the rebuilding phase.
+func (t *Table) noteOverfull(now time.Duration) {
+	t.overfull = true
+	t.StartRebuild(now)
+}
+
 // adopt adds a flow to the table because a packet of the upstream shows that the upstream
 // holds it.
 func (t *Table) adopt(now time.Duration, k *packet.Key, in *packet.Info) *entry {
-	if t.cfg.Rebuild == 0 || in.RST || in.ICMPError || len(t.flows.entries) >= t.cfg.MaxFlows {
+	if t.cfg.Rebuild == 0 || in.RST || in.ICMPError {
+		return nil
+	}
+	if len(t.flows.entries) >= t.cfg.MaxFlows {
+		if !t.overfull {
+			t.amendHandover(k)
+		}
+		t.noteOverfull(now)
 		return nil
 	}
 	hash := k.Hash()
@@ -294,6 +309,7 @@
 	if before == start || before == 0 && (t.restored.start == 0 || t.restored.start == start) {
 		return
 	}
+	t.overfull = false
 	t.endFlows(now, UpstreamRestarted, func(*entry) bool { return true })
 }
 
@@ -322,7 +338,7 @@
 	t.noEarlierFlows, t.upstreamStopped = true, true
 	t.rebuildUntil = now
 	t.endFlows(now, UpstreamStopped, func(e *entry) bool { return e.check != check })
-	t.lost.confirmAll()
+	t.lost.confirmStopped(now)
 }
 
 // endFlows ends the flows for which ended is true and records those that the upstream held as lost.
