flow: a mark as failed and silence count only after the time of a restart

Cause: what callers saw: resets of open flows while agents were restarted. An agent that had restarted itself and knew another one only as failed, or as ready, took a second of silence (requests that may be repeated), 5 s or 7 s for the end of its upstream, although the other agent was restarting: its announcement had been replaced by a mistaken mark, or had never reached the new process. Change: any agent may be restarting without this one's knowledge, so that marks and silence count after AgentRestartTimeout, 20 s. Only where three quarters of the peers (before: half) are seen to start together with this agent, as after a power failure, does a second of silence count, as before, marked or not. Measured: TestFlowOfAnAgentNotKnownToRestartIsNotReset: reset in both cases before, not now. It remains a time-out; a silent upstream holds up the resets of others for as long.

--- a/flow/inquiry.go
+++ b/flow/inquiry.go
@@ -25,22 +25,14 @@
 	// the first. This limits the load after a power failure, when all agents send inquiries to
 	// all others; flows that become suspect meanwhile share the next inquiry.
 	inquiryDelayPerPeer = 250 * time.Microsecond
-	// suspectedPeerTimeout is how long a peer that was marked as failed must be silent before flows
-	// whose requests may be repeated are declared lost for it. The mark shows that two balancers could
-	// not reach the agent for some seconds, not that its upstream has ended. An agent that runs on a
-	// busy VM answers one of the inquiries of a second.
-	suspectedPeerTimeout = time.Second
-	// confirmedFailureTimeout replaces suspectedPeerTimeout when the peer has given no sign of life
-	// for failedPeerGracePeriod since the mark, or has been restarting for AgentRestartTimeout. An
-	// agent that was marked by mistake sends its load and its digests meanwhile. The inquiry has been
-	// sent twice by then.
+	// confirmedFailureTimeout is how long a peer must be silent to inquiries before flows are declared lost
+	// for it, if it has given no sign of life for failedPeerGracePeriod since it was marked as failed, or has
+	// been restarting for AgentRestartTimeout. The inquiry has been sent twice by then.
 	confirmedFailureTimeout = 100 * time.Millisecond
-	// failedPeerGracePeriod is the time from the failure of a peer that does not answer until
-	// flows whose requests must not be repeated may be declared lost. A VM that is only paused
-	// is marked as failed after 3 s. Its upstream may still be processing the request, and the
-	// response may still arrive. The client could not retry elsewhere after an early reset, as
-	// it could with a request that may be repeated, so it loses nothing by waiting.
-	failedPeerGracePeriod = 7 * time.Second
+	// failedPeerGracePeriod is the time from the failure of a peer that gives no sign of life until flows may
+	// be declared lost. The mark shows that two balancers could not reach the agent for some seconds, not
+	// that its upstream has ended: the agent may be restarting without this process's knowledge.
+	failedPeerGracePeriod = AgentRestartTimeout
 )
 
 // inquiry asks all peers whether their upstreams hold some flows.
@@ -369,7 +361,8 @@
 			return ExcludedRestarting
 		}
 	case p.State == Failed:
-		if p.failureConfirmed(now) && silence >= confirmedFailureTimeout || mayRepeat && silence >= suspectedPeerTimeout {
+		startedSilent := mayRepeat && t.startedWithFleet(now) && !p.restarted && silence >= peerSilenceTimeoutAfterOutage
+		if p.failureConfirmed(now) && silence >= confirmedFailureTimeout || startedSilent {
 			return ExcludedFailed
 		}
 	case silence < t.silenceTimeout(now, p):
--- a/flow/lost.go
+++ b/flow/lost.go
@@ -20,8 +20,8 @@
 	// Further packets do not extend it; one that arrives later makes the flow suspect anew.
 	suspectTimeout = 5 * time.Second
 	// peerSilenceTimeout is how long a peer that nobody has marked as failed must be silent before it
-	// counts as absent. An agent restarts within two seconds.
-	peerSilenceTimeout = 5 * time.Second
+	// counts as absent: its agent may be restarting without this process's knowledge.
+	peerSilenceTimeout = AgentRestartTimeout
 	// peerSilenceTimeoutAfterOutage replaces peerSilenceTimeout while the fleet starts together, as after
 	// a power failure: then clients of all upstreams wait on lost flows. It does not apply to an agent
 	// that has restarted since.
--- a/flow/starting.go
+++ b/flow/starting.go
@@ -55,9 +55,9 @@
 
 // startedWithFleet reports whether the fleet has started together with this agent, as after a power
 // failure: the upstream holds no earlier flows, this agent is in its rebuilding phase, and it has seen
-// at least half of its peers start. A single new VM sees its peers ready.
+// at least three quarters of its peers start. A single new VM sees its peers ready.
 func (t *Table) startedWithFleet(now time.Duration) bool {
-	return t.noEarlierFlows && !t.rebuilt(now) && 2*len(t.startedPeers) >= len(t.peers.list)
+	return t.noEarlierFlows && !t.rebuilt(now) && 4*len(t.startedPeers) >= 3*len(t.peers.list)
 }
 
 // runsWhileStarting reports whether the upstream itself has reported its start while its
--- a/flow/unproven_age_test.go
+++ b/flow/unproven_age_test.go
@@ -102,3 +102,18 @@
 	u.now += stop + start - 2*time.Second
 	g.Expect(u.suspectAt("a", k, 2*time.Second)).To(BeEmpty())
 }
+
+// Guards against the reset of a flow whose agent restarts, by an agent that has restarted as well and knows only
+// that the other one is marked as failed, or does not even know that.
+func TestFlowOfAnAgentNotKnownToRestartIsNotReset(t *testing.T) {
+	for _, s := range []State{Failed, Ready} {
+		g := NewWithT(t)
+		u, k := displacedFlow(true)
+		u.restartAgent("a")
+		u.reportStart("a")
+		u.setState("b", s)
+		u.announce()
+		u.silent["b"] = true
+		g.Expect(u.suspectAt("a", k, 12*time.Second)).To(BeEmpty(), "%v", s)
+	}
+}
