member, agent, flow: an agent learns sooner that a list is complete, and waits for no list that does not come

Cause: after a power failure or a kill of all processes clients of lost flows were told later, since agents waited for the next heartbeat, up to a second, to learn that a balancer was complete, and 2 s for a list of flows that a killed predecessor had not left. Change: an agent repeats its heartbeat every 200 ms until a complete balancer has answered (Config.JoinInterval; the protocol's default is as before), a balancer that has read the store is complete after half a heartbeat interval, and a first choice waits for a list only if its predecessor had announced its stop. Part of the loss remains: it is the price of resets that need a complete list.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -27,6 +27,9 @@
 	// 6 s between the platform's stop request and its kill to the rest of the shutdown.
 	leavePushInterval = 250 * time.Millisecond
 	leaveTimeout      = 2 * time.Second
+	// joinInterval is the interval between heartbeats until a balancer that knows all live processes has
+	// answered. Until then, clients of lost flows are not told.
+	joinInterval = 200 * time.Millisecond
 	// handoverTimeout is the time for which an agent that exits waits for its peers to confirm the list
 	// of its flows, and handoverPollInterval that between two looks. Two attempts at two sets of peers
 	// fit in.
@@ -136,7 +139,7 @@
 		transport = a.control.Client
 	}
 	peerFailureLog := daemon.NewLogLimiter(a.log, a.clock, event.PeerUnreachable)
-	announcer := member.NewAnnouncer(member.Config{Seeds: a.cfg.Seeds}, a.initialRecord(), daemon.NewRand(a.rng))
+	announcer := member.NewAnnouncer(member.Config{Seeds: a.cfg.Seeds, JoinInterval: joinInterval}, a.initialRecord(), daemon.NewRand(a.rng))
 	a.members = daemon.NewMembers(announcer, daemon.MembersConfig{
 		Clock:     a.clock,
 		Transport: transport,
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -211,9 +211,14 @@
 func (a *Agent) refreshNoEarlierFlows() {
 	a.stateMu.Lock()
 	defer a.stateMu.Unlock()
-	predecessor := uint64(0)
-	a.members.Do(func(_ time.Duration, n *member.Announcer) { predecessor = n.Predecessor() })
-	a.flows.do(func(_ time.Duration, t *flow.Table) { t.SetPredecessor(predecessor) })
+	predecessor, stopped := uint64(0), false
+	a.members.Do(func(_ time.Duration, n *member.Announcer) {
+		predecessor, stopped = n.Predecessor(), n.PredecessorStopped()
+	})
+	a.flows.do(func(_ time.Duration, t *flow.Table) {
+		t.SetPredecessor(predecessor)
+		t.ExpectList(stopped)
+	})
 	c := a.monitor.status()
 	applied := false
 	a.flows.do(func(_ time.Duration, t *flow.Table) { applied = t.UpstreamStart() == c.start })
--- a/flow/fleet_harness_test.go
+++ b/flow/fleet_harness_test.go
@@ -652,7 +652,11 @@
 			a.later(time.Millisecond, queueStep, a.stepOnce)
 		}
 	}
-	a.later(a.f.between(800*time.Millisecond, 1200*time.Millisecond), queueControl, a.sync)
+	wait := a.f.between(800*time.Millisecond, 1200*time.Millisecond)
+	if !a.listComplete {
+		wait = 200 * time.Millisecond // agent.joinInterval
+	}
+	a.later(wait, queueControl, a.sync)
 }
 
 func (a *fleetAgent) receiveRecord(r memberRecord) {
@@ -679,6 +683,7 @@
 	if r.version > a.predecessor.version {
 		a.predecessor = r
 		a.table.SetPredecessor(r.u.Incarnation)
+		a.table.ExpectList(r.u.State == AgentRestarting)
 	}
 }
 
--- a/flow/handover.go
+++ b/flow/handover.go
@@ -332,9 +332,12 @@
 // the upstream.
 func (t *Table) SetPredecessor(incarnation uint64) { t.predecessor = incarnation }
 
+// ExpectList records whether the predecessor has announced its stop, so that it has handed over its list.
+func (t *Table) ExpectList(expected bool) { t.listExpected = expected }
+
 // awaitsList reports whether the list of this agent's predecessor may still arrive.
 func (t *Table) awaitsList(now time.Duration) bool {
-	return t.predecessor != 0 && t.restored.incarnation != t.predecessor && now < t.rebuildUntil-t.cfg.Rebuild+listWait
+	return t.listExpected && t.restored.incarnation != t.predecessor && now < t.rebuildUntil-t.cfg.Rebuild+listWait
 }
 
 // knowsAllFlows reports whether this agent has seen all flows of its upstream, or the list of its
--- a/flow/probe_limit_test.go
+++ b/flow/probe_limit_test.go
@@ -178,6 +178,7 @@
 	u.restartAgent("a")
 	a := u.agents[u.named("a").ID]
 	a.SetPredecessor(earlier)
+	a.ExpectList(true)
 	u.reportStart("a")
 	receive := func() ActionKind {
 		h, in := packet.Header{Kind: packet.KindData, Service: testService}, data(k)
--- a/flow/table.go
+++ b/flow/table.go
@@ -48,6 +48,7 @@
 	overfull        bool            // the upstream has held flows for which the table had no room
 	restored        restoredList
 	check           uint8         // number of the last check of the upstream, see BeginUpstreamCheck
+	listExpected    bool          // see ExpectList
 	predecessor     uint64        // see SetPredecessor
 	refusedFlows    []RefusedFlow // not yet returned by RefusedFlows
 
--- a/member/announcer.go
+++ b/member/announcer.go
@@ -214,6 +214,9 @@
 		a.nextHeartbeat[c.To] = min(a.nextHeartbeat[c.To], a.now+a.cfg.RetryInterval)
 	} else if c.Request.Sum == a.sum {
 		a.nextHeartbeat[c.To] = a.now + a.cfg.HeartbeatInterval
+		if !a.listComplete && m.Incomplete {
+			a.nextHeartbeat[c.To] = a.now + a.cfg.JoinInterval
+		}
 	}
 	a.listComplete = a.listComplete || !m.Incomplete
 	if len(m.Homes) > 0 {
@@ -285,6 +288,9 @@
 // Predecessor returns the incarnation of the latest earlier process of this agent that is known, or 0.
 func (a *Announcer) Predecessor() uint64 { return a.predecessor.Incarnation }
 
+// PredecessorStopped reports whether that process is known to have announced that it restarts.
+func (a *Announcer) PredecessorStopped() bool { return a.predecessor.State == flow.AgentRestarting }
+
 // SetState changes the agent's state and announces it.
 func (a *Announcer) SetState(now time.Duration, s flow.State) {
 	a.advance(now)
--- a/member/config.go
+++ b/member/config.go
@@ -11,7 +11,10 @@
 type Config struct {
 	Seeds             []netip.AddrPort // control addresses to contact when no balancer is known
 	HeartbeatInterval time.Duration    // interval between an agent's heartbeats; default 1 s
-	SuspectAfter      time.Duration    // time without a heartbeat before a home balancer suspects the agent; default 3 s
+	// JoinInterval replaces HeartbeatInterval until a balancer that knows all live processes has answered;
+	// default HeartbeatInterval.
+	JoinInterval time.Duration
+	SuspectAfter time.Duration // time without a heartbeat before a home balancer suspects the agent; default 3 s
 	// RetryInterval is the interval between retransmissions of an unconfirmed change, and
 	// between the exchanges of a balancer that has just started or is behind; default 200 ms.
 	RetryInterval    time.Duration
@@ -33,6 +36,7 @@
 
 func (c Config) withDefaults() Config {
 	setDuration(&c.HeartbeatInterval, time.Second)
+	setDuration(&c.JoinInterval, c.HeartbeatInterval)
 	setDuration(&c.SuspectAfter, 3*time.Second)
 	setDuration(&c.RetryInterval, 200*time.Millisecond)
 	// A drain must reach every process within 3 s. With an interval of 1 s, 9 of 4,400
--- a/member/node.go
+++ b/member/node.go
@@ -169,7 +169,7 @@
 // sent it its table, or processes that the store did not list have had the time to announce themselves.
 // An agent takes the list of a balancer that is not complete for no proof that a flow has no owner.
 func (n *Node) complete() bool {
-	return n.synced || n.loaded && n.now >= n.cfg.HeartbeatInterval || n.now >= n.cfg.SuspectAfter
+	return n.synced || n.loaded && n.now >= n.cfg.HeartbeatInterval/2 || n.now >= n.cfg.SuspectAfter
 }
 
 // SetState changes the balancer's state and announces it.
