--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -25,6 +26,9 @@
 	longRequest       = "long" // begins the ids of requests that take longRequestTime
 	longRequestTime   = 1500 * time.Millisecond
 	shortDeadline     = 1200 * time.Millisecond
+	configApplyTime   = 3 * time.Second  // config-apply-ms
+	lossSettleTime    = 20 * time.Second // after the loss of machines
+	addedRoutePort    = 9090
 	youngRounds       = 4
 	coldTime          = 5 * time.Second // how long a server is slow after its start
 	routePort         = 8443
@@ -112,6 +116,47 @@
 	return out
 }
 
+// lostReaders: all balancers but one are lost for good; later the operator drops a route and adds one.
+func lostReaders(f *fleet, trouble string) ([]string, error) {
+	f.addMachines(3, 2)
+	if err := f.start(f.document(7, serviceA), clientZone); err != nil {
+		return nil, err
+	}
+	if _, err := f.openFlows(3, f.routeAddr(routePort)); err != nil {
+		return nil, err
+	}
+	// The one that is left is the last of its zone by name.
+	if trouble != "0" {
+		for i, m := range f.balancers {
+			if i != 3 {
+				m.end()
+				f.rec.say("%s is lost for good", m.name)
+				f.router.remove(m.name)
+			}
+		}
+	}
+	time.Sleep(lossSettleTime)
+	d := f.document(9, serviceA)
+	d.Routes[1].Name, d.Routes[1].Prefix = "r-x73d3zj", fmt.Sprintf("/%d/", addedRoutePort)
+	f.store.putConfig(d)
+	acknowledged := time.Now()
+	time.Sleep(configApplyTime + stableWindow)
+	var violations []string
+	for i := range 10 {
+		at := time.Since(acknowledged).Seconds()
+		c, err := f.clients.open(uint16(firstClientPort+100+i), f.routeAddr(secondRoutePort))
+		if err == nil && c.request(fmt.Sprintf("dropped-%d", i), requestDeadline) == nil {
+			violations = append(violations, fmt.Sprintf("CONFIG: %.1f s after the acknowledgement of version 9, a request was sent on the route that it drops, and server %s ran it", at, c.server()))
+		}
+		at = time.Since(acknowledged).Seconds()
+		if _, err := f.clients.open(uint16(firstClientPort+200+i), f.routeAddr(addedRoutePort)); errors.Is(err, errReset) {
+			violations = append(violations, fmt.Sprintf("CONFIG: %.1f s after the acknowledgement of version 9, a flow to the route that it adds was refused", at))
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	return violations, nil
+}
+
 // serviceChange: the operator gives a route another service while flows of the route are open. With
 // VARIANT=weights the route is split between two services, the operator changes the weights, and then one
 // balancer is stopped and started.
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -19,6 +19,7 @@
 type caseFunc func(f *fleet, trouble string) (violations []string, err error)
 
 var cases = map[string]caseFunc{
+	"lost-readers":   lostReaders,
 	"service-change": serviceChange,
 	"port-reuse":     portReuse,
 	"idle-flow":      idleFlow,
--- a/review/harness/router.go
+++ b/review/harness/router.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 )
@@ -86,6 +87,15 @@
 	}
 }
 
+// remove forgets a balancer whose machine doesn't exist any more.
+func (r *router) remove(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.all = slices.DeleteFunc(r.all, func(t *target) bool { return t.name == name })
+	r.rotation = slices.DeleteFunc(r.rotation, func(t *target) bool { return t.name == name })
+	r.rec.log("router: %s doesn't exist any more", name)
+}
+
 func (r *router) inRotation() (n int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
