member, balancer: duties by rank leave out balancers that cannot be reached

Cause: duties are assigned by rank among the balancers whose record is live: the readers of the store, collectors, homes, arbiters, probers, grantors, and peers of pushes and exchanges. A record is live until its process is marked as failed, which takes two observers, an arbiter that answers, and at most half of all balancers marked. After the loss of most balancers the marks never come, and the duties stay with processes that have gone. New balancers that know the others only from the store rank behind them for the same reason.

Change: a balancer whose consecutive pings have failed is left out of the duties that this balancer assigns, until a sign of life of it. This is own evidence, used for duties only: it is not sent to others. Two processes may perform a duty at the same time, which each of them bears. Claims on a balancer that the arbiter itself has not reached for 30 s pass beyond the limit of one half, so that its record is removed in the end; a live one refutes the mark. A grantor is replaced once it has been unreachable for 10 s. Changes of reachability are logged (event 1204). Weighed and left: marks by one observer, since a balancer that is cut off would mark the whole fleet.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -231,6 +231,7 @@
 func (b *Balancer) step() {
 	b.members.Step(b.lifecycle.Context())
 	b.logVerdicts()
+	b.logReachability()
 	b.refreshView()
 	if b.routes != nil {
 		b.stepRoutes()
--- a/balancer/election.go
+++ b/balancer/election.go
@@ -32,17 +32,28 @@
 	return r.Name == self.Name && r.Incarnation == self.Incarnation
 }
 
+// grantorUnreachableAfter is how long a grantor must have been unreachable for this balancer to
+// replace it although its record says that it is ready. A grantor that is paused for less keeps its
+// tokens.
+const grantorUnreachableAfter = 10 * time.Second
+
 // electionInput is the membership data that an election uses.
 type electionInput struct {
-	self      member.Record
-	balancers []member.Record
-	services  []string
+	self       member.Record
+	balancers  []member.Record // live ones, from which grantors are elected
+	incumbents []member.Record // balancers that may be grantors at present
+	services   []string
 }
 
 func (g *grantors) electionInput() (e electionInput) {
 	g.members.Do(func(_ time.Duration, n *member.Node) {
 		e.self = n.Self()
-		e.balancers = n.Table().Balancers()
+		e.balancers = n.Table().LiveBalancers()
+		for _, b := range n.Table().Balancers() {
+			if n.Table().UnreachableFor(b.Control) < grantorUnreachableAfter {
+				e.incumbents = append(e.incumbents, b)
+			}
+		}
 		for _, s := range n.Table().View().Services {
 			e.services = append(e.services, s.Name)
 		}
@@ -52,8 +63,8 @@
 
 // writerReady reports whether the balancer process that wrote the record is ready.
 func (e *electionInput) writerReady(r *grantorRecord) bool {
-	for i := range e.balancers {
-		b := &e.balancers[i]
+	for i := range e.incumbents {
+		b := &e.incumbents[i]
 		if r.writtenBy(b) {
 			return b.State == flow.Ready
 		}
@@ -61,7 +72,7 @@
 	return false
 }
 
-// preferredGrantor selects the service's next grantor among the balancers whose membership
+// preferredGrantor selects the service's next grantor among the live balancers whose membership
 // record is Ready by rendezvous hashing and returns its name. Its score, a hash of both
 // names, differs from the score in package rendezvous, by which homes, arbiters and
 // candidates are ranked.
--- a/balancer/grantors_test.go
+++ b/balancer/grantors_test.go
@@ -20,6 +20,20 @@
 	"github.com/nutmegtrack/nutmegtrack/store"
 )
 
+// loseContact lets all pings of the other balancers fail, until each of them counts as unreachable.
+func loseContact(b *testBalancer) {
+	b.members.Do(func(now time.Duration, n *member.Node) {
+		for _, r := range n.Table().Balancers() {
+			n.Handle(now, member.Message{Kind: member.KindProbe, Name: r.Name, Target: r.Control})
+		}
+		for range 2 {
+			for _, c := range n.Step(now) {
+				n.Unreachable(now, c)
+			}
+		}
+	})
+}
+
 var _ = Describe("The grantor of a service", func() {
 	const service = "impact-portal"
 	var (
@@ -126,6 +140,32 @@
 		Expect(b1.log.String()).To(ContainSubstring("event=1501"))
 	})
 
+	// Guards against a service that never has a grantor again because only the preferred balancer
+	// campaigns, or because the grantor's record remains ready: both are gone and are not marked as
+	// failed. A grantor that cannot be reached for less than 10 s is not replaced.
+	It("is replaced after it has become unreachable without a mark as failed", func() {
+		elect(b1)
+		old := term(b1)
+		sendRecords(b2, b1)
+		for i := range 9 { // some of them rank before b2
+			gone := upstreamRecord("b"+strconv.Itoa(i+3), "127.0.0.1:"+strconv.Itoa(8000+i))
+			gone.Role, gone.FailureDomain = member.RoleBalancer, "a"
+			b2.members.Do(func(now time.Duration, n *member.Node) { n.Load(now, []member.Record{gone}) })
+		}
+		elect(b2)
+		Expect(term(b2)).To(BeZero(), "the grantor is ready")
+		loseContact(b2)
+		later := func(d time.Duration) {
+			b2.now += d
+			b2.members.Do(func(now time.Duration, n *member.Node) { n.Step(now) })
+			elect(b2)
+		}
+		later(grantorUnreachableAfter - time.Second)
+		Expect(term(b2)).To(BeZero(), "the grantor may only be paused")
+		later(time.Second)
+		Expect(term(b2)).To(BeNumerically(">", old))
+	})
+
 	// Guards against a grantor that answers holders that already know its successor.
 	It("ends its term when a holder knows a higher term", func() {
 		elect(b1)
--- a/balancer/lists.go
+++ b/balancer/lists.go
@@ -57,8 +57,8 @@
 func isStoreReader(n *member.Node) bool {
 	before := 0
 	self := n.Self()
-	for _, r := range n.Table().Balancers() {
-		if r.FailureDomain == self.FailureDomain && !r.Gone() && r.Name < self.Name {
+	for _, r := range n.Table().LiveBalancers() {
+		if r.FailureDomain == self.FailureDomain && r.Name < self.Name {
 			before++
 		}
 	}
@@ -69,8 +69,8 @@
 // random, or the zero value if there is none.
 func randomBalancer(n *member.Node) netip.AddrPort {
 	var live []netip.AddrPort
-	for _, r := range n.Table().Balancers() {
-		if !r.Gone() && r.Name != n.Self().Name {
+	for _, r := range n.Table().LiveBalancers() {
+		if r.Name != n.Self().Name {
 			live = append(live, r.Control)
 		}
 	}
--- a/balancer/routes.go
+++ b/balancer/routes.go
@@ -62,9 +62,9 @@
 	rank, found := 0, false
 	byRank := make([][]string, storeReadersPerDomain) // names by rank in their domain
 	domains := make(map[string]int)
-	for _, r := range n.Table().Balancers() {
+	for _, r := range n.Table().LiveBalancers() {
 		at := domains[r.FailureDomain]
-		if r.Gone() || at >= storeReadersPerDomain {
+		if at >= storeReadersPerDomain {
 			continue
 		}
 		domains[r.FailureDomain]++
--- a/balancer/view.go
+++ b/balancer/view.go
@@ -174,3 +174,12 @@
 		b.log.Log(event.FailureClaimed, "dropped", dropped)
 	}
 }
+
+// logReachability logs the balancers that have become reachable or unreachable since the last step.
+func (b *Balancer) logReachability() {
+	var changes []member.Reachability
+	b.members.Do(func(_ time.Duration, n *member.Node) { changes = n.TakeReachability() })
+	for _, c := range changes {
+		b.log.Log(event.ReachabilityChanged, "balancer", c.Control, "reachable", c.Reachable)
+	}
+}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -22,8 +22,9 @@
 	StateChanged    = Definition{1200, Info, "upstream state changed", "The state of an upstream has changed in this process's view, which is the services, upstreams and routes that the process knows, or the upstream was added to the view or removed from it. A balancer adds `was`, the state before. A change from `failed` to another state of an upstream that has not restarted means that it had been marked, or had announced itself, as failed by mistake."}
 	PeerUnreachable = Definition{1201, Warn, "peer unreachable", "A membership call to a peer failed; it is retried. At most one event is logged per minute."}
 
-	FailureClaimed = Definition{1202, Info, "failure claimed", "This balancer has asked the `arbiter` to mark a process as failed: neither it nor the other `observers` could reach the process by a control call, and this balancer has counted its silence for `silent_seconds`. The arbiter may refuse. `dropped` is the number of further lines of events 1202 and 1203 that were left out."}
-	MarkedFailed   = Definition{1203, Warn, "process marked as failed", "This balancer has marked a process as failed, as the arbiter, on the claim of `claimed_by`; `observers` are the control addresses of the balancers that could not reach it, and `state` is its state before. The mark is a suspicion: the process or, beside it, an upstream may still run. A failed upstream without this line has been announced as failed by its own agent: see 1701 there."}
+	FailureClaimed      = Definition{1202, Info, "failure claimed", "This balancer has asked the `arbiter` to mark a process as failed: neither it nor the other `observers` could reach the process by a control call, and this balancer has counted its silence for `silent_seconds`. The arbiter may refuse. `dropped` is the number of further lines of events 1202 and 1203 that were left out."}
+	MarkedFailed        = Definition{1203, Warn, "process marked as failed", "This balancer has marked a process as failed, as the arbiter, on the claim of `claimed_by`; `observers` are the control addresses of the balancers that could not reach it, and `state` is its state before. The mark is a suspicion: the process or, beside it, an upstream may still run. A failed upstream without this line has been announced as failed by its own agent: see 1701 there."}
+	ReachabilityChanged = Definition{1204, Info, "balancer reachability changed", "This balancer has found another one unreachable, because its pings failed (`reachable` false), or has received a sign of life of it again. An unreachable balancer takes no part in the duties that this one assigns by rank: readers of the store, collectors, homes, arbiters, probers, grantors. Its record stays until it is marked as failed (1203)."}
 
 	ListsActive   = Definition{1300, Info, "lists active", "The lists of the given revision are active on this process."}
 	ListsRejected = Definition{1301, Error, "lists rejected", "Lists read from the store or a peer were not activated; the previous revision stays active."}
@@ -75,7 +76,7 @@
 	Started, Draining, Stopped, BadSettings, SocketFailed, StopForced, DrainLimit,
 	Reloaded, ReloadFailed, LinesDropped,
 	WrongService, SendFailed,
-	StateChanged, PeerUnreachable, FailureClaimed, MarkedFailed,
+	StateChanged, PeerUnreachable, FailureClaimed, MarkedFailed, ReachabilityChanged,
 	ListsActive, ListsRejected, StoreFailed, StoreReturned, StoreEraRefused, StoreEraInvalid, StoreHistoryLost, ListsLost, EntryUnreadable,
 	RoutesActive, RoutesRejected, RouteUnusable, RoutesUnreadable,
 	ControlFailed,
--- a/member/gossip.go
+++ b/member/gossip.go
@@ -56,7 +56,7 @@
 // it exits.
 func (n *Node) PushCompleted() bool {
 	_, pending := n.pushes[n.self.Name]
-	alone := len(n.cfg.Seeds) == 0 && !slices.ContainsFunc(n.table.liveBalancers(), func(b Record) bool { return b.Name != n.self.Name })
+	alone := len(n.cfg.Seeds) == 0 && !slices.ContainsFunc(n.table.LiveBalancers(), func(b Record) bool { return b.Name != n.self.Name })
 	return !pending || alone
 }
 
@@ -179,10 +179,11 @@
 	}
 }
 
-// randomPeers returns the control addresses of up to count other live balancers, or
-// all seeds if there is no other balancer.
+// randomPeers returns the control addresses of up to count other live balancers. If there
+// is none, it returns all seeds and up to count of the balancers that are unreachable, which may
+// be this balancer's own fault.
 func (n *Node) randomPeers(count int) []netip.AddrPort {
-	live := n.table.liveBalancers()
+	live := n.table.LiveBalancers()
 	var out []netip.AddrPort
 	// Drawing at random avoids copying all addresses. Draws that hit this balancer or
 	// a chosen peer may leave fewer than count peers; later rounds make up for that.
@@ -196,7 +197,19 @@
 		}
 	}
 	if len(out) == 0 && len(live) <= 1 {
-		return slices.Clone(n.cfg.Seeds)
+		return append(slices.Clone(n.cfg.Seeds), n.sample(n.unreachablePeers(), count)...)
+	}
+	return out
+}
+
+// unreachablePeers returns the control addresses of the balancers that this one cannot reach
+// and that are not gone.
+func (n *Node) unreachablePeers() []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, b := range n.table.Balancers() {
+		if !b.Gone() && n.table.isUnreachable(b.Control) {
+			out = append(out, b.Control)
+		}
 	}
 	return out
 }
--- a/member/node.go
+++ b/member/node.go
@@ -94,6 +94,7 @@
 	n.resolveSuspicions()
 	if now >= n.nextExpiry {
 		n.table.expire(now, n.cfg.RemoveAfter)
+		n.table.forgetUnreachable()
 		n.nextExpiry = now + expiryInterval
 	}
 	out := n.out
@@ -107,6 +108,7 @@
 // Handle processes a request and returns the reply.
 func (n *Node) Handle(now time.Duration, m Message) Message {
 	n.advance(now)
+	n.table.noteReachable(m.From)
 	n.noteVersions(&m, m.From)
 	reply := n.serve(m)
 	n.addVersions(&reply)
@@ -137,6 +139,7 @@
 // Reply processes the reply to a call.
 func (n *Node) Reply(now time.Duration, c Call, m Message) {
 	n.advance(now)
+	n.table.noteReachable(c.To)
 	n.noteVersions(&m, c.To)
 	switch c.Request.Kind {
 	case KindDigest:
--- a/member/suspect.go
+++ b/member/suspect.go
@@ -65,8 +65,11 @@
 // markAlive ends any suspicion of a process that has given a sign of life. An agent is
 // watched from then on, and its silence is counted from now.
 func (n *Node) markAlive(name string) {
-	if r, known := n.table.Get(name); known && r.Role == RoleUpstream {
-		n.detector.awaitedSince[name] = n.now
+	if r, known := n.table.Get(name); known {
+		if r.Role == RoleUpstream {
+			n.detector.awaitedSince[name] = n.now
+		}
+		n.table.noteReachable(r.Control)
 	}
 	delete(n.detector.suspects, name)
 	if c := n.detector.checks[name]; c != nil {
@@ -196,9 +199,14 @@
 	switch {
 	case answered:
 		n.markAlive(name)
-	case !alive && s != nil && !s.unreachable:
-		s.unreachable = true
-		s.deadline = n.now + n.cfg.VerdictTimeout
+	case !alive:
+		if r, known := n.table.Get(name); known && r.Role == RoleBalancer {
+			n.table.noteUnreachable(c.To)
+		}
+		if s != nil && !s.unreachable {
+			s.unreachable = true
+			s.deadline = n.now + n.cfg.VerdictTimeout
+		}
 	}
 }
 
@@ -211,7 +219,7 @@
 // chooseProbers picks random live balancers, preferably of other failure domains.
 func (n *Node) chooseProbers(suspect string) []netip.AddrPort {
 	var otherDomains, ownDomain []netip.AddrPort
-	for _, b := range n.table.liveBalancers() {
+	for _, b := range n.table.LiveBalancers() {
 		switch {
 		case b.Name == n.self.Name || b.Name == suspect:
 		case b.FailureDomain != n.self.FailureDomain:
@@ -306,9 +314,16 @@
 	return n.self.Control
 }
 
+// unreachableMarkAfter is how long the arbiter itself must have been unable to reach a balancer
+// to mark it beyond the limit of failed balancers. It exceeds the time in which a fleet that has
+// lost power is back.
+const unreachableMarkAfter = 30 * time.Second
+
 // decideClaim marks a process as failed if at least two balancers could not reach it, it is
 // not restarting, the claim is based on the record in this balancer's table and the limit of
-// failed processes allows it. Otherwise the claim is ignored and must be repeated. It does not check that
+// failed processes allows it. A balancer that this one has been unable to reach for
+// unreachableMarkAfter is marked beyond the limit: after the loss of most balancers the others
+// would otherwise keep the records of the lost ones for good. A live one refutes the mark. Otherwise the claim is ignored and must be repeated. It does not check that
 // this balancer is the arbiter.
 func (n *Node) decideClaim(m Message) {
 	slices.Sort(m.Observers)
@@ -316,7 +331,10 @@
 		return
 	}
 	r, known := n.table.Get(m.Name)
-	if !known || r.Gone() || Compare(&r, &m.Records[0]) != 0 || n.restarting(&r) || !n.failureAllowed(&r) {
+	if !known || r.Gone() || Compare(&r, &m.Records[0]) != 0 || n.restarting(&r) {
+		return
+	}
+	if !n.failureAllowed(&r) && n.table.UnreachableFor(r.Control) < unreachableMarkAfter {
 		return
 	}
 	n.noteVerdict(&r, true, m.Observers, m.From)
--- a/member/table.go
+++ b/member/table.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"net/netip"
 	"slices"
 	"sort"
 	"strings"
@@ -20,8 +21,12 @@
 	removed   map[string]tombstone
 	groups    map[string]*group // upstreams by service
 	services  []string          // keys of groups, ordered
-	balancers *balancerIndex    // nil after a change of a balancer's record
-	view      *flow.View
+	balancers *balancerIndex    // nil after a change of a balancer's record or reachability
+	// unreachable holds the balancers, by control address, whose last check by this process failed,
+	// and since when. It is this process's own evidence and is not sent to others.
+	unreachable  map[netip.AddrPort]time.Duration
+	reachability []Reachability // not yet taken by Node.TakeReachability
+	view         *flow.View
 }
 
 type entry struct {
@@ -39,6 +44,8 @@
 		byHash:  make(map[uint64]*entry),
 		removed: make(map[string]tombstone),
 		groups:  make(map[string]*group),
+
+		unreachable: make(map[netip.AddrPort]time.Duration),
 	}
 }
 
