daemon: a balancer that is no reader reads the store when nobody confirms the routes

Cause: a balancer that is no reader of the store relied on the readers, whatever the age of its routes, although it knows when any process last confirmed them. The readers by rank may just have been lost, or may be out of touch. Besides, a fetch from the process that was first known to have a version was repeated for good if it had gone.

Change: a balancer that is no reader reads the store when the last confirmation is 2 to 2.5 s old, drawn at random, and later in a fleet of more than 8 by the time that gossip takes. So a change is in force 3 s after its acknowledgement also if the readers are lost right before it, and confirmed routes cost no call. After failed reads it doubles its pauses up to 5 s, or to what makes 200 calls a second of the fleet. Readers with a large rank number wait no longer than the others do. A fetch that failed goes to another peer next time.

--- a/balancer/routes.go
+++ b/balancer/routes.go
@@ -21,19 +21,22 @@
 		source           netip.AddrPort
 		knownConfirmedAt time.Duration
 		position         int
+		fleetSize        int
 	)
 	// These are read before the membership is locked, because routesInstalled locks the
 	// membership while the routes are locked.
 	version, confirmedAt := b.routes.Version(), b.routes.ConfirmedAt()
 	b.members.Do(func(_ time.Duration, n *member.Node) {
 		known, source = n.Routes()
-		if !source.IsValid() {
+		if !source.IsValid() || b.routes.FetchFailed() {
 			source = randomBalancer(n)
 		}
+		fleetSize = len(n.Table().LiveBalancers())
 		n.SetRoutes(version, confirmedAt)
 		knownConfirmedAt = n.RoutesChecked()
 		position = storeReaderPosition(n)
 	})
+	b.routes.SetFleetSize(fleetSize)
 	b.routes.Step(b.lifecycle.Context(), position, known, source)
 	if version := b.routes.Version(); version > 0 && version >= known {
 		b.routes.Confirm(knownConfirmedAt)
--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"reflect"
@@ -37,8 +38,26 @@
 	// 250 ms when slow.
 	routesReadTimeout = 500 * time.Millisecond
 	// nonReaderInterval is the interval at which a process that does not read the store
-	// checks whether it has become a reader.
+	// checks whether it has become a reader or its document has become stale.
 	nonReaderInterval = 500 * time.Millisecond
+	// routesStaleAge and up to routesStaleSpread more, drawn at random, is the time after the last
+	// confirmation after which the document of a process that is no reader is stale, so that the
+	// process reads the store itself. The sum leaves half a second of the 3 s within which a new
+	// document must be active. Of many processes whose readers have gone, a few read first and
+	// the others learn from them.
+	routesStaleAge    = 2 * time.Second
+	routesStaleSpread = 500 * time.Millisecond
+	// routesGossipTime is the additional time that a confirmation may take for each doubling of a
+	// fleet of more than routesGossipFleet processes: the interval between two exchanges of package
+	// member. With it, few confirmations of a running reader arrive too late.
+	routesGossipTime  = 500 * time.Millisecond
+	routesGossipFleet = 8
+	// maxStaleRetryPause is the longest pause of a process that is no reader between two
+	// failed reads of the store, in a fleet of up to maxStaleReads*maxStaleRetryPause processes.
+	maxStaleRetryPause = 5 * time.Second
+	// maxStaleReads is the number of calls a second that the processes that are no readers
+	// make together at most while the store does not respond for long.
+	maxStaleReads = 200
 )
 
 // Names of the RPC service that provides the routes document to peers.
@@ -69,11 +88,14 @@
 type Routes struct {
 	cfg             RoutesConfig
 	failed          *LogLimiter
+	stale           *LogLimiter
 	active          atomic.Pointer[route.Document]
 	created         time.Duration // when the Routes was created
 	readFailed      atomic.Bool   // the last read failed
 	documentMissing atomic.Bool   // the last successful read found no document
 	rank            atomic.Int64  // rank among the processes that read the store, or nonReaderRank
+	fleetSize       atomic.Int64  // number of live processes that may read the store
+	fetchFailed     atomic.Bool   // the last fetch from a peer failed
 
 	mu               sync.Mutex
 	text             []byte        // encoded active document, for peers
@@ -84,12 +106,16 @@
 	readAt           time.Duration // start of the last successful read, even of a document that was not activated
 	known            int64         // highest version known to exist
 	confirmed        time.Duration // time at which the document was last confirmed to be the newest
+	peerActivatedAt  time.Duration // time at which a document from a peer last became active
+	staleSpread      time.Duration // random part of the stale age, up to routesStaleSpread; drawn again by each read
+	failedReads      int           // consecutive reads of the store that failed
 }
 
 // NewRoutes returns a Routes without a document.
 func NewRoutes(cfg RoutesConfig) *Routes {
 	r := &Routes{
 		cfg: cfg, failed: NewLogLimiter(cfg.Log, cfg.Clock, event.StoreFailed), created: cfg.Clock(), lastPeerFetch: -routesRetryInterval,
+		stale: NewLogLimiter(cfg.Log, cfg.Clock, event.RoutesStale), staleSpread: routesStaleSpread,
 	}
 	return r
 }
@@ -108,6 +134,13 @@
 	}
 }
 
+// SetFleetSize sets the number of live processes that may read the store, this one included.
+func (r *Routes) SetFleetSize(n int) { r.fleetSize.Store(int64(n)) }
+
+// FetchFailed reports whether the last fetch from a peer failed, so that another peer should be
+// passed to Step.
+func (r *Routes) FetchFailed() bool { return r.fetchFailed.Load() }
+
 // noteKnown records the highest version known to exist and reports whether a fetch of it is due.
 func (r *Routes) noteKnown(known int64) (fetchDue bool) {
 	r.mu.Lock()
@@ -126,7 +159,9 @@
 // fetch requests the document from a peer and activates it.
 func (r *Routes) fetch(ctx context.Context, peer netip.AddrPort) {
 	var reply RoutesReply
-	if err := r.cfg.Transport.Call(ctx, peer, routesFetch, &RoutesArgs{Above: r.Version()}, &reply); err != nil {
+	err := r.cfg.Transport.Call(ctx, peer, routesFetch, &RoutesArgs{Above: r.Version()}, &reply)
+	r.fetchFailed.Store(err != nil)
+	if err != nil {
 		r.failed.Log("peer", peer, "error", err)
 		return
 	}
@@ -144,6 +179,7 @@
 	if r.Version() > version {
 		// A store that has returned from an older copy has confirmed only the earlier version.
 		r.confirmed = 0
+		r.peerActivatedAt = r.cfg.Clock()
 	}
 }
 
@@ -224,16 +260,19 @@
 }
 
 // Run reads and watches the document until the context ends. A process that is not a reader
-// reads the document once at the start and then only while it has none.
+// reads the document once at the start and then while it has none or its document is stale.
 func (r *Routes) Run(ctx context.Context) {
 	for first := true; ctx.Err() == nil; first = false {
 		if !first && r.rank.Load() == nonReaderRank && r.Version() > 0 {
-			pause(ctx, nonReaderInterval)
-			continue
+			if wait := r.timeUntilRead(); wait > 0 {
+				pause(ctx, min(max(wait, minCheckInterval), nonReaderInterval))
+				continue
+			}
+			r.stale.Log("version", r.Version(), "age_seconds", r.Age().Seconds())
 		}
 		if err := r.Refresh(ctx); err != nil {
 			r.failed.Log("key", r.cfg.Key, "error", err)
-		} else {
+		} else if r.rank.Load() != nonReaderRank {
 			r.watch(ctx)
 		}
 		// Without this pause, a watch that ends immediately would cause a busy loop of
@@ -244,14 +283,26 @@
 
 // retryPause returns the mean pause between the end of a read or watch and the next read.
 // Calls during an outage are billed, so once a document is active, a reader retries less
-// often the greater its rank number is.
+// often the greater its rank number is, and a process that is no reader doubles its pause up to a
+// limit that grows with the fleet.
 func (r *Routes) retryPause() time.Duration {
 	if r.Version() == 0 {
 		return routesRetryInterval
 	}
-	return routesRetryInterval * time.Duration(1+max(r.rank.Load(), 0))
+	rank := r.rank.Load()
+	if rank != nonReaderRank {
+		return routesRetryInterval * time.Duration(1+rank)
+	}
+	r.mu.Lock()
+	failed := r.failedReads
+	r.mu.Unlock()
+	limit := max(maxStaleRetryPause, time.Duration(r.fleetSize.Load())*time.Second/maxStaleReads)
+	return min(routesRetryInterval<<min(failed, maxPauseDoublings), limit)
 }
 
+// maxPauseDoublings bounds the doublings of a pause, so that it cannot overflow.
+const maxPauseDoublings = 16
+
 // watch watches the document and reads it whenever a read is due. It returns when the
 // watch or a read fails, or when it checks whether a read is due and this process is no
 // longer a reader.
@@ -297,13 +348,30 @@
 const minCheckInterval = 50 * time.Millisecond
 
 // timeUntilRead returns the time until this process reads the document again if the watch
-// reports no change. It is negative if the read is overdue. A document that could not be decoded
-// is read again no sooner than another.
+// reports no change: until its turn among the readers or, if it is no reader or its rank number is
+// large, until the document is stale. It is negative if the read is overdue. A document that could not be decoded is read again no sooner than another.
 func (r *Routes) timeUntilRead() time.Duration {
+	rank := r.rank.Load()
 	r.mu.Lock()
-	last := max(r.readAt, r.confirmed)
-	r.mu.Unlock()
-	return routesReadAge + time.Duration(r.rank.Load())*routesReadStagger - (r.cfg.Clock() - last)
+	defer r.mu.Unlock()
+	last, allowed := max(r.readAt, r.confirmed), r.staleAge(routesStaleSpread)
+	if rank == nonReaderRank {
+		// A peer that provides a document confirms it only in its next message.
+		last, allowed = max(last, r.peerActivatedAt), r.staleAge(r.staleSpread)
+	} else {
+		allowed = min(allowed, routesReadAge+time.Duration(rank)*routesReadStagger)
+	}
+	return allowed - (r.cfg.Clock() - last)
+}
+
+// staleAge returns the time after the last confirmation after which the document is stale, for
+// a spread of up to routesStaleSpread.
+func (r *Routes) staleAge(spread time.Duration) time.Duration {
+	age := routesStaleAge + spread
+	if n := r.fleetSize.Load(); n > routesGossipFleet {
+		age += time.Duration(math.Log2(float64(n)/routesGossipFleet) * float64(routesGossipTime))
+	}
+	return age
 }
 
 // Refresh reads the document from the store once.
@@ -313,6 +381,7 @@
 	// revision, as the history since the document's own revision may have been compacted.
 	kvs, revision, err := r.cfg.Store.List(ctx, r.cfg.Key)
 	r.readFailed.Store(err != nil)
+	r.noteRead(err)
 	if err != nil {
 		return err
 	}
@@ -332,6 +401,19 @@
 	return store.ErrNotFound
 }
 
+// noteRead counts consecutive failed reads and draws the random part of the stale age.
+func (r *Routes) noteRead(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cfg.Rand != nil {
+		r.staleSpread = time.Duration(r.cfg.Rand.Int64N(int64(routesStaleSpread)))
+	}
+	r.failedReads++
+	if err == nil {
+		r.failedReads = 0
+	}
+}
+
 func (r *Routes) installEvents(events []store.Event) {
 	for _, e := range events {
 		if e.KV.Key == r.cfg.Key && !e.Deleted {
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -41,6 +41,7 @@
 	RoutesRejected   = Definition{1311, Error, "routes rejected", "A document of routes was not activated, for the reason in `error`; the previous one stays active. Each such document is logged once. If its version is lower than the active one, or equal with other content, the store has returned from an older copy (1303) or an operator has given out a version again: write the newest document again under a higher version."}
 	RoutesUnreadable = Definition{1313, Warn, "routes unreadable", "`active` true: this balancer has no routes, cannot read them from the store and knows no other process that has them, so it places new flows by the addresses of the flows that upstreams hold. `active` false: this state has ended, because the balancer has routes, can read the store again or knows a process that has routes."}
 	RouteUnusable    = Definition{1312, Warn, "route unusable", "One route of a document cannot be used, for the reason in `finding`; the others are active."}
+	RoutesStale      = Definition{1314, Info, "routes stale", "No process has confirmed the routes for `age_seconds`, so this process reads the store although others are its readers (see 1204 for whether they can be reached). One such line is the normal consequence of the loss of readers; repeated lines mean that no reader is in touch with both the store and this process. At most one event is logged per minute."}
 
 	ControlFailed = Definition{1400, Warn, "control service failed", "The control listener reported an error; other processes may be unable to reach this one."}
 
@@ -78,7 +79,7 @@
 	WrongService, SendFailed,
 	StateChanged, PeerUnreachable, FailureClaimed, MarkedFailed, ReachabilityChanged,
 	ListsActive, ListsRejected, StoreFailed, StoreReturned, StoreEraRefused, StoreEraInvalid, StoreHistoryLost, ListsLost, EntryUnreadable,
-	RoutesActive, RoutesRejected, RouteUnusable, RoutesUnreadable,
+	RoutesActive, RoutesRejected, RouteUnusable, RoutesUnreadable, RoutesStale,
 	ControlFailed,
 	GrantorStarted, GrantorStopped, RecountUnfinished, LeaseExpired,
 	HTTPListening,
