flow, balancer, agent: an open flow is looked for in all services that its address has had

Cause: the newest routes say where new flows go, but also decided where an open flow was looked for. The router dropped hints whose owner is of a service that they do not name, and sent packets without a hint to the new service. Its agents ask only one another, so "no peer holds it" was a statement about the wrong set, and they reset the flow.

Change: the router keeps the services of each address: of all versions since its start, and for the minute after its start those whose upstreams announce the address. A hint into any of them is used for packets that open no flow. For flow-ttl-s after a change, a packet without a hint of its owner goes to the first choice of each service. Packets of flows that another service may hold are marked (FlagShared): no agent finds such a flow lost by asking its own service, and each service makes one probe instead of two. First packets go to the targets of the newest routes only. An agent announces the addresses of the flows in the list that it gets back, too. Weighed and left: inquiries to all services, as agents know only the members of their own.

A lost flow whose owner has gone too is not reset for a minute after such a change.

--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -267,6 +267,9 @@
 		if c.slots > 0 {
 			t.SetSlots(c.slots)
 		}
+		for _, k := range t.TakeRestored() {
+			a.learnEndpoint(&k)
+		}
 		announced.State, announced.Endpoints = c.state, a.learnedEndpoints()
 	})
 	before := a.self().State
--- a/balancer/reader.go
+++ b/balancer/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/nutmegtrack/nutmegtrack/flow"
@@ -63,7 +64,7 @@
 		sink:          b.ports.data,
 		counters:      b.counters,
 		in:            packetio.NewInbox(packet.HeaderSize, packetio.MaxPacket),
-		out:           packetio.NewOutbox(packetio.BatchSize),
+		out:           packetio.NewOutbox(2 * packetio.BatchSize),
 		routed:        make([]int, 0, packetio.BatchSize),
 		hints:         make([]hint, 0, packetio.BatchSize),
 	}
@@ -229,12 +230,34 @@
 		Origin:   r.origin,
 	}
 	if d.Expected {
-		h.Flags = packet.FlagExpected
+		h.Flags |= packet.FlagExpected
+	}
+	if d.Shared {
+		h.Flags |= packet.FlagShared
 	}
 	framed := r.in.WithHeadroom(i)
 	h.Put(framed)
 	r.out.Add(framed, d.Addr)
 	r.counts.sent++
+	for _, c := range d.Copies {
+		if c.Agent != 0 {
+			r.copy(framed, h, c)
+		}
+	}
+}
+
+// copy adds a copy of a framed packet for an agent of another service to the outbox. There are few of
+// them: packets of open flows without a hint, after the services of their address have changed.
+func (r *reader) copy(framed []byte, h packet.Header, c flow.Copy) {
+	h.Service = c.Service
+	h.Flags &^= packet.FlagExpected
+	b := slices.Clone(framed)
+	h.Put(b)
+	if !r.out.Add(b, c.Addr) {
+		r.counts.refusedBySystem++
+		return
+	}
+	r.counts.sent++
 }
 
 // reset answers a dropped packet with a reset if its address is known to have no
--- a/flow/doc.go
+++ b/flow/doc.go
@@ -64,6 +64,13 @@
 // probed or look for the flow, an agent asks its peers before it probes or lets a peer probe. Their answers
 // tell of their probes. Of two agents that look for a flow only the higher-ranked one goes on.
 //
+// Routes say where new flows go; an open flow stays where it is when its address gets another service or
+// other weights. The Router sends packets to the flow's hinted owner, also in a service that the newest
+// routes do not name. A packet whose owner it does not know goes to the first choice in each service that
+// the address had during the life of a flow. Such packets are marked (packet.FlagShared): an agent asks only
+// the agents of its own service, so it finds no flow lost that another service may hold, and each service
+// makes half of the probes.
+//
 // Between rules 2 and 3, packets of a flow that waits for a decision are dropped, so that no
 // copy of the first packet that reaches this agent opens the flow elsewhere. Late copies of a
 // numbered SYN (firstRedirectedCopy and later) may do so: the Router sends them to another upstream
--- a/flow/handover.go
+++ b/flow/handover.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -324,9 +325,17 @@
 		return nil
 	}
 	t.counters.Restored++
+	t.restoredTo[endpointKey{addr: k.Dst, port: k.DstPort, proto: k.Proto}] = *k
 	return t.takeOwnership(now, hash, k)
 }
 
+// TakeRestored returns a restored flow of each address to which flows were restored since its last call.
+func (t *Table) TakeRestored() []packet.Key {
+	out := slices.Collect(maps.Values(t.restoredTo))
+	clear(t.restoredTo)
+	return out
+}
+
 // SetPredecessor sets the incarnation of the process of this agent before this one, as balancers know
 // it; 0 when unknown. A list of another process does not name the flows that this process has passed to
 // the upstream.
--- a/flow/lost.go
+++ b/flow/lost.go
@@ -69,6 +69,13 @@
 	}
 }
 
+// mayBeElsewhere reports whether a flow that is recorded as lost may be held by an upstream of another
+// service, for a packet of which that is possible: the agents of this service only have denied it.
+func (l *lostFlows) mayBeElsewhere(now time.Duration, hash uint64, h *packet.Header) bool {
+	f, found := l.find(now, hash)
+	return found && f.cause == FoundLost && h.Flags&packet.FlagShared != 0
+}
+
 // has reports whether the flow is certainly lost.
 func (l *lostFlows) has(now time.Duration, hash uint64) bool {
 	f, found := l.find(now, hash)
@@ -156,6 +163,7 @@
 	f.suspectAgain(now, in.Key)
 	f.asked = f.asked || !t.tableComplete(now)
 	f.ack, f.mayRepeat = in.Ack, h.Class.Repeatable()
+	f.noteShared(h)
 	t.addSuspect(hash, &f)
 	t.unknownFlows[hash] = f
 }
@@ -173,6 +181,8 @@
 	Passed uint8 // number of agents that have forwarded it
 	// MayRepeat says that the flow's requests may run more than once.
 	MayRepeat bool
+	// Shared says that an upstream of another service may hold the flow.
+	Shared bool
 }
 
 // maxSuspectForwards limits how often a suspect is forwarded between agents with different
@@ -189,7 +199,7 @@
 	}
 	m := t.messageTo(p)
 	m.Suspects = append(m.Suspects, Suspect{
-		Flow: LostFlow{Key: f.key, Ack: f.ack}, Passed: f.forwards + 1, MayRepeat: f.mayRepeat,
+		Flow: LostFlow{Key: f.key, Ack: f.ack}, Passed: f.forwards + 1, MayRepeat: f.mayRepeat, Shared: f.shared,
 	})
 	t.stepDue = true
 }
@@ -206,6 +216,7 @@
 	}
 	f.suspectAgain(now, s.Flow.Key)
 	f.ack, f.forwards, f.mayRepeat = s.Flow.Ack, s.Passed, s.MayRepeat
+	f.shared = f.shared || s.Shared
 	t.addSuspect(hash, &f)
 	t.unknownFlows[hash] = f
 }
@@ -223,7 +234,8 @@
 }
 
 // collectLost removes and returns the flows that were found to be lost. Receive answers later
-// packets of these flows with a reset.
+// packets of these flows with a reset. A flow that an upstream of another service may hold is not found to
+// be lost: the inquiry has asked the agents of this service only.
 func (t *Table) collectLost(now time.Duration) (out []LostFlow) {
 	canDeclare := t.canDeclareLost(now)
 	findings := t.inquiryFindings(now)
@@ -241,7 +253,7 @@
 			t.forwardSuspect(to, &f)
 			f.suspected = false
 			t.unknownFlows[hash] = f
-		case !canDeclare || !findings[hash].lost || t.status(now, hash) != packet.NotHeld:
+		case f.shared || !canDeclare || !findings[hash].lost || t.status(now, hash) != packet.NotHeld:
 			kept = append(kept, hash)
 		default:
 			delete(t.unknownFlows, hash)
@@ -297,7 +309,7 @@
 		return nil
 	}
 	f := t.unknownFlows[hash]
-	if max(h.Tried, f.tried()) >= maxTried || now < f.yieldUntil || !t.askedAll(now, hash) {
+	if max(h.Tried, f.tried()) >= f.maxProbes() || now < f.yieldUntil || !t.askedAll(now, hash) {
 		return nil
 	}
 	q, i := t.inquiryAbout(hash)
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -55,6 +55,22 @@
 	inquiry   uint32 // number of the inquiry about the flow; 0: none
 	// mayRepeat says that the flow's requests may run more than once.
 	mayRepeat bool
+	// shared says that an upstream of another service may hold the flow (packet.FlagShared).
+	shared bool
+}
+
+// noteShared records that a packet is of a flow that another service may hold.
+func (f *unknownFlow) noteShared(h *packet.Header) {
+	f.shared = f.shared || h.Flags&packet.FlagShared != 0
+}
+
+// maxProbes returns the number of probes at which no other is made. The agents of another service that
+// may hold the flow make theirs without knowledge of those made here.
+func (f *unknownFlow) maxProbes() uint8 {
+	if f.shared {
+		return maxTried / 2
+	}
+	return maxTried
 }
 
 // tried returns the number of probes with packets of the flow that this agent knows of.
@@ -94,6 +110,7 @@
 		f.at, f.key, f.ack = now, in.Key, in.Ack
 	}
 	f.seen = now
+	f.noteShared(h)
 	f.elsewhere = max(f.elsewhere, min(h.Tried, maxTried))
 	t.unknownFlows[hash] = f
 }
@@ -158,6 +175,7 @@
 		return Action{}, false
 	}
 	f, known := t.unknownFlows[hash]
+	f.noteShared(h)
 	pending := f.probed && !f.returned
 	switch {
 	case f.returned || !pending && !t.mayProbe(now, hash, h) || !known && len(t.unknownFlows) >= maxUnknownFlows:
@@ -165,7 +183,7 @@
 	case pending && now-f.at < probeTimeout:
 		return t.drop(ReasonWaiting), true
 	}
-	if max(h.Tried, f.tried()) >= maxTried {
+	if max(h.Tried, f.tried()) >= f.maxProbes() {
 		return t.drop(ReasonWaiting), pending
 	}
 	f.at, f.probed, f.key, f.ack = now, true, in.Key, in.Ack
@@ -238,6 +256,7 @@
 	}
 	if known || len(t.unknownFlows) < maxUnknownFlows {
 		f.at, f.returned, f.key, f.ack = now, true, in.Key, in.Ack
+		f.noteShared(h)
 		t.unknownFlows[hash] = f
 	}
 	if t.lost.isUnconfirmed(now, hash) {
--- a/flow/receive.go
+++ b/flow/receive.go
@@ -36,7 +36,7 @@
 	if in.First {
 		return t.receiveFirst(now, hash, h, in)
 	}
-	if t.lost.has(now, hash) {
+	if t.lost.has(now, hash) && !t.lost.mayBeElsewhere(now, hash, h) {
 		return t.resetLost(in)
 	}
 	t.noteArrival(now, hash, h, in)
--- a/flow/router.go
+++ b/flow/router.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -37,6 +38,12 @@
 	Agent    packet.AgentID
 	Addr     netip.AddrPort
 	Class    packet.Class // request class of the address
+	// Shared says that upstreams of other services may hold the flow: it is open, and the services of its
+	// address have changed during its life.
+	Shared bool
+	// Copies are the agents of other services to which the packet is to be sent too. Unused entries
+	// are zero.
+	Copies [maxCopies]Copy
 }
 
 // Router is the balancer side of flow placement. It is not safe for concurrent use.
@@ -46,6 +53,7 @@
 	traffic   map[packet.ServiceID]*traffic
 	services  []routedService
 	endpoints map[endpointKey]destination
+	history   map[endpointKey]*addressHistory // of the addresses of routes
 }
 
 // destination says where the flows to one address go: to one service, or to several by
@@ -56,6 +64,10 @@
 	split   []share // nil for a single service
 	total   uint64
 	class   packet.Class
+	// others are services that may hold open flows though no new ones go there. Until sharedUntil, an
+	// open flow without a hint may be held by any of the services.
+	others      []possibleService
+	sharedUntil time.Duration
 }
 
 type share struct {
@@ -92,30 +104,50 @@
 	if cfg.Hints == 0 {
 		cfg.Hints = defaultHints
 	}
-	return &Router{cfg: cfg, hints: newHintTable(cfg.Hints), traffic: make(map[packet.ServiceID]*traffic)}
+	return &Router{cfg: cfg, hints: newHintTable(cfg.Hints), traffic: make(map[packet.ServiceID]*traffic), history: make(map[endpointKey]*addressHistory)}
 }
 
 // SetView replaces the router's view of the fleet.
-func (r *Router) SetView(_ time.Duration, v *View) {
+func (r *Router) SetView(now time.Duration, v *View) {
 	r.services = make([]routedService, len(v.Services))
 	r.endpoints = make(map[endpointKey]destination)
 	position := make(map[packet.ServiceID]int, len(v.Services))
+	announced := make(map[endpointKey][]int) // services by the addresses that their upstreams announce
 	for i := range v.Services {
 		s := &v.Services[i]
 		r.services[i] = r.prepareService(s)
 		position[s.ID] = i
-		if v.Routes != nil {
-			continue
-		}
 		for _, e := range s.Endpoints {
-			r.endpoints[keyOfEndpoint(e)] = destination{service: i}
+			announced[keyOfEndpoint(e)] = append(announced[keyOfEndpoint(e)], i)
 		}
 	}
+	if v.Routes == nil {
+		r.setAnnounced(announced)
+		return
+	}
+	r.noteRoutes(now, v.Routes)
 	for i := range v.Routes {
-		r.endpoints[keyOfEndpoint(v.Routes[i].Endpoint)] = newDestination(&v.Routes[i], position)
+		key := keyOfEndpoint(v.Routes[i].Endpoint)
+		d := newDestination(&v.Routes[i], position)
+		r.addOthers(&d, r.history[key], announced[key], position)
+		r.endpoints[key] = d
 	}
 }
 
+// setAnnounced sets the destinations of the addresses that upstreams announce. The upstreams of several
+// services may hold flows of one address if the routes, which could not be read yet, have changed.
+func (r *Router) setAnnounced(announced map[endpointKey][]int) {
+	for key, services := range announced {
+		d := destination{service: services[len(services)-1]}
+		for _, i := range services {
+			d.addOther(r.services, i, forever)
+		}
+		r.endpoints[key] = d
+	}
+}
+
+const forever = time.Duration(math.MaxInt64)
+
 func keyOfEndpoint(e Endpoint) endpointKey {
 	return endpointKey{addr: e.Addr.Addr().As16(), port: e.Addr.Port(), proto: e.Proto}
 }
@@ -187,13 +219,29 @@
 		return Decision{Reason: ReasonNoService}
 	}
 	hash := in.Key.Hash()
+	shared := !in.First && now < d.sharedUntil
 	if s, u, h := r.hinted(now, &d, hash, in); u != nil {
 		s.traffic.count(hash, in)
-		return Decision{
-			OK: true, Hinted: true, Expected: h.learned || h.placed,
+		out := Decision{
+			OK: true, Hinted: true, Expected: h.learned || h.placed, Shared: shared || !d.isTarget(r, s),
 			Service: s.id, Agent: u.ID, Addr: u.Addr, Class: d.class,
 		}
+		// An assumed hint shows only which service the routes named when the flow was opened or last routed.
+		if shared && !h.learned {
+			r.addCopies(now, &out, &d, hash, in)
+		}
+		return out
 	}
+	out := r.place(now, &d, hash, in, shared)
+	if shared {
+		r.addCopies(now, &out, &d, hash, in)
+	}
+	return out
+}
+
+// place decides on a packet without a usable hint by the newest routes. For a flow that another service
+// may hold it records no hint: only a hint of the owner tells in which one it is.
+func (r *Router) place(now time.Duration, d *destination, hash uint64, in *packet.Info, shared bool) Decision {
 	i := d.choose(hash)
 	if i == noService {
 		return Decision{Reason: ReasonNoUpstream}
@@ -204,10 +252,10 @@
 	if u == nil {
 		return Decision{Reason: ReasonNoUpstream, Service: s.id}
 	}
-	if !r.cfg.LearnedOnly {
+	if !r.cfg.LearnedOnly && !shared {
 		r.record(now, hash, u, hint{opening: opensTCP(in), placed: in.First})
 	}
-	return Decision{OK: true, Service: s.id, Agent: u.ID, Addr: u.Addr, Class: d.class}
+	return Decision{OK: true, Service: s.id, Agent: u.ID, Addr: u.Addr, Class: d.class, Shared: shared}
 }
 
 func (r *Router) destination(k *packet.Key) (destination, bool) {
@@ -227,14 +275,17 @@
 }
 
 // hinted returns the flow's hint and its upstream, if that can still hold the flow. The lookup is
-// limited to the services of the packet's address, so that an old hint is never used after an
-// address has moved to another service.
+// limited to the services of the packet's address: for a first packet those to which new flows go, and
+// for other packets also those that its routes named before.
 func (r *Router) hinted(now time.Duration, d *destination, hash uint64, in *packet.Info) (*routedService, *Upstream, *hint) {
 	h := r.hints.find(hash)
 	if h == nil || in.Repeat >= firstRedirectedCopy && !h.waiting {
 		return nil, nil, nil
 	}
 	s, i := r.find(d, h.owner)
+	if s == nil && !in.First {
+		s, i = r.findOther(d, h.owner)
+	}
 	if s == nil {
 		return nil, nil, nil
 	}
@@ -252,6 +303,16 @@
 	return s, u, h
 }
 
+// findOther is find for the services to which no new flows go.
+func (r *Router) findOther(d *destination, owner packet.AgentID) (*routedService, int) {
+	for _, o := range d.others {
+		if found, i := r.findIn(o.service, owner); found != nil {
+			return found, i
+		}
+	}
+	return nil, 0
+}
+
 // find returns the service of the destination that contains the upstream, and the upstream's
 // position in it, or nil.
 func (r *Router) find(d *destination, owner packet.AgentID) (*routedService, int) {
@@ -324,7 +385,11 @@
 	if !found {
 		return
 	}
-	if s, i := r.find(&d, owner); s != nil {
+	s, i := r.find(&d, owner)
+	if s == nil {
+		s, i = r.findOther(&d, owner)
+	}
+	if s != nil {
 		r.record(now, k.Hash(), &s.upstreams[i], h)
 	}
 }
--- a/flow/table.go
+++ b/flow/table.go
@@ -47,10 +47,11 @@
 	handingOver     bool            // this agent stops, see BeginHandover
 	overfull        bool            // the upstream has held flows for which the table had no room
 	restored        restoredList
-	check           uint8         // number of the last check of the upstream, see BeginUpstreamCheck
-	listExpected    bool          // see ExpectList
-	predecessor     uint64        // see SetPredecessor
-	refusedFlows    []RefusedFlow // not yet returned by RefusedFlows
+	restoredTo      map[endpointKey]packet.Key // see TakeRestored
+	check           uint8                      // number of the last check of the upstream, see BeginUpstreamCheck
+	listExpected    bool                       // see ExpectList
+	predecessor     uint64                     // see SetPredecessor
+	refusedFlows    []RefusedFlow              // not yet returned by RefusedFlows
 
 	noEarlierFlows     bool          // the upstream started no earlier than this agent or does not run, so it holds no flows from before
 	upstreamStopped    bool          // see SetUpstreamStopped
@@ -107,6 +108,7 @@
 		unknownFlows:      make(map[uint64]unknownFlow),
 		lost:              newLostFlows(cfg.MaxFlows),
 		startedPeers:      make(map[packet.AgentID]bool),
+		restoredTo:        make(map[endpointKey]packet.Key),
 		loadSent:          never,
 		stateSince:        never,
 		acceptanceChanged: never,
--- a/packet/header.go
+++ b/packet/header.go
@@ -36,6 +36,9 @@
 	// FlagAskFirst marks a packet of a flow that other agents, which its sender does not know, may have
 	// probed or look for: no agent probes it as the first choice before it has asked its peers.
 	FlagAskFirst
+	// FlagShared marks a packet of an open flow that an upstream of another service may hold. Agents ask
+	// only their own service, so none of them can find such a flow lost.
+	FlagShared
 )
 
 const (
