flow, member, balancer, agent: a table is complete only after the longest time for which flows may be idle

Cause: an agent that has lost its table learns its upstream's flows from their packets, and took 20 s for the time after which each flow has shown itself. The limit of the operators' document was decoded and read nowhere.

Change: balancers tell agents, with the replies to heartbeats, for how long flows may be idle: by the active routes or, for a minute after it was lowered, by the earlier limit, which they also tell each other. The rebuilding phase lasts for that time and a second, at least 20 s as before, at most flow-ttl-s, and for flow-ttl-s while the limit is unknown. It is counted anew after a pause of the agent, whose socket may have dropped packets.

If all processes are killed within a minute after the limit was lowered, nobody knows the earlier one.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -191,6 +191,7 @@
 	}
 	if a.options.Packets != nil {
 		c.Rebuild = a.cfg.RebuildSeconds.Duration()
+		c.AwaitIdleLimit = true
 		c.DigestDelay, c.DigestRate, c.ResyncDelay = rebuildDigestDelay, rebuildDigestRate, rebuildResyncDelay
 		c.OnRequestDone = func(d time.Duration) { a.requestTime.Update(int64(d)) }
 		c.Gate = load.NewGate(load.Config{})
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -206,18 +206,19 @@
 	return complete && !ranBefore && (predecessor == 0 || c.surelyStartedWithAgent)
 }
 
-// refreshNoEarlierFlows applies noEarlierFlows and the predecessor to the flow table again: the first
-// answer of a balancer may have changed them.
+// refreshNoEarlierFlows applies noEarlierFlows, the predecessor and the idle limit to the flow table again:
+// the first answer of a balancer may have changed them.
 func (a *Agent) refreshNoEarlierFlows() {
 	a.stateMu.Lock()
 	defer a.stateMu.Unlock()
-	predecessor, stopped := uint64(0), false
+	predecessor, stopped, idleLimit := uint64(0), false, time.Duration(0)
 	a.members.Do(func(_ time.Duration, n *member.Announcer) {
-		predecessor, stopped = n.Predecessor(), n.PredecessorStopped()
+		predecessor, stopped, idleLimit = n.Predecessor(), n.PredecessorStopped(), n.IdleLimit()
 	})
 	a.flows.do(func(_ time.Duration, t *flow.Table) {
 		t.SetPredecessor(predecessor)
 		t.ExpectList(stopped)
+		t.SetIdleLimit(idleLimit)
 	})
 	c := a.monitor.status()
 	applied := false
--- a/balancer/routes.go
+++ b/balancer/routes.go
@@ -26,6 +26,7 @@
 	// These are read before the membership is locked, because routesInstalled locks the
 	// membership while the routes are locked.
 	version, confirmedAt := b.routes.Version(), b.routes.ConfirmedAt()
+	active := b.routes.Active()
 	b.members.Do(func(_ time.Duration, n *member.Node) {
 		known, source = n.Routes()
 		if !source.IsValid() || b.routes.FetchFailed() {
@@ -33,6 +34,9 @@
 		}
 		fleetSize = len(n.Table().LiveBalancers())
 		n.SetRoutes(version, confirmedAt)
+		if active != nil {
+			n.SetIdleLimit(active.IdleTimeout)
+		}
 		knownConfirmedAt = n.RoutesChecked()
 		position = storeReaderPosition(n)
 	})
--- a/balancer/routes_test.go
+++ b/balancer/routes_test.go
@@ -39,13 +39,16 @@
 // document's version. The document is incomplete from incompleteVersion on.
 func portalRoute(text []byte) (*route.Document, finding.List, error) {
 	version, err := strconv.ParseInt(string(text), 10, 64)
-	return &route.Document{Version: version, Incomplete: version >= incompleteVersion, Routes: []route.Route{{
+	return &route.Document{Version: version, IdleTimeout: idleTimeout, Incomplete: version >= incompleteVersion, Routes: []route.Route{{
 		Name: "r1", Endpoint: flow.Endpoint{Addr: service, Proto: packet.ProtoTCP},
 		Targets: []route.Target{{Service: "impact-portal", Weight: 1}},
 	}}}, nil, err
 }
 
-const incompleteVersion = 100
+const (
+	incompleteVersion = 100
+	idleTimeout       = 40 * time.Second
+)
 
 var _ = Describe("A balancer with operators' routes", func() {
 	const key = "routes"
@@ -291,6 +294,24 @@
 		Expect(t.useLearnedAddresses.Load()).To(BeFalse(), "routes are active")
 	})
 
+	// Guards against agents that count their tables as complete sooner than the operators' document lets
+	// flows be idle (review/5).
+	It("tells agents for how long flows may be idle", func() {
+		a := member.NewAnnouncer(member.Config{Seeds: []netip.AddrPort{dataAddr}}, upstreamRecord("u1", "127.0.0.1:7101"), rand.New(rand.NewPCG(1, 1)))
+		heartbeat := func() time.Duration {
+			t.stepRoutes()
+			t.now += time.Second
+			for _, c := range a.Step(t.now) {
+				t.members.Do(func(now time.Duration, n *member.Node) { a.Reply(now, c, n.Handle(now, c.Request)) })
+			}
+			return a.IdleLimit()
+		}
+		Expect(heartbeat()).To(BeZero())
+		put("1")
+		Expect(t.routes.Refresh(ctx)).To(Succeed())
+		Expect(heartbeat()).To(Equal(idleTimeout))
+	})
+
 	// Guards against the installation of an older version of the routes.
 	It("keeps the highest version", func() {
 		put("5")
--- a/flow/config.go
+++ b/flow/config.go
@@ -35,13 +35,16 @@
 	Gate *load.Gate
 	// OnRequestDone is called with the upstream's processing time of each request; may be nil.
 	OnRequestDone func(time.Duration)
-	// Rebuild is the length of the rebuilding phase after the start. In this phase packets of
+	// Rebuild is the minimum length of the rebuilding phase after the start. In this phase packets of
 	// unknown flows are delivered to the upstream, which returns those of flows that it does
 	// not hold. Flows that appear in the upstream's own packets are adopted at any time. A
 	// positive value also says that flows survive a restart of the agent. The digest that was
-	// received from a peer before its restart is kept for this time. Default 0: the upstream
+	// received from a peer before its restart is kept for the length of the phase. Default 0: the upstream
 	// returns no packets, and the table starts empty.
 	Rebuild time.Duration
+	// AwaitIdleLimit says that SetIdleLimit will be called. Until then the rebuilding phase lasts for
+	// MaxFlowAge, and afterwards for as long as an open flow may be idle. By default it lasts for Rebuild.
+	AwaitIdleLimit bool
 }
 
 func orDefault[T int | float64 | time.Duration](v *T, d T) {
--- a/flow/doc.go
+++ b/flow/doc.go
@@ -25,7 +25,7 @@
 // time is the time after a change until all processes have the same view, with a margin.
 //
 // The rebuilding phase is the time after the start of an agent in which its upstream may hold
-// flows that the agent does not know. A probe is the delivery of a packet of an unknown flow to
+// flows that the agent does not know: as long as a flow may be idle. A probe is the delivery of a packet of an unknown flow to
 // the upstream, to learn whether the upstream holds the flow: if not, it returns the packet. If so,
 // its own packets show it. Header.Tried and Counters.Tried count probes. A returned packet is one that
 // the upstream has sent back, except in packet.FlagReturned, which marks a declined offer. A flow is
--- a/flow/handover.go
+++ b/flow/handover.go
@@ -25,7 +25,7 @@
 	handoverAttempts = 2
 	// keptListRetention is how long a keeper keeps a list. The platform kills an agent 6 s after the stop
 	// request, and a client's flow lives for at most a minute without being discarded.
-	keptListRetention = time.Minute
+	keptListRetention = MaxFlowAge
 	// listWait is how long after its start an agent waits for the list of its predecessor before it probes
 	// its upstream as a first choice. Keepers that are restarted meanwhile are back within two seconds.
 	listWait = 2 * time.Second
@@ -346,7 +346,7 @@
 
 // awaitsList reports whether the list of this agent's predecessor may still arrive.
 func (t *Table) awaitsList(now time.Duration) bool {
-	return t.listExpected && t.restored.incarnation != t.predecessor && now < t.rebuildUntil-t.cfg.Rebuild+listWait
+	return t.listExpected && t.restored.incarnation != t.predecessor && now < t.rebuildStarted+listWait
 }
 
 // knowsAllFlows reports whether this agent has seen all flows of its upstream, or the list of its
--- a/flow/lost.go
+++ b/flow/lost.go
@@ -36,7 +36,7 @@
 	lostFlowRetention = 20 * time.Second
 	// unconfirmedLossRetention replaces lostFlowRetention for a flow that the upstream may hold. A
 	// client's flow lives for at most a minute without being discarded.
-	unconfirmedLossRetention = time.Minute
+	unconfirmedLossRetention = MaxFlowAge
 )
 
 // lostFlows records, by hash, flows that no upstream holds: they ended with this agent's
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -156,9 +156,41 @@
 // unknown flows are forwarded without a probe.
 const maxUnknownFlows = 1 << 14
 
-// rebuilt reports whether the rebuilding phase is over. From then on the table counts as
-// complete. A flow that was idle during the whole phase is not in it.
-func (t *Table) rebuilt(now time.Duration) bool { return now >= t.rebuildUntil }
+// rebuildMargin is how much longer than a flow may be idle the rebuilding phase lasts. It covers the
+// granularity of the limit and the way of a packet from the upstream to its agent.
+const rebuildMargin = time.Second
+
+// maxStepGap is the time without a step after which packets of the upstream may have been lost in the
+// full queue of the agent's socket. Agents take a step every 100 ms.
+const maxStepGap = 2 * time.Second
+
+// rebuildTime returns the time after which a flow of which no packet has been seen is not open any more:
+// a flow that has been idle for longer than the limit, or is older than MaxFlowAge, may be discarded.
+func (t *Table) rebuildTime() time.Duration {
+	switch {
+	case t.cfg.Rebuild == 0 || !t.cfg.AwaitIdleLimit:
+		return t.cfg.Rebuild
+	case t.idleLimit == 0:
+		return max(t.cfg.Rebuild, MaxFlowAge)
+	}
+	return max(t.cfg.Rebuild, min(t.idleLimit+rebuildMargin, MaxFlowAge))
+}
+
+// SetIdleLimit sets the longest time for which a flow that may be open was allowed to be idle; 0 if unknown.
+func (t *Table) SetIdleLimit(limit time.Duration) { t.idleLimit = limit }
+
+// rebuilt reports whether the rebuilding phase is over: every flow that the upstream may still hold has
+// shown itself by a packet of the upstream. From then on the table counts as complete.
+func (t *Table) rebuilt(now time.Duration) bool {
+	return t.sawAllSince == never || now-t.sawAllSince >= t.rebuildTime()
+}
+
+// noteStepGap extends the rebuilding phase if this process was paused in it.
+func (t *Table) noteStepGap(now time.Duration) {
+	if t.lastStep != 0 && now-t.lastStep > maxStepGap && !t.rebuilt(now) {
+		t.sawAllSince = now
+	}
+}
 
 // tableComplete reports whether the table, and with it this agent's digests, counts as listing all
 // flows of the upstream. If the upstream started together with its agent, the agent has seen all
@@ -355,7 +387,7 @@
 // started meanwhile may hold them.
 func (t *Table) SetUpstreamStopped(now time.Duration, check uint8) {
 	t.noEarlierFlows, t.upstreamStopped = true, true
-	t.rebuildUntil = now
+	t.sawAllSince = never
 	t.endFlows(now, UpstreamStopped, func(e *entry) bool { return e.check != check })
 	t.lost.confirmStopped(now)
 }
@@ -384,7 +416,12 @@
 		return
 	}
 	for hash, f := range t.unknownFlows {
-		if now-max(f.at, f.seen) >= t.cfg.RecordRetention {
+		retention := t.cfg.RecordRetention
+		if f.asked {
+			// The end of the rebuilding phase says nothing about this flow.
+			retention = max(retention, t.rebuildTime())
+		}
+		if now-max(f.at, f.seen) >= retention {
 			delete(t.unknownFlows, hash)
 		}
 	}
--- a/flow/starting.go
+++ b/flow/starting.go
@@ -54,10 +54,16 @@
 }
 
 // startedWithFleet reports whether the fleet has started together with this agent, as after a power
-// failure: the upstream holds no earlier flows, this agent is in its rebuilding phase, and it has seen
+// failure: the upstream holds no earlier flows, this agent has started recently, and it has seen
 // at least three quarters of its peers start. A single new VM sees its peers ready.
 func (t *Table) startedWithFleet(now time.Duration) bool {
-	return t.noEarlierFlows && !t.rebuilt(now) && 4*len(t.startedPeers) >= 3*len(t.peers.list)
+	return t.noEarlierFlows && t.startedRecently(now) && 4*len(t.startedPeers) >= 3*len(t.peers.list)
+}
+
+// startedRecently reports whether the rebuilding phase has begun less than TableConfig.Rebuild ago. Its
+// length does not matter to a fleet whose upstreams hold no earlier flows.
+func (t *Table) startedRecently(now time.Duration) bool {
+	return t.sawAllSince != never && now-t.rebuildStarted < t.cfg.Rebuild
 }
 
 // runsWhileStarting reports whether the upstream itself has reported its start while its
--- a/flow/step.go
+++ b/flow/step.go
@@ -22,6 +22,8 @@
 	t.lost.expire(now)
 	t.updateMeans(now)
 	t.queueRemovals(now)
+
+	t.noteStepGap(now)
 	t.refillBudget(now)
 	t.addLoads(now)
 	t.addDigests(now)
@@ -148,7 +150,7 @@
 	if t.inboxes[from] == nil && len(t.inboxes) >= maxUnlistedInboxes+len(t.peers.list) {
 		return
 	}
-	t.inbox(from).apply(now, m, t.digestRoom(), t.cfg.Rebuild)
+	t.inbox(from).apply(now, m, t.digestRoom(), t.rebuildTime())
 }
 
 // HandleUndelivered is called when a message may not have reached its receiver. The next Steps
--- a/flow/table.go
+++ b/flow/table.go
@@ -56,7 +56,9 @@
 	noEarlierFlows     bool          // the upstream started no earlier than this agent or does not run, so it holds no flows from before
 	upstreamStopped    bool          // see SetUpstreamStopped
 	acceptsEarly       bool          // flows are accepted although the state is Starting
-	rebuildUntil       time.Duration // end of the rebuilding phase, in which flows of the upstream may be unknown
+	rebuildStarted     time.Duration // start of the rebuilding phase; never before the first
+	sawAllSince        time.Duration // since then no packet of the upstream is known to have been missed; never: the phase is over
+	idleLimit          time.Duration // see SetIdleLimit
 	peersIncomplete    bool          // see SetPeersIncomplete
 	peersKnown         bool          // a balancer has sent the list of peers
 	peerStatesChanged  time.Duration // time of the last change of a peer's state or incarnation, or of the list
@@ -111,6 +113,8 @@
 		restoredTo:        make(map[endpointKey]packet.Key),
 		loadSent:          never,
 		stateSince:        never,
+		rebuildStarted:    never,
+		sawAllSince:       never,
 		acceptanceChanged: never,
 	}
 }
@@ -127,7 +131,7 @@
 }
 
 // StartRebuild starts the rebuilding phase. Call it when packets may arrive.
-func (t *Table) StartRebuild(now time.Duration) { t.rebuildUntil = now + t.cfg.Rebuild }
+func (t *Table) StartRebuild(now time.Duration) { t.rebuildStarted, t.sawAllSince = now, now }
 
 // Peers returns the number of peers and the time of the last change of the list of peers or
 // of a peer's state.
--- a/member/announcer.go
+++ b/member/announcer.go
@@ -40,6 +40,7 @@
 	revision         int64
 	grantor          Grantor
 	earlierStarts    map[uint64]bool // Record.Start in records of earlier agent processes of this name
+	idleLimit        time.Duration   // see IdleLimit
 	listComplete     bool            // a balancer that knew all live processes has answered
 	predecessor      Record          // newest record of an earlier agent process of this name; zero if none is known
 }
@@ -219,6 +220,9 @@
 		}
 	}
 	a.listComplete = a.listComplete || !m.Incomplete
+	if m.IdleLimit > 0 {
+		a.idleLimit = time.Duration(m.IdleLimit) * time.Second
+	}
 	if len(m.Homes) > 0 {
 		a.homeCandidates = m.Homes
 		a.forgetFormerHomes()
--- a/member/heartbeat.go
+++ b/member/heartbeat.go
@@ -22,7 +22,9 @@
 		return Message{Resend: true, Records: n.removedRecords(m.Records), Incomplete: true}
 	}
 	n.markAlive(e.record.Name)
-	reply := Message{Grantor: n.newerGrantor(e.record.Service, m.Term), Incomplete: !n.complete()}
+	reply := Message{
+		Grantor: n.newerGrantor(e.record.Service, m.Term), Incomplete: !n.complete(), IdleLimit: secondsUp(n.idle.longest(n.now)),
+	}
 	if uint32(e.sum) != m.Sum {
 		reply.Resend = true
 		reply.Records = append(reply.Records, e.record)
--- a/member/message.go
+++ b/member/message.go
@@ -64,6 +64,14 @@
 	// Node.complete. It is set in replies to heartbeats and in exchanges.
 	Incomplete bool `cbor:"22,keyasint,omitempty"`
 
+	// IdleLimit, in the reply to a heartbeat, is the longest time in seconds for which an open flow may
+	// have been idle; 0 if the sender does not know it.
+	IdleLimit uint32 `cbor:"23,keyasint,omitempty"`
+	// FormerIdle is a longer limit that was in force until lately, in seconds, and FormerIdleLeft the
+	// number of seconds for which it still matters. Balancers send them to each other.
+	FormerIdle     uint32 `cbor:"24,keyasint,omitempty"`
+	FormerIdleLeft uint32 `cbor:"25,keyasint,omitempty"`
+
 	// Anti-entropy.
 	Digests []Digest `cbor:"11,keyasint,omitempty"`
 	Want    []uint32 `cbor:"12,keyasint,omitempty"` // parts whose newer records the sender requests
--- a/member/node.go
+++ b/member/node.go
@@ -25,6 +25,7 @@
 	lists         latestVersion // revision of the active lists
 	routes        latestVersion // version of the routes
 	routesChecked time.Duration // when the store last confirmed that the version of the routes is the newest
+	idle          idleLimits
 	detector      failureDetector
 	nextExchange  time.Duration // time of the next anti-entropy exchange
 	behind        bool          // the last exchange reply had maxRecords records, so more may be missing; only shortens the exchange interval
@@ -221,18 +222,21 @@
 // process that has it. The address may be zero.
 func (n *Node) Routes() (int64, netip.AddrPort) { return n.routes.version, n.routes.source }
 
-// addVersions adds the highest known versions of the lists and the routes to a message.
+// addVersions adds the highest known versions of the lists and the routes to a message, and a former
+// idle limit.
 func (n *Node) addVersions(m *Message) {
 	m.Revision, m.Routes = n.lists.version, n.routes.version
 	if m.Routes > 0 {
 		m.RoutesAge = uint32(min((n.now - n.routesChecked).Milliseconds(), maxRoutesAge))
 	}
+	n.addIdleLimits(m)
 }
 
 // maxRoutesAge is the upper limit of Message.RoutesAge, in milliseconds.
 const maxRoutesAge = 60_000
 
 func (n *Node) noteVersions(m *Message, source netip.AddrPort) {
+	n.noteIdleLimits(m)
 	n.lists.note(m.Revision, source, n.cfg.PushRounds)
 	n.noteRoutes(m.Routes, n.now-time.Duration(m.RoutesAge)*time.Millisecond, source)
 }
--- a/settings/agent.go
+++ b/settings/agent.go
@@ -52,9 +52,10 @@
 	HealthAddress netip.AddrPort `json:"health_address"`
 	// HeartbeatSeconds is the interval between announcements of the upstream.
 	HeartbeatSeconds Seconds `json:"heartbeat_seconds" default:"1" min:"0.01" max:"600"`
-	// RebuildSeconds is how long after its start the agent offers packets of unknown
-	// flows to the upstream, to rebuild the agent's own flow table (environment
-	// "platform"). Flows that are idle for longer are lost when the agent restarts.
+	// RebuildSeconds is the minimum time after its start for which the agent offers packets of
+	// unknown flows to the upstream, to rebuild the agent's own flow table (environment
+	// "platform"). It goes on for as long as the operators' routes allow flows to be idle, at most
+	// for the lifetime of a flow.
 	RebuildSeconds Seconds `json:"rebuild_seconds" default:"20" min:"0" max:"3600"`
 	// HTTPListen is the address on which the agent accepts HTTP/1.1 connections of
 	// callers. When absent, the service's flows are forwarded as a whole and not by
