settings, agent: an agent accepts an empty list of seeds

Cause: an empty list of seeds counted as a mistake in the settings. The platform lists the balancers that run.

Change: the list may be empty, but not missing. The agent logs event 1010 and waits for a change of its settings.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -126,6 +126,7 @@
 	a.launch()
 	self := a.self()
 	a.log.Log(event.Started, "data", self.Data, "control", self.Control, "service", self.Service)
+	a.warnWithoutSeeds(a.cfg.Seeds)
 	return nil
 }
 
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -14,6 +14,7 @@
 
 	Reloaded     = Definition{1007, Info, "settings reloaded", "The settings file was read again. `changed` lists the fields whose values changed, `next_start` those of them that take effect only at the next start."}
 	ReloadFailed = Definition{1008, Error, "settings reload failed", "The settings file was read again and has mistakes, with one event 1003 per mistake; the previous settings stay in effect."}
+	NoSeeds      = Definition{1010, Warn, "no seeds", "The settings of this agent name no balancer, as while all are away. Its upstream keeps its flows, and no balancer learns of it until `seeds` change. If balancers run, correct the settings."}
 	LinesDropped = Definition{1009, Warn, "log lines dropped", "Lines were dropped before this one: `flow_lines` about single flows because of the rate limit, `queue_full` because a slow reader of the log had let the queue fill."}
 
 	WrongService = Definition{1100, Error, "packet for wrong service at delivery", "The check before delivery found a packet for another service and dropped it; this is a fault in the program. Report it with the dump."}
@@ -75,7 +76,7 @@
 // Catalogue lists all events that the programs log, in ascending order of number.
 var Catalogue = []Definition{
 	Started, Draining, Stopped, BadSettings, SocketFailed, StopForced, DrainLimit,
-	Reloaded, ReloadFailed, LinesDropped,
+	Reloaded, ReloadFailed, LinesDropped, NoSeeds,
 	WrongService, SendFailed,
 	StateChanged, PeerUnreachable, FailureClaimed, MarkedFailed, ReachabilityChanged,
 	ListsActive, ListsRejected, StoreFailed, StoreReturned, StoreEraRefused, StoreEraInvalid, StoreHistoryLost, ListsLost, EntryUnreadable,
--- a/member/fleet_test.go
+++ b/member/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"net/netip"
 	"os"
 	"slices"
 	"strconv"
@@ -74,6 +75,20 @@
 		}
 	})
 
+	// Guards against an agent that never registers because it was started while there was no balancer (review/4).
+	It("takes in an agent that gets its seeds after its start", func() {
+		f := newFleet(7)
+		seeds := []netip.AddrPort{control("b0")}
+		early := f.agent("u9", "portal", "fd0")
+		f.net.Run(5 * time.Second)
+		for i := range 3 {
+			f.balancer(fmt.Sprintf("b%d", i), "fd0")
+		}
+		early.SetSeeds(seeds)
+		f.net.Run(3 * time.Second)
+		f.expectConverged()
+	})
+
 	It("learns of a graceful leave within 3 s although the leaving process exits once its record is confirmed or pushed", func() {
 		for seed := range uint64(5) {
 			f := newFleet(20 + seed)
--- a/settings/agent.go
+++ b/settings/agent.go
@@ -29,8 +29,9 @@
 	// ControlAdvertise is the control address announced to other processes. When
 	// absent, control_listen is announced.
 	ControlAdvertise netip.AddrPort `json:"control_advertise"`
-	// Seeds are control addresses of balancers to register with.
-	Seeds []netip.AddrPort `json:"seeds" required:"true"`
+	// Seeds are control addresses of balancers to register with. While there are none, the agent waits
+	// for a change of its settings.
+	Seeds []netip.AddrPort `json:"seeds" required:"true" empty:"allowed"`
 	// Service is the service that the upstream runs.
 	Service Service `json:"service" required:"true"`
 	// PacketIO configures how IP packets reach the upstream.
--- a/settings/decode.go
+++ b/settings/decode.go
@@ -94,7 +94,7 @@
 		d.report(v.StartOffset, path, "expected an array, got %s", kindName(v.Value.Kind()))
 		return
 	}
-	if len(array.Elements) == 0 && tag.Get("required") != "" {
+	if len(array.Elements) == 0 && tag.Get("required") != "" && tag.Get("empty") == "" {
 		d.report(v.StartOffset, path, "must have at least one element")
 	}
 	out.Set(reflect.MakeSlice(out.Type(), len(array.Elements), len(array.Elements)))
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -63,6 +63,21 @@
 	)
 })
 
+var _ = Describe("An agent without seeds", func() {
+	// Guards against agents that exit at each start while there is no balancer, beside upstreams that only
+	// they can reach (review/4), and against settings that lack the seeds by mistake.
+	It("is accepted if the list is empty, but not if it is missing", func() {
+		const rest = `"name": "a", "failure_domain": "d", "data_address": "10.0.0.1:1", "control_listen": "10.0.0.1:2",
+			"upstream_sink_address": "10.0.0.1:3", "reply_listen": "10.0.0.1:4", "reply_address": "10.0.0.2:5",
+			"service": {"name": "s", "endpoints": [{"address": "10.0.0.9:80"}]}`
+		a, err := settings.ParseAgent("agent.json", []byte(`{"seeds": [], `+rest+`}`))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.Seeds).To(BeEmpty())
+		_, err = settings.ParseAgent("agent.json", []byte(`{`+rest+`}`))
+		Expect(err).To(MatchError(ContainSubstring("seeds: is required")))
+	})
+})
+
 var _ = Describe("A workload", func() {
 	// Guards against a mistake in a workload that is found only as an odd result, or without its
 	// place in the file.
