flow: a SYN on the ports of a flow that was given up begins a new flow

Cause: an agent delivers each packet of a flow in its table. The SYN of a new flow with the ports of one that its client has given up counted as a packet of the old flow, whether or not the upstream accepts flows.

Change: a SYN for an opened flow that has been idle for longer than copies of a SYN take (3 s) begins a new flow, which is placed like any other. So does one for a flow that has just ended, if the upstream accepts none.

--- a/flow/lifetime.go
+++ b/flow/lifetime.go
@@ -97,6 +97,18 @@
 	return false
 }
 
+// isReused reports whether a SYN begins a new flow with the addresses and ports of one in the table, which its
+// client has given up: copies of the SYN that opened it do not arrive that late. The new flow is placed like
+// any other, as the upstream may not accept it.
+func (t *Table) isReused(now time.Duration, e *entry, in *packet.Info) bool {
+	if !opensTCP(in) {
+		return false
+	}
+	opened := e.handshake == handshakeDone || e.handshake == handshakeRestored
+	idle := opened && seconds(now)-e.lastSeen > seconds(halfOpenTimeout)
+	return idle || e.flags&flagLingering != 0 && !t.accepts()
+}
+
 // maxUnseenReply is the number of bytes that an upstream may have sent on a flow between the list of flows
 // and the end of the process that wrote it.
 const maxUnseenReply = 1 << 20
--- a/flow/receive.go
+++ b/flow/receive.go
@@ -18,7 +18,7 @@
 		return t.drop(ReasonBadPath)
 	}
 	hash := in.Key.Hash()
-	if e := t.flows.find(hash, &in.Key); e != nil && t.isOpenElsewhere(e, in) {
+	if e := t.flows.find(hash, &in.Key); e != nil && (t.isOpenElsewhere(e, in) || t.isReused(now, e, in)) {
 		t.removeFlow(now, hash, &in.Key)
 	} else if e != nil {
 		e.notePriority(h.Class.Priority())
--- a/flow/reused_port_test.go
+++ b/flow/reused_port_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -26,3 +27,48 @@
 		g.Expect(action.Kind).NotTo(Equal(Reset))
 	}
 }
+
+// Guards against a new flow at an upstream that is draining, because its client uses a port again whose earlier flow
+// is still in the agent's table: one that was given up without a packet (review/3), or one that has just ended.
+func TestNewFlowOnTheOldPortIsNotDeliveredToADrainingUpstream(t *testing.T) {
+	for _, ended := range []bool{false, true} {
+		g := NewWithT(t)
+		u := newUpstreamRig(4)
+		u.run(settled)
+		k := u.keyRanked(packet.ProtoTCP, "a", "b", "c", "d")
+		u.sendPacket("a", syn(k))
+		u.reply("a", k)
+		u.sendPacket("a", data(k))
+		if ended {
+			in := data(k)
+			in.RST = true
+			u.sendPacket("a", in)
+		} else {
+			u.run(67 * time.Second)
+		}
+		u.setState("a", Draining)
+		u.announce()
+		for _, first := range []string{"a", "b"} { // balancers with and without the new state
+			path, action := u.sendPacket(first, syn(k))
+			g.Expect(action.Kind).To(Equal(Deliver))
+			g.Expect(path).NotTo(HaveSuffix("a"), "ended: %v", ended)
+		}
+	}
+}
+
+// Guards against an open flow that leaves the table with a late copy of its SYN.
+func TestLateCopyOfASYNDoesNotRemoveItsFlow(t *testing.T) {
+	g := NewWithT(t)
+	u := newUpstreamRig(4)
+	u.run(settled)
+	k := u.keyRanked(packet.ProtoTCP, "a")
+	u.sendPacket("a", numbered(k, 0))
+	u.reply("a", k)
+	u.sendPacket("a", data(k))
+	u.setState("a", Draining)
+	u.announce()
+	u.run(time.Second)
+	path, action := u.sendPacket("a", numbered(k, 1))
+	g.Expect(action.Kind).To(Equal(Deliver))
+	g.Expect(path).To(Equal("a"))
+}
