--- a/balancer/reader.go
+++ b/balancer/reader.go
@@ -241,14 +241,14 @@
 	r.counts.sent++
 	for _, c := range d.Copies {
 		if c.Agent != 0 {
-			r.copy(framed, h, c)
+			r.frameCopy(framed, h, c)
 		}
 	}
 }
 
-// copy adds a copy of a framed packet for an agent of another service to the outbox. There are few of
+// frameCopy adds a copy of a framed packet for an agent of another service to the outbox. There are few of
 // them: packets of open flows without a hint, after the services of their address have changed.
-func (r *reader) copy(framed []byte, h packet.Header, c flow.Copy) {
+func (r *reader) frameCopy(framed []byte, h packet.Header, c flow.Copy) {
 	h.Service = c.Service
 	h.Flags &^= packet.FlagExpected
 	b := slices.Clone(framed)
--- a/flow/step.go
+++ b/flow/step.go
@@ -22,7 +22,6 @@
 	t.lost.expire(now)
 	t.updateMeans(now)
 	t.queueRemovals(now)
-
 	t.noteStepGap(now)
 	t.refillBudget(now)
 	t.addLoads(now)
