member: a balancer that can reach no other one resends no failed push

Cause: a push that fails is sent again to a random peer. The calls grew until the balancer's steps took seconds, so that active routes were not installed. The call storm was there before for a balancer that knew seeds only, and was seldom reached.

Change: a failed push is not sent again if there is no other live balancer. Its rounds go on.

--- a/member/gossip.go
+++ b/member/gossip.go
@@ -167,9 +167,10 @@
 	}
 }
 
-// pushToOtherPeer resends a failed push to another random peer.
+// pushToOtherPeer resends a failed push to another random peer. If no other balancer can be reached, it
+// does not: each of several pushes to unreachable ones would fail and be sent again to several.
 func (n *Node) pushToOtherPeer(c Call) {
-	if !n.isBalancer(c.To) {
+	if !n.isBalancer(c.To) || len(n.table.LiveBalancers()) <= 1 {
 		return
 	}
 	for _, p := range n.randomPeers(1) {
--- a/member/lost_majority_test.go
+++ b/member/lost_majority_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -42,6 +43,27 @@
 		}
 	})
 
+	// Guards against a lone survivor that resends each failed push to several balancers that are gone too: the
+	// calls multiplied until its steps took seconds, and new routes were not in force (review/1 under load).
+	It("a lone survivor does not multiply its calls", func() {
+		f := newFleet(305)
+		f.start(6, 7)
+		f.killBalancers("b4")
+		f.net.Run(20 * time.Second)
+		calls := 0
+		f.net.Observe = func(from, _ netip.AddrPort, _ any) {
+			if from == control("b4") {
+				calls++
+			}
+		}
+		for version := range int64(3) {
+			f.balancers["b4"].SetRoutes(version+1, 0)
+			f.setState("u1", flow.Draining)
+			f.net.Run(10 * time.Second)
+		}
+		Expect(calls).To(BeNumerically("<", 30*30), "in 30 s, beside the answers to 7 agents")
+	})
+
 	// Guards against duties that stay with balancers that are gone because no more than half of all
 	// balancers may be marked as failed, and against records that are never removed for it.
 	It("the survivors share the duties and mark the others as failed", func() {
