daemon: readers and non-readers of the routes wait longer for a confirmation

Change: a balancer that is no reader reads the store 2.3 to 2.6 s after the last confirmation, instead of 2 to 2.5 s, and a reader of a large rank number, which has a watch, after 3 s instead of 2.5 s. A document is still in force within 3 s.

--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -42,11 +42,14 @@
 	nonReaderInterval = 500 * time.Millisecond
 	// routesStaleAge and up to routesStaleSpread more, drawn at random, is the time after the last
 	// confirmation after which the document of a process that is no reader is stale, so that the
-	// process reads the store itself. The sum leaves half a second of the 3 s within which a new
-	// document must be active. Of many processes whose readers have gone, a few read first and
+	// process reads the store itself. Gossip seldom takes so long, and the sum leaves 400 ms of the 3 s
+	// within which a new document must be active, more than a slow answer of the store takes. Of many processes whose readers have gone, a few read first and
 	// the others learn from them.
-	routesStaleAge    = 2 * time.Second
-	routesStaleSpread = 500 * time.Millisecond
+	routesStaleAge    = 2300 * time.Millisecond
+	routesStaleSpread = 300 * time.Millisecond
+	// routesReaderSpread replaces routesStaleSpread for readers with a large rank number, which have a
+	// watch: confirmations are seldom that late while the first reader runs.
+	routesReaderSpread = 700 * time.Millisecond
 	// routesGossipTime is the additional time that a confirmation may take for each doubling of a
 	// fleet of more than routesGossipFleet processes: the interval between two exchanges of package
 	// member. With it, few confirmations of a running reader arrive too late.
@@ -354,7 +357,7 @@
 	rank := r.rank.Load()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	last, allowed := max(r.readAt, r.confirmed), r.staleAge(routesStaleSpread)
+	last, allowed := max(r.readAt, r.confirmed), r.staleAge(routesReaderSpread)
 	if rank == nonReaderRank {
 		// A peer that provides a document confirms it only in its next message.
 		last, allowed = max(last, r.peerActivatedAt), r.staleAge(r.staleSpread)
@@ -364,8 +367,8 @@
 	return allowed - (r.cfg.Clock() - last)
 }
 
-// staleAge returns the time after the last confirmation after which the document is stale, for
-// a spread of up to routesStaleSpread.
+// staleAge returns the time after the last confirmation after which the document is stale, routesStaleAge
+// and the given spread in a small fleet.
 func (r *Routes) staleAge(spread time.Duration) time.Duration {
 	age := routesStaleAge + spread
 	if n := r.fleetSize.Load(); n > routesGossipFleet {
