--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -43,8 +43,8 @@
 	// routesStaleAge and up to routesStaleSpread more, drawn at random, is the time after the last
 	// confirmation after which the document of a process that is no reader is stale, so that the
 	// process reads the store itself. Gossip seldom takes so long, and the sum leaves 400 ms of the 3 s
-	// within which a new document must be active, more than a slow answer of the store takes. Of many processes whose readers have gone, a few read first and
-	// the others learn from them.
+	// within which a new document must be active, more than a slow answer of the store takes. Of
+	// many processes whose readers have gone, a few read first and the others learn from them.
 	routesStaleAge    = 2300 * time.Millisecond
 	routesStaleSpread = 300 * time.Millisecond
 	// routesReaderSpread replaces routesStaleSpread for readers with a large rank number, which have a
