flow: a late copy of a SYN does not replace its open flow

Cause: a balancer that stands still forwards the copies of SYNs that it holds when it runs again, seconds after another copy has opened the flow through another balancer. The owner took such a copy, if the flow had been idle for more than 3 s, for the SYN of a new flow on the same ports, removed the open flow from its table and placed the copy anew, at times at another agent. The table went on counting as complete, so the owner denied the flow to the agent that got its next packet, and that one reset it. Change: an agent keeps the sequence number of the SYN by which it accepted a flow. Copies carry the same number, new flows on the same ports another one. A late copy is dropped; only a SYN with another number replaces the flow. Where the number is not known, after a restart of the agent, the flow is given up only once it is older than flows may be, or has ended. Considered and left: a longer limit than 3 s (no limit bounds how long a process stands still), and delivering each SYN as before (an upstream that is draining would take new flows). Why it works: what a late packet means no longer follows from the time at which it arrives. An entry takes 96 instead of 88 bytes.

--- a/flow/admission.go
+++ b/flow/admission.go
@@ -34,12 +34,22 @@
 // waitingFlow is a new flow that waits for the verdict of the Admission or for a slot of the
 // Gate. The table's caller keeps its first packet.
 type waitingFlow struct {
+	firstPacket
+	header packet.Header
+	since  time.Duration
+	until  time.Duration
+	copies uint8 // bit n is set if the copy with number n has arrived here
+}
+
+// firstPacket identifies a first packet that may open a flow.
+type firstPacket struct {
 	key        packet.Key
-	header     packet.Header
-	since      time.Duration
-	until      time.Duration
-	copyNumber uint8 // 0 for the first SYN, n for its n-th retransmission
-	copies     uint8 // bit n is set if the copy with number n has arrived here
+	seq        uint32 // sequence number of a SYN
+	copyNumber uint8  // 0 for the first SYN, n for its n-th retransmission
+}
+
+func firstPacketOf(in *packet.Info) firstPacket {
+	return firstPacket{key: in.Key, seq: in.Seq, copyNumber: in.Repeat}
 }
 
 // allCopies is waitingFlow.copies of a flow whose SYN has arrived here with all its copies.
@@ -111,11 +121,11 @@
 	return number, found
 }
 
-// acceptIfAdmitted accepts a new flow if the Admission allows it. copyNumber is that of its SYN.
-func (t *Table) acceptIfAdmitted(now time.Duration, hash uint64, h *packet.Header, k *packet.Key, copyNumber uint8) Action {
+// acceptIfAdmitted accepts a new flow if the Admission allows it.
+func (t *Table) acceptIfAdmitted(now time.Duration, hash uint64, h *packet.Header, first firstPacket) Action {
 	if t.cfg.Admission == nil {
-		e := t.takeOwnership(now, hash, k)
-		e.expectHandshake()
+		e := t.takeOwnership(now, hash, &first.key)
+		e.expectHandshake(first.seq)
 		t.markOpening(now, e)
 		t.noteGiven(now)
 		return t.deliver(now, h, e)
@@ -128,10 +138,10 @@
 	t.waiting.last++
 	switch t.cfg.Admission.Admit(now, h.Customer, t.waiting.last) {
 	case Admitted:
-		return t.acceptAdmitted(now, hash, h, k)
+		return t.acceptAdmitted(now, hash, h, first)
 	case Waiting:
 		t.waiting.add(t.waiting.last, &waitingFlow{
-			key: *k, header: *h, since: now, until: now + t.cfg.MaxWait, copyNumber: copyNumber, copies: 1 << min(copyNumber, 7),
+			firstPacket: first, header: *h, since: now, until: now + t.cfg.MaxWait, copies: 1 << min(first.copyNumber, 7),
 		})
 		t.counters.Waited++
 		return Action{Kind: Wait, Flow: t.waiting.last}
@@ -139,9 +149,9 @@
 	return t.drop(ReasonRefused)
 }
 
-func (t *Table) acceptAdmitted(now time.Duration, hash uint64, h *packet.Header, k *packet.Key) Action {
-	e := t.takeOwnership(now, hash, k)
-	e.expectHandshake()
+func (t *Table) acceptAdmitted(now time.Duration, hash uint64, h *packet.Header, first firstPacket) Action {
+	e := t.takeOwnership(now, hash, &first.key)
+	e.expectHandshake(first.seq)
 	e.customer = h.Customer
 	t.noteGiven(now)
 	return t.deliver(now, h, e)
@@ -169,7 +179,7 @@
 		}
 		return t.drop(ReasonNoUpstream), f.header
 	}
-	return t.acceptAdmitted(now, f.key.Hash(), &f.header, &f.key), f.header
+	return t.acceptAdmitted(now, f.key.Hash(), &f.header, f.firstPacket), f.header
 }
 
 // noTimeLimit is waitingFlow.until of a flow whose wait the Gate ends.
--- a/flow/lifetime.go
+++ b/flow/lifetime.go
@@ -61,10 +61,10 @@
 	return adopted
 }
 
-// expectHandshake records that the flow was accepted by its first packet.
-func (e *entry) expectHandshake() {
+// expectHandshake records that the flow was accepted by its first packet. seq is the sequence number of a SYN.
+func (e *entry) expectHandshake(seq uint32) {
 	if e.key.Proto == packet.ProtoTCP {
-		e.handshake = handshakeSYN
+		e.handshake, e.synSeq = handshakeSYN, seq
 	}
 }
 
@@ -97,16 +97,32 @@
 	return false
 }
 
-// isReused reports whether a SYN begins a new flow with the addresses and ports of one in the table, which its
-// client has given up: copies of the SYN that opened it do not arrive that late. The new flow is placed like
-// any other, as the upstream may not accept it.
-func (t *Table) isReused(now time.Duration, e *entry, in *packet.Info) bool {
+// mayBeReused reports whether a SYN comes so late for a flow in the table that it may begin a new flow with the
+// same addresses and ports, whose client has given the old one up.
+func (t *Table) mayBeReused(now time.Duration, e *entry, in *packet.Info) bool {
 	if !opensTCP(in) {
 		return false
 	}
 	opened := e.handshake == handshakeDone || e.handshake == handshakeRestored
-	idle := opened && seconds(now)-e.lastSeen > seconds(halfOpenTimeout)
-	return idle || e.flags&flagLingering != 0 && !t.accepts()
+	return opened && e.idleLongerThan(now, halfOpenTimeout) || e.flags&flagLingering != 0 && !t.accepts()
+}
+
+func (e *entry) idleLongerThan(now, limit time.Duration) bool {
+	return seconds(now)-e.lastSeen > seconds(limit)
+}
+
+// isLateCopy reports whether a SYN for which mayBeReused is true is a copy of the one that opened the flow, which a
+// balancer may have held back for seconds while it did not run.
+func (e *entry) isLateCopy(in *packet.Info) bool { return e.synSeq != 0 && in.Seq == e.synSeq }
+
+// isReused reports whether a SYN for which mayBeReused is true certainly begins a new flow. The new flow is placed
+// like any other, as the upstream may not accept it. Without the sequence number of the flow's own SYN, only a
+// flow that has ended, or is so old that it may be discarded, is given up.
+func (e *entry) isReused(now time.Duration, in *packet.Info) bool {
+	if e.synSeq != 0 {
+		return in.Seq != e.synSeq
+	}
+	return e.flags&flagLingering != 0 || e.idleLongerThan(now, MaxFlowAge)
 }
 
 // maxUnseenReply is the number of bytes that an upstream may have sent on a flow between the list of flows
--- a/flow/reason.go
+++ b/flow/reason.go
@@ -35,6 +35,8 @@
 	ReasonEvacuated
 	// ReasonCold: the upstream is cold, and the limit of its requests left no room for the flow.
 	ReasonCold
+	// ReasonLateCopy: the packet is a copy of the SYN of a flow that has been open for seconds or has ended.
+	ReasonLateCopy
 
 	reasonCount
 )
@@ -42,7 +44,7 @@
 var reasonNames = [reasonCount]string{
 	"none", "no_service", "no_upstream", "wrong_service", "no_owner", "bad_path",
 	"refused", "waiting", "no_customer", "no_lists", "flow_lost", "no_routes",
-	"evacuated", "cold",
+	"evacuated", "cold", "late_copy",
 }
 
 // String returns the reason's name in metrics.
--- a/flow/receive.go
+++ b/flow/receive.go
@@ -18,12 +18,18 @@
 		return t.drop(ReasonBadPath)
 	}
 	hash := in.Key.Hash()
-	if e := t.flows.find(hash, &in.Key); e != nil && (t.isOpenElsewhere(e, in) || t.isReused(now, e, in)) {
-		t.removeFlow(now, hash, &in.Key)
-	} else if e != nil {
-		e.notePriority(h.Class.Priority())
-		t.processClientPacket(now, e, in)
-		return t.deliver(now, h, e)
+	if e := t.flows.find(hash, &in.Key); e != nil {
+		late := t.mayBeReused(now, e, in)
+		switch {
+		case late && e.isLateCopy(in):
+			return t.drop(ReasonLateCopy)
+		case t.isOpenElsewhere(e, in), late && e.isReused(now, in):
+			t.removeFlow(now, hash, &in.Key)
+		default:
+			e.notePriority(h.Class.Priority())
+			t.processClientPacket(now, e, in)
+			return t.deliver(now, h, e)
+		}
 	}
 	// This copy of the first packet must not open the flow elsewhere while it may be admitted
 	// here.
@@ -165,13 +171,13 @@
 		if t.cfg.Gate != nil {
 			return t.gate(now, hash, h, in, next)
 		}
-		return t.acceptIfAdmitted(now, hash, h, &in.Key, in.Repeat)
+		return t.acceptIfAdmitted(now, hash, h, firstPacketOf(in))
 	}
 	if next == nil && t.lastResort() && !t.hasRoom(now) {
 		return t.refuse(in, ReasonCold)
 	}
 	if next == nil && t.lastResort() {
-		return t.acceptIfAdmitted(now, hash, h, &in.Key, in.Repeat)
+		return t.acceptIfAdmitted(now, hash, h, firstPacketOf(in))
 	}
 	if next == nil {
 		return t.refuseUnplaced(opensTCP(in) && in.Repeat == 0)
--- a/flow/store.go
+++ b/flow/store.go
@@ -33,7 +33,7 @@
 // unproven reports whether the client may have opened the flow at another upstream.
 func (h handshake) unproven() bool { return h == handshakeHalf || h == handshakeRestored }
 
-// entry is one flow of the agent's upstream; 88 bytes.
+// entry is one flow of the agent's upstream; 96 bytes.
 type entry struct {
 	key          packet.Key
 	flags        uint8
@@ -45,6 +45,7 @@
 	futureTarget packet.AgentID // first choice once starting upstreams are ready; 0: see Table.targets
 	next         uint32         // sequence number after the client's last byte
 	began        uint32         // start of the request, or with flagNoRequestYet the time of acceptance; milliseconds since process start
+	synSeq       uint32         // sequence number of the SYN by which this agent accepted the flow; 0 if unknown
 	synAckSeq    uint32         // sequence number of the upstream's last SYN+ACK
 	check        uint8          // Table.check when the agent last passed a SYN, or the upstream the flow's first known packet
 	handshake    handshake
--- a/flow/work.go
+++ b/flow/work.go
@@ -194,7 +194,7 @@
 	cold := t.cfg.Gate.LimitedByRoom(now, &offer, &l)
 	switch t.cfg.Gate.Offer(now, offer, l) {
 	case load.Accept:
-		return t.acceptIfAdmitted(now, hash, h, &in.Key, in.Repeat)
+		return t.acceptIfAdmitted(now, hash, h, firstPacketOf(in))
 	case load.PassOn:
 		a := t.handOff(now, hash, h, next)
 		if cold {
@@ -205,7 +205,7 @@
 	case load.Wait:
 		t.refuseEvicted(now)
 		t.waiting.add(number, &waitingFlow{
-			key: in.Key, header: *h, since: now, until: noTimeLimit, copyNumber: in.Repeat, copies: 1 << min(in.Repeat, 7),
+			firstPacket: firstPacketOf(in), header: *h, since: now, until: noTimeLimit, copies: 1 << min(in.Repeat, 7),
 		})
 		t.counters.Held++
 		return Action{Kind: Wait, Flow: number, Hint: true}
@@ -263,7 +263,7 @@
 		if !t.accepts() || len(t.flows.entries) >= t.cfg.MaxFlows {
 			a = t.handOffToNext(now, hash, &f.header, f.mayResetUnplaced(now))
 		} else {
-			a = t.acceptIfAdmitted(now, hash, &f.header, &f.key, f.copyNumber)
+			a = t.acceptIfAdmitted(now, hash, &f.header, f.firstPacket)
 		}
 		a.Waited = now - f.since
 		return number, a, f.header
