flow: a table that lacked a flow of its upstream does not count as complete

Cause: the reasons for which a table counts as complete are proofs only as long as nothing contradicts them, and a contradiction (event 1816) was logged and changed nothing. Change: a packet of the upstream, other than a SYN or a reset, of a flow that a complete table lacks ends that belief; the rebuilding phase begins anew, and the agent answers "may hold" meanwhile. A flow that has left the table half-open is remembered, as a late packet may open it. The phase after an overfull table no longer counts as a start of the fleet (peerSilenceTimeoutAfterOutage). Event 1816 is a warning now, and flows.missed counts it. Considered and left: adopting without consequence but asking again before each reset, as the answers of all other agents rest on the same belief.

--- a/agent/flowlog.go
+++ b/agent/flowlog.go
@@ -61,13 +61,11 @@
 		"reason", action.Reason, "hops", h.Hops, "tried", h.Tried, "state", t.State(), "complete", t.Completeness(now))
 }
 
-// logAdopted logs a flow that the upstream's own packet has added to a table that counted as
-// complete. While the table is being rebuilt, this happens to all flows and is not logged.
-func (a *Agent) logAdopted(now time.Duration, t *flow.Table, reply *packet.Info) {
-	if c := t.Completeness(now); c != flow.Incomplete {
-		k := reply.Key.Reverse()
-		a.log.LogFlow(event.FlowAdopted, "flow", daemon.FlowID(&k), "complete", c, "state", t.State(), "start", t.UpstreamStart())
-	}
+// logMissedFlow logs that a packet of the upstream belongs to a flow that the table lacked although it counted as
+// complete, for the given reason.
+func (a *Agent) logMissedFlow(t *flow.Table, reply *packet.Info, complete flow.Completeness) {
+	k := reply.Key.Reverse()
+	a.log.LogFlow(event.FlowMissed, "flow", daemon.FlowID(&k), "complete", complete, "state", t.State(), "start", t.UpstreamStart())
 }
 
 // logLost logs and counts the reset of a flow that an inquiry has found lost, with the evidence.
--- a/agent/reader.go
+++ b/agent/reader.go
@@ -285,8 +285,8 @@
 				r.handleReturned(now, t, i)
 				continue
 			}
-			if t.HandleReply(now, &r.info) && r.agent.options.Packets != nil {
-				r.agent.logAdopted(now, t, &r.info)
+			if missed := t.HandleReply(now, &r.info); missed != flow.Incomplete {
+				r.agent.logMissedFlow(t, &r.info, missed)
 			}
 			k := r.info.Key.Reverse()
 			r.agent.learnEndpoint(&k)
--- a/flow/handover.go
+++ b/flow/handover.go
@@ -365,7 +365,7 @@
 		return nil
 	}
 	if len(t.flows.entries) >= t.cfg.MaxFlows {
-		t.noteOverfull(now)
+		t.noteMissedFlow(now)
 		return nil
 	}
 	t.counters.Restored++
@@ -398,5 +398,5 @@
 // predecessor has named them.
 func (t *Table) knowsAllFlows() bool {
 	r := &t.restored
-	return !t.overfull && (t.noEarlierFlows || r.isComplete() && r.start != 0 && r.start == t.self.Start && r.incarnation == t.predecessor)
+	return !t.missedFlows && (t.noEarlierFlows || r.isComplete() && r.start != 0 && r.start == t.self.Start && r.incarnation == t.predecessor)
 }
--- a/flow/lifetime.go
+++ b/flow/lifetime.go
@@ -38,17 +38,17 @@
 }
 
 // HandleReply processes a packet on its way from the upstream to the client. in.Key is that of
-// the reply, from the service to the client. It reports whether the packet has added its flow to
-// the table.
-func (t *Table) HandleReply(now time.Duration, in *packet.Info) (adopted bool) {
+// the reply, from the service to the client. If the table counted as complete and lacked the packet's flow,
+// missed is why it counted so, and Incomplete otherwise.
+func (t *Table) HandleReply(now time.Duration, in *packet.Info) (missed Completeness) {
 	k := in.Key.Reverse()
 	e := t.flows.find(k.Hash(), &k)
-	if e == nil {
-		e = t.adopt(now, &k, in)
-		adopted = e != nil
+	adopted := e == nil
+	if adopted {
+		e, missed = t.adopt(now, &k, in)
 	}
 	if e == nil || in.ICMPError {
-		return adopted
+		return missed
 	}
 	e.lastSeen = seconds(now)
 	e.flags |= flagReplies
@@ -58,7 +58,7 @@
 		e.flags |= flagServerFIN
 	}
 	t.updateLinger(now, e, in.RST)
-	return adopted
+	return missed
 }
 
 // expectHandshake records that the flow was accepted by its first packet. seq is the sequence number of a SYN.
@@ -172,7 +172,10 @@
 		if e := &t.flows.entries[t.sweepFrom]; e.flags&flagBusy != 0 && seconds(now)-e.lastSeen >= seconds(requestTimeout) {
 			t.markIdle(e)
 		}
-		if t.expired(now, &t.flows.entries[t.sweepFrom]) {
+		if e := &t.flows.entries[t.sweepFrom]; t.expired(now, e) {
+			if e.handshake == handshakeHalf {
+				t.noteHalfOpen(now, e)
+			}
 			t.removeAt(now, t.sweepFrom)
 		} else {
 			t.sweepFrom++
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -61,6 +61,8 @@
 	mayRepeat bool
 	// shared says that an upstream of another service may hold the flow (packet.FlagShared).
 	shared bool
+	// halfOpen says that the upstream has accepted the flow's SYN, and that the flow has left the table since.
+	halfOpen bool
 }
 
 // noteShared records that a packet is of a flow that another service may hold.
@@ -319,31 +321,48 @@
 	}
 }
 
-// noteOverfull records that the upstream holds a flow for which the table has no room. The table then proves
-// nothing about other flows, as in the rebuilding phase.
-func (t *Table) noteOverfull(now time.Duration) {
-	t.overfull = true
-	t.StartRebuild(now)
+// noteMissedFlow records that the upstream holds a flow that the table lacks: there was no room for it, or the table
+// counted as complete and was not. The table then proves nothing about other flows, as in the rebuilding phase.
+func (t *Table) noteMissedFlow(now time.Duration) {
+	t.missedFlows = true
+	t.sawAllSince = now
 }
 
 // adopt adds a flow to the table because a packet of the upstream shows that the upstream
-// holds it.
-func (t *Table) adopt(now time.Duration, k *packet.Key, in *packet.Info) *entry {
+// holds it. missed is why the table counted as complete although it lacked the flow, or Incomplete.
+func (t *Table) adopt(now time.Duration, k *packet.Key, in *packet.Info) (e *entry, missed Completeness) {
 	if t.cfg.Rebuild == 0 || in.RST || in.ICMPError {
-		return nil
+		return nil, Incomplete
+	}
+	hash := k.Hash()
+	if in.Flags&packet.FlagSYN == 0 && !t.unknownFlows[hash].halfOpen {
+		missed = t.Completeness(now)
 	}
 	if len(t.flows.entries) >= t.cfg.MaxFlows {
-		if !t.overfull {
+		if !t.missedFlows {
 			t.amendHandover(k)
 		}
-		t.noteOverfull(now)
-		return nil
+		t.noteMissedFlow(now)
+		return nil, missed
+	}
+	if missed != Incomplete {
+		t.counters.Missed++
+		t.noteMissedFlow(now)
 	}
-	hash := k.Hash()
 	delete(t.unknownFlows, hash)
 	t.counters.Adopted++
 	t.amendHandover(k)
-	return t.takeOwnership(now, hash, k)
+	return t.takeOwnership(now, hash, k), missed
+}
+
+// noteHalfOpen records that a flow leaves the table half-open. Its upstream may still open it, by a packet that
+// a balancer has held back, which does not show that the table lacks other flows.
+func (t *Table) noteHalfOpen(now time.Duration, e *entry) {
+	f, known := t.unknownFlows[e.hash]
+	if known || len(t.unknownFlows) < maxUnknownFlows {
+		f.halfOpen, f.seen = true, now
+		t.unknownFlows[e.hash] = f
+	}
 }
 
 // SetUpstreamStart sets the start ID of the upstream, which runs. noEarlierFlows says that the upstream
@@ -362,7 +381,7 @@
 	if before == start || before == 0 && (t.restored.start == 0 || t.restored.start == start) {
 		return
 	}
-	t.overfull = false
+	t.missedFlows = false
 	t.forgetUnknownFlows()
 	t.endFlows(now, UpstreamRestarted, func(*entry) bool { return true })
 }
@@ -376,7 +395,7 @@
 
 // reviveUpstream undoes SetUpstreamStopped: the upstream runs, and may hold the flows that it held then.
 func (t *Table) reviveUpstream(now time.Duration) {
-	if !t.noEarlierFlows {
+	if !t.noEarlierFlows || t.missedFlows {
 		t.StartRebuild(now)
 	}
 	t.lost.unconfirm(UpstreamStopped)
--- a/flow/table.go
+++ b/flow/table.go
@@ -45,7 +45,7 @@
 	kept            []*keptList     // lists of flows kept for agents that restart
 	outgoing        []*outgoingList // lists that this agent hands to its keepers; its own is the first
 	handingOver     bool            // this agent stops, see BeginHandover
-	overfull        bool            // the upstream has held flows for which the table had no room
+	missedFlows     bool            // see noteMissedFlow
 	restored        restoredList
 	restoredTo      map[endpointKey]packet.Key // see TakeRestored
 	check           uint8                      // number of the last check of the upstream, see BeginUpstreamCheck
@@ -92,6 +92,7 @@
 	Tried                                           uint64 // probes: packets of unknown flows delivered to the upstream
 	Returned                                        uint64 // packets that the upstream sent back
 	Adopted                                         uint64 // flows adopted from the upstream's own packets
+	Missed                                          uint64 // times that the table counted as complete and lacked a flow of the upstream
 	Restored                                        uint64 // flows of an earlier process of this agent, as listed by its keepers
 	Asked                                           uint64 // inquiries sent, counted per peer
 	Found                                           uint64 // flows that a peer owns according to its answer
