--- a/agent/flowlog.go
+++ b/agent/flowlog.go
@@ -61,6 +61,11 @@
 		"reason", action.Reason, "hops", h.Hops, "tried", h.Tried, "state", t.State(), "complete", t.Completeness(now))
 }
 
+// logRemoved logs that a packet of the client has removed a flow from the table.
+func (a *Agent) logRemoved(in *packet.Info, cause flow.Removal) {
+	a.log.LogFlow(event.FlowRemoved, "flow", daemon.FlowID(&in.Key), "cause", cause, "copy", in.Repeat, "seq", in.Seq, "ack", in.Ack)
+}
+
 // logMissedFlow logs that a packet of the upstream belongs to a flow that the table lacked although it counted as
 // complete, for the given reason.
 func (a *Agent) logMissedFlow(t *flow.Table, reply *packet.Info, complete flow.Completeness) {
--- a/flow/receive.go
+++ b/flow/receive.go
@@ -18,19 +18,31 @@
 		return t.drop(ReasonBadPath)
 	}
 	hash := in.Key.Hash()
-	if e := t.flows.find(hash, &in.Key); e != nil {
-		late := t.mayBeReused(now, e, in)
-		switch {
-		case late && e.isLateCopy(in):
-			return t.drop(ReasonLateCopy)
-		case t.isOpenElsewhere(e, in), late && e.isReused(now, in):
-			t.removeFlow(now, hash, &in.Key)
-		default:
-			e.notePriority(h.Class.Priority())
-			t.processClientPacket(now, e, in)
-			return t.deliver(now, h, e)
-		}
-	}
+	e := t.flows.find(hash, &in.Key)
+	if e == nil {
+		return t.receiveUnowned(now, hash, h, in)
+	}
+	late, removed := t.mayBeReused(now, e, in), NotRemoved
+	switch {
+	case late && e.isLateCopy(in):
+		return t.drop(ReasonLateCopy)
+	case late && e.isReused(now, in):
+		removed = PortsReused
+	case t.isOpenElsewhere(e, in):
+		removed = OpenElsewhere
+	default:
+		e.notePriority(h.Class.Priority())
+		t.processClientPacket(now, e, in)
+		return t.deliver(now, h, e)
+	}
+	t.removeFlow(now, hash, &in.Key)
+	a := t.receiveUnowned(now, hash, h, in)
+	a.Removed = removed
+	return a
+}
+
+// receiveUnowned decides on a received packet of a flow that is not in the table.
+func (t *Table) receiveUnowned(now time.Duration, hash uint64, h *packet.Header, in *packet.Info) Action {
 	// This copy of the first packet must not open the flow elsewhere while it may be admitted
 	// here.
 	if t.waiting.noteCopy(in) {
