flow: the rebuilding phase of a table does not end while its process is paused

What callers would see: an open flow is reset because its agent, which was paused beyond the end of the rebuilding phase, denies it. Cause: noteStepGap asked whether the phase was over at the time after the pause, so a pause across its end did not extend it; and packets and inquiries that are handled before the first step after the pause found the phase over. Packets of the upstream may have been dropped unread meanwhile. Change: after a pause the phase counts as it stood at the last step, until the next step extends it.

--- a/flow/idle_limit_test.go
+++ b/flow/idle_limit_test.go
@@ -98,3 +98,21 @@
 		g.Expect(u.agents[u.named("f").ID].status(u.now, k.Hash())).To(Equal(packet.MaybeHeld), "%v after", u.now-asked)
 	}
 }
+
+// Guards against an agent that was paused until after the end of the rebuilding phase, and denies the flows of which
+// it has missed packets, before its next step or after it.
+func TestPauseAcrossTheEndOfTheRebuildingPhaseExtendsIt(t *testing.T) {
+	for _, stepped := range []bool{false, true} {
+		g := NewWithT(t)
+		u, k := restartedFleet("a", "b", "c", "d", "e", "f")
+		u.awaitIdleLimit(15 * time.Second)
+		f := u.agents[u.named("f").ID]
+		u.runSteps(18 * time.Second)
+		u.now += 4 * time.Second
+		if stepped {
+			f.Step(u.now)
+		}
+		answer := f.AnswerInquiry(u.now, &packet.Inquiry{From: u.named("a").ID, Flows: []uint64{k.Hash()}})
+		g.Expect(answer.Statuses).To(Equal([]packet.FlowStatus{packet.MaybeHeld}), "stepped %v", stepped)
+	}
+}
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -186,14 +186,23 @@
 func (t *Table) SetIdleLimit(limit time.Duration) { t.idleLimit = limit }
 
 // rebuilt reports whether the rebuilding phase is over: every flow that the upstream may still hold has
-// shown itself by a packet of the upstream. From then on the table counts as complete.
+// shown itself by a packet of the upstream. From then on the table counts as complete. A phase in which this process
+// was paused does not end with the pause.
 func (t *Table) rebuilt(now time.Duration) bool {
+	if t.pausedSinceStep(now) {
+		now = t.lastStep
+	}
 	return t.sawAllSince == never || now-t.sawAllSince >= t.rebuildTime()
 }
 
+// pausedSinceStep reports whether this process was paused since the last step.
+func (t *Table) pausedSinceStep(now time.Duration) bool {
+	return t.lastStep != 0 && now-t.lastStep > maxStepGap
+}
+
 // noteStepGap extends the rebuilding phase if this process was paused in it.
 func (t *Table) noteStepGap(now time.Duration) {
-	if t.lastStep != 0 && now-t.lastStep > maxStepGap && !t.rebuilt(now) {
+	if t.pausedSinceStep(now) && !t.rebuilt(now) {
 		t.sawAllSince = now
 	}
 }
