flow: a packet that acknowledges another upstream is not reset for a lost flow

Cause: the record of a lost flow held its hash only. Change: it holds an acknowledgement number of the client or the number of the upstream's SYN+ACK. Where the number is not known, a flow that was adopted after a restart of the agent, nothing changes. Considered and left: asking all agents before each such reset, which would keep clients of lost flows waiting whenever one agent is silent. Measured: TestFlowThatAcknowledgesAnotherUpstreamIsNotResetForALostOne fails without the change.

--- a/flow/lost.go
+++ b/flow/lost.go
@@ -50,6 +50,9 @@
 	at    time.Duration // when it was recorded
 	until time.Duration
 	cause LossCause
+	// ack is an acknowledgement number that its client has sent, or the sequence number of the upstream's
+	// SYN+ACK; 0 if unknown.
+	ack uint32
 	// unconfirmed says that the upstream's present process may hold the flow: it has started, and may
 	// have accepted flows, before this agent learned of its start.
 	unconfirmed bool
@@ -59,9 +62,9 @@
 	return lostFlows{byHash: make(map[uint64]lostFlow), max: max}
 }
 
-func (l *lostFlows) record(now time.Duration, hash uint64, cause LossCause) {
+func (l *lostFlows) record(now time.Duration, hash uint64, cause LossCause, ack uint32) {
 	if len(l.byHash) < l.max {
-		f := lostFlow{at: now, until: now + lostFlowRetention, cause: cause}
+		f := lostFlow{at: now, until: now + lostFlowRetention, cause: cause, ack: ack}
 		if cause == UpstreamRestarted {
 			f.unconfirmed, f.until = true, now+unconfirmedLossRetention
 		}
@@ -76,6 +79,13 @@
 	return found && f.cause == FoundLost && h.Flags&packet.FlagShared != 0
 }
 
+// mayBeOf reports whether a client's packet with the hash of a lost flow may be of that flow. One that acknowledges
+// what another upstream has sent is of a later flow with the same addresses and ports.
+func (l *lostFlows) mayBeOf(hash uint64, in *packet.Info) bool {
+	f := l.byHash[hash]
+	return f.ack == 0 || in.Ack-f.ack+maxUnseenReply <= 2*maxUnseenReply
+}
+
 // has reports whether the flow is certainly lost.
 func (l *lostFlows) has(now time.Duration, hash uint64) bool {
 	f, found := l.find(now, hash)
@@ -257,7 +267,7 @@
 			kept = append(kept, hash)
 		default:
 			delete(t.unknownFlows, hash)
-			t.lost.record(now, hash, FoundLost)
+			t.lost.record(now, hash, FoundLost, f.ack)
 			t.lossFindings = append(t.lossFindings, findings[hash])
 			t.counters.Reset++
 			out = append(out, LostFlow{Key: f.key, Ack: f.ack})
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -308,7 +308,9 @@
 	}
 	if t.lost.isUnconfirmed(now, hash) {
 		t.lost.confirm(now, hash)
-		return t.resetLost(in)
+		if t.lost.mayBeOf(hash, in) {
+			return t.resetLost(in)
+		}
 	}
 	return t.forwardUnknown(now, hash, h, in)
 }
@@ -436,7 +438,7 @@
 		// Without a reply, or with a SYN+ACK only, the upstream may never have held the flow, and a copy
 		// of its first packet may have opened it elsewhere.
 		if e.flags&flagReplies != 0 && !e.handshake.unproven() {
-			t.lost.record(now, e.hash, cause)
+			t.lost.record(now, e.hash, cause, e.synAckSeq)
 		}
 		t.removeAt(now, i)
 	}
--- a/flow/receive.go
+++ b/flow/receive.go
@@ -54,7 +54,7 @@
 	if in.First {
 		return t.receiveFirst(now, hash, h, in)
 	}
-	if t.lost.has(now, hash) && !t.lost.mayBeElsewhere(now, hash, h) {
+	if t.lost.has(now, hash) && t.lost.mayBeOf(hash, in) && !t.lost.mayBeElsewhere(now, hash, h) {
 		return t.resetLost(in)
 	}
 	t.noteArrival(now, hash, h, in)
--- a/flow/reused_port_test.go
+++ b/flow/reused_port_test.go
@@ -72,3 +72,39 @@
 	g.Expect(action.Kind).To(Equal(Deliver))
 	g.Expect(path).To(Equal("a"))
 }
+
+// Guards against the reset of an open flow by the record of a lost one with the same addresses and ports, although
+// the packets' numbers tell the two flows from each other.
+func TestFlowThatAcknowledgesAnotherUpstreamIsNotResetForALostOne(t *testing.T) {
+	for i := range 4 {
+		found, kept := i%2 == 1, i/2 == 1 // kept: no packet of the lost flow arrives before the new one
+		g := NewWithT(t)
+		u := newUpstreamRig(4)
+		u.run(settled)
+		k := u.keyRanked(packet.ProtoTCP, "a", "b", "c", "d")
+		c := u.agents[u.named("c").ID]
+		u.sendPacket("c", numbered(k, 2))
+		u.synAck("c", k, 1000)
+		u.sendPacket("c", acknowledging(k, 1000))
+		u.reply("c", k)
+		if found {
+			c.removeFlow(u.now, k.Hash(), &k)
+			u.held["c"] = map[packet.Key]bool{}
+			c.lost.record(u.now, k.Hash(), FoundLost, 1001)
+		} else {
+			u.restartUpstream("c")
+		}
+		if !kept {
+			_, action := u.sendHinted("c", acknowledging(k, 2000))
+			g.Expect(action.Kind).To(Equal(Reset), "a packet of the lost flow")
+		}
+		u.sendPacket("a", numbered(k, 0)) // the client uses its port again
+		u.synAck("a", k, 1<<30)
+		u.sendPacket("a", acknowledging(k, 1<<30))
+		u.reply("a", k)
+		for range 2 {
+			_, action := u.sendHinted("c", acknowledging(k, 1<<30))
+			g.Expect(action.Kind).To(Equal(Deliver), "found lost: %v, kept: %v", found, kept)
+		}
+	}
+}
