--- a/flow/fleet_harness_test.go
+++ b/flow/fleet_harness_test.go
@@ -94,6 +94,9 @@
 	clients   []*fleetClient
 	orders    []fleetOrder
 	bornSteps bool // the time of day that upstreams announce jumps with that of their VM
+	// maxPacketAge is the time after which the packets that wait for a process are dropped. It is 0 on systems that do
+	// not tell when a packet has arrived.
+	maxPacketAge time.Duration
 
 	traced     packet.Key // flow whose decisions are recorded
 	traceLines []string
@@ -112,6 +115,7 @@
 	stableWindow      time.Duration
 	trouble           bool // unplanned disruptions beside planned work: see troubles
 	evacuates         bool // orders to evacuate: see orderEvacuations
+	holdsBack         bool // balancers forward packets late: see holdBackPackets
 	defaultSeeds      int
 }
 
@@ -143,6 +147,10 @@
 		f.addAgent()
 	}
 	f.bornSteps = shape.trouble && f.chance(0.5)
+	f.maxPacketAge = fleetMaxPacketAge
+	if shape.holdsBack {
+		f.maxPacketAge = 0
+	}
 	return f
 }
 
@@ -511,7 +519,7 @@
 }
 
 func (b *fleetBalancer) receive(c *clientFlow, in packet.Info) {
-	b.input(queueData, fleetMaxPacketAge, func() {
+	b.input(queueData, b.f.maxPacketAge, func() {
 		d := b.router.Route(b.clock(), &in)
 		if !d.OK {
 			b.f.trace(c, "%s drops %s: %v", b.name, describe(&in), d.Reason)
@@ -555,7 +563,7 @@
 		return
 	}
 	f.after(more+f.packetDelay(), func() {
-		if !to.input(queueData, fleetMaxPacketAge, func() { to.receive(p) }) {
+		if !to.input(queueData, f.maxPacketAge, func() { to.receive(p) }) {
 			f.trace(p.flow, "  %s is down", to.name)
 		}
 	})
@@ -567,7 +575,7 @@
 	if !ok || f.chance(0.02) {
 		return
 	}
-	f.after(more+f.messageDelay(), func() { to.input(queueData, fleetMaxPacketAge, handle) })
+	f.after(more+f.messageDelay(), func() { to.input(queueData, f.maxPacketAge, handle) })
 }
 
 // fleetAgent is an agent process with its Table, and what its upstreamMonitor knows of the upstream.
@@ -1176,6 +1184,13 @@
 	bornOffset time.Duration // vm.wallOffset at its start
 }
 
+// fleetCookieMask selects the bits of an acknowledgement number that name the flow at its upstream. The others count
+// what the client has received.
+const fleetCookieMask = ^uint32(0xffff)
+
+// fleetCookie returns the sequence number of the SYN+ACK of the n-th flow that an upstream accepts.
+func fleetCookie(n int) uint32 { return (uint32(n)*2654435769 | 1<<16) & fleetCookieMask }
+
 type upstreamFlow struct {
 	cookie      uint32
 	since       time.Duration
@@ -1228,7 +1243,7 @@
 	if p.in.First {
 		if fl == nil || fl.ended {
 			s.f.nextFlow++
-			fl = &upstreamFlow{cookie: uint32(s.f.nextFlow), since: s.f.now}
+			fl = &upstreamFlow{cookie: fleetCookie(s.f.nextFlow), since: s.f.now}
 			s.flows[p.in.Key] = fl
 			s.checkEvacuation(p.flow)
 		}
@@ -1236,7 +1251,7 @@
 		s.reply(p.flow, packet.Info{Flags: packet.FlagSYN | packet.FlagACK, Seq: fl.cookie}, 0)
 		return
 	}
-	if fl == nil || !fl.ended && fl.cookie != p.in.Ack {
+	if fl == nil || !fl.ended && fl.cookie != p.in.Ack&fleetCookieMask {
 		s.f.trace(p.flow, "    %s returns it", s.name)
 		s.f.oracle.misdelivered(p.flow, s, &p)
 		s.toAgent(true, func(a *fleetAgent) { a.returned(p) })
--- a/flow/fleet_scenario_test.go
+++ b/flow/fleet_scenario_test.go
@@ -11,16 +11,18 @@
 
 // clientFlow is one flow of a client, and what the oracle knows of it.
 type clientFlow struct {
-	f       *fleet
-	key     packet.Key
-	hash    uint64
-	client  *fleetClient
-	cookie  uint32 // of the upstream that has accepted the flow; 0 before
-	closed  bool   // the client does not use the flow any more
-	next    uint32 // number of the next packet
-	left    int    // requests left
-	unacked []*sentPacket
-	done    func() // opens the client's next flow
+	f      *fleet
+	key    packet.Key
+	hash   uint64
+	client *fleetClient
+	cookie uint32 // of the upstream that has accepted the flow; 0 before
+	// received is the number of bytes that the upstream has sent, as far as the client acknowledges them.
+	received uint32
+	closed   bool   // the client does not use the flow any more
+	next     uint32 // number of the next packet
+	left     int    // requests left
+	unacked  []*sentPacket
+	done     func() // opens the client's next flow
 
 	deadline time.Duration
 	idle     bool // with long pauses between requests
@@ -95,7 +97,7 @@
 		from := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(n >> 8), byte(n)}), port)
 		c := &clientFlow{f: f, client: client, key: packet.KeyOf(from, to, packet.ProtoTCP), left: 1 + f.rng.IntN(20), next: 1, deadline: fleetDeadline}
 		if f.shape.trouble {
-			c.deadline, c.idle = f.between(4*time.Second, 8*time.Second), f.chance(0.3)
+			c.deadline, c.idle = f.between(4*time.Second, 8*time.Second), f.chance(0.3) || f.shape.holdsBack
 		}
 		c.hash = c.key.Hash()
 		c.done = func() { f.after(f.between(10*time.Millisecond, 300*time.Millisecond), open) }
@@ -103,7 +105,7 @@
 		for i := range 3 {
 			f.after(SYNCopyDelay(uint8(i)), func() {
 				if c.cookie == 0 && !c.closed {
-					c.transmit(packet.Info{Key: c.key, First: true, Flags: packet.FlagSYN, Numbered: true, Repeat: uint8(i)})
+					c.transmit(packet.Info{Key: c.key, First: true, Flags: packet.FlagSYN, Numbered: true, Repeat: uint8(i), Seq: uint32(c.hash) | 1})
 				}
 			})
 		}
@@ -148,7 +150,7 @@
 		n = 1
 	}
 	for range n {
-		in := packet.Info{Key: c.key, Flags: packet.FlagACK, Seq: c.next, Ack: c.cookie, Payload: fleetPayload, FIN: c.left == 0}
+		in := packet.Info{Key: c.key, Flags: packet.FlagACK, Seq: c.next, Ack: c.cookie + c.received, Payload: fleetPayload, FIN: c.left == 0}
 		c.next++
 		s := &sentPacket{in: in, retry: 200 * time.Millisecond, expires: c.f.now + c.deadline}
 		c.unacked = append(c.unacked, s)
@@ -196,6 +198,7 @@
 		before := len(c.unacked)
 		c.unacked = slices.DeleteFunc(c.unacked, func(s *sentPacket) bool { return s.in.Seq == in.Ack })
 		c.f.oracle.counts.answered += before - len(c.unacked)
+		c.received += uint32(before-len(c.unacked)) * uint32(len(fleetPayload))
 		if before > 0 && len(c.unacked) == 0 {
 			pause := 800 * time.Millisecond
 			if c.idle {
@@ -415,7 +418,11 @@
 	if f.shape.evacuates {
 		f.orderEvacuations()
 	}
-	if f.shape.trouble {
+	switch {
+	case f.shape.holdsBack:
+		f.holdBackPackets()
+		return
+	case f.shape.trouble:
 		f.troubles()
 		return
 	}
