daemon: the clock does not go back when two goroutines look at the suspension at once

What callers would see: a process that ends with a failed invariant of the membership ("time went from ... back to ..."). Found by reading; not seen. Cause: the largest suspension was read and written in two steps, so that a goroutine that was descheduled in between could replace a larger value by its own. Change: the value is raised by compare-and-swap. Measured: go test ./daemon passes. The interleaving has no test: it needs a pause of 50 ms between two instructions.

--- a/daemon/clock.go
+++ b/daemon/clock.go
@@ -30,12 +30,18 @@
 		now := running()
 		last := lookedAt.Load()
 		if now-time.Duration(last) >= suspensionCheckInterval && lookedAt.CompareAndSwap(last, int64(now)) {
-			counted.Store(max(counted.Load(), int64(suspended()-before)))
+			raise(&counted, int64(suspended()-before))
 		}
 		return now + time.Duration(counted.Load())
 	}
 }
 
+// raise sets a value unless it is higher already.
+func raise(v *atomic.Int64, to int64) {
+	for old := v.Load(); to > old && !v.CompareAndSwap(old, to); old = v.Load() {
+	}
+}
+
 // suspendedTime returns the time for which the VM has been suspended since its boot. It is too low by the time that
 // passes between the two readings.
 func suspendedTime() time.Duration {
