flow: the SYN of a flow that is older than flows may be begins a new one whatever its number

Cause: a SYN with the number of the flow's own counted as a copy without a limit. Change: a flow that has been idle for MaxFlowAge, after which it may be discarded, is replaced. Measured: TestSYNWithTheSameSequenceNumberReplacesAnOutdatedFlow fails without the change.

--- a/flow/doc.go
+++ b/flow/doc.go
@@ -75,4 +75,7 @@
 // copy of the first packet that reaches this agent opens the flow elsewhere. Late copies of a
 // numbered SYN (firstRedirectedCopy and later) may do so: the Router sends them to another upstream
 // on purpose, unless a hint says that the flow waits for a slot at an agent (Router.LearnWaiting).
+//
+// A balancer that has not run for a while forwards the packets that it holds seconds late. Copies of a SYN are
+// therefore told from the SYN of a new flow on the same ports by their sequence number, not by their time.
 package flow
--- a/flow/late_syn_test.go
+++ b/flow/late_syn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -51,6 +52,26 @@
 	g.Expect(path).NotTo(HaveSuffix("a"))
 }
 
+// Guards against a client that numbers each SYN alike, and can't use a port again whose flow it has given up.
+func TestSYNWithTheSameSequenceNumberReplacesAnOutdatedFlow(t *testing.T) {
+	g := NewWithT(t)
+	u := newUpstreamRig(4)
+	u.run(settled)
+	k := u.keyRanked(packet.ProtoTCP, "a", "b", "c", "d")
+	in := numbered(k, 0)
+	in.Seq = 7000
+	u.sendPacket("a", in)
+	u.synAck("a", k, 1000)
+	u.sendPacket("a", acknowledging(k, 1000))
+	u.run(MaxFlowAge)
+	_, action := u.sendPacket("a", in)
+	g.Expect(action.Reason).To(Equal(ReasonLateCopy))
+	u.run(2 * time.Second)
+	_, action = u.sendPacket("a", in)
+	g.Expect(action.Kind).To(Equal(Deliver))
+	g.Expect(action.Removed).To(Equal(PortsReused))
+}
+
 // Guards against a late copy of the SYN of a flow that has ended, which opens a flow that nobody uses.
 func TestLateCopyOfTheSYNOfAnEndedFlowIsDropped(t *testing.T) {
 	g := NewWithT(t)
--- a/flow/lifetime.go
+++ b/flow/lifetime.go
@@ -111,20 +111,23 @@
 	return seconds(now)-e.lastSeen > seconds(limit)
 }
 
-// isLateCopy reports whether a SYN for which mayBeReused is true is a copy of the one that opened the flow, which a
-// balancer may have held back for seconds while it did not run.
-func (e *entry) isLateCopy(in *packet.Info) bool { return e.synSeq != 0 && in.Seq == e.synSeq }
-
-// isReused reports whether a SYN for which mayBeReused is true certainly begins a new flow. The new flow is placed
-// like any other, as the upstream may not accept it. Without the sequence number of the flow's own SYN, only a
-// flow that has ended, or is so old that it may be discarded, is given up.
+// isReused reports whether a SYN for which mayBeReused is true begins a new flow. The new flow is placed like any
+// other, as the upstream may not accept it. Without the sequence number of the flow's own SYN, only a flow that has
+// ended, or is so old that it may be discarded, is given up.
 func (e *entry) isReused(now time.Duration, in *packet.Info) bool {
-	if e.synSeq != 0 {
+	switch {
+	case e.idleLongerThan(now, MaxFlowAge):
+		return true
+	case e.synSeq != 0:
 		return in.Seq != e.synSeq
 	}
-	return e.flags&flagLingering != 0 || e.idleLongerThan(now, MaxFlowAge)
+	return e.flags&flagLingering != 0
 }
 
+// isLateCopy reports whether a SYN for which mayBeReused is true is a copy of the one that opened the flow, which a
+// balancer may have held back for seconds while it did not run.
+func (e *entry) isLateCopy(in *packet.Info) bool { return e.synSeq != 0 && in.Seq == e.synSeq }
+
 // maxUnseenReply is the number of bytes that an upstream may have sent on a flow between the list of flows
 // and the end of the process that wrote it.
 const maxUnseenReply = 1 << 20
--- a/flow/receive.go
+++ b/flow/receive.go
@@ -24,10 +24,10 @@
 	}
 	late, removed := t.mayBeReused(now, e, in), NotRemoved
 	switch {
-	case late && e.isLateCopy(in):
-		return t.drop(ReasonLateCopy)
 	case late && e.isReused(now, in):
 		removed = PortsReused
+	case late && e.isLateCopy(in):
+		return t.drop(ReasonLateCopy)
 	case t.isOpenElsewhere(e, in):
 		removed = OpenElsewhere
 	default:
