flow, agent, event: each flow that leaves the table unclosed is logged

Only flows that a client's packet removes had a line (1817); those removed by a timer, by a packet that the upstream returns or by the end of the upstream had none. The lines that explain a reset (1814, 1816) shared one rate limit with one line for each flow that is placed, so that they were dropped when there was most to explain. Change: TableConfig.OnRemoved reports each flow that leaves the table, except those that both ends have closed, with its rule, age, idle time and handshake; 1817 logs it. 100 lines of the burst of 200 are reserved for the lines that explain why a flow ended. No decision is changed. Action.Removed is gone; its test reads the same cause from OnRemoved.

--- a/agent/flowlog.go
+++ b/agent/flowlog.go
@@ -61,22 +61,31 @@
 		"reason", action.Reason, "hops", h.Hops, "tried", h.Tried, "state", t.State(), "complete", t.Completeness(now))
 }
 
-// logRemoved logs that a packet of the client has removed a flow from the table.
-func (a *Agent) logRemoved(in *packet.Info, cause flow.Removal) {
-	a.log.LogFlow(event.FlowRemoved, "flow", daemon.FlowID(&in.Key), "cause", cause, "copy", in.Repeat, "seq", in.Seq, "ack", in.Ack)
+// logRemoved logs that a flow which its ends have not closed has left the table.
+func (a *Agent) logRemoved(f *flow.RemovedFlow) {
+	pairs := []any{"flow", daemon.FlowID(&f.Key), "cause", f.Cause, "age", f.Age.Seconds(), "idle", f.Idle.Seconds(),
+		"handshake", f.Handshake, "closing", f.Closing}
+	if in := f.Packet; in != nil {
+		pairs = append(pairs, "copy", in.Repeat, "seq", in.Seq, "ack", in.Ack)
+	}
+	if f.Cause == flow.HandshakeTimeout {
+		a.log.LogFlow(event.FlowRemoved, pairs...)
+		return
+	}
+	a.log.LogFlowEnd(event.FlowRemoved, pairs...)
 }
 
 // logMissedFlow logs that a packet of the upstream belongs to a flow that the table lacked although it counted as
 // complete, for the given reason.
 func (a *Agent) logMissedFlow(t *flow.Table, reply *packet.Info, complete flow.Completeness) {
 	k := reply.Key.Reverse()
-	a.log.LogFlow(event.FlowMissed, "flow", daemon.FlowID(&k), "complete", complete, "state", t.State(), "start", t.UpstreamStart())
+	a.log.LogFlowEnd(event.FlowMissed, "flow", daemon.FlowID(&k), "complete", complete, "state", t.State(), "start", t.UpstreamStart())
 }
 
 // logLost logs and counts the reset of a flow that an inquiry has found lost, with the evidence.
 func (a *Agent) logLost(now time.Duration, t *flow.Table, k *packet.Key, e *flow.Evidence) {
 	a.counters.addLost(e)
-	a.log.LogFlow(event.FlowReset, append(resetPairs(now, t, k, flow.FoundLost),
+	a.log.LogFlowEnd(event.FlowReset, append(resetPairs(now, t, k, flow.FoundLost),
 		"silent", t.SilentPeers(now), "asked_for", e.Inquiry.Seconds(), "may_repeat", e.MayRepeat,
 		"denied", e.Denied, "denied_by", strings.Join(e.DeniedBy, " "),
 		"excluded", e.Excluded, "excluded_as", formatExcluded(e.ExcludedAs))...)
@@ -85,7 +94,7 @@
 // logRecordedReset logs the reset that answers a packet of a flow recorded as lost.
 func (a *Agent) logRecordedReset(now time.Duration, t *flow.Table, k *packet.Key) {
 	cause, age := t.RecordedLoss(now, k)
-	a.log.LogFlow(event.FlowReset, append(resetPairs(now, t, k, cause), "recorded", age.Seconds())...)
+	a.log.LogFlowEnd(event.FlowReset, append(resetPairs(now, t, k, cause), "recorded", age.Seconds())...)
 }
 
 func resetPairs(now time.Duration, t *flow.Table, k *packet.Key, cause flow.LossCause) []any {
--- a/agent/reader.go
+++ b/agent/reader.go
@@ -117,9 +117,6 @@
 }
 
 func (r *reader) log(now time.Duration, t *flow.Table, h *packet.Header, action *flow.Action) {
-	if action.Removed != flow.NotRemoved {
-		r.agent.logRemoved(&r.info, action.Removed)
-	}
 	if r.info.First {
 		r.agent.logFirstPacket(now, t, &r.info, h, action, 0)
 	} else {
--- a/event/async.go
+++ b/event/async.go
@@ -17,6 +17,8 @@
 	// may log 50 lines per second in total, so 10 remain for other events.
 	flowLinesPerSecond = 40
 	flowLinesBurst     = 200
+	// endLinesReserve is the part of flowLinesBurst that only lines of LogFlowEnd may use.
+	endLinesReserve = 100
 	// flushInterval is the maximum time that lines about single flows are buffered to be
 	// written together, because writing each line at once would wake up the process for
 	// each of them.
@@ -136,9 +138,16 @@
 }
 
 // LogFlow writes an event about a single flow, unless the rate limit is exceeded.
-func (l *Logger) LogFlow(d Definition, pairs ...any) {
-	if l.queue != nil && !l.queue.flowLimiter.Allow() {
-		l.queue.rateDropped.Add(1)
+func (l *Logger) LogFlow(d Definition, pairs ...any) { l.logFlow(d, pairs, endLinesReserve) }
+
+// LogFlowEnd does the same for an event that may explain why a flow was broken. Part of the rate limit is
+// reserved for such lines: they come when there are most lines of other flows.
+func (l *Logger) LogFlowEnd(d Definition, pairs ...any) { l.logFlow(d, pairs, 0) }
+
+// logFlow writes the event if the rate limit allows for it and for further lines, reserve in number.
+func (l *Logger) logFlow(d Definition, pairs []any, reserve float64) {
+	if q := l.queue; q != nil && (q.flowLimiter.Tokens() < reserve || !q.flowLimiter.Allow()) {
+		q.rateDropped.Add(1)
 		l.reportDropped(false)
 		return
 	}
--- a/event/async_test.go
+++ b/event/async_test.go
@@ -56,6 +56,20 @@
 		Expect(out.String()).To(MatchRegexp(`event=1009 .*flow_lines=[1-9]`))
 	})
 
+	// Guards against a reset without a line that explains it, because the lines of other flows have used up the limit.
+	It("reserves lines for events that explain why a flow was broken", func() {
+		var w bytes.Buffer
+		l := event.NewQueued(&w)
+		for range 1000 {
+			l.LogFlow(event.FlowPlaced)
+		}
+		for range 50 {
+			l.LogFlowEnd(event.FlowReset)
+		}
+		l.Close()
+		Expect(strings.Count(w.String(), "event=1814")).To(Equal(50))
+	})
+
 	// Guards against a process that does not exit because its log is not read.
 	It("closes although the log is not read", func() {
 		r, w := io.Pipe()
--- a/flow/action.go
+++ b/flow/action.go
@@ -38,30 +38,6 @@
 	// ExtraHints lists further addresses to send the hint to. It is valid until the next call
 	// of a method that returns an Action. A caller may ignore it at the cost of detours.
 	ExtraHints []netip.AddrPort
-	// Removed is why an entry with the packet's addresses and ports has left the table before the decision.
-	Removed Removal
-}
-
-// Removal is the reason why a packet of the client has removed a flow from the table.
-type Removal uint8
-
-const (
-	// NotRemoved: the packet has removed no flow.
-	NotRemoved Removal = iota
-	// OpenElsewhere: it acknowledges the SYN+ACK of another upstream, and the flow was half-open here.
-	OpenElsewhere
-	// PortsReused: it is the SYN of a new flow with the same addresses and ports.
-	PortsReused
-)
-
-var removalNames = [...]string{"none", "open_elsewhere", "ports_reused"}
-
-// String returns the reason's name in logs.
-func (r Removal) String() string {
-	if int(r) < len(removalNames) {
-		return removalNames[r]
-	}
-	return "unknown"
 }
 
 // Observer is notified of each change of a flow's owner. Tests and benchmarks use it to check
--- a/flow/late_syn_test.go
+++ b/flow/late_syn_test.go
@@ -69,7 +69,8 @@
 	u.run(2 * time.Second)
 	_, action = u.sendPacket("a", in)
 	g.Expect(action.Kind).To(Equal(Deliver))
-	g.Expect(action.Removed).To(Equal(PortsReused))
+	g.Expect(u.removed).To(HaveLen(1))
+	g.Expect(u.removed[0].Cause).To(Equal(PortsReused))
 }
 
 // Guards against a late copy of the SYN of a flow that has ended, which opens a flow that nobody uses.
--- a/flow/lifetime.go
+++ b/flow/lifetime.go
@@ -179,6 +179,7 @@
 			if e.handshake == handshakeHalf {
 				t.noteHalfOpen(now, e)
 			}
+			t.reportRemoval(now, e, e.timeout(), nil)
 			t.removeAt(now, t.sweepFrom)
 		} else {
 			t.sweepFrom++
@@ -200,6 +201,17 @@
 	return seconds(now)-e.lastSeen >= seconds(idle)
 }
 
+// timeout returns why an expired flow leaves the table.
+func (e *entry) timeout() Removal {
+	switch {
+	case e.flags&flagLingering != 0:
+		return Closed
+	case e.handshake == handshakeDone || e.handshake == handshakeRestored:
+		return IdleTimeout
+	}
+	return HandshakeTimeout
+}
+
 // removeAt removes the flow at a position of the flow store and withdraws its fingerprints.
 func (t *Table) removeAt(now time.Duration, position int) {
 	e := &t.flows.entries[position]
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -292,7 +292,7 @@
 func (t *Table) HandleReturned(now time.Duration, h *packet.Header, in *packet.Info) Action {
 	t.counters.Returned++
 	hash := in.Key.Hash()
-	t.removeFlow(now, hash, &in.Key)
+	t.removeFlow(now, hash, in, ReturnedByUpstream)
 	if in.First {
 		return t.handOffToNext(now, hash, h, opensTCP(in) && in.Repeat == 0)
 	}
@@ -325,9 +325,10 @@
 	return t.handOff(now, hash, h, next)
 }
 
-// removeFlow removes a flow that the upstream does not hold after all.
-func (t *Table) removeFlow(now time.Duration, hash uint64, k *packet.Key) {
-	if position, found := t.flows.position(hash, k); found {
+// removeFlow removes the flow of a packet, which shows that the upstream does not hold it after all.
+func (t *Table) removeFlow(now time.Duration, hash uint64, in *packet.Info, cause Removal) {
+	if position, found := t.flows.position(hash, &in.Key); found {
+		t.reportRemoval(now, &t.flows.entries[position], cause, in)
 		t.removeAt(now, position)
 	}
 }
@@ -440,6 +441,7 @@
 		if e.flags&flagReplies != 0 && !e.handshake.unproven() {
 			t.lost.record(now, e.hash, cause, e.synAckSeq)
 		}
+		t.reportRemoval(now, e, UpstreamEnded, nil)
 		t.removeAt(now, i)
 	}
 }
--- a/flow/receive.go
+++ b/flow/receive.go
@@ -22,7 +22,7 @@
 	if e == nil {
 		return t.receiveUnowned(now, hash, h, in)
 	}
-	late, removed := t.mayBeReused(now, e, in), NotRemoved
+	late, removed := t.mayBeReused(now, e, in), Closed
 	switch {
 	case late && e.isReused(now, in):
 		removed = PortsReused
@@ -35,10 +35,8 @@
 		t.processClientPacket(now, e, in)
 		return t.deliver(now, h, e)
 	}
-	t.removeFlow(now, hash, &in.Key)
-	a := t.receiveUnowned(now, hash, h, in)
-	a.Removed = removed
-	return a
+	t.removeFlow(now, hash, in, removed)
+	return t.receiveUnowned(now, hash, h, in)
 }
 
 // receiveUnowned decides on a received packet of a flow that is not in the table.
--- a/flow/reused_port_test.go
+++ b/flow/reused_port_test.go
@@ -88,7 +88,7 @@
 		u.sendPacket("c", acknowledging(k, 1000))
 		u.reply("c", k)
 		if found {
-			c.removeFlow(u.now, k.Hash(), &k)
+			c.removeFlow(u.now, k.Hash(), &packet.Info{Key: k}, ReturnedByUpstream)
 			u.held["c"] = map[packet.Key]bool{}
 			c.lost.record(u.now, k.Hash(), FoundLost, 1001)
 		} else {
--- a/flow/store.go
+++ b/flow/store.go
@@ -49,6 +49,7 @@
 	synAckSeq    uint32         // sequence number of the upstream's last SYN+ACK
 	check        uint8          // Table.check when the agent last passed a SYN, or the upstream the flow's first known packet
 	handshake    handshake
+	entered      uint32 // time at which the flow entered the table, milliseconds since process start
 	// customer is the customer for which the flow was admitted.
 	customer uint64
 }
@@ -111,7 +112,7 @@
 	if 2*(len(s.entries)+1) > len(s.index) {
 		s.grow()
 	}
-	s.entries = append(s.entries, entry{key: *k, hash: hash, lastSeen: seconds(now)})
+	s.entries = append(s.entries, entry{key: *k, hash: hash, lastSeen: seconds(now), entered: milliseconds(now)})
 	s.place(len(s.entries) - 1)
 	return &s.entries[len(s.entries)-1]
 }
--- a/flow/suite_test.go
+++ b/flow/suite_test.go
@@ -33,12 +33,14 @@
 	owners       map[packet.Key]packet.AgentID // recorded as Observer
 	opened       map[packet.Key]time.Duration  // time of the first SYN
 	secondOwners int                           // flows accepted while they had an owner
+	removed      []RemovedFlow                 // recorded as TableConfig.OnRemoved
 	loseMessage  func() bool
 }
 
 func newRig(n int, cfg TableConfig) *rig {
 	r := &rig{agents: map[packet.AgentID]*Table{}, owners: map[packet.Key]packet.AgentID{}, opened: map[packet.Key]time.Duration{}, loseMessage: func() bool { return false }}
 	cfg.Observer = r
+	cfg.OnRemoved = func(f *RemovedFlow) { r.removed = append(r.removed, *f) }
 	for i := range n {
 		name := string(rune('a' + i))
 		u := Upstream{ID: packet.AgentIDOf(name), Name: name, Incarnation: uint64(i + 1), State: Ready,
