flow, agent: an agent notices that it has denied a flow which its upstream holds

Cause: a reset of an open flow begins with an agent that denies a flow of its own upstream. Event 1816 showed that a table lacked a flow, but neither whether anybody had been told so, nor whether the flow was open at all. Change: a Table remembers for a minute the flows that it has denied, in an answer to a peer or by a reset. Data of the upstream on such a flow, without a SYN in between, is event 1818, counted in flows.falsely_denied. Flows that left the table half-open are left out, since their upstream may open them later. No decision is changed. Measured: go test ./flow ./agent ./event.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -197,7 +197,7 @@
 		c.Rebuild = a.cfg.RebuildSeconds.Duration()
 		c.AwaitIdleLimit = true
 		c.DigestDelay, c.DigestRate, c.ResyncDelay = rebuildDigestDelay, rebuildDigestRate, rebuildResyncDelay
-		c.OnRemoved = a.logRemoved
+		c.OnRemoved, c.OnFalseDenial = a.logRemoved, a.logFalseDenial
 		c.OnRequestDone = func(d time.Duration) { a.requestTime.Update(int64(d)) }
 		c.Gate = load.NewGate(load.Config{})
 		if a.warmup != nil {
--- a/agent/flowlog.go
+++ b/agent/flowlog.go
@@ -75,6 +75,12 @@
 	a.log.LogFlowEnd(event.FlowRemoved, pairs...)
 }
 
+// logFalseDenial logs that this agent has denied a flow that its upstream holds.
+func (a *Agent) logFalseDenial(d *flow.FalseDenial) {
+	a.log.LogFlowEnd(event.FlowFalselyDenied, "flow", daemon.FlowID(&d.Key), "denied", d.Age.Seconds(), "reset", d.Reset,
+		"complete", d.Complete, "recorded_as", d.Loss, "returned", d.Returned)
+}
+
 // logMissedFlow logs that a packet of the upstream belongs to a flow that the table lacked although it counted as
 // complete, for the given reason.
 func (a *Agent) logMissedFlow(t *flow.Table, reply *packet.Info, complete flow.Completeness) {
--- a/agent/gauges.go
+++ b/agent/gauges.go
@@ -22,6 +22,7 @@
 	gauge("flows.handed_off", func(_ time.Duration, t *flow.Table) float64 { return float64(t.Counters().HandedOff) })
 	gauge("flows.handed_off.evacuated", func(_ time.Duration, t *flow.Table) float64 { return float64(t.Counters().EvacuatedHandedOff) })
 	gauge("flows.refused.evacuated", func(_ time.Duration, t *flow.Table) float64 { return float64(t.Counters().EvacuatedRefused) })
+	gauge("flows.falsely_denied", func(_ time.Duration, t *flow.Table) float64 { return float64(t.Counters().FalselyDenied) })
 	gauge("flows.missed", func(_ time.Duration, t *flow.Table) float64 { return float64(t.Counters().Missed) })
 	gauge("flows.adopted", func(_ time.Duration, t *flow.Table) float64 { return float64(t.Counters().Adopted) })
 	gauge("flows.tried", func(_ time.Duration, t *flow.Table) float64 { return float64(t.Counters().Tried) })
--- a/flow/accept.go
+++ b/flow/accept.go
@@ -86,6 +86,7 @@
 	e.check = t.check
 	t.ownerRecords.forget(hash)
 	t.lost.forget(hash)
+	delete(t.denials.byHash, hash)
 	delete(t.unknownFlows, hash)
 	t.retarget(now, e)
 	t.requestDigestStep(e)
--- a/flow/config.go
+++ b/flow/config.go
@@ -40,6 +40,9 @@
 	// OnRemoved is called with each flow that leaves the table, except those that both ends have closed; may be
 	// nil. It must not call the table, and the flow is valid only during the call.
 	OnRemoved func(*RemovedFlow)
+	// OnFalseDenial is called with each flow that this table has denied although the upstream holds it; may be nil.
+	// It must not call the table, and the argument is valid only during the call.
+	OnFalseDenial func(*FalseDenial)
 	// Rebuild is the minimum length of the rebuilding phase after the start. In this phase packets of
 	// unknown flows are delivered to the upstream, which returns those of flows that it does
 	// not hold. Flows that appear in the upstream's own packets are adopted at any time. A
--- a/flow/fleet_harness_test.go
+++ b/flow/fleet_harness_test.go
@@ -638,6 +638,7 @@
 	a.table = NewTable(TableConfig{
 		Settling: 4 * time.Second, Rebuild: rebuildTime, DigestDelay: time.Millisecond, DigestRate: 64 << 10,
 		ResyncDelay: 400 * time.Millisecond, Gate: load.NewGate(load.Config{}),
+		OnFalseDenial: func(d *FalseDenial) { a.f.oracle.falselyDenied(a, d) },
 	}, self, testService, rand.New(rand.NewPCG(a.f.rng.Uint64(), 1)))
 	a.table.StartRebuild(0)
 	a.table.SetSlots(fleetSlots)
@@ -1265,7 +1266,9 @@
 	s.f.oracle.delivered(p.flow, s)
 	r := packet.Info{Flags: packet.FlagACK, Ack: p.in.Seq, Payload: fleetPayload}
 	switch {
-	case fl.ended && !p.in.FIN:
+	case fl.ended && p.in.FIN:
+		r.Payload, r.FIN = nil, true
+	case fl.ended:
 		r = packet.Info{RST: true, Flags: packet.FlagRST}
 	case p.in.FIN || s.draining:
 		r.FIN, fl.ended, fl.open = true, true, false
--- a/flow/fleet_held_back_test.go
+++ b/flow/fleet_held_back_test.go
@@ -32,6 +32,10 @@
 	checkFleets(t, &fleetHeldBack, ruleReset)
 }
 
+func TestFleetDeniesNoOpenFlowForPacketsHeldBack(t *testing.T) {
+	checkFleets(t, &fleetHeldBack, ruleDenied)
+}
+
 func TestFleetKeepsFlowsAtTheirUpstreamBesidePacketsHeldBack(t *testing.T) {
 	checkFleets(t, &fleetHeldBack, ruleMisdelivered)
 }
--- a/flow/fleet_scenario_test.go
+++ b/flow/fleet_scenario_test.go
@@ -238,6 +238,7 @@
 	ruleReset        = "reset"
 	ruleMisdelivered = "misdelivered"
 	ruleEvacuated    = "evacuated"
+	ruleDenied       = "falsely denied"
 )
 
 // fleetCounts are the outcomes of the clients' packets and flows.
@@ -390,6 +391,13 @@
 	}
 }
 
+// falselyDenied records that an agent has said that its upstream does not hold a flow, and was wrong.
+func (o *fleetOracle) falselyDenied(a *fleetAgent, d *FalseDenial) {
+	c := o.f.flows[d.Key]
+	o.violate(ruleDenied, c, o.f.now < max(a.vm.disruptedUntil, a.vm.killedUntil), fmt.Sprintf("denied by %s %.3f s ago, reset %v, complete %v, recorded as %v, returned %v, runs since %.3f s",
+		a.name, d.Age.Seconds(), d.Reset, d.Complete, d.Loss, d.Returned, a.startedAt.Seconds()))
+}
+
 // upstreamEnded counts the flows that end with a upstream.
 func (o *fleetOracle) upstreamEnded(s *fleetUpstream) {
 	for k, fl := range s.flows {
--- a/flow/fleet_test.go
+++ b/flow/fleet_test.go
@@ -128,6 +128,9 @@
 // Guards against both while planned work meets kills, pauses, cuts, loss and faulty upstreams of other VMs.
 func TestTroubledFleetResetsNoOpenFlow(t *testing.T) { checkFleets(t, &fleetTroubled, ruleReset) }
 
+// Guards against agents that deny flows which their upstreams hold, the first step to a reset.
+func TestTroubledFleetDeniesNoOpenFlow(t *testing.T) { checkFleets(t, &fleetTroubled, ruleDenied) }
+
 func TestTroubledFleetKeepsFlowsAtTheirUpstream(t *testing.T) {
 	checkFleets(t, &fleetTroubled, ruleMisdelivered)
 }
--- a/flow/inquiry.go
+++ b/flow/inquiry.go
@@ -183,6 +183,9 @@
 		if a.Statuses[i] == packet.MaybeHeld && !t.flows.hasHash(hash) {
 			t.noteAsked(now, hash, q.From)
 		}
+		if a.Statuses[i] == packet.NotHeld {
+			t.noteDenial(now, hash, false)
+		}
 		if a.Statuses[i] != packet.Held {
 			a.Statuses[i] = a.Statuses[i].WithProbes(t.unknownFlows[hash].here)
 		}
--- a/flow/lifetime.go
+++ b/flow/lifetime.go
@@ -42,6 +42,7 @@
 // missed is why it counted so, and Incomplete otherwise.
 func (t *Table) HandleReply(now time.Duration, in *packet.Info) (missed Completeness) {
 	k := in.Key.Reverse()
+	t.checkDenial(now, &k, in)
 	e := t.flows.find(k.Hash(), &k)
 	adopted := e == nil
 	if adopted {
--- a/flow/lost.go
+++ b/flow/lost.go
@@ -266,6 +266,7 @@
 		case f.shared || !canDeclare || !findings[hash].lost || t.status(now, hash) != packet.NotHeld:
 			kept = append(kept, hash)
 		default:
+			t.noteDenial(now, hash, true)
 			delete(t.unknownFlows, hash)
 			t.lost.record(now, hash, FoundLost, f.ack)
 			t.lossFindings = append(t.lossFindings, findings[hash])
@@ -352,10 +353,11 @@
 }
 
 // resetLost returns the action for a packet of a lost flow.
-func (t *Table) resetLost(in *packet.Info) Action {
+func (t *Table) resetLost(now time.Duration, hash uint64, in *packet.Info) Action {
 	if in.RST {
 		return t.drop(ReasonFlowLost)
 	}
+	t.noteDenial(now, hash, true)
 	t.counters.Reset++
 	return Action{Kind: Reset, Reason: ReasonFlowLost}
 }
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -309,7 +309,7 @@
 	if t.lost.isUnconfirmed(now, hash) {
 		t.lost.confirm(now, hash)
 		if t.lost.mayBeOf(hash, in) {
-			return t.resetLost(in)
+			return t.resetLost(now, hash, in)
 		}
 	}
 	return t.forwardUnknown(now, hash, h, in)
--- a/flow/receive.go
+++ b/flow/receive.go
@@ -53,7 +53,7 @@
 		return t.receiveFirst(now, hash, h, in)
 	}
 	if t.lost.has(now, hash) && t.lost.mayBeOf(hash, in) && !t.lost.mayBeElsewhere(now, hash, h) {
-		return t.resetLost(in)
+		return t.resetLost(now, hash, in)
 	}
 	t.noteArrival(now, hash, h, in)
 	if a, done := t.probeUpstream(now, hash, h, in); done {
--- a/flow/step.go
+++ b/flow/step.go
@@ -20,6 +20,7 @@
 	t.ownerRecords.expire(now)
 	t.expireUnknownFlows(now)
 	t.lost.expire(now)
+	t.expireDenials(now)
 	t.updateMeans(now)
 	t.queueRemovals(now)
 	t.noteStepGap(now)
--- a/flow/table.go
+++ b/flow/table.go
@@ -32,6 +32,7 @@
 	lost            lostFlows
 	// suspected are the hashes of suspect flows, which may be lost.
 	suspected       []uint64
+	denials         denials                 // flows that this agent has denied
 	inquiries       []*inquiry              // about suspect flows
 	lossFindings    []finding               // of the flows that the last call of CheckSuspects has returned
 	lastInquiry     uint32                  // number of the latest inquiry
@@ -93,6 +94,7 @@
 	Returned                                        uint64 // packets that the upstream sent back
 	Adopted                                         uint64 // flows adopted from the upstream's own packets
 	Missed                                          uint64 // times that the table counted as complete and lacked a flow of the upstream
+	FalselyDenied                                   uint64 // flows that this agent has denied although its upstream holds them
 	Restored                                        uint64 // flows of an earlier process of this agent, as listed by its keepers
 	Asked                                           uint64 // inquiries sent, counted per peer
 	Found                                           uint64 // flows that a peer owns according to its answer
@@ -115,6 +117,7 @@
 		inboxes:           make(map[packet.AgentID]*inbox),
 		unknownFlows:      make(map[uint64]unknownFlow),
 		lost:              newLostFlows(cfg.MaxFlows),
+		denials:           denials{byHash: make(map[uint64]denial)},
 		startedPeers:      make(map[packet.AgentID]bool),
 		restoredTo:        make(map[endpointKey]packet.Key),
 		loadSent:          never,
