flow: the inquiries of an agent's processes have different numbers

Cause: an answer names its inquiry by the number alone, and each process of an agent began at 1. A peer that stands still or is slow answers the inquiries of the agent's earlier process when it runs again. Its answer about one flow was taken for the answer about another, which the peer holds. The asker then found that flow lost, reset it, and reset its packets for another 20 s. Change: the numbers begin at a hash of the process's incarnation, which is random. The message stays as it is, so that agents of earlier versions understand it. Why this works: an answer to an earlier process names a number that the present one has not given, but for one case in 2^32 for each inquiry that is not answered.

--- a/flow/table.go
+++ b/flow/table.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/nutmegtrack/nutmegtrack/internal/rendezvous"
 	"github.com/nutmegtrack/nutmegtrack/packet"
 )
 
@@ -105,19 +106,22 @@
 func NewTable(cfg TableConfig, self Upstream, service packet.ServiceID, rng *rand.Rand) *Table {
 	cfg = cfg.withDefaults()
 	return &Table{
-		cfg:               cfg,
-		self:              self,
-		seed:              seedOf(self.ID),
-		service:           service,
-		rng:               rng,
-		flows:             newFlowStore(),
-		waiting:           newWaitingFlows(),
-		ownerRecords:      newOwnerRecords(cfg.RecordRetention, cfg.MaxOwnerRecords),
-		peers:             peerSet{byID: make(map[packet.AgentID]*peer)},
-		inboxes:           make(map[packet.AgentID]*inbox),
-		unknownFlows:      make(map[uint64]unknownFlow),
-		lost:              newLostFlows(cfg.MaxFlows),
-		denials:           denials{byHash: make(map[uint64]denial)},
+		cfg:          cfg,
+		self:         self,
+		seed:         seedOf(self.ID),
+		service:      service,
+		rng:          rng,
+		flows:        newFlowStore(),
+		waiting:      newWaitingFlows(),
+		ownerRecords: newOwnerRecords(cfg.RecordRetention, cfg.MaxOwnerRecords),
+		peers:        peerSet{byID: make(map[packet.AgentID]*peer)},
+		inboxes:      make(map[packet.AgentID]*inbox),
+		unknownFlows: make(map[uint64]unknownFlow),
+		lost:         newLostFlows(cfg.MaxFlows),
+		denials:      denials{byHash: make(map[uint64]denial)},
+		// Answers name an inquiry by its number alone, so the numbers of this agent's processes must differ: a peer
+		// may answer an inquiry of an earlier process seconds late.
+		lastInquiry:       uint32(rendezvous.Mix(self.Incarnation)),
 		startedPeers:      make(map[packet.AgentID]bool),
 		restoredTo:        make(map[endpointKey]packet.Key),
 		loadSent:          never,
