flow: a packet of an open flow is not taken for a copy of its SYN

What callers saw: no answer for about a second on a flow that had just opened, and a reset of it which their platform ignores. Cause: copies of a SYN that a balancer has held back can wait for a slot at an agent while another upstream has opened the flow. The agent dropped every packet of a waiting flow and counted each as the copy with its number; packets other than SYNs have number 0. So the data of the open flow counted as the original SYN. With all three copies "arrived" here, the flow seemed to be open nowhere else, and the agent reset it when it refused it. TestPacketOfAnOpenFlowEndsTheWaitOfItsLateCopies fails without the change: the packet is dropped. Change: a TCP packet other than a SYN ends the wait without an answer, and is forwarded to the flow's owner. Why this works: a client sends such a packet only when an upstream has accepted its SYN. Measured: go test ./flow.

--- a/flow/admission.go
+++ b/flow/admission.go
@@ -84,16 +84,22 @@
 	return waitingFlows{byNumber: make(map[uint64]*waitingFlow), byKey: make(map[packet.Key]uint64)}
 }
 
-// noteCopy reports whether the flow of a received packet waits, and records the number of its copy.
+// noteCopy reports whether the flow of a received packet waits, and records the number of its copy. A TCP packet
+// other than a SYN shows that another upstream has opened the flow: it waits no longer.
 func (w *waitingFlows) noteCopy(in *packet.Info) bool {
 	if len(w.byKey) == 0 {
 		return false
 	}
 	number, found := w.byKey[in.Key]
-	if found {
-		w.byNumber[number].copies |= 1 << min(in.Repeat, 7)
+	switch {
+	case !found:
+		return false
+	case !in.First && in.Key.Proto == packet.ProtoTCP:
+		w.remove(number)
+		return false
 	}
-	return found
+	w.byNumber[number].copies |= 1 << min(in.Repeat, 7)
+	return true
 }
 
 func (w *waitingFlows) add(number uint64, f *waitingFlow) {
