flow: an ACK of a FIN does not show that the upstream holds the flow

What callers saw: on flows whose upstream had ended, no answer until their deadline instead of a reset, for up to a minute after balancers had stood still. Cause: an upstream answers the FIN of a flow that has ended with an ACK. A balancer that has stood still forwards such FINs seconds late, when the flow has left the table; the agent delivers one as a probe. It took the ACK for a packet of an open flow and adopted it. Change: after a probe with a FIN, a packet that only acknowledges is not taken for a sign of the flow. The flow may still be held, and is not denied; data or a FIN of the upstream adopts it as before.

--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -61,6 +61,8 @@
 	mayRepeat bool
 	// shared says that an upstream of another service may hold the flow (packet.FlagShared).
 	shared bool
+	// probedFIN says that a packet that closes the flow was delivered to the upstream.
+	probedFIN bool
 	// halfOpen says that the upstream has accepted the flow's SYN, and that the flow has left the table since.
 	halfOpen bool
 }
@@ -234,6 +236,7 @@
 		return t.drop(ReasonWaiting), pending
 	}
 	f.at, f.probed, f.key, f.ack = now, true, in.Key, in.Ack
+	f.probedFIN = f.probedFIN || in.FIN
 	f.here++
 	h.Tried = max(h.Tried, f.tried())
 	t.unknownFlows[hash] = f
@@ -347,6 +350,9 @@
 		return nil, Incomplete
 	}
 	hash := k.Hash()
+	if t.unknownFlows[hash].probedFIN && isBareACK(in) {
+		return nil, Incomplete
+	}
 	if in.Flags&packet.FlagSYN == 0 && !t.unknownFlows[hash].halfOpen {
 		missed = t.Completeness(now)
 	}
@@ -367,6 +373,12 @@
 	return t.takeOwnership(now, hash, k), missed
 }
 
+// isBareACK reports whether a packet only acknowledges others. An upstream answers the FIN of a flow that has ended
+// with one, so that it does not show that the upstream holds the flow.
+func isBareACK(in *packet.Info) bool {
+	return in.Flags&(packet.FlagACK|packet.FlagSYN) == packet.FlagACK && !in.FIN && len(in.Payload) == 0
+}
+
 // noteHalfOpen records that a flow leaves the table half-open. Its upstream may still open it, by a packet that
 // a balancer has held back, which does not show that the table lacks other flows.
 func (t *Table) noteHalfOpen(now time.Duration, e *entry) {
