flow: a closed flow stays in the table for as long as TableConfig.Linger says

Cause: the end of the linger time is stored in whole seconds, rounded down, so that a closed flow left the table after 1 to 2 s instead of 2. An upstream whose FIN is not acknowledged repeats it every 1.6 s. TestRepeatedFINOfAClosedFlowDoesNotReopenIt fails without the change. Change: a flow lingers for 2 to 3 s.

--- a/flow/ended_flow_test.go
+++ b/flow/ended_flow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -51,3 +52,27 @@
 	a.HandleReply(u.now, &response)
 	g.Expect(a.status(u.now, k.Hash())).To(Equal(packet.Held))
 }
+
+// Guards against a closed flow that leaves the table before its upstream repeats a FIN whose acknowledgement was lost.
+func TestRepeatedFINOfAClosedFlowDoesNotReopenIt(t *testing.T) {
+	for _, start := range []time.Duration{0, 999 * time.Millisecond} {
+		g := NewWithT(t)
+		u := newUpstreamRig(4)
+		u.run(settled)
+		u.now += start
+		k := u.keyRanked(packet.ProtoTCP, "a", "b", "c", "d")
+		a := u.agents[u.named("a").ID]
+		u.sendPacket("a", numbered(k, 0))
+		u.synAck("a", k, 1000)
+		u.sendPacket("a", acknowledging(k, 1000))
+		u.sendPacket("a", fin(k))
+		repeated := packet.Info{Key: k.Reverse(), Flags: packet.FlagACK, FIN: true}
+		for range 8 {
+			g.Expect(a.HandleReply(u.now, &repeated)).To(Equal(Incomplete))
+			u.run(1600 * time.Millisecond)
+		}
+		g.Expect(a.Counters().Adopted).To(BeZero())
+		u.run(3 * time.Second)
+		g.Expect(a.flows.entries).To(BeEmpty())
+	}
+}
--- a/flow/lifetime.go
+++ b/flow/lifetime.go
@@ -189,7 +189,9 @@
 }
 
 func (t *Table) expired(now time.Duration, e *entry) bool {
-	if e.flags&flagLingering != 0 && seconds(now) >= e.lingerEnd {
+	// lingerEnd is rounded down to a second. The flow stays for TableConfig.Linger at least, in which an end repeats
+	// an unacknowledged FIN.
+	if e.flags&flagLingering != 0 && seconds(now) > e.lingerEnd {
 		return true
 	}
 	idle := t.cfg.IdleTCP
