flow: a pause of the agent does not end flows whose packets wait to be read

What callers saw: a reset, or no answer, on a flow that had just been accepted when its agent was paused. Cause: the first step after a pause counted the whole pause as time without packets. A half-open flow left the table although the client's first packet had arrived meanwhile and waited in the agent's socket. That packet then was one of an unknown flow at a complete table, and the flow was found lost. Change: the first step after a pause of more than 2 s (maxStepGap) removes no flows. Why this works: the agent reads what waits in its sockets within its step interval of 100 ms. Pauses of less than 2 s are shorter than the timers.

--- a/flow/step.go
+++ b/flow/step.go
@@ -13,7 +13,10 @@
 // Step runs the timers and returns the messages to send. Call it about once per second; more
 // frequent calls reduce the delay of digests.
 func (t *Table) Step(now time.Duration) []Message {
-	t.sweep(now)
+	// After a pause of this process, packets of flows that seem idle wait to be read.
+	if !t.pausedSinceStep(now) {
+		t.sweep(now)
+	}
 	t.expireWaiting(now)
 	t.refuseExpired(now)
 	t.expireOpenings(now)
