flow: later packets of a flow that was found lost are asked for again

Cause: an agent that has found a flow lost recorded that for 20 s and reset the flow's packets without asking. The answers on which it rests speak for the time of the inquiry. A wrong finding, such as one from a late answer, therefore broke flows of clients that were idle during the disruption, or that had not received the first reset. Evidence: TestLaterPacketOfAFlowThatWasFoundLostIsAskedForAgain fails without the change: the packet is reset although its owner would answer "held". Change: the finding counts for 500 ms, for the packets that were in flight. Later ones begin a new inquiry, which takes a few milliseconds while all agents answer. Considered and left: no record at all. A client may have 16 packets in flight, each of which would begin an inquiry. Measured: go test ./flow.

--- a/flow/lost.go
+++ b/flow/lost.go
@@ -31,9 +31,13 @@
 	// request, and its next process takes two seconds, or ten on a VM that runs five times slower
 	// than usual.
 	AgentRestartTimeout = 20 * time.Second
-	// lostFlowRetention is how long a lost flow is recorded. Clients retransmit at least
-	// every 1.6 s and time out after some seconds.
+	// lostFlowRetention is how long a flow is recorded that has ended with this agent's upstream. Clients
+	// retransmit at least every 1.6 s and time out after some seconds.
 	lostFlowRetention = 20 * time.Second
+	// findingRetention replaces lostFlowRetention for a flow that an inquiry has found lost. It covers the packets
+	// that were in flight when the client was sent the reset. The answers speak for the time of the inquiry, so
+	// the agent asks again for later packets.
+	findingRetention = 500 * time.Millisecond
 	// unconfirmedLossRetention replaces lostFlowRetention for a flow that the upstream may hold. A
 	// client's flow lives for at most a minute without being discarded.
 	unconfirmedLossRetention = MaxFlowAge
@@ -65,8 +69,11 @@
 func (l *lostFlows) record(now time.Duration, hash uint64, cause LossCause, ack uint32) {
 	if len(l.byHash) < l.max {
 		f := lostFlow{at: now, until: now + lostFlowRetention, cause: cause, ack: ack}
-		if cause == UpstreamRestarted {
+		switch cause {
+		case UpstreamRestarted:
 			f.unconfirmed, f.until = true, now+unconfirmedLossRetention
+		case FoundLost:
+			f.until = now + findingRetention
 		}
 		l.byHash[hash] = f
 	}
