flow: an open flow stays in the table when its upstream returns a copy of its SYN

Cause: a copy of a SYN that arrives after the flow has opened (a balancer has held it back, or the first one waited for a slot) was delivered to the upstream unless the flow had been idle for 3 s. An upstream that is leaving, or full, returns a SYN. The agent took that for proof that the upstream does not hold the flow, removed it, and let another upstream accept the copy, while its table went on counting as complete. Change: a copy of the SYN of an open flow is dropped at once, as it was for idle flows. The SYN of a new flow on the same ports is handed off as before.

--- a/flow/lifetime.go
+++ b/flow/lifetime.go
@@ -104,10 +104,12 @@
 	if !opensTCP(in) {
 		return false
 	}
-	opened := e.handshake == handshakeDone || e.handshake == handshakeRestored
-	return opened && e.idleLongerThan(now, halfOpenTimeout) || e.flags&flagLingering != 0 && !t.accepts()
+	return e.handshake.opened() && e.idleLongerThan(now, halfOpenTimeout) || e.flags&flagLingering != 0 && !t.accepts()
 }
 
+// isOpen reports whether a client has opened the flow, as far as this agent knows, and no end has closed it.
+func (e *entry) isOpen() bool { return e.handshake.opened() && e.flags&flagLingering == 0 }
+
 func (e *entry) idleLongerThan(now, limit time.Duration) bool {
 	return seconds(now)-e.lastSeen > seconds(limit)
 }
@@ -125,8 +127,8 @@
 	return e.flags&flagLingering != 0
 }
 
-// isLateCopy reports whether a SYN for which mayBeReused is true is a copy of the one that opened the flow, which a
-// balancer may have held back for seconds while it did not run.
+// isLateCopy reports whether a SYN is a copy of the one that opened the flow, which a balancer may have held back for
+// seconds while it did not run.
 func (e *entry) isLateCopy(in *packet.Info) bool { return e.synSeq != 0 && in.Seq == e.synSeq }
 
 // maxUnseenReply is the number of bytes that an upstream may have sent on a flow between the list of flows
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -295,6 +295,10 @@
 func (t *Table) HandleReturned(now time.Duration, h *packet.Header, in *packet.Info) Action {
 	t.counters.Returned++
 	hash := in.Key.Hash()
+	// An upstream that is full or leaving returns a copy of the SYN of a flow that it holds.
+	if e := t.flows.find(hash, &in.Key); e != nil && opensTCP(in) && e.isOpen() && (e.synSeq == 0 || e.isLateCopy(in)) {
+		return t.drop(ReasonLateCopy)
+	}
 	t.removeFlow(now, hash, in, ReturnedByUpstream)
 	if in.First {
 		return t.handOffToNext(now, hash, h, opensTCP(in) && in.Repeat == 0)
--- a/flow/store.go
+++ b/flow/store.go
@@ -30,6 +30,9 @@
 	handshakeRestored
 )
 
+// opened reports whether a client may have opened the flow here.
+func (h handshake) opened() bool { return h == handshakeDone || h == handshakeRestored }
+
 // unproven reports whether the client may have opened the flow at another upstream.
 func (h handshake) unproven() bool { return h == handshakeHalf || h == handshakeRestored }
 
