flow: the clocks of the fleet simulation do not go back, and removed flows are traced

Gap: two suspensions of a VM that overlapped were both subtracted from the clocks of its processes, so that the clocks went back. A flow's age then wraps around, the table drops open flows as idle, and the simulation reports resets that real clocks cannot cause. A trace did not show that a flow had left a table. With no VM left, loseVM and flap panicked; longer runs reach that. Change: time counts once. Traces have a line for each removed flow.

--- a/flow/fleet_harness_test.go
+++ b/flow/fleet_harness_test.go
@@ -297,11 +297,13 @@
 	p.up, p.startedAt, p.stalledUntil = true, p.f.now, 0
 	p.runs++
 	p.wakeAt = [fleetQueues]time.Duration{}
-	p.suspended = 0
+	p.suspended, p.suspendedUntil = 0, 0
 	if rest := p.vm.frozenUntil - p.f.now; rest > 0 {
 		p.stall(rest)
 	}
 	if p.f.now < p.vm.slowUntil {
+
+	suspendedUntil time.Duration
 		p.stall(p.f.between(fleetSlowStartMin, fleetSlowStartMax))
 	}
 }
@@ -652,6 +654,9 @@
 func (a *fleetAgent) homes() []*fleetBalancer {
 	i, n := int(a.id), len(a.f.balancers)
 	return []*fleetBalancer{a.f.balancers[i%n], a.f.balancers[(i+1)%n]}
+		OnRemoved: func(r *RemovedFlow) {
+			a.f.trace(a.f.flows[r.Key], "  the flow leaves the table of %s: %v, handshake %s", a.name, r.Cause, r.Handshake)
+		},
 }
 
 // sync is the heartbeat to a home balancer, which answers with the newer records.
--- a/flow/fleet_trouble_test.go
+++ b/flow/fleet_trouble_test.go
@@ -250,10 +250,13 @@
 			continue
 		}
 		p.stall(d)
-		if run := p.runs; suspend {
+		// Time in which the VM is suspended already counts once, so that the clock does not go back.
+		rest := f.now + d - max(f.now, p.suspendedUntil)
+		if run := p.runs; suspend && rest > 0 {
+			p.suspendedUntil = f.now + d
 			f.after(d, func() {
 				if p.runs == run {
-					p.suspended = min(p.suspended+d, f.now-p.startedAt)
+					p.suspended = min(p.suspended+rest, f.now-p.startedAt)
 				}
 			})
 		}
@@ -313,7 +316,11 @@
 
 // loseVM removes a VM without notice.
 func (f *fleet) loseVM() {
-	a := f.some(0)[0]
+	list := f.some(0)
+	if len(list) == 0 {
+		return
+	}
+	a := list[0]
 	f.note("the VM of %s is lost", a.name)
 	f.oracle.disrupt(a.vm, 0)
 	f.removeVM(a)
@@ -330,7 +337,11 @@
 
 // flap lets an upstream end and start several times.
 func (f *fleet) flap() {
-	a := f.some(0)[0]
+	list := f.some(0)
+	if len(list) == 0 {
+		return
+	}
+	a := list[0]
 	f.note("%s flaps", a.upstream.name)
 	f.oracle.disrupt(a.vm, fleetFlapTime)
 	for at := time.Duration(0); at < fleetFlapTime; at += fleetFlapPeriod {
