flow: clients and upstreams of the fleet simulation close flows as the platform's page says

Gap: an upstream ended a flow with the first FIN of the client and never sent one of its own accord. No end repeated a FIN or acknowledged anything without data, no upstream refused a SYN, and no port was used again. A client took each reset for its own, also one of an upstream, which was not judged. Change: shapes closing, reusing and "closing, held back". A client may close half its flow before the response, acknowledges the SYN+ACK and FINs alone, and repeats its FIN; an upstream repeats its own 8 times, closes a flow after its next response while it drains, answers packets of ended flows and refuses SYNs beyond a number of flows. A client ignores a reset whose number is not within 76,800 of its last acknowledgement. A reset of an upstream that does not hold the open flow breaks the rule. In the shape reusing, clients use ports again, some with the same numbers. An ended flow is told by its acknowledgement numbers: packets of a later flow on its ports are returned.

--- a/flow/fleet_harness_test.go
+++ b/flow/fleet_harness_test.go
@@ -85,9 +85,9 @@
 	seq       int
 	agents    []*fleetAgent
 	balancers []*fleetBalancer
-	flows     map[packet.Key]*clientFlow
-	steady    bool // hash-mode of the platform's routers
-	busy      bool // the processes wait for a processor often
+	flows     map[packet.Key]*clientFlow // the last one of each key
+	steady    bool                       // hash-mode of the platform's routers
+	busy      bool                       // the processes wait for a processor often
 	nextFlow  int
 	nextStart uint64
 	end       time.Duration
@@ -116,6 +116,8 @@
 	trouble           bool // unplanned disruptions beside planned work: see troubles
 	evacuates         bool // orders to evacuate: see orderEvacuations
 	holdsBack         bool // balancers forward packets late: see holdBackPackets
+	closes            bool // clients and upstreams close flows, and refuse some, as the platform's page says
+	reusesPorts       bool // clients use a port again, at once or later
 	defaultSeeds      int
 }
 
@@ -291,6 +293,8 @@
 	stalledUntil time.Duration
 	wakeAt       [fleetQueues]time.Duration // until then the inputs of a queue wait
 	suspended    time.Duration              // time that the monotonic clock does not count
+
+	suspendedUntil time.Duration
 }
 
 func (p *fleetProcess) begin() {
@@ -302,8 +306,6 @@
 		p.stall(rest)
 	}
 	if p.f.now < p.vm.slowUntil {
-
-	suspendedUntil time.Duration
 		p.stall(p.f.between(fleetSlowStartMin, fleetSlowStartMax))
 	}
 }
@@ -526,7 +528,7 @@
 		if !d.OK {
 			b.f.trace(c, "%s drops %s: %v", b.name, describe(&in), d.Reason)
 			if d.Reason == ReasonEvacuated && in.Repeat == 0 {
-				b.f.after(b.f.packetDelay(), func() { c.receiveReset(&fleetAgent{fleetProcess: b.fleetProcess}, d.Reason.String()) })
+				b.f.after(b.f.packetDelay(), func() { c.receiveReset(&fleetAgent{fleetProcess: b.fleetProcess}, 0, d.Reason.String()) })
 			}
 			return
 		}
@@ -546,6 +548,8 @@
 		return fmt.Sprintf("SYN copy %d", in.Repeat)
 	case in.FIN:
 		return fmt.Sprintf("FIN %d", in.Seq)
+	case len(in.Payload) == 0:
+		return "an acknowledgement"
 	}
 	return fmt.Sprintf("data %d", in.Seq)
 }
@@ -641,6 +645,9 @@
 		Settling: 4 * time.Second, Rebuild: rebuildTime, DigestDelay: time.Millisecond, DigestRate: 64 << 10,
 		ResyncDelay: 400 * time.Millisecond, Gate: load.NewGate(load.Config{}),
 		OnFalseDenial: func(d *FalseDenial) { a.f.oracle.falselyDenied(a, d) },
+		OnRemoved: func(r *RemovedFlow) {
+			a.f.trace(a.f.flows[r.Key], "  the flow leaves the table of %s: %v, handshake %s", a.name, r.Cause, r.Handshake)
+		},
 	}, self, testService, rand.New(rand.NewPCG(a.f.rng.Uint64(), 1)))
 	a.table.StartRebuild(0)
 	a.table.SetSlots(fleetSlots)
@@ -654,9 +661,6 @@
 func (a *fleetAgent) homes() []*fleetBalancer {
 	i, n := int(a.id), len(a.f.balancers)
 	return []*fleetBalancer{a.f.balancers[i%n], a.f.balancers[(i+1)%n]}
-		OnRemoved: func(r *RemovedFlow) {
-			a.f.trace(a.f.flows[r.Key], "  the flow leaves the table of %s: %v, handshake %s", a.name, r.Cause, r.Handshake)
-		},
 }
 
 // sync is the heartbeat to a home balancer, which answers with the newer records.
@@ -755,7 +759,7 @@
 	messages := a.table.Step(now)
 	for _, r := range a.table.RefusedFlows() {
 		if r.Reset {
-			a.reset(a.f.flows[r.Key], "refused after a wait")
+			a.reset(a.f.flows[r.Key], 0, "refused after a wait")
 		}
 	}
 	for _, m := range messages {
@@ -796,7 +800,7 @@
 			peers, changed := a.table.Peers()
 			a.f.trace(c, "%s finds the flow lost: %d peers, changed %v ago, %+v", a.name, peers, now-changed, a.table.LossEvidence(now, i))
 		}
-		a.reset(c, "found lost")
+		a.reset(c, l.Ack, "found lost")
 	}
 	for i := range inquiries {
 		q := inquiries[i].Inquiry
@@ -933,7 +937,7 @@
 			a.hint(p.h.Origin, p.flow, true)
 		}
 	case Reset:
-		a.reset(p.flow, act.Reason.String())
+		a.reset(p.flow, p.in.Ack, act.Reason.String())
 	}
 	a.wakeDue()
 }
@@ -993,11 +997,12 @@
 	}
 }
 
-// reset sends a reset to the flow's client.
-func (a *fleetAgent) reset(c *clientFlow, reason string) {
+// reset sends a reset with a sequence number to the flow's client. The reset of a SYN has the number 0, which is
+// also the acknowledgement number of its copy 0.
+func (a *fleetAgent) reset(c *clientFlow, seq uint32, reason string) {
 	a.f.trace(c, "  %s sends a reset: %s", a.name, reason)
 	if a.f.now >= a.vm.cutUntil {
-		a.f.after(a.f.packetDelay(), func() { c.receiveReset(a, reason) })
+		a.f.after(a.f.packetDelay(), func() { a.f.flows[c.key].receiveReset(a, seq, reason) })
 	}
 }
 
@@ -1201,6 +1206,9 @@
 	cookie      uint32
 	since       time.Duration
 	open, ended bool
+	synSeq      uint32 // of the SYN that was accepted
+
+	clientFIN, finSent, finAcked bool
 }
 
 func (s *fleetUpstream) launch() {
@@ -1247,9 +1255,14 @@
 		fl = nil
 	}
 	if p.in.First {
-		if fl == nil || fl.ended {
+		if s.f.shape.closes && s.refusesSYN(&p, fl) {
+			s.f.trace(p.flow, "    %s refuses it", s.name)
+			s.toAgent(true, func(a *fleetAgent) { a.returned(p) })
+			return
+		}
+		if fl == nil || fl.ended || fl.synSeq != p.in.Seq {
 			s.f.nextFlow++
-			fl = &upstreamFlow{cookie: fleetCookie(s.f.nextFlow), since: s.f.now}
+			fl = &upstreamFlow{cookie: fleetCookie(s.f.nextFlow), since: s.f.now, synSeq: p.in.Seq}
 			s.flows[p.in.Key] = fl
 			s.checkEvacuation(p.flow)
 		}
@@ -1257,13 +1270,17 @@
 		s.reply(p.flow, packet.Info{Flags: packet.FlagSYN | packet.FlagACK, Seq: fl.cookie}, 0)
 		return
 	}
-	if fl == nil || !fl.ended && fl.cookie != p.in.Ack&fleetCookieMask {
+	if fl == nil || (!fl.ended || s.f.shape.closes) && fl.cookie != p.in.Ack&fleetCookieMask {
 		s.f.trace(p.flow, "    %s returns it", s.name)
 		s.f.oracle.misdelivered(p.flow, s, &p)
 		s.toAgent(true, func(a *fleetAgent) { a.returned(p) })
 		return
 	}
 	s.f.trace(p.flow, "    %s holds the flow", s.name)
+	if s.f.shape.closes {
+		s.receiveHeld(p, fl)
+		return
+	}
 	if !fl.open && !fl.ended {
 		fl.open = true
 		s.f.oracle.opened(p.flow, s)
@@ -1306,7 +1323,7 @@
 			a.table.HandleReply(a.clock(), &in)
 			a.alive()
 			if a.f.now >= a.vm.cutUntil && !(a.f.now < a.vm.lossyUntil && a.f.chance(fleetLossRate)) {
-				a.f.after(a.f.packetDelay(), func() { c.receive(&in) })
+				a.f.after(a.f.packetDelay(), func() { a.f.flows[c.key].receive(s, &in) })
 			}
 		})
 	}
--- a/flow/fleet_scenario_test.go
+++ b/flow/fleet_scenario_test.go
@@ -27,6 +27,8 @@
 	deadline time.Duration
 	idle     bool // with long pauses between requests
 
+	finSent, finReceived bool
+
 	taker       *fleetVM       // VM of the balancer that has received the last packet
 	upstream    *fleetUpstream // holds the open flow; nil otherwise
 	start       uint64         // start of that upstream
@@ -73,6 +75,11 @@
 type fleetClient struct {
 	domain  int
 	shifted bool
+	// With reusesPorts: the keys of its flows, the offsets of the sequence numbers of their SYNs, and whether these
+	// numbers stay the same.
+	keys     []packet.Key
+	synSeqs  map[packet.Key]uint32
+	sameSeqs bool
 }
 
 func (c *fleetClient) at() int {
@@ -96,16 +103,20 @@
 		}
 		from := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(n >> 8), byte(n)}), port)
 		c := &clientFlow{f: f, client: client, key: packet.KeyOf(from, to, packet.ProtoTCP), left: 1 + f.rng.IntN(20), next: 1, deadline: fleetDeadline}
+		if f.shape.reusesPorts {
+			client.reusePort(c)
+		}
 		if f.shape.trouble {
 			c.deadline, c.idle = f.between(4*time.Second, 8*time.Second), f.chance(0.3) || f.shape.holdsBack
 		}
 		c.hash = c.key.Hash()
+		seq := uint32(c.hash) | 1 + client.synSeqs[c.key]
 		c.done = func() { f.after(f.between(10*time.Millisecond, 300*time.Millisecond), open) }
 		f.flows[c.key] = c
 		for i := range 3 {
 			f.after(SYNCopyDelay(uint8(i)), func() {
 				if c.cookie == 0 && !c.closed {
-					c.transmit(packet.Info{Key: c.key, First: true, Flags: packet.FlagSYN, Numbered: true, Repeat: uint8(i), Seq: uint32(c.hash) | 1})
+					c.transmit(packet.Info{Key: c.key, First: true, Flags: packet.FlagSYN, Numbered: true, Repeat: uint8(i), Ack: uint32(i), Seq: seq})
 				}
 			})
 		}
@@ -145,18 +156,33 @@
 	if c.closed {
 		return
 	}
+	if c.f.shape.closes && (c.left == 0 || c.finSent) {
+		c.sendFIN()
+		return
+	}
 	n := 1 + c.f.rng.IntN(3)
 	if c.left == 0 {
 		n = 1
 	}
 	for range n {
-		in := packet.Info{Key: c.key, Flags: packet.FlagACK, Seq: c.next, Ack: c.cookie + c.received, Payload: fleetPayload, FIN: c.left == 0}
-		c.next++
-		s := &sentPacket{in: in, retry: 200 * time.Millisecond, expires: c.f.now + c.deadline}
-		c.unacked = append(c.unacked, s)
-		c.send(s)
+		c.sendNew(c.left == 0)
 	}
 	c.left--
+	if c.f.shape.closes && c.left == 0 && c.f.chance(0.3) {
+		c.sendFIN() // the response is still to come
+	}
+}
+
+// sendNew sends the next packet, with or without a FIN.
+func (c *clientFlow) sendNew(fin bool) {
+	in := packet.Info{Key: c.key, Flags: packet.FlagACK, Seq: c.next, Ack: c.ackNumber(), Payload: fleetPayload, FIN: fin}
+	if fin && c.f.shape.closes {
+		in.Payload = nil
+	}
+	c.next++
+	s := &sentPacket{in: in, retry: 200 * time.Millisecond, expires: c.f.now + c.deadline}
+	c.unacked = append(c.unacked, s)
+	c.send(s)
 }
 
 // send sends a packet, and again until it is answered.
@@ -176,8 +202,10 @@
 }
 
 // receive handles a packet from a upstream.
-func (c *clientFlow) receive(in *packet.Info) {
+func (c *clientFlow) receive(s *fleetUpstream, in *packet.Info) {
 	switch {
+	case c.f.shape.closes:
+		c.receiveClosing(s, in)
 	case c.closed:
 	case in.RST:
 		c.close()
@@ -209,8 +237,8 @@
 	}
 }
 
-func (c *clientFlow) receiveReset(from *fleetAgent, reason string) {
-	if c.closed {
+func (c *clientFlow) receiveReset(from *fleetAgent, seq uint32, reason string) {
+	if c.closed || c.ignoresReset(seq) {
 		return
 	}
 	c.f.trace(c, "the client receives a reset of %s", from.name)
@@ -252,6 +280,8 @@
 	toldInTime int // of these, flows whose client received a reset within 1 s of its next packet
 	toldLater  int // of these, flows whose client received a reset later
 	neverTold  int // of these, flows that their client gave up after fleetDeadline
+	ignored    int // resets that clients ignored for their sequence number
+	foreign    int // of these, resets of upstreams that do not hold the open flow
 }
 
 // fleetOracle judges rule FLOW.
--- a/flow/fleet_test.go
+++ b/flow/fleet_test.go
@@ -115,6 +115,8 @@
 	c.toldInTime += o.toldInTime
 	c.toldLater += o.toldLater
 	c.neverTold += o.neverTold
+	c.ignored += o.ignored
+	c.foreign += o.foreign
 }
 
 // Guards against resets of open flows whose upstream runs, while processes are late, views differ
