flow: the fleet simulation lets agents stand still, cuts links between agents, and is calm afterwards

Gap: agents stood still for seconds only in the shape troubled, where datagrams that wait for more than 200 ms are dropped and the next trouble follows at once, so that a wrong belief that outlives a disruption rarely counted. No link failed between agents only, or in one direction only. No agent was killed several times in a row. Change: shape standstill, without the limit of age. Rounds of pauses of agents, cuts between agents, kills in series, and restarts and failures of balancers and upstreams last 4 to 12 s; 8 s and more are calm. Clients pause for up to 12 s between requests.

--- a/flow/fleet_harness_test.go
+++ b/flow/fleet_harness_test.go
@@ -93,7 +93,8 @@
 	end       time.Duration
 	clients   []*fleetClient
 	orders    []fleetOrder
-	bornSteps bool // the time of day that upstreams announce jumps with that of their VM
+	cuts      map[fleetLink]time.Duration // until then a link between two VMs loses all packets in its direction
+	bornSteps bool                        // the time of day that upstreams announce jumps with that of their VM
 	// maxPacketAge is the time after which the packets that wait for a process are dropped. It is 0 on systems that do
 	// not tell when a packet has arrived.
 	maxPacketAge time.Duration
@@ -118,6 +119,7 @@
 	holdsBack         bool // balancers forward packets late: see holdBackPackets
 	closes            bool // clients and upstreams close flows, and refuse some, as the platform's page says
 	reusesPorts       bool // clients use a port again, at once or later
+	standsStill       bool // agents stand still, and links between agents fail: see standStill
 	defaultSeeds      int
 }
 
@@ -138,7 +140,7 @@
 )
 
 func newFleet(seed uint64, shape fleetShape) *fleet {
-	f := &fleet{shape: shape, seed: seed, rng: rand.New(rand.NewPCG(seed, 34)), flows: map[packet.Key]*clientFlow{}, nextStart: 101, end: shape.length}
+	f := &fleet{shape: shape, seed: seed, rng: rand.New(rand.NewPCG(seed, 34)), flows: map[packet.Key]*clientFlow{}, cuts: map[fleetLink]time.Duration{}, nextStart: 101, end: shape.length}
 	f.oracle.f = f
 	f.steady, f.busy = f.chance(0.5), f.chance(0.5)
 	f.steady = f.steady && !shape.mod
@@ -150,7 +152,7 @@
 	}
 	f.bornSteps = shape.trouble && f.chance(0.5)
 	f.maxPacketAge = fleetMaxPacketAge
-	if shape.holdsBack {
+	if shape.holdsBack || shape.standsStill {
 		f.maxPacketAge = 0
 	}
 	return f
@@ -259,6 +261,9 @@
 	disruptedUntil, killedUntil time.Duration
 }
 
+// fleetLink is the direction from one VM to another.
+type fleetLink struct{ from, to *fleetVM }
+
 const (
 	fleetLossRate      = 0.025 // kind "lossy" of tkl-ub-schools-grown, x
 	fleetLossyDelayMax = 60 * time.Millisecond
@@ -267,6 +272,9 @@
 // connects reports whether a datagram from one VM to another arrives, as far as their links decide, and
 // how long the links delay it.
 func (f *fleet) connects(from, to *fleetVM) (delay time.Duration, ok bool) {
+	if f.now < f.cuts[fleetLink{from, to}] {
+		return 0, false
+	}
 	for _, vm := range [...]*fleetVM{from, to} {
 		if f.now < vm.cutUntil {
 			return 0, false
