flow: the fleet simulation does planned work alone, and upstreams start again in place

Gap: an upstream that had left never came back on its VM (but in the shape plain), no notice of exit was lost, and planned work always mixed with disruptions, which exempt its results. Change: shape planned: agents and balancers restart, also several times in a row, while VMs are replaced, added and removed, and upstreams drain and start again in place.

--- a/flow/fleet_harness_test.go
+++ b/flow/fleet_harness_test.go
@@ -120,6 +120,7 @@
 	closes            bool // clients and upstreams close flows, and refuse some, as the platform's page says
 	reusesPorts       bool // clients use a port again, at once or later
 	standsStill       bool // agents stand still, and links between agents fail: see standStill
+	planned           bool // planned work alone, in which upstreams leave in other ways too: see plannedWork
 	defaultSeeds      int
 }
 
@@ -1125,7 +1126,7 @@
 // connect is upstreamMonitor.checkConnection and recordConnectionCheck, for an upstream that may lie.
 func (a *fleetAgent) connect(begun time.Duration) {
 	s, number := a.upstream, a.table.BeginUpstreamCheck()
-	connected, refused := s.up, !s.up
+	connected, refused := s.up && !s.listenerClosed, !s.up || s.listenerClosed
 	if s.up && a.f.now < s.lyingUntil && a.f.chance(fleetLieRate) {
 		connected, refused = false, s.refuses
 		a.f.note("%s lies to a connection check, refuses %v", s.name, refused)
@@ -1200,7 +1201,9 @@
 	lyingUntil time.Duration // connection checks may fail
 	refuses    bool          // they are refused, instead of not answered
 	muteUntil  time.Duration // it ignores some packets
-	bornOffset time.Duration // vm.wallOffset at its start
+	// listenerClosed says that it accepts no connections any more, while it finishes its flows.
+	listenerClosed bool
+	bornOffset     time.Duration // vm.wallOffset at its start
 }
 
 // fleetCookieMask selects the bits of an acknowledgement number that name the flow at its upstream. The others count
@@ -1224,6 +1227,7 @@
 	s.f.nextStart += 2 // a start ID is odd: see upstream.Announcement.StartID
 	s.bornOffset = s.vm.wallOffset
 	s.start, s.seq, s.draining, s.leaving, s.flows = s.f.nextStart, 0, false, false, map[packet.Key]*upstreamFlow{}
+	s.listenerClosed = false
 	s.later(s.f.between(10*time.Millisecond, 600*time.Millisecond), queueStep, s.heartbeat)
 }
 
--- a/flow/fleet_scenario_test.go
+++ b/flow/fleet_scenario_test.go
@@ -107,7 +107,7 @@
 			client.reusePort(c)
 		}
 		if f.shape.trouble {
-			c.deadline, c.idle = f.between(4*time.Second, 8*time.Second), f.chance(0.3) || f.shape.holdsBack || f.shape.standsStill
+			c.deadline, c.idle = f.between(4*time.Second, 8*time.Second), f.chance(0.3) || f.shape.holdsBack || f.shape.standsStill || f.shape.planned
 		}
 		c.hash = c.key.Hash()
 		seq := uint32(c.hash) | 1 + client.synSeqs[c.key]
@@ -463,6 +463,9 @@
 	case f.shape.standsStill:
 		f.standStill()
 		return
+	case f.shape.planned:
+		f.plannedWork()
+		return
 	case f.shape.trouble:
 		f.troubles()
 		return
