--- a/flow/fleet_harness_test.go
+++ b/flow/fleet_harness_test.go
@@ -85,15 +85,16 @@
 	seq       int
 	agents    []*fleetAgent
 	balancers []*fleetBalancer
-	flows     map[packet.Key]*clientFlow
-	steady    bool // hash-mode of the platform's routers
-	busy      bool // the processes wait for a processor often
+	flows     map[packet.Key]*clientFlow // the last one of each key
+	steady    bool                       // hash-mode of the platform's routers
+	busy      bool                       // the processes wait for a processor often
 	nextFlow  int
 	nextStart uint64
 	end       time.Duration
 	clients   []*fleetClient
 	orders    []fleetOrder
-	bornSteps bool // the time of day that upstreams announce jumps with that of their VM
+	cuts      map[fleetLink]time.Duration // until then a link between two VMs loses all packets in its direction
+	bornSteps bool                        // the time of day that upstreams announce jumps with that of their VM
 	// maxPacketAge is the time after which the packets that wait for a process are dropped. It is 0 on systems that do
 	// not tell when a packet has arrived.
 	maxPacketAge time.Duration
@@ -116,6 +117,10 @@
 	trouble           bool // unplanned disruptions beside planned work: see troubles
 	evacuates         bool // orders to evacuate: see orderEvacuations
 	holdsBack         bool // balancers forward packets late: see holdBackPackets
+	closes            bool // clients and upstreams close flows, and refuse some, as the platform's page says
+	reusesPorts       bool // clients use a port again, at once or later
+	standsStill       bool // agents stand still, and links between agents fail: see standStill
+	planned           bool // planned work alone, in which upstreams leave in other ways too: see plannedWork
 	defaultSeeds      int
 }
 
@@ -136,7 +141,7 @@
 )
 
 func newFleet(seed uint64, shape fleetShape) *fleet {
-	f := &fleet{shape: shape, seed: seed, rng: rand.New(rand.NewPCG(seed, 34)), flows: map[packet.Key]*clientFlow{}, nextStart: 101, end: shape.length}
+	f := &fleet{shape: shape, seed: seed, rng: rand.New(rand.NewPCG(seed, 34)), flows: map[packet.Key]*clientFlow{}, cuts: map[fleetLink]time.Duration{}, nextStart: 101, end: shape.length}
 	f.oracle.f = f
 	f.steady, f.busy = f.chance(0.5), f.chance(0.5)
 	f.steady = f.steady && !shape.mod
@@ -148,7 +153,7 @@
 	}
 	f.bornSteps = shape.trouble && f.chance(0.5)
 	f.maxPacketAge = fleetMaxPacketAge
-	if shape.holdsBack {
+	if shape.holdsBack || shape.standsStill {
 		f.maxPacketAge = 0
 	}
 	return f
@@ -257,6 +262,9 @@
 	disruptedUntil, killedUntil time.Duration
 }
 
+// fleetLink is the direction from one VM to another.
+type fleetLink struct{ from, to *fleetVM }
+
 const (
 	fleetLossRate      = 0.025 // kind "lossy" of tkl-ub-schools-grown, x
 	fleetLossyDelayMax = 60 * time.Millisecond
@@ -265,6 +273,9 @@
 // connects reports whether a datagram from one VM to another arrives, as far as their links decide, and
 // how long the links delay it.
 func (f *fleet) connects(from, to *fleetVM) (delay time.Duration, ok bool) {
+	if f.now < f.cuts[fleetLink{from, to}] {
+		return 0, false
+	}
 	for _, vm := range [...]*fleetVM{from, to} {
 		if f.now < vm.cutUntil {
 			return 0, false
@@ -291,13 +302,15 @@
 	stalledUntil time.Duration
 	wakeAt       [fleetQueues]time.Duration // until then the inputs of a queue wait
 	suspended    time.Duration              // time that the monotonic clock does not count
+
+	suspendedUntil time.Duration
 }
 
 func (p *fleetProcess) begin() {
 	p.up, p.startedAt, p.stalledUntil = true, p.f.now, 0
 	p.runs++
 	p.wakeAt = [fleetQueues]time.Duration{}
-	p.suspended = 0
+	p.suspended, p.suspendedUntil = 0, 0
 	if rest := p.vm.frozenUntil - p.f.now; rest > 0 {
 		p.stall(rest)
 	}
@@ -524,7 +537,7 @@
 		if !d.OK {
 			b.f.trace(c, "%s drops %s: %v", b.name, describe(&in), d.Reason)
 			if d.Reason == ReasonEvacuated && in.Repeat == 0 {
-				b.f.after(b.f.packetDelay(), func() { c.receiveReset(&fleetAgent{fleetProcess: b.fleetProcess}, d.Reason.String()) })
+				b.f.after(b.f.packetDelay(), func() { c.receiveReset(&fleetAgent{fleetProcess: b.fleetProcess}, 0, d.Reason.String()) })
 			}
 			return
 		}
@@ -544,6 +557,8 @@
 		return fmt.Sprintf("SYN copy %d", in.Repeat)
 	case in.FIN:
 		return fmt.Sprintf("FIN %d", in.Seq)
+	case len(in.Payload) == 0:
+		return "an acknowledgement"
 	}
 	return fmt.Sprintf("data %d", in.Seq)
 }
@@ -639,6 +654,9 @@
 		Settling: 4 * time.Second, Rebuild: rebuildTime, DigestDelay: time.Millisecond, DigestRate: 64 << 10,
 		ResyncDelay: 400 * time.Millisecond, Gate: load.NewGate(load.Config{}),
 		OnFalseDenial: func(d *FalseDenial) { a.f.oracle.falselyDenied(a, d) },
+		OnRemoved: func(r *RemovedFlow) {
+			a.f.trace(a.f.flows[r.Key], "  the flow leaves the table of %s: %v, handshake %s", a.name, r.Cause, r.Handshake)
+		},
 	}, self, testService, rand.New(rand.NewPCG(a.f.rng.Uint64(), 1)))
 	a.table.StartRebuild(0)
 	a.table.SetSlots(fleetSlots)
@@ -750,7 +768,7 @@
 	messages := a.table.Step(now)
 	for _, r := range a.table.RefusedFlows() {
 		if r.Reset {
-			a.reset(a.f.flows[r.Key], "refused after a wait")
+			a.reset(a.f.flows[r.Key], 0, "refused after a wait")
 		}
 	}
 	for _, m := range messages {
@@ -791,7 +809,7 @@
 			peers, changed := a.table.Peers()
 			a.f.trace(c, "%s finds the flow lost: %d peers, changed %v ago, %+v", a.name, peers, now-changed, a.table.LossEvidence(now, i))
 		}
-		a.reset(c, "found lost")
+		a.reset(c, l.Ack, "found lost")
 	}
 	for i := range inquiries {
 		q := inquiries[i].Inquiry
@@ -928,7 +946,7 @@
 			a.hint(p.h.Origin, p.flow, true)
 		}
 	case Reset:
-		a.reset(p.flow, act.Reason.String())
+		a.reset(p.flow, p.in.Ack, act.Reason.String())
 	}
 	a.wakeDue()
 }
@@ -988,11 +1006,12 @@
 	}
 }
 
-// reset sends a reset to the flow's client.
-func (a *fleetAgent) reset(c *clientFlow, reason string) {
+// reset sends a reset with a sequence number to the flow's client. The reset of a SYN has the number 0, which is
+// also the acknowledgement number of its copy 0.
+func (a *fleetAgent) reset(c *clientFlow, seq uint32, reason string) {
 	a.f.trace(c, "  %s sends a reset: %s", a.name, reason)
 	if a.f.now >= a.vm.cutUntil {
-		a.f.after(a.f.packetDelay(), func() { c.receiveReset(a, reason) })
+		a.f.after(a.f.packetDelay(), func() { a.f.flows[c.key].receiveReset(a, seq, reason) })
 	}
 }
 
@@ -1107,7 +1126,7 @@
 // connect is upstreamMonitor.checkConnection and recordConnectionCheck, for an upstream that may lie.
 func (a *fleetAgent) connect(begun time.Duration) {
 	s, number := a.upstream, a.table.BeginUpstreamCheck()
-	connected, refused := s.up, !s.up
+	connected, refused := s.up && !s.listenerClosed, !s.up || s.listenerClosed
 	if s.up && a.f.now < s.lyingUntil && a.f.chance(fleetLieRate) {
 		connected, refused = false, s.refuses
 		a.f.note("%s lies to a connection check, refuses %v", s.name, refused)
@@ -1182,7 +1201,9 @@
 	lyingUntil time.Duration // connection checks may fail
 	refuses    bool          // they are refused, instead of not answered
 	muteUntil  time.Duration // it ignores some packets
-	bornOffset time.Duration // vm.wallOffset at its start
+	// listenerClosed says that it accepts no connections any more, while it finishes its flows.
+	listenerClosed bool
+	bornOffset     time.Duration // vm.wallOffset at its start
 }
 
 // fleetCookieMask selects the bits of an acknowledgement number that name the flow at its upstream. The others count
@@ -1196,6 +1217,9 @@
 	cookie      uint32
 	since       time.Duration
 	open, ended bool
+	synSeq      uint32 // of the SYN that was accepted
+
+	clientFIN, finSent, finAcked bool
 }
 
 func (s *fleetUpstream) launch() {
@@ -1203,6 +1227,7 @@
 	s.f.nextStart += 2 // a start ID is odd: see upstream.Announcement.StartID
 	s.bornOffset = s.vm.wallOffset
 	s.start, s.seq, s.draining, s.leaving, s.flows = s.f.nextStart, 0, false, false, map[packet.Key]*upstreamFlow{}
+	s.listenerClosed = false
 	s.later(s.f.between(10*time.Millisecond, 600*time.Millisecond), queueStep, s.heartbeat)
 }
 
@@ -1242,9 +1267,14 @@
 		fl = nil
 	}
 	if p.in.First {
-		if fl == nil || fl.ended {
+		if s.f.shape.closes && s.refusesSYN(&p, fl) {
+			s.f.trace(p.flow, "    %s refuses it", s.name)
+			s.toAgent(true, func(a *fleetAgent) { a.returned(p) })
+			return
+		}
+		if fl == nil || fl.ended || fl.synSeq != p.in.Seq {
 			s.f.nextFlow++
-			fl = &upstreamFlow{cookie: fleetCookie(s.f.nextFlow), since: s.f.now}
+			fl = &upstreamFlow{cookie: fleetCookie(s.f.nextFlow), since: s.f.now, synSeq: p.in.Seq}
 			s.flows[p.in.Key] = fl
 			s.checkEvacuation(p.flow)
 		}
@@ -1252,13 +1282,17 @@
 		s.reply(p.flow, packet.Info{Flags: packet.FlagSYN | packet.FlagACK, Seq: fl.cookie}, 0)
 		return
 	}
-	if fl == nil || !fl.ended && fl.cookie != p.in.Ack&fleetCookieMask {
+	if fl == nil || (!fl.ended || s.f.shape.closes) && fl.cookie != p.in.Ack&fleetCookieMask {
 		s.f.trace(p.flow, "    %s returns it", s.name)
 		s.f.oracle.misdelivered(p.flow, s, &p)
 		s.toAgent(true, func(a *fleetAgent) { a.returned(p) })
 		return
 	}
 	s.f.trace(p.flow, "    %s holds the flow", s.name)
+	if s.f.shape.closes {
+		s.receiveHeld(p, fl)
+		return
+	}
 	if !fl.open && !fl.ended {
 		fl.open = true
 		s.f.oracle.opened(p.flow, s)
@@ -1301,7 +1335,7 @@
 			a.table.HandleReply(a.clock(), &in)
 			a.alive()
 			if a.f.now >= a.vm.cutUntil && !(a.f.now < a.vm.lossyUntil && a.f.chance(fleetLossRate)) {
-				a.f.after(a.f.packetDelay(), func() { c.receive(&in) })
+				a.f.after(a.f.packetDelay(), func() { a.f.flows[c.key].receive(s, &in) })
 			}
 		})
 	}
