flow, agent: a notice of exit does not prove that an upstream has not started again

Cause: a peer whose record says that it is leaving was excluded at once and was not asked. The record may be outdated: the upstream has started again under the same agent, whose new record reaches a balancer, which sends it the first SYN, up to a second before it reaches other agents. That answers name an unknown upstream helps only if another peer knows more: not in a service of two, nor if all others have left too. Change: a peer that is leaving is asked like any other, and excluded when it has not answered for 100 ms (confirmedFailureTimeout). It answers from its own table. So that this does not delay the resets of flows that have ended, an agent whose upstream has announced its exit checks the connection at once, where it waited for an unanswered packet before. Considered and left: a leaving agent that denies all flows, as its record did. Why this works: an agent that is back answers; one that is gone is silent, and its address is asked twice in 100 ms.

--- a/agent/connectioncheck.go
+++ b/agent/connectioncheck.go
@@ -13,9 +13,8 @@
 
 // A crashed upstream sends no notice. Its agent suspects a crash when the upstream does
 // not answer the first packet of a flow or a probe or, unless the last check connected, has not
-// announced itself some time after the agent's start, or when a notice of exit may be that of an
-// earlier run. The agent then opens a TCP connection
-// to the upstream: on the same VM a refused connection means that no process listens
+// announced itself some time after the agent's start, or has announced its exit. The agent then opens a
+// TCP connection to the upstream: on the same VM a refused connection means that no process listens
 // there. Only a refused connection ends the upstream's flows; a connection attempt that
 // times out does not. Packets are weaker evidence: an upstream that was leaving when its
 // VM lost power may answer some packets for seconds although it neither listens nor
@@ -46,7 +45,8 @@
 	}
 	unanswered := m.unansweredSince != 0 && now-m.unansweredSince >= firstAnswerTimeout
 	unannounced := !m.tracker.Known() && !m.listening && now-m.agent.started >= announceTimeout
-	due := unanswered || unannounced || m.refusedOnce || m.tracker.ExitDoubtful()
+	// After a notice of exit, the end of the upstream lets its agent tell peers that ask for its flows.
+	due := unanswered || unannounced || m.refusedOnce || m.tracker.ExitAnnounced()
 	if due {
 		m.connectionCheckedAt = now
 	}
--- a/agent/upstream_test.go
+++ b/agent/upstream_test.go
@@ -56,6 +56,21 @@
 		Expect(m.connectionCheckDue()).To(BeFalse())
 	})
 
+	// Guards against clients that wait for an upstream that has left: its agent tells peers that ask for its flows only
+	// when it knows that the upstream has ended.
+	It("checks whether an upstream that has announced its exit has ended", func() {
+		now = announceTimeout
+		a := upstream.Announcement{ID: "i", Service: "portal", Address: netip.MustParseAddrPort("127.0.0.1:9"), Draining: true}
+		Expect(m.tracker.HandleAnnouncement(now, a)).To(Succeed())
+		Expect(m.connectionCheckDue()).To(BeFalse())
+		Expect(m.tracker.Leave("i")).To(BeTrue())
+		Expect(m.connectionCheckDue()).To(BeTrue())
+		now++
+		Expect(m.recordConnectionCheck(now, 1, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED})).To(BeTrue())
+		now += minConnectionCheckInterval
+		Expect(m.connectionCheckDue()).To(BeFalse())
+	})
+
 	// Guards against the loss of all flows of an upstream that has just started, because it
 	// sends packets before it listens.
 	It("checks a second time before it ends the flows of an upstream that sends packets", func() {
--- a/flow/evidence.go
+++ b/flow/evidence.go
@@ -16,7 +16,7 @@
 	NotExcluded Exclusion = iota
 	// ExcludedByAnswer: the peer has answered that its upstream does not hold the flow.
 	ExcludedByAnswer
-	// ExcludedLeaving: the peer has announced that its upstream has ended its flows.
+	// ExcludedLeaving: the peer has announced that its upstream has ended its flows, and does not answer.
 	ExcludedLeaving
 	// ExcludedFailed: the peer's record is in state Failed, and nothing arrives from it.
 	ExcludedFailed
--- a/flow/fleet_harness_test.go
+++ b/flow/fleet_harness_test.go
@@ -1100,7 +1100,7 @@
 	if a.checkedAt != 0 && now-a.checkedAt < 400*time.Millisecond || a.upstreamStopped {
 		return
 	}
-	if (a.unansweredSince == 0 || now-a.unansweredSince < 100*time.Millisecond) && (a.known || a.listening || now < 300*time.Millisecond) && !a.refusedOnce {
+	if (a.unansweredSince == 0 || now-a.unansweredSince < 100*time.Millisecond) && (a.known || a.listening || now < 300*time.Millisecond) && !a.refusedOnce && !a.upstreamLeaving {
 		return
 	}
 	a.checkedAt = now
--- a/flow/inquiry.go
+++ b/flow/inquiry.go
@@ -26,8 +26,8 @@
 	// all others; flows that become suspect meanwhile share the next inquiry.
 	inquiryDelayPerPeer = 250 * time.Microsecond
 	// confirmedFailureTimeout is how long a peer must be silent to inquiries before flows are declared lost
-	// for it, if it has given no sign of life for failedPeerGracePeriod since it was marked as failed, or has
-	// been restarting for AgentRestartTimeout. The inquiry has been sent twice by then.
+	// for it, if it has announced its exit, has given no sign of life for failedPeerGracePeriod since it was
+	// marked as failed, or has been restarting for AgentRestartTimeout. The inquiry has been sent twice by then.
 	confirmedFailureTimeout = 100 * time.Millisecond
 	// failedPeerGracePeriod is the time from the failure of a peer that gives no sign of life until flows may
 	// be declared lost. The mark shows that two balancers could not reach the agent for some seconds, not
@@ -146,7 +146,7 @@
 func (t *Table) addressInquiry(now time.Duration, q *inquiry) OutgoingInquiry {
 	a := OutgoingInquiry{Inquiry: packet.Inquiry{From: t.self.ID, Number: q.number, Peers: t.peersChecksum, Flows: q.flows}}
 	for _, p := range t.peers.list {
-		if p.State != Leaving && (!isConclusive(q.answers[p.ID]) || t.listsUnknown(q, p.ID)) {
+		if !isConclusive(q.answers[p.ID]) || t.listsUnknown(q, p.ID) {
 			a.To = append(a.To, p.Addr)
 			p.noteInquirySent(now)
 		}
@@ -191,7 +191,9 @@
 		}
 	}
 	if q.Peers != t.peersChecksum {
-		a.Peers = append(a.Peers, t.self.ID)
+		if t.self.State != Leaving {
+			a.Peers = append(a.Peers, t.self.ID)
+		}
 		for _, p := range t.peers.list {
 			if p.State != Leaving {
 				a.Peers = append(a.Peers, p.ID)
@@ -360,14 +362,16 @@
 }
 
 // excludedAsAbsent returns the rule by which a peer that has given no conclusive answer to an
-// inquiry counts as absent together with its upstream. The peer's own word is proof that its upstream
-// has ended. A mark by others and silence are suspicions: they count only after a time in which a peer
-// that runs would have refuted them.
+// inquiry counts as absent together with its upstream. The peer's own word shows that its upstream has ended, but
+// an upstream may have started again in place since: its agent would answer. A mark by others and silence are
+// suspicions: they count only after a time in which a peer that runs would have refuted them.
 func (t *Table) excludedAsAbsent(now time.Duration, p *peer, mayRepeat bool) Exclusion {
 	silence := p.silence(now)
 	switch {
 	case p.State == Leaving:
-		return ExcludedLeaving
+		if silence >= confirmedFailureTimeout {
+			return ExcludedLeaving
+		}
 	case p.restartingSince != never:
 		// A peer that answers is back, although the notice of its new process is late.
 		if now-p.restartingSince >= AgentRestartTimeout && silence >= confirmedFailureTimeout {
--- a/flow/lost.go
+++ b/flow/lost.go
@@ -345,7 +345,7 @@
 // SilentPeers returns the number of peers that count as absent because nothing has arrived from them.
 func (t *Table) SilentPeers(now time.Duration) (n int) {
 	for _, p := range t.peers.list {
-		if p.silence(now) >= t.silenceTimeout(now, p) {
+		if p.State != Leaving && p.silence(now) >= t.silenceTimeout(now, p) {
 			n++
 		}
 	}
--- a/upstream/tracker.go
+++ b/upstream/tracker.go
@@ -141,6 +141,9 @@
 	return true
 }
 
+// ExitAnnounced reports whether the upstream has announced its exit, or may have (see Leave), and was not found stopped.
+func (t *Tracker) ExitAnnounced() bool { return (t.leaving || t.doubtful) && !t.stopped }
+
 // ExitDoubtful reports whether the upstream may have exited: see Leave.
 func (t *Tracker) ExitDoubtful() bool { return t.doubtful && !t.stopped }
 
