flow: test that a flow which is acknowledged late is not denied (fails)

Seen by callers: as in TestFlowThatIsAcknowledgedLateIsNotReset, with the reset sent by the flow's first choice. Cause: the agent that has accepted the flow answers the inquiry of the first choice with "not held" once halfOpenTimeout has removed the flow. The removal leaves the digest at the first choice with the next message. An inquiry carries no acknowledgement number, so that the answer can't tell a flow that is open there from one that is open elsewhere, which TestHalfOpenFlowIsNotHeld wants denied.

--- a/flow/late_acknowledgement_test.go
+++ b/flow/late_acknowledgement_test.go
@@ -38,3 +38,17 @@
 		u.now += 200 * time.Millisecond
 	}
 }
+
+// Guards against the same by the flow's first choice, because the flow's agent denies it. A digest no longer names it: its
+// removal has come with the addition of another flow.
+func TestFlowThatIsAcknowledgedLateIsNotDenied(t *testing.T) {
+	g := NewWithT(t)
+	u, in := lateAcknowledgement("b")
+	u.sendPacket("b", numbered(u.keyRanked(packet.ProtoTCP, "a", "c", "b", "d"), 0))
+	u.exchangeMessages()
+	for range 3 {
+		u.sendPacket("a", in)
+		g.Expect(u.findLost("a")).To(BeEmpty())
+		u.now += 200 * time.Millisecond
+	}
+}
