agent: test of a planned stop beside a draining upstream without a listener (fails)

Seen by callers: after a SIGTERM of the agent, the flows that its draining upstream finishes are reset by other agents. Cause: announceExit opens a connection in any case. If it is refused, the agent announces Leaving instead of AgentRestarting and hands over no list. Peers exclude the upstream by ExcludedLeaving at once, and balancers drop their hints. Planned work alone suffices, if upstreams of the platform close their listener before their flows end. Measured: go test ./agent -run TestAgentThatStopsBesideADrainingUpstreamWithoutAListenerAnnouncesItsRestart: --- FAIL: TestAgentThatStopsBesideADrainingUpstreamWithoutAListenerAnnouncesItsRestart (0.00s) closed_listener_test.go:57: Expected <flow.State>: 3 to equal <flow.State>: 5

--- a/agent/closed_listener_test.go
+++ b/agent/closed_listener_test.go
@@ -45,3 +45,14 @@
 	}
 	g.Expect(v.answerAbout(k.Hash())).To(Equal(packet.Held))
 }
+
+// Guards against the reset of the same flows by the agent's peers after a planned stop of the agent: it announces that
+// the upstream has ended, and its list of flows is not handed over.
+func TestAgentThatStopsBesideADrainingUpstreamWithoutAListenerAnnouncesItsRestart(t *testing.T) {
+	RegisterTestingT(t)
+	g := NewWithT(t)
+	v, _ := drainingWithoutListener(g)
+	v.agent.announceExit()
+	r, _ := v.balancer.Table().Get("u1")
+	g.Expect(r.State).To(Equal(flow.AgentRestarting))
+}
