flow: test of a silent peer after a kill of all processes (fails)

Seen by callers: after a kill of all processes, an open flow is reset 1.4 s later by an agent whose own upstream has restarted too, while the flow's upstream runs and its agent has not started yet. Cause: startedWithFleet infers from its own upstream that those of the silent peers have restarted as well. As nothing was heard from the listed process, ExcludedUnresponsive applies to flows whose requests may run only once too.

--- a/flow/silent_second_test.go
+++ b/flow/silent_second_test.go
@@ -45,3 +45,27 @@
 	a.inbox(u.named("b").ID).clear() // the digest of b is late
 	u.expectKeptWhileSilent(g, k, 3*time.Second)
 }
+
+// Guards against the reset of an open flow after a kill of all processes, by an agent whose own upstream has restarted:
+// it counts one second of silence of a peer whose upstream runs on and whose agent starts later.
+func TestFlowOfASilentPeerIsNotResetAfterAKillOfAllProcesses(t *testing.T) {
+	g := NewWithT(t)
+	u, k := displacedFlow(false)
+	u.reply("b", k)
+	for _, name := range []string{"a", "b", "c", "d"} {
+		u.restartAgent(name)
+		u.setState(name, Starting)
+	}
+	u.announce()
+	for _, name := range []string{"c", "d"} {
+		u.reportStart(name)
+	}
+	u.restartUpstream("a")
+	u.now += peerListSettleTime
+	u.silent["b"] = true
+	for began := u.now; u.now-began < 4*time.Second; u.now += 200 * time.Millisecond {
+		_, action := u.sendPacket("a", data(k))
+		g.Expect(action.Kind).NotTo(Equal(Reset))
+		g.Expect(u.findLost("a")).To(BeEmpty(), "after %v", u.now-began)
+	}
+}
