flow: test that a late reset of the client does not lose an open flow (fails)

Seen by callers: an open flow is reset by its own agent some seconds after a packet with the reset flag, which belongs to an earlier flow on the ports or answers the SYN+ACK of another upstream. Cause: updateLinger takes any reset of the client for the end of the flow, whatever its number and although the upstream goes on with the flow. 2 s later the entry is removed as closed, which is not logged, and the table denies the flow. Measured: go test ./flow -run TestLateResetOfTheClientDoesNotLoseAnOpenFlow: --- FAIL: TestLateResetOfTheClientDoesNotLoseAnOpenFlow (0.00s) late_packets_test.go:26: Expected <[]flow.LostFlow | len:1, cap:1>: [ { Key: { }, Ack: 2001, }, ] to be empty

--- /dev/null
+++ b/flow/late_packets_test.go
@@ -0,0 +1,45 @@
+package flow
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/nutmegtrack/nutmegtrack/packet"
+)
+
+// openNumbered opens a flow at a by a SYN with the given number, and lets it be used.
+func (u *upstreamRig) openNumbered(k packet.Key, seq, synAck uint32) {
+	in := numbered(k, 0)
+	in.Seq = seq
+	u.sendPacket("a", in)
+	u.synAck("a", k, synAck)
+	u.sendPacket("a", acknowledging(k, synAck))
+	u.reply("a", k)
+}
+
+// expectHeldByA expects that a packet of an open flow that arrives without a hint is delivered to a's upstream.
+func (u *upstreamRig) expectHeldByA(g *WithT, in packet.Info) {
+	for range 3 {
+		u.sendPacket("a", in)
+		g.Expect(u.findLost("a")).To(BeEmpty())
+		u.now += 200 * time.Millisecond
+	}
+	path, action := u.sendPacket("a", in)
+	g.Expect(path).To(Equal("a"))
+	g.Expect(action.Kind).To(Equal(Deliver))
+}
+
+// Guards against the reset of an open flow after a late reset by its client of an earlier flow on its ports, or of the
+// SYN+ACK of another upstream: its own upstream ignores the reset, and its agent takes the flow for closed.
+func TestLateResetOfTheClientDoesNotLoseAnOpenFlow(t *testing.T) {
+	g := NewWithT(t)
+	u := newUpstreamRig(4)
+	u.run(settled)
+	k := u.keyRanked(packet.ProtoTCP, "a", "b", "c", "d")
+	u.openNumbered(k, 7000, 1000)
+	u.sendPacket("a", packet.Info{Key: k, RST: true, Flags: packet.FlagRST, Seq: 1 << 30})
+	u.run(5 * time.Second)
+	u.expectHeldByA(g, acknowledging(k, 2000))
+}
