--- a/flow/late_packets_test.go
+++ b/flow/late_packets_test.go
@@ -43,3 +43,30 @@
 	u.run(5 * time.Second)
 	u.expectHeldByA(g, acknowledging(k, 2000))
 }
+
+// Guards against the reset of an open flow after a late SYN of an earlier attempt on its ports: its agent takes the SYN
+// for that of a later flow, which another upstream accepts, and forgets the open one.
+func TestLateSYNOfAnEarlierAttemptDoesNotLoseAnOpenFlow(t *testing.T) {
+	g := NewWithT(t)
+	u := newUpstreamRig(4)
+	u.run(settled)
+	k := u.keyRanked(packet.ProtoTCP, "a", "b", "c", "d")
+	u.openNumbered(k, 7000, 1000)
+	u.setState("a", Draining)
+	u.announce()
+	u.run(2 * halfOpenTimeout)
+	late := numbered(k, 0)
+	late.Seq = 5000
+	path, _ := u.sendPacket("a", late)
+	g.Expect(path).To(Equal("ab"))
+	u.synAck("b", k, 1<<30)
+	u.run(2 * halfOpenTimeout)
+	in := acknowledging(k, 2000)
+	var last Action
+	for range 5 {
+		_, last = u.sendPacket("b", in)
+		g.Expect(u.findLost("b")).To(BeEmpty())
+		u.now += 500 * time.Millisecond
+	}
+	g.Expect(last.Kind).To(Equal(Deliver))
+}
