flow: test of a late copy of the SYN of a flow on a reused port (fails)

Cause: processClientPacket reopens the entry of the ended flow and keeps its synSeq, the number of the earlier SYN. A late copy of the present SYN differs from it and counts as the SYN of a later flow (PortsReused). Measured: go test ./flow -run TestLateCopyOfTheSYNOfAFlowOnAReusedPortDoesNotLoseIt: --- FAIL: TestLateCopyOfTheSYNOfAFlowOnAReusedPortDoesNotLoseIt (0.00s) late_packets_test.go:90: Expected <flow.Reason>: 0 to equal <flow.Reason>: 14

--- a/flow/late_packets_test.go
+++ b/flow/late_packets_test.go
@@ -70,3 +70,24 @@
 	}
 	g.Expect(last.Kind).To(Equal(Deliver))
 }
+
+// Guards against the reset of an open flow whose client has used its port again within the linger time of the flow
+// before: a late copy of the SYN is compared with that of the earlier flow, and counts as one of a later flow.
+func TestLateCopyOfTheSYNOfAFlowOnAReusedPortDoesNotLoseIt(t *testing.T) {
+	g := NewWithT(t)
+	u := newUpstreamRig(4)
+	u.run(settled)
+	k := u.keyRanked(packet.ProtoTCP, "a", "b", "c", "d")
+	u.openNumbered(k, 5000, 1000)
+	end := acknowledging(k, 1000)
+	end.RST = true
+	u.sendPacket("a", end)
+	u.openNumbered(k, 7000, 1<<30)
+	u.run(2 * halfOpenTimeout)
+	late := numbered(k, 0)
+	late.Seq = 7000
+	_, action := u.sendPacket("a", late)
+	g.Expect(action.Reason).To(Equal(ReasonLateCopy))
+	g.Expect(u.removed).To(BeEmpty())
+	u.expectHeldByA(g, acknowledging(k, 1<<30+1000))
+}
