flow: test that a late packet of an earlier flow does not lose an opening one (fails)

Seen by callers: a flow is reset by its own agent just after its SYN+ACK, if a late packet of an earlier flow on its ports has arrived in between. Cause: isOpenElsewhere takes each packet that does not acknowledge the SYN+ACK for one of a flow that is open elsewhere, and removes the half-open flow without a trace.

--- a/flow/late_packets_test.go
+++ b/flow/late_packets_test.go
@@ -110,3 +110,18 @@
 	a.HandleReturned(u.now, &h, &late)
 	g.Expect(a.status(u.now, k.Hash())).To(Equal(packet.Held))
 }
+
+// Guards against the reset of a flow after a late packet of an earlier flow on its ports, which arrives before the client
+// has acknowledged the SYN+ACK: its agent takes the flow for one that is open elsewhere.
+func TestLatePacketOfAnEarlierFlowDoesNotLoseAnOpeningFlow(t *testing.T) {
+	g := NewWithT(t)
+	u := newUpstreamRig(4)
+	u.run(settled)
+	k := u.keyRanked(packet.ProtoTCP, "a", "b", "c", "d")
+	u.sendPacket("a", numbered(k, 0))
+	u.synAck("a", k, 1000)
+	a := u.agents[u.named("a").ID]
+	h, late := packet.Header{Kind: packet.KindData, Service: testService, Origin: testOrigin}, acknowledging(k, 1<<30)
+	a.Receive(u.now, &h, &late)
+	u.expectHeldByA(g, acknowledging(k, 1000))
+}
