agent: test of a kill of an agent beside an upstream that has just restarted (fails)

Seen by callers: open flows of an upstream that has started again in place are reset, if its agent was killed before the first announcement and the next agent starts within a second of the upstream. Cause: showsFirstAgent believes an upstream that is young and warms up although a predecessor is known. The predecessor names the former run only, and may have passed SYNs to the present one.

--- /dev/null
+++ b/agent/unknown_predecessor_test.go
@@ -0,0 +1,33 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/nutmegtrack/nutmegtrack/flow"
+	"github.com/nutmegtrack/nutmegtrack/packet"
+)
+
+// Guards against the reset of open flows that an upstream which has started again in place has accepted before its first
+// announcement: their agent ends before that announcement, and the next one, which starts within a second of the
+// upstream, takes itself for the first.
+func TestAgentIsNotTakenForTheFirstBesideAnUpstreamThatHasJustRestarted(t *testing.T) {
+	RegisterTestingT(t)
+	g := NewWithT(t)
+	v := newUpstreamVM()
+	v.now = flow.MaxFlowAge // the balancer knows all processes that have ended lately
+	v.startAgent(0)
+	v.run(100 * time.Millisecond)
+	v.announce(0, 1)
+	v.run(10 * time.Second)
+	born := v.now
+	v.run(200 * time.Millisecond) // the agent passes SYNs to the new run, and is killed
+	v.now += 400 * time.Millisecond
+	v.startAgent(0)
+	v.run(200 * time.Millisecond)
+	v.announce(born, 2)
+	v.run(time.Second)
+	g.Expect(v.answer()).To(Equal(packet.MaybeHeld))
+}
