agent: test that a balancer which was cut off is no witness of a young upstream (fails)

Seen by callers: open flows of a VM that was added some seconds ago are reset after a kill of all processes but one balancer. Cause: Node.coversHistory counts a balancer that has run for a minute as one that knows all processes which have ended lately, also if it was cut off or stood still while the VM was added.

--- a/agent/unknown_predecessor_test.go
+++ b/agent/unknown_predecessor_test.go
@@ -31,3 +31,19 @@
 	v.run(time.Second)
 	g.Expect(v.answer()).To(Equal(packet.MaybeHeld))
 }
+
+// Guards against the reset of open flows after a kill of all processes but one balancer, which was cut off while a VM was
+// added and knows no earlier agent there: it has run for long enough to count as a witness.
+func TestBalancerThatWasCutOffIsNoWitnessOfAYoungUpstream(t *testing.T) {
+	RegisterTestingT(t)
+	g := NewWithT(t)
+	v := newUpstreamVM()
+	v.now = 2 * flow.MaxFlowAge
+	born := v.now // the earlier agent, which ran until now, is not known to the balancer
+	v.now += 1800 * time.Millisecond
+	v.startAgent(0)
+	v.run(200 * time.Millisecond)
+	v.announce(born, 4)
+	v.run(time.Second)
+	g.Expect(v.answer()).To(Equal(packet.MaybeHeld))
+}
