agent: test of a young upstream on a VM whose clock was set back (fails)

Seen by callers: open flows of an upstream that is a few seconds old are reset after a kill of all processes, if the clock of its VM was set back by more than its age (H2 of docs/incidents/late-first-packets.md). Without the step of the clock the test passes. Measured: go test ./agent -run TestAgentOnAVMWhoseClockWasSetBackIsNotTakenForTheFirst: --- FAIL: TestAgentOnAVMWhoseClockWasSetBackIsNotTakenForTheFirst (0.00s) unknown_predecessor_test.go:70: Expected <packet.FlowStatus>: 0 to equal <packet.FlowStatus>: 2

--- a/agent/unknown_predecessor_test.go
+++ b/agent/unknown_predecessor_test.go
@@ -47,3 +47,25 @@
 	v.run(time.Second)
 	g.Expect(v.answer()).To(Equal(packet.MaybeHeld))
 }
+
+// Guards against the reset of open flows after a kill of all processes beside an upstream of a few seconds, on a VM whose
+// clock was set back meanwhile: the upstream seems to have started with its agent.
+func TestAgentOnAVMWhoseClockWasSetBackIsNotTakenForTheFirst(t *testing.T) {
+	RegisterTestingT(t)
+	g := NewWithT(t)
+	v := newUpstreamVM()
+	v.warmup = 5 * time.Second
+	v.startAgent(0)
+	v.run(100 * time.Millisecond)
+	v.announce(0, 1)
+	v.run(2 * time.Second)
+	v.announce(0, 2)
+	v.startBalancer()
+	v.balancer.SetLoaded() // the store does not list the VM yet
+	v.now += 500 * time.Millisecond
+	v.startAgent(-3 * time.Second)
+	v.run(200 * time.Millisecond)
+	v.announce(0, 3)
+	v.run(time.Second)
+	g.Expect(v.answer()).To(Equal(packet.MaybeHeld))
+}
