flow: a returned SYN of a restored half-open flow is handed off

What callers saw: no answer to a SYN whose upstream is full, after a restart of its agent. Cause: the change that keeps an open flow when a copy of its SYN is returned also dropped the copy for a flow that an earlier process of the agent has listed as half-open, which need not be open. Change: that copy is handed off to the next upstream, and the entry stays, since the flow may be open here. Measured: TestReturnedSYNOfARestoredHalfOpenFlowIsHandedOff fails without the change; go test ./flow.

--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -297,6 +297,9 @@
 	hash := in.Key.Hash()
 	// An upstream that is full or leaving returns a copy of the SYN of a flow that it holds.
 	if e := t.flows.find(hash, &in.Key); e != nil && opensTCP(in) && e.isOpen() && (e.synSeq == 0 || e.isLateCopy(in)) {
+		if e.handshake.unproven() {
+			return t.handOffToNext(now, hash, h, in.Repeat == 0)
+		}
 		return t.drop(ReasonLateCopy)
 	}
 	t.removeFlow(now, hash, in, ReturnedByUpstream)
--- a/flow/returned_syn_test.go
+++ b/flow/returned_syn_test.go
@@ -39,6 +39,21 @@
 	}
 }
 
+// Guards against the loss of a flow that an earlier process of the agent has passed half-open, and against a client whose
+// SYN no upstream answers.
+func TestReturnedSYNOfARestoredHalfOpenFlowIsHandedOff(t *testing.T) {
+	g := NewWithT(t)
+	u, _, in := acceptedTwice(false)
+	u.stopAgent("b")
+	u.returnAgent("b")
+	b := u.agents[u.named("b").ID]
+	again := numbered(in.Key, 2)
+	h := packet.Header{Kind: packet.KindData, Service: testService, Origin: testOrigin}
+	g.Expect(b.Receive(u.now, &h, &again).Kind).To(Equal(Deliver))
+	g.Expect(b.HandleReturned(u.now, &h, &again).Kind).To(Equal(Forward))
+	g.Expect(b.status(u.now, in.Key.Hash())).To(Equal(packet.MaybeHeld))
+}
+
 // Guards against a client that uses its port again at once and gets no answer, as its upstream is full.
 func TestReturnedSYNOfANewFlowOnTheSamePortsIsHandedOff(t *testing.T) {
 	g := NewWithT(t)
