flow: an agent without its predecessor's list makes one probe less

Cause: agents that stop as planned hand the lists of their flows, with the counts of probes, to peers. If all agents of a service are restarted at once, nobody keeps them, and each life of the agents shows a flow whose owner has forgotten it to two other upstreams. After two such restarts it has visited up to four, where three break the rule. Change: while the list that the predecessor has announced is missing, its probes are unknown, and the limit is one lower. When the list arrives, it names them. Considered and left: no probes at all, after which idle flows are found by packets of their upstreams only. Three restarts of all agents within the life of a flow can still show it to three upstreams.

--- a/flow/handover.go
+++ b/flow/handover.go
@@ -388,10 +388,15 @@
 // ExpectList records whether the predecessor has announced its stop, so that it has handed over its list.
 func (t *Table) ExpectList(expected bool) { t.listExpected = expected }
 
+// listMissing reports whether the list that this agent's predecessor has handed over has not arrived.
+func (t *Table) listMissing() bool {
+	arrived := t.restored.incarnation == t.predecessor && t.restored.complete == t.restored.isComplete()
+	return t.listExpected && !arrived
+}
+
 // awaitsList reports whether the list of this agent's predecessor may still arrive.
 func (t *Table) awaitsList(now time.Duration) bool {
-	arrived := t.restored.incarnation == t.predecessor && t.restored.complete == t.restored.isComplete()
-	return t.listExpected && !arrived && now < t.rebuildStarted+listWait
+	return t.listMissing() && now < t.rebuildStarted+listWait
 }
 
 // knowsAllFlows reports whether this agent has seen all flows of its upstream, or the list of its
--- a/flow/lost.go
+++ b/flow/lost.go
@@ -327,7 +327,7 @@
 		return nil
 	}
 	f := t.unknownFlows[hash]
-	if max(h.Tried, f.tried()) >= f.maxProbes() || now < f.yieldUntil || !t.askedAll(now, hash) {
+	if max(h.Tried, f.tried()) >= t.maxProbes(&f) || now < f.yieldUntil || !t.askedAll(now, hash) {
 		return nil
 	}
 	q, i := t.inquiryAbout(hash)
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -73,12 +73,17 @@
 }
 
 // maxProbes returns the number of probes at which no other is made. The agents of another service that
-// may hold the flow make theirs without knowledge of those made here.
-func (f *unknownFlow) maxProbes() uint8 {
+// may hold the flow make theirs without knowledge of those made here. One is left out while the list of this agent's
+// predecessor is missing, which names the probes made before: all agents may have restarted at once.
+func (t *Table) maxProbes(f *unknownFlow) uint8 {
+	n := uint8(maxTried)
 	if f.shared {
-		return maxTried / 2
+		n = maxTried / 2
 	}
-	return maxTried
+	if t.listMissing() {
+		n--
+	}
+	return n
 }
 
 // tried returns the number of probes with packets of the flow that this agent knows of.
@@ -232,7 +237,7 @@
 	case pending && now-f.at < probeTimeout:
 		return t.drop(ReasonWaiting), true
 	}
-	if max(h.Tried, f.tried()) >= f.maxProbes() {
+	if max(h.Tried, f.tried()) >= t.maxProbes(&f) {
 		return t.drop(ReasonWaiting), pending
 	}
 	f.at, f.probed, f.key, f.ack = now, true, in.Key, in.Ack
