flow: the fleet simulation has two services, and addresses that change between them

Gap: one service with fixed routes. Versions of the routes, packet.FlagShared, copies of packets to other services and the addresses that agents learn from their flows were not simulated, although a new version is planned work. Change: shape moving: the shape planned with two services. Versions give the addresses another service or a split; each balancer has them up to 2 s later and may miss one. Agents announce the addresses that they have learned. Balancers that start read the members from a store that is up to 3 s late.

--- a/flow/fleet_harness_test.go
+++ b/flow/fleet_harness_test.go
@@ -93,8 +93,10 @@
 	end       time.Duration
 	clients   []*fleetClient
 	orders    []fleetOrder
-	cuts      map[fleetLink]time.Duration // until then a link between two VMs loses all packets in its direction
-	bornSteps bool                        // the time of day that upstreams announce jumps with that of their VM
+	routes    []fleetRoutes                   // the versions of the routes, the newest last; only with moves
+	stored    map[packet.AgentID]memberRecord // with moves: the records in the store
+	cuts      map[fleetLink]time.Duration     // until then a link between two VMs loses all packets in its direction
+	bornSteps bool                            // the time of day that upstreams announce jumps with that of their VM
 	// maxPacketAge is the time after which the packets that wait for a process are dropped. It is 0 on systems that do
 	// not tell when a packet has arrived.
 	maxPacketAge time.Duration
@@ -120,6 +122,7 @@
 	closes            bool // clients and upstreams close flows, and refuse some, as the platform's page says
 	reusesPorts       bool // clients use a port again, at once or later
 	standsStill       bool // agents stand still, and links between agents fail: see standStill
+	moves             bool // the addresses change between two services: see moveRoutes
 	planned           bool // planned work alone, in which upstreams leave in other ways too: see plannedWork
 	defaultSeeds      int
 }
@@ -141,7 +144,7 @@
 )
 
 func newFleet(seed uint64, shape fleetShape) *fleet {
-	f := &fleet{shape: shape, seed: seed, rng: rand.New(rand.NewPCG(seed, 34)), flows: map[packet.Key]*clientFlow{}, cuts: map[fleetLink]time.Duration{}, nextStart: 101, end: shape.length}
+	f := &fleet{shape: shape, seed: seed, rng: rand.New(rand.NewPCG(seed, 34)), flows: map[packet.Key]*clientFlow{}, cuts: map[fleetLink]time.Duration{}, stored: map[packet.AgentID]memberRecord{}, nextStart: 101, end: shape.length}
 	f.oracle.f = f
 	f.steady, f.busy = f.chance(0.5), f.chance(0.5)
 	f.steady = f.steady && !shape.mod
@@ -151,6 +154,9 @@
 	for range shape.agents[0] + f.rng.IntN(shape.agents[1]) {
 		f.addAgent()
 	}
+	if shape.moves {
+		f.routes = []fleetRoutes{f.drawRoutes()}
+	}
 	f.bornSteps = shape.trouble && f.chance(0.5)
 	f.maxPacketAge = fleetMaxPacketAge
 	if shape.holdsBack || shape.standsStill {
@@ -172,7 +178,10 @@
 	i := len(f.agents)
 	name := fmt.Sprintf("agent-%d", i)
 	vm := &fleetVM{}
-	a := &fleetAgent{fleetProcess: fleetProcess{f: f, vm: vm, name: name}, id: packet.AgentIDOf(name)}
+	a := &fleetAgent{fleetProcess: fleetProcess{f: f, vm: vm, name: name}, id: packet.AgentIDOf(name), service: testService}
+	if f.shape.moves {
+		a.service = fleetServices[i%len(fleetServices)]
+	}
 	a.addr = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 255, byte((i + 1) >> 8), byte(i + 1)}), 4000)
 	a.upstream = &fleetUpstream{fleetProcess: fleetProcess{f: f, vm: vm, name: fmt.Sprintf("upstream-%d", i)}, agent: a}
 	f.agents = append(f.agents, a)
@@ -367,8 +376,9 @@
 // memberRecord is the membership record of an agent. Versions of the agent's own announcements are
 // even; a failure mark by others has the odd version above the record that it replaces.
 type memberRecord struct {
-	u       Upstream
-	version uint64
+	u         Upstream
+	version   uint64
+	endpoints []Endpoint // at which the upstream is known to hold flows
 }
 
 // versionsPerRun is the number of versions of one agent process.
@@ -377,6 +387,9 @@
 // publish sends a record to all processes, each of which receives it late.
 func (f *fleet) publish(r memberRecord) {
 	from := f.agentOf(r.u.ID).vm
+	if f.shape.moves {
+		f.after(f.between(0, fleetShardDelay), func() { f.store(r) })
+	}
 	for _, b := range f.balancers {
 		f.sendRecord(from, &b.fleetProcess, f.viewDelay(), func() { b.receiveRecord(r) })
 	}
@@ -411,6 +424,7 @@
 	viewChange time.Duration                   // global time of the last change of the view
 	readyOnce  bool                            // the view has been complete since the start
 	leaving    bool                            // out of rotation, before a planned restart
+	loaded     bool                            // the records have been read from the store
 	synced     bool                            // a balancer that was complete has sent its view
 	history    bool                            // one that covers history has
 	inRotation bool                            // as the platform's probes have found last; see probeBalancer
@@ -430,6 +444,9 @@
 	b.earlier = map[packet.AgentID]memberRecord{}
 	b.viewChange = b.f.now
 	b.later(b.f.between(20*time.Millisecond, 300*time.Millisecond), queueControl, b.sync)
+	if b.loaded = false; b.f.shape.moves {
+		b.later(b.f.between(20*time.Millisecond, 400*time.Millisecond), queueControl, b.load)
+	}
 }
 
 // sync merges the view of another balancer, passes what is new on to its agents, and does so again.
@@ -456,8 +473,10 @@
 	b.later(next, queueControl, b.sync)
 }
 
-// complete is member.Node.complete, without a store.
-func (b *fleetBalancer) complete() bool { return b.synced || b.clock() >= 3*time.Second }
+// complete is member.Node.complete, without a store but with moves.
+func (b *fleetBalancer) complete() bool {
+	return b.synced || b.loaded && b.clock() >= fleetHeartbeat/2 || b.clock() >= 3*time.Second
+}
 
 // coversHistory is member.Node.coversHistory.
 func (b *fleetBalancer) coversHistory() bool {
@@ -478,7 +497,11 @@
 }
 
 func (b *fleetBalancer) installView() {
-	endpoints := []Endpoint{{Addr: fleetRepeatable, Proto: packet.ProtoTCP}, {Addr: fleetOnce, Proto: packet.ProtoTCP}}
+	if b.f.shape.moves {
+		b.router.SetView(b.clock(), b.viewOfServices())
+		return
+	}
+	endpoints := fleetEndpoints
 	v := &View{Services: []Service{{ID: testService, Name: "s", Upstreams: b.withOrders(sortedUpstreams(b.view))}}}
 	for i, e := range endpoints {
 		v.Routes = append(v.Routes, Route{Endpoint: e, Targets: []Target{{Service: testService, Weight: 1}}, Class: packet.NewClass(0, 0, i == 0)})
@@ -542,12 +565,16 @@
 			return
 		}
 		to := b.f.agentAt(d.Addr)
-		b.f.trace(c, "%s sends %s to %s, hinted %v, expected %v", b.name, describe(&in), to.name, d.Hinted, d.Expected)
+		b.f.trace(c, "%s sends %s to %s, hinted %v, expected %v, shared %v", b.name, describe(&in), to.name, d.Hinted, d.Expected, d.Shared)
 		h := packet.Header{Kind: packet.KindData, Service: d.Service, Customer: 1, Class: d.Class, Origin: b.addr}
 		if d.Expected {
 			h.Flags = packet.FlagExpected
 		}
+		if d.Shared {
+			h.Flags |= packet.FlagShared
+		}
 		b.f.sendPacket(b.vm, to, fleetPacket{h: h, in: in, flow: c, taker: b.vm})
+		b.sendCopies(&d, fleetPacket{h: h, in: in, flow: c, taker: b.vm})
 	})
 }
 
@@ -596,25 +623,28 @@
 // fleetAgent is an agent process with its Table, and what its upstreamMonitor knows of the upstream.
 type fleetAgent struct {
 	fleetProcess
-	id           packet.AgentID
-	addr         netip.AddrPort
-	incarnation  uint64
-	table        *Table
-	upstream     *fleetUpstream
-	view         map[packet.AgentID]memberRecord
-	viewChanged  bool
-	version      uint64 // of the own record
-	announced    Upstream
-	homeKnown    bool // a balancer has answered
-	listComplete bool // a complete one has
-	covered      bool // one that covers history has
-	homeSince    time.Duration
-	stopping     bool
-	buffered     map[uint64]fleetPacket
-	queues       map[packet.AgentID]*sendQueue
-	timerSet     bool
-	gone         bool // its VM has been removed
-	reused       bool // an agent of another service has got its address
+	id                 packet.AgentID
+	service            packet.ServiceID
+	learned            map[Endpoint]bool // of the upstream's flows
+	announcedEndpoints int
+	addr               netip.AddrPort
+	incarnation        uint64
+	table              *Table
+	upstream           *fleetUpstream
+	view               map[packet.AgentID]memberRecord
+	viewChanged        bool
+	version            uint64 // of the own record
+	announced          Upstream
+	homeKnown          bool // a balancer has answered
+	listComplete       bool // a complete one has
+	covered            bool // one that covers history has
+	homeSince          time.Duration
+	stopping           bool
+	buffered           map[uint64]fleetPacket
+	queues             map[packet.AgentID]*sendQueue
+	timerSet           bool
+	gone               bool // its VM has been removed
+	reused             bool // an agent of another service has got its address
 
 	// State of upstream.Tracker and agent.upstreamMonitor.
 	known, upstreamDraining, upstreamLeaving, upstreamStopped, listening bool
@@ -649,6 +679,7 @@
 	a.earlierStarts, a.predecessor = map[uint64]bool{}, memberRecord{}
 	a.lastAlive, a.unansweredSince, a.checkedAt = 0, 0, 0
 	a.startWall, a.upstreamBorn, a.refusedOnce, a.packetAt, a.announcedAt = a.f.now+a.vm.wallOffset, 0, false, 0, 0
+	a.learned, a.announcedEndpoints = map[Endpoint]bool{}, 0
 	self := Upstream{ID: a.id, Name: a.name, Incarnation: a.incarnation, Addr: a.addr, State: Starting}
 	a.table = NewTable(TableConfig{
 		Settling: 4 * time.Second, Rebuild: rebuildTime, DigestDelay: time.Millisecond, DigestRate: 64 << 10,
@@ -657,7 +688,7 @@
 		OnRemoved: func(r *RemovedFlow) {
 			a.f.trace(a.f.flows[r.Key], "  the flow leaves the table of %s: %v, handshake %s", a.name, r.Cause, r.Handshake)
 		},
-	}, self, testService, rand.New(rand.NewPCG(a.f.rng.Uint64(), 1)))
+	}, self, a.service, rand.New(rand.NewPCG(a.f.rng.Uint64(), 1)))
 	a.table.StartRebuild(0)
 	a.table.SetSlots(fleetSlots)
 	a.announced = self
@@ -678,7 +709,7 @@
 	_, connected := a.f.connects(a.vm, b.vm)
 	if a.f.shape.trouble && b.up && connected && b.view[a.id].version < a.version {
 		// A heartbeat carries the own record if the balancer has not confirmed it.
-		a.f.publish(memberRecord{u: a.announced, version: a.version})
+		a.f.publish(a.record())
 	}
 	if b.up && len(b.view) > 0 && connected {
 		for _, other := range a.f.agents {
@@ -713,7 +744,7 @@
 		}
 		return
 	}
-	if r.version > a.view[r.u.ID].version {
+	if r.version > a.view[r.u.ID].version && a.f.agentOf(r.u.ID).service == a.service {
 		a.view[r.u.ID], a.viewChanged = r, true
 	}
 }
@@ -733,7 +764,11 @@
 // announce publishes the own record.
 func (a *fleetAgent) announce() {
 	a.version += 2 - a.version%2
-	a.f.publish(memberRecord{u: a.announced, version: a.version})
+	a.f.publish(a.record())
+}
+
+func (a *fleetAgent) record() memberRecord {
+	return memberRecord{u: a.announced, version: a.version, endpoints: a.learnedEndpoints()}
 }
 
 func (a *fleetAgent) step() {
@@ -1044,7 +1079,7 @@
 		s = Starting
 	}
 	a.table.SetState(now, s)
-	if s != a.announced.State || a.upstreamStart != a.announced.Start {
+	if s != a.announced.State || a.upstreamStart != a.announced.Start || a.learnRestored() {
 		a.announced.State, a.announced.Start = s, a.upstreamStart
 		a.viewChanged = true
 		a.announce()
@@ -1333,6 +1368,7 @@
 	send := func() {
 		s.toAgent(false, func(a *fleetAgent) {
 			a.table.HandleReply(a.clock(), &in)
+			a.learned[endpointOf(&c.key)] = true
 			a.alive()
 			if a.f.now >= a.vm.cutUntil && !(a.f.now < a.vm.lossyUntil && a.f.chance(fleetLossRate)) {
 				a.f.after(a.f.packetDelay(), func() { a.f.flows[c.key].receive(s, &in) })
--- a/flow/fleet_scenario_test.go
+++ b/flow/fleet_scenario_test.go
@@ -463,6 +463,10 @@
 	case f.shape.standsStill:
 		f.standStill()
 		return
+	case f.shape.moves:
+		f.moveRoutes()
+		f.plannedWork()
+		return
 	case f.shape.planned:
 		f.plannedWork()
 		return
@@ -591,9 +595,8 @@
 		return
 	}
 	f.note("%s is marked as failed, up %v", a.name, a.up)
-	marked := a.announced
-	marked.State = Failed
-	mark := memberRecord{u: marked, version: a.version + 1 - a.version%2}
+	mark := a.record()
+	mark.u.State, mark.version = Failed, a.version+1-a.version%2
 	for _, b := range f.balancers {
 		f.sendRecord(b.vm, &b.fleetProcess, f.viewDelay(), func() { b.receiveRecord(mark) })
 	}
