flow: a failing test: a late packet of an earlier flow on the same ports removes the open flow

What callers would see: a client that uses a port again gets a reset while its upstream runs, after a balancer has forwarded a packet of the earlier flow late. Cause: HandleReturned removes the flow whatever number the returned packet acknowledges, and Receive delivers packets that acknowledge another SYN+ACK than the known one of an open flow. The table stays complete and denies the flow. Measured: the test fails.

--- a/flow/reused_port_test.go
+++ b/flow/reused_port_test.go
@@ -108,3 +108,26 @@
 		}
 	}
 }
+
+// Guards against the reset of an open flow after a late packet of an earlier flow with the same addresses and ports: the
+// upstream returns that packet, and the agent takes the open flow for one that the upstream does not hold.
+func TestLatePacketOfAnEarlierFlowDoesNotRemoveTheOpenOne(t *testing.T) {
+	g := NewWithT(t)
+	u := newUpstreamRig(4)
+	u.run(settled)
+	k := u.keyRanked(packet.ProtoTCP, "a", "b", "c", "d")
+	a := u.agents[u.named("a").ID]
+	u.sendPacket("a", numbered(k, 0))
+	u.synAck("a", k, 5_000_000)
+	u.sendPacket("a", acknowledging(k, 5_000_000))
+	g.Expect(a.status(u.now, k.Hash())).To(Equal(packet.Held))
+
+	late, h := acknowledging(k, 1000), packet.Header{Kind: packet.KindData, Service: testService, Origin: testOrigin}
+	if a.Receive(u.now, &h, &late).Kind == Deliver {
+		a.HandleReturned(u.now, &h, &late)
+	}
+	g.Expect(a.status(u.now, k.Hash())).To(Equal(packet.Held))
+	u.now += peerListSettleTime
+	u.sendPacket("a", acknowledging(k, 5_000_000))
+	g.Expect(u.findLost("a")).To(BeEmpty())
+}
