flow: the fleet simulation does not count a denial after the upstream has ended as false

Gap: the last packets of an upstream that has ended wait for an agent that is not scheduled, arrive after it has found the upstream stopped and denied its flows, and counted as proof that the denials were false. Change: a denial that was made after the run of the upstream had ended is true. One that was made before still counts.

--- a/flow/fleet_harness_test.go
+++ b/flow/fleet_harness_test.go
@@ -1232,6 +1232,7 @@
 	draining bool
 	leaving  bool
 	flows    map[packet.Key]*upstreamFlow
+	endedAt  time.Duration // of the last run that has ended; 0: none has
 
 	lyingUntil time.Duration // connection checks may fail
 	refuses    bool          // they are refused, instead of not answered
@@ -1288,6 +1289,7 @@
 func (s *fleetUpstream) exit() {
 	if s.up {
 		s.finish()
+		s.endedAt = s.f.now
 		s.f.oracle.upstreamEnded(s)
 	}
 }
--- a/flow/fleet_scenario_test.go
+++ b/flow/fleet_scenario_test.go
@@ -421,8 +421,12 @@
 	}
 }
 
-// falselyDenied records that an agent has said that its upstream does not hold a flow, and was wrong.
+// falselyDenied records that an agent has said that its upstream does not hold a flow, and was wrong. It was right if the
+// upstream had ended before: its last packets may wait for the agent longer.
 func (o *fleetOracle) falselyDenied(a *fleetAgent, d *FalseDenial) {
+	if s := a.upstream; s.endedAt != 0 && s.endedAt <= o.f.now-d.Age && (!s.up || s.flows[d.Key] == nil) {
+		return
+	}
 	c := o.f.flows[d.Key]
 	o.violate(ruleDenied, c, o.f.now < max(a.vm.disruptedUntil, a.vm.killedUntil), fmt.Sprintf("denied by %s %.3f s ago, reset %v, complete %v, recorded as %v, returned %v, runs since %.3f s",
 		a.name, d.Age.Seconds(), d.Reset, d.Complete, d.Loss, d.Returned, a.startedAt.Seconds()))
