flow: two failing tests: a flow that opens late, and an agent that asks no one

What callers would see: an open flow is reset by an agent while its upstream runs, beside planned work alone. Causes: (1) an agent drops a half-open flow from its table after 3 s and then denies it (status), although its upstream still accepts the client's first packet, which may be late by that much while balancers restart. (2) an agent all of whose known peers are leaving finds a flow lost at once, and a new upstream that it does not know yet holds it; no peer answers that could list the new one. Measured: both tests fail.

--- a/flow/half_open_test.go
+++ b/flow/half_open_test.go
@@ -127,3 +127,35 @@
 	}
 	g.Expect(delivered).To(BeNumerically("<=", 1))
 }
+
+// Guards against the reset of a flow that its upstream opens while a peer looks for it: for halfOpenTimeout no packet of its
+// client has arrived, its entry has left the table, and the agent has denied it, although the upstream still accepts it.
+func TestFlowThatOpensLateIsNotReset(t *testing.T) {
+	g := NewWithT(t)
+	u := newUpstreamRig(2)
+	u.run(settled)
+	k := u.keyRanked(packet.ProtoTCP, "b", "a")
+	a, in := u.agents[u.named("a").ID], acknowledging(k, 1000)
+	u.sendPacket("a", numbered(k, 2))
+	u.synAck("a", k, 1000)
+	u.restartAgent("b")
+	u.reportStart("b")
+	u.run(halfOpenTimeout + 2*time.Second)
+
+	b := u.agents[u.named("b").ID]
+	b.peers.get(a.self.ID).inbox.clear() // a has withdrawn the flow
+	h := packet.Header{Kind: packet.KindData, Service: testService, Origin: testOrigin}
+	g.Expect(b.Receive(u.now, &h, &in).Probe).To(BeTrue())
+	g.Expect(b.HandleReturned(u.now, &h, &in).Kind).To(Equal(Forward))
+	_, inquiries, _ := b.CheckSuspects(u.now)
+	for i := range inquiries {
+		answer := a.AnswerInquiry(u.now, &inquiries[i].Inquiry)
+		b.HandleInquiryAnswer(u.now, &answer)
+	}
+	_, action := u.sendHinted("a", in)
+	g.Expect(action.Kind).To(Equal(Deliver))
+	u.reply("a", k)
+	g.Expect(a.status(u.now, k.Hash())).To(Equal(packet.Held))
+	lost, _, _ := b.CheckSuspects(u.now)
+	g.Expect(lost).To(BeEmpty())
+}
--- a/flow/outdated_leave_test.go
+++ b/flow/outdated_leave_test.go
@@ -37,3 +37,22 @@
 		})
 	}
 }
+
+// Guards against the reset of a flow of an upstream that has just been added, by an agent that does not know it yet and
+// counts all others as leaving: it asks no one who could tell it of the new one.
+func TestAgentWithoutPeersThatRunFindsNoFlowOfANewUpstreamLost(t *testing.T) {
+	g := NewWithT(t)
+	u := newUpstreamRig(3)
+	u.run(settled)
+	k := u.keyRanked(packet.ProtoTCP, "a", "c", "b")
+	a := u.agents[u.named("a").ID]
+	u.setState("b", Leaving)
+	a.SetPeers(u.now, []Upstream{u.named("a"), u.named("b")}) // without c
+	u.run(peerListSettleTime)
+	u.sendPacket("c", numbered(k, 2))
+	u.reply("c", k)
+	g.Expect(u.agents[u.named("c").ID].status(u.now, k.Hash())).To(Equal(packet.Held))
+
+	u.sendPacket("a", data(k))
+	g.Expect(u.findLost("a")).To(BeEmpty())
+}
