flow: the lower limit of probes ends, and leaves one for flows that two services may hold

What callers saw: no answer on a flow that its own agent would have found with a probe. Cause: the limit of stayed lowered for the life of the process if the list of the predecessor was lost, and was 0 for a flow that an upstream of another service may hold. Evidence: TestSharedFlowIsProbedWithoutTheListOfThePredecessor and TestMissingListLimitsProbesForATime fail without the change. Change: the limit is lowered for MaxFlowAge after the start, and never below 1. Measured: go test ./flow -run 'TestShared|TestMissing|TestProbesBefore'.

--- a/flow/lost_lists_test.go
+++ b/flow/lost_lists_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -36,3 +37,41 @@
 	g.Expect(u.misdelivered()).To(BeNumerically(">", 0))
 	g.Expect(u.misdelivered()).To(BeNumerically("<", misdeliveryLimit))
 }
+
+// Guards against an open flow that its own agent never finds again, because the list of its predecessor is lost with its
+// keepers and the flow's address has had two services.
+func TestSharedFlowIsProbedWithoutTheListOfThePredecessor(t *testing.T) {
+	g := NewWithT(t)
+	u := newUpstreamRig(4)
+	u.run(settled)
+	k := u.keyRanked(packet.ProtoTCP, "a", "b", "c", "d")
+	u.sendPacket("a", numbered(k, 0))
+	u.synAck("a", k, 1000)
+	u.sendPacket("a", acknowledging(k, 1000))
+	before := u.named("a").Incarnation
+	u.restartAgent("a")
+	a := u.agents[u.named("a").ID]
+	a.SetPredecessor(before)
+	a.ExpectList(true)
+	u.reportStart("a")
+	u.run(listWait)
+	u.sendWithFlags("a", acknowledging(k, 1000), packet.FlagExpected|packet.FlagShared)
+	g.Expect(a.Counters().Tried).To(BeEquivalentTo(1))
+}
+
+// Guards against a limit of probes that stays lowered after the flows that the predecessor knew have ended.
+func TestMissingListLimitsProbesForATime(t *testing.T) {
+	g := NewWithT(t)
+	u := newUpstreamRig(4)
+	u.run(settled)
+	before := u.named("a").Incarnation
+	u.restartAgent("a")
+	a := u.agents[u.named("a").ID]
+	a.SetPredecessor(before)
+	a.ExpectList(true)
+	u.reportStart("a")
+	u.run(MaxFlowAge - 2*time.Second)
+	g.Expect(a.maxProbes(&unknownFlow{})).To(BeEquivalentTo(maxTried - 1))
+	u.run(4 * time.Second)
+	g.Expect(a.maxProbes(&unknownFlow{})).To(BeEquivalentTo(maxTried))
+}
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -74,14 +74,15 @@
 
 // maxProbes returns the number of probes at which no other is made. The agents of another service that
 // may hold the flow make theirs without knowledge of those made here. One is left out while the list of this agent's
-// predecessor is missing, which names the probes made before: all agents may have restarted at once.
+// predecessor is missing, which names the probes made before: all agents may have restarted at once. It ends when
+// the flows that the predecessor knew have ended.
 func (t *Table) maxProbes(f *unknownFlow) uint8 {
 	n := uint8(maxTried)
 	if f.shared {
 		n = maxTried / 2
 	}
-	if t.listMissing() {
-		n--
+	if t.listMissing() && t.lastStep < t.rebuildStarted+MaxFlowAge {
+		n = max(n-1, 1)
 	}
 	return n
 }
