flow: no probes at other upstreams before the first choice may probe its own

Cause: an agent that waits for its predecessor's list (2 s) does not probe its own upstream, but let its peers probe in this time. As the flow's first choice, whose upstream holds the flow most often, it used up both probes at peers.

--- a/flow/lost_lists_test.go
+++ b/flow/lost_lists_test.go
@@ -75,3 +75,31 @@
 	u.run(4 * time.Second)
 	g.Expect(a.maxProbes(&unknownFlow{})).To(BeEquivalentTo(maxTried))
 }
+
+// Guards against probes that are used up at other upstreams, while the first choice, which holds the flow, still waits for
+// its list and does not probe its own.
+func TestFirstChoiceProbesItsOwnUpstreamFirst(t *testing.T) {
+	g := NewWithT(t)
+	u := newUpstreamRig(7)
+	u.run(settled)
+	k := u.keyRanked(packet.ProtoTCP, "a", "b", "c", "d", "e", "f", "g")
+	u.held["a"][k] = true
+	for _, p := range u.list {
+		before := p.Incarnation
+		u.restartAgent(p.Name)
+		u.agents[p.ID].SetPredecessor(before)
+		u.agents[p.ID].ExpectList(true)
+	}
+	for _, p := range u.list {
+		u.reportStart(p.Name)
+	}
+	for _, p := range u.list {
+		u.agents[p.ID].StartRebuild(u.now)
+	}
+	u.retransmit(k, "aaaa")
+	g.Expect(u.misdelivered()).To(BeZero())
+	u.now += listWait
+	path, action := u.sendPacket("a", data(k))
+	g.Expect(action.Kind).To(Equal(Deliver))
+	g.Expect(path).To(Equal("a"))
+}
