flow: a leaving peer is excluded by its silence to this inquiry, not to earlier ones

Cause: the silence of a peer is counted over inquiries that follow each other within 480 ms. A peer that had not answered the one before was excluded from a new one at once, although its agent was back. Evidence: TestSilenceToAnEarlierInquiryDoesNotExcludeAPeerThatIsBack fails without the change. Change: a leaving peer that has not answered is not excluded in the first 100 ms of an inquiry. Measured: go test ./flow -run 'TestSilenceToAn|StartedAgain'. A flow beside a leaving peer that is gone is told 100 ms later.

--- a/flow/inquiry.go
+++ b/flow/inquiry.go
@@ -353,6 +353,8 @@
 // inquiry. mayRepeat says whether the flow's requests may be repeated.
 func (t *Table) exclusion(now time.Duration, q *inquiry, p *peer, i int, mayRepeat bool) Exclusion {
 	switch statuses := q.answers[p.ID]; {
+	case statuses == nil && p.State == Leaving && now-q.startedAt < confirmedFailureTimeout:
+		// Its silence to earlier inquiries may be that of a process that has ended; the present one is asked now.
 	case statuses == nil || statuses[i] == packet.MaybeHeld:
 		return t.excludedAsAbsent(now, p, mayRepeat)
 	case statuses[i] == packet.NotHeld:
--- a/flow/outdated_leave_test.go
+++ b/flow/outdated_leave_test.go
@@ -56,3 +56,42 @@
 	u.sendPacket("a", data(k))
 	g.Expect(u.findLost("a")).To(BeEmpty())
 }
+
+// Guards against the reset of a flow of an upstream that has left and started again in place: its agent has not been asked
+// for this flow yet, and the silence of its earlier process to another inquiry counts.
+func TestSilenceToAnEarlierInquiryDoesNotExcludeAPeerThatIsBack(t *testing.T) {
+	g := NewWithT(t)
+	u := newUpstreamRig(3)
+	u.run(settled)
+	other, k := u.keyRanked(packet.ProtoTCP, "a", "b", "c"), u.keyRanked(packet.ProtoTCP, "a", "c", "b")
+	a, b := u.agents[u.named("a").ID], u.agents[u.named("b").ID]
+	u.setState("b", Leaving)
+	u.announce()
+	u.run(peerListSettleTime)
+	u.silent["b"] = true
+	a.markSuspect(u.now, other.Hash(), &packet.Header{}, &packet.Info{Key: other})
+	for range 4 {
+		u.findLost("a")
+		u.now += inquiryRetryInterval
+	}
+
+	u.silent["b"] = false // it has started again; a learns it later
+	b.SetUpstreamStart(u.now, 1001, true)
+	b.SetState(u.now, Ready)
+	u.sendPacket("b", numbered(k, 2))
+	u.reply("b", k)
+	a.markSuspect(u.now, k.Hash(), &packet.Header{}, &packet.Info{Key: k})
+	_, inquiries, _ := a.CheckSuspects(u.now)
+	if len(inquiries) == 0 {
+		u.now += 5 * time.Millisecond
+		_, inquiries, _ = a.CheckSuspects(u.now)
+	}
+	g.Expect(inquiries).NotTo(BeEmpty())
+	for i := range inquiries { // the answer of b takes a millisecond longer than that of c
+		answer := u.agents[u.named("c").ID].AnswerInquiry(u.now, &inquiries[i].Inquiry)
+		a.HandleInquiryAnswer(u.now, &answer)
+	}
+	g.Expect(b.status(u.now, k.Hash())).To(Equal(packet.Held))
+	lost, _, _ := a.CheckSuspects(u.now)
+	g.Expect(lost).To(BeEmpty())
+}
