flow: the probes of a flow count on when it is found lost

What callers saw: more packets of a flow at an upstream that does not hold it than the limit of two allows. Cause: the record of the probes went with the flow's other records when an inquiry found it lost. Evidence: TestProbesOfAFlowThatWasFoundLostAreCounted fails without the change (12 probes). Change: the probes stay in the record, as when an upstream ends. Measured: go test ./flow.

--- a/flow/lost.go
+++ b/flow/lost.go
@@ -274,7 +274,7 @@
 			kept = append(kept, hash)
 		default:
 			t.noteDenial(now, hash, true)
-			delete(t.unknownFlows, hash)
+			t.forgetUnknownFlow(hash, f)
 			t.lost.record(now, hash, FoundLost, f.ack)
 			t.lossFindings = append(t.lossFindings, findings[hash])
 			t.counters.Reset++
--- a/flow/outdated_finding_test.go
+++ b/flow/outdated_finding_test.go
@@ -37,3 +37,19 @@
 	g.Expect(action.Kind).To(Equal(Deliver))
 	g.Expect(path).To(Equal("ac"))
 }
+
+// Guards against probes that are counted anew each time that the flow is found lost.
+func TestProbesOfAFlowThatWasFoundLostAreCounted(t *testing.T) {
+	g := NewWithT(t)
+	u := newUpstreamRig(4)
+	u.run(settled)
+	k := u.keyRanked(packet.ProtoTCP, "a", "b", "c", "d")
+	u.restartAgent("a")
+	u.reportStart("a")
+	for range 12 {
+		u.sendPacket("a", data(k))
+		u.findLost("a")
+		u.run(700 * time.Millisecond)
+	}
+	g.Expect(u.returned["a"]).To(BeNumerically("<=", maxTried))
+}
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -476,18 +476,23 @@
 // upstream that counts as stopped may go on returning them.
 func (t *Table) forgetUnknownFlows() {
 	for hash, f := range t.unknownFlows {
-		if f.tried() == 0 {
-			delete(t.unknownFlows, hash)
-			continue
-		}
-		t.unknownFlows[hash] = unknownFlow{
-			at: f.at, seen: f.seen, key: f.key, ack: f.ack, here: f.here, elsewhere: f.elsewhere, probedBy: f.probedBy,
-			shared: f.shared, mayRepeat: f.mayRepeat,
-		}
+		t.forgetUnknownFlow(hash, f)
 	}
 	t.suspected, t.inquiries = t.suspected[:0], t.inquiries[:0]
 }
 
+// forgetUnknownFlow forgets what is known of an unknown flow but its probes.
+func (t *Table) forgetUnknownFlow(hash uint64, f unknownFlow) {
+	if f.tried() == 0 {
+		delete(t.unknownFlows, hash)
+		return
+	}
+	t.unknownFlows[hash] = unknownFlow{
+		at: f.at, seen: f.seen, key: f.key, ack: f.ack, here: f.here, elsewhere: f.elsewhere, probedBy: f.probedBy,
+		shared: f.shared, mayRepeat: f.mayRepeat,
+	}
+}
+
 // expireUnknownFlows removes outdated records of unknown flows.
 func (t *Table) expireUnknownFlows(now time.Duration) {
 	if len(t.unknownFlows) == 0 {
