flow: flows are not removed for 500 ms after a pause

A packet that makes a step due, when it is read first, brings the second one a millisecond later, while other packets still wait. Evidence: TestPauseDoesNotEndTheHandshakeOfAFlow, with such a step, fails without the change. Change: no flow is removed before pauseReadTime has passed since the pause. Measured: go test ./flow. A pause of less than 2 s can still end a handshake whose packets were lost before it.

--- a/flow/paused_sweep_test.go
+++ b/flow/paused_sweep_test.go
@@ -21,6 +21,8 @@
 	u.now += 5 * time.Second
 	a := u.agents[u.named("a").ID]
 	a.Step(u.now)
+	u.now += time.Millisecond
+	a.Step(u.now) // a packet that was read first has made a step due
 	path, action := u.sendPacket("a", acknowledging(k, 1000))
 	g.Expect(action.Kind).To(Equal(Deliver))
 	g.Expect(path).To(Equal("a"))
--- a/flow/step.go
+++ b/flow/step.go
@@ -10,11 +10,17 @@
 // digests are kept.
 const maxUnlistedInboxes = 1024
 
+// pauseReadTime is the time after a pause of this process in which the packets that have arrived meanwhile are read:
+// some step intervals. Until then, flows of which a packet waits seem idle.
+const pauseReadTime = 500 * time.Millisecond
+
 // Step runs the timers and returns the messages to send. Call it about once per second; more
 // frequent calls reduce the delay of digests.
 func (t *Table) Step(now time.Duration) []Message {
-	// After a pause of this process, packets of flows that seem idle wait to be read.
-	if !t.pausedSinceStep(now) {
+	if t.pausedSinceStep(now) {
+		t.resumedAt = now
+	}
+	if now-t.resumedAt >= pauseReadTime {
 		t.sweep(now)
 	}
 	t.expireWaiting(now)
--- a/flow/table.go
+++ b/flow/table.go
@@ -72,6 +72,7 @@
 	reopened           time.Duration // time at which an order to evacuate this agent's upstream was last withdrawn
 	loadSent           time.Duration
 	lastStep           time.Duration
+	resumedAt          time.Duration // end of the last pause of this process
 	digestBudget       int // digest bytes that may be sent now
 	sweepFrom          int
 	nextDigestPeer     int     // peer at which addDigests starts, so that the budget starves no peer
@@ -130,6 +131,7 @@
 		reopened:          never,
 		rebuildStarted:    never,
 		sawAllSince:       never,
+		resumedAt:         never,
 		acceptanceChanged: never,
 	}
 }
