flow: a half-open flow stays in the table when its upstream returns a copy of its SYN

What callers saw: a flow whose SYN+ACK the client has acknowledged was found lost. Evidence: TestReturnedCopyOfASYNDoesNotRemoveItsHalfOpenFlow fails without the change. Change: the entry stays, and the copy is handed off. Measured: go test ./flow.

--- a/flow/lifetime.go
+++ b/flow/lifetime.go
@@ -107,6 +107,9 @@
 	return e.handshake.opened() && e.idleLongerThan(now, halfOpenTimeout) || e.flags&flagLingering != 0 && !t.accepts()
 }
 
+// isAnswered reports whether the upstream has accepted the flow, or may have, and no end has closed it.
+func (e *entry) isAnswered() bool { return e.handshake != handshakeSYN && e.flags&flagLingering == 0 }
+
 // isOpen reports whether a client has opened the flow, as far as this agent knows, and no end has closed it.
 func (e *entry) isOpen() bool { return e.handshake.opened() && e.flags&flagLingering == 0 }
 
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -302,7 +302,7 @@
 	t.counters.Returned++
 	hash := in.Key.Hash()
 	// An upstream that is full or leaving returns a copy of the SYN of a flow that it holds.
-	if e := t.flows.find(hash, &in.Key); e != nil && opensTCP(in) && e.isOpen() && (e.synSeq == 0 || e.isLateCopy(in)) {
+	if e := t.flows.find(hash, &in.Key); e != nil && opensTCP(in) && e.isAnswered() && (e.synSeq == 0 || e.isLateCopy(in)) {
 		if e.handshake.unproven() {
 			return t.handOffToNext(now, hash, h, in.Repeat == 0)
 		}
--- a/flow/returned_syn_test.go
+++ b/flow/returned_syn_test.go
@@ -39,6 +39,29 @@
 	}
 }
 
+// Guards against the loss of a half-open flow whose upstream, which is full or leaving by now, returns a copy of its SYN:
+// the client acknowledges the SYN+ACK that it has got from this upstream.
+func TestReturnedCopyOfASYNDoesNotRemoveItsHalfOpenFlow(t *testing.T) {
+	g := NewWithT(t)
+	u := newUpstreamRig(4)
+	u.run(settled)
+	k := u.keyRanked(packet.ProtoTCP, "a", "b", "c", "d")
+	first := numbered(k, 0)
+	first.Seq = 7000
+	u.sendPacket("a", first)
+	u.synAck("a", k, 1000)
+	again := first
+	again.Repeat = 1
+	a := u.agents[u.named("a").ID]
+	h := packet.Header{Kind: packet.KindData, Service: testService, Origin: testOrigin}
+	g.Expect(a.Receive(u.now, &h, &again).Kind).To(Equal(Deliver))
+	a.HandleReturned(u.now, &h, &again)
+	g.Expect(a.status(u.now, k.Hash())).To(Equal(packet.MaybeHeld))
+	path, action := u.sendPacket("a", acknowledging(k, 1000))
+	g.Expect(path).To(Equal("a"))
+	g.Expect(action.Kind).To(Equal(Deliver))
+}
+
 // Guards against the loss of a flow that an earlier process of the agent has passed half-open, and against a client whose
 // SYN no upstream answers.
 func TestReturnedSYNOfARestoredHalfOpenFlowIsHandedOff(t *testing.T) {
