flow: answers from before a pause of the agent are asked for again

What callers saw (suspected): the reset of a flow that has opened since. Cause: an agent that was paused let the time-outs of its inquiries begin anew, but kept the answers that it had got before the pause, and combined them with those of now. Evidence: TestAnswersFromBeforeAPauseAreAskedForAgain fails without the change. Change: the answers are forgotten with the time-outs. Measured: go test ./flow.

--- a/flow/inquiry.go
+++ b/flow/inquiry.go
@@ -80,11 +80,12 @@
 	return lost, out, next
 }
 
-// restartInquiries lets the time-outs of all inquiries begin anew, because this process was paused:
-// answers that have arrived meanwhile have not been read yet.
+// restartInquiries lets all inquiries begin anew, because this process was paused: answers that have arrived
+// meanwhile have not been read yet, and earlier ones are outdated.
 func (t *Table) restartInquiries(now time.Duration) {
 	for _, q := range t.inquiries {
 		q.startedAt, q.retryAt, q.retryInterval = now, now, inquiryRetryInterval
+		clear(q.answers)
 	}
 }
 
--- a/flow/stale_answer_test.go
+++ b/flow/stale_answer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -44,3 +45,28 @@
 	g.Expect(resets).To(BeEmpty())
 	g.Expect(b.status(u.now, open.Hash())).To(Equal(packet.Held))
 }
+
+// Guards against answers from before a pause of the agent that count as answers of now.
+func TestAnswersFromBeforeAPauseAreAskedForAgain(t *testing.T) {
+	g := NewWithT(t)
+	u := newUpstreamRig(4)
+	u.run(settled)
+	k := u.keyRanked(packet.ProtoTCP, "a", "b", "c", "d")
+	a, b := u.agents[u.named("a").ID], u.agents[u.named("b").ID]
+	a.markSuspect(u.now, k.Hash(), &packet.Header{}, &packet.Info{Key: k})
+	_, q, _ := a.CheckSuspects(u.now)
+	for _, n := range []string{"b", "c"} {
+		answer := u.agents[u.named(n).ID].AnswerInquiry(u.now, &q[0].Inquiry)
+		a.HandleInquiryAnswer(u.now, &answer)
+	}
+	u.now += 4 * time.Second
+	u.sendPacket("b", numbered(k, 2))
+	u.synAck("b", k, 1000)
+	u.sendHinted("b", acknowledging(k, 1000))
+	g.Expect(b.status(u.now, k.Hash())).To(Equal(packet.Held))
+	a.CheckSuspects(u.now)
+	answer := u.agents[u.named("d").ID].AnswerInquiry(u.now, &q[0].Inquiry)
+	a.HandleInquiryAnswer(u.now, &answer)
+	lost, _, _ := a.CheckSuspects(u.now)
+	g.Expect(lost).To(BeEmpty())
+}
--- a/flow/table.go
+++ b/flow/table.go
@@ -73,7 +73,7 @@
 	loadSent           time.Duration
 	lastStep           time.Duration
 	resumedAt          time.Duration // end of the last pause of this process
-	digestBudget       int // digest bytes that may be sent now
+	digestBudget       int           // digest bytes that may be sent now
 	sweepFrom          int
 	nextDigestPeer     int     // peer at which addDigests starts, so that the budget starves no peer
 	meanAccepting      float64 // mean number of open flows of the accepting upstreams
