agent: the tags of an agent's processes have different numbers

Cause: a packet that the upstream returns is told by the tag under which it was delivered, and each process began at 1. One that an earlier process had delivered, and that comes back late, was forwarded with the header of another packet: its origin, its path and its count of probes. Change: the tags begin at a random number.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -94,6 +94,7 @@
 
 func newAgent(cfg settings.Agent, options Options, log *event.Logger, clock daemon.Clock) *Agent {
 	registry := metrics.NewRegistry()
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &Agent{
 		cfg:        cfg,
 		currentCfg: cfg,
@@ -103,7 +104,8 @@
 		endpoints:  endpointSet(cfg.Service.Endpoints),
 		log:        log,
 		clock:      clock,
-		rng:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		rng:        rng,
+		headers:    newHeaderCache(rng),
 		lifecycle:  daemon.NewLifecycle(),
 		registry:   registry,
 		counters:   newCounters(registry),
--- a/agent/headercache.go
+++ b/agent/headercache.go
@@ -1,6 +1,10 @@
 package agent
 
-import "github.com/nutmegtrack/nutmegtrack/packet"
+import (
+	"math/rand/v2"
+
+	"github.com/nutmegtrack/nutmegtrack/packet"
+)
 
 // headerCacheSize is the number of delivered packets whose headers are stored. At 20,000
 // packets per second the upstream has 200 ms to return a packet, which suffices because
@@ -15,6 +19,10 @@
 	headers [headerCacheSize]packet.Header
 }
 
+// newHeaderCache returns an empty cache. Its tags begin at a random number: the upstream may return a packet that an
+// earlier process of the agent has delivered.
+func newHeaderCache(rng *rand.Rand) headerCache { return headerCache{next: rng.Uint32()} }
+
 // put stores the header of a delivered packet and returns its tag, which is not 0.
 func (c *headerCache) put(h *packet.Header) uint32 {
 	c.next++
