agent: SYNs that an upstream returns do not use up the reserved log lines

Cause: each SYN that a full upstream returns is a flow that leaves the table, and its line 1817 took from the reserve for lines that explain why a flow was broken. Change: 1817 uses the reserve for flows that were open. Measured: go test ./agent.

--- a/agent/flowlog.go
+++ b/agent/flowlog.go
@@ -68,7 +68,8 @@
 	if in := f.Packet; in != nil {
 		pairs = append(pairs, "copy", in.Repeat, "seq", in.Seq, "ack", in.Ack)
 	}
-	if f.Cause == flow.HandshakeTimeout {
+	// Flows that have not opened leave the table all the time: copies of SYNs, and SYNs that a full upstream returns.
+	if f.Cause == flow.HandshakeTimeout || f.Cause == flow.ReturnedByUpstream && f.Handshake != "done" {
 		a.log.LogFlow(event.FlowRemoved, pairs...)
 		return
 	}
