flow: a FIN of an upstream that is about to end does not reopen a flow

What callers saw: resets of lost flows come up to 2 s later beside a release. Cause: since an agent finds its upstream stopped when it has announced its exit and refuses a connection. Such an upstream still repeats the FINs of the flows that it has closed for up to 2 s. The agent took them for packets of open flows (1816), counted its table as incomplete and told peers that it holds them. TestRepeatedFINOfALeavingUpstreamDoesNotReopenItsFlow fails without the change. Change: a flow that has ended with a leaving, stopped upstream is not adopted again. Considered and left: not checking the connection on a notice of exit.

--- a/flow/ended_flow_test.go
+++ b/flow/ended_flow_test.go
@@ -76,3 +76,24 @@
 		g.Expect(a.flows.entries).To(BeEmpty())
 	}
 }
+
+// Guards against a flow that is taken for an open one again because its upstream, which has announced its exit, repeats a
+// FIN before it ends.
+func TestRepeatedFINOfALeavingUpstreamDoesNotReopenItsFlow(t *testing.T) {
+	g := NewWithT(t)
+	u := newUpstreamRig(4)
+	u.run(settled)
+	k := u.keyRanked(packet.ProtoTCP, "a", "b", "c", "d")
+	a := u.agents[u.named("a").ID]
+	u.sendPacket("a", numbered(k, 0))
+	u.synAck("a", k, 1000)
+	u.sendPacket("a", acknowledging(k, 1000))
+	repeated := packet.Info{Key: k.Reverse(), Flags: packet.FlagACK, FIN: true}
+	a.HandleReply(u.now, &repeated)
+	u.setState("a", Leaving)
+	a.SetUpstreamStopped(u.now, a.BeginUpstreamCheck())
+	g.Expect(a.status(u.now, k.Hash())).To(Equal(packet.NotHeld))
+	g.Expect(a.HandleReply(u.now, &repeated)).To(Equal(Incomplete))
+	g.Expect(a.status(u.now, k.Hash())).To(Equal(packet.NotHeld))
+	g.Expect(a.Counters().Adopted).To(BeZero())
+}
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -366,6 +366,10 @@
 	if t.unknownFlows[hash].probedFIN && isBareACK(in) {
 		return nil, Incomplete
 	}
+	// An upstream that has announced its exit and accepts no connections closes its flows before it ends.
+	if t.self.State == Leaving && t.upstreamStopped && t.lost.has(now, hash) {
+		return nil, Incomplete
+	}
 	if in.Flags&packet.FlagSYN == 0 && !t.unknownFlows[hash].halfOpen {
 		missed = t.Completeness(now)
 	}
