--- a/agent/flowlog.go
+++ b/agent/flowlog.go
@@ -69,11 +69,11 @@
 		pairs = append(pairs, "copy", in.Repeat, "seq", in.Seq, "ack", in.Ack)
 	}
 	// Flows that have not opened leave the table all the time: copies of SYNs, and SYNs that a full upstream returns.
-	if f.Cause == flow.HandshakeTimeout || f.Cause == flow.ReturnedByUpstream && f.Handshake != "done" {
-		a.log.LogFlow(event.FlowRemoved, pairs...)
+	if f.Opened {
+		a.log.LogFlowEnd(event.FlowRemoved, pairs...)
 		return
 	}
-	a.log.LogFlowEnd(event.FlowRemoved, pairs...)
+	a.log.LogFlow(event.FlowRemoved, pairs...)
 }
 
 // logFalseDenial logs that this agent has denied a flow that its upstream holds.
--- a/flow/doc.go
+++ b/flow/doc.go
@@ -76,6 +76,11 @@
 // numbered SYN (firstRedirectedCopy and later) may do so: the Router sends them to another upstream
 // on purpose, unless a hint says that the flow waits for a slot at an agent (Router.LearnWaiting).
 //
+// An answer to an inquiry, a finding and a notice of exit speak for the time and the process that they come from. An agent
+// therefore asks again for a packet that arrives later, and asks a peer that has announced its exit as well, whose upstream
+// may have started again. Of what an upstream sends, data shows that it holds the flow; an ACK alone may answer
+// the FIN of one that has ended.
+//
 // A balancer that has not run for a while forwards the packets that it holds seconds late. Copies of a SYN are
 // therefore told from the SYN of a new flow on the same ports by their sequence number, not by their time.
 package flow
--- a/flow/lifetime.go
+++ b/flow/lifetime.go
@@ -212,7 +212,7 @@
 	switch {
 	case e.flags&flagLingering != 0:
 		return Closed
-	case e.handshake == handshakeDone || e.handshake == handshakeRestored:
+	case e.handshake.opened():
 		return IdleTimeout
 	}
 	return HandshakeTimeout
--- a/flow/lost.go
+++ b/flow/lost.go
@@ -321,7 +321,8 @@
 // nextPeerToProbe returns the peer to which a packet of a suspect flow is forwarded as a probe, or nil.
 // It is the highest-ranked of those that have answered that their upstreams may hold the flow. There
 // is none until all peers have answered, since one of them may own the flow, none before this agent may probe its
-// own upstream, which ranks higher, and none beyond maxTried. It counts the probe, although the packet may be lost on its way.
+// own upstream, which ranks higher, and none beyond maxTried. It counts the probe, although the packet may be lost
+// on its way.
 func (t *Table) nextPeerToProbe(now time.Duration, hash uint64, h *packet.Header) *peer {
 	if t.cfg.Rebuild == 0 || h.Hops >= packet.MaxHops || t.awaitsList(now) {
 		return nil
--- a/flow/removal.go
+++ b/flow/removal.go
@@ -48,6 +48,7 @@
 	// Handshake is the part of the handshake that had passed: "done", "syn", "syn_ack" or, for a flow that an
 	// earlier process of this agent has listed, "restored".
 	Handshake string
+	Opened    bool         // the client had opened it here, or may have
 	Closing   bool         // an end has closed or reset the flow
 	Packet    *packet.Info // that has removed it; nil: a timer has, or the end of the upstream
 }
@@ -62,6 +63,6 @@
 	}
 	t.cfg.OnRemoved(&RemovedFlow{
 		Key: e.key, Cause: cause, Age: since(now, e.entered), Idle: time.Duration(seconds(now)-e.lastSeen) * time.Second,
-		Handshake: handshakeNames[e.handshake], Closing: e.flags&(flagClientFIN|flagServerFIN|flagLingering) != 0, Packet: by,
+		Handshake: handshakeNames[e.handshake], Opened: e.handshake.opened(), Closing: e.flags&(flagClientFIN|flagServerFIN|flagLingering) != 0, Packet: by,
 	})
 }
