--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -301,7 +301,8 @@
 func (t *Table) HandleReturned(now time.Duration, h *packet.Header, in *packet.Info) Action {
 	t.counters.Returned++
 	hash := in.Key.Hash()
-	// An upstream that is full or leaving returns a copy of the SYN of a flow that it holds.
+	// An upstream that is full or leaving returns a copy of the SYN of a flow that it holds. The copy may open a
+	// half-open flow elsewhere.
 	if e := t.flows.find(hash, &in.Key); e != nil && opensTCP(in) && e.isAnswered() && (e.synSeq == 0 || e.isLateCopy(in)) {
 		if e.handshake.unproven() {
 			return t.handOffToNext(now, hash, h, in.Repeat == 0)
--- a/flow/receive.go
+++ b/flow/receive.go
@@ -26,7 +26,7 @@
 	switch {
 	case late && e.isReused(now, in):
 		removed = PortsReused
-	case late && e.isLateCopy(in), e.isOpen() && opensTCP(in) && e.isLateCopy(in):
+	case opensTCP(in) && e.isLateCopy(in) && (late || e.isOpen()):
 		return t.drop(ReasonLateCopy)
 	case t.isOpenElsewhere(e, in):
 		removed = OpenElsewhere
