agent: the time of day does not show that an agent is the first beside its upstream

Cause: an upstream that seemed to have started at most a second before its agent counted as started together with it. After a step backward its start lies in the agent's future. The agent then took its empty table for complete for as long as it ran. Change: an agent is the first beside a run if it has received the run's first announcement; upstreams number their calls from 1 in each run. The clock only raises doubt, where an earlier process is known, which may have passed SYNs to the run before that announcement. In doubt an agent rebuilds its table and answers "maybe held". The case "announcement 3, both have started with their VM" of TestAgentIsNotTakenForTheFirstBesideAYoungUpstream asserted the conclusion at fault: announcements 1 and 2 may have reached an earlier agent. It now asserts it for announcement 1 and the opposite for 3.

--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -66,14 +66,9 @@
 }
 
 const (
-	// startMargin is how much earlier than its agent an upstream may have started if both
-	// started with their VM. Such an agent has seen all flows of the upstream, because
-	// balancers send no flow before they have learned of the upstream.
-	startMargin = time.Second
-	// togetherMargin is startMargin where an earlier agent may have run beside the upstream unnoticed. Such
-	// an upstream has announced itself, balancers have learned of it and it has been given a flow, which takes
-	// a push interval of 200 ms, and the agent has been started again.
-	togetherMargin = 300 * time.Millisecond
+	// startMargin is how much earlier than its agent an upstream that has just announced itself may have started
+	// if no earlier process of the agent can have run beside it. A killed agent is not back within that time.
+	startMargin = 300 * time.Millisecond
 	// maxFirstSequence is the highest sequence number of an announcement that shows that
 	// the upstream has just started with its VM. The first announcement that an agent
 	// receives may have a number above 1, because the upstream repeats announcements that
@@ -81,40 +76,30 @@
 	maxFirstSequence = 4
 )
 
-// startEvidence is what an announcement shows of whether the upstream has started together with its agent. An
-// agent that restarts soon after the start of its upstream may see the first two signs as well.
+// startEvidence is what an announcement shows of whether the upstream has started together with its agent.
 type startEvidence struct {
-	young    bool // it has started at most startMargin before the agent, by this VM's clock, which may have jumped
-	warming  bool // it warms up, and its sequence number is low
-	together bool // it has started at most togetherMargin before the agent, and warms up
-	first    bool // it has announced itself to no earlier agent
+	first   bool // it has announced itself to no earlier agent: an upstream numbers its calls from 1 in each run
+	warming bool // it warms up, and its sequence number is low
+	older   bool // it has started more than startMargin before the agent, by this VM's clock, which may have jumped
 }
 
-// allSigns is the evidence for an upstream that this agent has seen start.
-var allSigns = startEvidence{young: true, warming: true, together: true, first: true}
-
 func evidenceOf(a *upstream.Announcement, agentStart time.Time) startEvidence {
-	before := agentStart.Sub(time.UnixMilli(a.Born))
-	warming := a.Warmup > 0 && a.Sequence <= maxFirstSequence
 	return startEvidence{
-		young:    before < startMargin,
-		warming:  warming,
-		together: before < togetherMargin && warming,
-		first:    a.Sequence == 1,
+		first:   a.Sequence == 1,
+		warming: a.Warmup > 0 && a.Sequence <= maxFirstSequence,
+		older:   agentStart.Sub(time.UnixMilli(a.Born)) > startMargin,
 	}
 }
 
-// showsFirstAgent reports whether no earlier agent has run beside the upstream's present run. predecessor
-// says that an earlier process of the agent is known; the run beside which it ran may have begun after its
-// record was written. historyCovered says that each one that was given open flows would be known: otherwise
-// the balancers that knew of it may have ended with it, shortly after its VM was added or its upstream
-// replaced, and an upstream that was given flows has announced itself before or is older than togetherMargin.
+// showsFirstAgent reports whether no earlier agent has run beside the upstream's present run. The clock only
+// raises doubt: a start time that does not precede the agent's proves nothing, since the clock may have been set back.
+// predecessor says that an earlier process of the agent is known, which may have passed first packets to the present run
+// before its first announcement. historyCovered says that an earlier process that was given open flows would be known.
 func (e startEvidence) showsFirstAgent(predecessor, historyCovered bool) bool {
-	appears := e.young || e.warming
 	if predecessor {
-		appears = e.young && e.warming
+		return e.first && !e.older
 	}
-	return appears && (historyCovered || e.first || e.together)
+	return e.first || e.warming && historyCovered
 }
 
 func newUpstreamMonitor(a *Agent) *upstreamMonitor {
@@ -147,7 +132,7 @@
 	if err == nil && start != before {
 		m.startedWithAgent = evidenceOf(&announcement, m.agent.startedAt)
 		if before != 0 { // this agent has seen the run before
-			m.startedWithAgent = allSigns
+			m.startedWithAgent = startEvidence{first: true, warming: true}
 		}
 	}
 	m.mu.Unlock()
@@ -216,9 +201,8 @@
 	return c
 }
 
-// noEarlierFlows reports whether this agent has seen all flows of the upstream: both appear to
-// have started together, and no process knows of an earlier agent beside this run of the
-// upstream. Flows are placed only at agents whose record the balancers have, and balancers
+// noEarlierFlows reports whether this agent has seen all flows of the upstream: it is the first beside this run
+// of the upstream, and no process knows of an earlier one. Flows are placed only at agents whose record the balancers have, and balancers
 // return the record of an earlier process with their first answer, except those that have started lately.
 func (a *Agent) noEarlierFlows(c *upstreamStatus) bool {
 	if a.peers.homeBalancer.Load() == nil {
--- a/agent/young_upstream_test.go
+++ b/agent/young_upstream_test.go
@@ -24,12 +24,18 @@
 	g.Expect(replaced.showsFirstAgent(false, false)).To(BeFalse(), "it was added 0.7 s before")
 	g.Expect(replaced.showsFirstAgent(true, false)).To(BeFalse(), "the store names its former run")
 
-	powered := evidenceOf(&upstream.Announcement{Born: 999_960, Sequence: 3, Warmup: 4 * time.Second}, agentStart)
+	powered := evidenceOf(&upstream.Announcement{Born: 999_960, Sequence: 1, Warmup: 4 * time.Second}, agentStart)
 	g.Expect(powered.showsFirstAgent(true, false)).To(BeTrue(), "both have started with their VM")
+	repeated := evidenceOf(&upstream.Announcement{Born: 999_960, Sequence: 3, Warmup: 4 * time.Second}, agentStart)
+	g.Expect(repeated.showsFirstAgent(true, false)).To(BeFalse(), "the upstream may have announced itself to an earlier agent")
+	late := evidenceOf(&upstream.Announcement{Born: 999_500, Sequence: 1, Warmup: 4 * time.Second}, agentStart)
+	g.Expect(late.showsFirstAgent(true, true)).To(BeFalse(), "an earlier agent may have passed SYNs before the announcement")
 
 	// A clock that was set back makes the upstream look younger than the agent.
-	skewed := evidenceOf(&upstream.Announcement{Born: 1_000_500, Sequence: 2}, agentStart)
-	g.Expect(skewed.showsFirstAgent(false, false)).To(BeFalse())
+	for _, predecessor := range []bool{false, true} {
+		skewed := evidenceOf(&upstream.Announcement{Born: 1_000_500, Sequence: 2, Warmup: 4 * time.Second}, agentStart)
+		g.Expect(skewed.showsFirstAgent(predecessor, false)).To(BeFalse())
+	}
 
 	together := evidenceOf(&upstream.Announcement{Born: 1_001_000, Sequence: 1}, agentStart)
 	g.Expect(together.showsFirstAgent(false, false)).To(BeTrue(), "the upstream has called no earlier agent")
--- a/flow/fleet_harness_test.go
+++ b/flow/fleet_harness_test.go
@@ -649,8 +649,8 @@
 	// State of upstream.Tracker and agent.upstreamMonitor.
 	known, upstreamDraining, upstreamLeaving, upstreamStopped, listening bool
 	upstreamStart, upstreamSeq                                           uint64
-	surelyStartedWithAgent, firstAnnouncement                            bool
-	startedWithAgent, appliedNoEarlier                                   bool
+	evidence                                                             startEvidence
+	appliedNoEarlier                                                     bool
 	earlierStarts                                                        map[uint64]bool
 	stoppedCheck                                                         uint8        // number of the check that has found the upstream stopped
 	predecessor                                                          memberRecord // of the latest earlier process
@@ -660,6 +660,9 @@
 	packetAt, announcedAt                                                time.Duration
 }
 
+// startEvidence is that of package agent.
+type startEvidence struct{ first, warming, older bool }
+
 type sendQueue struct {
 	messages []Message
 	busy     bool
@@ -674,8 +677,7 @@
 	a.homeKnown, a.listComplete, a.covered, a.stopping, a.timerSet = false, false, false, false, false
 	a.buffered, a.queues = map[uint64]fleetPacket{}, map[packet.AgentID]*sendQueue{}
 	a.known, a.upstreamDraining, a.upstreamLeaving, a.upstreamStopped, a.listening = false, false, false, false, false
-	a.surelyStartedWithAgent = false
-	a.upstreamStart, a.upstreamSeq, a.startedWithAgent, a.appliedNoEarlier = 0, 0, false, false
+	a.upstreamStart, a.upstreamSeq, a.evidence, a.appliedNoEarlier = 0, 0, startEvidence{}, false
 	a.earlierStarts, a.predecessor = map[uint64]bool{}, memberRecord{}
 	a.lastAlive, a.unansweredSince, a.checkedAt = 0, 0, 0
 	a.startWall, a.upstreamBorn, a.refusedOnce, a.packetAt, a.announcedAt = a.f.now+a.vm.wallOffset, 0, false, 0, 0
@@ -1090,11 +1092,11 @@
 func (a *fleetAgent) applyStart() {
 	// An earlier process without an announcement may have run beside any upstream: see member.RanBefore.
 	ranBefore := a.earlierStarts[a.upstreamStart] || a.f.shape.trouble && a.earlierStarts[0]
-	together := a.startedWithAgent && (a.covered || a.firstAnnouncement) // see agent.startEvidence
+	first := a.evidence.first || a.evidence.warming && a.covered
 	if a.predecessor.u.ID != 0 {
-		together = a.surelyStartedWithAgent
+		first = a.evidence.first && !a.evidence.older
 	}
-	noEarlier := together && a.listComplete && !ranBefore
+	noEarlier := first && a.listComplete && !ranBefore
 	if a.upstreamStart != 0 && (a.table.UpstreamStart() != a.upstreamStart || noEarlier != a.appliedNoEarlier || a.table.UpstreamStopped() && !a.upstreamStopped) {
 		a.table.SetUpstreamStart(a.clock(), a.upstreamStart, noEarlier)
 		a.appliedNoEarlier = noEarlier
@@ -1117,9 +1119,11 @@
 		return
 	}
 	if start != a.upstreamStart {
-		young, warming := born > a.startWall-time.Second, a.f.now-a.upstream.startedAt < fleetWarmup && seq <= 4
-		a.startedWithAgent, a.surelyStartedWithAgent = a.upstreamStart != 0 || young || warming, a.upstreamStart != 0 || young && warming
-		a.firstAnnouncement = a.upstreamStart != 0 || seq == 1
+		a.evidence = startEvidence{
+			first:   a.upstreamStart != 0 || seq == 1,
+			warming: a.f.now-a.upstream.startedAt < fleetWarmup && seq <= 4,
+			older:   a.upstreamStart == 0 && a.startWall-born > 300*time.Millisecond,
+		}
 		a.upstreamLeaving, a.upstreamBorn = false, born
 	} else {
 		draining = draining || a.upstreamDraining
