agent: an announcement of an earlier run is no witness of the start of the present one

Callers would see open flows reset: an agent that has received a late announcement of its upstream's former run, and then one of the present run, took itself for the first agent beside the present run.

Cause: "has seen the run before" counted as having seen the present run start. Announcements may arrive late, after a restart of the agent, whose earlier process was given flows of the present run. The restart of an upstream beside a long-running agent is not affected: its table counts as rebuilt.

--- a/agent/replaced_upstream_test.go
+++ b/agent/replaced_upstream_test.go
@@ -56,4 +56,22 @@
 		v.run(time.Second)
 		Expect(v.answer()).To(Equal(packet.MaybeHeld))
 	})
+
+	// Guards against the same after the balancers have ended together with the earlier agent, which they knew.
+	It("does not deny unknown flows after a late announcement of the former run and a restart of the balancers", func() {
+		v.startAgent(0)
+		v.run(100 * time.Millisecond)
+		v.announce(0, 1)
+		v.run(5 * time.Second)
+		born := v.now
+		v.announce(born, 1) // the earlier agent is given flows of the new run
+		v.run(time.Second)
+		v.startBalancer()
+		v.startAgent(0)
+		v.announce(0, 6) // of the former run
+		v.run(3 * time.Second)
+		v.announce(born, 3)
+		v.run(time.Second)
+		Expect(v.answer()).To(Equal(packet.MaybeHeld))
+	})
 })
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -131,9 +131,6 @@
 	_, start := m.tracker.Last()
 	if err == nil && start != before {
 		m.startedWithAgent = evidenceOf(&announcement, m.agent.startedAt)
-		if before != 0 { // this agent has seen the run before
-			m.startedWithAgent = startEvidence{first: true, warming: true}
-		}
 	}
 	m.mu.Unlock()
 	if err != nil {
--- a/flow/fleet_harness_test.go
+++ b/flow/fleet_harness_test.go
@@ -1120,9 +1120,9 @@
 	}
 	if start != a.upstreamStart {
 		a.evidence = startEvidence{
-			first:   a.upstreamStart != 0 || seq == 1,
+			first:   seq == 1,
 			warming: a.f.now-a.upstream.startedAt < fleetWarmup && seq <= 4,
-			older:   a.upstreamStart == 0 && a.startWall-born > 300*time.Millisecond,
+			older:   a.startWall-born > 300*time.Millisecond,
 		}
 		a.upstreamLeaving, a.upstreamBorn = false, born
 	} else {
