flow, agent, member, balancer: a service whose agents do not know their flows yet may hold them

Cause: a balancer that has started knows the former services of an address only from the addresses in upstreams' records. The record of a restarted agent is empty until its upstream sends a packet, and was read as "holds none". Change: a record whose agent's table is not complete contains flow.AnyEndpoint; a router whose history is too short sends packets to such services too and marks them, and marks all while upstreams may be missing. Agents inherit the addresses of their predecessor; failed upstreams count; a flow is shared by its last packet's word. Routes that were never replaced in the store need no doubt. One suspected service is probed at most, so that a flow has as many probes as before.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -180,6 +180,9 @@
 		Slots:         a.cfg.Service.Slots,
 		Connections:   a.cfg.Service.Connections,
 	}
+	if a.options.UpstreamAPI != nil && a.endpoints == nil {
+		r.Endpoints = a.learnedEndpoints(false)
+	}
 	for _, e := range a.cfg.Service.Endpoints {
 		r.Endpoints = append(r.Endpoints, flow.Endpoint{Addr: e.Address, Proto: protocol(e.Protocol)})
 	}
--- a/agent/endpoint.go
+++ b/agent/endpoint.go
@@ -49,7 +49,11 @@
 // that the upstream holds flows of that endpoint. It reports whether the endpoint is new.
 // The caller holds flows.mu.
 func (a *Agent) learnEndpoint(k *packet.Key) bool {
-	e := endpoint{k.Dst, k.DstPort, k.Proto}
+	return a.addLearned(endpoint{k.Dst, k.DstPort, k.Proto})
+}
+
+// addLearned adds an endpoint to the learned ones and reports whether it is new. The caller holds flows.mu.
+func (a *Agent) addLearned(e endpoint) bool {
 	if a.endpoints != nil || a.learned[e] || len(a.learned) >= maxLearned {
 		return false
 	}
@@ -57,9 +61,13 @@
 	return true
 }
 
-// learnedEndpoints returns the learned endpoints in sorted order.
-func (a *Agent) learnedEndpoints() []flow.Endpoint {
-	out := make([]flow.Endpoint, 0, len(a.learned))
+// learnedEndpoints returns the endpoints of the flows that the upstream holds, in sorted order, with
+// flow.AnyEndpoint first if it may hold flows of others: complete says that the flow table lists all its flows.
+func (a *Agent) learnedEndpoints(complete bool) []flow.Endpoint {
+	out := make([]flow.Endpoint, 0, len(a.learned)+1)
+	if a.endpoints == nil && (!complete || len(a.learned) >= maxLearned) {
+		out = append(out, flow.AnyEndpoint)
+	}
 	for e := range a.learned {
 		out = append(out, flow.Endpoint{Addr: netip.AddrPortFrom(netip.AddrFrom16(e.addr).Unmap(), e.port), Proto: e.proto})
 	}
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -212,21 +212,28 @@
 	return complete && !ranBefore && c.startedWithAgent.showsFirstAgent(predecessor != 0, covered)
 }
 
-// refreshNoEarlierFlows applies noEarlierFlows, the predecessor and the idle limit to the flow table again:
-// the first answer of a balancer may have changed them.
+// refreshNoEarlierFlows applies noEarlierFlows, the predecessor, its endpoints and the idle limit to the flow table
+// again: the first answer of a balancer may have changed them.
 func (a *Agent) refreshNoEarlierFlows() {
 	a.stateMu.Lock()
 	defer a.stateMu.Unlock()
+	c := a.monitor.status()
 	predecessor, stopped, idleLimit := uint64(0), false, time.Duration(0)
+	var endpoints []flow.Endpoint
 	a.members.Do(func(_ time.Duration, n *member.Announcer) {
 		predecessor, stopped, idleLimit = n.Predecessor(), n.PredecessorStopped(), n.IdleLimit()
+		endpoints = n.PredecessorEndpoints(c.start)
 	})
 	a.flows.do(func(_ time.Duration, t *flow.Table) {
 		t.SetPredecessor(predecessor)
 		t.ExpectList(stopped)
 		t.SetIdleLimit(idleLimit)
+		for _, e := range endpoints {
+			if e != flow.AnyEndpoint {
+				a.addLearned(endpoint{e.Addr.Addr().As16(), e.Addr.Port(), e.Proto})
+			}
+		}
 	})
-	c := a.monitor.status()
 	applied := false
 	a.flows.do(func(_ time.Duration, t *flow.Table) { applied = t.UpstreamStart() == c.start })
 	if applied && !a.stopping {
@@ -280,7 +287,7 @@
 		for _, k := range t.TakeRestored() {
 			a.learnEndpoint(&k)
 		}
-		announced.State, announced.Endpoints = c.state, a.learnedEndpoints()
+		announced.State, announced.Endpoints = c.state, a.learnedEndpoints(c.startedWithAgent.first || t.Completeness(now) != flow.Incomplete)
 	})
 	before := a.self().State
 	a.members.Do(func(now time.Duration, n *member.Announcer) { n.SetUpstream(now, announced) })
--- a/balancer/reader.go
+++ b/balancer/reader.go
@@ -254,6 +254,7 @@
 func (r *reader) frameCopy(framed []byte, h packet.Header, c flow.Copy) {
 	h.Service = c.Service
 	h.Flags &^= packet.FlagExpected
+	h.Tried = c.Tried
 	b := slices.Clone(framed)
 	h.Put(b)
 	if !r.out.Add(b, c.Addr) {
--- a/balancer/view.go
+++ b/balancer/view.go
@@ -37,7 +37,9 @@
 	mu         sync.Mutex
 	view       *flow.View // never nil
 	membership *flow.View // view of the membership table that view is based on
+	incomplete bool       // upstreams may be missing in membership
 	routes     *route.Document
+	first      bool         // see daemon.Routes.First
 	changedAt  atomic.Int64 // time of the last change, as time.Duration
 }
 
@@ -50,26 +52,33 @@
 	now := time.Duration(0)
 	var orders evacuate.Set
 	var ordersSource netip.AddrPort
+	incomplete := false
 	b.members.Do(func(t time.Duration, n *member.Node) {
-		now, members = t, n.Table().View()
+		now, members, incomplete = t, n.Table().View(), !n.Complete()
 		orders, ordersSource = n.Evacuations(), n.EvacuationSource()
 	})
 	var routes *route.Document
+	first := false
 	if b.routes != nil {
-		routes = b.routes.Active()
+		// In this order, so that the first document is not taken for a later one.
+		routes, first = b.routes.Active(), b.routes.First()
 	}
 	ordersChanged := b.evacuated.set(now, orders)
 	if ordersChanged {
 		b.logOrders(orders, ordersSource)
 	}
-	if members != b.installed.membership || routes != b.installed.routes || ordersChanged {
+	changed := members != b.installed.membership || routes != b.installed.routes || ordersChanged
+	if changed || incomplete != b.installed.incomplete || first != b.installed.first {
 		view := withRoutes(b.evacuated.mark(members), routes)
+		view.Incomplete, view.FirstRoutes = incomplete, first
 		b.router.setView(view)
 		b.installedRoutes.Store(routes)
 		b.logChanges(b.installed.view, view)
-		b.installed.view = view
+		b.installed.view, b.installed.membership, b.installed.routes = view, members, routes
+		b.installed.incomplete, b.installed.first = incomplete, first
+	}
+	if changed {
 		b.installed.changedAt.Store(int64(now))
-		b.installed.membership, b.installed.routes = members, routes
 	}
 	if b.mayBecomeReady(now) {
 		b.health.start()
@@ -79,12 +88,13 @@
 // viewChangedAt returns the time of the last change of the view.
 func (b *Balancer) viewChangedAt() time.Duration { return time.Duration(b.installed.changedAt.Load()) }
 
-// withRoutes returns the membership table's view with the operators' routes added.
+// withRoutes returns a copy of the membership table's view with the operators' routes added.
 func withRoutes(members *flow.View, routes *route.Document) *flow.View {
-	if routes == nil {
-		return members
+	view := &flow.View{Services: members.Services}
+	if routes != nil {
+		view.Routes, view.WarmupRates = routes.FlowRoutes(), routes.WarmupRates()
 	}
-	return &flow.View{Services: members.Services, Routes: routes.FlowRoutes(), WarmupRates: routes.WarmupRates()}
+	return view
 }
 
 // mayBecomeReady reports whether a starting balancer can accept traffic: its view is stable
--- a/daemon/routes.go
+++ b/daemon/routes.go
@@ -102,6 +102,7 @@
 	rank            atomic.Int64  // rank among the processes that read the store, or nonReaderRank
 	fleetSize       atomic.Int64  // number of live processes that may read the store
 	fetchFailed     atomic.Bool   // the last fetch from a peer failed
+	first           atomic.Bool   // the store has never held another document than the active one
 
 	mu               sync.Mutex
 	text             []byte        // encoded active document, for peers
@@ -439,9 +440,15 @@
 // assigns them again. The caller holds the lock.
 func (r *Routes) install(kv store.KV) bool {
 	r.activate(kv.Value, "revision", kv.ModRevision)
-	return r.Version() > 0 && bytes.Equal(kv.Value, r.text)
+	active := r.Version() > 0 && bytes.Equal(kv.Value, r.text)
+	r.first.Store(active && kv.CreateRevision != 0 && kv.CreateRevision == kv.ModRevision)
+	return active
 }
 
+// First reports whether the store has never held another document than the active one: its key has not changed since
+// it was created.
+func (r *Routes) First() bool { return r.first.Load() }
+
 // activate decodes a document and makes it active if its version is higher. A process never
 // returns to a lower version, and keeps its document if the new one cannot be decoded. logKey and
 // logValue are a pair for the log that says where the document came from. The caller holds the
@@ -472,6 +479,7 @@
 		r.cfg.Log.Log(event.RouteUnusable, "version", doc.Version, "finding", f.String())
 	}
 	r.text = text
+	r.first.Store(false)
 	r.active.Store(doc)
 	r.cfg.Log.Log(event.RoutesActive, "version", doc.Version, logKey, logValue, "routes", len(doc.Routes))
 	if r.cfg.Activated != nil {
--- a/daemon/routes_return_test.go
+++ b/daemon/routes_return_test.go
@@ -63,6 +63,23 @@
 	}
 	confirmed := func() bool { return r.ConfirmedAt() == now }
 
+	// Guards against open flows that are reset because routes count as the first ones although others were in force.
+	It("are the first only if no others were in force", func() {
+		Expect(r.First()).To(BeFalse(), "three documents came before")
+		s = fake.NewStore(func() time.Duration { return now })
+		put(s, "a")
+		r = newRoutes(&log)
+		Expect(r.First()).To(BeFalse(), "nothing was read")
+		Expect(refresh()).To(Equal("a"))
+		Expect(r.First()).To(BeTrue())
+		put(s, "aa")
+		Expect(refresh()).To(Equal("aa"))
+		Expect(r.First()).To(BeFalse())
+		returns("b")
+		Expect(refresh()).To(Equal("aa"))
+		Expect(r.First()).To(BeFalse(), "the store has another document")
+	})
+
 	BeforeEach(func() {
 		now = 0
 		log.Reset()
--- a/flow/fleet_harness_test.go
+++ b/flow/fleet_harness_test.go
@@ -445,6 +445,8 @@
 	b.viewChange = b.f.now
 	b.later(b.f.between(20*time.Millisecond, 300*time.Millisecond), queueControl, b.sync)
 	if b.loaded = false; b.f.shape.moves {
+		b.later(fleetHeartbeat/2, queueControl, b.installView) // View.Incomplete may have ended
+		b.later(3*time.Second, queueControl, b.installView)
 		b.later(b.f.between(20*time.Millisecond, 400*time.Millisecond), queueControl, b.load)
 	}
 }
@@ -626,7 +628,7 @@
 	id                 packet.AgentID
 	service            packet.ServiceID
 	learned            map[Endpoint]bool // of the upstream's flows
-	announcedEndpoints int
+	announcedEndpoints []Endpoint
 	addr               netip.AddrPort
 	incarnation        uint64
 	table              *Table
@@ -681,7 +683,7 @@
 	a.earlierStarts, a.predecessor = map[uint64]bool{}, memberRecord{}
 	a.lastAlive, a.unansweredSince, a.checkedAt = 0, 0, 0
 	a.startWall, a.upstreamBorn, a.refusedOnce, a.packetAt, a.announcedAt = a.f.now+a.vm.wallOffset, 0, false, 0, 0
-	a.learned, a.announcedEndpoints = map[Endpoint]bool{}, 0
+	a.learned, a.announcedEndpoints = map[Endpoint]bool{}, nil
 	self := Upstream{ID: a.id, Name: a.name, Incarnation: a.incarnation, Addr: a.addr, State: Starting}
 	a.table = NewTable(TableConfig{
 		Settling: 4 * time.Second, Rebuild: rebuildTime, DigestDelay: time.Millisecond, DigestRate: 64 << 10,
--- a/flow/fleet_moves_test.go
+++ b/flow/fleet_moves_test.go
@@ -76,7 +76,7 @@
 }
 
 func (b *fleetBalancer) viewOfServices() *View {
-	v := &View{}
+	v := &View{Incomplete: !b.complete()}
 	for _, id := range fleetServices {
 		s := Service{ID: id, Name: string(rune('s' + id)), Endpoints: []Endpoint{}}
 		for _, u := range b.withOrders(sortedUpstreams(b.view)) {
@@ -93,21 +93,22 @@
 	return v
 }
 
-// endpointsOf returns the endpoints that live upstreams have announced or, without any, all: see member.group.endpoints.
+// endpointsOf returns the endpoints that upstreams have announced, without those that are leaving unless all are: see
+// member.group.endpoints.
 func (b *fleetBalancer) endpointsOf(upstreams []Upstream) []Endpoint {
-	live, all := map[Endpoint]bool{}, map[Endpoint]bool{}
+	holding, all := map[Endpoint]bool{}, map[Endpoint]bool{}
 	for _, u := range upstreams {
 		for _, e := range b.view[u.ID].endpoints {
 			all[e] = true
-			if !u.State.Gone() {
-				live[e] = true
+			if u.State != Leaving {
+				holding[e] = true
 			}
 		}
 	}
-	if len(live) == 0 {
-		live = all
+	if len(holding) == 0 {
+		holding = all
 	}
-	return slices.SortedFunc(maps.Keys(live), func(x, y Endpoint) int { return x.Addr.Compare(y.Addr) })
+	return slices.SortedFunc(maps.Keys(holding), func(x, y Endpoint) int { return x.Addr.Compare(y.Addr) })
 }
 
 // store writes a record to the store, from which a balancer that starts reads it.
@@ -134,7 +135,7 @@
 		}
 		to := b.f.agentAt(c.Addr)
 		b.f.trace(p.flow, "%s sends a copy to %s", b.name, to.name)
-		p.h.Service, p.h.Flags = c.Service, p.h.Flags&^packet.FlagExpected
+		p.h.Service, p.h.Flags, p.h.Tried = c.Service, p.h.Flags&^packet.FlagExpected, c.Tried
 		b.f.sendPacket(b.vm, to, p)
 	}
 }
@@ -148,12 +149,18 @@
 	for _, k := range a.table.TakeRestored() {
 		a.learned[endpointOf(&k)] = true
 	}
-	fresh := a.f.shape.moves && len(a.learned) > a.announcedEndpoints
-	a.announcedEndpoints = len(a.learned)
+	announced := a.learnedEndpoints()
+	fresh := a.f.shape.moves && !slices.Equal(announced, a.announcedEndpoints)
+	a.announcedEndpoints = announced
 	return fresh
 }
 
+// learnedEndpoints is Agent.learnedEndpoints.
 func (a *fleetAgent) learnedEndpoints() []Endpoint {
+	delete(a.learned, AnyEndpoint)
+	if a.table.Completeness(a.clock()) == Incomplete {
+		a.learned[AnyEndpoint] = true
+	}
 	return slices.SortedFunc(maps.Keys(a.learned), func(x, y Endpoint) int { return x.Addr.Compare(y.Addr) })
 }
 
--- a/flow/lost.go
+++ b/flow/lost.go
@@ -233,7 +233,7 @@
 	}
 	f.suspectAgain(now, s.Flow.Key)
 	f.ack, f.forwards, f.mayRepeat = s.Flow.Ack, s.Passed, s.MayRepeat
-	f.shared = f.shared || s.Shared
+	f.shared, f.wasShared = f.shared || s.Shared, f.wasShared || s.Shared
 	t.addSuspect(hash, &f)
 	t.unknownFlows[hash] = f
 }
--- a/flow/rebuild.go
+++ b/flow/rebuild.go
@@ -59,17 +59,20 @@
 	inquiry   uint32 // number of the inquiry about the flow; 0: none
 	// mayRepeat says that the flow's requests may run more than once.
 	mayRepeat bool
-	// shared says that an upstream of another service may hold the flow (packet.FlagShared).
-	shared bool
+	// shared says that an upstream of another service may hold the flow, by its last packet (packet.FlagShared), and
+	// wasShared that agents of another service may have probed, by any of its packets.
+	shared, wasShared bool
 	// probedFIN says that a packet that closes the flow was delivered to the upstream.
 	probedFIN bool
 	// halfOpen says that the upstream has accepted the flow's SYN, and that the flow has left the table since.
 	halfOpen bool
 }
 
-// noteShared records that a packet is of a flow that another service may hold.
+// noteShared records whether a packet is of a flow that another service may hold. A balancer that has just started
+// marks packets until it knows which services those are.
 func (f *unknownFlow) noteShared(h *packet.Header) {
-	f.shared = f.shared || h.Flags&packet.FlagShared != 0
+	f.shared = h.Flags&packet.FlagShared != 0
+	f.wasShared = f.wasShared || f.shared
 }
 
 // maxProbes returns the number of probes at which no other is made. The agents of another service that
@@ -78,7 +81,7 @@
 // the flows that the predecessor knew have ended.
 func (t *Table) maxProbes(f *unknownFlow) uint8 {
 	n := uint8(maxTried)
-	if f.shared {
+	if f.wasShared {
 		n = maxTried / 2
 	}
 	if t.listMissing() && t.lastStep < t.rebuildStarted+MaxFlowAge {
@@ -494,7 +497,7 @@
 	}
 	t.unknownFlows[hash] = unknownFlow{
 		at: f.at, seen: f.seen, key: f.key, ack: f.ack, here: f.here, elsewhere: f.elsewhere, probedBy: f.probedBy,
-		shared: f.shared, mayRepeat: f.mayRepeat,
+		shared: f.shared, wasShared: f.wasShared, mayRepeat: f.mayRepeat,
 	}
 }
 
--- a/flow/router.go
+++ b/flow/router.go
@@ -125,6 +125,7 @@
 	r.endpoints = make(map[endpointKey]destination)
 	position := make(map[packet.ServiceID]int, len(v.Services))
 	announced := make(map[endpointKey][]int) // services by the addresses that their upstreams announce
+	var uncertain []int                      // services whose upstreams may hold flows of further addresses
 	for i := range v.Services {
 		s := &v.Services[i]
 		r.services[i] = r.prepareService(s)
@@ -133,30 +134,39 @@
 		}
 		position[s.ID] = i
 		for _, e := range s.Endpoints {
+			if e == AnyEndpoint {
+				uncertain = append(uncertain, i)
+				continue
+			}
 			announced[keyOfEndpoint(e)] = append(announced[keyOfEndpoint(e)], i)
 		}
 	}
 	if v.Routes == nil {
-		r.setAnnounced(announced)
+		r.setAnnounced(announced, uncertain, v.Incomplete)
 		return
 	}
 	r.noteRoutes(now, v.Routes)
+	if v.FirstRoutes {
+		for _, h := range r.history {
+			h.unknownUntil = 0
+		}
+	}
 	for i := range v.Routes {
 		key := keyOfEndpoint(v.Routes[i].Endpoint)
 		d := newDestination(&v.Routes[i], position)
-		r.addOthers(&d, r.history[key], announced[key], position)
+		h := r.history[key]
+		r.addFormer(&d, h, position)
+		r.addPossible(&d, announced[key], uncertain, v.Incomplete, h.unknownUntil)
 		r.endpoints[key] = d
 	}
 }
 
 // setAnnounced sets the destinations of the addresses that upstreams announce. The upstreams of several
 // services may hold flows of one address if the routes, which could not be read yet, have changed.
-func (r *Router) setAnnounced(announced map[endpointKey][]int) {
+func (r *Router) setAnnounced(announced map[endpointKey][]int, uncertain []int, incomplete bool) {
 	for key, services := range announced {
 		d := destination{service: services[len(services)-1]}
-		for _, i := range services {
-			d.addOther(r.services, i, forever)
-		}
+		r.addPossible(&d, services, uncertain, incomplete, forever)
 		r.endpoints[key] = d
 	}
 }
@@ -212,6 +222,10 @@
 		out.fresh = r.candidatesAmong(upstreams, func(u *Upstream) bool { return !u.Evacuated })
 		out.evacuated = len(out.fresh.all) == 0 && len(out.open.all) > 0
 	}
+	if len(out.open.all) == 0 {
+		// Upstreams that are marked as failed may hold open flows.
+		out.open.all = selectUpstreams(upstreams, func(u *Upstream) bool { return u.State != Leaving })
+	}
 	out.traffic = r.trafficOf(s.ID)
 	return out
 }
--- a/flow/services.go
+++ b/flow/services.go
@@ -12,7 +12,8 @@
 // address another service or other weights, so the services that may hold the open flows of an
 // address are those of all versions that were in force during the life of a flow. A router knows
 // the versions since its own start and, of earlier ones, the services whose upstreams announce that
-// they hold flows of the address (Service.Endpoints).
+// they hold flows of the address (Service.Endpoints). An upstream whose agent does not know all of its
+// flows (AnyEndpoint), or that a router does not know yet, may hold flows of any address.
 
 // MaxFlowAge is the age from which a flow may be discarded: the platform's flow-ttl-s.
 const MaxFlowAge = time.Minute
@@ -22,6 +23,9 @@
 	maxFormerServices = 4
 	// maxCopies limits the further services to which a packet of an open flow is sent.
 	maxCopies = 3
+	// maxUncertainProbes is the number of copies beyond which a service that is only suspected to hold the flow is not
+	// asked to probe: each service makes a probe of its own, and three strays of a flow count as misrouted.
+	maxUncertainProbes = 1
 )
 
 // addressHistory is what a router knows of the services of one address.
@@ -88,29 +92,40 @@
 type possibleService struct {
 	service int
 	until   time.Duration // until then, also flows without a hint may be there
+	// uncertain says that neither a version of the routes nor an upstream names the service for the address.
+	uncertain bool
 }
 
-// addOthers completes a destination with the services that may hold its open flows. learned are the
-// services whose upstreams announce the address.
-func (r *Router) addOthers(d *destination, h *addressHistory, learned []int, position map[packet.ServiceID]int) {
+// addFormer adds the services of earlier routes to a destination.
+func (r *Router) addFormer(d *destination, h *addressHistory, position map[packet.ServiceID]int) {
 	for _, f := range h.former {
 		i, known := position[f.id]
 		if !known {
 			i = noService
 		}
-		d.addOther(r.services, i, f.until)
+		d.addOther(r.services, possibleService{service: i, until: f.until})
 	}
-	for _, i := range learned {
-		d.addOther(r.services, i, h.unknownUntil)
+}
+
+// addPossible adds the services that may hold flows which were opened by routes that this router has not seen, until
+// such flows have ended: announced are those whose upstreams announce the address, and uncertain those whose agents do
+// not know all addresses of their flows. If services may be missing, packets are only marked as shared.
+func (r *Router) addPossible(d *destination, announced, uncertain []int, incomplete bool, until time.Duration) {
+	for _, i := range announced {
+		d.addOther(r.services, possibleService{service: i, until: until})
+	}
+	for _, i := range uncertain {
+		d.addOther(r.services, possibleService{service: i, until: until, uncertain: true})
 	}
-	if len(d.split) > 1 {
-		d.sharedUntil = max(d.sharedUntil, h.unknownUntil)
+	if len(d.split) > 1 || incomplete {
+		d.sharedUntil = max(d.sharedUntil, until)
 	}
 }
 
-// addOther adds a service until the given time. A service whose upstreams have all announced that they
+// addOther adds a service to a destination. A service whose upstreams have all announced that they
 // have ended their flows holds none.
-func (d *destination) addOther(services []routedService, service int, until time.Duration) {
+func (d *destination) addOther(services []routedService, o possibleService) {
+	service := o.service
 	if service != noService && !services[service].mayHoldFlows() {
 		return
 	}
@@ -118,10 +133,10 @@
 		slices.ContainsFunc(d.split, func(s share) bool { return s.service == service })
 	known := slices.ContainsFunc(d.others, func(o possibleService) bool { return o.service == service })
 	if !target && !known {
-		d.others = append(d.others, possibleService{service: service, until: until})
+		d.others = append(d.others, o)
 	}
 	if !target || d.split != nil {
-		d.sharedUntil = max(d.sharedUntil, until)
+		d.sharedUntil = max(d.sharedUntil, o.until)
 	}
 }
 
@@ -143,13 +158,16 @@
 	Service packet.ServiceID
 	Agent   packet.AgentID
 	Addr    netip.AddrPort
+	// Tried is the copy's packet.Header.Tried. With maxTried no upstream is probed, and only an agent that knows the
+	// flow delivers the copy.
+	Tried uint8
 }
 
 // addCopies adds the first choices of the other services that may hold the flow to a decision. If there
 // is no decision yet, the first of them becomes the decision.
 func (r *Router) addCopies(now time.Duration, out *Decision, d *destination, hash uint64, in *packet.Info) {
 	n := 0
-	add := func(service int) {
+	add := func(service int, uncertain bool) {
 		if service == noService || n == maxCopies {
 			return
 		}
@@ -161,18 +179,21 @@
 			*out = Decision{OK: true, Shared: true, Service: s.id, Agent: u.ID, Addr: u.Addr, Class: d.class}
 		default:
 			out.Copies[n] = Copy{Service: s.id, Agent: u.ID, Addr: u.Addr}
+			if uncertain && n >= maxUncertainProbes {
+				out.Copies[n].Tried = maxTried
+			}
 			n++
 		}
 	}
 	for _, s := range d.split {
-		add(s.service)
+		add(s.service, false)
 	}
 	if d.split == nil {
-		add(d.service)
+		add(d.service, false)
 	}
 	for _, o := range d.others {
 		if now < o.until {
-			add(o.service)
+			add(o.service, o.uncertain)
 		}
 	}
 }
--- a/flow/view.go
+++ b/flow/view.go
@@ -76,6 +76,11 @@
 	Proto uint8 // IP protocol number
 }
 
+// AnyEndpoint among the addresses at which an upstream is known to receive flows says that it may hold flows of
+// others: its agent has restarted and does not know all of them yet. A process that does not know this value
+// takes it for an address that no packet has.
+var AnyEndpoint Endpoint
+
 // Upstream is one upstream VM of a service in a view.
 type Upstream struct {
 	ID          packet.AgentID
@@ -120,9 +125,13 @@
 // modified afterwards.
 type View struct {
 	Services []Service
+	// Incomplete says that services or upstreams may be missing, because the process has just started.
+	Incomplete bool
 	// Routes replaces the endpoints of the services if operators configure the services'
 	// addresses. It is nil if the upstreams announce them.
 	Routes []Route
+	// FirstRoutes says that no other routes were ever in force.
+	FirstRoutes bool
 	// WarmupRates are the rates of requests a second that a cold upstream may be given, of the services that
 	// have one.
 	WarmupRates map[packet.ServiceID]float64
--- a/member/announcer.go
+++ b/member/announcer.go
@@ -306,6 +306,15 @@
 // Predecessor returns the incarnation of the latest earlier process of this agent that is known, or 0.
 func (a *Announcer) Predecessor() uint64 { return a.predecessor.Incarnation }
 
+// PredecessorEndpoints returns the endpoints that the latest earlier process of this agent has announced, if it may have
+// run beside the run of the upstream with the given start ID.
+func (a *Announcer) PredecessorEndpoints(startID uint64) []flow.Endpoint {
+	if p := &a.predecessor; p.Start == startID || p.Start == 0 || startID == 0 {
+		return p.Endpoints
+	}
+	return nil
+}
+
 // PredecessorStopped reports whether that process is known to have announced that it restarts.
 func (a *Announcer) PredecessorStopped() bool { return a.predecessor.State == flow.AgentRestarting }
 
--- a/member/gossip.go
+++ b/member/gossip.go
@@ -261,7 +261,7 @@
 		peers = []netip.AddrPort{n.anyPeer()}
 	}
 	for _, p := range n.sample(peers, 1) {
-		n.enqueue(p, Message{Kind: KindDigest, From: n.self.Control, Digests: []Digest{n.table.Digest()}, Incomplete: !n.complete(), ShortHistory: !n.coversHistory()})
+		n.enqueue(p, Message{Kind: KindDigest, From: n.self.Control, Digests: []Digest{n.table.Digest()}, Incomplete: !n.Complete(), ShortHistory: !n.coversHistory()})
 	}
 }
 
@@ -286,7 +286,7 @@
 // relays the merged records to agents only and does not push them to balancers, which
 // receive them in their own exchanges.
 func (n *Node) reconcile(m Message) Message {
-	out := Message{Kind: KindDigest, Incomplete: !n.complete(), ShortHistory: !n.coversHistory()}
+	out := Message{Kind: KindDigest, Incomplete: !n.Complete(), ShortHistory: !n.coversHistory()}
 	n.answerWants(&out, m)
 	for _, r := range m.Records {
 		if n.mergeOrRefute(r) {
--- a/member/group.go
+++ b/member/group.go
@@ -131,21 +131,21 @@
 	return s
 }
 
-// endpoints returns the union of the endpoints announced by live upstreams, or by
-// all upstreams if none is live.
+// endpoints returns the union of the endpoints announced by upstreams that may hold flows, or by
+// all upstreams if none does. An upstream that is marked as failed may hold its flows.
 func (g *group) endpoints() []flow.Endpoint {
-	var live, all []flow.Endpoint
+	var holding, all []flow.Endpoint
 	for _, e := range g.entries {
 		all = append(all, e.record.Endpoints...)
-		if !e.record.Gone() {
-			live = append(live, e.record.Endpoints...)
+		if e.record.State != flow.Leaving {
+			holding = append(holding, e.record.Endpoints...)
 		}
 	}
-	if len(live) == 0 {
-		live = all
+	if len(holding) == 0 {
+		holding = all
 	}
-	slices.SortFunc(live, compareEndpoints)
-	return slices.Compact(live)
+	slices.SortFunc(holding, compareEndpoints)
+	return slices.Compact(holding)
 }
 
 func compareEndpoints(a, b flow.Endpoint) int {
--- a/member/node.go
+++ b/member/node.go
@@ -166,10 +166,10 @@
 // SetLoaded records that the records of all failure domains have been read from the store.
 func (n *Node) SetLoaded() { n.loaded = true }
 
-// complete reports whether this balancer knows the records of all live processes: a balancer that did has
+// Complete reports whether this balancer knows the records of all live processes: a balancer that did has
 // sent it its table, or processes that the store did not list have had the time to announce themselves.
 // An agent takes the list of a balancer that is not complete for no proof that a flow has no owner.
-func (n *Node) complete() bool {
+func (n *Node) Complete() bool {
 	return n.synced || n.loaded && n.now >= n.cfg.HeartbeatInterval/2 || n.now >= n.cfg.SuspectAfter
 }
 
@@ -177,7 +177,7 @@
 // flow.MaxFlowAge, those that have ended included: it has run for that long, or has the whole table of a
 // balancer that has. The store lacks processes that were added shortly before all balancers ended.
 func (n *Node) coversHistory() bool {
-	return n.complete() && (n.history || n.now >= flow.MaxFlowAge)
+	return n.Complete() && (n.history || n.now >= flow.MaxFlowAge)
 }
 
 // SetState changes the balancer's state and announces it.
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"testing"
 
@@ -170,3 +171,16 @@
 		Expect(t.ServiceMembers("a")).To(HaveLen(3))
 	})
 })
+
+// Guards against open flows that are not looked for at an upstream which is only suspected to have failed.
+func TestServiceKeepsTheEndpointsOfUpstreamsMarkedAsFailed(t *testing.T) {
+	g := NewWithT(t)
+	table := member.NewTable()
+	e := flow.Endpoint{Addr: netip.MustParseAddrPort("192.0.2.1:443"), Proto: 6}
+	own := flow.Endpoint{Addr: netip.MustParseAddrPort("192.0.2.2:443"), Proto: 6}
+	table.Merge(member.Record{Name: "u1", Service: "s", Incarnation: 1, Version: 1, State: flow.Failed, Endpoints: []flow.Endpoint{e}})
+	table.Merge(member.Record{Name: "u2", Service: "s", Incarnation: 1, Version: 1, State: flow.Ready, Endpoints: []flow.Endpoint{own}})
+	g.Expect(table.View().Services[0].Endpoints).To(ConsistOf(e, own))
+	table.Merge(member.Record{Name: "u1", Service: "s", Incarnation: 1, Version: 2, State: flow.Leaving, Endpoints: []flow.Endpoint{e}})
+	g.Expect(table.View().Services[0].Endpoints).To(ConsistOf(own))
+}
