agent, member: a balancer is no witness that no earlier agent ran

Cause: a balancer that had run for a minute counted as knowing all processes of that minute, also if it had been cut off while the agent's earlier process ran. Change: only the first announcement of a run shows that an agent is the first beside it; balancers' records can only disprove it. The history of balancers is removed; ShortHistory stays on the wire, always set, for agents of earlier builds.

--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -65,41 +65,26 @@
 	appliedNoEarlier    bool          // noEarlierFlows as last applied to the flow table; guarded by Agent.stateMu
 }
 
-const (
-	// startMargin is how much earlier than its agent an upstream that has just announced itself may have started
-	// if no earlier process of the agent can have run beside it. A killed agent is not back within that time.
-	startMargin = 300 * time.Millisecond
-	// maxFirstSequence is the highest sequence number of an announcement that shows that
-	// the upstream has just started with its VM. The first announcement that an agent
-	// receives may have a number above 1, because the upstream repeats announcements that
-	// were not accepted.
-	maxFirstSequence = 4
-)
+// startMargin is how much earlier than its agent an upstream that has just announced itself may have started
+// if no earlier process of the agent can have run beside it. A killed agent is not back within that time.
+const startMargin = 300 * time.Millisecond
 
-// startEvidence is what an announcement shows of whether the upstream has started together with its agent.
+// startEvidence is what an announcement shows of whether an earlier agent has run beside the same run of the upstream.
 type startEvidence struct {
-	first   bool // it has announced itself to no earlier agent: an upstream numbers its calls from 1 in each run
-	warming bool // it warms up, and its sequence number is low
-	older   bool // it has started more than startMargin before the agent, by this VM's clock, which may have jumped
+	first bool // it has announced itself to no earlier agent: an upstream numbers its calls from 1 in each run
+	older bool // it has started more than startMargin before the agent, by this VM's clock, which may have jumped
 }
 
 func evidenceOf(a *upstream.Announcement, agentStart time.Time) startEvidence {
-	return startEvidence{
-		first:   a.Sequence == 1,
-		warming: a.Warmup > 0 && a.Sequence <= maxFirstSequence,
-		older:   agentStart.Sub(time.UnixMilli(a.Born)) > startMargin,
-	}
+	return startEvidence{first: a.Sequence == 1, older: agentStart.Sub(time.UnixMilli(a.Born)) > startMargin}
 }
 
-// showsFirstAgent reports whether no earlier agent has run beside the upstream's present run. The clock only
-// raises doubt: a start time that does not precede the agent's proves nothing, since the clock may have been set back.
-// predecessor says that an earlier process of the agent is known, which may have passed first packets to the present run
-// before its first announcement. historyCovered says that an earlier process that was given open flows would be known.
-func (e startEvidence) showsFirstAgent(predecessor, historyCovered bool) bool {
-	if predecessor {
-		return e.first && !e.older
-	}
-	return e.first || e.warming && historyCovered
+// showsFirstAgent reports whether no earlier agent has run beside the upstream's present run. Only the run itself can
+// show that: the clock, which may have been set back, and a balancer that knows of no earlier agent, which may have been
+// cut off while it ran, prove nothing. predecessor says that an earlier process of the agent is known, which may have
+// passed first packets to the present run before its first announcement; there the clock can raise doubt.
+func (e startEvidence) showsFirstAgent(predecessor bool) bool {
+	return e.first && !(predecessor && e.older)
 }
 
 func newUpstreamMonitor(a *Agent) *upstreamMonitor {
@@ -199,17 +184,17 @@
 }
 
 // noEarlierFlows reports whether this agent has seen all flows of the upstream: it is the first beside this run
-// of the upstream, and no process knows of an earlier one. Flows are placed only at agents whose record the balancers have, and balancers
-// return the record of an earlier process with their first answer, except those that have started lately.
+// of the upstream, and no process knows of an earlier one. Balancers return the record of an earlier process with their
+// first answer if they know it.
 func (a *Agent) noEarlierFlows(c *upstreamStatus) bool {
 	if a.peers.homeBalancer.Load() == nil {
 		return false
 	}
-	ranBefore, predecessor, complete, covered := false, uint64(0), false, false
+	ranBefore, predecessor, complete := false, uint64(0), false
 	a.members.Do(func(_ time.Duration, n *member.Announcer) {
-		ranBefore, predecessor, complete, covered = n.RanBefore(c.start), n.Predecessor(), n.ListComplete(), n.HistoryCovered()
+		ranBefore, predecessor, complete = n.RanBefore(c.start), n.Predecessor(), n.ListComplete()
 	})
-	return complete && !ranBefore && c.startedWithAgent.showsFirstAgent(predecessor != 0, covered)
+	return complete && !ranBefore && c.startedWithAgent.showsFirstAgent(predecessor != 0)
 }
 
 // refreshNoEarlierFlows applies noEarlierFlows, the predecessor, its endpoints and the idle limit to the flow table
--- a/flow/fleet_harness_test.go
+++ b/flow/fleet_harness_test.go
@@ -29,7 +29,6 @@
 	fleetMaxQueued       = 32                     // agent.maxQueuedPerAgent
 	fleetHandoverTimeout = time.Second            // agent.handoverTimeout
 	fleetReportGap       = time.Second            // agent.undeliveredReportInterval
-	fleetWarmup          = 3 * time.Second        // "a upstream that has just started is slow for some seconds"
 	fleetSYNTimeout      = 1400 * time.Millisecond
 	fleetHalfOpen        = 5 * time.Second // until a upstream drops a flow that its client does not open
 	fleetDeadline        = 6 * time.Second // of a request; then the client gives the flow up
@@ -426,7 +425,6 @@
 	leaving    bool                            // out of rotation, before a planned restart
 	loaded     bool                            // the records have been read from the store
 	synced     bool                            // a balancer that was complete has sent its view
-	history    bool                            // one that covers history has
 	inRotation bool                            // as the platform's probes have found last; see probeBalancer
 	misses     int
 }
@@ -439,7 +437,7 @@
 func (b *fleetBalancer) start() {
 	b.begin()
 	b.router, b.leaving = NewRouter(RouterConfig{Hints: 4096}), false
-	b.readyOnce, b.synced, b.history = false, false, false
+	b.readyOnce, b.synced = false, false
 	clear(b.view)
 	b.earlier = map[packet.AgentID]memberRecord{}
 	b.viewChange = b.f.now
@@ -458,7 +456,7 @@
 	_, connected := b.f.connects(b.vm, other.vm)
 	if other != b && other.up && len(other.view) > 0 && connected {
 		next = time.Second
-		b.synced, b.history = b.synced || other.complete(), b.history || other.coversHistory()
+		b.synced = b.synced || other.complete()
 		for _, a := range b.f.agents {
 			r, known := other.view[a.id]
 			if !known || r.version <= b.view[a.id].version {
@@ -480,11 +478,6 @@
 	return b.synced || b.loaded && b.clock() >= fleetHeartbeat/2 || b.clock() >= 3*time.Second
 }
 
-// coversHistory is member.Node.coversHistory.
-func (b *fleetBalancer) coversHistory() bool {
-	return b.complete() && (b.history || b.clock() >= MaxFlowAge)
-}
-
 func (b *fleetBalancer) receiveRecord(r memberRecord) {
 	if !b.up || r.version <= b.view[r.u.ID].version {
 		return
@@ -639,7 +632,6 @@
 	announced          Upstream
 	homeKnown          bool // a balancer has answered
 	listComplete       bool // a complete one has
-	covered            bool // one that covers history has
 	homeSince          time.Duration
 	stopping           bool
 	buffered           map[uint64]fleetPacket
@@ -663,7 +655,7 @@
 }
 
 // startEvidence is that of package agent.
-type startEvidence struct{ first, warming, older bool }
+type startEvidence struct{ first, older bool }
 
 type sendQueue struct {
 	messages []Message
@@ -676,7 +668,7 @@
 	a.incarnation = uint64(a.f.now)<<8 | uint64(a.runs)
 	a.view, a.viewChanged = map[packet.AgentID]memberRecord{}, true
 	a.version = uint64(a.runs) * versionsPerRun
-	a.homeKnown, a.listComplete, a.covered, a.stopping, a.timerSet = false, false, false, false, false
+	a.homeKnown, a.listComplete, a.stopping, a.timerSet = false, false, false, false
 	a.buffered, a.queues = map[uint64]fleetPacket{}, map[packet.AgentID]*sendQueue{}
 	a.known, a.upstreamDraining, a.upstreamLeaving, a.upstreamStopped, a.listening = false, false, false, false, false
 	a.upstreamStart, a.upstreamSeq, a.evidence, a.appliedNoEarlier = 0, 0, startEvidence{}, false
@@ -724,7 +716,7 @@
 		if r, known := b.earlier[a.id]; known {
 			a.noteEarlier(r)
 		}
-		a.listComplete, a.covered = a.listComplete || b.complete(), a.covered || b.coversHistory()
+		a.listComplete = a.listComplete || b.complete()
 		if !a.homeKnown {
 			a.homeKnown = true
 			a.later(time.Millisecond, queueStep, a.stepOnce)
@@ -1094,10 +1086,7 @@
 func (a *fleetAgent) applyStart() {
 	// An earlier process without an announcement may have run beside any upstream: see member.RanBefore.
 	ranBefore := a.earlierStarts[a.upstreamStart] || a.f.shape.trouble && a.earlierStarts[0]
-	first := a.evidence.first || a.evidence.warming && a.covered
-	if a.predecessor.u.ID != 0 {
-		first = a.evidence.first && !a.evidence.older
-	}
+	first := a.evidence.first && !(a.predecessor.u.ID != 0 && a.evidence.older)
 	noEarlier := first && a.listComplete && !ranBefore
 	if a.upstreamStart != 0 && (a.table.UpstreamStart() != a.upstreamStart || noEarlier != a.appliedNoEarlier || a.table.UpstreamStopped() && !a.upstreamStopped) {
 		a.table.SetUpstreamStart(a.clock(), a.upstreamStart, noEarlier)
@@ -1121,11 +1110,7 @@
 		return
 	}
 	if start != a.upstreamStart {
-		a.evidence = startEvidence{
-			first:   seq == 1,
-			warming: a.f.now-a.upstream.startedAt < fleetWarmup && seq <= 4,
-			older:   a.startWall-born > 300*time.Millisecond,
-		}
+		a.evidence = startEvidence{first: seq == 1, older: a.startWall-born > 300*time.Millisecond}
 		a.upstreamLeaving, a.upstreamBorn = false, born
 	} else {
 		draining = draining || a.upstreamDraining
--- a/member/announcer.go
+++ b/member/announcer.go
@@ -44,7 +44,6 @@
 	idleLimit        time.Duration   // see IdleLimit
 	warmup           warmup          // see Warmup
 	listComplete     bool            // a balancer that knew all live processes has answered
-	historyCovered   bool            // one that knew all that have ended lately has
 	predecessor      Record          // newest record of an earlier agent process of this name; zero if none is known
 }
 
@@ -227,7 +226,6 @@
 		}
 	}
 	a.listComplete = a.listComplete || !m.Incomplete
-	a.historyCovered = a.historyCovered || !m.Incomplete && !m.ShortHistory
 	if m.IdleLimit > 0 {
 		a.idleLimit = time.Duration(m.IdleLimit) * time.Second
 	}
@@ -298,11 +296,6 @@
 // ListComplete reports whether a balancer that knew all live processes has answered a heartbeat.
 func (a *Announcer) ListComplete() bool { return a.listComplete }
 
-// HistoryCovered reports whether a balancer has answered a heartbeat that knew all processes which have run
-// within flow.MaxFlowAge. If Predecessor is 0 then, no earlier process of this agent was given a flow that
-// may be open.
-func (a *Announcer) HistoryCovered() bool { return a.historyCovered }
-
 // Predecessor returns the incarnation of the latest earlier process of this agent that is known, or 0.
 func (a *Announcer) Predecessor() uint64 { return a.predecessor.Incarnation }
 
--- a/member/gossip.go
+++ b/member/gossip.go
@@ -261,7 +261,7 @@
 		peers = []netip.AddrPort{n.anyPeer()}
 	}
 	for _, p := range n.sample(peers, 1) {
-		n.enqueue(p, Message{Kind: KindDigest, From: n.self.Control, Digests: []Digest{n.table.Digest()}, Incomplete: !n.Complete(), ShortHistory: !n.coversHistory()})
+		n.enqueue(p, Message{Kind: KindDigest, From: n.self.Control, Digests: []Digest{n.table.Digest()}, Incomplete: !n.Complete(), ShortHistory: true})
 	}
 }
 
@@ -271,7 +271,7 @@
 	// Without further digests the reply has held all records that the peer has and this balancer lacked.
 	wholeTable := len(c.Request.Digests) == 1 && c.Request.Digests[0].Part == 0
 	if wholeTable && m.Kind == KindDigest && !m.Incomplete && len(m.Digests) == 0 && !n.behind {
-		n.synced, n.history = true, n.history || !m.ShortHistory
+		n.synced = true
 	}
 	if len(next.Records) > 0 || len(next.Digests) > 0 || len(next.Want) > 0 {
 		next.From = n.self.Control
@@ -286,7 +286,7 @@
 // relays the merged records to agents only and does not push them to balancers, which
 // receive them in their own exchanges.
 func (n *Node) reconcile(m Message) Message {
-	out := Message{Kind: KindDigest, Incomplete: !n.Complete(), ShortHistory: !n.coversHistory()}
+	out := Message{Kind: KindDigest, Incomplete: !n.Complete(), ShortHistory: true}
 	n.answerWants(&out, m)
 	for _, r := range m.Records {
 		if n.mergeOrRefute(r) {
--- a/member/heartbeat.go
+++ b/member/heartbeat.go
@@ -18,7 +18,7 @@
 	}
 	n.markAlive(e.record.Name)
 	reply := Message{
-		Grantor: n.newerGrantor(e.record.Service, m.Term), Incomplete: !n.Complete(), ShortHistory: !n.coversHistory(),
+		Grantor: n.newerGrantor(e.record.Service, m.Term), Incomplete: !n.Complete(), ShortHistory: true,
 		IdleLimit: secondsUp(n.idle.longest(n.now)),
 	}
 	// Agents may know orders that all balancers have lost, by restarts while the store was unavailable.
--- a/member/lost_reply_test.go
+++ b/member/lost_reply_test.go
@@ -37,7 +37,7 @@
 			agent.Reply(now, c, n.Handle(now, c.Request))
 		}
 	}
-	g.Expect(agent.HistoryCovered()).To(BeTrue())
+	g.Expect(agent.ListComplete()).To(BeTrue())
 	g.Expect(agent.RanBefore(77)).To(BeTrue())
 	g.Expect(agent.Predecessor()).To(BeEquivalentTo(7))
 }
--- a/member/message.go
+++ b/member/message.go
@@ -61,10 +61,11 @@
 	Grantor *Grantor         `cbor:"19,keyasint,omitempty"` // grantor with a higher term
 
 	// Incomplete says that the sender, a balancer, may lack the records of live processes: see
-	// Node.complete. It is set in replies to heartbeats and in exchanges.
+	// Node.Complete. It is set in replies to heartbeats and in exchanges.
 	Incomplete bool `cbor:"22,keyasint,omitempty"`
 	// ShortHistory says that the sender, a balancer, may lack the records of processes that have ended
-	// within flow.MaxFlowAge: see Node.coversHistory. It is set like Incomplete.
+	// within flow.MaxFlowAge. It is set in the same messages as Incomplete, always: agents of earlier builds take a
+	// message without it for proof that no earlier process of theirs was given a flow that may be open.
 	ShortHistory bool `cbor:"26,keyasint,omitempty"`
 
 	// EvacuationRevision and EvacuatedDomains are the set of evacuated failure domains that the sender knows
--- a/member/node.go
+++ b/member/node.go
@@ -32,7 +32,6 @@
 	nextExchange  time.Duration // time of the next anti-entropy exchange
 	behind        bool          // the last exchange reply had maxRecords records, so more may be missing; only shortens the exchange interval
 	synced        bool          // a complete balancer has sent its whole table
-	history       bool          // one that covers history has
 	loaded        bool          // the records in the store have been read
 	nextExpiry    time.Duration // time of the next scan for records to remove
 	grantors      map[string]Grantor
@@ -173,13 +172,6 @@
 	return n.synced || n.loaded && n.now >= n.cfg.HeartbeatInterval/2 || n.now >= n.cfg.SuspectAfter
 }
 
-// coversHistory reports whether this balancer knows the records of all processes that have run within
-// flow.MaxFlowAge, those that have ended included: it has run for that long, or has the whole table of a
-// balancer that has. The store lacks processes that were added shortly before all balancers ended.
-func (n *Node) coversHistory() bool {
-	return n.Complete() && (n.history || n.now >= flow.MaxFlowAge)
-}
-
 // SetState changes the balancer's state and announces it.
 func (n *Node) SetState(now time.Duration, s flow.State) {
 	n.advance(now)
