flow, agent: a flow that a balancer has placed itself is in no other service's doubt

Cause: the doubt is about flows that were opened by routes which the router has not seen. It was applied to flows whose first packet the router had placed itself, too. Besides, agents that had missed their upstream's first announcement after a loss of power made their service suspect for 13 s or more, though such an upstream had started seconds ago. Change: a placed flow is neither marked nor copied on mere doubt (destination.doubtUntil). An upstream that still warms up and has announced itself at most four times counts as too young to hold flows of former routes. That is no proof: a former service's upstream of a few seconds whose route moves in these seconds is not covered.

--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -69,14 +69,23 @@
 // if no earlier process of the agent can have run beside it. A killed agent is not back within that time.
 const startMargin = 300 * time.Millisecond
 
+// maxYoungSequence is the highest number of an announcement that shows, beside a remaining warm-up, that the upstream has
+// started within the last seconds.
+const maxYoungSequence = 4
+
 // startEvidence is what an announcement shows of whether an earlier agent has run beside the same run of the upstream.
 type startEvidence struct {
 	first bool // it has announced itself to no earlier agent: an upstream numbers its calls from 1 in each run
 	older bool // it has started more than startMargin before the agent, by this VM's clock, which may have jumped
+	young bool // it has started within the last seconds
 }
 
 func evidenceOf(a *upstream.Announcement, agentStart time.Time) startEvidence {
-	return startEvidence{first: a.Sequence == 1, older: agentStart.Sub(time.UnixMilli(a.Born)) > startMargin}
+	return startEvidence{
+		first: a.Sequence == 1,
+		older: agentStart.Sub(time.UnixMilli(a.Born)) > startMargin,
+		young: a.Sequence == 1 || a.Warmup > 0 && a.Sequence <= maxYoungSequence,
+	}
 }
 
 // showsFirstAgent reports whether no earlier agent has run beside the upstream's present run. Only the run itself can
@@ -272,7 +281,7 @@
 		for _, k := range t.TakeRestored() {
 			a.learnEndpoint(&k)
 		}
-		announced.State, announced.Endpoints = c.state, a.learnedEndpoints(c.startedWithAgent.first || t.Completeness(now) != flow.Incomplete)
+		announced.State, announced.Endpoints = c.state, a.learnedEndpoints(c.startedWithAgent.young || t.Completeness(now) != flow.Incomplete)
 	})
 	before := a.self().State
 	a.members.Do(func(now time.Duration, n *member.Announcer) { n.SetUpstream(now, announced) })
--- a/flow/router.go
+++ b/flow/router.go
@@ -70,6 +70,9 @@
 	// open flow without a hint may be held by any of the services.
 	others      []possibleService
 	sharedUntil time.Duration
+	// doubtUntil is the time until which a flow that was opened before this router has started may be held by a service
+	// that neither the routes nor an upstream names.
+	doubtUntil time.Duration
 }
 
 type share struct {
@@ -259,9 +262,12 @@
 		return Decision{Reason: ReasonNoService}
 	}
 	hash := in.Key.Hash()
-	shared := !in.First && now < d.sharedUntil
+	shared := !in.First && now < max(d.sharedUntil, d.doubtUntil)
 	if s, u, h := r.hinted(now, &d, hash, in); u != nil {
 		s.traffic.count(hash, in)
+		if h.placed { // by routes that this router has seen
+			shared = !in.First && now < d.sharedUntil
+		}
 		out := Decision{
 			OK: true, Hinted: true, Expected: h.learned || h.placed, Shared: shared || !d.isTarget(r, s),
 			Service: s.id, Agent: u.ID, Addr: u.Addr, Class: d.class,
--- a/flow/services.go
+++ b/flow/services.go
@@ -117,9 +117,12 @@
 	for _, i := range uncertain {
 		d.addOther(r.services, possibleService{service: i, until: until, uncertain: true})
 	}
-	if len(d.split) > 1 || incomplete {
+	if len(d.split) > 1 {
 		d.sharedUntil = max(d.sharedUntil, until)
 	}
+	if incomplete {
+		d.doubtUntil = max(d.doubtUntil, until)
+	}
 }
 
 // addOther adds a service to a destination. A service whose upstreams have all announced that they
@@ -135,7 +138,10 @@
 	if !target && !known {
 		d.others = append(d.others, o)
 	}
-	if !target || d.split != nil {
+	switch {
+	case o.uncertain && !target && !known:
+		d.doubtUntil = max(d.doubtUntil, o.until)
+	case !target || d.split != nil:
 		d.sharedUntil = max(d.sharedUntil, o.until)
 	}
 }
--- a/flow/uncertain_services_test.go
+++ b/flow/uncertain_services_test.go
@@ -29,6 +29,13 @@
 	g.Expect(d.Shared).To(BeTrue())
 	g.Expect(d.services()).To(Equal([]packet.ServiceID{otherService, testService}))
 	g.Expect(d.Copies[0].Tried).To(BeZero(), "it may be probed")
+	router := NewRouter(RouterConfig{Hints: 64})
+	router.SetView(0, v)
+	syn := packet.Info{Key: key(1, packet.ProtoTCP), First: true, Flags: packet.FlagSYN}
+	g.Expect(router.Route(0, &syn).Shared).To(BeFalse())
+	later := router.Route(0, &packet.Info{Key: syn.Key, Flags: packet.FlagACK})
+	g.Expect(later.Shared).To(BeFalse(), "this router has placed the flow")
+	g.Expect(later.services()).To(Equal([]packet.ServiceID{otherService}))
 	v.FirstRoutes = true
 	g.Expect(routeOpenFlow(v).services()).To(Equal([]packet.ServiceID{otherService}), "no other routes were ever in force")
 }
