agent: tests wait for a connection check before the virtual time goes on

Change: Lifecycle.Wait; the tests' virtual VM calls it after each step. The check's result has one place in the order now. Measured: go test -race ./agent -count=10 -run TestRestartedAgentAnnounces, three times: failed each time before, passes.

--- a/agent/restart_test.go
+++ b/agent/restart_test.go
@@ -98,6 +98,7 @@
 func (v *upstreamVM) run(d time.Duration) {
 	for end := v.now + d; v.now < end; v.now += stepInterval {
 		v.agent.step()
+		v.agent.lifecycle.Wait() // for a check of the upstream's connection
 	}
 }
 
--- a/daemon/lifecycle.go
+++ b/daemon/lifecycle.go
@@ -76,6 +76,9 @@
 // Spawn is like Go for a function that returns no error.
 func (l *Lifecycle) Spawn(f func()) { l.wait.Go(f) }
 
+// Wait waits until all functions that were passed to Go and Spawn have returned.
+func (l *Lifecycle) Wait() { l.wait.Wait() }
+
 // Every calls f at the given interval until the context is cancelled.
 func (l *Lifecycle) Every(interval time.Duration, f func()) {
 	l.Go(func() error {
