--- a/agent/endpoint.go
+++ b/agent/endpoint.go
@@ -62,7 +62,7 @@
 }
 
 // learnedEndpoints returns the endpoints of the flows that the upstream holds, in sorted order, with
-// flow.AnyEndpoint first if it may hold flows of others: complete says that the flow table lists all its flows.
+// flow.AnyEndpoint first if it may hold flows of others: complete says that no such flows are possible.
 func (a *Agent) learnedEndpoints(complete bool) []flow.Endpoint {
 	out := make([]flow.Endpoint, 0, len(a.learned)+1)
 	if a.endpoints == nil && (!complete || len(a.learned) >= maxLearned) {
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -60,7 +60,7 @@
 	listening           bool          // the last connection check connected
 	refusedOnce         bool          // a connection was refused soon after a packet of the upstream
 	packetAt            time.Duration // when the upstream last sent a packet; 0: never
-	startedWithAgent    startEvidence // of the upstream's present run
+	runEvidence         startEvidence // of the upstream's present run
 	endedCheck          uint8         // number of the check that has found the upstream ended
 	appliedNoEarlier    bool          // noEarlierFlows as last applied to the flow table; guarded by Agent.stateMu
 }
@@ -124,7 +124,7 @@
 	err := m.tracker.HandleAnnouncement(m.agent.clock(), announcement)
 	_, start := m.tracker.Last()
 	if err == nil && start != before {
-		m.startedWithAgent = evidenceOf(&announcement, m.agent.startedAt)
+		m.runEvidence = evidenceOf(&announcement, m.agent.startedAt)
 	}
 	m.mu.Unlock()
 	if err != nil {
@@ -170,19 +170,19 @@
 
 // upstreamStatus is the status of the upstream on which the agent's announcement depends.
 type upstreamStatus struct {
-	state            flow.State
-	start            uint64
-	slots            int
-	startedWithAgent startEvidence
-	ended            bool
-	endedCheck       uint8 // the check that has found it ended
+	state       flow.State
+	start       uint64
+	slots       int
+	runEvidence startEvidence
+	ended       bool
+	endedCheck  uint8 // the check that has found it ended
 }
 
 func (m *upstreamMonitor) status() (c upstreamStatus) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	last, start := m.tracker.Last()
-	c = upstreamStatus{state: m.tracker.State(m.agent.clock()), start: start, slots: last.Slots, startedWithAgent: m.startedWithAgent, ended: m.tracker.IsStopped(), endedCheck: m.endedCheck}
+	c = upstreamStatus{state: m.tracker.State(m.agent.clock()), start: start, slots: last.Slots, runEvidence: m.runEvidence, ended: m.tracker.IsStopped(), endedCheck: m.endedCheck}
 	if c.state != m.loggedState {
 		m.agent.log.Log(event.LocalUpstreamChanged, "id", last.ID, "from", m.loggedState, "to", c.state,
 			"number", last.Sequence, "silent_seconds", (m.agent.clock() - m.tracker.LastAlive()).Seconds(),
@@ -203,7 +203,7 @@
 	a.members.Do(func(_ time.Duration, n *member.Announcer) {
 		ranBefore, predecessor, complete = n.RanBefore(c.start), n.Predecessor(), n.ListComplete()
 	})
-	return complete && !ranBefore && c.startedWithAgent.showsFirstAgent(predecessor != 0)
+	return complete && !ranBefore && c.runEvidence.showsFirstAgent(predecessor != 0)
 }
 
 // refreshNoEarlierFlows applies noEarlierFlows, the predecessor, its endpoints and the idle limit to the flow table
@@ -281,7 +281,9 @@
 		for _, k := range t.TakeRestored() {
 			a.learnEndpoint(&k)
 		}
-		announced.State, announced.Endpoints = c.state, a.learnedEndpoints(c.startedWithAgent.young || t.Completeness(now) != flow.Incomplete)
+		// An upstream of a few seconds counts as too young to hold flows of former routes.
+		complete := c.runEvidence.young || t.Completeness(now) != flow.Incomplete
+		announced.State, announced.Endpoints = c.state, a.learnedEndpoints(complete)
 	})
 	before := a.self().State
 	a.members.Do(func(now time.Duration, n *member.Announcer) { n.SetUpstream(now, announced) })
--- a/flow/doc.go
+++ b/flow/doc.go
@@ -69,7 +69,9 @@
 // routes do not name. A packet whose owner it does not know goes to the first choice in each service that
 // the address had during the life of a flow. Such packets are marked (packet.FlagShared): an agent asks only
 // the agents of its own service, so it finds no flow lost that another service may hold, and each service
-// makes half of the probes.
+// makes half of the probes. A Router that has just started does not know the services of earlier routes. Until no flow
+// of such routes can be open, it counts the services whose agents do not know all their flows (AnyEndpoint) among those
+// that may hold the flow, unless it has placed the flow itself.
 //
 // Between rules 2 and 3, packets of a flow that waits for a decision are dropped, so that no
 // copy of the first packet that reaches this agent opens the flow elsewhere. Late copies of a
